Add skeleton: shared messages, transport, settings, control client

Every declared library is in go.mod; linters live in tools/go.mod so that embedders do not inherit them. The test command runs formatter, vet, staticcheck and the race detector.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+GO_TOOL = go tool -modfile=tools/go.mod
+export CGO_ENABLED = 1
+
+.PHONY: build run test lint format matrix
+
+build:
+	go build -o bin/ ./cmd/...
+
+lint:
+	test -z "$$($(GO_TOOL) gofumpt -l .)" || { $(GO_TOOL) gofumpt -l . ; exit 1; }
+	go vet ./...
+	$(GO_TOOL) staticcheck ./...
+
+format:
+	$(GO_TOOL) gofumpt -w .
+
+test: lint
+	go test -race -count=1 ./...
+
+run: build
+	./scripts/run.sh
--- /dev/null
+++ b/balancer/doc.go
@@ -0,0 +1,2 @@
+// Package balancer chooses endpoints and judges their health by progress.
+package balancer
--- /dev/null
+++ b/cmd/rhubarb-load/main.go
@@ -0,0 +1,4 @@
+// Command rhubarb-load is described in docs/design.md, section 5.
+package main
+
+func main() {}
--- /dev/null
+++ b/confirm/doc.go
@@ -0,0 +1,2 @@
+// Package confirm holds the confirmation lease of an instance on the accepted revision.
+package confirm
--- /dev/null
+++ b/gate/doc.go
@@ -0,0 +1,2 @@
+// Package gate decides whether an endpoint may start an attempt and records what became of it.
+package gate
--- /dev/null
+++ b/internal/auth/auth.go
@@ -0,0 +1,54 @@
+package auth
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/samber/oops"
+)
+
+const minTokenBytes = 16
+
+// Token is a bearer token. Its text never reaches logs through formatting.
+type Token struct{ secret string }
+
+// String hides the secret.
+func (Token) String() string { return "[token]" }
+
+// Secret returns the token's text, for an Authorization header.
+func (t Token) Secret() string { return t.secret }
+
+// ReadToken reads a token from a file.
+func ReadToken(path string) (Token, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Token{}, oops.In("auth").Wrap(err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if len(secret) < minTokenBytes {
+		return Token{}, oops.In("auth").Errorf("%s: token is shorter than %d bytes", path, minTokenBytes)
+	}
+	return Token{secret: secret}, nil
+}
+
+// Allows reports whether r carries the token. The empty token allows nothing.
+func (t Token) Allows(r *http.Request) bool {
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || t.secret == "" {
+		return false
+	}
+	return subtle.ConstantTimeCompare([]byte(given), []byte(t.secret)) == 1
+}
+
+// Require wraps next and answers 401 without the token.
+func (t Token) Require(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !t.Allows(r) {
+			http.Error(w, "token missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the caller-facing daemon.
+package entry
--- /dev/null
+++ b/internal/loadtool/doc.go
@@ -0,0 +1,2 @@
+// Package loadtool generates load and reports latency histograms.
+package loadtool
--- /dev/null
+++ b/internal/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging sets up JSON-lines logs on standard error.
+package logging
--- /dev/null
+++ b/internal/matrix/doc.go
@@ -0,0 +1,2 @@
+// Package matrix runs the fault matrix.
+package matrix
--- /dev/null
+++ b/internal/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics serves Prometheus metrics and the health checks of a daemon.
+package metrics
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator implements the commands of rhubarbctl.
+package operator
--- /dev/null
+++ b/internal/transfer/doc.go
@@ -0,0 +1,2 @@
+// Package transfer moves verified chunks between instances, the weight store and the origin.
+package transfer
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,42 @@
+package transport
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/coder/websocket"
+)
+
+// Server accepts sessions. It is an http.Handler for wire.PathSession.
+type Server struct {
+	// Handler receives the messages of every session.
+	Handler Handler
+	// Authorize refuses a request by returning false. Nil refuses all.
+	Authorize func(r *http.Request) bool
+	// Opened and Closed, when set, are told of sessions.
+	Opened, Closed func(s *Session)
+	// Bytes, when set, counts the payload of all sessions.
+	Bytes *ByteCounts
+}
+
+// ServeHTTP implements http.Handler. It returns when the session ends.
+func (v *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if v.Authorize == nil || !v.Authorize(r) {
+		http.Error(w, "process token missing or wrong", http.StatusUnauthorized)
+		return
+	}
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	s := newSession(conn, r.RemoteAddr, v.Handler, v.Bytes)
+	ctx, cancel := context.WithCancel(r.Context())
+	s.cancel = cancel
+	if v.Opened != nil {
+		v.Opened(s)
+	}
+	_ = s.run(ctx)
+	if v.Closed != nil {
+		v.Closed(s)
+	}
+}
--- /dev/null
+++ b/internal/transport/session.go
@@ -0,0 +1,224 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Errors of this package.
+var (
+	ErrClosed       = errors.New("session closed")
+	ErrBackpressure = errors.New("send queue full")
+)
+
+const (
+	sendQueueFrames = 1024
+	pingInterval    = time.Second
+	// pingTimeout bounds how long a silent partition goes unnoticed.
+	pingTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+)
+
+// Handler receives each message that is not a reply. Calls of one session are
+// sequential; a handler that blocks stops the session's reads.
+type Handler func(ctx context.Context, s *Session, env wire.Envelope)
+
+// Session is one open connection. Its methods are safe for concurrent use.
+type Session struct {
+	conn    *websocket.Conn
+	handler Handler
+	peer    string
+	queue   chan []byte
+	nextID  atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[uint64]chan wire.Envelope
+
+	cancel context.CancelFunc
+	done   chan struct{}
+	bytes  *ByteCounts
+}
+
+// ByteCounts counts payload bytes in both directions.
+type ByteCounts struct {
+	Sent, Received atomic.Int64
+}
+
+func newSession(conn *websocket.Conn, peer string, handler Handler, bytes *ByteCounts) *Session {
+	conn.SetReadLimit(wire.MaxFrameBytes)
+	if bytes == nil {
+		bytes = &ByteCounts{}
+	}
+	return &Session{
+		conn: conn, handler: handler, peer: peer, bytes: bytes,
+		queue:   make(chan []byte, sendQueueFrames),
+		waiting: map[uint64]chan wire.Envelope{},
+		done:    make(chan struct{}),
+	}
+}
+
+// Peer names the other side: the dialled address or the remote address.
+func (s *Session) Peer() string { return s.peer }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.done }
+
+// Close ends the session.
+func (s *Session) Close() {
+	s.cancel()
+}
+
+// run serves the session until the connection fails or ctx ends.
+func (s *Session) run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.writeLoop(ctx) })
+	wg.Go(func() { s.pingLoop(ctx) })
+	err := s.readLoop(ctx)
+	s.cancel()
+	_ = s.conn.CloseNow()
+	wg.Wait()
+	close(s.done)
+	return err
+}
+
+func (s *Session) readLoop(ctx context.Context) error {
+	for {
+		kind, frame, err := s.conn.Read(ctx)
+		if err != nil {
+			return oops.In("transport").With("peer", s.peer).Wrap(err)
+		}
+		s.bytes.Received.Add(int64(len(frame)))
+		if kind != websocket.MessageBinary {
+			return oops.In("transport").With("peer", s.peer).Errorf("text frame from peer")
+		}
+		env, err := wire.Decode(frame)
+		if err != nil {
+			return err
+		}
+		if env.ReplyTo != 0 {
+			s.deliverReply(env)
+			continue
+		}
+		s.handler(ctx, s, env)
+	}
+}
+
+func (s *Session) deliverReply(env wire.Envelope) {
+	s.mu.Lock()
+	ch, ok := s.waiting[env.ReplyTo]
+	delete(s.waiting, env.ReplyTo)
+	s.mu.Unlock()
+	if ok {
+		ch <- env
+	}
+}
+
+func (s *Session) writeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case frame := <-s.queue:
+			wctx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := s.conn.Write(wctx, websocket.MessageBinary, frame)
+			cancel()
+			if err != nil {
+				s.cancel()
+				return
+			}
+			s.bytes.Sent.Add(int64(len(frame)))
+		}
+	}
+}
+
+func (s *Session) pingLoop(ctx context.Context) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+			err := s.conn.Ping(pctx)
+			cancel()
+			if err != nil {
+				s.cancel()
+				return
+			}
+		}
+	}
+}
+
+// Send queues msg. It never blocks: a full queue gives ErrBackpressure.
+func (s *Session) Send(msg wire.Message) error {
+	return s.send(msg, 0, 0)
+}
+
+// Reply answers the request env.
+func (s *Session) Reply(env wire.Envelope, msg wire.Message) error {
+	return s.send(msg, 0, env.ID)
+}
+
+// Request sends msg and decodes the reply into out. A wire.Error reply is
+// returned as an error.
+func (s *Session) Request(ctx context.Context, msg wire.Message, out any) error {
+	id := s.nextID.Add(1)
+	ch := make(chan wire.Envelope, 1)
+	s.mu.Lock()
+	s.waiting[id] = ch
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.waiting, id)
+		s.mu.Unlock()
+	}()
+	if err := s.send(msg, id, 0); err != nil {
+		return err
+	}
+	select {
+	case env := <-ch:
+		return decodeReply(env, out)
+	case <-s.done:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func decodeReply(env wire.Envelope, out any) error {
+	if env.Type != wire.TypeError {
+		return env.Into(out)
+	}
+	var failure wire.Error
+	if err := env.Into(&failure); err != nil {
+		return err
+	}
+	return failure
+}
+
+func (s *Session) send(msg wire.Message, id, replyTo uint64) error {
+	frame, err := wire.Encode(msg, id, replyTo)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-s.done:
+		return ErrClosed
+	default:
+	}
+	select {
+	case s.queue <- frame:
+		return nil
+	default:
+		return ErrBackpressure
+	}
+}
--- /dev/null
+++ b/internal/wire/http.go
@@ -0,0 +1,36 @@
+package wire
+
+// Headers of the caller API and of the entry-to-gate protocol.
+const (
+	HeaderOutcome      = "Rhubarb-Outcome"
+	HeaderReason       = "Rhubarb-Reason"
+	HeaderWeightsSet   = "Rhubarb-Weights-Set"
+	HeaderAttempt      = "Rhubarb-Attempt"
+	HeaderOrganisation = "Rhubarb-Organisation"
+	HeaderDeadline     = "Rhubarb-Deadline-Ms"
+	HeaderIdempotent   = "Rhubarb-Idempotent"
+	HeaderPriority     = "Rhubarb-Priority"
+	HeaderFingerprint  = "Rhubarb-Fingerprint"
+	// HeaderAlone marks a suspected request: the gate runs it with no neighbour.
+	HeaderAlone = "Rhubarb-Alone"
+	// HeaderResumeFrom is the number of tokens the caller already has.
+	HeaderResumeFrom     = "Rhubarb-Resume-From"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Paths of the gate, served by the agent on its gate address. A caller's path
+// is appended to PathGateForward.
+const (
+	PathGateForward  = "/gate"
+	PathGateAttempts = "/gate-attempts/" // {attempt}: GET state, POST fence, DELETE cancel
+)
+
+// Paths of the chunk server of an agent, of the weight store and of the origin.
+const (
+	PathChunks    = "/chunks/"    // {sha256 hex}: agents
+	PathManifests = "/manifests/" // {sha256 hex}: agents, store, origin
+	PathObjects   = "/objects/"   // {file name}, Range allowed: store, origin
+)
+
+// PathSession is the WebSocket endpoint of every process.
+const PathSession = "/session"
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,181 @@
+package wire
+
+import "github.com/rhubarbhill/rhubarbhill/release"
+
+// EndpointKind tells engines from plain services.
+type EndpointKind string
+
+// Kinds of endpoint.
+const (
+	KindEngine  EndpointKind = "engine"
+	KindService EndpointKind = "service"
+)
+
+// Announce is an agent's report on its endpoint, sent to every control replica
+// each second and on every change.
+type Announce struct {
+	Endpoint    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"` // process start, nanoseconds since the epoch
+	Sequence    uint64 `cbor:"3,keyasint"` // increases within an incarnation
+
+	Kind         EndpointKind `cbor:"4,keyasint"`
+	Role         string       `cbor:"5,keyasint,omitempty"` // matched against a model's role
+	Service      string       `cbor:"6,keyasint,omitempty"` // name, for KindService
+	Zone         string       `cbor:"7,keyasint"`
+	Region       string       `cbor:"8,keyasint"`
+	GateAddress  string       `cbor:"9,keyasint"`
+	ChunkAddress string       `cbor:"10,keyasint,omitempty"`
+
+	Sets     []LoadedSet `cbor:"11,keyasint,omitempty"`
+	InFlight int         `cbor:"12,keyasint"`
+	Capacity int         `cbor:"13,keyasint"`
+	Ready    bool        `cbor:"14,keyasint"`
+	Draining bool        `cbor:"15,keyasint"`
+
+	// Revision is the highest catalogue revision that the agent acts on.
+	Revision uint64 `cbor:"16,keyasint"`
+	// Confirmed is true while the agent holds its confirmation lease.
+	Confirmed bool              `cbor:"17,keyasint"`
+	Rollouts  []RolloutProgress `cbor:"18,keyasint,omitempty"`
+	// Gone is true in the last announcement of a stopped agent.
+	Gone bool `cbor:"19,keyasint,omitempty"`
+}
+
+// LoadedSet is a weights set that an engine serves.
+type LoadedSet struct {
+	Model   string `cbor:"1,keyasint" json:"model"`
+	Version string `cbor:"2,keyasint" json:"version"`
+	SetID   string `cbor:"3,keyasint" json:"set_id"`
+}
+
+// RolloutProgress reports the transfer of one weights set to one endpoint.
+type RolloutProgress struct {
+	SetID       string `cbor:"1,keyasint" json:"set_id"`
+	ChunksHave  int    `cbor:"2,keyasint" json:"chunks_have"`
+	ChunksTotal int    `cbor:"3,keyasint" json:"chunks_total"`
+	OriginBytes int64  `cbor:"4,keyasint" json:"origin_bytes"`
+	PeerBytes   int64  `cbor:"5,keyasint" json:"peer_bytes"`
+	Phase       string `cbor:"6,keyasint" json:"phase"` // manifest, fetching, verified, loading, live, failed
+	Detail      string `cbor:"7,keyasint,omitempty" json:"detail,omitempty"`
+}
+
+// AnnounceReply acknowledges an announcement.
+type AnnounceReply struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// ConfirmRequest asks a voter for its revision. Mark identifies the moment of
+// sending on the agent's monotonic clock; the reply echoes it.
+type ConfirmRequest struct {
+	Mark uint64 `cbor:"1,keyasint"`
+}
+
+// ConfirmReply is a voter's answer. A voter with Unresolved set holds a newer
+// note that is not known to be committed and confirms no revision.
+type ConfirmReply struct {
+	Mark       uint64   `cbor:"1,keyasint"`
+	Replica    string   `cbor:"2,keyasint"`
+	Revision   uint64   `cbor:"3,keyasint"`
+	Unresolved bool     `cbor:"4,keyasint"`
+	Voters     []string `cbor:"5,keyasint"`
+	VoterIndex uint64   `cbor:"6,keyasint"`
+	// Addresses maps replicas, learners included, to their session addresses.
+	Addresses map[string]string `cbor:"7,keyasint"`
+	// Term orders leaders' fencing numbers for engine orders.
+	Term uint64 `cbor:"8,keyasint"`
+}
+
+// Catalogue carries the state that accepted notes produced. A delta is applied
+// only when the receiver holds revision Base and the result has digest Digest;
+// otherwise the receiver subscribes again for the full state (Base 0).
+type Catalogue struct {
+	Revision uint64             `cbor:"1,keyasint"`
+	Base     uint64             `cbor:"2,keyasint,omitempty"`
+	Digest   release.Digest     `cbor:"3,keyasint"`
+	Full     *release.Catalogue `cbor:"4,keyasint,omitempty"`
+	Delta    *release.Delta     `cbor:"5,keyasint,omitempty"`
+	// Quarantined lists fingerprints with end dates, for entries.
+	Quarantined []QuarantinedRequest `cbor:"6,keyasint,omitempty"`
+}
+
+// QuarantinedRequest is a fingerprint that no endpoint runs before Until
+// (Unix milliseconds). Suspect fingerprints run alone.
+type QuarantinedRequest struct {
+	Fingerprint string   `cbor:"1,keyasint" json:"fingerprint"`
+	Until       int64    `cbor:"2,keyasint" json:"until_unix_ms"`
+	Quarantined bool     `cbor:"3,keyasint" json:"quarantined"` // false: suspect only
+	Crashed     []string `cbor:"4,keyasint,omitempty" json:"crashed_endpoints,omitempty"`
+}
+
+// Members carries endpoint announcements, whole or changed since version Base.
+// Versions count within one process start, identified by Epoch, of the sender.
+type Members struct {
+	Epoch   uint64     `cbor:"1,keyasint"`
+	Version uint64     `cbor:"2,keyasint"`
+	Base    uint64     `cbor:"3,keyasint,omitempty"`
+	Updated []Announce `cbor:"4,keyasint,omitempty"`
+	Removed []string   `cbor:"5,keyasint,omitempty"`
+}
+
+// Subscribe asks a control replica for catalogue and member updates.
+type Subscribe struct {
+	Name     string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // catalogue revision held
+	Members  bool   `cbor:"3,keyasint"` // send member updates too
+	Epoch    uint64 `cbor:"4,keyasint,omitempty"`
+	Version  uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Propose asks for a command to be committed. Command is a ledger command,
+// encoded by package ledger.
+type Propose struct {
+	Command []byte `cbor:"1,keyasint"`
+}
+
+// Statuses of a ProposeReply.
+const (
+	ProposeCommitted = "committed" // Result holds the ledger's answer
+	ProposeNotRun    = "not-run"   // the command was not and will not be committed
+	ProposeUnknown   = "unknown"
+)
+
+// ProposeReply answers a Propose. Leader hints where to ask next.
+type ProposeReply struct {
+	Status string `cbor:"1,keyasint"`
+	Result []byte `cbor:"2,keyasint,omitempty"`
+	Leader string `cbor:"3,keyasint,omitempty"`
+	Detail string `cbor:"4,keyasint,omitempty"`
+}
+
+// Raft carries one message of the replicated log, encoded by package raft.
+type Raft struct {
+	Message []byte `cbor:"1,keyasint"`
+}
+
+// HaveRequest asks a peer which chunks of a manifest it holds.
+type HaveRequest struct {
+	Manifest release.Digest `cbor:"1,keyasint"`
+	Endpoint string         `cbor:"2,keyasint"`
+}
+
+// Have lists the chunks of a manifest that a peer holds, as a bitmap with bit
+// i%8 of byte i/8 for chunk i.
+type Have struct {
+	Manifest release.Digest `cbor:"1,keyasint"`
+	Endpoint string         `cbor:"2,keyasint"`
+	Bitmap   []byte         `cbor:"3,keyasint"`
+}
+
+// MessageType implementations.
+func (Announce) MessageType() Type       { return TypeAnnounce }
+func (AnnounceReply) MessageType() Type  { return TypeAnnounceReply }
+func (ConfirmRequest) MessageType() Type { return TypeConfirmRequest }
+func (ConfirmReply) MessageType() Type   { return TypeConfirmReply }
+func (Catalogue) MessageType() Type      { return TypeCatalogue }
+func (Members) MessageType() Type        { return TypeMembers }
+func (Subscribe) MessageType() Type      { return TypeSubscribe }
+func (Propose) MessageType() Type        { return TypePropose }
+func (ProposeReply) MessageType() Type   { return TypeProposeReply }
+func (Raft) MessageType() Type           { return TypeRaft }
+func (HaveRequest) MessageType() Type    { return TypeHaveRequest }
+func (Have) MessageType() Type           { return TypeHave }
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership keeps the table of endpoints learned from announcements.
+package membership
--- /dev/null
+++ b/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome defines what a caller is told about its request.
+package outcome
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine tracks requests suspected of crashing endpoints.
+package quarantine
--- /dev/null
+++ b/release/catalogue.go
@@ -0,0 +1,126 @@
+package release
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Digest is a content digest in the form "sha256:<64 hex digits>".
+type Digest string
+
+// DigestOf returns the digest of data.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest("sha256:" + hex.EncodeToString(sum[:]))
+}
+
+// Hex returns the hexadecimal part.
+func (d Digest) Hex() string { return strings.TrimPrefix(string(d), "sha256:") }
+
+// Model is a base model in the catalogue. Endpoints whose role equals Role
+// serve it.
+type Model struct {
+	Name     string `cbor:"1,keyasint" json:"name"`
+	Version  string `cbor:"2,keyasint" json:"version"`
+	Manifest Digest `cbor:"3,keyasint" json:"manifest"`
+	Role     string `cbor:"4,keyasint" json:"role"`
+}
+
+// Adapter is served on top of its base model, in the same weights set.
+type Adapter struct {
+	Name     string `cbor:"1,keyasint" json:"name"`
+	Base     string `cbor:"2,keyasint" json:"base"`
+	Version  string `cbor:"3,keyasint" json:"version"`
+	Manifest Digest `cbor:"4,keyasint" json:"manifest"`
+}
+
+// Catalogue is the state produced by the accepted notes up to Revision, the
+// number of the last one.
+type Catalogue struct {
+	Revision uint64             `cbor:"1,keyasint" json:"revision"`
+	Models   map[string]Model   `cbor:"2,keyasint" json:"models"`
+	Adapters map[string]Adapter `cbor:"3,keyasint" json:"adapters"`
+}
+
+// Delta changes a catalogue of revision From into one of revision To.
+type Delta struct {
+	From           uint64    `cbor:"1,keyasint"`
+	To             uint64    `cbor:"2,keyasint"`
+	Models         []Model   `cbor:"3,keyasint,omitempty"`
+	Adapters       []Adapter `cbor:"4,keyasint,omitempty"`
+	RemoveModels   []string  `cbor:"5,keyasint,omitempty"`
+	RemoveAdapters []string  `cbor:"6,keyasint,omitempty"`
+}
+
+// WeightsSet is a base model with all its adapters. It is loaded and switched
+// as one; its ID is the digest of its content.
+type WeightsSet struct {
+	Model    Model     `cbor:"1,keyasint" json:"model"`
+	Adapters []Adapter `cbor:"2,keyasint" json:"adapters"`
+}
+
+// ID identifies the set by content.
+func (s WeightsSet) ID() string { return string(canonicalDigest(s)) }
+
+// NewCatalogue returns the empty catalogue at revision 0.
+func NewCatalogue() Catalogue {
+	return Catalogue{Models: map[string]Model{}, Adapters: map[string]Adapter{}}
+}
+
+// Clone returns an independent copy.
+func (c Catalogue) Clone() Catalogue {
+	return Catalogue{Revision: c.Revision, Models: maps.Clone(c.Models), Adapters: maps.Clone(c.Adapters)}
+}
+
+// Digest is the digest of the canonical form, equal on every replica.
+func (c Catalogue) Digest() Digest { return canonicalDigest(c) }
+
+// Set returns the weights set of a base model.
+func (c Catalogue) Set(model string) (WeightsSet, bool) {
+	m, ok := c.Models[model]
+	if !ok {
+		return WeightsSet{}, false
+	}
+	set := WeightsSet{Model: m}
+	for _, name := range slices.Sorted(maps.Keys(c.Adapters)) {
+		if a := c.Adapters[name]; a.Base == model {
+			set.Adapters = append(set.Adapters, a)
+		}
+	}
+	return set, true
+}
+
+// Resolve finds the weights set that serves name, a base model or an adapter.
+func (c Catalogue) Resolve(name string) (WeightsSet, bool) {
+	if a, ok := c.Adapters[name]; ok {
+		return c.Set(a.Base)
+	}
+	return c.Set(name)
+}
+
+// SetsForRole returns the sets that an endpoint with the given role serves,
+// in order of model name.
+func (c Catalogue) SetsForRole(role string) []WeightsSet {
+	var sets []WeightsSet
+	for _, name := range slices.Sorted(maps.Keys(c.Models)) {
+		if c.Models[name].Role == role {
+			set, _ := c.Set(name)
+			sets = append(sets, set)
+		}
+	}
+	return sets
+}
+
+// canonicalDigest relies on encoding/json writing struct fields in order and
+// map keys sorted.
+func canonicalDigest(v any) Digest {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // no type of this package can fail to marshal
+	}
+	return DigestOf(data)
+}
--- /dev/null
+++ b/swarm/doc.go
@@ -0,0 +1,2 @@
+// Package swarm decides which chunk an instance fetches from which source, and when.
+package swarm
