--- /dev/null
+++ b/manifest/safetensors.go
@@ -0,0 +1,161 @@
+package manifest
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+)
+
+const (
+	headerPrefixBytes = 8
+	// MaxHeaderBytes bounds the memory used to check one file.
+	MaxHeaderBytes = 8 << 20
+	metadataKey    = "__metadata__"
+)
+
+// Tensor is an entry of a safetensors header.
+type Tensor struct {
+	DType   string   `json:"dtype"`
+	Shape   []int64  `json:"shape"`
+	Offsets [2]int64 `json:"data_offsets"`
+}
+
+// dtypeBits gives the element sizes of the safetensors types.
+var dtypeBits = map[string]int64{
+	"BOOL": 8, "U8": 8, "I8": 8, "F8_E5M2": 8, "F8_E4M3": 8, "F8_E8M0": 8,
+	"F4": 4, "F6_E2M3": 6, "F6_E3M2": 6,
+	"U16": 16, "I16": 16, "F16": 16, "BF16": 16,
+	"U32": 32, "I32": 32, "F32": 32,
+	"U64": 64, "I64": 64, "F64": 64, "C64": 64,
+}
+
+func headerError(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrHeader, fmt.Sprintf(format, args...))
+}
+
+// CheckSafetensors reads the header from the start of a file of size bytes and
+// checks that the tensors cover the rest of the file without gap or overlap.
+func CheckSafetensors(r io.Reader, size int64) error {
+	var prefix [headerPrefixBytes]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return headerError("prefix: %v", err)
+	}
+	length := binary.LittleEndian.Uint64(prefix[:])
+	if length > MaxHeaderBytes || int64(length) > size-headerPrefixBytes {
+		return headerError("length %d in a file of %d bytes", length, size)
+	}
+	header := make([]byte, length)
+	if _, err := io.ReadFull(r, header); err != nil {
+		return headerError("%v", err)
+	}
+	return checkHeader(header, size-headerPrefixBytes-int64(length))
+}
+
+func checkHeader(header []byte, dataBytes int64) error {
+	if len(header) == 0 || header[0] != '{' {
+		return headerError("does not start with an object")
+	}
+	tensors, err := decodeTensors(header)
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(tensors, func(a, b Tensor) int {
+		for i := range a.Offsets {
+			if a.Offsets[i] != b.Offsets[i] {
+				return int(min(1, max(-1, a.Offsets[i]-b.Offsets[i])))
+			}
+		}
+		return 0
+	})
+	var end int64
+	for _, t := range tensors {
+		if t.Offsets[0] != end {
+			return headerError("tensor at %d follows data that ends at %d", t.Offsets[0], end)
+		}
+		if err := t.check(); err != nil {
+			return err
+		}
+		end = t.Offsets[1]
+	}
+	if end != dataBytes {
+		return headerError("tensors end at %d of %d data bytes", end, dataBytes)
+	}
+	return nil
+}
+
+// decodeTensors reads the header entry by entry, so that a repeated name is an
+// error and not an override.
+func decodeTensors(header []byte) ([]Tensor, error) {
+	decoder := json.NewDecoder(bytes.NewReader(header))
+	if _, err := decoder.Token(); err != nil {
+		return nil, headerError("%v", err)
+	}
+	var tensors []Tensor
+	seen := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return nil, headerError("%v", err)
+		}
+		name, ok := token.(string)
+		if !ok || seen[name] {
+			return nil, headerError("name %v is repeated or not text", token)
+		}
+		seen[name] = true
+		if name == metadataKey {
+			var metadata map[string]string
+			if err := decoder.Decode(&metadata); err != nil {
+				return nil, headerError("metadata: %v", err)
+			}
+			continue
+		}
+		var t Tensor
+		if err := decoder.Decode(&t); err != nil {
+			return nil, headerError("tensor %q: %v", name, err)
+		}
+		tensors = append(tensors, t)
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, headerError("%v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, headerError("data after the header")
+	}
+	return tensors, nil
+}
+
+func (t Tensor) check() error {
+	bits, ok := dtypeBits[t.DType]
+	if !ok {
+		return headerError("type %q", t.DType)
+	}
+	for _, n := range t.Shape {
+		if n < 0 || (n > 0 && bits > math.MaxInt64/n) {
+			return headerError("shape %v", t.Shape)
+		}
+		bits *= n
+	}
+	if bits%8 != 0 || t.Offsets[1]-t.Offsets[0] != bits/8 || t.Offsets[1] < t.Offsets[0] {
+		return headerError("shape %v of %s does not fill %v", t.Shape, t.DType, t.Offsets)
+	}
+	return nil
+}
+
+// EncodeSafetensorsHeader returns the start of a file that holds tensors. The
+// data that they name follows it.
+func EncodeSafetensorsHeader(tensors map[string]Tensor) ([]byte, error) {
+	body, err := json.Marshal(tensors)
+	if err != nil {
+		return nil, err
+	}
+	for len(body)%headerPrefixBytes != 0 {
+		body = append(body, ' ')
+	}
+	out := binary.LittleEndian.AppendUint64(nil, uint64(len(body)))
+	return append(out, body...), nil
+}
