--- a/manifest/safetensors.go
+++ b/manifest/safetensors.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -65,12 +66,7 @@
 		return err
 	}
 	slices.SortFunc(tensors, func(a, b Tensor) int {
-		for i := range a.Offsets {
-			if a.Offsets[i] != b.Offsets[i] {
-				return int(min(1, max(-1, a.Offsets[i]-b.Offsets[i])))
-			}
-		}
-		return 0
+		return cmp.Or(cmp.Compare(a.Offsets[0], b.Offsets[0]), cmp.Compare(a.Offsets[1], b.Offsets[1]))
 	})
 	var end int64
 	for _, t := range tensors {
--- /dev/null
+++ b/swarm/config.go
@@ -0,0 +1,92 @@
+package swarm
+
+import "time"
+
+// Objective is the quantity to minimise.
+type Objective string
+
+// Objectives.
+const (
+	ObjectiveTime        Objective = "time"
+	ObjectiveOriginBytes Objective = "origin-bytes"
+)
+
+// RegionLinks is the rule for chunks on links between regions.
+type RegionLinks string
+
+// Rules for region links.
+const (
+	// RegionLinksNever keeps chunks off region links: each region takes its
+	// own copy from the origin.
+	RegionLinksNever RegionLinks = "never"
+	// RegionLinksOnce lets a chunk cross each region link at most once.
+	RegionLinksOnce RegionLinks = "once"
+)
+
+// Node is a live instance that wants the chunks.
+type Node struct {
+	ID, Region, Zone string
+}
+
+// Config sets the limits of a Scheduler. Zero values take the defaults.
+type Config struct {
+	Self        Node
+	Objective   Objective
+	RegionLinks RegionLinks
+	// MaxPeers bounds the peers that this instance exchanges state with
+	// (default 8). More peers spread chunks faster and cost more messages.
+	MaxPeers int
+	// PeerFetches bounds concurrent fetches from peers (default 4). More hide
+	// round trips, and delay the moment at which each chunk can be passed on.
+	PeerFetches int
+	// FetchesPerPeer bounds concurrent fetches from one peer (default 2).
+	FetchesPerPeer int
+	// OutsideFetches bounds concurrent fetches from store and origin (default 2).
+	OutsideFetches int
+	// StallTimeout is the time without a verified chunk after which the next
+	// instance in a chunk's order takes it from the origin (default 10 s for
+	// objective time, 30 s for origin-bytes). Shorter recovers faster from a
+	// designated instance that is stuck, and fetches more copies.
+	StallTimeout time.Duration
+	// HearTimeout is the wait for first reports of peers before the origin is
+	// used (default 1 s). It keeps an instance that joins late from fetching
+	// what its peers hold.
+	HearTimeout time.Duration
+	// HasStore is true when a weight store is configured beside the origin.
+	HasStore bool
+}
+
+const (
+	defaultMaxPeers       = 8
+	defaultPeerFetches    = 4
+	defaultFetchesPerPeer = 2
+	defaultOutsideFetches = 2
+	stallTimeoutTime      = 10 * time.Second
+	stallTimeoutBytes     = 30 * time.Second
+	defaultHearTimeout    = time.Second
+	// storeWait is how long objective origin-bytes waits for a store that
+	// asked for a pause before it turns to the origin.
+	storeWait = 10 * time.Second
+)
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Objective, ObjectiveTime)
+	setDefault(&c.RegionLinks, RegionLinksNever)
+	setDefault(&c.MaxPeers, defaultMaxPeers)
+	setDefault(&c.PeerFetches, defaultPeerFetches)
+	setDefault(&c.FetchesPerPeer, defaultFetchesPerPeer)
+	setDefault(&c.OutsideFetches, defaultOutsideFetches)
+	setDefault(&c.HearTimeout, defaultHearTimeout)
+	stall := stallTimeoutTime
+	if c.Objective == ObjectiveOriginBytes {
+		stall = stallTimeoutBytes
+	}
+	setDefault(&c.StallTimeout, stall)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/swarm/penalties.go
@@ -0,0 +1,106 @@
+package swarm
+
+import "time"
+
+// Fault is the reason of a failed fetch.
+type Fault string
+
+// Faults.
+const (
+	FaultCorrupt     Fault = "corrupt"     // content does not match the digest
+	FaultStalled     Fault = "stalled"     // no progress within the timeout
+	FaultMissing     Fault = "missing"     // the source does not hold what it reported
+	FaultBusy        Fault = "busy"        // the source asked for a pause
+	FaultUnavailable Fault = "unavailable" // connection refused or broken, server error
+)
+
+// backoff bounds the pause after repeated faults.
+type backoff struct {
+	first, limit time.Duration
+}
+
+var peerBackoff = map[Fault]backoff{
+	// Corruption on a peer is most likely a bad disk or memory and does not
+	// pass by itself.
+	FaultCorrupt:     {10 * time.Minute, 24 * time.Hour},
+	FaultStalled:     {10 * time.Second, 10 * time.Minute},
+	FaultMissing:     {5 * time.Second, 10 * time.Minute},
+	FaultBusy:        {time.Second, 30 * time.Second},
+	FaultUnavailable: {time.Second, 30 * time.Second},
+}
+
+var outsideBackoff = map[Fault]backoff{
+	FaultStalled:     {time.Second, 30 * time.Second},
+	FaultBusy:        {time.Second, time.Minute},
+	FaultUnavailable: {500 * time.Millisecond, 10 * time.Second},
+}
+
+// chunkBackoff applies to one chunk at the store or origin, whose other chunks
+// stay usable: an object can change in mid-copy.
+var chunkBackoff = backoff{time.Second, time.Minute}
+
+const maxDoublings = 16
+
+func (b backoff) after(count int) time.Duration {
+	return min(b.first<<min(count-1, maxDoublings), b.limit)
+}
+
+type penalty struct {
+	counts map[Fault]int
+	until  time.Duration
+}
+
+// Penalties remembers bad sources. Schedulers of one instance share it, so
+// that a source found bad in one transfer is avoided in the next. It is not
+// safe for concurrent use.
+type Penalties struct {
+	sources map[Source]*penalty
+}
+
+// NewPenalties returns an empty memory.
+func NewPenalties() *Penalties { return &Penalties{sources: map[Source]*penalty{}} }
+
+// Until returns the time before which the source is avoided.
+func (p *Penalties) Until(source Source) time.Duration {
+	if e, ok := p.sources[source]; ok {
+		return e.until
+	}
+	return 0
+}
+
+// Avoided reports whether the source is avoided at the given time.
+func (p *Penalties) Avoided(now time.Duration, source Source) bool { return now < p.Until(source) }
+
+func (p *Penalties) fault(now time.Duration, source Source, fault Fault, retryAfter time.Duration) {
+	table := peerBackoff
+	if source.Kind != KindPeer {
+		table = outsideBackoff
+	}
+	pause, ok := table[fault]
+	if !ok {
+		return
+	}
+	e := p.sources[source]
+	if e == nil {
+		e = &penalty{counts: map[Fault]int{}}
+		p.sources[source] = e
+	}
+	e.counts[fault]++
+	e.until = max(e.until, now+max(pause.after(e.counts[fault]), retryAfter))
+}
+
+// success forgets faults that can pass by themselves.
+func (p *Penalties) success(source Source) {
+	e := p.sources[source]
+	if e == nil {
+		return
+	}
+	for fault := range e.counts {
+		if fault != FaultCorrupt {
+			delete(e.counts, fault)
+		}
+	}
+	if len(e.counts) == 0 {
+		delete(p.sources, source)
+	}
+}
--- /dev/null
+++ b/swarm/topology.go
@@ -0,0 +1,150 @@
+package swarm
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// rings is the number of cycles that neighbours are taken from. Each cycle
+// orders the nodes of a region by an independent hash; the union of cycles is
+// an expander whose links are symmetric.
+const maxRings = 16
+
+func hashText(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return mix(h.Sum64())
+}
+
+// mix is a 64-bit finaliser: every input bit affects every output bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+type hashedNode struct {
+	Node
+	hash uint64
+}
+
+// topology is what an instance derives from the list of live nodes.
+type topology struct {
+	self    hashedNode
+	nodes   []hashedNode // sorted by ID, self included
+	regions []string     // sorted
+}
+
+func newTopology(self Node, nodes []Node) topology {
+	t := topology{self: hashedNode{Node: self, hash: hashText(self.ID)}}
+	t.nodes = append(t.nodes, t.self)
+	for _, n := range nodes {
+		if n.ID != self.ID {
+			t.nodes = append(t.nodes, hashedNode{Node: n, hash: hashText(n.ID)})
+		}
+	}
+	slices.SortFunc(t.nodes, func(a, b hashedNode) int { return cmp.Compare(a.ID, b.ID) })
+	t.nodes = slices.CompactFunc(t.nodes, func(a, b hashedNode) bool { return a.ID == b.ID })
+	for _, n := range t.nodes {
+		t.regions = append(t.regions, n.Region)
+	}
+	slices.Sort(t.regions)
+	t.regions = slices.Compact(t.regions)
+	return t
+}
+
+func (t topology) inRegion(region string) []hashedNode {
+	var list []hashedNode
+	for _, n := range t.nodes {
+		if n.Region == region {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// first returns the index in nodes of the node that comes first for key.
+func first(nodes []hashedNode, key uint64) int {
+	best, bestWeight := 0, uint64(0)
+	for i, n := range nodes {
+		if w := mix(n.hash ^ key); i == 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+// rank is the number of nodes that come before id for key.
+func rank(nodes []hashedNode, key uint64, id uint64) int {
+	own, before := mix(id^key), 0
+	for _, n := range nodes {
+		if mix(n.hash^key) > own {
+			before++
+		}
+	}
+	return before
+}
+
+// gateway returns the node of region that connects it with other.
+func (t topology) gateway(region, other string) hashedNode {
+	nodes := t.inRegion(region)
+	low, high := min(region, other), max(region, other)
+	return nodes[first(nodes, hashText(low+"\x00"+high))]
+}
+
+// neighbours returns the nodes that this instance exchanges state with.
+func (t topology) neighbours(limit int, rule RegionLinks) []Node {
+	var list []Node
+	if rule == RegionLinksOnce {
+		for _, region := range t.regions {
+			if region != t.self.Region && t.gateway(t.self.Region, region).ID == t.self.ID {
+				list = append(list, t.gateway(region, t.self.Region).Node)
+			}
+		}
+		list = list[:min(len(list), limit)]
+	}
+	return t.localNeighbours(list, limit)
+}
+
+func (t topology) localNeighbours(list []Node, limit int) []Node {
+	local := t.inRegion(t.self.Region)
+	if len(local)-1 <= limit-len(list) {
+		for _, n := range local {
+			if n.ID != t.self.ID {
+				list = append(list, n.Node)
+			}
+		}
+		return list
+	}
+	for ring := range uint64(maxRings) {
+		before, after := ringNeighbours(local, t.self, mix(ring+1))
+		for _, n := range []hashedNode{before, after} {
+			if len(list) < limit && !slices.Contains(list, n.Node) {
+				list = append(list, n.Node)
+			}
+		}
+	}
+	return list
+}
+
+// ringNeighbours returns the nodes beside self in the cycle of the given seed.
+func ringNeighbours(nodes []hashedNode, self hashedNode, seed uint64) (before, after hashedNode) {
+	own := mix(self.hash ^ seed)
+	var beforeGap, afterGap uint64
+	for _, n := range nodes {
+		if n.ID == self.ID {
+			continue
+		}
+		position := mix(n.hash ^ seed)
+		if gap := own - position; beforeGap == 0 || gap < beforeGap {
+			before, beforeGap = n, gap
+		}
+		if gap := position - own; afterGap == 0 || gap < afterGap {
+			after, afterGap = n, gap
+		}
+	}
+	return before, after
+}
