transfer: fetch, verify, assemble and serve weights sets

Cause: the agent needs one type that returns a set's folder only when every chunk is verified. Files of a manifest fill a partial folder that is renamed when complete; a set's folder holds links to them, so an adapter change does not copy the base model.

--- /dev/null
+++ b/internal/transfer/cache.go
@@ -0,0 +1,216 @@
+package transfer
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/manifest"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+
+	partialSuffix = ".partial"
+	oldSuffix     = ".old"
+	temporary     = ".tmp-"
+)
+
+// cache knows the layout of the cache folder.
+type cache struct {
+	root string
+}
+
+func openCache(root string) (cache, error) {
+	c := cache{root: root}
+	for _, dir := range []string{"manifests", "versions", "sets", "index"} {
+		if err := os.MkdirAll(filepath.Join(root, dir), folderMode); err != nil {
+			return c, oops.In("transfer").Wrap(err)
+		}
+	}
+	return c, nil
+}
+
+func (c cache) manifestPath(d release.Digest) string {
+	return filepath.Join(c.root, "manifests", d.Hex())
+}
+
+func (c cache) versionDir(d release.Digest) string {
+	return filepath.Join(c.root, "versions", d.Hex())
+}
+
+func (c cache) partialDir(d release.Digest) string { return c.versionDir(d) + partialSuffix }
+func (c cache) oldDir(d release.Digest) string     { return c.versionDir(d) + oldSuffix }
+func (c cache) setDir(id string) string            { return filepath.Join(c.root, "sets", id) }
+func (c cache) indexPath(id string) string         { return filepath.Join(c.root, "index", id+".json") }
+
+// writeFile makes the file appear complete or not at all.
+func writeFile(path string, data []byte) error {
+	temp := filepath.Join(filepath.Dir(path), temporary+filepath.Base(path))
+	if err := os.WriteFile(temp, data, fileMode); err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	return oops.In("transfer").Wrap(os.Rename(temp, path))
+}
+
+// readManifest loads and checks a cached manifest.
+func (c cache) readManifest(d release.Digest) (manifest.Manifest, error) {
+	data, err := os.ReadFile(c.manifestPath(d))
+	if err != nil {
+		return manifest.Manifest{}, err
+	}
+	return manifest.Decode(data, d)
+}
+
+// cachedManifests lists the digests of cached manifests.
+func (c cache) cachedManifests() []release.Digest {
+	entries, _ := os.ReadDir(filepath.Join(c.root, "manifests"))
+	var list []release.Digest
+	for _, e := range entries {
+		if d := release.Digest("sha256:" + e.Name()); manifest.ValidDigest(d) {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// writeIndex records the content of an assembled set, for Prune after a restart.
+func (c cache) writeIndex(set release.WeightsSet) error {
+	data, err := json.Marshal(set)
+	if err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	return writeFile(c.indexPath(set.ID()), data)
+}
+
+func (c cache) readIndex(id string) (release.WeightsSet, bool) {
+	var set release.WeightsSet
+	data, err := os.ReadFile(c.indexPath(id))
+	return set, err == nil && json.Unmarshal(data, &set) == nil && set.ID() == id
+}
+
+// assemble links the files of complete versions into the set's folder.
+func (c cache) assemble(id string, versions []*version) (string, error) {
+	dir := c.setDir(id)
+	if c.assembled(dir, versions) {
+		return dir, nil
+	}
+	temp := c.setDir(temporary + id)
+	if err := os.RemoveAll(temp); err != nil {
+		return "", oops.In("transfer").Wrap(err)
+	}
+	for _, v := range versions {
+		for _, f := range v.files {
+			if err := link(v.filePath(f.name), filepath.Join(temp, filepath.FromSlash(f.name))); err != nil {
+				return "", oops.In("transfer").Wrap(err)
+			}
+		}
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		return "", oops.In("transfer").Wrap(err)
+	}
+	return dir, oops.In("transfer").Wrap(os.Rename(temp, dir))
+}
+
+// assembled reports whether dir already links exactly to the versions' files.
+func (c cache) assembled(dir string, versions []*version) bool {
+	files := 0
+	for _, v := range versions {
+		for _, f := range v.files {
+			files++
+			a, errA := os.Stat(v.filePath(f.name))
+			b, errB := os.Stat(filepath.Join(dir, filepath.FromSlash(f.name)))
+			if errA != nil || errB != nil || !os.SameFile(a, b) {
+				return false
+			}
+		}
+	}
+	found := 0
+	err := filepath.WalkDir(dir, func(_ string, e fs.DirEntry, err error) error {
+		if err == nil && !e.IsDir() {
+			found++
+		}
+		return err
+	})
+	return err == nil && found == files
+}
+
+func link(from, to string) error {
+	if err := os.MkdirAll(filepath.Dir(to), folderMode); err != nil {
+		return err
+	}
+	return os.Link(from, to)
+}
+
+// prune removes sets that are not in keep, and versions and manifests that no
+// kept set uses. Versions in use by a transfer are in busy.
+func (c cache) prune(keep []string, busy map[release.Digest]bool) error {
+	used := map[string]bool{}
+	for d := range busy {
+		used[d.Hex()] = true
+	}
+	kept := map[string]bool{}
+	for _, id := range keep {
+		kept[id] = true
+		if set, ok := c.readIndex(id); ok {
+			for _, d := range setManifests(set) {
+				used[d.Hex()] = true
+			}
+		}
+	}
+	return errors.Join(
+		removeEntries(filepath.Join(c.root, "sets"), func(name string) bool { return kept[name] }),
+		removeEntries(filepath.Join(c.root, "index"), func(name string) bool { return kept[strings.TrimSuffix(name, ".json")] }),
+		removeEntries(filepath.Join(c.root, "versions"), func(name string) bool {
+			return used[strings.TrimSuffix(strings.TrimSuffix(name, partialSuffix), oldSuffix)]
+		}),
+		removeEntries(filepath.Join(c.root, "manifests"), func(name string) bool { return used[name] }),
+	)
+}
+
+func removeEntries(dir string, keep func(name string) bool) error {
+	entries, err := os.ReadDir(dir)
+	for _, e := range entries {
+		if !keep(e.Name()) {
+			err = errors.Join(err, os.RemoveAll(filepath.Join(dir, e.Name())))
+		}
+	}
+	return err
+}
+
+// setManifests lists the distinct manifests of a set, the model's first.
+func setManifests(set release.WeightsSet) []release.Digest {
+	list := []release.Digest{set.Model.Manifest}
+	seen := map[release.Digest]bool{set.Model.Manifest: true}
+	for _, a := range set.Adapters {
+		if !seen[a.Manifest] {
+			seen[a.Manifest] = true
+			list = append(list, a.Manifest)
+		}
+	}
+	return list
+}
+
+// sectionReader opens part of a file. The caller closes it.
+type sectionReader struct {
+	io.Reader
+	file *os.File
+}
+
+func (r sectionReader) Close() error { return r.file.Close() }
+
+func openSection(path string, offset, size int64) (io.ReadCloser, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	return sectionReader{io.NewSectionReader(file, offset, size), file}, nil
+}
--- /dev/null
+++ b/internal/transfer/transfer.go
@@ -0,0 +1,464 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"golang.org/x/time/rate"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/manifest"
+	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/swarm"
+)
+
+// Peer is another agent whose endpoint serves the same models.
+type Peer struct {
+	Endpoint, Region, Zone string
+	ChunkAddress           string // IP and port
+}
+
+// Transfer fetches weights sets and serves chunks to peers. Its methods are
+// safe for concurrent use.
+type Transfer struct {
+	cfg           Config
+	cache         cache
+	client        *client
+	uploadLimiter *rate.Limiter
+	uploads       chan struct{}
+	started       time.Time
+
+	penaltiesMu sync.Mutex
+	penalties   *swarm.Penalties
+
+	mu           sync.Mutex
+	peers        map[string]Peer
+	peersChanged chan struct{}
+	versions     map[release.Digest]*version
+	locks        map[release.Digest]*manifestLock
+	running      map[string]*run
+	progress     map[string]*progress
+}
+
+type run struct {
+	cancel context.CancelCauseFunc
+	set    release.WeightsSet
+}
+
+// manifestLock admits one transfer of a manifest at a time.
+type manifestLock struct {
+	held chan struct{}
+}
+
+// New opens the cache folder.
+func New(cfg Config) (*Transfer, error) {
+	if err := cfg.setDefaults(); err != nil {
+		return nil, err
+	}
+	c, err := openCache(cfg.CacheDir)
+	if err != nil {
+		return nil, err
+	}
+	return &Transfer{
+		cfg: cfg, cache: c,
+		client: &client{
+			cfg: cfg, http: newHTTPClient(),
+			limiter: rate.NewLimiter(rate.Limit(cfg.DownloadRate), rateBurst),
+		},
+		uploadLimiter: rate.NewLimiter(rate.Limit(cfg.UploadRate), rateBurst),
+		uploads:       make(chan struct{}, maxUploads),
+		started:       time.Now(),
+		penalties:     swarm.NewPenalties(),
+		peers:         map[string]Peer{},
+		peersChanged:  make(chan struct{}),
+		versions:      map[release.Digest]*version{},
+		locks:         map[release.Digest]*manifestLock{},
+		running:       map[string]*run{},
+		progress:      map[string]*progress{},
+	}, nil
+}
+
+// Close releases idle connections. Running fetches end with their contexts.
+func (t *Transfer) Close() { t.client.http.CloseIdleConnections() }
+
+// now is the scheduler's clock.
+func (t *Transfer) now() time.Duration { return time.Since(t.started) }
+
+// SetPeers replaces the list of live agents that want the same sets. The own
+// endpoint may be in it.
+func (t *Transfer) SetPeers(peers []Peer) {
+	next := make(map[string]Peer, len(peers))
+	for _, p := range peers {
+		if p.Endpoint != t.cfg.Endpoint && p.ChunkAddress != "" {
+			next[p.Endpoint] = p
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if maps.Equal(next, t.peers) {
+		return
+	}
+	t.peers = next
+	close(t.peersChanged)
+	t.peersChanged = make(chan struct{})
+}
+
+// nodes returns the live instances and a channel closed when they change.
+func (t *Transfer) nodes() ([]swarm.Node, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]swarm.Node, 0, len(t.peers))
+	for _, p := range t.peers {
+		list = append(list, swarm.Node{ID: p.Endpoint, Region: p.Region, Zone: p.Zone})
+	}
+	return list, t.peersChanged
+}
+
+func (t *Transfer) address(peer string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers[peer].ChunkAddress
+}
+
+func (t *Transfer) version(d release.Digest) *version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.versions[d]
+}
+
+// Progress reports each set that Fetch or Verify was called for, in order of
+// identifier. Prune and Cancel end a set's report.
+func (t *Transfer) Progress() []wire.RolloutProgress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []wire.RolloutProgress
+	for _, id := range slices.Sorted(maps.Keys(t.progress)) {
+		list = append(list, t.progress[id].snapshot())
+	}
+	return list
+}
+
+// Fetch returns the folder of the set once every chunk of its model and
+// adapters is verified and its files are assembled. It retries failed sources
+// until ctx ends or the set is cancelled.
+func (t *Transfer) Fetch(ctx context.Context, set release.WeightsSet) (string, error) {
+	id := set.ID()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	p, err := t.begin(id, &run{cancel: cancel, set: set})
+	if err != nil {
+		return "", err
+	}
+	dir, err := t.fetchSet(ctx, set, p)
+	t.end(id)
+	if err != nil {
+		p.phase(PhaseFailed, err.Error())
+		return "", err
+	}
+	p.phase(PhaseVerified, "")
+	return dir, nil
+}
+
+func (t *Transfer) begin(id string, r *run) (*progress, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running[id] != nil {
+		return nil, oops.In("transfer").With("set", id).Errorf("set is already being fetched")
+	}
+	t.running[id] = r
+	p := newProgress(id)
+	t.progress[id] = p
+	return p, nil
+}
+
+func (t *Transfer) end(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, id)
+}
+
+// Cancel ends the transfer of a set. Chunks already verified stay until Prune.
+func (t *Transfer) Cancel(setID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.running[setID]; r != nil {
+		r.cancel(ErrCancelled)
+	}
+	delete(t.progress, setID)
+}
+
+func (t *Transfer) fetchSet(ctx context.Context, set release.WeightsSet, p *progress) (string, error) {
+	digests := setManifests(set)
+	manifests := make([]manifest.Manifest, 0, len(digests))
+	var names []string
+	chunks := 0
+	for _, d := range digests {
+		m, err := t.obtainManifest(ctx, d)
+		if err != nil {
+			return "", err
+		}
+		for _, f := range m.Files {
+			names = append(names, f.Name)
+		}
+		chunks += len(m.Chunks())
+		manifests = append(manifests, m)
+	}
+	if err := manifest.CheckNames(names); err != nil {
+		return "", errors.Join(ErrSetInvalid, err)
+	}
+	p.total(chunks)
+	p.phase(PhaseFetching, "")
+	var versions []*version
+	for i, d := range digests {
+		v, err := t.fetchVersion(ctx, d, manifests[i], p)
+		if err != nil {
+			return "", err
+		}
+		manifests[i] = manifest.Manifest{}
+		p.manifestDone(len(v.chunks))
+		versions = append(versions, v)
+	}
+	if err := t.cache.writeIndex(set); err != nil {
+		return "", err
+	}
+	return t.cache.assemble(set.ID(), versions)
+}
+
+func (t *Transfer) lock(ctx context.Context, d release.Digest) (unlock func(), err error) {
+	t.mu.Lock()
+	l := t.locks[d]
+	if l == nil {
+		l = &manifestLock{held: make(chan struct{}, 1)}
+		t.locks[d] = l
+	}
+	t.mu.Unlock()
+	select {
+	case l.held <- struct{}{}:
+		return func() { <-l.held }, nil
+	case <-ctx.Done():
+		return nil, errors.Join(ErrCancelled, context.Cause(ctx))
+	}
+}
+
+func (t *Transfer) fetchVersion(ctx context.Context, d release.Digest, m manifest.Manifest, p *progress) (*version, error) {
+	unlock, err := t.lock(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	v := t.version(d)
+	if v == nil {
+		v = newVersion(t.cache, d, m)
+		if err := v.load(); err != nil {
+			return nil, err
+		}
+		t.register(v)
+	}
+	if v.complete() {
+		return v, v.finish()
+	}
+	t.reuseLocal(v)
+	if err := newJob(t, v, p).run(ctx); err != nil {
+		return nil, err
+	}
+	return v, v.finish()
+}
+
+func (t *Transfer) register(v *version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.versions[v.digest] = v
+}
+
+// reuseLocal copies chunks from other versions in the cache folder.
+func (t *Transfer) reuseLocal(v *version) {
+	for _, d := range t.cache.cachedManifests() {
+		other := t.version(d)
+		if other == nil {
+			m, err := t.cache.readManifest(d)
+			if err != nil {
+				continue
+			}
+			other = newVersion(t.cache, d, m)
+		}
+		for _, dir := range []string{t.cache.versionDir(d), t.cache.partialDir(d), t.cache.oldDir(d)} {
+			if dir != v.filePath("") {
+				v.reuse(other, dir)
+			}
+		}
+	}
+}
+
+const (
+	manifestPause   = 200 * time.Millisecond
+	manifestTimeout = 10 * time.Second
+	// manifestPeers bounds the peers asked for a manifest before store and origin.
+	manifestPeers = 3
+)
+
+// obtainManifest reads the manifest from the cache, peers, store or origin.
+func (t *Transfer) obtainManifest(ctx context.Context, d release.Digest) (manifest.Manifest, error) {
+	if !manifest.ValidDigest(d) {
+		return manifest.Manifest{}, errors.Join(ErrSetInvalid, fmt.Errorf("manifest digest %q", d))
+	}
+	if m, err := t.cache.readManifest(d); err == nil {
+		return m, nil
+	}
+	for wait := manifestPause; ; wait = min(2*wait, manifestTimeout) {
+		m, err := t.downloadManifest(ctx, d)
+		if err == nil || errors.Is(err, manifest.ErrInvalid) {
+			return m, err
+		}
+		t.cfg.Log.WithField("manifest", string(d)).WithError(err).Warn("manifest_fetch_failed")
+		pause(ctx, wait)
+		if ctx.Err() != nil {
+			return manifest.Manifest{}, errors.Join(ErrCancelled, context.Cause(ctx), err)
+		}
+	}
+}
+
+func (t *Transfer) downloadManifest(ctx context.Context, d release.Digest) (manifest.Manifest, error) {
+	err := errors.New("no source")
+	for _, open := range t.manifestRequests(d) {
+		rctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+		var data []byte
+		request, requestErr := open(rctx)
+		if requestErr == nil {
+			data, requestErr = t.client.fetchManifest(request)
+		}
+		cancel()
+		if requestErr != nil {
+			err = requestErr
+			continue
+		}
+		m, decodeErr := manifest.Decode(data, d)
+		if decodeErr != nil {
+			err = decodeErr
+			continue
+		}
+		return m, writeFile(t.cache.manifestPath(d), data)
+	}
+	return manifest.Manifest{}, err
+}
+
+type openRequest func(ctx context.Context) (*http.Request, error)
+
+func (t *Transfer) manifestRequests(d release.Digest) []openRequest {
+	var list []openRequest
+	nodes, _ := t.nodes()
+	for _, n := range nodes {
+		if n.Region == t.cfg.Region && len(list) < manifestPeers {
+			list = append(list, func(ctx context.Context) (*http.Request, error) {
+				return t.client.peerRequest(ctx, t.address(n.ID), wire.PathManifests+d.Hex())
+			})
+		}
+	}
+	for _, base := range []string{t.cfg.StoreURL, t.cfg.OriginURL} {
+		if base != "" {
+			list = append(list, func(ctx context.Context) (*http.Request, error) {
+				return http.NewRequestWithContext(ctx, http.MethodGet, base+wire.PathManifests+d.Hex(), nil)
+			})
+		}
+	}
+	return list
+}
+
+// Verify hashes a set on disk again, as after a restart. It uses no network.
+func (t *Transfer) Verify(ctx context.Context, set release.WeightsSet) (string, error) {
+	id := set.ID()
+	var versions []*version
+	chunks := 0
+	for _, d := range setManifests(set) {
+		v, err := t.verifyVersion(ctx, d)
+		if err != nil {
+			return "", err
+		}
+		versions = append(versions, v)
+		chunks += len(v.chunks)
+	}
+	dir, err := t.cache.assemble(id, versions)
+	if err != nil {
+		return "", err
+	}
+	p := newProgress(id)
+	p.total(chunks)
+	p.manifestDone(chunks)
+	p.phase(PhaseVerified, "")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.progress[id] = p
+	return dir, nil
+}
+
+func (t *Transfer) verifyVersion(ctx context.Context, d release.Digest) (*version, error) {
+	m, err := t.cache.readManifest(d)
+	if err != nil {
+		return nil, errors.Join(ErrNotCached, err)
+	}
+	unlock, err := t.lock(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	v := newVersion(t.cache, d, m)
+	if err := v.load(); err != nil {
+		return nil, err
+	}
+	t.register(v)
+	if !v.complete() {
+		return nil, ErrNotCached
+	}
+	return v, v.finish()
+}
+
+// Prune removes sets that are not in keep from the cache folder, with the
+// versions that only they use. Sets in transfer stay.
+func (t *Transfer) Prune(keep []string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	busy := map[release.Digest]bool{}
+	keep = slices.Clone(keep)
+	for id, r := range t.running {
+		keep = append(keep, id)
+		for _, d := range setManifests(r.set) {
+			busy[d] = true
+		}
+	}
+	if err := t.cache.prune(keep, busy); err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	t.forgetPruned(keep, busy)
+	return nil
+}
+
+func (t *Transfer) forgetPruned(keep []string, busy map[release.Digest]bool) {
+	for d := range t.versions {
+		if _, err := t.cache.readManifest(d); err != nil && !busy[d] {
+			delete(t.versions, d)
+		}
+	}
+	for id := range t.progress {
+		if !slices.Contains(keep, id) {
+			delete(t.progress, id)
+		}
+	}
+}
+
+// minimumShare of the configured rate is left at the highest pressure, so that
+// a rollout still ends.
+const minimumShare = 0.05
+
+// SetPressure slows transfers when quote latency rises: 0 leaves the full
+// rate, 1 the minimum.
+func (t *Transfer) SetPressure(x float64) {
+	share := max(minimumShare, 1-min(1, max(0, x)))
+	t.client.limiter.SetLimit(rate.Limit(t.cfg.DownloadRate * share))
+	t.uploadLimiter.SetLimit(rate.Limit(t.cfg.UploadRate * share))
+}
--- /dev/null
+++ b/internal/transfer/version.go
@@ -0,0 +1,339 @@
+package transfer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/manifest"
+	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/swarm"
+)
+
+const copyBufferBytes = 64 << 10
+
+type sum [sha256.Size]byte
+
+type versionFile struct {
+	name string
+	size int64
+}
+
+type place struct {
+	file   int32
+	offset int64
+}
+
+// chunk keeps a digest as bytes: the text form costs four times as much.
+type chunk struct {
+	sum   sum
+	size  int32
+	first place
+	more  []place
+}
+
+// version is the state of one manifest's files on disk.
+type version struct {
+	digest release.Digest
+	cache  cache
+	files  []versionFile
+	chunks []chunk
+	index  map[sum]int32
+
+	mu    sync.Mutex
+	dir   string
+	held  swarm.Bitmap
+	order []int32 // held chunks in order of arrival, for reports of changes
+}
+
+func newVersion(c cache, digest release.Digest, m manifest.Manifest) *version {
+	unique := m.Chunks()
+	v := &version{
+		digest: digest, cache: c, dir: c.partialDir(digest),
+		chunks: make([]chunk, len(unique)), index: make(map[sum]int32, len(unique)),
+		held: swarm.NewBitmap(len(unique)),
+	}
+	for _, f := range m.Files {
+		v.files = append(v.files, versionFile{name: strings.Clone(f.Name), size: f.Size})
+	}
+	for i, u := range unique {
+		e := chunk{sum: digestSum(u.Digest), size: int32(u.Size)}
+		for k, p := range u.Places {
+			at := place{file: int32(p.File), offset: p.Offset}
+			if k == 0 {
+				e.first = at
+			} else {
+				e.more = append(e.more, at)
+			}
+		}
+		v.chunks[i] = e
+		v.index[e.sum] = int32(i)
+	}
+	return v
+}
+
+// digestSum converts a digest that passed manifest.ValidDigest.
+func digestSum(d release.Digest) (s sum) {
+	_, _ = hex.Decode(s[:], []byte(d.Hex()))
+	return s
+}
+
+func (v *version) keys() []uint64 {
+	keys := make([]uint64, len(v.chunks))
+	for i := range v.chunks {
+		keys[i] = binary.LittleEndian.Uint64(v.chunks[i].sum[:])
+	}
+	return keys
+}
+
+func (v *version) filePath(name string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return filepath.Join(v.dir, filepath.FromSlash(name))
+}
+
+func (v *version) placePath(p place) string { return v.filePath(v.files[p.file].name) }
+
+func (v *version) hold(i int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.held.Set(i) {
+		v.order = append(v.order, int32(i))
+	}
+}
+
+func (v *version) holds(i int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.held.Has(i)
+}
+
+func (v *version) heldCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.order)
+}
+
+func (v *version) complete() bool { return v.heldCount() == len(v.chunks) }
+
+// bitmap gives the held chunks in the form of wire.Have.
+func (v *version) bitmap() []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]byte, 0, len(v.held)*8)
+	for _, w := range v.held {
+		out = binary.LittleEndian.AppendUint64(out, w)
+	}
+	return out[:(len(v.chunks)+7)/8]
+}
+
+// open reads a held chunk.
+func (v *version) open(i int) (io.ReadCloser, error) {
+	c := v.chunks[i]
+	return openSection(v.placePath(c.first), c.first.offset, int64(c.size))
+}
+
+// prepare creates the files of a partial version at their full size.
+func (v *version) prepare() error {
+	for _, f := range v.files {
+		path := v.filePath(f.name)
+		if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+			return oops.In("transfer").Wrap(err)
+		}
+		file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+		if err != nil {
+			return oops.In("transfer").Wrap(err)
+		}
+		if err := errors.Join(file.Truncate(f.size), file.Close()); err != nil {
+			return oops.In("transfer").Wrap(err)
+		}
+	}
+	return nil
+}
+
+var errCorrupt = errors.New("content does not match the digest")
+
+// write stores one chunk read from r at all its places and marks it held once
+// its digest matches. Reading more or less than the chunk is an error.
+func (v *version) write(i int, r io.Reader) error {
+	c := v.chunks[i]
+	if err := v.writePlace(c, c.first, r); err != nil {
+		return err
+	}
+	for _, p := range c.more {
+		section, err := v.open(i)
+		if err != nil {
+			return oops.In("transfer").Wrap(err)
+		}
+		err = v.writePlace(c, p, section)
+		_ = section.Close()
+		if err != nil {
+			return err
+		}
+	}
+	v.hold(i)
+	return nil
+}
+
+func (v *version) writePlace(c chunk, p place, r io.Reader) error {
+	file, err := os.OpenFile(v.placePath(p), os.O_WRONLY, fileMode)
+	if err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	hash := sha256.New()
+	target := io.MultiWriter(io.NewOffsetWriter(file, p.offset), hash)
+	n, err := io.CopyBuffer(target, io.LimitReader(r, int64(c.size)), make([]byte, copyBufferBytes))
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if n != int64(c.size) {
+		return io.ErrUnexpectedEOF
+	}
+	if sum(hash.Sum(nil)) != c.sum {
+		return errCorrupt
+	}
+	return nil
+}
+
+// scan hashes the files in dir and calls found for each intact chunk.
+func (v *version) scan(dir string, found func(i int)) {
+	for i, c := range v.chunks {
+		intact := v.intact(dir, c, c.first)
+		for _, p := range c.more {
+			intact = intact && v.intact(dir, c, p)
+		}
+		if intact {
+			found(i)
+		}
+	}
+}
+
+func (v *version) intact(dir string, c chunk, p place) bool {
+	path := filepath.Join(dir, filepath.FromSlash(v.files[p.file].name))
+	r, err := openSection(path, p.offset, int64(c.size))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Close() }()
+	hash := sha256.New()
+	n, err := io.CopyBuffer(struct{ io.Writer }{hash}, r, make([]byte, copyBufferBytes))
+	return err == nil && n == int64(c.size) && sum(hash.Sum(nil)) == c.sum
+}
+
+// sizesMatch reports whether the files in dir have exactly their sizes.
+func (v *version) sizesMatch(dir string) bool {
+	for _, f := range v.files {
+		info, err := os.Stat(filepath.Join(dir, filepath.FromSlash(f.name)))
+		if err != nil || info.Size() != f.size {
+			return false
+		}
+	}
+	return true
+}
+
+// load finds out which chunks the cache folder holds. A finished folder with
+// damage is set aside and not written to: an engine may have its files open.
+func (v *version) load() error {
+	final, partial := v.cache.versionDir(v.digest), v.cache.partialDir(v.digest)
+	if _, err := os.Stat(final); err == nil {
+		v.scan(final, v.hold)
+		if v.complete() && v.sizesMatch(final) {
+			v.setDir(final)
+			return nil
+		}
+		v.reset()
+		if err := v.setAside(final); err != nil {
+			return err
+		}
+	}
+	if err := v.prepare(); err != nil {
+		return err
+	}
+	v.scan(partial, v.hold)
+	return nil
+}
+
+func (v *version) setAside(final string) error {
+	old := v.cache.oldDir(v.digest)
+	if err := os.RemoveAll(old); err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	return oops.In("transfer").Wrap(os.Rename(final, old))
+}
+
+func (v *version) reset() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.held)
+	v.order = nil
+}
+
+func (v *version) setDir(dir string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.dir = dir
+}
+
+// reuse copies chunks that other versions on disk share with this one.
+func (v *version) reuse(other *version, dir string) {
+	for i, c := range v.chunks {
+		k, ok := other.index[c.sum]
+		if !ok || v.holds(i) {
+			continue
+		}
+		from := other.chunks[k].first
+		path := filepath.Join(dir, filepath.FromSlash(other.files[from.file].name))
+		r, err := openSection(path, from.offset, int64(c.size))
+		if err != nil {
+			continue
+		}
+		_ = v.write(i, r) // a damaged copy is fetched instead
+		_ = r.Close()
+	}
+}
+
+// finish checks the headers of safetensors files and gives the folder its
+// final name.
+func (v *version) finish() error {
+	final := v.cache.versionDir(v.digest)
+	if v.filePath("") == filepath.Clean(final) {
+		return nil
+	}
+	for _, f := range v.files {
+		if strings.HasSuffix(f.name, ".safetensors") {
+			if err := v.checkHeader(f); err != nil {
+				return err
+			}
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := os.Rename(v.dir, final); err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	v.dir = final
+	return oops.In("transfer").Wrap(os.RemoveAll(v.cache.oldDir(v.digest)))
+}
+
+func (v *version) checkHeader(f versionFile) error {
+	file, err := os.Open(v.filePath(f.name))
+	if err != nil {
+		return oops.In("transfer").Wrap(err)
+	}
+	defer func() { _ = file.Close() }()
+	if err := manifest.CheckSafetensors(file, f.size); err != nil {
+		return errors.Join(ErrSetInvalid, oops.In("transfer").With("file", f.name).Wrap(err))
+	}
+	return nil
+}
