--- /dev/null
+++ b/internal/controlclient/client_test.go
@@ -0,0 +1,110 @@
+package controlclient
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// replica is a fake control replica that answers proposals by a function.
+func replica(t *testing.T, answer func() *wire.ProposeReply) (string, *atomic.Int64) {
+	t.Helper()
+	var asked atomic.Int64
+	server := httptest.NewServer(&transport.Server{
+		Authorize: func(*http.Request) bool { return true },
+		Handler: func(_ context.Context, s *transport.Session, env wire.Envelope) {
+			if env.Type != wire.TypePropose {
+				return
+			}
+			asked.Add(1)
+			reply := answer()
+			if reply == nil {
+				s.Close()
+				return
+			}
+			_ = s.Reply(env, *reply)
+		},
+	})
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), &asked
+}
+
+func startClient(t *testing.T, replicas ...string) *Client {
+	t.Helper()
+	c := New(Config{Name: "test", Replicas: replicas})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for range 200 {
+		open := 0
+		for _, d := range c.dialers {
+			if d.Session() != nil {
+				open++
+			}
+		}
+		if open == len(replicas) {
+			return c
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("sessions did not open")
+	return nil
+}
+
+// Guards against a proposal that is lost because its first replica does not lead.
+func TestProposeFollowsTheLeader(t *testing.T) {
+	is := is.New(t)
+	result, err := wire.Marshal(ledger.Result{Status: ledger.StatusAccepted})
+	is.NoErr(err)
+	leader, _ := replica(t, func() *wire.ProposeReply {
+		return &wire.ProposeReply{Status: wire.ProposeCommitted, Result: result}
+	})
+	follower, _ := replica(t, func() *wire.ProposeReply {
+		return &wire.ProposeReply{Status: wire.ProposeNotRun, Leader: leader}
+	})
+	c := startClient(t, follower, leader)
+	got, err := c.Propose(t.Context(), ledger.Command{})
+	is.NoErr(err)
+	is.Equal(got.Status, ledger.StatusAccepted)
+	is.Equal(c.candidates()[0], leader)
+}
+
+// Guards against a command that is sent to a second replica after the first
+// may have committed it: the second answer would hide the first.
+func TestProposeNeverRepeatsAfterALostAnswer(t *testing.T) {
+	is := is.New(t)
+	dropping, _ := replica(t, func() *wire.ProposeReply { return nil })
+	other, asked := replica(t, func() *wire.ProposeReply {
+		return &wire.ProposeReply{Status: wire.ProposeCommitted}
+	})
+	c := startClient(t, dropping, other)
+	_, err := c.Propose(t.Context(), ledger.Command{})
+	is.True(errors.Is(err, ErrUnknown))
+	is.Equal(asked.Load(), int64(0))
+}
+
+// Guards against an unreachable control plane that is reported as unknown:
+// nothing was sent, so the caller may be told "not run".
+func TestProposeWithoutReplicasIsNotRun(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Name: "test", Replicas: []string{"127.0.0.1:1"}})
+	ctx, cancel := context.WithTimeout(t.Context(), 120*time.Millisecond)
+	defer cancel()
+	_, err := c.Propose(ctx, ledger.Command{})
+	is.True(errors.Is(err, ErrNotRun))
+}
--- /dev/null
+++ b/internal/wire/envelope_test.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+func sampleMessages() []Message {
+	catalogue := release.NewCatalogue()
+	catalogue.Models["quote"] = release.Model{Name: "quote", Version: "1", Role: "quote"}
+	return []Message{
+		Announce{Endpoint: "e1", Incarnation: 1, Sequence: 2, Kind: KindEngine, Sets: []LoadedSet{{Model: "quote"}}},
+		ConfirmRequest{Mark: 7},
+		ConfirmReply{Mark: 7, Revision: 3, Voters: []string{"a", "b"}, Addresses: map[string]string{"a": "127.0.0.1:1"}},
+		Catalogue{Revision: 1, Full: &catalogue},
+		Members{Epoch: 1, Version: 2, Updated: []Announce{{Endpoint: "e1"}}},
+		Propose{Command: []byte{1}},
+		Error{Code: "bad", Detail: "detail"},
+	}
+}
+
+// Guards against messages that change on their way or encode differently on
+// two processes, which would break digests.
+func TestMessagesKeepTheirContent(t *testing.T) {
+	for _, msg := range sampleMessages() {
+		is := is.New(t)
+		frame, err := Encode(msg, 5, 9)
+		is.NoErr(err)
+		env, err := Decode(frame)
+		is.NoErr(err)
+		is.Equal(env.Type, msg.MessageType())
+		is.Equal(env.ID, uint64(5))
+		is.Equal(env.ReplyTo, uint64(9))
+		again, err := Encode(msg, 5, 9)
+		is.NoErr(err)
+		is.True(bytes.Equal(frame, again))
+	}
+}
+
+// Guards against frames from a broken peer that crash the decoder or make it
+// allocate without bound.
+func FuzzDecode(f *testing.F) {
+	for _, msg := range sampleMessages() {
+		frame, err := Encode(msg, 1, 0)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		env, err := Decode(frame)
+		if err != nil {
+			return
+		}
+		for _, out := range []any{&Announce{}, &ConfirmReply{}, &Catalogue{}, &Members{}, &Propose{}, &Have{}, &Subscribe{}} {
+			_ = env.Into(out)
+		}
+	})
+}
