--- /dev/null
+++ b/release/note.go
@@ -0,0 +1,361 @@
+package release
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Limits on a note.
+const (
+	MaxNoteBytes   = 256 << 10
+	MaxNoteChanges = 1000
+)
+
+// Note is a parsed release note: a delta with a number. Its identity is its
+// number together with the digest of its canonical form.
+type Note struct {
+	Number   uint64         `yaml:"note" json:"note"`
+	Models   ModelChanges   `yaml:"models" json:"models"`
+	Adapters AdapterChanges `yaml:"adapters" json:"adapters"`
+}
+
+// ModelChanges lists what a note does to models.
+type ModelChanges struct {
+	Add      []ModelSpec `yaml:"add" json:"add,omitempty"`
+	Change   []ModelSpec `yaml:"change" json:"change,omitempty"`
+	Withdraw []Reference `yaml:"withdraw" json:"withdraw,omitempty"`
+}
+
+// ModelSpec describes an added or changed model. A change without Replicas
+// keeps the role.
+type ModelSpec struct {
+	Name     string    `yaml:"name" json:"name"`
+	Version  string    `yaml:"version" json:"version"`
+	Manifest Digest    `yaml:"manifest" json:"manifest"`
+	Replicas *Replicas `yaml:"replicas" json:"replicas,omitempty"`
+}
+
+// Replicas selects the endpoints that serve a model.
+type Replicas struct {
+	Role string `yaml:"role" json:"role"`
+}
+
+// AdapterChanges lists what a note does to adapters.
+type AdapterChanges struct {
+	Add      []AdapterSpec `yaml:"add" json:"add,omitempty"`
+	Change   []AdapterSpec `yaml:"change" json:"change,omitempty"`
+	Withdraw []Reference   `yaml:"withdraw" json:"withdraw,omitempty"`
+}
+
+// AdapterSpec describes an added or changed adapter. A change without Base
+// keeps the base.
+type AdapterSpec struct {
+	Name     string `yaml:"name" json:"name"`
+	Base     string `yaml:"base" json:"base,omitempty"`
+	Version  string `yaml:"version" json:"version"`
+	Manifest Digest `yaml:"manifest" json:"manifest"`
+}
+
+// Reference names a model or adapter.
+type Reference struct {
+	Name string `yaml:"name" json:"name"`
+}
+
+// Problem is one fault of a note. Line is 0 when the note did not come from
+// YAML text.
+type Problem struct {
+	Line   int    `json:"line,omitempty"`
+	Column int    `json:"column,omitempty"`
+	Field  string `json:"field"`
+	Detail string `json:"detail"`
+}
+
+// Error implements the error interface.
+func (p Problem) Error() string {
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s", p.Field, p.Detail)
+	}
+	return fmt.Sprintf("line %d, column %d, %s: %s", p.Line, p.Column, p.Field, p.Detail)
+}
+
+// InvalidError reports every problem found in a note.
+type InvalidError struct {
+	Problems []Problem
+}
+
+// Error implements the error interface.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Problems returns the problems in err, or a single one made of its text.
+func Problems(err error) []Problem {
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Problems
+	}
+	return []Problem{{Field: "note", Detail: err.Error()}}
+}
+
+// Document is a note together with its source, for errors with lines.
+type Document struct {
+	Note Note
+	file *ast.File
+}
+
+// Parse reads a note strictly from YAML and checks it on its own. Whether it
+// fits the catalogue is checked by Document.Check or Apply.
+func Parse(data []byte) (*Document, error) {
+	if len(data) > MaxNoteBytes {
+		return nil, single("note", fmt.Sprintf("is longer than %d bytes", MaxNoteBytes))
+	}
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, syntaxProblem(err)
+	}
+	if len(file.Docs) != 1 {
+		return nil, single("note", fmt.Sprintf("must be one YAML document, found %d", len(file.Docs)))
+	}
+	if err := refuseAliases(file.Docs[0]); err != nil {
+		return nil, err
+	}
+	doc := &Document{file: file}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := decoder.Decode(&doc.Note); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, single("note", "is empty")
+		}
+		return nil, syntaxProblem(err)
+	}
+	if problems := doc.Note.problems(); len(problems) > 0 {
+		return nil, &InvalidError{Problems: doc.locate(problems)}
+	}
+	return doc, nil
+}
+
+// Check reports whether the note can be applied to c.
+func (d *Document) Check(c Catalogue) error {
+	_, _, err := Apply(d.Note, c)
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return &InvalidError{Problems: d.locate(invalid.Problems)}
+	}
+	return err
+}
+
+func single(field, detail string) error {
+	return &InvalidError{Problems: []Problem{{Field: field, Detail: detail}}}
+}
+
+func syntaxProblem(err error) error {
+	p := Problem{Field: "note", Detail: err.Error()}
+	var located yaml.Error
+	if errors.As(err, &located) {
+		p.Detail = located.GetMessage()
+		if token := located.GetToken(); token != nil && token.Position != nil {
+			p.Line, p.Column, p.Field = token.Position.Line, token.Position.Column, token.Value
+		}
+	}
+	return &InvalidError{Problems: []Problem{p}}
+}
+
+type aliasFinder struct{ found ast.Node }
+
+// Visit implements ast.Visitor.
+func (f *aliasFinder) Visit(n ast.Node) ast.Visitor {
+	switch n.Type() {
+	case ast.AliasType, ast.AnchorType, ast.MergeKeyType, ast.TagType:
+		f.found = n
+		return nil
+	}
+	return f
+}
+
+// refuseAliases keeps a short note from expanding into a large one.
+func refuseAliases(doc *ast.DocumentNode) error {
+	if doc.Body == nil {
+		return single("note", "is empty")
+	}
+	f := &aliasFinder{}
+	ast.Walk(f, doc.Body)
+	if f.found == nil {
+		return nil
+	}
+	p := Problem{Field: "note", Detail: "anchors, aliases, merge keys and tags are not allowed"}
+	if t := f.found.GetToken(); t != nil && t.Position != nil {
+		p.Line, p.Column = t.Position.Line, t.Position.Column
+	}
+	return &InvalidError{Problems: []Problem{p}}
+}
+
+// locate adds the source position of each problem's field, or of its nearest
+// parent that is present.
+func (d *Document) locate(problems []Problem) []Problem {
+	for i := range problems {
+		field := problems[i].Field
+		for field != "" && problems[i].Line == 0 {
+			problems[i].Line, problems[i].Column = d.position(field)
+			field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+		}
+	}
+	return problems
+}
+
+func (d *Document) position(field string) (line, column int) {
+	path, err := yaml.PathString("$." + field)
+	if err != nil {
+		return 0, 0
+	}
+	node, err := path.FilterFile(d.file)
+	if err != nil || node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
+		return 0, 0
+	}
+	return node.GetToken().Position.Line, node.GetToken().Position.Column
+}
+
+// Canonical returns the canonical form: JSON with fixed field order and lists
+// sorted by name. Notes that differ only in layout have the same form.
+func (n Note) Canonical() []byte {
+	byModel := func(a, b ModelSpec) int { return strings.Compare(a.Name, b.Name) }
+	byAdapter := func(a, b AdapterSpec) int { return strings.Compare(a.Name, b.Name) }
+	byName := func(a, b Reference) int { return strings.Compare(a.Name, b.Name) }
+	sorted := Note{Number: n.Number}
+	sorted.Models.Add = slices.SortedFunc(slices.Values(n.Models.Add), byModel)
+	sorted.Models.Change = slices.SortedFunc(slices.Values(n.Models.Change), byModel)
+	sorted.Models.Withdraw = slices.SortedFunc(slices.Values(n.Models.Withdraw), byName)
+	sorted.Adapters.Add = slices.SortedFunc(slices.Values(n.Adapters.Add), byAdapter)
+	sorted.Adapters.Change = slices.SortedFunc(slices.Values(n.Adapters.Change), byAdapter)
+	sorted.Adapters.Withdraw = slices.SortedFunc(slices.Values(n.Adapters.Withdraw), byName)
+	data, err := json.Marshal(sorted)
+	if err != nil {
+		panic(err) // no field of Note can fail to marshal
+	}
+	return data
+}
+
+// Digest is the digest of the canonical form.
+func (n Note) Digest() Digest { return DigestOf(n.Canonical()) }
+
+// ParseCanonical reads the output of Canonical. Other input is refused.
+func ParseCanonical(data []byte) (Note, error) {
+	var n Note
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&n); err != nil {
+		return Note{}, single("note", err.Error())
+	}
+	if problems := n.problems(); len(problems) > 0 {
+		return Note{}, &InvalidError{Problems: problems}
+	}
+	if !bytes.Equal(n.Canonical(), data) {
+		return Note{}, single("note", "is not in canonical form")
+	}
+	return n, nil
+}
+
+var (
+	namePattern     = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	versionPattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._+-]{0,62}$`)
+	manifestPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+)
+
+// checker collects problems with the path of the field they concern.
+type checker struct {
+	problems []Problem
+	seen     map[string]string
+}
+
+func (k *checker) add(field, format string, args ...any) {
+	k.problems = append(k.problems, Problem{Field: field, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) match(field, value string, pattern *regexp.Regexp) {
+	switch {
+	case value == "":
+		k.add(field, "is required")
+	case !pattern.MatchString(value):
+		k.add(field, "%q does not match %s", value, pattern)
+	}
+}
+
+// name checks a name and that the note mentions it once. Models and adapters
+// share one name space, since callers address both by name.
+func (k *checker) name(field, value string) {
+	k.match(field, value, namePattern)
+	if first, ok := k.seen[value]; ok {
+		k.add(field, "%q is already named at %s", value, first)
+		return
+	}
+	k.seen[value] = field
+}
+
+// problems checks the note on its own.
+func (n Note) problems() []Problem {
+	k := &checker{seen: map[string]string{}}
+	if n.Number == 0 {
+		k.add("note", "number must be 1 or more")
+	}
+	total := len(n.Models.Add) + len(n.Models.Change) + len(n.Models.Withdraw) +
+		len(n.Adapters.Add) + len(n.Adapters.Change) + len(n.Adapters.Withdraw)
+	if total == 0 {
+		k.add("note", "changes nothing")
+	}
+	if total > MaxNoteChanges {
+		k.add("note", "has %d changes; at most %d are allowed", total, MaxNoteChanges)
+		return k.problems
+	}
+	k.models("models.add", n.Models.Add, true)
+	k.models("models.change", n.Models.Change, false)
+	k.references("models.withdraw", n.Models.Withdraw)
+	k.adapters("adapters.add", n.Adapters.Add, true)
+	k.adapters("adapters.change", n.Adapters.Change, false)
+	k.references("adapters.withdraw", n.Adapters.Withdraw)
+	return k.problems
+}
+
+func (k *checker) models(list string, specs []ModelSpec, added bool) {
+	for i, m := range specs {
+		at := fmt.Sprintf("%s[%d].", list, i)
+		k.name(at+"name", m.Name)
+		k.match(at+"version", m.Version, versionPattern)
+		k.match(at+"manifest", string(m.Manifest), manifestPattern)
+		switch {
+		case m.Replicas != nil:
+			k.match(at+"replicas.role", m.Replicas.Role, namePattern)
+		case added:
+			k.add(at+"replicas", "is required")
+		}
+	}
+}
+
+func (k *checker) adapters(list string, specs []AdapterSpec, added bool) {
+	for i, a := range specs {
+		at := fmt.Sprintf("%s[%d].", list, i)
+		k.name(at+"name", a.Name)
+		k.match(at+"version", a.Version, versionPattern)
+		k.match(at+"manifest", string(a.Manifest), manifestPattern)
+		if added || a.Base != "" {
+			k.match(at+"base", a.Base, namePattern)
+		}
+	}
+}
+
+func (k *checker) references(list string, refs []Reference) {
+	for i, r := range refs {
+		k.name(fmt.Sprintf("%s[%d].name", list, i), r.Name)
+	}
+}
