Add a network interface with an in-memory fake that injects faults

Daemons listen and dial through it, so that tests can run several of them under virtual time with delays, silent partitions in one or both directions, and resets.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
@@ -40,6 +41,8 @@
 	OnOpen func(replica string, s *transport.Session)
 	OnLost func(replica string, err error)
 	Bytes  *transport.ByteCounts
+	// Network opens the connections; nil uses the operating system's.
+	Network network.Network
 }
 
 // Client holds the sessions. Run starts it.
@@ -65,6 +68,7 @@
 		Address: address,
 		Token:   c.cfg.Token,
 		Bytes:   c.cfg.Bytes,
+		Network: c.cfg.Network,
 		Handler: func(_ context.Context, _ *transport.Session, env wire.Envelope) { c.receive(address, env) },
 		Opened:  func(s *transport.Session) { c.opened(address, s) },
 		Failed: func(err error) {
--- /dev/null
+++ b/internal/network/memnet/conn.go
@@ -0,0 +1,195 @@
+package memnet
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// conn is one side of a connection. in holds the bytes on their way to it.
+type conn struct {
+	net           *Network
+	local, remote string
+	localAddr     net.Addr
+	remoteAddr    net.Addr
+	in            *inbox
+	peer          *conn
+}
+
+func newConnPair(n *Network, client, server string, address addr) (*conn, *conn) {
+	clientAddr := addr(client + ":0")
+	c := &conn{net: n, local: client, remote: server, localAddr: clientAddr, remoteAddr: address, in: newInbox()}
+	s := &conn{net: n, local: server, remote: client, localAddr: address, remoteAddr: clientAddr, in: newInbox()}
+	c.peer, s.peer = s, c
+	return c, s
+}
+
+// segment is a written piece that arrives at the given time.
+type segment struct {
+	data    []byte
+	arrives time.Time
+}
+
+// inbox orders the segments of one direction.
+type inbox struct {
+	mu       sync.Mutex
+	segments []segment
+	eof      bool  // the writer has closed
+	err      error // the connection is broken
+	changed  chan struct{}
+	deadline time.Time
+}
+
+func newInbox() *inbox { return &inbox{changed: make(chan struct{})} }
+
+// wake makes a blocked reader look again.
+func (b *inbox) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wakeLocked()
+}
+
+func (b *inbox) wakeLocked() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *inbox) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		b.err = err
+	}
+	b.wakeLocked()
+}
+
+func (b *inbox) push(s segment) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.segments = append(b.segments, s)
+	b.wakeLocked()
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, changed, until, err := c.tryRead(p)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		waitChange(changed, until)
+	}
+}
+
+// tryRead returns what can be read now, or what to wait for.
+func (c *conn) tryRead(p []byte) (n int, changed <-chan struct{}, until time.Time, err error) {
+	cut := c.net.linkState(c.remote, c.local).cut
+	b := c.in
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	switch {
+	case !b.deadline.IsZero() && !now.Before(b.deadline):
+		return 0, nil, until, os.ErrDeadlineExceeded
+	case b.err != nil:
+		return 0, nil, until, b.err
+	case cut:
+		return 0, b.changed, b.deadline, nil
+	case len(b.segments) == 0 && b.eof:
+		return 0, nil, until, io.EOF
+	case len(b.segments) == 0:
+		return 0, b.changed, b.deadline, nil
+	case now.Before(b.segments[0].arrives):
+		return 0, b.changed, earlier(b.segments[0].arrives, b.deadline), nil
+	}
+	first := &b.segments[0]
+	n = copy(p, first.data)
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		b.segments = b.segments[1:]
+	}
+	return n, nil, until, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func waitChange(changed <-chan struct{}, until time.Time) {
+	if until.IsZero() {
+		<-changed
+		return
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// Write implements net.Conn. It never blocks: the buffers are unbounded.
+func (c *conn) Write(p []byte) (int, error) {
+	c.in.mu.Lock()
+	err := c.in.err
+	c.in.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	delay := c.net.linkState(c.local, c.remote).delay
+	c.peer.in.push(segment{data: append([]byte(nil), p...), arrives: time.Now().Add(delay)})
+	return len(p), nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	c.in.fail(net.ErrClosed)
+	b := c.peer.in
+	b.mu.Lock()
+	b.eof = true
+	b.wakeLocked()
+	b.mu.Unlock()
+	return nil
+}
+
+// CloseWrite ends the outgoing direction only.
+func (c *conn) CloseWrite() error {
+	b := c.peer.in
+	b.mu.Lock()
+	b.eof = true
+	b.wakeLocked()
+	b.mu.Unlock()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return c.localAddr }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.remoteAddr }
+
+// SetDeadline implements net.Conn. Writes never block, so it only affects reads.
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	if c.in.err == net.ErrClosed {
+		return net.ErrClosed
+	}
+	c.in.deadline = t
+	c.in.wakeLocked()
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/internal/network/memnet/memnet.go
@@ -0,0 +1,216 @@
+// Package memnet is an in-memory network with injected faults, for tests that
+// run daemons in one process and under virtual time.
+//
+// Each process is a Host. A link between two hosts can have a delay and can be
+// cut silently in one direction or both: bytes then wait, as TCP retransmits,
+// and arrive when the link heals. Stopping a host resets its connections.
+package memnet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const acceptBacklog = 128
+
+// Network connects hosts.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener // by address
+	conns     map[*conn]struct{}
+	links     map[link]*state
+}
+
+type link struct{ from, to string }
+
+type state struct {
+	delay time.Duration
+	cut   bool
+}
+
+// New returns a network without hosts.
+func New() *Network {
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, links: map[link]*state{}}
+}
+
+// Host is one process's view of the network. It implements network.Network.
+type Host struct {
+	net  *Network
+	name string
+}
+
+// Host returns the host of the given name, also after a stop.
+func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
+
+// SetDelay sets the one-way delay between two hosts, both ways.
+func (n *Network) SetDelay(a, b string, delay time.Duration) {
+	n.mu.Lock()
+	n.link(a, b).delay = delay
+	n.link(b, a).delay = delay
+	n.mu.Unlock()
+}
+
+// Cut stops bytes from one host to another without any error on either side.
+func (n *Network) Cut(from, to string) { n.setCut(from, to, true) }
+
+// Heal ends a cut; waiting bytes arrive.
+func (n *Network) Heal(from, to string) { n.setCut(from, to, false) }
+
+// Isolate cuts a host from all others in both directions, or heals it.
+func (n *Network) Isolate(host string, others []string, cut bool) {
+	for _, other := range others {
+		if other != host {
+			n.setCut(host, other, cut)
+			n.setCut(other, host, cut)
+		}
+	}
+}
+
+func (n *Network) setCut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link(from, to).cut = cut
+	for c := range n.conns {
+		c.in.wake()
+	}
+}
+
+func (n *Network) link(from, to string) *state {
+	l := link{from, to}
+	if n.links[l] == nil {
+		n.links[l] = &state{}
+	}
+	return n.links[l]
+}
+
+func (n *Network) linkState(from, to string) state {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return *n.link(from, to)
+}
+
+// Stop resets all connections of a host and closes its listeners, as the end
+// of a process does. Peers behind a cut link learn nothing.
+func (n *Network) Stop(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, l := range n.listeners {
+		if l.host == host {
+			delete(n.listeners, address)
+			l.closeOnce.Do(func() { close(l.closed) })
+		}
+	}
+	for c := range n.conns {
+		switch {
+		case c.local == host:
+			c.in.fail(net.ErrClosed)
+		case c.remote == host && !n.link(host, c.local).cut:
+			c.in.fail(syscall.ECONNRESET)
+		default:
+			continue
+		}
+		delete(n.conns, c)
+	}
+}
+
+// Listen implements network.Network.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if _, taken := h.net.listeners[address]; taken {
+		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{net: h.net, host: h.name, address: addr(address), queue: make(chan net.Conn, acceptBacklog), closed: make(chan struct{})}
+	h.net.listeners[address] = l
+	return l, nil
+}
+
+// DialContext implements network.Network. A cut link in either direction
+// blocks until ctx ends; a missing listener refuses.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	h.net.mu.Lock()
+	l, ok := h.net.listeners[address]
+	h.net.mu.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	out, back := h.net.linkState(h.name, l.host), h.net.linkState(l.host, h.name)
+	if out.cut || back.cut {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+	}
+	if err := wait(ctx, out.delay+back.delay); err != nil {
+		return nil, &net.OpError{Op: "dial", Err: err}
+	}
+	return h.connect(l)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Host) connect(l *listener) (net.Conn, error) {
+	client, server := newConnPair(h.net, h.name, l.host, l.address)
+	h.net.mu.Lock()
+	h.net.conns[client] = struct{}{}
+	h.net.conns[server] = struct{}{}
+	h.net.mu.Unlock()
+	select {
+	case l.queue <- server:
+		return client, nil
+	case <-l.closed:
+	default:
+	}
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+type addr string
+
+func (addr) Network() string  { return "tcp" }
+func (a addr) String() string { return string(a) }
+
+type listener struct {
+	net       *Network
+	host      string
+	address   addr
+	queue     chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.net.mu.Lock()
+	if l.net.listeners[string(l.address)] == l {
+		delete(l.net.listeners, string(l.address))
+	}
+	l.net.mu.Unlock()
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/internal/network/network.go
@@ -0,0 +1,56 @@
+// Package network is the interface through which daemons listen and dial, so
+// that tests can run them over an in-memory network with injected faults.
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout         = time.Second
+	keepAliveInterval   = 5 * time.Second
+	idleConnTimeout     = 30 * time.Second
+	maxIdleConnsPerHost = 64
+)
+
+// Network opens listeners and connections by IP address and port.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// System is the operating system's TCP.
+type System struct{}
+
+// Listen implements Network.
+func (System) Listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// DialContext implements Network.
+func (System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return d.DialContext(ctx, network, address)
+}
+
+// Or returns n, or System when n is nil.
+func Or(n Network) Network {
+	if n == nil {
+		return System{}
+	}
+	return n
+}
+
+// HTTPTransport returns an HTTP transport that dials through n. It never uses
+// a proxy from the environment and never compresses.
+func HTTPTransport(n Network) *http.Transport {
+	return &http.Transport{
+		DialContext:         Or(n).DialContext,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -10,6 +10,7 @@
 	"github.com/coder/websocket"
 	"github.com/samber/oops"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
@@ -30,6 +31,8 @@
 	Failed func(err error)
 	// Bytes, when set, counts payload.
 	Bytes *ByteCounts
+	// Network opens the connections; nil uses the operating system's.
+	Network network.Network
 
 	mu      sync.Mutex
 	session *Session
@@ -64,7 +67,7 @@
 }
 
 func (d *Dialer) serveOnce(ctx context.Context) error {
-	s, sctx, err := dial(ctx, d.Address, d.Token, d.Handler, d.Bytes)
+	s, sctx, err := dial(ctx, d)
 	if err != nil {
 		return err
 	}
@@ -81,26 +84,29 @@
 	return err
 }
 
-func dial(ctx context.Context, address, token string, handler Handler, bytes *ByteCounts) (*Session, context.Context, error) {
+func dial(ctx context.Context, d *Dialer) (*Session, context.Context, error) {
 	dctx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
-	header := http.Header{"Authorization": {"Bearer " + token}}
-	conn, _, err := websocket.Dial(dctx, "ws://"+address+wire.PathSession, &websocket.DialOptions{
-		HTTPHeader:      header,
+	// A transport of its own: the connection leaves HTTP after the handshake.
+	client := &http.Client{Transport: network.HTTPTransport(d.Network)}
+	conn, _, err := websocket.Dial(dctx, "ws://"+d.Address+wire.PathSession, &websocket.DialOptions{
+		HTTPClient:      client,
+		HTTPHeader:      http.Header{"Authorization": {"Bearer " + d.Token}},
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
-		return nil, nil, oops.In("transport").With("address", address).Wrap(err)
+		client.CloseIdleConnections()
+		return nil, nil, oops.In("transport").With("address", d.Address).Wrap(err)
 	}
-	s := newSession(conn, address, handler, bytes)
+	s := newSession(conn, d.Address, d.Handler, d.Bytes)
 	sctx, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
 	return s, sctx, nil
 }
 
 // Connect opens one session without redialling. The caller closes it.
-func Connect(ctx context.Context, address, token string, handler Handler) (*Session, error) {
-	s, sctx, err := dial(ctx, address, token, handler, nil)
+func (d *Dialer) Connect(ctx context.Context) (*Session, error) {
+	s, sctx, err := dial(ctx, d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/session_test.go
+++ b/internal/transport/session_test.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 
-	s, err := Connect(ctx, strings.TrimPrefix(server.URL, "http://"), "secret", nil)
+	s, err := (&Dialer{Address: strings.TrimPrefix(server.URL, "http://"), Token: "secret"}).Connect(ctx)
 	is.NoErr(err)
 	defer func() { s.Close(); <-s.Done() }()
 	errs := make(chan error, 50)
@@ -56,6 +56,6 @@
 	is := is.New(t)
 	server := httptest.NewServer(&Server{Authorize: func(*http.Request) bool { return false }})
 	defer server.Close()
-	_, err := Connect(t.Context(), strings.TrimPrefix(server.URL, "http://"), "x", nil)
+	_, err := (&Dialer{Address: strings.TrimPrefix(server.URL, "http://"), Token: "x"}).Connect(t.Context())
 	is.True(err != nil)
 }
