--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,11 +3,8 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"os"
-	"strconv"
-	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/samber/oops"
@@ -40,34 +37,3 @@
 	}
 	return out.Check()
 }
-
-// Size is a number of bytes, written with a unit: "64MiB".
-type Size int64
-
-var sizeUnits = []struct {
-	suffix string
-	bytes  int64
-}{
-	{"GiB", 1 << 30},
-	{"MiB", 1 << 20},
-	{"KiB", 1 << 10},
-	{"B", 1},
-}
-
-// UnmarshalYAML implements yaml.BytesUnmarshaler.
-func (s *Size) UnmarshalYAML(data []byte) error {
-	text := strings.Trim(strings.TrimSpace(string(data)), `"'`)
-	for _, unit := range sizeUnits {
-		number, ok := strings.CutSuffix(text, unit.suffix)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
-		if err != nil || n < 0 {
-			break
-		}
-		*s = Size(n * unit.bytes)
-		return nil
-	}
-	return fmt.Errorf("%q is not a size with a unit such as 64MiB (units: B, KiB, MiB, GiB)", text)
-}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/samber/oops"
+)
+
+// PathFaults shows (GET), changes (POST, only the fields given) and resets
+// (DELETE) the fault switches of a stand-in.
+const PathFaults = "/standin/faults"
+
+const maxFaultsBytes = 64 << 10
+
+// Switches holds the fault switches F of a stand-in. Readers see a change at
+// their next call of Get, or by Changed.
+type Switches[F any] struct {
+	mu      sync.Mutex
+	current F
+	changed chan struct{}
+}
+
+// NewSwitches returns switches with the given start value.
+func NewSwitches[F any](start F) *Switches[F] {
+	return &Switches[F]{current: start, changed: make(chan struct{})}
+}
+
+// ParseFaults decodes switches from JSON text; empty text gives no faults.
+func ParseFaults[F any](text string) (F, error) {
+	var f F
+	if text == "" {
+		return f, nil
+	}
+	err := decodeStrict([]byte(text), &f)
+	return f, err
+}
+
+// Get returns the present switches.
+func (s *Switches[F]) Get() F {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Changed returns the present switches and a channel that closes when they
+// change.
+func (s *Switches[F]) Changed() (F, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.changed
+}
+
+// Update changes the switches.
+func (s *Switches[F]) Update(change func(*F)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.current)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP serves PathFaults.
+func (s *Switches[F]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodGet:
+	case http.MethodDelete:
+		s.Update(func(f *F) { *f = *new(F) })
+	case http.MethodPost:
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxFaultsBytes))
+		if err == nil {
+			changed := s.Get()
+			if err = decodeStrict(body, &changed); err == nil {
+				s.Update(func(f *F) { *f = changed })
+			}
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	default:
+		http.Error(w, "use GET, POST or DELETE", http.StatusMethodNotAllowed)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.Get())
+}
+
+func decodeStrict(data []byte, out any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	return oops.In("standin").Wrap(decoder.Decode(out))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/text.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+
+	"github.com/rhubarbhill/rhubarbhill/manifest"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// WeightsDigest identifies the content of the files that generate an answer.
+type WeightsDigest string
+
+const digestTextLength = 16
+
+// TextPrefix starts the first token of every answer; the weights digest
+// follows it.
+const TextPrefix = "weights="
+
+// requestID finds the identifier that a caller put into its prompt; the answer
+// repeats it in its second token.
+var requestID = regexp.MustCompile(`request-id=([A-Za-z0-9._-]+)`)
+
+// DigestOfChunks returns the weights digest of files given by the digests of
+// their chunks, in order of file name and offset.
+func DigestOfChunks(chunks []release.Digest) WeightsDigest {
+	h := sha256.New()
+	for _, d := range chunks {
+		_, _ = io.WriteString(h, d.Hex())
+	}
+	return WeightsDigest(hex.EncodeToString(h.Sum(nil))[:digestTextLength])
+}
+
+// DigestOfManifest returns the weights digest of a version whose files are
+// intact. A manifest lists its files in order of name.
+func DigestOfManifest(m manifest.Manifest) WeightsDigest {
+	var chunks []release.Digest
+	for _, f := range m.Files {
+		for _, c := range f.Chunks {
+			chunks = append(chunks, c.Digest)
+		}
+	}
+	return DigestOfChunks(chunks)
+}
+
+// WithAdapter returns the digest of a base model that runs with an adapter.
+func (d WeightsDigest) WithAdapter(adapter WeightsDigest) WeightsDigest {
+	sum := sha256.Sum256([]byte(string(d) + "+" + string(adapter)))
+	return WeightsDigest(hex.EncodeToString(sum[:])[:digestTextLength])
+}
+
+// RequestID returns the request identifier in a prompt, or "".
+func RequestID(prompt string) string {
+	if m := requestID.FindStringSubmatch(prompt); m != nil {
+		return m[1]
+	}
+	return ""
+}
+
+// Token returns token i of the answer of the given weights to prompt. Tokens
+// are separated by the space that starts each one but the first.
+func Token(weights WeightsDigest, prompt string, i int) string {
+	switch i {
+	case 0:
+		return TextPrefix + string(weights)
+	case 1:
+		return " request-id=" + RequestID(prompt)
+	}
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s|%d|%s", weights, i, prompt))
+	return fmt.Sprintf(" %d:%s", i, hex.EncodeToString(sum[:4]))
+}
+
+// Text returns the first n tokens of an answer.
+func Text(weights WeightsDigest, prompt string, n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(Token(weights, prompt, i))
+	}
+	return text.String()
+}
+
+// WeightsOfText returns the weights digest that an answer states.
+func WeightsOfText(text string) (WeightsDigest, bool) {
+	first, _, _ := strings.Cut(text, " ")
+	digest, ok := strings.CutPrefix(first, TextPrefix)
+	return WeightsDigest(digest), ok && len(digest) == digestTextLength
+}
