--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,195 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+)
+
+const (
+	maxAnswerBytes = 32 << 20
+	retryPause     = 200 * time.Millisecond
+	contentYAML    = "application/yaml"
+)
+
+// Errors of the client. Each has its own exit code.
+var (
+	ErrRefused     = errors.New("refused")
+	ErrUnknown     = errors.New("outcome unknown: send the same note again")
+	ErrBadInput    = errors.New("bad input")
+	ErrUnreachable = errors.New("no control replica reached")
+	ErrNotInForce  = errors.New("accepted, but not in force in time")
+)
+
+// Client calls the operator API of any of several control replicas.
+type Client struct {
+	// Replicas are the operator addresses, IP and port.
+	Replicas []string
+	Token    auth.Token
+	// AttemptTimeout limits one call to one replica.
+	AttemptTimeout time.Duration
+	HTTP           *http.Client
+}
+
+// answer is what one replica sent back.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// call sends one request to one replica. sent is false when the request
+// provably did not reach it.
+func (c *Client) call(ctx context.Context, replica, method, path string, body []byte) (a answer, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.AttemptTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+replica+path, bytes.NewReader(body))
+	if err != nil {
+		return a, false, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token.Secret())
+	if body != nil {
+		request.Header.Set("Content-Type", contentYAML)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		var dial *net.OpError
+		return a, !errors.As(err, &dial) || dial.Op != "dial", oops.In("operator").Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.status = response.StatusCode
+	a.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return a, true, oops.In("operator").Wrap(err)
+}
+
+// Get reads a document from the first replica that answers and returns its
+// JSON text too.
+func (c *Client) Get(ctx context.Context, path string, query url.Values, out any) ([]byte, error) {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	last := ErrUnreachable
+	for _, replica := range c.Replicas {
+		a, _, err := c.call(ctx, replica, http.MethodGet, path, nil)
+		switch {
+		case err != nil:
+			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: %v", replica, err)
+		case a.status == http.StatusOK:
+			if err := json.Unmarshal(a.body, out); err != nil {
+				return nil, oops.In("operator").Wrapf(err, "%s", replica)
+			}
+			return a.body, nil
+		case a.status >= http.StatusInternalServerError:
+			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %s", replica, a.status, a.body)
+		default:
+			return nil, refusal(replica, a)
+		}
+	}
+	return nil, last
+}
+
+// refusal translates a status of 4xx.
+func refusal(replica string, a answer) error {
+	switch a.status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden:
+		return oops.In("operator").Wrapf(ErrBadInput, "%s: status %d: %s", replica, a.status, bytes.TrimSpace(a.body))
+	}
+	return oops.In("operator").Wrapf(ErrRefused, "%s: status %d: %s", replica, a.status, bytes.TrimSpace(a.body))
+}
+
+// Check asks a replica whether a note would be accepted now.
+func (c *Client) Check(ctx context.Context, note []byte) (NoteAnswer, error) {
+	last := ErrUnreachable
+	for _, replica := range c.Replicas {
+		a, _, err := c.call(ctx, replica, http.MethodPost, PathNotesCheck, note)
+		if err != nil || a.status >= http.StatusInternalServerError {
+			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %v", replica, a.status, err)
+			continue
+		}
+		return noteAnswer(replica, a)
+	}
+	return NoteAnswer{}, last
+}
+
+// Submit submits a note until a replica gives a final answer or ctx ends. An
+// answer that is lost or "unknown" is followed by the same note to the next
+// replica, since submission is idempotent.
+func (c *Client) Submit(ctx context.Context, note []byte) (NoteAnswer, error) {
+	mayBeAccepted := false
+	var last error
+	for {
+		for _, replica := range c.Replicas {
+			a, sent, err := c.call(ctx, replica, http.MethodPost, PathNotes, note)
+			if err != nil {
+				mayBeAccepted = mayBeAccepted || sent
+				last = oops.In("operator").Wrapf(err, "%s", replica)
+				continue
+			}
+			result, err := noteAnswer(replica, a)
+			if !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnreachable) {
+				return result, err
+			}
+			mayBeAccepted = mayBeAccepted || errors.Is(err, ErrUnknown)
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			if mayBeAccepted {
+				return NoteAnswer{Status: NoteUnknown}, oops.In("operator").Wrapf(ErrUnknown, "%v", last)
+			}
+			return NoteAnswer{}, oops.In("operator").Wrapf(ErrUnreachable, "%v", last)
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// noteAnswer translates a replica's answer about a note. Without a status that
+// is understood, a server error leaves the outcome unknown.
+func noteAnswer(replica string, a answer) (NoteAnswer, error) {
+	var n NoteAnswer
+	if err := json.Unmarshal(a.body, &n); err != nil {
+		n = NoteAnswer{Reason: string(bytes.TrimSpace(a.body))}
+	}
+	problem := oops.In("operator").With("replica", replica)
+	switch n.Status {
+	case NoteAccepted, NoteValid:
+		return n, nil
+	case NoteRefused, NoteConflict:
+		return n, problem.Wrapf(ErrRefused, "%s", n.Reason)
+	case NoteInvalid:
+		return n, problem.Wrapf(ErrBadInput, "%s", n.Reason)
+	case NoteNotRun:
+		return n, problem.Wrapf(ErrUnreachable, "%s: %s", replica, n.Reason)
+	case NoteUnknown:
+		return n, problem.Wrapf(ErrUnknown, "%s: %s", replica, n.Reason)
+	}
+	if a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError {
+		return n, refusal(replica, a)
+	}
+	return n, problem.Wrapf(ErrUnknown, "%s: status %d", replica, a.status)
+}
+
+// WaitInForce polls until a revision is in force on every known instance.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64, poll time.Duration) error {
+	for {
+		var status Status
+		_, err := c.Get(ctx, PathStatus, nil, &status)
+		if err == nil && status.InForce >= revision {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return oops.In("operator").Wrapf(ErrNotInForce, "revision %d, in force %d, last error %v", revision, status.InForce, err)
+		case <-time.After(poll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,285 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Exit codes of rhubarbctl.
+const (
+	ExitOK          = 0 // accepted, valid, or shown
+	ExitInternal    = 1 // fault of the program or of the answer's format
+	ExitRefused     = 2 // the note was refused
+	ExitUnknown     = 3 // the note may have been accepted: send it again
+	ExitBadInput    = 4 // command line, token, or note is wrong
+	ExitUnreachable = 5 // no control replica answered; the note was not accepted
+	ExitNotInForce  = 6 // accepted, but not in force within the waiting time
+)
+
+// ExitCode returns the exit code for an error of a command.
+func ExitCode(err error) int {
+	codes := []struct {
+		err  error
+		code int
+	}{
+		{ErrUnknown, ExitUnknown},
+		{ErrRefused, ExitRefused},
+		{ErrBadInput, ExitBadInput},
+		{ErrUnreachable, ExitUnreachable},
+		{ErrNotInForce, ExitNotInForce},
+	}
+	if err == nil {
+		return ExitOK
+	}
+	for _, c := range codes {
+		if errors.Is(err, c.err) {
+			return c.code
+		}
+	}
+	return ExitInternal
+}
+
+// CLI is the command line of rhubarbctl.
+type CLI struct {
+	Control   []string          `help:"Operator addresses (IP:port) of control replicas." env:"RHUBARB_CONTROL" placeholder:"IP:PORT"`
+	TokenFile string            `help:"File with the operator token." env:"RHUBARB_TOKEN_FILE" type:"path"`
+	Timeout   settings.Duration `help:"Time limit of a command, waiting aside." default:"15s"`
+	Attempt   settings.Duration `help:"Time limit of one call to one replica." default:"5s"`
+	JSON      bool              `name:"json" help:"Print JSON instead of tables."`
+
+	Note struct {
+		Check noteCheck `cmd:"" help:"Check a release note without submitting it."`
+		Diff  noteDiff  `cmd:"" help:"Show what a release note would change."`
+	} `cmd:"" help:"Look at a release note."`
+	Apply   applyCommand  `cmd:"" help:"Submit a release note."`
+	Status  statusCommand `cmd:"" help:"Show replicas, revision and catalogue."`
+	Rollout struct {
+		Watch rolloutWatch `cmd:"" help:"Follow the rollout until every endpoint serves its sets."`
+	} `cmd:"" help:"Look at the rollout."`
+	Endpoints  endpointsCommand  `cmd:"" help:"List endpoints."`
+	Quarantine quarantineCommand `cmd:"" help:"List suspected and quarantined requests."`
+	Outcome    outcomeCommand    `cmd:"" help:"Show the outcome of a call by its idempotency key."`
+}
+
+// session is what a command runs with.
+type session struct {
+	ctx     context.Context
+	cli     *CLI
+	client  *Client
+	out     io.Writer
+	timeout time.Duration
+}
+
+// limited returns a context with the command's time limit.
+func (s *session) limited() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.ctx, s.timeout)
+}
+
+// get reads a document and prints it as JSON or with table.
+func (s *session) get(path string, query url.Values, out any, table func(io.Writer)) error {
+	ctx, cancel := s.limited()
+	defer cancel()
+	text, err := s.client.Get(ctx, path, query, out)
+	if err != nil {
+		return err
+	}
+	if s.cli.JSON {
+		_, err = fmt.Fprintln(s.out, string(text))
+		return oops.In("operator").Wrap(err)
+	}
+	return printTable(s.out, table)
+}
+
+// Main runs rhubarbctl and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	cli := &CLI{}
+	exited := -1
+	parser, err := kong.New(cli, kong.Name("rhubarbctl"), kong.Writers(out, errOut),
+		kong.Description("Operates a rhubarbhill deployment through its control replicas."),
+		kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "rhubarbctl:", err)
+		return ExitInternal
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 { // --help
+		return exited
+	}
+	if err == nil {
+		var s *session
+		if s, err = newSession(ctx, cli, out); err == nil {
+			err = parsed.Run(s)
+		}
+	} else {
+		err = oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "rhubarbctl:", err)
+	}
+	return ExitCode(err)
+}
+
+func newSession(ctx context.Context, cli *CLI, out io.Writer) (*session, error) {
+	var problems settings.Problems
+	if len(cli.Control) == 0 {
+		problems.Add("--control", "is required (or RHUBARB_CONTROL)")
+	}
+	for _, address := range cli.Control {
+		problems.Address("--control", address)
+	}
+	token, err := auth.ReadToken(cli.TokenFile)
+	if err != nil {
+		problems.Add("--token-file", err.Error())
+	}
+	if err := problems.Err(); err != nil {
+		return nil, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	}
+	client := &Client{
+		Replicas: cli.Control, Token: token, AttemptTimeout: cli.Attempt.Std(),
+		HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	return &session{ctx: ctx, cli: cli, client: client, out: out, timeout: cli.Timeout.Std()}, nil
+}
+
+func readNote(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	}
+	return data, nil
+}
+
+type noteCheck struct {
+	File string `arg:"" help:"Release note, YAML."`
+}
+
+// Run implements the command.
+func (c *noteCheck) Run(s *session) error {
+	note, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.limited()
+	defer cancel()
+	answer, err := s.client.Check(ctx, note)
+	return s.printNote(answer, err)
+}
+
+type applyCommand struct {
+	File        string            `arg:"" help:"Release note, YAML."`
+	Wait        bool              `help:"Wait until the note is in force on every known instance."`
+	WaitTimeout settings.Duration `help:"Longest wait." default:"30s"`
+	Poll        settings.Duration `help:"Time between questions while waiting." default:"200ms"`
+}
+
+// Run implements the command.
+func (c *applyCommand) Run(s *session) error {
+	note, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.limited()
+	defer cancel()
+	answer, err := s.client.Submit(ctx, note)
+	if err := s.printNote(answer, err); err != nil || !c.Wait {
+		return err
+	}
+	waiting, stop := context.WithTimeout(s.ctx, c.WaitTimeout.Std())
+	defer stop()
+	if err := s.client.WaitInForce(waiting, answer.Number, c.Poll.Std()); err != nil {
+		return err
+	}
+	if !s.cli.JSON {
+		_, err = fmt.Fprintf(s.out, "note %d is in force\n", answer.Number)
+	}
+	return oops.In("operator").Wrap(err)
+}
+
+type statusCommand struct{}
+
+// Run implements the command.
+func (*statusCommand) Run(s *session) error {
+	var status Status
+	return s.get(PathStatus, nil, &status, func(w io.Writer) { statusTable(w, status) })
+}
+
+type endpointsCommand struct{}
+
+// Run implements the command.
+func (*endpointsCommand) Run(s *session) error {
+	var endpoints Endpoints
+	return s.get(PathEndpoints, nil, &endpoints, func(w io.Writer) { endpointsTable(w, endpoints) })
+}
+
+type quarantineCommand struct{}
+
+// Run implements the command.
+func (*quarantineCommand) Run(s *session) error {
+	var quarantine Quarantine
+	return s.get(PathQuarantine, nil, &quarantine, func(w io.Writer) { quarantineTable(w, quarantine) })
+}
+
+type outcomeCommand struct {
+	Key          string `arg:"" help:"Idempotency key."`
+	Organisation string `required:"" help:"Organisation that used the key."`
+}
+
+// Run implements the command.
+func (c *outcomeCommand) Run(s *session) error {
+	var outcome Outcome
+	query := url.Values{"organisation": {c.Organisation}}
+	return s.get(PathOutcomes+url.PathEscape(c.Key), query, &outcome, func(w io.Writer) { outcomeTable(w, outcome) })
+}
+
+type rolloutWatch struct {
+	Once bool              `help:"Show the present state and exit."`
+	Poll settings.Duration `help:"Time between questions." default:"1s"`
+}
+
+// Run implements the command.
+func (c *rolloutWatch) Run(s *session) error {
+	for {
+		var rollout Rollout
+		err := s.get(PathRollout, nil, &rollout, func(w io.Writer) { rolloutTable(w, rollout) })
+		if c.Once || (err == nil && rollout.complete()) {
+			return err
+		}
+		if err != nil && !errors.Is(err, ErrUnreachable) {
+			return err
+		}
+		select {
+		case <-s.ctx.Done():
+			return oops.In("operator").Wrapf(ErrNotInForce, "stopped")
+		case <-time.After(c.Poll.Std()):
+		}
+	}
+}
+
+// complete reports whether every endpoint serves its sets.
+func (r Rollout) complete() bool {
+	for _, set := range r.Sets {
+		if set.Live < set.Total {
+			return false
+		}
+	}
+	return r.InForce
+}
+
+type noteDiff struct {
+	File string `arg:"" help:"Release note, YAML."`
+}
+
+var _ = release.Digest("")
--- /dev/null
+++ b/internal/settings/problems.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/apex/log"
+)
+
+// Problems collects what is wrong with settings, so that all of it is reported
+// at once. The zero value is ready to use.
+type Problems struct {
+	list []error
+}
+
+// Add records a problem of a field.
+func (p *Problems) Add(field, format string, args ...any) {
+	p.list = append(p.list, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+}
+
+// Err returns all problems as one error, or nil.
+func (p *Problems) Err() error { return errors.Join(p.list...) }
+
+// Required checks that a text is given.
+func (p *Problems) Required(field, value string) {
+	if strings.TrimSpace(value) == "" {
+		p.Add(field, "is required")
+	}
+}
+
+// Address checks an IP address with port, such as 10.0.0.1:7400 or [::1]:7400.
+func (p *Problems) Address(field, value string) {
+	if value == "" {
+		p.Add(field, "is required: an IP address and port such as 10.0.0.1:7400")
+		return
+	}
+	if a, err := netip.ParseAddrPort(value); err != nil || a.Addr().Zone() != "" {
+		p.Add(field, "%q is not an IP address and port such as 10.0.0.1:7400", value)
+	}
+}
+
+// Addresses checks that there is at least one address and that none repeats.
+func (p *Problems) Addresses(field string, values []string) {
+	if len(values) == 0 {
+		p.Add(field, "needs at least one IP address and port")
+	}
+	for i, value := range values {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		p.Address(at, value)
+		if slices.Contains(values[:i], value) {
+			p.Add(at, "%q is given twice", value)
+		}
+	}
+}
+
+// URL checks an http URL whose host is an IP address with port.
+func (p *Problems) URL(field, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" {
+		p.Add(field, "%q is not a URL such as http://10.0.0.1:8000", value)
+		return
+	}
+	p.Address(field, u.Host)
+}
+
+// Readable checks that a file can be opened.
+func (p *Problems) Readable(field, path string) {
+	if path == "" {
+		p.Add(field, "is required: a file")
+		return
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		p.Add(field, "%v", err)
+		return
+	}
+	_ = f.Close()
+}
+
+// OneOf checks that value is one of the given ones.
+func (p *Problems) OneOf(field, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		p.Add(field, "%q is not one of %s", value, strings.Join(allowed, ", "))
+	}
+}
+
+// Positive checks that a number is above zero.
+func (p *Problems) Positive(field string, value int64) {
+	if value <= 0 {
+		p.Add(field, "must be above 0, got %d", value)
+	}
+}
+
+// LogLevel checks the name of a log level.
+func (p *Problems) LogLevel(field, value string) {
+	if _, err := log.ParseLevel(value); err != nil {
+		p.Add(field, "%q is not one of debug, info, warn, error, fatal", value)
+	}
+}
