--- a/internal/transfer/config.go
+++ b/internal/transfer/config.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/swarm"
 )
 
@@ -39,6 +40,8 @@
 	// RegionLinks and HasStore are set from the fields above.
 	Swarm swarm.Config
 
+	Network network.Network // default the operating system's
+
 	Token auth.Token    // of the system's processes; required to serve peers
 	Log   log.Interface // default discards
 }
--- a/internal/transfer/job.go
+++ b/internal/transfer/job.go
@@ -161,7 +161,11 @@
 }
 
 func (j *job) watchSession(ctx context.Context, peer string) {
-	session, err := transport.Connect(ctx, j.t.address(peer), j.t.cfg.Token.Secret(), ignoreMessage)
+	dialer := transport.Dialer{
+		Address: j.t.address(peer), Token: j.t.cfg.Token.Secret(),
+		Handler: ignoreMessage, Network: j.t.cfg.Network,
+	}
+	session, err := dialer.Connect(ctx)
 	if err != nil {
 		return
 	}
--- a/internal/transfer/source.go
+++ b/internal/transfer/source.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,7 +23,6 @@
 const headerRegion = "Rhubarb-Region"
 
 const (
-	connectTimeout = 2 * time.Second
 	// rateBurst is the most that passes a rate limit at once.
 	rateBurst = 256 << 10
 	// maxRetryAfter bounds the pause that a source can ask for.
@@ -41,16 +39,6 @@
 func (e *fetchError) Error() string { return fmt.Sprintf("%s: %v", e.fault, e.cause) }
 func (e *fetchError) Unwrap() error { return e.cause }
 
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		ReadBufferSize:      copyBufferBytes,
-	}}
-}
-
 // client fetches from peers, store and origin over HTTP.
 type client struct {
 	cfg     Config
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/time/rate"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/manifest"
 	"github.com/rhubarbhill/rhubarbhill/release"
@@ -69,7 +70,7 @@
 	return &Transfer{
 		cfg: cfg, cache: c,
 		client: &client{
-			cfg: cfg, http: newHTTPClient(),
+			cfg: cfg, http: &http.Client{Transport: network.HTTPTransport(cfg.Network)},
 			limiter: rate.NewLimiter(rate.Limit(cfg.DownloadRate), rateBurst),
 		},
 		uploadLimiter: rate.NewLimiter(rate.Limit(cfg.UploadRate), rateBurst),
