--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO_TOOL = go tool -modfile=tools/go.mod
 export CGO_ENABLED = 1
 
-.PHONY: build run test lint format matrix
+.PHONY: build run test lint format matrix measure-weights
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,3 +19,6 @@
 
 run: build
 	./scripts/run.sh
+
+measure-weights:
+	go run ./internal/transfer/measure
