--- a/swarm/config.go
+++ b/swarm/config.go
@@ -58,7 +58,7 @@
 
 const (
 	defaultMaxPeers       = 8
-	defaultPeerFetches    = 4
+	defaultPeerFetches    = 8
 	defaultFetchesPerPeer = 2
 	defaultOutsideFetches = 2
 	stallTimeoutTime      = 10 * time.Second
