swarm: share outside fetches out by region

Cause: with regions of 5, 5 and 4 instances and two fetches each, the region of 4 got 8/28 of the origin's link and finished last; at 290 instances two concurrent fetches delay every chunk's arrival. Now a region makes about 16.

--- a/swarm/config.go
+++ b/swarm/config.go
@@ -41,7 +41,10 @@
 	PeerFetches int
 	// FetchesPerPeer bounds concurrent fetches from one peer (default 2).
 	FetchesPerPeer int
-	// OutsideFetches bounds concurrent fetches from store and origin (default 2).
+	// OutsideFetches bounds concurrent fetches from store and origin (default
+	// 16 divided by the instances of the region, from 1 to 4). Regions with
+	// equal numbers of fetches get equal shares of the origin's link; fewer
+	// fetches let each chunk arrive, and be passed on, earlier.
 	OutsideFetches int
 	// StallTimeout is the time without a verified chunk after which the next
 	// instance in a chunk's order takes it from the origin (default 10 s for
@@ -60,7 +63,8 @@
 	defaultMaxPeers       = 8
 	defaultPeerFetches    = 8
 	defaultFetchesPerPeer = 2
-	defaultOutsideFetches = 2
+	maxOutsideFetches     = 4
+	outsideFetchesRegion  = 16
 	stallTimeoutTime      = 10 * time.Second
 	stallTimeoutBytes     = 30 * time.Second
 	defaultHearTimeout    = time.Second
@@ -75,7 +79,6 @@
 	setDefault(&c.MaxPeers, defaultMaxPeers)
 	setDefault(&c.PeerFetches, defaultPeerFetches)
 	setDefault(&c.FetchesPerPeer, defaultFetchesPerPeer)
-	setDefault(&c.OutsideFetches, defaultOutsideFetches)
 	setDefault(&c.HearTimeout, defaultHearTimeout)
 	stall := stallTimeoutTime
 	if c.Objective == ObjectiveOriginBytes {
--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -70,6 +70,7 @@
 	inFlight map[int]Source
 
 	peerFetches, outsideFetches int
+	outsideLimit                int
 	started, progressed         time.Duration
 }
 
@@ -118,6 +119,11 @@
 		candidates = s.topology.nodes
 		s.homes = make([]uint8, len(s.keys))
 	}
+	s.outsideLimit = s.cfg.OutsideFetches
+	if s.outsideLimit == 0 {
+		share := (outsideFetchesRegion + len(candidates)/2) / len(candidates)
+		s.outsideLimit = min(maxOutsideFetches, max(1, share))
+	}
 	s.designated = s.designated[:0]
 	for i, key := range s.keys {
 		node := candidates[first(candidates, key)]
@@ -362,7 +368,7 @@
 		s.designated = s.designated[1:]
 	}
 	for _, i := range s.designated {
-		if s.outsideFetches >= s.cfg.OutsideFetches {
+		if s.outsideFetches >= s.outsideLimit {
 			break
 		}
 		if chunk := int(i); s.wanted.Has(chunk) && !s.heldByUsablePeer(now, chunk) {
