--- a/internal/transfer/job.go
+++ b/internal/transfer/job.go
@@ -56,13 +56,14 @@
 	defer j.tasks.Wait()
 	defer cancel()
 	nodes, changed := j.t.nodes()
-	j.scheduler = swarm.New(j.t.now(), j.t.cfg.Swarm, j.v.keys(), j.t.penalties)
+	started := j.t.now()
+	j.scheduler = swarm.New(started, j.t.cfg.Swarm, j.v.keys(), j.t.penalties)
 	for i := range j.v.chunks {
 		if j.v.holds(i) {
-			j.scheduler.Hold(j.t.now(), i)
+			j.scheduler.Hold(started, i)
 		}
 	}
-	j.setNodes(ctx, nodes)
+	j.setNodes(ctx, started, nodes)
 	ticker := time.NewTicker(scheduleInterval)
 	defer ticker.Stop()
 	for !j.scheduler.Complete() {
@@ -74,7 +75,7 @@
 			j.report(r)
 		case <-changed:
 			nodes, changed = j.t.nodes()
-			j.setNodes(ctx, nodes)
+			j.setNodes(ctx, j.t.now(), nodes)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return errors.Join(ErrCancelled, context.Cause(ctx))
@@ -116,8 +117,8 @@
 		WithField("kind", int(r.fetch.Source.Kind)).WithError(r.err).Warn("chunk_fetch_failed")
 }
 
-func (j *job) setNodes(ctx context.Context, nodes []swarm.Node) {
-	j.scheduler.SetNodes(j.t.now(), nodes)
+func (j *job) setNodes(ctx context.Context, now time.Duration, nodes []swarm.Node) {
+	j.scheduler.SetNodes(now, nodes)
 	current := map[string]bool{}
 	for _, n := range j.scheduler.Peers() {
 		current[n.ID] = true
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -46,14 +46,22 @@
 	// equal numbers of fetches get equal shares of the origin's link; fewer
 	// fetches let each chunk arrive, and be passed on, earlier.
 	OutsideFetches int
-	// StallTimeout is the time without a verified chunk after which the next
-	// instance in a chunk's order takes it from the origin (default 10 s for
-	// objective time, 30 s for origin-bytes). Shorter recovers faster from a
-	// designated instance that is stuck, and fetches more copies.
+	// StallTimeout is the time without progress after which other instances
+	// than the designated one take a chunk from outside, twice as many after
+	// each further timeout (default 10 s for objective time, 30 s for
+	// origin-bytes). Shorter recovers faster from a designated instance that is
+	// stuck, and fetches more copies.
 	StallTimeout time.Duration
-	// HearTimeout is the wait for first reports of peers before the origin is
-	// used (default 1 s). It keeps an instance that joins late from fetching
-	// what its peers hold.
+	// OriginCopies is the number of copies that may leave the origin while
+	// instances fail over (default 4 for objective time; for origin-bytes 0.05
+	// above what the region-link rule forces). Beyond its share an instance
+	// takes one chunk per StallTimeout, so that it still ends when it has no
+	// other source.
+	OriginCopies float64
+	// HearTimeout is the wait for first reports of peers, and after each change
+	// of the list of instances, before the origin is used (default 1 s). It
+	// keeps an instance that joins late, or sees an incomplete list for a
+	// moment, from fetching what others hold or fetch.
 	HearTimeout time.Duration
 	// HasStore is true when a weight store is configured beside the origin.
 	HasStore bool
@@ -68,6 +76,8 @@
 	stallTimeoutTime      = 10 * time.Second
 	stallTimeoutBytes     = 30 * time.Second
 	defaultHearTimeout    = time.Second
+	originCopiesTime      = 4
+	spareCopiesBytes      = 0.05
 	// storeWait is how long objective origin-bytes waits for a store that
 	// asked for a pause before it turns to the origin.
 	storeWait = 10 * time.Second
--- /dev/null
+++ b/swarm/fake_test.go
@@ -0,0 +1,169 @@
+package swarm
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// network runs schedulers against each other without links: every fetch ends
+// after a drawn time, and some fail.
+type network struct {
+	t       *rapid.T
+	now     time.Duration
+	nodes   []Node
+	agents  map[string]*member
+	keys    []uint64
+	running []running
+
+	origin    int                    // chunks out of the origin
+	crossings map[crossing]int       // chunks over region links, by directed link
+	sources   func(f Fetch) Fault    // "" for success
+	cut       func(a, b string) bool // region link out of service
+}
+
+type member struct {
+	*Scheduler
+	node     Node
+	held     []int
+	reported map[string]int
+	ledger   *Crossings
+}
+
+type running struct {
+	id    string
+	fetch Fetch
+	ends  time.Duration
+}
+
+type crossing struct {
+	chunk    int
+	from, to string
+}
+
+func newNetwork(t *rapid.T, regions, perRegion, chunks int, cfg Config) *network {
+	n := &network{
+		t: t, agents: map[string]*member{}, crossings: map[crossing]int{},
+		sources: func(Fetch) Fault { return "" }, cut: func(string, string) bool { return false },
+	}
+	for i := range chunks {
+		n.keys = append(n.keys, hashText(fmt.Sprint("chunk", i)))
+	}
+	for i := range regions * perRegion {
+		region := fmt.Sprint("region", i%regions)
+		n.nodes = append(n.nodes, Node{ID: fmt.Sprint("node", i), Region: region})
+	}
+	for _, node := range n.nodes {
+		c := cfg
+		c.Self = node
+		m := &member{
+			Scheduler: New(0, c, n.keys, NewPenalties()), node: node,
+			reported: map[string]int{}, ledger: NewCrossings(c.RegionLinks, node.Region, chunks),
+		}
+		m.SetNodes(0, n.nodes)
+		n.agents[node.ID] = m
+	}
+	return n
+}
+
+const step = 100 * time.Millisecond
+
+// kill removes an instance and tells the others.
+func (n *network) kill(id string) {
+	delete(n.agents, id)
+	var live []Node
+	for _, node := range n.nodes {
+		if n.agents[node.ID] != nil {
+			live = append(live, node)
+		}
+	}
+	n.nodes = live
+	for _, m := range n.agents {
+		m.SetNodes(n.now, live)
+	}
+}
+
+func (n *network) complete() bool {
+	for _, m := range n.agents {
+		if !m.Complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// advance runs one step of virtual time.
+func (n *network) advance() {
+	n.now += step
+	n.exchange()
+	for _, node := range n.nodes {
+		m := n.agents[node.ID]
+		for _, f := range m.Next(n.now) {
+			took := time.Duration(rapid.IntRange(1, 8).Draw(n.t, "steps")) * step
+			n.running = append(n.running, running{node.ID, f, n.now + took})
+		}
+	}
+	var left []running
+	for _, r := range n.running {
+		if r.ends > n.now {
+			left = append(left, r)
+		} else if m := n.agents[r.id]; m != nil {
+			n.end(m, r.fetch)
+		}
+	}
+	n.running = left
+}
+
+func (n *network) exchange() {
+	for _, node := range n.nodes {
+		m := n.agents[node.ID]
+		for _, p := range m.Peers() {
+			if from := n.agents[p.ID]; from != nil && !n.cut(p.Region, node.Region) {
+				m.PeerHas(n.now, p.ID, from.held[m.reported[p.ID]:]...)
+				m.reported[p.ID] = len(from.held)
+			}
+		}
+	}
+}
+
+func (n *network) end(m *member, f Fetch) {
+	if fault := n.outcome(m, f); fault != "" {
+		m.Failed(n.now, f, fault, 0)
+		return
+	}
+	m.Done(n.now, f)
+	m.held = append(m.held, f.Chunk)
+}
+
+func (n *network) outcome(m *member, f Fetch) Fault {
+	if f.Source.Kind != KindPeer {
+		if f.Source.Kind == KindOrigin {
+			n.origin++
+		}
+		return n.sources(f)
+	}
+	from := n.agents[f.Source.Peer]
+	if from == nil || n.cut(from.node.Region, m.node.Region) {
+		return FaultUnavailable
+	}
+	if !from.ledger.Allow(f.Chunk, m.node.Region) {
+		return FaultRefused
+	}
+	if fault := n.sources(f); fault != "" {
+		from.ledger.Undo(f.Chunk, m.node.Region)
+		return fault
+	}
+	if from.node.Region != m.node.Region {
+		n.crossings[crossing{f.Chunk, from.node.Region, m.node.Region}]++
+	}
+	return ""
+}
+
+// finish advances until every live instance has every chunk.
+func (n *network) finish(limit time.Duration) bool {
+	for end := n.now + limit; n.now < end && !n.complete(); {
+		n.advance()
+	}
+	return n.complete()
+}
--- a/swarm/penalties.go
+++ b/swarm/penalties.go
@@ -10,6 +10,7 @@
 	FaultCorrupt     Fault = "corrupt"     // content does not match the digest
 	FaultStalled     Fault = "stalled"     // no progress within the timeout
 	FaultMissing     Fault = "missing"     // the source does not hold what it reported
+	FaultRefused     Fault = "refused"     // the region-link rule forbids it
 	FaultBusy        Fault = "busy"        // the source asked for a pause
 	FaultUnavailable Fault = "unavailable" // connection refused or broken, server error
 )
--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -71,7 +71,12 @@
 
 	peerFetches, outsideFetches int
 	outsideLimit                int
-	started, progressed         time.Duration
+	started                     time.Duration
+	settled                     time.Duration // no designated fetch before
+	progressed                  time.Duration // last chunk other than by fallback
+	fallback                    map[int]bool  // chunks in flight by fallback
+	fallbackLeft                int           // share of the spare copies
+	fallbackAt                  time.Duration // last start
 }
 
 // New returns a scheduler for chunks with the given keys, the same on every
@@ -86,7 +91,7 @@
 		wanted:  NewBitmap(len(keys)),
 		missing: len(keys), holders: make([]uint8, len(keys)),
 		pauses: map[chunkSource]*chunkPause{}, inFlight: map[int]Source{},
-		started: now, progressed: now,
+		started: now, progressed: now, fallback: map[int]bool{}, fallbackLeft: -1,
 	}
 	for i := range keys {
 		s.wanted.Set(i)
@@ -96,8 +101,15 @@
 }
 
 // SetNodes replaces the list of live instances. Self may be absent from it.
-func (s *Scheduler) SetNodes(_ time.Duration, nodes []Node) {
-	s.topology = newTopology(s.cfg.Self, nodes)
+func (s *Scheduler) SetNodes(now time.Duration, nodes []Node) {
+	next := newTopology(s.cfg.Self, nodes)
+	if slices.Equal(next.nodes, s.topology.nodes) {
+		return
+	}
+	s.topology = next
+	if now > s.started {
+		s.settled = now + s.cfg.HearTimeout
+	}
 	neighbours := s.topology.neighbours(s.cfg.MaxPeers, s.cfg.RegionLinks)
 	for _, p := range slices.Clone(s.peers) {
 		if !slices.Contains(neighbours, p.node) {
@@ -110,6 +122,29 @@
 		}
 	}
 	s.designate()
+	s.setShare()
+}
+
+// setShare limits fallback to this instance's share of the spare copies. It
+// is set once there are other instances, and not raised when instances die.
+func (s *Scheduler) setShare() {
+	if s.fallbackLeft >= 0 || len(s.topology.nodes) < 2 {
+		return
+	}
+	forced := 1.0
+	if s.cfg.RegionLinks == RegionLinksNever {
+		forced = float64(len(s.topology.regions))
+	}
+	copies := s.cfg.OriginCopies
+	switch {
+	case copies > 0:
+	case s.cfg.Objective == ObjectiveOriginBytes:
+		copies = forced + spareCopiesBytes
+	default:
+		copies = originCopiesTime
+	}
+	spare := max(0, copies-forced) * float64(len(s.keys))
+	s.fallbackLeft = int(spare) / len(s.topology.nodes)
 }
 
 // designate chooses, for each chunk, the instance that takes it from outside.
@@ -204,7 +239,9 @@
 func (s *Scheduler) Hold(now time.Duration, chunk int) {
 	if s.have.Set(chunk) {
 		s.missing--
-		s.progressed = now
+		if !s.fallback[chunk] {
+			s.progressed = now
+		}
 	}
 	s.wanted.Clear(chunk)
 }
@@ -220,9 +257,9 @@
 
 // Done records that a fetched chunk was verified.
 func (s *Scheduler) Done(now time.Duration, f Fetch) {
-	s.ended(f)
 	s.penalties.success(f.Source)
 	s.Hold(now, f.Chunk)
+	s.ended(f)
 }
 
 // Failed records that a fetch gave no verified chunk. The source is avoided
@@ -274,6 +311,7 @@
 		return
 	}
 	delete(s.inFlight, f.Chunk)
+	delete(s.fallback, f.Chunk)
 	if f.Source.Kind != KindPeer {
 		s.outsideFetches--
 		return
@@ -297,10 +335,9 @@
 		return nil
 	}
 	fetches := s.nextFromPeers(now, nil)
-	if !s.heardAll(now) {
-		return fetches
+	if s.heardAll(now) && now >= s.settled {
+		fetches = s.nextDesignated(now, fetches)
 	}
-	fetches = s.nextDesignated(now, fetches)
 	return s.nextFallback(now, fetches)
 }
 
@@ -308,7 +345,7 @@
 	if now >= s.started+s.cfg.HearTimeout {
 		return true
 	}
-	return !slices.ContainsFunc(s.peers, func(p *peerState) bool { return !p.heard })
+	return len(s.peers) > 0 && !slices.ContainsFunc(s.peers, func(p *peerState) bool { return !p.heard })
 }
 
 func (s *Scheduler) nextFromPeers(now time.Duration, fetches []Fetch) []Fetch {
@@ -340,11 +377,15 @@
 func (s *Scheduler) rarest(p *peerState) (chunk int, ok bool) {
 	words := len(s.wanted)
 	offset := s.random.IntN(words)
+	remote := p.node.Region != s.cfg.Self.Region
 	seen, best, ties := 0, uint8(0), 0
 	for w := range words {
 		w = (w + offset) % words
 		for word := s.wanted[w] & p.have[w]; word != 0; word &= word - 1 {
 			i := w*wordBits + bits.TrailingZeros64(word)
+			if remote && s.holders[i] > 1 {
+				continue // a neighbour in this region holds it too
+			}
 			seen++
 			switch n := s.holders[i]; {
 			case !ok || n < best:
@@ -387,38 +428,42 @@
 	})
 }
 
-// nextFallback takes a chunk of another instance from outside when nothing
-// was verified for a stall timeout per instance that comes before this one.
+// nextFallback takes a chunk of another instance from outside, one at a time,
+// when no other source has given anything for a stall timeout. A chunk that it
+// brings reaches the neighbours and ends their own stalls.
 func (s *Scheduler) nextFallback(now time.Duration, fetches []Fetch) []Fetch {
 	stalls := int((now - s.progressed) / s.cfg.StallTimeout)
 	if stalls == 0 || s.outsideFetches > 0 {
 		return fetches
 	}
+	if s.fallbackLeft <= 0 && now < s.fallbackAt+s.cfg.StallTimeout {
+		return fetches
+	}
+	allowedRank := 1<<min(stalls, maxDoublings) - 1
 	local := s.topology.inRegion(s.cfg.Self.Region)
 	for chunk := range s.keys {
-		if !s.wanted.Has(chunk) || s.heldByUsablePeer(now, chunk) {
-			continue
-		}
-		if s.fallbackRank(local, chunk) > stalls {
+		if !s.wanted.Has(chunk) || s.heldByUsablePeer(now, chunk) || s.fallbackRank(local, chunk) > allowedRank {
 			continue
 		}
-		if before := len(fetches); s.outsideFetches == 0 {
-			if fetches = s.fetchOutside(now, chunk, fetches); len(fetches) > before {
-				break
-			}
+		before := len(fetches)
+		if fetches = s.fetchOutside(now, chunk, fetches); len(fetches) > before {
+			s.fallback[chunk] = true
+			s.fallbackLeft--
+			s.fallbackAt = now
+			break
 		}
 	}
 	return fetches
 }
 
-// fallbackRank is the number of stall timeouts to wait for a chunk. Instances
-// outside the chunk's home region wait one more.
+// fallbackRank is the number of instances of the region that come before this
+// one for a chunk, and one more outside the chunk's home region.
 func (s *Scheduler) fallbackRank(local []hashedNode, chunk int) int {
 	n := rank(local, s.keys[chunk], s.topology.self.hash)
 	if s.homes != nil && s.topology.regions[s.homes[chunk]] != s.cfg.Self.Region {
 		n++
 	}
-	return max(n, 1)
+	return n
 }
 
 func (s *Scheduler) fetchOutside(now time.Duration, chunk int, fetches []Fetch) []Fetch {
--- /dev/null
+++ b/swarm/scheduler_test.go
@@ -0,0 +1,219 @@
+package swarm
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var rules = rapid.SampledFrom([]RegionLinks{RegionLinksNever, RegionLinksOnce})
+
+// Guards against schedules that stop short, a second copy out of the origin
+// per region (overall with region links in use), and repeated crossings.
+func TestQuietScheduleTakesForcedCopiesOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := rules.Draw(t, "rule")
+		regions, chunks := rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 40).Draw(t, "chunks")
+		n := newNetwork(t, regions, rapid.IntRange(1, 14).Draw(t, "per region"), chunks, Config{RegionLinks: rule})
+		if !n.finish(10 * time.Minute) {
+			t.Fatal("not every instance has every chunk")
+		}
+		want := chunks
+		if rule == RegionLinksNever {
+			want *= regions
+		}
+		if n.origin != want {
+			t.Fatalf("%d chunks out of the origin, want %d", n.origin, want)
+		}
+		n.checkCrossings(t, rule, 1)
+	})
+}
+
+func (n *network) checkCrossings(t *rapid.T, rule RegionLinks, most int) {
+	for c, count := range n.crossings {
+		if rule == RegionLinksNever || count > most {
+			t.Fatalf("%d crossings of %v with rule %s", count, c, rule)
+		}
+	}
+}
+
+// Guards against instances left without chunks, or a broken region-link rule,
+// when instances die at any moment and sources fail.
+func TestScheduleEndsDespiteFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := rules.Draw(t, "rule")
+		chunks := rapid.IntRange(1, 30).Draw(t, "chunks")
+		n := newNetwork(t, rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(2, 6).Draw(t, "per region"),
+			chunks, Config{RegionLinks: rule, StallTimeout: 2 * time.Second})
+		faults := []Fault{"", "", "", "", FaultCorrupt, FaultStalled, FaultMissing, FaultUnavailable, FaultBusy}
+		n.sources = func(Fetch) Fault { return rapid.SampledFrom(faults).Draw(t, "fault") }
+		deaths := rapid.IntRange(0, 3).Draw(t, "deaths")
+		for range deaths {
+			for range rapid.IntRange(0, 40).Draw(t, "steps before death") {
+				n.advance()
+			}
+			if len(n.nodes) > 1 {
+				n.kill(n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, "victim")].ID)
+			}
+		}
+		if !n.finish(2 * time.Hour) {
+			t.Fatal("not every live instance has every chunk")
+		}
+		// A repeat needs new gateways on both sides of a link.
+		n.checkCrossings(t, rule, 1+deaths/2)
+	})
+}
+
+// Guards against more copies out of the origin than the cap when designated
+// instances are stuck for good, for both deployments' settings.
+func TestOriginCapHoldsWithStuckInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		objective := rapid.SampledFrom([]Objective{ObjectiveTime, ObjectiveOriginBytes}).Draw(t, "objective")
+		chunks := rapid.IntRange(20, 80).Draw(t, "chunks")
+		n := newNetwork(t, 3, 4, chunks, Config{Objective: objective})
+		for range rapid.IntRange(0, 2).Draw(t, "stuck") {
+			delete(n.agents, n.nodes[0].ID) // still in the others' lists
+			n.nodes = n.nodes[1:]
+		}
+		if !n.finish(6 * time.Hour) {
+			t.Fatal("not every instance has every chunk")
+		}
+		most := 3*chunks + chunks
+		if objective == ObjectiveOriginBytes {
+			// Nobody else has the stuck instances' chunks: they are forced.
+			most = 3*chunks + 3*chunks/20 + 1
+		}
+		if n.origin > most {
+			t.Fatalf("%d chunks out of the origin, cap %d", n.origin, most)
+		}
+	})
+}
+
+// Guards against an instance that exchanges state with more than eight others,
+// and against a region that falls apart into groups.
+func TestNeighboursAreFewAndConnected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := rules.Draw(t, "rule")
+		n := newNetwork(t, rapid.IntRange(1, 4).Draw(t, "regions"), rapid.IntRange(1, 60).Draw(t, "per region"), 1, Config{RegionLinks: rule})
+		reached := map[string]bool{}
+		var visit func(id string)
+		visit = func(id string) {
+			if reached[id] {
+				return
+			}
+			reached[id] = true
+			peers := n.agents[id].Peers()
+			if len(peers) > 8 {
+				t.Fatalf("%s has %d peers", id, len(peers))
+			}
+			for _, p := range peers {
+				visit(p.ID)
+			}
+		}
+		visit(n.nodes[0].ID)
+		for _, node := range n.nodes {
+			if !reached[node.ID] && (rule == RegionLinksOnce || node.Region == n.nodes[0].Region) {
+				t.Fatalf("%s is not connected", node.ID)
+			}
+		}
+	})
+}
+
+// Guards against use of a source again right after it gave a corrupt chunk, in
+// this transfer or the next.
+func TestCorruptPeerIsRemembered(t *testing.T) {
+	is := is.New(t)
+	penalties := NewPenalties()
+	nodes := []Node{{ID: "a", Region: "r"}, {ID: "bad", Region: "r"}}
+	cfg := Config{Self: nodes[0]}
+	bad := Source{Kind: KindPeer, Peer: "bad"}
+
+	first := New(0, cfg, []uint64{1, 2}, penalties)
+	first.SetNodes(0, nodes)
+	first.PeerHas(0, "bad", 0, 1)
+	fetches := first.Next(0)
+	is.Equal(fetches[0].Source, bad)
+	first.Failed(0, fetches[0], FaultCorrupt, 0)
+	first.Done(0, fetches[1])
+	is.True(penalties.Avoided(9*time.Minute, bad)) // a later success does not clear it
+
+	second := New(time.Minute, cfg, []uint64{3}, penalties)
+	second.SetNodes(time.Minute, nodes)
+	second.PeerHas(time.Minute, "bad", 0)
+	for _, f := range second.Next(time.Minute) {
+		is.Equal(f.Source.Kind, KindOrigin)
+	}
+}
+
+// Guards against asking a store again before the time it named, and against
+// leaving it for the origin at once when origin bytes matter most.
+func TestBusyStoreIsLeftInPeace(t *testing.T) {
+	for _, objective := range []Objective{ObjectiveTime, ObjectiveOriginBytes} {
+		t.Run(string(objective), func(t *testing.T) {
+			is := is.New(t)
+			s := New(0, Config{Self: Node{ID: "a", Region: "r"}, Objective: objective, HasStore: true, OutsideFetches: 1}, []uint64{1}, NewPenalties())
+			now := 2 * time.Second
+			f := s.Next(now)[0]
+			is.Equal(f.Source.Kind, KindStore)
+			s.Failed(now, f, FaultBusy, 5*time.Second)
+			next := s.Next(now + 4*time.Second)
+			if objective == ObjectiveTime {
+				is.Equal(next[0].Source.Kind, KindOrigin)
+				return
+			}
+			is.Equal(len(next), 0)
+			is.Equal(s.Next(now + 6*time.Second)[0].Source.Kind, KindStore)
+		})
+	}
+}
+
+// Guards against a corrupt object stopping the use of the origin's others, and
+// against fetching it again in a tight loop.
+func TestCorruptObjectPausesOnlyItsChunk(t *testing.T) {
+	is := is.New(t)
+	s := New(0, Config{Self: Node{ID: "a", Region: "r"}, OutsideFetches: 1}, []uint64{1, 2}, NewPenalties())
+	now := 2 * time.Second
+	f := s.Next(now)[0]
+	s.Failed(now, f, FaultCorrupt, 0)
+	other := s.Next(now)[0]
+	is.True(other.Chunk != f.Chunk)
+	s.Done(now, other)
+	is.Equal(len(s.Next(now+900*time.Millisecond)), 0)
+	is.Equal(len(s.Next(now+time.Second)), 1)
+}
+
+// Guards against a region cut off from the others that waits for ever, or that
+// takes chunks from the origin while they still arrive over the link.
+func TestCutRegionLinkFallsBackToOrigin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const chunks = 12
+		n := newNetwork(t, 2, 3, chunks, Config{RegionLinks: RegionLinksOnce, Objective: ObjectiveOriginBytes, StallTimeout: 2 * time.Second})
+		cutAt := time.Duration(rapid.IntRange(0, 20).Draw(t, "cut at step")) * step
+		n.cut = func(a, b string) bool { return a != b && n.now >= cutAt }
+		if !n.finish(time.Hour) {
+			t.Fatal("not every instance has every chunk")
+		}
+		if n.origin > 2*chunks+4 {
+			t.Fatalf("%d chunks out of the origin", n.origin)
+		}
+		n.checkCrossings(t, RegionLinksOnce, 1)
+	})
+}
+
+func ExampleScheduler() {
+	nodes := []Node{{ID: "a", Region: "navarra"}, {ID: "b", Region: "navarra"}}
+	s := New(0, Config{Self: nodes[0]}, []uint64{101, 102}, NewPenalties())
+	s.SetNodes(0, nodes)
+	s.PeerHas(0, "b", 1)
+	for _, f := range s.Next(0) {
+		fmt.Println("chunk", f.Chunk, "from", f.Source.Peer)
+		s.Done(0, f)
+	}
+	fmt.Println("held", s.Held())
+	// Output:
+	// chunk 1 from b
+	// held 1
+}
