swarm: let a gateway pass over a neighbour that it avoids

Chunks are now also remembered at a peer after a stall or a broken connection, and dropped only when the peer lacks, refuses or corrupts them.

--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -270,11 +270,10 @@
 		s.wanted.Set(f.Chunk)
 	}
 	s.penalties.fault(now, f.Source, fault, retryAfter)
-	if f.Source.Kind == KindPeer {
+	switch {
+	case f.Source.Kind == KindPeer && (fault == FaultCorrupt || fault == FaultMissing || fault == FaultRefused):
 		s.disbelieve(f)
-		return
-	}
-	if fault == FaultCorrupt || fault == FaultMissing {
+	case f.Source.Kind != KindPeer && (fault == FaultCorrupt || fault == FaultMissing):
 		s.pauseChunk(now, f)
 	}
 }
@@ -360,7 +359,7 @@
 			if s.peerFetches >= s.cfg.PeerFetches || p.inFlight != load || s.penalties.Avoided(now, source) {
 				continue
 			}
-			chunk, ok := s.rarest(p)
+			chunk, ok := s.rarest(now, p)
 			if !ok {
 				continue
 			}
@@ -374,7 +373,7 @@
 
 // rarest chooses among chunks that p holds one with the fewest holders among
 // the neighbours, at random among equals.
-func (s *Scheduler) rarest(p *peerState) (chunk int, ok bool) {
+func (s *Scheduler) rarest(now time.Duration, p *peerState) (chunk int, ok bool) {
 	words := len(s.wanted)
 	offset := s.random.IntN(words)
 	remote := p.node.Region != s.cfg.Self.Region
@@ -383,8 +382,8 @@
 		w = (w + offset) % words
 		for word := s.wanted[w] & p.have[w]; word != 0; word &= word - 1 {
 			i := w*wordBits + bits.TrailingZeros64(word)
-			if remote && s.holders[i] > 1 {
-				continue // a neighbour in this region holds it too
+			if remote && s.heldInRegion(now, i) {
+				continue
 			}
 			seen++
 			switch n := s.holders[i]; {
@@ -420,14 +419,22 @@
 }
 
 func (s *Scheduler) heldByUsablePeer(now time.Duration, chunk int) bool {
-	if s.holders[chunk] == 0 {
-		return false
-	}
-	return slices.ContainsFunc(s.peers, func(p *peerState) bool {
-		return p.have.Has(chunk) && !s.penalties.Avoided(now, Source{Kind: KindPeer, Peer: p.node.ID})
+	return s.holders[chunk] > 0 && slices.ContainsFunc(s.peers, func(p *peerState) bool {
+		return s.usableHolder(now, p, chunk)
 	})
 }
 
+// heldInRegion reports whether a region link need not be used for the chunk.
+func (s *Scheduler) heldInRegion(now time.Duration, chunk int) bool {
+	return s.holders[chunk] > 1 && slices.ContainsFunc(s.peers, func(p *peerState) bool {
+		return p.node.Region == s.cfg.Self.Region && s.usableHolder(now, p, chunk)
+	})
+}
+
+func (s *Scheduler) usableHolder(now time.Duration, p *peerState, chunk int) bool {
+	return p.have.Has(chunk) && !s.penalties.Avoided(now, Source{Kind: KindPeer, Peer: p.node.ID})
+}
+
 // nextFallback takes a chunk of another instance from outside, one at a time,
 // when no other source has given anything for a stall timeout. A chunk that it
 // brings reaches the neighbours and ends their own stalls.
--- a/swarm/scheduler_test.go
+++ b/swarm/scheduler_test.go
@@ -203,6 +203,97 @@
 	})
 }
 
+// Guards against an instance without reachable peers that takes a whole copy
+// at full speed on top of the cap.
+func TestFallbackBeyondShareIsSlow(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(nil, 3, 4, 300, Config{})
+	s := n.agents[n.nodes[0].ID].Scheduler
+	taken := 0
+	for now := time.Duration(0); now < 10*time.Minute; now += step {
+		for _, f := range s.Next(now) {
+			s.Done(now, f)
+			taken++
+		}
+	}
+	const share, perTimeout = 300 / 12, 10 * 60 / 10
+	is.True(taken <= len(s.designated)+300/4+share+perTimeout+20)
+	is.True(taken >= share+perTimeout)
+}
+
+// Guards against a late instance that takes chunks from the origin though its
+// peers hold them, before or after they report.
+func TestLateInstanceUsesPeers(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(nil, 1, 4, 50, Config{})
+	late := n.agents[n.nodes[0].ID].Scheduler
+	is.Equal(len(late.Next(0)), 0)
+	for i := range 50 {
+		late.PeerHas(step, "node1", i)
+	}
+	for now := step; !late.Complete(); now += step {
+		for _, f := range late.Next(now) {
+			is.Equal(f.Source, Source{Kind: KindPeer, Peer: "node1"})
+			late.Done(now, f)
+		}
+	}
+}
+
+// Guards against an instance that takes every chunk from the origin because
+// its list of the others was empty for a moment.
+func TestBriefEmptyListStartsNoFetch(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(nil, 1, 4, 50, Config{OutsideFetches: 50})
+	s := n.agents[n.nodes[0].ID].Scheduler
+	own := len(s.Next(2 * time.Second))
+	is.True(own < 50)
+	s.SetNodes(3*time.Second, nil)
+	is.Equal(len(s.Next(3500*time.Millisecond)), 0)
+	s.SetNodes(3600*time.Millisecond, n.nodes)
+	is.Equal(len(s.Next(5*time.Second)), 0)
+}
+
+// Guards against use of a region link for a chunk that a neighbour holds.
+func TestGatewayPrefersItsRegion(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(nil, 2, 2, 40, Config{RegionLinks: RegionLinksOnce})
+	for _, node := range n.nodes {
+		s := n.agents[node.ID].Scheduler
+		for _, p := range s.Peers() {
+			for i := range 40 {
+				s.PeerHas(0, p.ID, i)
+			}
+		}
+		for _, f := range s.Next(0) {
+			is.Equal(s.peer(f.Source.Peer).node.Region, node.Region)
+		}
+	}
+}
+
+// Guards against a gateway that waits for a neighbour that it avoids, instead
+// of using the region link.
+func TestGatewayPassesOverAvoidedNeighbour(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(nil, 2, 2, 40, Config{RegionLinks: RegionLinksOnce})
+	crossed := 0
+	for _, node := range n.nodes {
+		s := n.agents[node.ID].Scheduler
+		for _, p := range s.Peers() {
+			for i := range 40 {
+				s.PeerHas(0, p.ID, i)
+			}
+			if p.Region == node.Region {
+				s.penalties.fault(0, Source{Kind: KindPeer, Peer: p.ID}, FaultCorrupt, 0)
+			}
+		}
+		for _, f := range s.Next(0) {
+			is.True(s.peer(f.Source.Peer).node.Region != node.Region)
+			crossed++
+		}
+	}
+	is.True(crossed > 0)
+}
+
 func ExampleScheduler() {
 	nodes := []Node{{ID: "a", Region: "navarra"}, {ID: "b", Region: "navarra"}}
 	s := New(0, Config{Self: nodes[0]}, []uint64{101, 102}, NewPenalties())
