transfer: report held chunks as changes, pace by live traffic

Cause: polling whole bitmaps costs 8 peers x (request + bitmap) four times a second, above 6 KB/s per node from about 2,000 chunks. Senders refuse a second crossing of a region link. SetPressure drives swarm.Pace, which starts from the rate really moved, since a share of the configured limit does nothing when the limit is far above it.

--- a/internal/transfer/config.go
+++ b/internal/transfer/config.go
@@ -27,6 +27,9 @@
 	// (default 1 GiB/s). Lower leaves more of the link to live requests and
 	// delays rollouts.
 	DownloadRate, UploadRate float64
+	// MinimumRate is what SetPressure leaves of them (default 2 MiB/s), so that a
+	// rollout still ends.
+	MinimumRate float64
 	// HaveInterval is the time between reports of held chunks to a peer
 	// (default 250 ms). Longer costs fewer messages and delays the spread.
 	HaveInterval time.Duration
@@ -56,6 +59,7 @@
 
 const (
 	defaultRate         = 1 << 30
+	defaultMinimumRate  = 2 << 20
 	defaultHaveInterval = 250 * time.Millisecond
 	defaultReadTimeout  = 5 * time.Second
 	defaultChunkTimeout = 2 * time.Minute
@@ -71,6 +75,9 @@
 	if c.UploadRate == 0 {
 		c.UploadRate = defaultRate
 	}
+	if c.MinimumRate == 0 {
+		c.MinimumRate = defaultMinimumRate
+	}
 	if c.HaveInterval == 0 {
 		c.HaveInterval = defaultHaveInterval
 	}
--- a/internal/transfer/job.go
+++ b/internal/transfer/job.go
@@ -35,11 +35,13 @@
 	err   error
 }
 
-// peerReport is a peer's state, or its loss when bitmap is nil.
+// peerReport is a change of what a peer holds.
 type peerReport struct {
-	peer   string
+	peer string
+	// over is true when the peer starts over: earlier reports are void.
+	over   bool
 	bitmap []byte
-	lost   bool
+	added  []uint32
 }
 
 func newJob(t *Transfer, v *version, p *progress) *job {
@@ -139,32 +141,44 @@
 
 func (j *job) report(r peerReport) {
 	now := j.t.now()
-	if r.lost {
+	if r.over {
 		j.scheduler.PeerLost(now, r.peer)
-		return
 	}
 	var chunks []int
-	for i := range j.v.chunks {
-		if i/8 < len(r.bitmap) && r.bitmap[i/8]>>(i%8)&1 == 1 && !j.scheduler.Holds(i) {
+	for i := range min(len(j.v.chunks), 8*len(r.bitmap)) {
+		if r.bitmap[i/8]>>(i%8)&1 == 1 {
 			chunks = append(chunks, i)
 		}
 	}
-	j.scheduler.PeerHas(now, r.peer, chunks...)
+	for _, i := range r.added {
+		chunks = append(chunks, int(i))
+	}
+	if r.bitmap != nil || r.added != nil {
+		j.scheduler.PeerHas(now, r.peer, chunks...)
+	}
 }
 
-// watch asks a peer for its held chunks until ctx ends.
+// watch follows what a peer holds until ctx ends.
 func (j *job) watch(ctx context.Context, peer string) {
 	for ctx.Err() == nil {
 		j.watchSession(ctx, peer)
-		j.send(ctx, peerReport{peer: peer, lost: true})
+		j.send(ctx, peerReport{peer: peer, over: true})
 		pause(ctx, peerRetryPause)
 	}
 }
 
+// subscription is the number of the only subscription of a session.
+const subscription = 1
+
 func (j *job) watchSession(ctx context.Context, peer string) {
 	dialer := transport.Dialer{
-		Address: j.t.address(peer), Token: j.t.cfg.Token.Secret(),
-		Handler: ignoreMessage, Network: j.t.cfg.Network,
+		Address: j.t.address(peer), Token: j.t.cfg.Token.Secret(), Network: j.t.cfg.Network, Bytes: &j.t.messageBytes,
+		Handler: func(ctx context.Context, _ *transport.Session, env wire.Envelope) {
+			var change wire.Have
+			if env.Type == wire.TypeHave && env.Into(&change) == nil {
+				j.send(ctx, peerReport{peer: peer, over: change.Added == nil, bitmap: change.Bitmap, added: change.Added})
+			}
+		},
 	}
 	session, err := dialer.Connect(ctx)
 	if err != nil {
@@ -174,22 +188,23 @@
 		session.Close()
 		<-session.Done()
 	}()
-	request := wire.HaveRequest{Manifest: j.v.digest, Endpoint: j.t.cfg.Endpoint}
-	for ctx.Err() == nil {
-		rctx, cancel := context.WithTimeout(ctx, haveTimeout)
-		var have wire.Have
-		err := session.Request(rctx, request, &have)
-		cancel()
-		if err != nil {
-			return
-		}
-		j.send(ctx, peerReport{peer: peer, bitmap: have.Bitmap})
-		pause(ctx, j.t.cfg.HaveInterval)
+	rctx, cancel := context.WithTimeout(ctx, haveTimeout)
+	defer cancel()
+	var have wire.Have
+	request := wire.HaveRequest{Manifest: j.v.digest, Endpoint: j.t.cfg.Endpoint, Subscription: subscription}
+	if session.Request(rctx, request, &have) != nil {
+		return
+	}
+	if have.Bitmap == nil {
+		have.Bitmap = []byte{} // the peer knows nothing of the manifest yet
+	}
+	j.send(ctx, peerReport{peer: peer, bitmap: have.Bitmap})
+	select {
+	case <-session.Done():
+	case <-ctx.Done():
 	}
 }
 
-func ignoreMessage(context.Context, *transport.Session, wire.Envelope) {}
-
 func (j *job) send(ctx context.Context, r peerReport) {
 	select {
 	case j.reports <- r:
--- a/internal/transfer/server.go
+++ b/internal/transfer/server.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
@@ -14,11 +16,14 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/manifest"
 	"github.com/rhubarbhill/rhubarbhill/release"
-	"github.com/rhubarbhill/rhubarbhill/swarm"
 )
 
-// maxUploads bounds concurrent chunk uploads; each holds one copy buffer.
-const maxUploads = 32
+const (
+	// maxUploads bounds concurrent chunk uploads; each holds one copy buffer.
+	maxUploads = 32
+	// maxFeeds bounds subscriptions to changes.
+	maxFeeds = 256
+)
 
 // PeerHandler serves chunks, manifests and reports of held chunks to other
 // agents. Every request needs the process token.
@@ -47,10 +52,6 @@
 		return
 	}
 	wanted = sum(raw)
-	if t.cfg.RegionLinks == swarm.RegionLinksNever && r.Header.Get(headerRegion) != t.cfg.Region {
-		http.Error(w, "chunks do not cross region links", http.StatusForbidden)
-		return
-	}
 	select {
 	case t.uploads <- struct{}{}:
 		defer func() { <-t.uploads }()
@@ -64,7 +65,14 @@
 		http.Error(w, "chunk not held", http.StatusNotFound)
 		return
 	}
-	t.sendChunk(w, r, v, i)
+	region := r.Header.Get(headerRegion)
+	if !v.crossingAllowed(i, region) {
+		http.Error(w, "chunk does not cross the region link, or not again", http.StatusForbidden)
+		return
+	}
+	if err := t.sendChunk(w, r, v, i); err != nil {
+		v.crossingFailed(i, region)
+	}
 }
 
 // findChunk looks for a held chunk in all versions.
@@ -79,44 +87,108 @@
 	return nil, 0
 }
 
-func (t *Transfer) sendChunk(w http.ResponseWriter, r *http.Request, v *version, i int) {
+// sendChunk leaves the answer short after an error, which the receiver notices.
+func (t *Transfer) sendChunk(w http.ResponseWriter, r *http.Request, v *version, i int) error {
 	section, err := v.open(i)
 	if err != nil {
 		http.Error(w, "chunk not readable", http.StatusNotFound)
-		return
+		return err
 	}
 	defer func() { _ = section.Close() }()
+	size := int64(v.chunks[i].size)
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(int(v.chunks[i].size)))
-	target := &pacedWriter{ctx: r.Context(), w: w, limiter: t.uploadLimiter}
-	// An error leaves the answer short, which the receiver notices.
-	_, _ = io.CopyBuffer(target, struct{ io.Reader }{section}, make([]byte, copyBufferBytes))
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	target := &pacedWriter{ctx: r.Context(), w: w, limiter: t.uploadLimiter, count: &t.sent}
+	n, err := io.CopyBuffer(target, struct{ io.Reader }{section}, make([]byte, copyBufferBytes))
+	if err == nil && n != size {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 type pacedWriter struct {
 	ctx     context.Context
 	w       io.Writer
 	limiter *rate.Limiter
+	count   *atomic.Int64
 }
 
 func (p *pacedWriter) Write(b []byte) (int, error) {
 	if err := p.limiter.WaitN(p.ctx, len(b)); err != nil {
 		return 0, err
 	}
-	return p.w.Write(b)
+	n, err := p.w.Write(b)
+	p.count.Add(int64(n))
+	return n, err
 }
 
 // handleMessage answers a HaveRequest. A manifest that is not known here gives
 // an empty bitmap.
-func (t *Transfer) handleMessage(_ context.Context, s *transport.Session, env wire.Envelope) {
+func (t *Transfer) handleMessage(ctx context.Context, s *transport.Session, env wire.Envelope) {
 	var request wire.HaveRequest
 	if env.Type != wire.TypeHaveRequest || env.Into(&request) != nil {
 		_ = s.Reply(env, wire.Error{Code: "bad-request"})
 		return
 	}
 	reply := wire.Have{Manifest: request.Manifest, Endpoint: t.cfg.Endpoint}
-	if v := t.version(request.Manifest); v != nil {
-		reply.Bitmap = v.bitmap()
+	feed := haveFeed{t: t, request: request, version: t.version(request.Manifest)}
+	if feed.version != nil {
+		reply.Bitmap, feed.sent = feed.version.bitmap()
+	}
+	if s.Reply(env, reply) != nil || request.Subscription == 0 {
+		return
+	}
+	select {
+	case t.feeds <- struct{}{}:
+		go func() {
+			defer func() { <-t.feeds }()
+			feed.run(ctx, s)
+		}()
+	default:
+		s.Close()
+	}
+}
+
+// haveFeed sends the changes of one manifest to one subscriber.
+type haveFeed struct {
+	t       *Transfer
+	request wire.HaveRequest
+	version *version
+	sent    int // chunks reported of version
+}
+
+func (f *haveFeed) run(ctx context.Context, s *transport.Session) {
+	ticker := time.NewTicker(f.t.cfg.HaveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Done():
+			return
+		case <-ticker.C:
+		}
+		if change, ok := f.change(); ok && s.Send(change) != nil {
+			// The subscriber connects again and gets the whole bitmap.
+			s.Close()
+			return
+		}
+	}
+}
+
+func (f *haveFeed) change() (wire.Have, bool) {
+	change := wire.Have{Subscription: f.request.Subscription}
+	if v := f.t.version(f.request.Manifest); v != f.version {
+		f.version, f.sent = v, 0
+		if v != nil {
+			change.Bitmap, f.sent = v.bitmap()
+		}
+		return change, true
+	}
+	if f.version == nil {
+		return change, false
 	}
-	_ = s.Reply(env, reply)
+	change.Added = f.version.added(f.sent)
+	f.sent += len(change.Added)
+	return change, len(change.Added) > 0
 }
--- a/internal/transfer/source.go
+++ b/internal/transfer/source.go
@@ -48,6 +48,14 @@
 	received [swarm.KindOrigin + 1]atomic.Int64
 }
 
+func (c *client) receivedBytes() int64 {
+	var sum int64
+	for i := range c.received {
+		sum += c.received[i].Load()
+	}
+	return sum
+}
+
 func escapePath(name string) string {
 	parts := strings.Split(name, "/")
 	for i := range parts {
@@ -142,6 +150,8 @@
 		return nil
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return &fetchError{fault: swarm.FaultBusy, retryAfter: retryAfter(response), cause: cause}
+	case http.StatusForbidden:
+		return &fetchError{fault: swarm.FaultRefused, cause: cause}
 	case http.StatusNotFound, http.StatusRequestedRangeNotSatisfiable:
 		return &fetchError{fault: swarm.FaultMissing, cause: cause}
 	default:
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 	"golang.org/x/time/rate"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/manifest"
 	"github.com/rhubarbhill/rhubarbhill/release"
@@ -34,8 +36,15 @@
 	client        *client
 	uploadLimiter *rate.Limiter
 	uploads       chan struct{}
+	feeds         chan struct{}
 	started       time.Time
 
+	paceMu                   sync.Mutex
+	downloadPace, uploadPace *swarm.Pace
+	sent                     atomic.Int64
+	// messageBytes counts reports of held chunks, in sessions opened here.
+	messageBytes transport.ByteCounts
+
 	penaltiesMu sync.Mutex
 	penalties   *swarm.Penalties
 
@@ -75,7 +84,10 @@
 		},
 		uploadLimiter: rate.NewLimiter(rate.Limit(cfg.UploadRate), rateBurst),
 		uploads:       make(chan struct{}, maxUploads),
+		feeds:         make(chan struct{}, maxFeeds),
 		started:       time.Now(),
+		downloadPace:  swarm.NewPace(cfg.DownloadRate, cfg.MinimumRate),
+		uploadPace:    swarm.NewPace(cfg.UploadRate, cfg.MinimumRate),
 		penalties:     swarm.NewPenalties(),
 		peers:         map[string]Peer{},
 		peersChanged:  make(chan struct{}),
@@ -256,7 +268,7 @@
 	defer unlock()
 	v := t.version(d)
 	if v == nil {
-		v = newVersion(t.cache, d, m)
+		v = t.newVersion(d, m)
 		if err := v.load(); err != nil {
 			return nil, err
 		}
@@ -408,7 +420,7 @@
 		return nil, err
 	}
 	defer unlock()
-	v := newVersion(t.cache, d, m)
+	v := t.newVersion(d, m)
 	if err := v.load(); err != nil {
 		return nil, err
 	}
@@ -452,14 +464,13 @@
 	}
 }
 
-// minimumShare of the configured rate is left at the highest pressure, so that
-// a rollout still ends.
-const minimumShare = 0.05
-
-// SetPressure slows transfers when quote latency rises: 0 leaves the full
-// rate, 1 the minimum.
+// SetPressure slows transfers when quote latency rises and lets them recover
+// when it falls. Call it about once a second. x is 0 while latency is within
+// its bound and grows to 1 as it exceeds it.
 func (t *Transfer) SetPressure(x float64) {
-	share := max(minimumShare, 1-min(1, max(0, x)))
-	t.client.limiter.SetLimit(rate.Limit(t.cfg.DownloadRate * share))
-	t.uploadLimiter.SetLimit(rate.Limit(t.cfg.UploadRate * share))
+	t.paceMu.Lock()
+	defer t.paceMu.Unlock()
+	now := t.now()
+	t.client.limiter.SetLimit(rate.Limit(t.downloadPace.Adjust(now, x, t.client.receivedBytes())))
+	t.uploadLimiter.SetLimit(rate.Limit(t.uploadPace.Adjust(now, x, t.sent.Load())))
 }
--- a/internal/transfer/version.go
+++ b/internal/transfer/version.go
@@ -52,6 +52,14 @@
 	dir   string
 	held  swarm.Bitmap
 	order []int32 // held chunks in order of arrival, for reports of changes
+
+	crossings *swarm.Crossings
+}
+
+func (t *Transfer) newVersion(digest release.Digest, m manifest.Manifest) *version {
+	v := newVersion(t.cache, digest, m)
+	v.crossings = swarm.NewCrossings(t.cfg.RegionLinks, t.cfg.Region, len(v.chunks))
+	return v
 }
 
 func newVersion(c cache, digest release.Digest, m manifest.Manifest) *version {
@@ -124,15 +132,39 @@
 
 func (v *version) complete() bool { return v.heldCount() == len(v.chunks) }
 
-// bitmap gives the held chunks in the form of wire.Have.
-func (v *version) bitmap() []byte {
+// bitmap gives the held chunks in the form of wire.Have, and their number.
+func (v *version) bitmap() (bitmap []byte, count int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := make([]byte, 0, len(v.held)*8)
 	for _, w := range v.held {
 		out = binary.LittleEndian.AppendUint64(out, w)
 	}
-	return out[:(len(v.chunks)+7)/8]
+	return out[:(len(v.chunks)+7)/8], len(v.order)
+}
+
+// added lists the chunks that arrived after the first n.
+func (v *version) added(n int) []uint32 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []uint32
+	for _, i := range v.order[min(n, len(v.order)):] {
+		list = append(list, uint32(i))
+	}
+	return list
+}
+
+// crossingAllowed applies the sender's side of the region-link rule.
+func (v *version) crossingAllowed(i int, region string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.crossings.Allow(i, region)
+}
+
+func (v *version) crossingFailed(i int, region string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.crossings.Undo(i, region)
 }
 
 // open reads a held chunk.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -152,18 +152,24 @@
 	Message []byte `cbor:"1,keyasint"`
 }
 
-// HaveRequest asks a peer which chunks of a manifest it holds.
+// HaveRequest asks a peer which chunks of a manifest it holds. With a non-zero
+// Subscription the peer also sends later changes on the same session.
 type HaveRequest struct {
-	Manifest release.Digest `cbor:"1,keyasint"`
-	Endpoint string         `cbor:"2,keyasint"`
+	Manifest     release.Digest `cbor:"1,keyasint"`
+	Endpoint     string         `cbor:"2,keyasint"`
+	Subscription uint64         `cbor:"3,keyasint,omitempty"`
 }
 
 // Have lists the chunks of a manifest that a peer holds, as a bitmap with bit
-// i%8 of byte i/8 for chunk i.
+// i%8 of byte i/8 for chunk i. A change names its subscription instead of the
+// manifest and lists the chunks added, or carries a whole bitmap when the peer
+// started over.
 type Have struct {
-	Manifest release.Digest `cbor:"1,keyasint"`
-	Endpoint string         `cbor:"2,keyasint"`
-	Bitmap   []byte         `cbor:"3,keyasint"`
+	Manifest     release.Digest `cbor:"1,keyasint,omitempty"`
+	Endpoint     string         `cbor:"2,keyasint,omitempty"`
+	Bitmap       []byte         `cbor:"3,keyasint,omitempty"`
+	Subscription uint64         `cbor:"4,keyasint,omitempty"`
+	Added        []uint32       `cbor:"5,keyasint,omitempty"`
 }
 
 // MessageType implementations.
--- /dev/null
+++ b/swarm/pace.go
@@ -0,0 +1,43 @@
+package swarm
+
+import "time"
+
+const (
+	paceInterval = 250 * time.Millisecond
+	paceGrowth   = 1.25
+	// paceCut is the share of the rate given up at full pressure.
+	paceCut = 0.5
+)
+
+// Pace sets the rate of transfers beside live traffic: it falls in proportion
+// to the pressure, from what is really moved, and grows back step by step.
+type Pace struct {
+	limit, floor float64
+	rate         float64
+	at           time.Duration
+	moved        int64
+}
+
+// NewPace returns a pace between floor and limit, in bytes per second, that
+// starts at the limit.
+func NewPace(limit, floor float64) *Pace {
+	return &Pace{limit: limit, floor: min(floor, limit), rate: limit}
+}
+
+// Adjust returns the rate in bytes per second. pressure is from 0 to 1, moved
+// the count of bytes moved so far.
+func (p *Pace) Adjust(now time.Duration, pressure float64, moved int64) float64 {
+	elapsed := now - p.at
+	if elapsed < paceInterval {
+		return p.rate
+	}
+	actual := float64(moved-p.moved) / elapsed.Seconds()
+	p.at, p.moved = now, moved
+	switch {
+	case !(pressure > 0): // also for NaN
+		p.rate = min(p.limit, p.rate*paceGrowth)
+	case actual > 0:
+		p.rate = max(p.floor, min(p.rate, actual)*(1-paceCut*min(1, pressure)))
+	}
+	return p.rate
+}
