--- a/internal/standin/safetensors.go
+++ b/internal/standin/files.go
@@ -2,9 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 	"io/fs"
 	"os"
@@ -20,93 +18,22 @@
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
-const (
-	safetensorsSuffix    = ".safetensors"
-	headerLengthBytes    = 8
-	maxSafetensorsHeader = 100 << 20
-	metadataKey          = "__metadata__"
-)
-
-type tensor struct {
-	DType   string   `json:"dtype"`
-	Shape   []int64  `json:"shape"`
-	Offsets [2]int64 `json:"data_offsets"`
-}
-
-var dtypeBytes = map[string]int64{
-	"BOOL": 1, "U8": 1, "I8": 1, "F8_E4M3": 1, "F8_E5M2": 1,
-	"I16": 2, "U16": 2, "F16": 2, "BF16": 2,
-	"I32": 4, "U32": 4, "F32": 4,
-	"I64": 8, "U64": 8, "F64": 8,
-}
+const safetensorsSuffix = ".safetensors"
 
 // shardName matches the part of a shard's name that numbers it.
 var shardName = regexp.MustCompile(`-(\d{5})-of-(\d{5})\.safetensors$`)
 
-// checkSafetensors checks that the file at path has a valid header whose
-// tensors cover its data without gap or overlap.
 func checkSafetensors(path string) error {
-	problem := oops.In("standin").With("file", path)
 	f, err := os.Open(path)
 	if err != nil {
-		return problem.Wrap(err)
+		return oops.In("standin").Wrap(err)
 	}
 	defer func() { _ = f.Close() }()
 	info, err := f.Stat()
 	if err != nil {
-		return problem.Wrap(err)
-	}
-	var lengthBytes [headerLengthBytes]byte
-	if _, err := io.ReadFull(f, lengthBytes[:]); err != nil {
-		return problem.Errorf("%s: no header length", path)
+		return oops.In("standin").Wrap(err)
 	}
-	length := binary.LittleEndian.Uint64(lengthBytes[:])
-	if length > maxSafetensorsHeader || int64(length) > info.Size()-headerLengthBytes {
-		return problem.Errorf("%s: header of %d bytes does not fit the file", path, length)
-	}
-	header := make([]byte, length)
-	if _, err := io.ReadFull(f, header); err != nil {
-		return problem.Wrapf(err, "%s", path)
-	}
-	if err := checkHeader(header, info.Size()-headerLengthBytes-int64(length)); err != nil {
-		return problem.Wrapf(err, "%s", path)
-	}
-	return nil
-}
-
-func checkHeader(header []byte, dataBytes int64) error {
-	var entries map[string]json.RawMessage
-	if err := json.Unmarshal(header, &entries); err != nil {
-		return oops.Wrapf(err, "header is not JSON")
-	}
-	delete(entries, metadataKey)
-	tensors := make([]tensor, 0, len(entries))
-	for name, raw := range entries {
-		var t tensor
-		if err := json.Unmarshal(raw, &t); err != nil {
-			return oops.Wrapf(err, "tensor %s", name)
-		}
-		size, ok := dtypeBytes[t.DType]
-		for _, n := range t.Shape {
-			size *= n
-		}
-		if !ok || t.Offsets[1]-t.Offsets[0] != size {
-			return oops.Errorf("tensor %s: offsets do not fit type and shape", name)
-		}
-		tensors = append(tensors, t)
-	}
-	slices.SortFunc(tensors, func(a, b tensor) int { return int(a.Offsets[0] - b.Offsets[0]) })
-	var end int64
-	for _, t := range tensors {
-		if t.Offsets[0] != end {
-			return oops.Errorf("gap or overlap at data offset %d", end)
-		}
-		end = t.Offsets[1]
-	}
-	if end != dataBytes {
-		return oops.Errorf("header describes %d data bytes, file has %d", end, dataBytes)
-	}
-	return nil
+	return oops.In("standin").Wrapf(manifest.CheckSafetensors(f, info.Size()), "%s", path)
 }
 
 // loadFiles checks the files of a weights set below dir and returns the
