--- /dev/null
+++ b/internal/loadtool/addresses.go
@@ -0,0 +1,119 @@
+package loadtool
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+)
+
+const (
+	lookupTimeout  = 2 * time.Second
+	maxLookupBytes = 1 << 20
+	fallbackTTL    = time.Second // after a lookup that no entry answered
+	maxIdleConns   = 4096
+)
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns,
+		DialContext: (&net.Dialer{Timeout: lookupTimeout}).DialContext,
+	}}
+}
+
+// addressBook asks entries for the ranked addresses and keeps the answer for
+// its TTL.
+type addressBook struct {
+	seeds []string
+	zone  string
+	token auth.Token
+	http  *http.Client
+
+	mu      sync.Mutex
+	ranked  []string
+	until   time.Time
+	lookups int
+	failed  int
+}
+
+type addressAnswer struct {
+	Addresses []struct {
+		Address string `json:"address"`
+	} `json:"addresses"`
+	TTLSeconds float64 `json:"ttl_seconds"`
+}
+
+// get returns the ranked addresses. Lookups are made one at a time.
+func (b *addressBook) get(ctx context.Context) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Now().Before(b.until) {
+		return b.ranked
+	}
+	for _, address := range append(append([]string(nil), b.ranked...), b.seeds...) {
+		answer, err := b.ask(ctx, address)
+		if err != nil || len(answer.Addresses) == 0 {
+			b.failed++
+			continue
+		}
+		b.ranked = b.ranked[:0:0]
+		for _, a := range answer.Addresses {
+			b.ranked = append(b.ranked, a.Address)
+		}
+		b.until = time.Now().Add(time.Duration(answer.TTLSeconds * float64(time.Second)))
+		return b.ranked
+	}
+	if len(b.ranked) == 0 {
+		b.ranked = b.seeds
+	}
+	b.until = time.Now().Add(fallbackTTL)
+	return b.ranked
+}
+
+func (b *addressBook) ask(ctx context.Context, address string) (addressAnswer, error) {
+	b.lookups++
+	var answer addressAnswer
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	target := "http://" + address + "/v1/addresses"
+	if b.zone != "" {
+		target += "?" + url.Values{"zone": {b.zone}}.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return answer, oops.In("loadtool").Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+b.token.Secret())
+	response, err := b.http.Do(request)
+	if err != nil {
+		return answer, oops.In("loadtool").Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, oops.In("loadtool").Errorf("%s: status %d", address, response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxLookupBytes)).Decode(&answer)
+	return answer, oops.In("loadtool").Wrap(err)
+}
+
+// counts returns the numbers of lookups and of those without an answer.
+func (b *addressBook) counts() (lookups, failed int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lookups, b.failed
+}
+
+// notSent reports whether an error proves that a request did not leave.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/loadtool/check.go
@@ -0,0 +1,84 @@
+package loadtool
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/standin"
+)
+
+// Violations of what callers are promised.
+const (
+	violationPartial  = "partial-answer-as-whole"
+	violationOwn      = "answer-of-another-request"
+	violationMixed    = "more-than-one-weights-set"
+	violationText     = "text-does-not-match-weights"
+	violationSet      = "weights-do-not-match-set"
+	violationDouble   = "executed-more-than-once"
+	violationNotRun   = "reported-not-run-but-ran"
+	violationDone     = "reported-done-but-did-not-run"
+	violationOutcome  = "answer-without-outcome"
+	violationDeadline = "answer-after-deadline"
+)
+
+// quoteAnswer is an answer that was presented as whole.
+type quoteAnswer struct {
+	model     string
+	prompt    string // as the engine sees it
+	requestID string
+	tokens    int // asked for
+	text      string
+	finish    string
+	sets      []string // distinct set ids, from the header and every chunk
+}
+
+// checker checks whole answers against each other and against the weights that
+// a model may have. It is safe for concurrent use.
+type checker struct {
+	allowed map[string][]standin.WeightsDigest
+
+	mu   sync.Mutex
+	seen map[string]standin.WeightsDigest // by model and set id
+}
+
+func newChecker(allowed map[string][]standin.WeightsDigest) *checker {
+	return &checker{allowed: allowed, seen: map[string]standin.WeightsDigest{}}
+}
+
+// check returns the name of the violation and what was seen, or "".
+func (c *checker) check(a quoteAnswer) (violation, detail string) {
+	weights, ok := standin.WeightsOfText(a.text)
+	switch {
+	case a.finish != "stop" || len(strings.Fields(a.text)) != a.tokens:
+		return violationPartial, fmt.Sprintf("finish %q, %d of %d tokens", a.finish, len(strings.Fields(a.text)), a.tokens)
+	case !ok:
+		return violationText, "no weights in the first token"
+	case len(a.sets) != 1:
+		return violationMixed, fmt.Sprintf("sets %q", a.sets)
+	case standin.RequestID(a.text) != a.requestID:
+		return violationOwn, fmt.Sprintf("request %s got the answer of %s", a.requestID, standin.RequestID(a.text))
+	case a.text != standin.Text(weights, a.prompt, a.tokens):
+		return violationText, "tokens are not those of weights " + string(weights)
+	}
+	return c.checkSet(a.model, a.sets[0], weights)
+}
+
+// checkSet checks that a set always means the same weights, and allowed ones.
+func (c *checker) checkSet(model, set string, weights standin.WeightsDigest) (violation, detail string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := model + " " + set
+	first, known := c.seen[key]
+	if !known {
+		c.seen[key] = weights
+	}
+	if known && first != weights {
+		return violationSet, fmt.Sprintf("model and set %s had weights %s and %s", key, first, weights)
+	}
+	if allowed := c.allowed[model]; len(allowed) > 0 && !slices.Contains(allowed, weights) {
+		return violationSet, fmt.Sprintf("model %s has no version with weights %s", model, weights)
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/loadtool/orders.go
@@ -0,0 +1,241 @@
+package loadtool
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/standin"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	maxOrderBytes = 1 << 20
+	resendPause   = 300 * time.Millisecond
+)
+
+// orderRun is the state of one run of orders.
+type orderRun struct {
+	cfg      Orders
+	book     *addressBook
+	recorder *recorder
+	http     *http.Client
+
+	mu   sync.Mutex
+	told map[string]*toldOutcomes // by key
+}
+
+// toldOutcomes counts what callers were told about one key.
+type toldOutcomes struct{ done, notRun, unknown int }
+
+// RunOrders sends orders until the run's bounds are reached, and compares what
+// callers were told with the executions.
+func RunOrders(ctx context.Context, cfg Orders) (Summary, error) {
+	if err := cfg.check(); err != nil {
+		return Summary{}, err
+	}
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	run := &orderRun{
+		cfg:      cfg,
+		book:     &addressBook{seeds: cfg.Entries, zone: cfg.Zone, token: cfg.Token, http: client},
+		recorder: newRecorder("services", cfg.Config),
+		http:     client,
+		told:     map[string]*toldOutcomes{},
+	}
+	newPacer(cfg.Config, run.recorder).run(ctx, func(i int, random *rand.Rand) func(context.Context, time.Time) {
+		organisation := cfg.Organisations.pick(random)
+		key := fmt.Sprintf("order-%d-%d-%08x", cfg.Seed, i, random.Uint32())
+		copies := 1
+		if random.Float64() < cfg.Duplicates {
+			copies = 2
+		}
+		return func(ctx context.Context, due time.Time) { run.order(ctx, due, organisation, key, copies) }
+	})
+	sleepUntil(ctx, time.Now().Add(cfg.Settle))
+	if err := run.compare(ctx); err != nil {
+		return Summary{}, err
+	}
+	lookups, failed := run.book.counts()
+	run.recorder.update(func(s *Summary) { s.Lookups, s.FailedLookups = lookups, failed })
+	return run.recorder.finish(), nil
+}
+
+// order sends one order in the given number of copies at once. The request's
+// result is the best that any copy was told.
+func (r *orderRun) order(ctx context.Context, due time.Time, organisation, key string, copies int) {
+	results := make([]result, copies)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i] = r.untilKnown(ctx, due, organisation, key) })
+	}
+	wg.Wait()
+	best := results[0]
+	for _, other := range results[1:] {
+		if other.outcome == outcomeDone {
+			best = other
+		}
+	}
+	r.recorder.end(organisation, "", best)
+}
+
+// untilKnown sends an order, and again after an answer that leaves its outcome
+// unknown.
+func (r *orderRun) untilKnown(ctx context.Context, due time.Time, organisation, key string) result {
+	for resend := 0; ; resend++ {
+		begun := time.Now()
+		if resend == 0 {
+			begun = due
+		}
+		end := r.once(ctx, organisation, key)
+		r.note(key, end.outcome)
+		switch end.outcome {
+		case outcomeDone:
+			r.recorder.observe(r.recorder.whole, time.Since(begun))
+		case outcomeNotRun:
+			r.recorder.observe(r.recorder.refusal, time.Since(begun))
+		}
+		if end.outcome != outcomeUnknown || resend >= r.cfg.Resends ||
+			!sleepUntil(ctx, time.Now().Add(resendPause)) {
+			return end
+		}
+		r.recorder.update(func(s *Summary) { s.Resent++ })
+	}
+}
+
+// once sends an order to the best address that accepts a connection.
+func (r *orderRun) once(ctx context.Context, organisation, key string) result {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Deadline+deadlineMargin)
+	defer cancel()
+	for _, address := range r.book.get(ctx) {
+		response, body, err := r.post(ctx, address, organisation, key)
+		if notSent(err) {
+			r.recorder.update(func(s *Summary) { s.Failovers++ })
+			continue
+		}
+		if err != nil {
+			return result{outcomeUnknown, reasonTransport}
+		}
+		return r.classify(response, body, key)
+	}
+	return result{outcomeNotRun, reasonConnect}
+}
+
+func (r *orderRun) post(ctx context.Context, address, organisation, key string) (*http.Response, []byte, error) {
+	target := "http://" + address + "/services/" + r.cfg.Service + r.cfg.Path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(`{"order":"`+key+`"}`))
+	if err != nil {
+		return nil, nil, oops.In("loadtool").Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+r.cfg.Token.Secret())
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(wire.HeaderOrganisation, organisation)
+	request.Header.Set(wire.HeaderIdempotencyKey, key)
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(r.cfg.Deadline.Milliseconds(), 10))
+	response, err := r.http.Do(request)
+	if err != nil {
+		return nil, nil, oops.In("loadtool").Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxOrderBytes))
+	return response, body, oops.In("loadtool").Wrap(err)
+}
+
+func (r *orderRun) classify(response *http.Response, body []byte, key string) result {
+	end := result{response.Header.Get(wire.HeaderOutcome), response.Header.Get(wire.HeaderReason)}
+	if end.outcome == "" {
+		r.recorder.violation(violationOutcome, fmt.Sprintf("%s: status %d", key, response.StatusCode))
+		return result{outcomeUnknown, reasonTransport}
+	}
+	if end.outcome != outcomeDone || response.StatusCode != http.StatusOK || len(body) == 0 {
+		return end
+	}
+	var answer standin.ServiceAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		r.recorder.violation(violationPartial, key+": "+err.Error())
+	} else if answer.Key != key {
+		r.recorder.violation(violationOwn, fmt.Sprintf("key %s got the answer of %q", key, answer.Key))
+	}
+	return end
+}
+
+func (r *orderRun) note(key, told string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.told[key]
+	if t == nil {
+		t = &toldOutcomes{}
+		r.told[key] = t
+	}
+	switch told {
+	case outcomeDone:
+		t.done++
+	case outcomeNotRun:
+		t.notRun++
+	default:
+		t.unknown++
+	}
+}
+
+// compare reads the executions and records violations.
+func (r *orderRun) compare(ctx context.Context) error {
+	counts := map[string]int{}
+	for _, target := range r.cfg.Executions {
+		executions, err := r.executions(ctx, target)
+		if err != nil {
+			return err
+		}
+		for key, n := range executions.Keys {
+			counts[key] += n
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for key, told := range r.told {
+		total += counts[key]
+		if violation := told.violation(counts[key]); violation != "" {
+			r.recorder.violation(violation, fmt.Sprintf("%s: %d executions, told %+v", key, counts[key], *told))
+		}
+	}
+	r.recorder.update(func(s *Summary) { s.Executions = total })
+	return nil
+}
+
+// violation compares what callers were told with the executions of the key. An
+// order counts as reported not run only when every answer said so.
+func (t toldOutcomes) violation(executions int) string {
+	switch {
+	case executions > 1:
+		return violationDouble
+	case executions == 1 && t.done == 0 && t.unknown == 0:
+		return violationNotRun
+	case executions == 0 && t.done > 0:
+		return violationDone
+	}
+	return ""
+}
+
+func (r *orderRun) executions(ctx context.Context, target string) (standin.Executions, error) {
+	var executions standin.Executions
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return executions, oops.In("loadtool").Wrap(err)
+	}
+	response, err := r.http.Do(request)
+	if err != nil {
+		return executions, oops.In("loadtool").Wrapf(err, "executions")
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&executions)
+	return executions, oops.In("loadtool").Wrapf(err, "executions at %s", target)
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -142,7 +142,7 @@
 	}
 	token, err := auth.ReadToken(cli.TokenFile)
 	if err != nil {
-		problems.Add("--token-file", err.Error())
+		problems.Add("--token-file", "%v", err)
 	}
 	if err := problems.Err(); err != nil {
 		return nil, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -47,7 +47,7 @@
 		if json.Unmarshal(m.Content, &s) != nil {
 			s = string(m.Content)
 		}
-		text.WriteString(m.Role + ": " + s + "\n")
+		text.WriteString(promptLine(m.Role, s))
 	}
 	return text.String()
 }
--- a/internal/standin/text.go
+++ b/internal/standin/text.go
@@ -5,9 +5,12 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"os"
 	"regexp"
 	"strings"
 
+	"github.com/samber/oops"
+
 	"github.com/rhubarbhill/rhubarbhill/manifest"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
@@ -89,3 +92,18 @@
 	digest, ok := strings.CutPrefix(first, TextPrefix)
 	return WeightsDigest(digest), ok && len(digest) == digestTextLength
 }
+
+// UserPrompt returns the prompt that an engine makes of a single user message.
+func UserPrompt(content string) string { return promptLine("user", content) }
+
+func promptLine(role, content string) string { return role + ": " + content + "\n" }
+
+// DigestOfManifestFile reads a manifest and returns its weights digest.
+func DigestOfManifestFile(path string) (WeightsDigest, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", oops.In("standin").Wrap(err)
+	}
+	m, err := manifest.Decode(data, release.DigestOf(data))
+	return DigestOfManifest(m), oops.In("standin").Wrapf(err, "%s", path)
+}
