--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -29,22 +29,14 @@
 
 // NoteAnswer answers POST PathNotes and POST PathNotesCheck.
 type NoteAnswer struct {
-	Status   string         `json:"status"`
+	Status   string            `json:"status"`
 	Number   uint64            `json:"number,omitempty"` // of the note, of its accepted rival, or the expected one
 	Digest   release.Digest    `json:"digest,omitempty"` // of the note or of its accepted rival
 	Reason   string            `json:"reason,omitempty"`
-	Problems []NoteProblem     `json:"problems,omitempty"`
+	Problems []release.Problem `json:"problems,omitempty"`
 	Leader   string            `json:"leader,omitempty"`
 }
 
-// NoteProblem is one fault of a note.
-type NoteProblem struct {
-	Line   int    `json:"line,omitempty"`
-	Column int    `json:"column,omitempty"`
-	Field  string `json:"field"`
-	Detail string `json:"detail"`
-}
-
 // Status answers GET PathStatus.
 type Status struct {
 	Replica   string             `json:"replica"`
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
 const (
@@ -62,7 +64,7 @@
 			row(w, "reason", a.Reason)
 		}
 		for _, p := range a.Problems {
-			row(w, "problem", p)
+			row(w, "problem", p.Error())
 		}
 	})
 	if err == nil {
@@ -71,12 +73,22 @@
 	return err
 }
 
-// String implements fmt.Stringer.
-func (p NoteProblem) String() string {
-	if p.Line == 0 {
-		return p.Field + ": " + p.Detail
+// printInvalid prints the problems of a note that was not sent.
+func (s *session) printInvalid(err error) error {
+	invalid := NoteAnswer{Status: NoteInvalid, Problems: release.Problems(err)}
+	return s.printNote(invalid, oops.In("operator").Wrapf(ErrBadInput, "note is invalid"))
+}
+
+func (s *session) printChanges(list []Change) error {
+	if s.cli.JSON {
+		return oops.In("operator").Wrap(json.NewEncoder(s.out).Encode(list))
 	}
-	return fmt.Sprintf("line %d, column %d, %s: %s", p.Line, p.Column, p.Field, p.Detail)
+	return printTable(s.out, func(w io.Writer) {
+		row(w, "CHANGE", "KIND", "NAME", "BEFORE", "AFTER")
+		for _, c := range list {
+			row(w, c.Change, c.Kind, c.Name, c.Before, c.After)
+		}
+	})
 }
 
 func statusTable(w io.Writer, s Status) {
