--- /dev/null
+++ b/internal/entry/addresses.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// addressAnswer is the answer to GET /v1/addresses.
+type addressAnswer struct {
+	Addresses  []rankedAddress `json:"addresses"`
+	TTLSeconds float64         `json:"ttl_seconds"`
+}
+
+type rankedAddress struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Load    float64 `json:"load"` // requests in progress per slot, as last heard
+}
+
+// loadStep is the difference of load that counts when ranking, so that small
+// changes do not move all callers at once.
+const loadStep = 0.25
+
+// serveAddresses ranks the entries that are not stopping: those in the
+// caller's zone first, then by load.
+func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("zone")
+	answer := addressAnswer{
+		Addresses:  []rankedAddress{},
+		TTLSeconds: time.Duration(e.settings.AddressTTL).Seconds(),
+	}
+	for _, p := range e.peers.serving(time.Now()) {
+		answer.Addresses = append(answer.Addresses, rankedAddress{Name: p.Name, Address: p.Address, Zone: p.Zone, Load: p.load})
+	}
+	slices.SortStableFunc(answer.Addresses, func(a, b rankedAddress) int {
+		return cmp.Or(
+			cmp.Compare(rankZone(a, zone), rankZone(b, zone)),
+			cmp.Compare(int(a.Load/loadStep), int(b.Load/loadStep)),
+			cmp.Compare(spread(a.Name, r), spread(b.Name, r)),
+		)
+	})
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func rankZone(a rankedAddress, zone string) int {
+	if a.Zone == zone {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// Causes for ending an attempt from this side.
+var (
+	errStalled  = errors.New("no progress on the endpoint")
+	errFinished = errors.New("attempt finished")
+)
+
+const (
+	gateDialTimeout     = time.Second
+	gateIdlePerHost     = 64
+	gateIdleTimeout     = 30 * time.Second
+	maxHeaderBytes      = 64 << 10
+	gateKeepAlivePeriod = 5 * time.Second
+)
+
+// newGateClient returns the client for gates. With reuse false each request
+// gets its own connection: net/http resends a request with an Idempotency-Key
+// by itself when a reused connection fails, which a call that must run at most
+// once cannot allow.
+func newGateClient(reuse bool) *http.Client {
+	dialer := &net.Dialer{Timeout: gateDialTimeout, KeepAlive: gateKeepAlivePeriod}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			DisableKeepAlives:      !reuse,
+			MaxIdleConnsPerHost:    gateIdlePerHost,
+			IdleConnTimeout:        gateIdleTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// call is a caller's request on its way through the entry.
+type call struct {
+	ctx          context.Context
+	method       string
+	path         string // path and query, as the endpoint sees them
+	header       http.Header
+	body         []byte
+	organisation string
+	pool         string
+	stream       bool
+	engine       bool
+	fingerprint  string
+	alone        bool
+	affinity     uint64
+	priority     string
+	deadline     time.Time
+	arrived      time.Time
+
+	set     string // pinned weights set
+	exclude map[string]bool
+	tokens  int    // tokens that the caller already has
+	last    string // identifier of the last attempt
+	ran     bool   // an attempt may have started
+}
+
+func (c *call) low() bool {
+	n, err := strconv.Atoi(c.priority)
+	return err == nil && n < 0
+}
+
+// bodyToSend is the caller's body, with the token index once a stream resumes.
+func (c *call) bodyToSend() []byte {
+	if c.tokens == 0 {
+		return c.body
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(c.body, &fields) != nil {
+		return c.body
+	}
+	fields["resume_from_token"] = json.RawMessage(strconv.Itoa(c.tokens))
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		return c.body
+	}
+	return changed
+}
+
+// attempt is one try at running a call on one endpoint.
+type attempt struct {
+	id       string
+	endpoint string
+	gate     string
+	set      string
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	response *http.Response
+}
+
+// attemptFailure says why an attempt gave no whole answer.
+type attemptFailure struct {
+	reason outcome.Reason
+	result balancer.Result
+	// started is false only when it is proved that the attempt has not begun.
+	started bool
+	// lost is true when the connection broke while the attempt may have run.
+	lost bool
+	endpoint string
+}
+
+func (f *attemptFailure) refusedByGate() bool {
+	return f.result == balancer.Refused && !f.started
+}
+
+// open places a call on an endpoint and sends it. The answer's header has been
+// checked to belong to this attempt.
+func (e *Entry) open(c *call, client *http.Client) (*attempt, *attemptFailure) {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	a := &attempt{id: e.attempts.Next().String(), ctx: ctx, cancel: cancel}
+	choice, gate, ok := e.fleet.start(balancer.Request{
+		Pool: c.pool, Set: c.set, Affinity: c.affinity, Exclude: c.exclude, Low: c.low(),
+	}, a.id, c.stream, cancel, time.Now())
+	if !ok {
+		cancel(errFinished)
+		return nil, &attemptFailure{reason: outcome.NoEndpoint, result: balancer.Refused}
+	}
+	a.endpoint, a.set, a.gate = choice.ID, choice.Set, gate
+	c.last = a.id
+	failure := e.send(c, a, client)
+	if failure != nil {
+		e.end(a, failure.result)
+		return nil, failure
+	}
+	return a, nil
+}
+
+// end records how the attempt ended and releases its connection.
+func (e *Entry) end(a *attempt, result balancer.Result) {
+	a.cancel(errFinished)
+	if a.response != nil {
+		_ = a.response.Body.Close()
+	}
+	e.fleet.finish(a.endpoint, a.id, result, time.Now())
+}
+
+func (e *Entry) send(c *call, a *attempt, client *http.Client) *attemptFailure {
+	request, err := e.gateRequest(c, a)
+	if err != nil {
+		return &attemptFailure{reason: outcome.InvalidHeader, result: balancer.Cancelled, endpoint: a.endpoint}
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return a.transportFailure(err)
+	}
+	a.response = response
+	return e.checkHeader(c, a)
+}
+
+func (e *Entry) gateRequest(c *call, a *attempt) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(a.ctx, c.method, "http://"+a.gate+wire.PathGateForward+c.path, bytes.NewReader(c.bodyToSend()))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // no resend inside net/http
+	request.Header = c.header.Clone()
+	h := request.Header
+	h.Set("Authorization", "Bearer "+e.processToken.Secret())
+	h.Set(wire.HeaderAttempt, a.id)
+	setIf(h, wire.HeaderWeightsSet, a.set)
+	setIf(h, wire.HeaderFingerprint, c.fingerprint)
+	setIf(h, wire.HeaderPriority, c.priority)
+	setIf(h, wire.HeaderOrganisation, c.organisation)
+	if c.alone {
+		h.Set(wire.HeaderAlone, "true")
+	}
+	if c.tokens > 0 {
+		h.Set(wire.HeaderResumeFrom, strconv.Itoa(c.tokens))
+	}
+	h.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	return request, nil
+}
+
+func setIf(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// transportFailure classifies an error of the connection to the gate.
+func (a *attempt) transportFailure(err error) *attemptFailure {
+	f := &attemptFailure{reason: outcome.CutShort, result: balancer.Failed, started: true, lost: true, endpoint: a.endpoint}
+	cause := context.Cause(a.ctx)
+	var operation *net.OpError
+	switch {
+	case errors.Is(cause, errStalled):
+		f.reason, f.lost = outcome.Stalled, false
+	case errors.Is(cause, context.DeadlineExceeded):
+		f.reason, f.result, f.lost = outcome.Deadline, balancer.Cancelled, false
+	case cause != nil:
+		f.reason, f.result, f.lost = outcome.CallerGone, balancer.Cancelled, false
+	case errors.As(err, &operation) && operation.Op == "dial":
+		f.reason, f.started, f.lost = outcome.ConnectFailed, false, false
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			f.result = balancer.Unreachable
+		}
+	}
+	return f
+}
+
+// checkHeader decides from status and headers whether the answer is a refusal,
+// belongs to this attempt, and comes from the pinned weights set.
+func (e *Entry) checkHeader(c *call, a *attempt) *attemptFailure {
+	h := a.response.Header
+	if h.Get(wire.HeaderAttempt) != a.id {
+		e.metrics.drop(outcome.WrongAttempt)
+		return &attemptFailure{reason: outcome.WrongAttempt, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	if h.Get(wire.HeaderOutcome) == string(outcome.NotRun) {
+		f := &attemptFailure{reason: outcome.GateRefused, result: balancer.Refused, endpoint: a.endpoint}
+		if a.response.StatusCode == http.StatusConflict {
+			f.reason = outcome.SetNotLoaded
+		}
+		return f
+	}
+	if c.engine && a.response.StatusCode < http.StatusMultipleChoices && h.Get(wire.HeaderWeightsSet) != a.set {
+		e.metrics.drop(outcome.WrongSet)
+		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	if c.engine && a.response.StatusCode >= http.StatusInternalServerError {
+		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	return nil
+}
+
+// readWhole reads an answer to its end. A cut answer is an error.
+func (a *attempt) readWhole(limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(a.response.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, errors.New("answer is larger than the limit")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+const (
+	pathChat       = "/v1/chat/completions"
+	maxAnswerBytes = 32 << 20
+	// affinityBytes of the messages select the preferred endpoint: long enough
+	// to tell system prompts apart, short enough to be shared by a dialogue.
+	affinityBytes = 512
+	// maxAttempts bounds the attempts of one request that may have run.
+	maxAttempts = 4
+	// fullRetryInterval is the wait between looks for a free slot while all
+	// gates are full.
+	fullRetryInterval = 20 * time.Millisecond
+)
+
+// chatBody holds the fields of a request that the entry looks at.
+type chatBody struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+	c, refused := e.newChat(w, r)
+	if refused != nil {
+		e.refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	e.runChat(w, c)
+}
+
+// newChat checks a request and turns it into a call.
+func (e *Entry) newChat(w http.ResponseWriter, r *http.Request) (*call, *answerError) {
+	c, refused := e.newCall(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	if len(c.body) == 0 {
+		return nil, refusal(http.StatusBadRequest, outcome.EmptyBody, "the request body is empty; send a JSON object with model and messages")
+	}
+	var body chatBody
+	if err := json.Unmarshal(c.body, &body); err != nil {
+		return nil, refusal(http.StatusBadRequest, outcome.InvalidBody, "the request body is not valid: "+err.Error())
+	}
+	if body.Model == "" {
+		return nil, refusal(http.StatusBadRequest, outcome.MissingModel, "the request has no model field")
+	}
+	catalogue, known := e.directory.current()
+	if !known {
+		return nil, refusal(http.StatusServiceUnavailable, outcome.NoCatalogue,
+			"this entry has not yet received the catalogue from control").withRetryAfter(time.Second)
+	}
+	set, ok := catalogue.Resolve(body.Model)
+	if !ok {
+		return nil, refusal(http.StatusNotFound, outcome.UnknownModel, "no accepted release note lists the model "+strconv.Quote(body.Model))
+	}
+	c.path = pathChat
+	c.engine, c.stream = true, body.Stream
+	c.pool = set.Model.Name
+	c.affinity = balancer.Affinity(body.Messages[:min(len(body.Messages), affinityBytes)])
+	c.header = http.Header{"Content-Type": {"application/json"}, "Accept": r.Header.Values("Accept")}
+	return c, nil
+}
+
+// newCall reads what all kinds of call have in common.
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, *answerError) {
+	now := time.Now()
+	c := &call{
+		method: r.Method, organisation: r.Header.Get(wire.HeaderOrganisation),
+		priority: r.Header.Get(wire.HeaderPriority),
+		arrived:  now, deadline: now.Add(time.Duration(e.settings.Deadline)),
+		exclude: map[string]bool{},
+	}
+	if text := r.Header.Get(wire.HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return nil, refusal(http.StatusBadRequest, outcome.InvalidHeader, wire.HeaderDeadline+" is not a positive number of milliseconds")
+		}
+		c.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if c.priority != "" {
+		if _, err := strconv.Atoi(c.priority); err != nil {
+			return nil, refusal(http.StatusBadRequest, outcome.InvalidHeader, wire.HeaderPriority+" is not a whole number")
+		}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal(http.StatusRequestEntityTooLarge, outcome.BodyTooLarge,
+			"the request body is larger than "+strconv.FormatInt(e.settings.MaxBodyBytes, 10)+" bytes")
+	case err != nil:
+		return nil, refusal(http.StatusBadRequest, outcome.InvalidBody, "the request body could not be read")
+	}
+	c.body = body
+	return c, nil
+}
+
+// runChat runs attempts until one gives a whole answer or no further attempt
+// is allowed.
+func (e *Entry) runChat(w http.ResponseWriter, c *call) {
+	relay := &streamRelay{w: w, metrics: e.metrics, arrived: c.arrived}
+	for tries := 1; ; {
+		a, failure := e.open(c, e.client)
+		if failure == nil {
+			failure = e.relayChat(w, c, a, relay)
+		}
+		if failure == nil {
+			return
+		}
+		if failure.started {
+			c.ran = true
+			tries++
+		}
+		if final := e.afterFailure(c, failure, tries); final != nil {
+			e.giveUp(w, c, relay, final)
+			return
+		}
+	}
+}
+
+// afterFailure prepares the next attempt, or returns the final answer.
+func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
+	if c.ctx.Err() != nil {
+		if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+			return c.failed(http.StatusGatewayTimeout, outcome.Deadline, "the deadline has passed")
+		}
+		return c.failed(http.StatusServiceUnavailable, outcome.CallerGone, "the caller closed the connection")
+	}
+	if f.reason == outcome.NoEndpoint {
+		return e.awaitEndpoint(c)
+	}
+	if f.reason == outcome.SetNotLoaded && !c.ran {
+		c.set = "" // nothing ran, so the request may be pinned anew
+	}
+	if !f.refusedByGate() || f.reason == outcome.SetNotLoaded {
+		c.exclude[f.endpoint] = true
+	}
+	if tries > maxAttempts {
+		return c.failed(http.StatusBadGateway, outcome.RetriesExhausted, "attempts on several endpoints failed, the last one with "+string(f.reason))
+	}
+	e.metrics.retried(f.reason)
+	return nil
+}
+
+// awaitEndpoint waits a moment for a slot, or returns the final answer when
+// waiting is pointless.
+func (e *Entry) awaitEndpoint(c *call) *answerError {
+	if !e.fleet.serves(c.pool) {
+		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint serves this model now").withRetryAfter(time.Second)
+	}
+	if time.Since(c.arrived) > time.Duration(e.settings.QueueWait) {
+		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint for this model is free").withRetryAfter(time.Second)
+	}
+	clear(c.exclude)
+	select {
+	case <-time.After(fullRetryInterval):
+	case <-c.ctx.Done():
+	}
+	return nil
+}
+
+// failed is the final answer of a call without a whole result. It is "not run"
+// only when no attempt can have started.
+func (c *call) failed(status int, reason outcome.Reason, message string) *answerError {
+	o := outcome.Unknown
+	if !c.ran {
+		o = outcome.NotRun
+	}
+	return &answerError{status: status, outcome: o, reason: reason, message: message}
+}
+
+// relayChat passes the answer of one attempt on.
+func (e *Entry) relayChat(w http.ResponseWriter, c *call, a *attempt, relay *streamRelay) *attemptFailure {
+	c.set = a.set
+	if isEventStream(a.response.Header) {
+		return e.relayStream(c, a, relay)
+	}
+	if relay.begun {
+		// A stream cannot continue with an answer of another kind.
+		e.end(a, balancer.Failed)
+		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	return e.relayWhole(w, c, a)
+}
+
+// relayWhole passes on an answer that is not a stream, once it is complete.
+func (e *Entry) relayWhole(w http.ResponseWriter, c *call, a *attempt) *attemptFailure {
+	timer := time.AfterFunc(time.Duration(e.settings.PlainTimeout), func() { a.cancel(errStalled) })
+	defer timer.Stop()
+	data, err := a.readWhole(maxAnswerBytes)
+	if err != nil {
+		f := a.transportFailure(err)
+		e.end(a, f.result)
+		return f
+	}
+	if f := e.checkWhole(a, data); f != nil {
+		e.end(a, f.result)
+		return f
+	}
+	e.end(a, balancer.Completed)
+	h := w.Header()
+	h.Set(wire.HeaderOutcome, string(outcome.Done))
+	h.Set(wire.HeaderAttempt, a.id)
+	h.Set(wire.HeaderWeightsSet, a.set)
+	copyIf(h, a.response.Header, "Content-Type")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	e.metrics.answered(outcome.Done, "")
+	e.metrics.first.Observe(time.Since(c.arrived).Seconds())
+	w.WriteHeader(a.response.StatusCode)
+	_, _ = w.Write(data)
+	return nil
+}
+
+// checkWhole rejects an answer that is cut or from another weights set.
+func (e *Entry) checkWhole(a *attempt, data []byte) *attemptFailure {
+	if a.response.StatusCode >= http.StatusMultipleChoices {
+		return nil
+	}
+	var answer struct {
+		Fingerprint string `json:"system_fingerprint"`
+	}
+	if json.Unmarshal(data, &answer) != nil {
+		return &attemptFailure{reason: outcome.CutShort, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	if answer.Fingerprint != "" && answer.Fingerprint != a.set {
+		e.metrics.drop(outcome.WrongSet)
+		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	return nil
+}
+
+func copyIf(to, from http.Header, name string) {
+	if value := from.Get(name); value != "" {
+		to.Set(name, value)
+	}
+}
+
+// giveUp sends the final answer of a call without a whole result.
+func (e *Entry) giveUp(w http.ResponseWriter, c *call, relay *streamRelay, final *answerError) {
+	e.metrics.answered(final.outcome, final.reason)
+	if final.outcome == outcome.NotRun {
+		e.metrics.refused(final.reason)
+	}
+	if relay.begun {
+		relay.fail(final)
+		return
+	}
+	final.write(w, c.last)
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, refused *answerError) {
+	e.metrics.refused(refused.reason)
+	e.metrics.answered(refused.outcome, refused.reason)
+	refused.write(w, "")
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+const (
+	healthInterval    = 100 * time.Millisecond
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// proposer commits commands in the replicated log.
+type proposer interface {
+	Propose(ctx context.Context, cmd ledger.Command) (ledger.Result, error)
+}
+
+// Options are what an entry needs besides its settings.
+type Options struct {
+	Settings     Settings
+	ProcessToken auth.Token
+	CallerToken  auth.Token
+	Log          log.Interface
+	Registry     *prometheus.Registry
+	// Listener, when set, is used in place of Settings.Listen.
+	Listener net.Listener
+}
+
+// Entry is the caller-facing daemon.
+type Entry struct {
+	settings     Settings
+	processToken auth.Token
+	callerToken  auth.Token
+	log          log.Interface
+	registry     *prometheus.Registry
+	metrics      *entryMetrics
+
+	directory *directory
+	fleet     *fleet
+	peers     *peers
+	attempts  *outcome.Source
+	client    *http.Client
+	control   proposer
+
+	listener net.Listener
+	active   atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns an entry that is not connected yet.
+func New(o Options) *Entry {
+	now := time.Now()
+	s := o.Settings
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	return &Entry{
+		settings: s, processToken: o.ProcessToken, callerToken: o.CallerToken, log: o.Log,
+		registry:  o.Registry,
+		metrics:   newMetrics(o.Registry),
+		directory: newDirectory(),
+		fleet: newFleet(balancer.Config{
+			Zone: s.Zone, StallAfter: time.Duration(s.StallTimeout),
+			ProbeInterval: time.Duration(s.ProbeInterval), EjectedShare: s.EjectedShare,
+		}),
+		peers:    newPeers(s, now),
+		attempts: outcome.NewSource(s.Instance, uint64(now.UnixNano())),
+		client:   newGateClient(true),
+		listener: o.Listener,
+	}
+}
+
+// Handler serves callers and other entries.
+func (e *Entry) Handler() http.Handler {
+	router := mux.NewRouter().UseEncodedPath()
+	callers := router.NewRoute().Subrouter()
+	callers.Use(e.requireCaller, e.count)
+	callers.HandleFunc("/v1/addresses", e.serveAddresses).Methods(http.MethodGet)
+	callers.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
+	callers.HandleFunc(pathChat, e.serveChat).Methods(http.MethodPost)
+	callers.HandleFunc(pathServices+"{service}", e.serveService)
+	callers.HandleFunc(pathServices+"{service}/{path:.*}", e.serveService)
+	return router
+}
+
+func (e *Entry) requireCaller(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.callerToken.Allows(r) {
+			e.refuse(w, refusal(http.StatusUnauthorized, outcome.Unauthorized, "the bearer token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// count keeps the number of requests in progress, for draining.
+func (e *Entry) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		e.metrics.inFlight.Inc()
+		defer func() {
+			e.metrics.inFlight.Dec()
+			e.active.Add(-1)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// modelAnswer is one model in the answer to GET /v1/models.
+type modelAnswer struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request) {
+	catalogue, known := e.directory.current()
+	if !known {
+		e.refuse(w, refusal(http.StatusServiceUnavailable, outcome.NoCatalogue,
+			"this entry has not yet received the catalogue from control").withRetryAfter(time.Second))
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": listModels(catalogue)})
+}
+
+// Run serves until ctx ends, then drains.
+func (e *Entry) Run(ctx context.Context) error {
+	listener, err := e.listen()
+	if err != nil {
+		return err
+	}
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	client := e.newControlClient()
+	e.control = client
+	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	admin, err := e.startAdmin()
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { client.Run(background) })
+	wg.Go(func() { e.healthLoop(background) })
+	failed := make(chan error, 1)
+	wg.Go(func() { failed <- server.Serve(listener) })
+	e.log.WithField("listen", listener.Addr().String()).Info("entry.started")
+	select {
+	case <-ctx.Done():
+		e.drain(server)
+	case err = <-failed:
+	}
+	stopBackground()
+	_ = server.Close()
+	_ = admin.Close()
+	wg.Wait()
+	e.client.CloseIdleConnections()
+	e.log.Info("entry.stopped")
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return oops.In("entry").Wrap(err)
+}
+
+func (e *Entry) listen() (net.Listener, error) {
+	if e.listener != nil {
+		return e.listener, nil
+	}
+	listener, err := net.Listen("tcp", e.settings.Listen)
+	return listener, oops.In("entry").Wrap(err)
+}
+
+// drain leaves the address answers at once, serves until every answer that
+// names this entry has expired, and then finishes what is in progress.
+func (e *Entry) drain(server *http.Server) {
+	e.stopping.Store(true)
+	e.log.Info("entry.draining")
+	time.Sleep(time.Duration(e.settings.AddressTTL))
+	_ = server.Shutdown(context.Background())
+}
+
+func (e *Entry) startAdmin() (*http.Server, error) {
+	server := &http.Server{
+		Handler:           metrics.AdminHandler(e.registry, e.ready),
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	if e.settings.AdminListen == "" {
+		return server, nil
+	}
+	listener, err := net.Listen("tcp", e.settings.AdminListen)
+	if err != nil {
+		return nil, oops.In("entry").Wrap(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// ready says why the entry cannot serve yet.
+func (e *Entry) ready() error {
+	if e.stopping.Load() {
+		return errors.New("draining")
+	}
+	if _, known := e.directory.current(); !known {
+		return errors.New("no catalogue received from control")
+	}
+	return nil
+}
+
+func (e *Entry) newControlClient() *controlclient.Client {
+	var client *controlclient.Client
+	client = controlclient.New(controlclient.Config{
+		Name: e.settings.Instance, Token: e.processToken.Secret(), Replicas: e.settings.Controls,
+		Members: true, Revision: e.directory.revision,
+		OnCatalogue: func(replica string, c wire.Catalogue) {
+			if !e.directory.applyCatalogue(c) {
+				client.Resubscribe(replica)
+			}
+		},
+		OnMembers: func(replica string, m wire.Members) {
+			if !e.directory.applyMembers(replica, m) {
+				client.Resubscribe(replica)
+				return
+			}
+			e.fleet.update(e.directory.endpoints(), time.Now())
+		},
+		OnLost: func(replica string, err error) {
+			e.directory.replicaLost(replica)
+			e.log.WithField("replica", replica).WithError(err).Debug("control.session_lost")
+		},
+	})
+	return client
+}
+
+func (e *Entry) healthLoop(ctx context.Context) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, id := range e.fleet.check(now) {
+				e.log.WithField("endpoint", id).Warn("endpoint.ejected")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/entrytest/control.go
@@ -0,0 +1,202 @@
+package entrytest
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Control is a fake control replica that holds claims in memory.
+type Control struct {
+	Token string
+	// CommitDelay is the time that a commit takes.
+	CommitDelay time.Duration
+	// OnPropose, when set, may answer a command in place of the ledger.
+	OnPropose func(cmd ledger.Command) (wire.ProposeReply, bool)
+	// Apply answers commands. Default: Claims.
+	Apply func(cmd ledger.Command) ledger.Result
+
+	server   *httptest.Server
+	mu       sync.Mutex
+	sessions map[*transport.Session]bool
+	members  wire.Members
+	state    wire.Catalogue
+	commands []ledger.Command
+}
+
+// Start listens on loopback.
+func (c *Control) Start() *Control {
+	c.sessions = map[*transport.Session]bool{}
+	c.members = wire.Members{Epoch: 1}
+	if c.Apply == nil {
+		c.Apply = NewClaims().Apply
+	}
+	c.server = httptest.NewServer(&transport.Server{
+		Handler:   c.handle,
+		Authorize: func(r *http.Request) bool { return r.Header.Get("Authorization") == "Bearer "+c.Token },
+		Closed: func(s *transport.Session) {
+			c.mu.Lock()
+			delete(c.sessions, s)
+			c.mu.Unlock()
+		},
+	})
+	return c
+}
+
+// Close ends all sessions.
+func (c *Control) Close() {
+	c.mu.Lock()
+	for s := range c.sessions {
+		s.Close()
+	}
+	c.mu.Unlock()
+	c.server.CloseClientConnections()
+	c.server.Close()
+}
+
+// Address is the session address.
+func (c *Control) Address() string { return strings.TrimPrefix(c.server.URL, "http://") }
+
+// SetCatalogue sends a catalogue and the listed fingerprints to all entries.
+func (c *Control) SetCatalogue(catalogue release.Catalogue, listed ...wire.QuarantinedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = wire.Catalogue{Revision: catalogue.Revision, Digest: catalogue.Digest(), Full: &catalogue, Quarantined: listed}
+	for s := range c.sessions {
+		_ = s.Send(c.state)
+	}
+}
+
+// SetMembers sends the whole endpoint table to all entries.
+func (c *Control) SetMembers(table ...wire.Announce) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members.Version++
+	c.members.Updated = table
+	for s := range c.sessions {
+		_ = s.Send(c.members)
+	}
+}
+
+// Commands returns the commands committed so far.
+func (c *Control) Commands() []ledger.Command {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]ledger.Command(nil), c.commands...)
+}
+
+func (c *Control) handle(_ context.Context, s *transport.Session, env wire.Envelope) {
+	switch env.Type {
+	case wire.TypeSubscribe:
+		c.mu.Lock()
+		c.sessions[s] = true
+		if c.state.Full != nil {
+			_ = s.Send(c.state)
+		}
+		_ = s.Send(c.members)
+		c.mu.Unlock()
+	case wire.TypePropose:
+		var propose wire.Propose
+		if env.Into(&propose) == nil {
+			go c.commit(s, env, propose)
+		}
+	}
+}
+
+func (c *Control) commit(s *transport.Session, env wire.Envelope, propose wire.Propose) {
+	var cmd ledger.Command
+	if wire.Unmarshal(propose.Command, &cmd) != nil {
+		return
+	}
+	time.Sleep(c.CommitDelay)
+	if c.OnPropose != nil {
+		if reply, answered := c.OnPropose(cmd); answered {
+			if reply.Status != "" {
+				_ = s.Reply(env, reply)
+			}
+			return
+		}
+	}
+	c.mu.Lock()
+	cmd.AtMs = time.Now().UnixMilli()
+	c.commands = append(c.commands, cmd)
+	result := c.Apply(cmd)
+	c.mu.Unlock()
+	data, err := wire.Marshal(result)
+	if err == nil {
+		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeCommitted, Result: data})
+	}
+}
+
+// Claims is the part of a ledger that holds claims.
+type Claims struct {
+	mu     sync.Mutex
+	claims map[string]*claim
+}
+
+type claim struct {
+	digest   release.Digest
+	owner    string
+	complete *ledger.Complete
+}
+
+// keyRetention is how long a key may be old.
+const keyRetention = 24 * time.Hour
+
+// NewClaims returns an empty ledger of claims.
+func NewClaims() *Claims { return &Claims{claims: map[string]*claim{}} }
+
+// Apply answers claims and completions; it accepts every other command.
+func (l *Claims) Apply(cmd ledger.Command) ledger.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case cmd.Claim != nil:
+		return l.claim(cmd.AtMs, *cmd.Claim)
+	case cmd.Complete != nil:
+		return l.complete(*cmd.Complete)
+	}
+	return ledger.Result{Status: ledger.StatusAccepted}
+}
+
+func (l *Claims) claim(atMs int64, c ledger.Claim) ledger.Result {
+	if c.KeyTimeMs != 0 && atMs-c.KeyTimeMs > keyRetention.Milliseconds() {
+		return ledger.Result{Status: ledger.StatusExpired}
+	}
+	id := c.Organisation + "/" + c.Key
+	held := l.claims[id]
+	switch {
+	case held == nil:
+		l.claims[id] = &claim{digest: c.RequestDigest, owner: c.Owner}
+		return ledger.Result{Status: ledger.StatusAccepted, Owner: c.Owner}
+	case held.digest != c.RequestDigest:
+		return ledger.Result{Status: ledger.StatusConflict}
+	case held.complete != nil:
+		return ledger.Result{Status: ledger.StatusCompleted, Owner: held.owner, Complete: held.complete}
+	case held.owner == c.Owner:
+		return ledger.Result{Status: ledger.StatusAccepted, Owner: c.Owner}
+	}
+	return ledger.Result{Status: ledger.StatusDuplicate, Owner: held.owner}
+}
+
+func (l *Claims) complete(c ledger.Complete) ledger.Result {
+	id := c.Organisation + "/" + c.Key
+	held := l.claims[id]
+	if held == nil || held.owner != c.Owner || held.complete != nil {
+		return ledger.Result{Status: ledger.StatusRefused}
+	}
+	if c.Outcome == "not-run" {
+		delete(l.claims, id)
+	} else {
+		held.complete = &c
+	}
+	return ledger.Result{Status: ledger.StatusAccepted}
+}
--- /dev/null
+++ b/internal/entry/entrytest/gate.go
@@ -0,0 +1,419 @@
+// Package entrytest has fakes of what an entry talks to, gates and control,
+// at their network interfaces. Tests and measurements use it.
+package entrytest
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Fault is what a gate does wrong with one attempt.
+type Fault struct {
+	// Step at which Kind strikes: one of the Step constants.
+	Step string
+	Kind string
+	// Token is the token before which StepToken strikes.
+	Token int
+}
+
+// Steps of an attempt at the gate.
+const (
+	StepReceived = "received" // before the attempt counts as started
+	StepStarted  = "started"  // before the answer's header
+	StepHeader   = "header"   // after the header, before the first token
+	StepToken    = "token"    // before token Fault.Token
+	StepLast     = "last"     // after the last token, before the end marker
+)
+
+// Kinds of fault.
+const (
+	Kill        = "kill"         // the connection closes
+	Stall       = "stall"        // nothing further is sent
+	EndEarly    = "end-early"    // the answer ends cleanly but is not whole
+	EngineError = "engine-error" // status 500
+	Refuse      = "refuse"       // status 503, not run
+	SetMissing  = "set-missing"  // status 409, not run
+	Crossed     = "crossed"      // the answer of another attempt
+	WrongSet    = "wrong-set"    // the answer of another weights set
+	ErrorEvent  = "error-event"  // an error in the stream, then a clean end
+	Duplicate   = "duplicate"    // the last token and the end marker come twice
+)
+
+// Gate is a fake gate with its engine or service.
+type Gate struct {
+	ID, Zone, Model, Set string
+	Service              string
+	Capacity             int
+	FirstToken, PerToken time.Duration
+	Tokens               int
+	ReportLag            time.Duration
+	// Fault, when set, is asked once for each attempt.
+	Fault func(r *http.Request, body string) Fault
+
+	server *httptest.Server
+
+	mu         sync.Mutex
+	inFlight   int
+	reported   int
+	reportedAt time.Time
+	sequence   uint64
+	states     map[string]string
+	executed   map[string]int
+	total      int
+	served     int
+	peak       int
+	alone      int
+	probes     int
+	stopped    chan struct{}
+}
+
+// Start listens on loopback.
+func (g *Gate) Start() *Gate {
+	g.states, g.executed = map[string]string{}, map[string]int{}
+	g.stopped = make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc(wire.PathGateForward+"/", g.forward)
+	mux.HandleFunc(wire.PathGateAttempts, g.attempts)
+	g.server = httptest.NewServer(mux)
+	return g
+}
+
+// Close ends the gate. Connections in use are cut.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	select {
+	case <-g.stopped:
+		g.mu.Unlock()
+		return
+	default:
+		close(g.stopped)
+	}
+	g.mu.Unlock()
+	g.server.CloseClientConnections()
+	g.server.Close()
+}
+
+// Announce is the gate's announcement, with a load that lags by ReportLag.
+func (g *Gate) Announce() wire.Announce {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now := time.Now(); now.Sub(g.reportedAt) >= g.ReportLag {
+		g.reported, g.reportedAt = g.inFlight, now
+		g.sequence++
+	}
+	a := wire.Announce{
+		Endpoint: g.ID, Incarnation: 1, Sequence: g.sequence, Kind: wire.KindEngine, Zone: g.Zone, Region: "r1",
+		GateAddress: g.Address(), InFlight: g.reported, Capacity: g.Capacity, Ready: true, Confirmed: true,
+	}
+	if g.Service != "" {
+		a.Kind, a.Service = wire.KindService, g.Service
+	} else {
+		a.Sets = []wire.LoadedSet{{Model: g.Model, Version: "1", SetID: g.Set}}
+	}
+	return a
+}
+
+// Address is the gate's IP and port.
+func (g *Gate) Address() string { return strings.TrimPrefix(g.server.URL, "http://") }
+
+// Executions returns how often the service ran for an idempotency key.
+func (g *Gate) Executions(key string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.executed[key]
+}
+
+// Counts returns the attempts started, how many of them ran alone, the highest
+// number in flight and the probes among them.
+func (g *Gate) Counts() (started, alone, peak, probes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.total, g.alone, g.peak, g.probes
+}
+
+// State returns the state of an attempt.
+func (g *Gate) State(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.states[id]
+}
+
+func (g *Gate) attempts(w http.ResponseWriter, r *http.Request) {
+	id := strings.TrimPrefix(r.URL.Path, wire.PathGateAttempts)
+	g.mu.Lock()
+	state, known := g.states[id]
+	if !known {
+		state = "unknown"
+		if r.Method == http.MethodPost {
+			state = "fenced"
+			g.states[id] = state
+		}
+	}
+	g.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{"state": state})
+}
+
+// admit starts an attempt, or gives the status of a refusal.
+func (g *Gate) admit(id string, alone bool, fault Fault) (status int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.states[id] != "":
+		return http.StatusServiceUnavailable
+	case fault.Kind == SetMissing:
+		g.states[id] = "refused"
+		return http.StatusConflict
+	case fault.Kind == Refuse, g.inFlight >= g.Capacity, alone && g.inFlight > 0:
+		g.states[id] = "refused"
+		return http.StatusServiceUnavailable
+	}
+	g.states[id] = "running"
+	g.inFlight++
+	g.total++
+	if alone {
+		g.alone++
+	}
+	g.peak = max(g.peak, g.inFlight)
+	return 0
+}
+
+func (g *Gate) leave(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if g.states[id] == "running" {
+		g.states[id] = "failed"
+	}
+}
+
+func (g *Gate) finish(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.states[id] = "done"
+	g.served++
+}
+
+func (g *Gate) forward(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	var fault Fault
+	if g.Fault != nil {
+		fault = g.Fault(r, string(data))
+	}
+	id := r.Header.Get(wire.HeaderAttempt)
+	w.Header().Set(wire.HeaderAttempt, id)
+	if fault.Step == StepReceived && fault.Kind != Refuse && fault.Kind != SetMissing {
+		g.strike(w, r, fault)
+	}
+	if status := g.admit(id, r.Header.Get(wire.HeaderAlone) != "", fault); status != 0 {
+		w.Header().Set(wire.HeaderOutcome, "not-run")
+		w.Header().Set(wire.HeaderReason, "capacity")
+		w.WriteHeader(status)
+		return
+	}
+	defer g.leave(id)
+	if g.Service != "" {
+		g.serveCall(w, r, id, fault)
+		return
+	}
+	g.serveChat(w, r, id, data, fault)
+}
+
+// strike carries out a kill or a stall.
+func (g *Gate) strike(w http.ResponseWriter, r *http.Request, fault Fault) {
+	if fault.Kind == Stall {
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-g.stopped:
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (g *Gate) serveCall(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
+	time.Sleep(g.FirstToken)
+	g.mu.Lock()
+	key := r.Header.Get(wire.HeaderIdempotencyKey)
+	g.executed[key]++
+	n := g.executed[key]
+	g.mu.Unlock()
+	if fault.Step == StepStarted {
+		g.strike(w, r, fault)
+	}
+	answer := fmt.Sprintf(`{"key":%q,"execution":%d,"endpoint":%q,"path":%q}`, key, n, g.ID, r.URL.RequestURI())
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault.Step == StepLast {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		g.strike(w, r, fault)
+	}
+	g.finish(id)
+	_, _ = io.WriteString(w, answer)
+}
+
+type chatRequest struct {
+	Stream     bool `json:"stream"`
+	MaxTokens  int  `json:"max_tokens"`
+	ResumeFrom int  `json:"resume_from_token"`
+}
+
+func (g *Gate) serveChat(w http.ResponseWriter, r *http.Request, id string, data []byte, fault Fault) {
+	var request chatRequest
+	if err := json.Unmarshal(data, &request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	tokens := g.Tokens
+	if request.MaxTokens > 0 {
+		tokens = min(tokens, request.MaxTokens)
+	}
+	if request.MaxTokens == 1 {
+		g.mu.Lock()
+		g.probes++
+		g.mu.Unlock()
+	}
+	set := g.Set
+	switch fault.Kind {
+	case Crossed:
+		w.Header().Set(wire.HeaderAttempt, "other.1.1")
+	case EngineError:
+		w.Header().Set(wire.HeaderOutcome, "unknown")
+		http.Error(w, "engine failed", http.StatusInternalServerError)
+		return
+	case WrongSet:
+		if fault.Step == StepHeader {
+			set = "sha256:other"
+		}
+	}
+	if fault.Step == StepStarted {
+		g.strike(w, r, fault)
+	}
+	if !g.sleep(r, g.FirstToken) {
+		return
+	}
+	w.Header().Set(wire.HeaderWeightsSet, set)
+	if !request.Stream {
+		g.whole(w, r, id, tokens, fault)
+		return
+	}
+	g.stream(w, r, id, request.ResumeFrom, tokens, fault)
+}
+
+func (g *Gate) sleep(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-g.stopped:
+		return false
+	}
+}
+
+func (g *Gate) whole(w http.ResponseWriter, r *http.Request, id string, tokens int, fault Fault) {
+	if !g.sleep(r, time.Duration(tokens)*g.PerToken) {
+		return
+	}
+	set := g.Set
+	if fault.Kind == WrongSet {
+		set = "sha256:other"
+	}
+	answer := fmt.Sprintf(`{"object":"chat.completion","system_fingerprint":%q,"choices":[{"message":{"content":%q},"finish_reason":"stop"}]}`,
+		set, Text(tokens))
+	w.Header().Set("Content-Type", "application/json")
+	if fault.Step == StepToken || fault.Step == StepLast {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		if fault.Kind != EndEarly {
+			_ = http.NewResponseController(w).Flush()
+			g.strike(w, r, fault)
+		}
+		return
+	}
+	g.finish(id)
+	_, _ = io.WriteString(w, answer)
+}
+
+// Text is the whole answer of n tokens.
+func Text(n int) string {
+	var text strings.Builder
+	for i := range n {
+		fmt.Fprintf(&text, "t%d ", i)
+	}
+	return text.String()
+}
+
+func (g *Gate) stream(w http.ResponseWriter, r *http.Request, id string, from, tokens int, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	event := func(i int, set string) {
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"t%d \"},\"finish_reason\":null}]}\n\n", id, set, i)
+		_ = flush()
+	}
+	if fault.Step == StepHeader {
+		_ = flush()
+		g.strike(w, r, fault)
+	}
+	for i := from; i < tokens; i++ {
+		if i > from && !g.sleep(r, g.PerToken) {
+			return
+		}
+		if fault.Step == StepToken && i >= fault.Token {
+			if g.tokenFault(w, r, fault, i, event) {
+				return
+			}
+		}
+		event(i, g.Set)
+	}
+	if fault.Step == StepLast {
+		switch fault.Kind {
+		case EndEarly:
+			return
+		case Duplicate:
+			event(tokens-1, g.Set)
+		default:
+			g.strike(w, r, fault)
+		}
+	}
+	g.finish(id)
+	_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", id, g.Set)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	if fault.Kind == Duplicate {
+		event(tokens-1, g.Set)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}
+}
+
+// tokenFault carries out a fault in the middle of a stream and reports whether
+// the stream is over.
+func (g *Gate) tokenFault(w http.ResponseWriter, r *http.Request, fault Fault, i int, event func(int, string)) bool {
+	switch fault.Kind {
+	case EndEarly:
+		return true
+	case WrongSet:
+		event(i, "sha256:other")
+		return true
+	case ErrorEvent:
+		_, _ = io.WriteString(w, "data: {\"error\":{\"message\":\"engine failed\"}}\n\n")
+		return true
+	case Kill:
+		_, _ = io.WriteString(w, "data: {\"system_finger") // a cut event
+		_ = http.NewResponseController(w).Flush()
+	}
+	g.strike(w, r, fault)
+	return true
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testToken = "token-for-tests-only"
+	testModel = "quote-large"
+	testSet   = "sha256:set-one"
+)
+
+// cluster is one fake control, fake gates and real entries.
+type cluster struct {
+	t       *testing.T
+	is      *is.I
+	control *entrytest.Control
+	gates   []*entrytest.Gate
+	entries []*testEntry
+}
+
+type testEntry struct {
+	*Entry
+	url  string
+	stop func()
+}
+
+func readTestToken(t *testing.T) auth.Token {
+	path := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(path, []byte(testToken), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	token, err := auth.ReadToken(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return token
+}
+
+func testCatalogue() release.Catalogue {
+	c := release.NewCatalogue()
+	c.Revision = 1
+	c.Models[testModel] = release.Model{Name: testModel, Version: "1", Role: "quote"}
+	c.Adapters["council"] = release.Adapter{Name: "council", Base: testModel, Version: "1"}
+	return c
+}
+
+func engineGate(id string) *entrytest.Gate {
+	return &entrytest.Gate{ID: id, Zone: "z1", Model: testModel, Set: testSet, Capacity: 8, Tokens: 6, PerToken: 2 * time.Millisecond}
+}
+
+func serviceGate(id string) *entrytest.Gate {
+	return &entrytest.Gate{ID: id, Zone: "z1", Service: "orders", Capacity: 8}
+}
+
+// newCluster starts control and gates and announces them.
+func newCluster(t *testing.T, gates ...*entrytest.Gate) *cluster {
+	c := &cluster{t: t, is: is.New(t), control: &entrytest.Control{Token: testToken}, gates: gates}
+	c.control.Start()
+	t.Cleanup(c.control.Close)
+	for _, g := range gates {
+		g.Start()
+		t.Cleanup(g.Close)
+	}
+	c.control.SetCatalogue(testCatalogue())
+	c.announce()
+	return c
+}
+
+func (c *cluster) announce() {
+	var table []wire.Announce
+	for _, g := range c.gates {
+		table = append(table, g.Announce())
+	}
+	c.control.SetMembers(table...)
+}
+
+// addEntry starts an entry and waits until it knows catalogue and endpoints.
+func (c *cluster) addEntry(change ...func(*Settings)) *testEntry {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.is.NoErr(err)
+	s := DefaultSettings()
+	s.Instance, s.Zone, s.Region = "entry-"+string(rune('a'+len(c.entries))), "z1", "r1"
+	s.Advertise, s.Controls = listener.Addr().String(), []string{c.control.Address()}
+	s.AddressTTL, s.StallTimeout = Duration(100*time.Millisecond), Duration(300*time.Millisecond)
+	for _, f := range change {
+		f(&s)
+	}
+	token := readTestToken(c.t)
+	e := New(Options{
+		Settings: s, ProcessToken: token, CallerToken: token, Listener: listener,
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	})
+	ctx, cancel := context.WithCancel(c.t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	stopped := false
+	te := &testEntry{Entry: e, url: "http://" + listener.Addr().String(), stop: func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			if err := <-ended; err != nil {
+				c.t.Error(err)
+			}
+		}
+	}}
+	c.t.Cleanup(te.stop)
+	c.entries = append(c.entries, te)
+	c.eventually("entry knows its endpoints", func() bool {
+		_, known := e.directory.current()
+		return known && len(e.directory.endpoints()) == len(c.gates)
+	})
+	return te
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatal("never happened: " + what)
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	text    string // content of a stream's events
+	done    bool   // the stream had its end marker
+	failed  string // code of the stream's error event
+	err     error
+}
+
+func (a answer) outcome() string {
+	if o := a.header.Get(wire.HeaderOutcome); o != "" {
+		return o
+	}
+	return a.trailer.Get(wire.HeaderOutcome)
+}
+
+func (a answer) reason() string {
+	if r := a.header.Get(wire.HeaderReason); r != "" {
+		return r
+	}
+	return a.trailer.Get(wire.HeaderReason)
+}
+
+var testClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (e *testEntry) do(method, path, body string, header ...string) answer {
+	request, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := testClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := answer{status: response.StatusCode, header: response.Header}
+	data, err := io.ReadAll(response.Body)
+	a.body, a.err, a.trailer = string(data), err, response.Trailer
+	if isEventStream(response.Header) {
+		a.readEvents()
+	}
+	return a
+}
+
+func (a *answer) readEvents() {
+	events := newEventReader(bufio.NewReader(strings.NewReader(a.body)))
+	for {
+		_, data, err := events.next()
+		if err != nil {
+			return
+		}
+		if string(data) == endMarker {
+			a.done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Error struct {
+				Code string `json:"code"`
+			} `json:"error"`
+		}
+		if json.Unmarshal(data, &chunk) != nil {
+			a.failed = "not JSON"
+			return
+		}
+		a.failed += chunk.Error.Code
+		if len(chunk.Choices) > 0 {
+			a.text += chunk.Choices[0].Delta.Content
+		}
+	}
+}
+
+func chatText(stream bool, content string) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": testModel, "stream": stream, "messages": []map[string]string{{"role": "user", "content": content}},
+	})
+	return string(data)
+}
+
+func (e *testEntry) chat(stream bool, content string, header ...string) answer {
+	return e.do(http.MethodPost, pathChat, chatText(stream, content), header...)
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+type entryMetrics struct {
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	dropped  *prometheus.CounterVec
+	resumed  prometheus.Counter
+	inFlight prometheus.Gauge
+	first    prometheus.Histogram
+	claims   prometheus.Histogram
+}
+
+func newMetrics(registry prometheus.Registerer) *entryMetrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: "entry", Name: name, Help: help,
+		}, labels)
+	}
+	histogram := func(name, help string, buckets []float64) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metrics.Namespace, Subsystem: "entry", Name: name, Help: help, Buckets: buckets,
+		})
+	}
+	m := &entryMetrics{
+		answers:  counter("answers_total", "Answers to callers by outcome and reason.", "outcome", "reason"),
+		refusals: counter("refusals_total", "Requests refused before dispatch, by reason.", "reason"),
+		retries:  counter("retries_total", "Attempts repeated on another endpoint, by reason.", "reason"),
+		dropped:  counter("dropped_answers_total", "Answers of endpoints dropped as not belonging to the attempt, by reason.", "reason"),
+		resumed: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: "entry", Name: "streams_resumed_total",
+			Help: "Streams continued on another endpoint after their first token.",
+		}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Subsystem: "entry", Name: "requests_in_flight",
+			Help: "Requests of callers in progress.",
+		}),
+		first:  histogram("first_token_seconds", "Time from a request's arrival to its first event.", prometheus.ExponentialBuckets(0.01, 1.6, 14)),
+		claims: histogram("claim_seconds", "Time to commit a claim.", prometheus.ExponentialBuckets(0.001, 2, 12)),
+	}
+	if registry != nil {
+		registry.MustRegister(m.answers, m.refusals, m.retries, m.dropped, m.resumed, m.inFlight, m.first, m.claims)
+	}
+	return m
+}
+
+func (m *entryMetrics) answered(o outcome.Outcome, r outcome.Reason) {
+	m.answers.WithLabelValues(string(o), string(r)).Inc()
+}
+
+func (m *entryMetrics) refused(r outcome.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
+func (m *entryMetrics) retried(r outcome.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
+func (m *entryMetrics) drop(r outcome.Reason)    { m.dropped.WithLabelValues(string(r)).Inc() }
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+const (
+	streamContentType = "text/event-stream"
+	dataPrefix        = "data:"
+	endMarker         = "[DONE]"
+	maxEventBytes     = 1 << 20
+	streamBufferBytes = 16 << 10
+)
+
+var errEventTooLarge = errors.New("event is larger than the limit")
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), streamContentType)
+}
+
+// eventReader splits a stream into events. Only events ended by an empty line
+// are returned, so a cut event never reaches a caller.
+type eventReader struct {
+	r *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{bufio.NewReaderSize(r, streamBufferBytes)}
+}
+
+// next returns one event with its closing empty line, and its data.
+func (er *eventReader) next() (raw, data []byte, err error) {
+	for {
+		line, err := er.line(maxEventBytes - len(raw))
+		if err != nil {
+			return nil, nil, err
+		}
+		raw = append(raw, line...)
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			if len(bytes.TrimSpace(raw)) == 0 {
+				raw = nil // empty lines between events
+				continue
+			}
+			return raw, data, nil
+		}
+		if rest, ok := bytes.CutPrefix(text, []byte(dataPrefix)); ok {
+			if data != nil {
+				data = append(data, '\n')
+			}
+			data = append(data, bytes.TrimPrefix(rest, []byte(" "))...)
+		}
+	}
+}
+
+func (er *eventReader) line(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := er.r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// chatChunk holds the fields of an event that the entry looks at.
+type chatChunk struct {
+	ID          string `json:"id"`
+	Fingerprint string `json:"system_fingerprint"`
+	Choices     []struct {
+		Delta        json.RawMessage `json:"delta"`
+		FinishReason *string         `json:"finish_reason"`
+	} `json:"choices"`
+	Error json.RawMessage `json:"error"`
+}
+
+func (c chatChunk) finished() bool {
+	return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil
+}
+
+// token reports whether the event carries generated text or a tool call.
+func (c chatChunk) token() bool {
+	if len(c.Choices) == 0 {
+		return false
+	}
+	var delta map[string]json.RawMessage
+	if json.Unmarshal(c.Choices[0].Delta, &delta) != nil {
+		return false
+	}
+	for name, value := range delta {
+		text := string(value)
+		if name != "role" && text != "null" && text != `""` {
+			return true
+		}
+	}
+	return false
+}
+
+// streamRelay writes one stream to a caller, from one or more attempts.
+type streamRelay struct {
+	w        http.ResponseWriter
+	metrics  *entryMetrics
+	arrived  time.Time
+	begun    bool
+	finished bool // the event with finish_reason has been passed on
+	attempts int
+	id       string // of the first attempt's events, kept on a resume
+}
+
+func (s *streamRelay) begin(a *attempt) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	h := s.w.Header()
+	h.Set("Content-Type", streamContentType)
+	h.Set("Cache-Control", "no-cache")
+	h.Set(wire.HeaderAttempt, a.id)
+	h.Set(wire.HeaderWeightsSet, a.set)
+	// The outcome is known only at the end of a stream.
+	h.Set("Trailer", wire.HeaderOutcome+", "+wire.HeaderReason)
+	s.metrics.first.Observe(time.Since(s.arrived).Seconds())
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamRelay) write(event []byte) error {
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// done ends the stream as whole.
+func (s *streamRelay) done(event []byte) error {
+	err := s.write(event)
+	s.w.Header().Set(wire.HeaderOutcome, string(outcome.Done))
+	return err
+}
+
+// fail ends the stream with an error event and without the end marker.
+func (s *streamRelay) fail(final *answerError) {
+	data, err := json.Marshal(final.body())
+	if err != nil {
+		return
+	}
+	_ = s.write([]byte(dataPrefix + " " + string(data) + "\n\n"))
+	s.w.Header().Set(wire.HeaderOutcome, string(final.outcome))
+	s.w.Header().Set(wire.HeaderReason, string(final.reason))
+}
+
+// relayStream passes the events of one attempt on until the end marker.
+func (e *Entry) relayStream(c *call, a *attempt, relay *streamRelay) *attemptFailure {
+	relay.attempts++
+	events := newEventReader(a.response.Body)
+	for {
+		raw, data, err := events.next()
+		if err != nil {
+			f := a.transportFailure(err)
+			e.end(a, f.result)
+			return f
+		}
+		e.fleet.progress(a.endpoint, a.id, time.Now())
+		if string(data) == endMarker {
+			e.end(a, balancer.Completed)
+			relay.begin(a)
+			_ = relay.done(raw)
+			e.metrics.answered(outcome.Done, "")
+			return nil
+		}
+		if f := e.relayEvent(c, a, relay, raw, data); f != nil {
+			e.end(a, f.result)
+			return f
+		}
+	}
+}
+
+// relayEvent checks one event and passes it on.
+func (e *Entry) relayEvent(c *call, a *attempt, relay *streamRelay, raw, data []byte) *attemptFailure {
+	if data == nil {
+		return nil // comments keep a connection open and carry nothing
+	}
+	var chunk chatChunk
+	if json.Unmarshal(data, &chunk) != nil || len(chunk.Error) > 0 && string(chunk.Error) != "null" {
+		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	if chunk.Fingerprint != "" && chunk.Fingerprint != a.set {
+		e.metrics.drop(outcome.WrongSet)
+		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	}
+	if relay.finished && (chunk.finished() || chunk.token()) {
+		return nil // repeated by an attempt resumed after the last token
+	}
+	if relay.attempts > 1 {
+		raw = withID(raw, data, relay.id)
+	} else if relay.id == "" {
+		relay.id = chunk.ID
+	}
+	relay.begin(a)
+	if err := relay.write(raw); err != nil {
+		return &attemptFailure{reason: outcome.CallerGone, result: balancer.Cancelled, started: true, endpoint: a.endpoint}
+	}
+	if chunk.token() {
+		c.tokens++
+	}
+	relay.finished = relay.finished || chunk.finished()
+	return nil
+}
+
+// withID gives an event of a resumed stream the identifier of the first part.
+func withID(raw, data []byte, id string) []byte {
+	var fields map[string]json.RawMessage
+	if id == "" || json.Unmarshal(data, &fields) != nil {
+		return raw
+	}
+	quoted, err := json.Marshal(id)
+	if err != nil {
+		return raw
+	}
+	fields["id"] = quoted
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		return raw
+	}
+	return []byte(dataPrefix + " " + string(changed) + "\n\n")
+}
--- /dev/null
+++ b/outcome/reason.go
@@ -0,0 +1,49 @@
+package outcome
+
+// Reason says why a request was refused, retried or ended without a whole
+// answer. Values appear in headers and metric labels and stay stable.
+type Reason string
+
+// Reasons for refusing a request.
+const (
+	EmptyBody         Reason = "empty-body"
+	InvalidBody       Reason = "invalid-body"
+	BodyTooLarge      Reason = "body-too-large"
+	MissingModel      Reason = "missing-model"
+	UnknownModel      Reason = "unknown-model"
+	UnknownService    Reason = "unknown-service"
+	InvalidHeader     Reason = "invalid-header"
+	Unauthorized      Reason = "unauthorized"
+	NoCatalogue       Reason = "no-catalogue"
+	NoEndpoint        Reason = "no-endpoint"
+	OverShare         Reason = "over-share"
+	OverLimit         Reason = "over-limit"
+	DeadlineTooShort  Reason = "deadline-too-short"
+	Quarantined       Reason = "quarantined"
+	SuspectBusy       Reason = "suspect-busy"
+	MissingKey        Reason = "missing-key"
+	KeyConflict       Reason = "key-conflict"
+	KeyExpired        Reason = "key-expired"
+	ClaimsUnavailable Reason = "claims-unavailable"
+	OwnerLost         Reason = "owner-lost"
+	StillRunning      Reason = "still-running"
+	CallerGone        Reason = "caller-gone"
+	RetriesExhausted  Reason = "retries-exhausted"
+	RetryBudget       Reason = "retry-budget"
+	SetGone           Reason = "weights-set-gone"
+	Stopping          Reason = "stopping"
+)
+
+// Reasons for ending an attempt, and for retrying when the request allows it.
+const (
+	GateRefused   Reason = "gate-refused"
+	SetNotLoaded  Reason = "set-not-loaded"
+	ConnectFailed Reason = "connect-failed"
+	CutShort      Reason = "cut-short"
+	Stalled       Reason = "stalled"
+	Deadline      Reason = "deadline"
+	EngineError   Reason = "engine-error"
+	WrongAttempt  Reason = "wrong-attempt"
+	WrongSet      Reason = "wrong-set"
+	RepeatedToken Reason = "repeated-token"
+)
