Add admission and quarantine cores

Package admission divides a pool's slots fairly by organisation over all entries and refuses at once what would come too late. Package quarantine fingerprints requests and decides how suspects run.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,341 @@
+package admission
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultQueueWait = 2 * time.Second
+	DefaultMaxQueue  = 1000
+)
+
+const (
+	// serviceSmoothing is the weight of a new sample in the mean service time.
+	serviceSmoothing = 0.05
+	// minRetryAfter is the shortest time after which a refused caller is told
+	// to come back.
+	minRetryAfter = time.Second
+)
+
+// Limit overrides the defaults of one organisation.
+type Limit struct {
+	// Weight is the part in a fair division. Default 1.
+	Weight float64
+	// MaxInFlight limits requests in progress over all entries. Default 0,
+	// which means no limit.
+	MaxInFlight int
+}
+
+// Config configures a Controller. Zero fields get their defaults.
+type Config struct {
+	// Entry is the name under which this entry's own report is counted.
+	Entry string
+	// QueueWait is the longest expected wait that is accepted. Default 2 s.
+	// Longer gives fewer refusals and later answers under overload.
+	QueueWait time.Duration
+	// MaxQueue bounds the waiting requests of one organisation. Default 1000.
+	MaxQueue int
+	// Limits holds overrides by organisation.
+	Limits map[string]Limit
+}
+
+// Cause says why a request was refused.
+type Cause string
+
+// Causes of a refusal.
+const (
+	OverShare Cause = "over-share" // the organisation's share is in use and its queue too long
+	OverLimit Cause = "over-limit" // the organisation's own limit is in use
+	Deadline  Cause = "deadline-too-short"
+	NoSlots   Cause = "no-endpoint"
+)
+
+// Refusal is a final answer. The caller may come back after RetryAfter.
+type Refusal struct {
+	ID         uint64
+	Cause      Cause
+	RetryAfter time.Duration
+}
+
+// Request asks for a slot.
+type Request struct {
+	ID           uint64
+	Organisation string
+	Deadline     time.Time
+	// Priority orders the requests of one organisation, higher first. It gives
+	// no advantage over other organisations.
+	Priority int
+}
+
+type waiting struct {
+	Request
+	since time.Time
+}
+
+type organisation struct {
+	inFlight int
+	queue    []waiting
+}
+
+// Controller admits requests to one pool.
+type Controller struct {
+	cfg           Config
+	slots         int
+	organisations map[string]*organisation
+	inFlight      int
+	waiting       int
+	peers         map[string]Report
+	service       float64 // smoothed service time, seconds
+}
+
+// New returns a controller without slots.
+func New(cfg Config) *Controller {
+	if cfg.QueueWait == 0 {
+		cfg.QueueWait = DefaultQueueWait
+	}
+	if cfg.MaxQueue == 0 {
+		cfg.MaxQueue = DefaultMaxQueue
+	}
+	return &Controller{cfg: cfg, organisations: map[string]*organisation{}, peers: map[string]Report{}}
+}
+
+// SetSlots sets the pool's slots, over all entries.
+func (c *Controller) SetSlots(slots int) { c.slots = slots }
+
+// SetPeers sets the other entries' latest reports.
+func (c *Controller) SetPeers(reports map[string]Report) { c.peers = reports }
+
+// Report is this entry's own usage.
+func (c *Controller) Report() Report {
+	r := Report{}
+	for name, o := range c.organisations {
+		if o.inFlight > 0 || len(o.queue) > 0 {
+			r[name] = Usage{InFlight: o.inFlight, Waiting: len(o.queue)}
+		}
+	}
+	return r
+}
+
+// Idle reports whether no request is admitted or waiting.
+func (c *Controller) Idle() bool { return c.inFlight == 0 && c.waiting == 0 }
+
+func (c *Controller) weight(name string) float64 {
+	if w := c.cfg.Limits[name].Weight; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// Arrive decides on a new request: admitted now, refused now, or else waiting
+// until a later Advance names it.
+func (c *Controller) Arrive(r Request, now time.Time) (admitted bool, refused *Refusal) {
+	if c.slots == 0 {
+		return false, &Refusal{ID: r.ID, Cause: NoSlots, RetryAfter: minRetryAfter}
+	}
+	if !r.Deadline.After(now) || !c.fits(r.Deadline, 0, now) {
+		return false, &Refusal{ID: r.ID, Cause: Deadline, RetryAfter: minRetryAfter}
+	}
+	o := c.organisation(r.Organisation)
+	c.enqueue(o, waiting{r, now})
+	division := c.divide()
+	if granted := c.next(division); granted == r.Organisation && o.queue[0].ID == r.ID {
+		c.grant(o)
+		return true, nil
+	}
+	if refused := c.tooLong(o, r, division, now); refused != nil {
+		c.Leave(r.ID, r.Organisation)
+		return false, refused
+	}
+	return false, nil
+}
+
+func (c *Controller) organisation(name string) *organisation {
+	o := c.organisations[name]
+	if o == nil {
+		o = &organisation{}
+		c.organisations[name] = o
+	}
+	return o
+}
+
+func (c *Controller) enqueue(o *organisation, w waiting) {
+	i := len(o.queue)
+	for i > 0 && o.queue[i-1].Priority < w.Priority {
+		i--
+	}
+	o.queue = slices.Insert(o.queue, i, w)
+	c.waiting++
+}
+
+func (c *Controller) reports() map[string]Report {
+	all := maps.Clone(c.peers)
+	all[c.cfg.Entry] = c.Report()
+	return all
+}
+
+func (c *Controller) divide() Division {
+	return Divide(c.slots, c.cfg.Entry, c.reports(), c.weight)
+}
+
+// held is the number of slots that an organisation holds over all entries.
+func (c *Controller) held(name string) int {
+	n := c.organisations[name].inFlight
+	for _, report := range c.peers {
+		n += report[name].InFlight
+	}
+	return n
+}
+
+// next returns the organisation that the next slot goes to: of those with
+// waiting requests and room below their limit, the one that holds the fewest
+// slots for its weight. It is empty when there is no slot.
+func (c *Controller) next(division Division) string {
+	// Every entry may use one slot, so that a new request need not wait for
+	// the next exchange of reports.
+	if c.inFlight >= max(1, int(math.Floor(division.Slots+roundingSlack))) {
+		return ""
+	}
+	best, lowest := "", 0.0
+	for _, name := range slices.Sorted(maps.Keys(c.organisations)) {
+		o := c.organisations[name]
+		if len(o.queue) == 0 || o.inFlight >= c.limit(name) {
+			continue
+		}
+		if held := float64(c.held(name)) / c.weight(name); best == "" || held < lowest {
+			best, lowest = name, held
+		}
+	}
+	return best
+}
+
+// roundingSlack keeps sums of parts that are whole up to rounding errors whole.
+const roundingSlack = 1e-6
+
+// limit is this entry's part of the organisation's own limit.
+func (c *Controller) limit(name string) int {
+	limit := c.cfg.Limits[name].MaxInFlight
+	if limit == 0 {
+		return math.MaxInt
+	}
+	return LimitPart(limit, name, c.cfg.Entry, c.reports())
+}
+
+func (c *Controller) grant(o *organisation) uint64 {
+	id := o.queue[0].ID
+	o.queue = o.queue[1:]
+	c.waiting--
+	o.inFlight++
+	c.inFlight++
+	return id
+}
+
+// fits reports whether a request that waits can still finish in time.
+func (c *Controller) fits(deadline time.Time, wait time.Duration, now time.Time) bool {
+	service := time.Duration(c.service * float64(time.Second))
+	return !now.Add(wait + service).After(deadline)
+}
+
+// tooLong returns the refusal of a queued request whose expected wait exceeds
+// QueueWait or its deadline.
+func (c *Controller) tooLong(o *organisation, r Request, division Division, now time.Time) *Refusal {
+	place := slices.IndexFunc(o.queue, func(w waiting) bool { return w.ID == r.ID })
+	wait := c.expectedWait(r.Organisation, place, division)
+	refusal := &Refusal{ID: r.ID, Cause: OverShare, RetryAfter: max(minRetryAfter, wait)}
+	switch {
+	case o.inFlight >= c.limit(r.Organisation):
+		refusal.Cause = OverLimit
+		return refusal
+	case wait > c.cfg.QueueWait || len(o.queue) > c.cfg.MaxQueue:
+		return refusal
+	case !c.fits(r.Deadline, wait, now):
+		refusal.Cause = Deadline
+		return refusal
+	}
+	return nil
+}
+
+// expectedWait is the time until the organisation's slots have served the
+// requests ahead. Until a service time is known, one QueueWait is assumed for
+// a full round of the slots.
+func (c *Controller) expectedWait(name string, ahead int, division Division) time.Duration {
+	service := c.service
+	if service == 0 {
+		service = c.cfg.QueueWait.Seconds() / 2
+	}
+	slots := max(1, division.Parts[name])
+	return time.Duration(float64(ahead+1) / slots * service * float64(time.Second))
+}
+
+// Leave withdraws a waiting request whose caller has gone.
+func (c *Controller) Leave(id uint64, name string) {
+	o := c.organisations[name]
+	if o == nil {
+		return
+	}
+	before := len(o.queue)
+	o.queue = slices.DeleteFunc(o.queue, func(w waiting) bool { return w.ID == id })
+	c.waiting -= before - len(o.queue)
+}
+
+// Done frees the slot of an admitted request. served is the time it took, zero
+// when it says nothing about the pool's speed.
+func (c *Controller) Done(name string, served time.Duration) {
+	o := c.organisation(name)
+	o.inFlight--
+	c.inFlight--
+	if o.inFlight == 0 && len(o.queue) == 0 {
+		delete(c.organisations, name)
+	}
+	if served <= 0 {
+		return
+	}
+	if c.service == 0 {
+		c.service = served.Seconds()
+		return
+	}
+	c.service += serviceSmoothing * (served.Seconds() - c.service)
+}
+
+// Advance grants free slots and refuses the waiting requests that would come
+// too late. Call it after Done, SetSlots and SetPeers, and at intervals.
+func (c *Controller) Advance(now time.Time) (granted []uint64, refused []Refusal) {
+	division := c.divide()
+	refused = c.expire(division, now)
+	for c.waiting > 0 {
+		name := c.next(division)
+		if name == "" {
+			break
+		}
+		granted = append(granted, c.grant(c.organisations[name]))
+	}
+	return granted, refused
+}
+
+// expire refuses waiting requests that cannot finish in time or have waited
+// for QueueWait.
+func (c *Controller) expire(division Division, now time.Time) []Refusal {
+	var refused []Refusal
+	for name, o := range c.organisations {
+		kept := o.queue[:0:0]
+		for _, w := range o.queue {
+			retry := max(minRetryAfter, c.expectedWait(name, len(o.queue), division))
+			switch {
+			case c.slots == 0:
+				refused = append(refused, Refusal{w.ID, NoSlots, minRetryAfter})
+			case !c.fits(w.Deadline, 0, now):
+				refused = append(refused, Refusal{w.ID, Deadline, retry})
+			case now.Sub(w.since) > c.cfg.QueueWait:
+				refused = append(refused, Refusal{w.ID, OverShare, retry})
+			default:
+				kept = append(kept, w)
+			}
+		}
+		c.waiting -= len(o.queue) - len(kept)
+		o.queue = kept
+	}
+	return refused
+}
--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultPeriod    = time.Hour
+	DefaultMaxLosses = 2
+)
+
+// Config configures a List. Zero fields get their defaults.
+type Config struct {
+	// Period is the length of a quarantine decided here, until control sends
+	// its own. Default 1 h. Longer protects endpoints from slow resends and
+	// blocks a request that was suspected wrongly for longer.
+	Period time.Duration
+	// MaxLosses is the number of endpoints that one request may cost. Default 2.
+	MaxLosses int
+}
+
+// Record is what is known of one fingerprint.
+type Record struct {
+	Fingerprint string
+	// Quarantined is false for a suspect.
+	Quarantined bool
+	// Until is the end of the suspicion or quarantine.
+	Until time.Time
+	// Crashed lists the endpoints lost to it.
+	Crashed []string
+}
+
+// Verdict says how a request may be run.
+type Verdict struct {
+	Quarantined bool
+	Until       time.Time
+	// Alone is true for a suspect: one at a time, with no neighbour, and not
+	// on the endpoints in Avoid.
+	Alone bool
+	Avoid []string
+	// Busy is true while another copy of the suspect runs.
+	Busy bool
+}
+
+// List holds suspects and quarantined fingerprints.
+type List struct {
+	cfg     Config
+	control map[string]Record
+	own     map[string]Record
+	running map[string]bool // suspects in progress
+}
+
+// New returns an empty list.
+func New(cfg Config) *List {
+	if cfg.Period == 0 {
+		cfg.Period = DefaultPeriod
+	}
+	if cfg.MaxLosses == 0 {
+		cfg.MaxLosses = DefaultMaxLosses
+	}
+	return &List{cfg: cfg, control: map[string]Record{}, own: map[string]Record{}, running: map[string]bool{}}
+}
+
+// SetControl replaces what control has decided.
+func (l *List) SetControl(records []Record) {
+	l.control = make(map[string]Record, len(records))
+	for _, r := range records {
+		l.control[r.Fingerprint] = r
+	}
+}
+
+// Check returns how a request may be run now.
+func (l *List) Check(fingerprint string, now time.Time) Verdict {
+	record, ok := l.lookup(fingerprint, now)
+	if !ok {
+		return Verdict{}
+	}
+	if record.Quarantined {
+		return Verdict{Quarantined: true, Until: record.Until}
+	}
+	return Verdict{Alone: true, Avoid: record.Crashed, Until: record.Until, Busy: l.running[fingerprint]}
+}
+
+// lookup merges control's record and the own one: the endpoints lost count
+// together, and the later end applies.
+func (l *List) lookup(fingerprint string, now time.Time) (Record, bool) {
+	merged, found := Record{Fingerprint: fingerprint}, false
+	for _, source := range []map[string]Record{l.control, l.own} {
+		r, ok := source[fingerprint]
+		if !ok || !now.Before(r.Until) {
+			continue
+		}
+		found = true
+		merged.Quarantined = merged.Quarantined || r.Quarantined
+		if r.Until.After(merged.Until) {
+			merged.Until = r.Until
+		}
+		for _, endpoint := range r.Crashed {
+			if !slices.Contains(merged.Crashed, endpoint) {
+				merged.Crashed = append(merged.Crashed, endpoint)
+			}
+		}
+	}
+	merged.Quarantined = merged.Quarantined || len(merged.Crashed) >= l.cfg.MaxLosses
+	return merged, found
+}
+
+// Lost records that an endpoint was lost while it ran the request, and returns
+// the verdict that now applies.
+func (l *List) Lost(fingerprint, endpoint string, now time.Time) Verdict {
+	r := l.own[fingerprint]
+	if !now.Before(r.Until) {
+		r = Record{Fingerprint: fingerprint}
+	}
+	if !slices.Contains(r.Crashed, endpoint) {
+		r.Crashed = append(slices.Clone(r.Crashed), endpoint)
+	}
+	r.Until = now.Add(l.cfg.Period)
+	l.own[fingerprint] = r
+	return l.Check(fingerprint, now)
+}
+
+// Begin reserves the single run of a suspect. It returns false while another
+// copy runs.
+func (l *List) Begin(fingerprint string) bool {
+	if l.running[fingerprint] {
+		return false
+	}
+	l.running[fingerprint] = true
+	return true
+}
+
+// End gives the reservation of Begin back. cleared is true when the request
+// finished while running alone.
+func (l *List) End(fingerprint string, cleared bool) {
+	delete(l.running, fingerprint)
+	if cleared {
+		delete(l.own, fingerprint)
+		delete(l.control, fingerprint)
+	}
+}
+
+// Expire forgets own records past their end.
+func (l *List) Expire(now time.Time) {
+	for fingerprint, r := range l.own {
+		if !now.Before(r.Until) {
+			delete(l.own, fingerprint)
+		}
+	}
+}
