Add gate: decision core with bounded attempt records

Dropping a record raises a floor per entry start, so an identifier never starts twice in bounded memory. A fence proves 'not run' only when the caller knows that it sent the attempt to this process start; a restarted gate cannot know what an earlier one ran.

--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,301 @@
+package gate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Config configures a Gate.
+type Config struct {
+	// Capacity is the number of attempts that may run at once. Default 1.
+	Capacity int
+	// Records bounds the finished, refused and fenced attempts remembered.
+	// Default 8192, about 2 MB. Fewer turn more lookups into unknown.
+	Records int
+	// Entries bounds the entry instances remembered. Default 1024. A new entry
+	// beyond it is refused until another was idle for EntryRetention.
+	Entries int
+	// EntryRetention is how long an idle entry is remembered at least. Default
+	// 24 h. An attempt delayed for longer could run again.
+	EntryRetention time.Duration
+	// DrainNotice is how long new work is still accepted after Drain, while
+	// the entries learn of it. Default 2 s, under the 3 s that are promised.
+	DrainNotice time.Duration
+	// ExclusiveWait is how long an attempt that must run alone may hold off
+	// others while earlier ones finish. Default 3 s. Longer costs capacity,
+	// shorter refuses suspects on busy endpoints.
+	ExclusiveWait time.Duration
+}
+
+const (
+	defaultRecords        = 8192
+	defaultEntries        = 1024
+	defaultEntryRetention = 24 * time.Hour
+	defaultDrainNotice    = 2 * time.Second
+	defaultExclusiveWait  = 3 * time.Second
+)
+
+// Gate is the decision core of one endpoint.
+type Gate struct {
+	cfg     Config
+	entries map[string]*entry
+	records map[ID]*record
+	settled []ID // records that no longer run, oldest first
+	running int
+	// exclusive is the attempt that runs alone or waits to.
+	exclusive      *ID
+	exclusiveUntil time.Time // while it waits
+
+	draining   bool
+	drainStart time.Time
+}
+
+// entry holds what is known of an entry instance's newest process start.
+// Attempts of earlier starts, and up to floor, never start.
+type entry struct {
+	start, floor uint64
+	used         time.Time
+}
+
+type record struct {
+	state       State
+	fingerprint string
+	alone       bool
+	proved      bool // fenced or refused before any process start could run it
+}
+
+// New returns a gate without attempts.
+func New(cfg Config) *Gate {
+	cfg.Capacity = cmp.Or(cfg.Capacity, 1)
+	cfg.Records = cmp.Or(cfg.Records, defaultRecords)
+	cfg.Entries = cmp.Or(cfg.Entries, defaultEntries)
+	cfg.EntryRetention = cmp.Or(cfg.EntryRetention, defaultEntryRetention)
+	cfg.DrainNotice = cmp.Or(cfg.DrainNotice, defaultDrainNotice)
+	cfg.ExclusiveWait = cmp.Or(cfg.ExclusiveWait, defaultExclusiveWait)
+	return &Gate{cfg: cfg, entries: map[string]*entry{}, records: map[ID]*record{}}
+}
+
+// Begin decides whether an attempt starts now. With Start it counts as running
+// until Finish or Retract. A refusal with Proved set has not run and never
+// will.
+func (g *Gate) Begin(r Request, c Conditions, now time.Time) Decision {
+	if d, ok := g.identify(r.ID, now); !ok {
+		return d
+	}
+	if reason := g.admit(r, c, now); reason != "" {
+		return g.refuse(r.ID, reason)
+	}
+	if r.Alone && g.running > 0 {
+		return g.awaitExclusive(r.ID, now)
+	}
+	g.records[r.ID] = &record{state: Running, fingerprint: r.Fingerprint, alone: r.Alone}
+	g.running++
+	if r.Alone {
+		g.exclusive = &r.ID
+	}
+	return Decision{Verdict: Start}
+}
+
+func (g *Gate) refuse(id ID, reason Reason) Decision {
+	g.settle(id, record{state: Refused, proved: true})
+	return Decision{Verdict: Refuse, Reason: reason, Proved: true}
+}
+
+// identify refuses identifiers that may have been used before. Such a refusal
+// proves nothing about an earlier use of the same identifier.
+func (g *Gate) identify(id ID, now time.Time) (Decision, bool) {
+	if known, ok := g.records[id]; ok {
+		if known.state == Fenced {
+			return Decision{Verdict: Refuse, Reason: WasFenced, Proved: known.proved}, false
+		}
+		return Decision{Verdict: Refuse, Reason: AlreadySeen}, false
+	}
+	e, ok := g.entry(id, now)
+	switch {
+	case !ok:
+		return Decision{Verdict: Refuse, Reason: TooManyEntries}, false
+	case id.Start < e.start || id.Counter <= e.floor:
+		return Decision{Verdict: Refuse, Reason: TooOld}, false
+	}
+	return Decision{}, true
+}
+
+// entry returns the state of the attempt's entry, and starts afresh when the
+// entry has restarted.
+func (g *Gate) entry(id ID, now time.Time) (*entry, bool) {
+	e, ok := g.entries[id.Entry]
+	switch {
+	case !ok && len(g.entries) >= g.cfg.Entries && !g.dropIdleEntry(now):
+		return nil, false
+	case !ok:
+		e = &entry{start: id.Start}
+		g.entries[id.Entry] = e
+	case id.Start > e.start:
+		e.start, e.floor = id.Start, 0
+	}
+	e.used = now
+	return e, true
+}
+
+func (g *Gate) dropIdleEntry(now time.Time) bool {
+	for name, e := range g.entries {
+		if now.Sub(e.used) >= g.cfg.EntryRetention {
+			delete(g.entries, name)
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) admit(r Request, c Conditions, now time.Time) Reason {
+	switch {
+	case g.refusesAll(now):
+		return Draining
+	case c.Refusal != "":
+		return c.Refusal
+	case !c.NoSets && (r.Set == "" || !slices.Contains(c.Sets, r.Set)):
+		return SetNotLoaded
+	case g.heldExclusively(r.ID, now):
+		return ExclusiveRunning
+	case g.running >= g.cfg.Capacity && !r.Alone:
+		return AtCapacity
+	}
+	return ""
+}
+
+// heldExclusively reports whether another attempt runs alone or waits to.
+func (g *Gate) heldExclusively(id ID, now time.Time) bool {
+	if g.exclusive == nil || *g.exclusive == id {
+		return false
+	}
+	if _, started := g.records[*g.exclusive]; !started && !now.Before(g.exclusiveUntil) {
+		g.exclusive = nil // the waiting attempt never came back
+		return false
+	}
+	return true
+}
+
+func (g *Gate) awaitExclusive(id ID, now time.Time) Decision {
+	if g.exclusive == nil {
+		g.exclusive, g.exclusiveUntil = &id, now.Add(g.cfg.ExclusiveWait)
+	}
+	if !now.Before(g.exclusiveUntil) {
+		return g.refuse(id, ExclusiveBusy)
+	}
+	return Decision{Verdict: Wait}
+}
+
+// Finish records the end of a running attempt: Done when the whole answer was
+// passed on, else Failed.
+func (g *Gate) Finish(id ID, whole bool) {
+	known, ok := g.records[id]
+	if !ok || known.state != Running {
+		return
+	}
+	g.running--
+	state := Failed
+	if whole {
+		state = Done
+	}
+	g.settle(id, record{state: state})
+}
+
+// Retract takes back the start of an attempt of which nothing was sent to the
+// endpoint. It is then refused, and never starts.
+func (g *Gate) Retract(id ID) {
+	if known, ok := g.records[id]; ok && known.state == Running {
+		g.running--
+		g.settle(id, record{state: Refused, proved: true})
+	}
+}
+
+// Fence makes sure that an attempt which has not started never does, and
+// returns its state. Fenced proves that it has not run, provided that it was
+// sent to this process start of the gate; sameStart tells whether the caller
+// knows that. Without it, an attempt that has not started is fenced all the
+// same but reported as Unknown: an earlier process may have run it.
+func (g *Gate) Fence(id ID, sameStart bool, now time.Time) State {
+	known, seen := g.records[id]
+	if !seen {
+		if _, ok := g.identify(id, now); !ok {
+			return Unknown // cannot start, but may have run
+		}
+		g.settle(id, record{state: Fenced, proved: sameStart})
+		known = g.records[id]
+	}
+	known.proved = known.proved || known.state == Fenced && sameStart
+	if known.state == Fenced && !known.proved {
+		return Unknown
+	}
+	return known.state
+}
+
+// Withdraw refuses an attempt that was told to wait and no longer wants to.
+func (g *Gate) Withdraw(id ID) {
+	if _, ok := g.records[id]; !ok {
+		g.settle(id, record{state: Refused, proved: true})
+	}
+}
+
+// settle records the final state of an attempt and drops the oldest records.
+func (g *Gate) settle(id ID, final record) {
+	g.records[id] = &final
+	g.settled = append(g.settled, id)
+	if g.exclusive != nil && *g.exclusive == id {
+		g.exclusive = nil
+	}
+	for len(g.settled) > g.cfg.Records {
+		oldest := g.settled[0]
+		g.settled = g.settled[1:]
+		delete(g.records, oldest)
+		if e, ok := g.entries[oldest.Entry]; ok && e.start == oldest.Start {
+			e.floor = max(e.floor, oldest.Counter)
+		}
+	}
+}
+
+// Lookup returns the state of an attempt.
+func (g *Gate) Lookup(id ID) State {
+	if known, ok := g.records[id]; ok {
+		return known.state
+	}
+	return Unknown
+}
+
+// Attempts returns the running attempts.
+func (g *Gate) Attempts() []Attempt {
+	var attempts []Attempt
+	for id, r := range g.records {
+		if r.state == Running {
+			attempts = append(attempts, Attempt{ID: id, Fingerprint: r.fingerprint, Alone: r.alone})
+		}
+	}
+	return attempts
+}
+
+// InFlight is the number of running attempts.
+func (g *Gate) InFlight() int { return g.running }
+
+// Capacity is the configured capacity.
+func (g *Gate) Capacity() int { return g.cfg.Capacity }
+
+// Drain starts draining. New work is refused once the notice has passed;
+// running attempts are not affected.
+func (g *Gate) Drain(now time.Time) {
+	if !g.draining {
+		g.draining, g.drainStart = true, now
+	}
+}
+
+// Draining reports whether Drain was called.
+func (g *Gate) Draining() bool { return g.draining }
+
+// Drained reports whether new work is refused and nothing runs any more.
+func (g *Gate) Drained(now time.Time) bool {
+	return g.refusesAll(now) && g.running == 0
+}
+
+func (g *Gate) refusesAll(now time.Time) bool {
+	return g.draining && now.Sub(g.drainStart) >= g.cfg.DrainNotice
+}
