--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Names of the engine interface.
+const (
+	HeaderWeightsSet = "X-Engine-Weights-Set"
+	HeaderPriority   = "X-Priority"
+	PathChat         = "/v1/chat/completions"
+	pathSets         = "/engine/sets"
+	pathOrders       = "/engine/orders"
+)
+
+const maxReportBytes = 1 << 20
+
+// Errors of this package. Any other error of Order leaves it open whether the
+// engine carried the order out.
+var (
+	ErrStaleFence   = errors.New("engine refused an old fencing token")
+	ErrInvalidFiles = errors.New("engine found files of the set missing or corrupt")
+	ErrUnreachable  = errors.New("engine does not answer")
+	ErrWrongAnswer  = errors.New("engine answered something unexpected")
+)
+
+// Sets is an engine's report on what it has loaded.
+type Sets struct {
+	Fence uint64           `json:"fence"`
+	Sets  []wire.LoadedSet `json:"sets"`
+	// Started is the engine's start, Unix milliseconds. It differs after a
+	// restart.
+	Started int64 `json:"started"`
+}
+
+// Actions of an order.
+const (
+	ActionLoad   = "load"
+	ActionUnload = "unload"
+)
+
+// Order commands an engine. Fence is its fencing token.
+type Order struct {
+	Fence  uint64   `json:"fence"`
+	Action string   `json:"action"`
+	Set    OrderSet `json:"set"`
+}
+
+// OrderSet is the weights set of an order; Dir holds its files.
+type OrderSet struct {
+	SetID    string         `json:"set_id"`
+	Model    string         `json:"model"`
+	Version  string         `json:"version"`
+	Adapters []OrderAdapter `json:"adapters"`
+	Dir      string         `json:"dir"`
+}
+
+// OrderAdapter is an adapter of an ordered set.
+type OrderAdapter struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+// Client talks to one engine.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client for the engine at the URL base.
+func New(base string, n network.Network) *Client {
+	return &Client{base: base, http: &http.Client{Transport: network.HTTPTransport(n)}}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Sets asks what the engine has loaded.
+func (c *Client) Sets(ctx context.Context) (Sets, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+pathSets, nil)
+	if err != nil {
+		return Sets{}, oops.In("engine").Wrap(err)
+	}
+	var sets Sets
+	status, data, err := c.do(request)
+	if err != nil {
+		return sets, err
+	}
+	if status != http.StatusOK || json.Unmarshal(data, &sets) != nil {
+		return Sets{}, oops.In("engine").Wrapf(ErrWrongAnswer, "set report has status %d", status)
+	}
+	return sets, nil
+}
+
+// Order sends a command and waits until the engine has carried it out.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	status, data, err := c.post(ctx, pathOrders, order)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusConflict:
+		return oops.In("engine").Wrapf(ErrStaleFence, "token %d: %s", order.Fence, bytes.TrimSpace(data))
+	case status == http.StatusUnprocessableEntity:
+		return oops.In("engine").Wrapf(ErrInvalidFiles, "%s", bytes.TrimSpace(data))
+	}
+	return oops.In("engine").Wrapf(ErrWrongAnswer, "order has status %d", status)
+}
+
+// Probe generates one token with a loaded set, which shows that the engine
+// makes progress.
+func (c *Client) Probe(ctx context.Context, set wire.LoadedSet) error {
+	status, data, err := c.post(ctx, PathChat, map[string]any{
+		"model":      set.Model,
+		"messages":   []map[string]string{{"role": "user", "content": "."}},
+		"max_tokens": 1,
+	})
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK || !json.Valid(data) {
+		return oops.In("engine").Wrapf(ErrWrongAnswer, "probe has status %d", status)
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, path string, body any) (int, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, oops.In("engine").Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, oops.In("engine").Wrap(err)
+	}
+	request.GetBody = nil // an order or probe is never resent by net/http
+	request.Header.Set("Content-Type", "application/json")
+	return c.do(request)
+}
+
+func (c *Client) do(request *http.Request) (int, []byte, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return response.StatusCode, data, nil
+}
