--- /dev/null
+++ b/ledger/claims.go
@@ -0,0 +1,284 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Bounds on memory.
+const (
+	// maxClaims bounds claims within retention; beyond it new claims are
+	// refused, which is safe: the call does not run.
+	maxClaims = 1 << 18
+	// maxBodyBytes bounds recorded answers; the oldest bodies go first and
+	// their claims answer done without a body.
+	maxBodyBytes = 32 << 20
+	// maxExpiredHashes bounds exact memory of expired keys, 8 MiB.
+	maxExpiredHashes = 1 << 20
+	filterBytes      = 8 << 20
+	filterProbes     = 7
+	hashBytes        = 8
+	digestBytes      = sha256.Size
+	maxKeyBytes      = 512
+)
+
+var snapshotEncMode = func() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// snapshotDecMode allows larger collections than messages do.
+var snapshotDecMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: maxClaims + 1, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// claimRecord is a key within retention.
+type claimRecord struct {
+	Organisation string         `cbor:"1,keyasint"`
+	Key          string         `cbor:"2,keyasint"`
+	Digest       release.Digest `cbor:"3,keyasint"`
+	Owner        string         `cbor:"4,keyasint"`
+	AtMs         int64          `cbor:"5,keyasint"`
+	Result       *Complete      `cbor:"6,keyasint,omitempty"`
+}
+
+type claimKey struct{ organisation, key string }
+
+type claims struct {
+	held      map[claimKey]*claimRecord
+	order     []*claimRecord // by AtMs; released claims stay as holes until they expire
+	bodies    []*claimRecord // with a body, oldest first
+	bodyBytes int
+	expired   []uint64 // oldest first
+	known     map[uint64]struct{}
+	filter    []byte
+	filtered  uint64
+}
+
+func newClaims() claims {
+	return claims{held: map[claimKey]*claimRecord{}, known: map[uint64]struct{}{}}
+}
+
+func (k *claims) claim(c Claim, nowMs int64) Result {
+	if c.Organisation == "" || c.Key == "" || c.Owner == "" || len(c.Organisation)+len(c.Key) > maxKeyBytes {
+		return refused("claim without organisation, key or owner, or with a key that is too long")
+	}
+	id := claimKey{c.Organisation, c.Key}
+	if held := k.held[id]; held != nil {
+		return held.answer(c)
+	}
+	if k.remembers(hashOf(id)) || (c.KeyTimeMs > 0 && c.KeyTimeMs <= nowMs-RetentionMs) {
+		return Result{Status: StatusExpired, Reason: "key is past its retention of 24 h"}
+	}
+	if len(k.held) >= maxClaims {
+		return refused("too many claims within retention")
+	}
+	record := &claimRecord{Organisation: c.Organisation, Key: c.Key, Digest: c.RequestDigest, Owner: c.Owner, AtMs: nowMs}
+	k.held[id] = record
+	k.order = append(k.order, record)
+	return Result{Status: StatusAccepted, Owner: c.Owner}
+}
+
+// answer gives the result of another claim of a key that is held.
+func (r *claimRecord) answer(c Claim) Result {
+	switch {
+	case r.Digest != c.RequestDigest:
+		return Result{Status: StatusConflict, Owner: r.Owner, Reason: "key was used for another request"}
+	case r.Result != nil:
+		return Result{Status: StatusCompleted, Owner: r.Owner, Complete: r.Result}
+	case r.Owner == c.Owner:
+		return Result{Status: StatusAccepted, Owner: r.Owner}
+	}
+	return Result{Status: StatusDuplicate, Owner: r.Owner}
+}
+
+// complete records the first result; later ones get the first back.
+func (k *claims) complete(c Complete) Result {
+	id := claimKey{c.Organisation, c.Key}
+	held := k.held[id]
+	switch {
+	case held == nil:
+		return refused("key is not claimed")
+	case held.Result != nil:
+		return Result{Status: StatusCompleted, Owner: held.Owner, Complete: held.Result}
+	case held.Owner != c.Owner:
+		return refused("key is claimed by another attempt")
+	}
+	if c.Outcome == outcomeNotRun {
+		delete(k.held, id)
+		return Result{Status: StatusAccepted, Owner: c.Owner}
+	}
+	if len(c.Body) > MaxResultBytes {
+		c.Body = nil
+	}
+	held.Result = &c
+	k.keepBody(held)
+	return Result{Status: StatusCompleted, Owner: c.Owner, Complete: held.Result}
+}
+
+const outcomeNotRun = "not-run"
+
+func (k *claims) keepBody(r *claimRecord) {
+	if len(r.Result.Body) == 0 {
+		return
+	}
+	k.bodies = append(k.bodies, r)
+	k.bodyBytes += len(r.Result.Body)
+	for k.bodyBytes > maxBodyBytes {
+		k.dropBody(k.bodies[0])
+		k.bodies = k.bodies[1:]
+	}
+}
+
+func (k *claims) dropBody(r *claimRecord) {
+	if len(r.Result.Body) == 0 {
+		return
+	}
+	k.bodyBytes -= len(r.Result.Body)
+	without := *r.Result // results already handed out keep theirs
+	without.Body = nil
+	r.Result = &without
+}
+
+// expire replaces claims past retention by hashes of their keys.
+func (k *claims) expire(nowMs int64) {
+	for len(k.order) > 0 && k.order[0].AtMs <= nowMs-RetentionMs {
+		r := k.order[0]
+		k.order = k.order[1:]
+		id := claimKey{r.Organisation, r.Key}
+		if k.held[id] != r {
+			continue // released
+		}
+		delete(k.held, id)
+		if r.Result != nil {
+			k.dropBody(r)
+		}
+		k.remember(hashOf(id))
+	}
+	for len(k.bodies) > 0 && len(k.bodies[0].Result.Body) == 0 {
+		k.bodies = k.bodies[1:]
+	}
+}
+
+func (k *claims) remember(h uint64) {
+	k.expired = append(k.expired, h)
+	k.known[h] = struct{}{}
+	for len(k.expired) > maxExpiredHashes {
+		k.moveToFilter(k.expired[0])
+		delete(k.known, k.expired[0])
+		k.expired = k.expired[1:]
+	}
+}
+
+func (k *claims) moveToFilter(h uint64) {
+	if k.filter == nil {
+		k.filter = make([]byte, filterBytes)
+	}
+	k.filtered++
+	for _, bit := range filterBits(h) {
+		k.filter[bit/8] |= 1 << (bit % 8)
+	}
+}
+
+func (k *claims) remembers(h uint64) bool {
+	if _, ok := k.known[h]; ok {
+		return true
+	}
+	if k.filter == nil {
+		return false
+	}
+	for _, bit := range filterBits(h) {
+		if k.filter[bit/8]&(1<<(bit%8)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// filterBits derives the probe positions by double hashing.
+func filterBits(h uint64) [filterProbes]uint64 {
+	var bits [filterProbes]uint64
+	step := h>>32 | 1
+	for i := range bits {
+		bits[i] = (h + uint64(i)*step) % (filterBytes * 8)
+	}
+	return bits
+}
+
+func hashOf(id claimKey) uint64 {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%d:%s%s", len(id.organisation), id.organisation, id.key)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+func appendHash(to []byte, h uint64) []byte { return binary.BigEndian.AppendUint64(to, h) }
+
+func (k *claims) outcome(organisation, key string, nowMs int64) (Outcome, bool) {
+	id := claimKey{organisation, key}
+	if r := k.held[id]; r != nil && r.AtMs > nowMs-RetentionMs {
+		status := StatusAccepted
+		if r.Result != nil {
+			status = StatusCompleted
+		}
+		return Outcome{Status: status, Owner: r.Owner, Complete: r.Result}, true
+	}
+	if k.remembers(hashOf(id)) {
+		return Outcome{Status: StatusExpired}, true
+	}
+	return Outcome{}, false
+}
+
+// ordered lists the held claims, oldest first.
+func (k *claims) ordered() []claimRecord {
+	records := make([]claimRecord, 0, len(k.held))
+	for _, r := range k.order {
+		if k.held[claimKey{r.Organisation, r.Key}] == r {
+			records = append(records, *r)
+		}
+	}
+	return records
+}
+
+func (k *claims) restore(s snapshotState) {
+	for i := range s.Claims {
+		r := &s.Claims[i]
+		k.held[claimKey{r.Organisation, r.Key}] = r
+		k.order = append(k.order, r)
+		if r.Result != nil {
+			k.keepBody(r)
+		}
+	}
+	for chunk := range slices.Chunk(s.Expired, hashBytes) {
+		h := binary.BigEndian.Uint64(chunk)
+		k.expired = append(k.expired, h)
+		k.known[h] = struct{}{}
+	}
+	k.filter, k.filtered = s.Filter, s.Filtered
+}
+
+func rawDigest(d release.Digest) ([]byte, error) {
+	raw, err := hex.DecodeString(strings.TrimPrefix(string(d), "sha256:"))
+	if err != nil || len(raw) != digestBytes {
+		return nil, fmt.Errorf("digest %q is malformed", d)
+	}
+	return raw, nil
+}
+
+func digestFromRaw(raw []byte) release.Digest {
+	return release.Digest("sha256:" + hex.EncodeToString(raw))
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,237 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// ErrMalformed means that a command or snapshot cannot be decoded.
+var ErrMalformed = errors.New("malformed ledger data")
+
+// Retention and expiry times.
+const (
+	RetentionMs  = 24 * 60 * 60 * 1000
+	QuarantineMs = 60 * 60 * 1000
+)
+
+// Ledger is the state. It is not safe for concurrent use.
+type Ledger struct {
+	nowMs      int64
+	catalogue  release.Catalogue
+	digests    []byte // 32 bytes per accepted note, in order of number
+	claims     claims
+	suspects   suspects
+	lastDelta  *release.Delta
+	quarantine uint64 // counts changes of the suspect list
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{catalogue: release.NewCatalogue(), claims: newClaims(), suspects: newSuspects()}
+}
+
+// Encode encodes a command for the log.
+func Encode(c Command) ([]byte, error) { return wire.Marshal(c) }
+
+// Decode decodes a command and checks that it holds exactly one operation.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	if err := wire.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	operations := 0
+	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil} {
+		if set {
+			operations++
+		}
+	}
+	if operations != 1 {
+		return c, fmt.Errorf("%w: command with %d operations", ErrMalformed, operations)
+	}
+	return c, nil
+}
+
+// Apply changes the state by one command and returns its result.
+func (l *Ledger) Apply(c Command) Result {
+	l.nowMs = max(l.nowMs, c.AtMs)
+	l.claims.expire(l.nowMs)
+	if l.suspects.expire(l.nowMs) {
+		l.quarantine++
+	}
+	switch {
+	case c.Note != nil:
+		return l.applyNote(*c.Note)
+	case c.Claim != nil:
+		return l.claims.claim(*c.Claim, l.nowMs)
+	case c.Complete != nil:
+		return l.claims.complete(*c.Complete)
+	case c.Crash != nil:
+		l.quarantine++
+		return l.suspects.crash(*c.Crash, l.nowMs)
+	case c.Clear != nil:
+		l.quarantine++
+		return l.suspects.clear(*c.Clear)
+	}
+	return refused("empty command")
+}
+
+func refused(reason string) Result { return Result{Status: StatusRefused, Reason: reason} }
+
+// applyNote accepts the next note, repeats the answer for one that was
+// accepted before, and refuses everything else.
+func (l *Ledger) applyNote(s SubmitNote) Result {
+	if held, ok := l.NoteDigest(s.Number); ok {
+		if held == s.Digest {
+			return Result{Status: StatusAccepted, Number: s.Number, Digest: held}
+		}
+		return Result{
+			Status: StatusConflict, Number: s.Number, Digest: held,
+			Reason: fmt.Sprintf("note %d was accepted with other content: %s", s.Number, held),
+		}
+	}
+	expected := l.catalogue.Revision + 1
+	if s.Number != expected {
+		r := refused(fmt.Sprintf("note number must be %d, the last accepted number plus one", expected))
+		r.Number = expected
+		return r
+	}
+	note, err := release.ParseCanonical(s.Canonical)
+	if err != nil {
+		return refused(err.Error())
+	}
+	if note.Number != s.Number || release.DigestOf(s.Canonical) != s.Digest {
+		return refused("number or digest does not match the note's content")
+	}
+	next, delta, err := release.Apply(note, l.catalogue)
+	if err != nil {
+		return refused(err.Error())
+	}
+	raw, err := rawDigest(s.Digest)
+	if err != nil {
+		return refused(err.Error())
+	}
+	l.catalogue, l.lastDelta = next, &delta
+	l.digests = append(l.digests, raw...)
+	return Result{Status: StatusAccepted, Number: s.Number, Digest: s.Digest}
+}
+
+// NoteDigest returns the digest of an accepted note.
+func (l *Ledger) NoteDigest(number uint64) (release.Digest, bool) {
+	if number == 0 || number > uint64(len(l.digests)/digestBytes) {
+		return "", false
+	}
+	at := (number - 1) * digestBytes
+	return digestFromRaw(l.digests[at : at+digestBytes]), true
+}
+
+// Catalogue returns the current catalogue. It is not changed afterwards.
+func (l *Ledger) Catalogue() release.Catalogue { return l.catalogue }
+
+// LastDelta returns the change made by the last accepted note, if it was
+// applied since the start or the last Restore.
+func (l *Ledger) LastDelta() *release.Delta { return l.lastDelta }
+
+// QuarantineVersion changes whenever Suspects may have changed.
+func (l *Ledger) QuarantineVersion() uint64 { return l.quarantine }
+
+// NowMs is the ledger's clock, in Unix milliseconds.
+func (l *Ledger) NowMs() int64 { return l.nowMs }
+
+// Suspects lists suspected and quarantined fingerprints that have not expired
+// at nowMs.
+func (l *Ledger) Suspects(nowMs int64) []wire.QuarantinedRequest { return l.suspects.list(nowMs) }
+
+// Outcome is what the ledger knows about a key.
+type Outcome struct {
+	Status   Status
+	Owner    string
+	Complete *Complete
+}
+
+// Outcome returns the state of a claimed key; false when it is not known.
+func (l *Ledger) Outcome(organisation, key string) (Outcome, bool) {
+	return l.claims.outcome(organisation, key, l.nowMs)
+}
+
+// Sizes describes memory held, for status and metrics.
+type Sizes struct {
+	Notes       int `json:"notes"`
+	Claims      int `json:"claims"`
+	ResultBytes int `json:"result_bytes"`
+	ExpiredKeys int `json:"expired_keys"`
+	Suspects    int `json:"suspects"`
+}
+
+// Sizes returns the number of records held.
+func (l *Ledger) Sizes() Sizes {
+	return Sizes{
+		Notes: len(l.digests) / digestBytes, Claims: len(l.claims.held), ResultBytes: l.claims.bodyBytes,
+		ExpiredKeys: len(l.claims.expired) + int(l.claims.filtered), Suspects: len(l.suspects.held),
+	}
+}
+
+// snapshotState is the encoded form of a Ledger.
+type snapshotState struct {
+	NowMs     int64              `cbor:"1,keyasint"`
+	Catalogue release.Catalogue  `cbor:"2,keyasint"`
+	Digests   []byte             `cbor:"3,keyasint"`
+	Claims    []claimRecord      `cbor:"4,keyasint"`
+	Expired   []byte             `cbor:"5,keyasint"` // 8 bytes each
+	Filter    []byte             `cbor:"6,keyasint,omitempty"`
+	Filtered  uint64             `cbor:"7,keyasint,omitempty"`
+	Suspects  map[string]suspect `cbor:"8,keyasint,omitempty"`
+	Incidents map[string]int64   `cbor:"9,keyasint,omitempty"`
+}
+
+// Snapshot encodes the state. Equal states give equal bytes.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	expired := make([]byte, 0, len(l.claims.expired)*hashBytes)
+	for _, h := range l.claims.expired {
+		expired = appendHash(expired, h)
+	}
+	return snapshotEncMode.Marshal(snapshotState{
+		NowMs: l.nowMs, Catalogue: l.catalogue, Digests: l.digests,
+		Claims: l.claims.ordered(), Expired: expired, Filter: l.claims.filter, Filtered: l.claims.filtered,
+		Suspects: l.suspects.held, Incidents: l.suspects.incidents,
+	})
+}
+
+// Restore decodes a snapshot. Malformed input returns an error.
+func Restore(data []byte) (*Ledger, error) {
+	l := New()
+	if len(data) == 0 {
+		return l, nil
+	}
+	var s snapshotState
+	if err := snapshotDecMode.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(s.Digests)%digestBytes != 0 || len(s.Expired)%hashBytes != 0 ||
+		(len(s.Filter) != 0 && len(s.Filter) != filterBytes) ||
+		uint64(len(s.Digests)/digestBytes) != s.Catalogue.Revision {
+		return nil, fmt.Errorf("%w: snapshot fields do not fit each other", ErrMalformed)
+	}
+	l.nowMs, l.digests = s.NowMs, s.Digests
+	l.catalogue = s.Catalogue.Clone()
+	if l.catalogue.Models == nil {
+		l.catalogue.Models = map[string]release.Model{}
+	}
+	if l.catalogue.Adapters == nil {
+		l.catalogue.Adapters = map[string]release.Adapter{}
+	}
+	l.claims.restore(s)
+	if s.Suspects != nil {
+		l.suspects.held = s.Suspects
+	}
+	if s.Incidents != nil {
+		l.suspects.incidents = s.Incidents
+	}
+	return l, nil
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/ledger/suspects.go
@@ -0,0 +1,124 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	// maxSuspects bounds fingerprints held; the ones that end first go first.
+	maxSuspects = 10_000
+	// maxIncidentFingerprints bounds one report.
+	maxIncidentFingerprints = 4096
+	maxFingerprintBytes     = 128
+)
+
+// suspect is a fingerprint that was in flight when an endpoint crashed. It is
+// run alone until cleared; once quarantined it does not run at all.
+type suspect struct {
+	Crashed     []string `cbor:"1,keyasint"`
+	UntilMs     int64    `cbor:"2,keyasint"`
+	Quarantined bool     `cbor:"3,keyasint,omitempty"`
+}
+
+type suspects struct {
+	held      map[string]suspect
+	incidents map[string]int64 // reported incidents and when they are forgotten
+}
+
+func newSuspects() suspects {
+	return suspects{held: map[string]suspect{}, incidents: map[string]int64{}}
+}
+
+// crash makes the fingerprints of an incident suspects. A crash while alone, or
+// a second crash of a suspect, quarantines it: one request costs at most two
+// endpoints.
+func (s *suspects) crash(c ReportCrash, nowMs int64) Result {
+	if c.Incident == "" || c.Endpoint == "" || len(c.Fingerprints) > maxIncidentFingerprints {
+		return refused("crash report without incident or endpoint, or with too many fingerprints")
+	}
+	if _, ok := s.incidents[c.Incident]; ok {
+		return Result{Status: StatusDuplicate}
+	}
+	s.incidents[c.Incident] = nowMs + QuarantineMs
+	alone := c.Alone && len(c.Fingerprints) == 1
+	for _, fingerprint := range c.Fingerprints {
+		if fingerprint == "" || len(fingerprint) > maxFingerprintBytes {
+			continue
+		}
+		held := s.held[fingerprint]
+		second := len(held.Crashed) > 0
+		held.Crashed = append(slices.Clone(held.Crashed), c.Endpoint)
+		held.UntilMs = nowMs + QuarantineMs
+		held.Quarantined = held.Quarantined || alone || second
+		s.held[fingerprint] = held
+	}
+	s.bound()
+	return Result{Status: StatusAccepted}
+}
+
+// clear ends the suspicion of a request that finished alone. A quarantined one
+// stays until it expires.
+func (s *suspects) clear(c ClearSuspect) Result {
+	held, ok := s.held[c.Fingerprint]
+	switch {
+	case !ok:
+		return Result{Status: StatusDuplicate}
+	case held.Quarantined:
+		return refused("fingerprint is quarantined")
+	}
+	delete(s.held, c.Fingerprint)
+	return Result{Status: StatusAccepted}
+}
+
+func (s *suspects) expire(nowMs int64) bool {
+	changed := false
+	for fingerprint, held := range s.held {
+		if held.UntilMs <= nowMs {
+			delete(s.held, fingerprint)
+			changed = true
+		}
+	}
+	for incident, until := range s.incidents {
+		if until <= nowMs {
+			delete(s.incidents, incident)
+		}
+	}
+	return changed
+}
+
+// bound removes suspects that are not quarantined first, then those that end
+// first, so that a flood of crashes does not grow memory.
+func (s *suspects) bound() {
+	if len(s.held) <= maxSuspects {
+		return
+	}
+	names := sortedKeys(s.held)
+	slices.SortStableFunc(names, func(a, b string) int {
+		x, y := s.held[a], s.held[b]
+		if x.Quarantined != y.Quarantined {
+			if y.Quarantined {
+				return -1
+			}
+			return 1
+		}
+		return int(x.UntilMs - y.UntilMs)
+	})
+	for _, name := range names[:len(names)-maxSuspects] {
+		delete(s.held, name)
+	}
+}
+
+func (s *suspects) list(nowMs int64) []wire.QuarantinedRequest {
+	var list []wire.QuarantinedRequest
+	for _, fingerprint := range sortedKeys(s.held) {
+		held := s.held[fingerprint]
+		if held.UntilMs > nowMs {
+			list = append(list, wire.QuarantinedRequest{
+				Fingerprint: fingerprint, Until: held.UntilMs, Quarantined: held.Quarantined, Crashed: held.Crashed,
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/raft/step.go
@@ -0,0 +1,240 @@
+package raft
+
+import "slices"
+
+func sortDescending(v []uint64) {
+	slices.Sort(v)
+	slices.Reverse(v)
+}
+
+// Step handles a message from another replica. Messages that make no sense in
+// the node's state are dropped.
+func (n *Node) Step(m Message) {
+	if m.To != n.cfg.ID || m.check() != nil {
+		return
+	}
+	switch {
+	case m.Term > n.hard.Term:
+		if !n.adoptTerm(m) {
+			return
+		}
+	case m.Term < n.hard.Term:
+		n.stepOld(m)
+		return
+	}
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		n.onVote(m)
+	case MsgPreVoteReply, MsgVoteReply:
+		n.onVoteReply(m)
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.onLeaderMessage(m)
+	case MsgTimeoutNow:
+		if n.leader == m.From && n.membership().IsVoter(n.cfg.ID) {
+			n.campaign(Candidate, true)
+		}
+	default:
+		n.onFollowerMessage(m)
+	}
+}
+
+// adoptTerm moves to a higher term if the message is proof of one, and reports
+// whether to go on with the message.
+func (n *Node) adoptTerm(m Message) bool {
+	switch m.Kind {
+	case MsgPreVote:
+		n.onVote(m)
+		return false
+	case MsgPreVoteReply:
+		if !m.Reject {
+			return m.Term == n.hard.Term+1 // granted for the term asked for
+		}
+	case MsgVote:
+		// A replica that hears from a live leader ignores candidates, so that
+		// one that returns from a partition does not depose it.
+		if !m.Forced && n.leaderAlive() {
+			return false
+		}
+	}
+	leader := ""
+	if m.Kind == MsgAppend || m.Kind == MsgHeartbeat || m.Kind == MsgSnapshot {
+		leader = m.From
+	}
+	n.becomeFollower(m.Term, leader)
+	return true
+}
+
+// stepOld answers messages of an earlier term where the sender has to learn of
+// the newer one.
+func (n *Node) stepOld(m Message) {
+	switch m.Kind {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.send(Message{Kind: MsgAppendReply, To: m.From, Term: n.hard.Term, Index: m.Index, Reject: true})
+	case MsgPreVote:
+		n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: n.hard.Term, Reject: true})
+	}
+}
+
+// leaderAlive reports whether a leader was heard of within the election
+// time-out.
+func (n *Node) leaderAlive() bool {
+	if n.role == Leader {
+		return true
+	}
+	return n.leader != "" && n.quiet < n.cfg.ElectionTicks
+}
+
+func (n *Node) onVote(m Message) {
+	grant := n.log.upToDate(m.Index, m.LogTerm)
+	if m.Kind == MsgPreVote {
+		grant = grant && m.Term > n.hard.Term && !n.leaderAlive()
+		reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
+		if !grant {
+			reply.Term = max(n.hard.Term, 1)
+		}
+		n.send(reply)
+		return
+	}
+	grant = grant && (n.hard.Vote == m.From || (n.hard.Vote == "" && n.leader == ""))
+	if grant {
+		n.hard.Vote = m.From
+		n.resetTimeout()
+	}
+	n.send(Message{Kind: MsgVoteReply, To: m.From, Term: n.hard.Term, Reject: !grant})
+}
+
+func (n *Node) onVoteReply(m Message) {
+	expected := map[MessageKind]Role{MsgPreVoteReply: PreCandidate, MsgVoteReply: Candidate}[m.Kind]
+	if n.role != expected || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	n.countVotes()
+}
+
+func (n *Node) onLeaderMessage(m Message) {
+	if n.role == Leader {
+		return // two leaders of one term are impossible between correct replicas
+	}
+	if n.role != Follower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.elapsed, n.quiet = 0, 0
+	switch m.Kind {
+	case MsgAppend:
+		n.onAppend(m)
+	case MsgHeartbeat:
+		n.setCommit(min(m.Commit, n.log.last()))
+		n.send(Message{Kind: MsgHeartbeatReply, To: m.From, Term: n.hard.Term, Round: m.Round})
+	case MsgSnapshot:
+		n.onSnapshot(m)
+	}
+}
+
+func (n *Node) onAppend(m Message) {
+	reply := Message{Kind: MsgAppendReply, To: m.From, Term: n.hard.Term}
+	if m.Index < n.hard.Commit && m.Index+uint64(len(m.Entries)) <= n.hard.Commit {
+		reply.Index = n.hard.Commit // committed entries are equal everywhere
+		n.send(reply)
+		return
+	}
+	prev, entries := m.Index, m.Entries
+	if prev < n.hard.Commit {
+		entries = entries[n.hard.Commit-prev:]
+		prev = n.hard.Commit
+	} else if term, ok := n.log.term(prev); !ok || term != m.LogTerm {
+		reply.Index, reply.Reject, reply.Hint = m.Index, true, n.conflictHint(m)
+		n.send(reply)
+		return
+	}
+	for i, e := range entries {
+		term, ok := n.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok {
+			n.truncate(e.Index)
+		}
+		for _, added := range entries[i:] {
+			if err := n.appendEntry(added); err != nil {
+				return // checked by Message.check
+			}
+		}
+		break
+	}
+	last := prev + uint64(len(entries))
+	n.setCommit(min(m.Commit, last))
+	reply.Index = last
+	n.send(reply)
+}
+
+// conflictHint is the last position at which the logs can match.
+func (n *Node) conflictHint(m Message) uint64 {
+	hint := min(m.Index-1, n.log.last())
+	for hint > n.hard.Commit {
+		if term, ok := n.log.term(hint); !ok || term <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	return hint
+}
+
+func (n *Node) onSnapshot(m Message) {
+	c := m.Snapshot
+	reply := Message{Kind: MsgSnapshotReply, To: m.From, Term: n.hard.Term, Index: c.Index}
+	switch {
+	case c.Index <= n.hard.Commit:
+		reply.Commit = n.hard.Commit
+	case c.Offset == 0:
+		n.incoming = &Snapshot{Index: c.Index, Term: c.Term, Membership: c.Membership.Clone()}
+	}
+	if reply.Commit == 0 {
+		n.receiveChunk(c, &reply)
+	}
+	n.send(reply)
+}
+
+func (n *Node) receiveChunk(c *SnapshotChunk, reply *Message) {
+	in := n.incoming
+	if in == nil || in.Index != c.Index {
+		reply.Reject = true
+		return
+	}
+	if c.Offset == uint64(len(in.Data)) {
+		in.Data = append(in.Data, c.Data...)
+	}
+	reply.Hint = uint64(len(in.Data))
+	if reply.Hint == c.Total {
+		n.install(*in)
+		reply.Commit = c.Index
+	}
+}
+
+func (n *Node) install(s Snapshot) {
+	n.incoming = nil
+	if term, ok := n.log.term(s.Index); ok && term == s.Term {
+		n.setCommit(s.Index) // the log already holds it
+		return
+	}
+	n.snapshot, n.newSnap = s, &s
+	n.log.reset(s.Index, s.Term)
+	n.memberships = []Membership{s.Membership}
+	n.hard.Commit, n.applied = s.Index, s.Index
+}
+
+func (n *Node) onFollowerMessage(m Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.quiet = 0
+	switch m.Kind {
+	case MsgAppendReply:
+		n.onAppendReply(m.From, p, m)
+	case MsgHeartbeatReply:
+		n.onHeartbeatReply(m.From, p, m)
+	case MsgSnapshotReply:
+		n.onSnapshotReply(m.From, p, m)
+	}
+}
--- /dev/null
+++ b/storage/storage.go
@@ -0,0 +1,410 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rhubarbhill/rhubarbhill/raft"
+)
+
+// Errors of this package.
+var (
+	// ErrDamaged means that the folder holds data that was synced and is no
+	// longer readable.
+	ErrDamaged = errors.New("data folder is damaged")
+	// ErrForeign means that the folder belongs to another replica.
+	ErrForeign = errors.New("data folder belongs to another replica")
+	// ErrLocked means that another process uses the folder.
+	ErrLocked = errors.New("data folder is in use")
+	// ErrFailed means that a sync failed. What the disk holds is not known
+	// until the folder is opened again.
+	ErrFailed = errors.New("disk failed")
+	// ErrRetry means that nothing was stored and Save may be called again with
+	// the same arguments, for example once the disk has space.
+	ErrRetry = errors.New("disk full or not writable")
+)
+
+const (
+	identityFile    = "identity.json"
+	lockFile        = "lock"
+	walFolder       = "wal"
+	snapshotFolder  = "snap"
+	segmentSuffix   = ".wal"
+	snapshotSuffix  = ".snap"
+	identityBytes   = 8
+	fileMode        = 0o600
+	folderMode      = 0o700
+	snapshotsKept   = 2
+	defaultSegment  = 16 << 20
+	recoveryAdvice  = "restore the folder from a copy, or move it away and start again: the replica then rejoins as a learner"
+	maxRecordBytes  = 1 << 30
+	maxIdentityFile = 4096
+)
+
+// Options configure Open.
+type Options struct {
+	// Replica is the configured name of the replica.
+	Replica string
+	// SegmentBytes is the size at which a new log segment starts. Default
+	// 16 MiB. Smaller segments free space sooner and cost more files.
+	SegmentBytes int64
+	// NoSync skips syncing, for measurements only.
+	NoSync bool
+	// Files replaces the file system's write and sync, for tests.
+	Files FileOps
+}
+
+// FileOps are the operations that can fail on a bad disk.
+type FileOps interface {
+	Write(f *os.File, data []byte) (int, error)
+	Sync(f *os.File) error
+}
+
+type osFiles struct{}
+
+func (osFiles) Write(f *os.File, data []byte) (int, error) { return f.Write(data) }
+func (osFiles) Sync(f *os.File) error                      { return f.Sync() }
+
+type noSync struct{ osFiles }
+
+func (noSync) Sync(*os.File) error { return nil }
+
+// Identity names a replica and its storage.
+type Identity struct {
+	Replica string `json:"replica"`
+	Storage string `json:"storage"`
+}
+
+// ID is the replica's identifier in the replicated log.
+func (i Identity) ID() string { return i.Replica + "." + i.Storage }
+
+// State is what a folder holds.
+type State struct {
+	Identity  Identity
+	HardState raft.HardState
+	Snapshot  raft.Snapshot
+	Entries   []raft.Entry // after the snapshot
+	// TornBytes is the length of an unfinished record that was cut off.
+	TornBytes int64
+}
+
+// Empty reports whether the replica has no history.
+func (s State) Empty() bool { return s.Snapshot.Index == 0 && len(s.Entries) == 0 }
+
+// Folder is an open data folder.
+type Folder struct {
+	dir      string
+	opts     Options
+	files    FileOps
+	identity Identity
+	lock     *os.File
+	wal      *wal
+	failed   error
+	lastHard raft.HardState
+}
+
+// Open reads and locks a data folder, creating it if it does not exist.
+func Open(dir string, opts Options) (*Folder, State, error) {
+	if opts.SegmentBytes == 0 {
+		opts.SegmentBytes = defaultSegment
+	}
+	f := &Folder{dir: dir, opts: opts, files: opts.Files}
+	switch {
+	case opts.NoSync:
+		f.files = noSync{}
+	case f.files == nil:
+		f.files = osFiles{}
+	}
+	if err := f.prepare(); err != nil {
+		return nil, State{}, err
+	}
+	state, err := f.load()
+	if err != nil {
+		f.Close()
+		return nil, State{}, err
+	}
+	return f, state, nil
+}
+
+func (f *Folder) prepare() error {
+	for _, sub := range []string{"", walFolder, snapshotFolder} {
+		if err := os.MkdirAll(filepath.Join(f.dir, sub), folderMode); err != nil {
+			return fmt.Errorf("data folder: %w", err)
+		}
+	}
+	lock, err := os.OpenFile(filepath.Join(f.dir, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return fmt.Errorf("%w: %s", ErrLocked, f.dir)
+	}
+	f.lock = lock
+	return nil
+}
+
+func (f *Folder) load() (State, error) {
+	var state State
+	if err := f.loadIdentity(); err != nil {
+		return state, err
+	}
+	state.Identity = f.identity
+	snapshot, err := f.loadSnapshot()
+	if err != nil {
+		return state, err
+	}
+	state.Snapshot = snapshot
+	w, content, err := openWAL(filepath.Join(f.dir, walFolder), f.identity.Storage, f.opts.SegmentBytes, f.files)
+	if err != nil {
+		return state, err
+	}
+	f.wal = w
+	state.HardState, state.TornBytes = content.hard, content.torn
+	f.lastHard = state.HardState
+	if err := content.fits(snapshot); err != nil {
+		return state, err
+	}
+	if !content.continues(snapshot) {
+		return state, f.wal.append(record{Hard: state.HardState, Reset: snapshot.Index, Snapshot: snapshot.Index})
+	}
+	for _, e := range content.entries {
+		if e.Index > snapshot.Index {
+			state.Entries = append(state.Entries, e)
+		}
+	}
+	return state, nil
+}
+
+// loadIdentity reads the identity, or creates one in a folder without log.
+func (f *Folder) loadIdentity() error {
+	path := filepath.Join(f.dir, identityFile)
+	data, err := os.ReadFile(path)
+	if err == nil {
+		return f.checkIdentity(path, data)
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("identity: %w", err)
+	}
+	for _, sub := range []string{walFolder, snapshotFolder} {
+		names, err := os.ReadDir(filepath.Join(f.dir, sub))
+		if err != nil {
+			return fmt.Errorf("data folder: %w", err)
+		}
+		if len(names) > 0 {
+			return fmt.Errorf("%w: %s is missing but %s is not empty; %s", ErrDamaged, identityFile, sub, recoveryAdvice)
+		}
+	}
+	id := make([]byte, identityBytes)
+	if _, err := rand.Read(id); err != nil {
+		return fmt.Errorf("identity: %w", err)
+	}
+	f.identity = Identity{Replica: f.opts.Replica, Storage: hex.EncodeToString(id)}
+	data, err = json.Marshal(f.identity)
+	if err != nil {
+		return fmt.Errorf("identity: %w", err)
+	}
+	return f.writeFile(path, data)
+}
+
+func (f *Folder) checkIdentity(path string, data []byte) error {
+	if len(data) > maxIdentityFile || json.Unmarshal(data, &f.identity) != nil || len(f.identity.Storage) != 2*identityBytes {
+		return fmt.Errorf("%w: %s is not readable; %s", ErrDamaged, path, recoveryAdvice)
+	}
+	if f.identity.Replica != f.opts.Replica {
+		return fmt.Errorf("%w: it belongs to replica %q, this is %q; set data_dir or replica right, or move the folder away: the replica then joins as a learner",
+			ErrForeign, f.identity.Replica, f.opts.Replica)
+	}
+	return nil
+}
+
+// writeFile writes a whole file so that a crash leaves either none or all.
+func (f *Folder) writeFile(path string, data []byte) error {
+	tmp, err := os.OpenFile(path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRetry, err)
+	}
+	_, err = f.files.Write(tmp, data)
+	if err == nil {
+		err = f.files.Sync(tmp)
+	}
+	err = errors.Join(err, tmp.Close())
+	if err == nil {
+		err = os.Rename(path+".tmp", path)
+	}
+	if err == nil {
+		err = f.syncFolder(filepath.Dir(path))
+	}
+	if err != nil {
+		_ = os.Remove(path + ".tmp")
+		return fmt.Errorf("%w: %w", ErrRetry, err)
+	}
+	return nil
+}
+
+func (f *Folder) syncFolder(dir string) error { return syncFolder(dir, f.files) }
+
+func syncFolder(dir string, files FileOps) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(files.Sync(d), d.Close())
+}
+
+// Save stores entries and the hard state as one record and returns once they
+// are durable. Entries replace the stored log from their first index on. A
+// commit index that changed alone is stored with the next record: an unsynced
+// record could not be told from damage after a crash. After ErrRetry nothing
+// is stored; any other error is final.
+func (f *Folder) Save(hard raft.HardState, entries []raft.Entry) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	if len(entries) == 0 && hard.Term == f.lastHard.Term && hard.Vote == f.lastHard.Vote {
+		return nil
+	}
+	err := f.wal.append(record{Hard: hard, Entries: entries})
+	if err == nil {
+		f.lastHard = hard
+	} else if errors.Is(err, ErrFailed) {
+		f.failed = err
+	}
+	return err
+}
+
+// SaveSnapshot stores a snapshot and removes what it makes unnecessary. With
+// reset the stored log is replaced as a whole, as for a received snapshot;
+// otherwise entries after keepFrom stay.
+func (f *Folder) SaveSnapshot(s raft.Snapshot, hard raft.HardState, reset bool, keepFrom uint64) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	data, err := encodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%020d-%020d%s", s.Index, s.Term, snapshotSuffix)
+	if err := f.writeFile(filepath.Join(f.dir, snapshotFolder, name), data); err != nil {
+		return err
+	}
+	err = f.wal.append(record{Hard: hard, Reset: resetIndex(reset, s.Index), Snapshot: s.Index})
+	if err != nil {
+		if errors.Is(err, ErrFailed) {
+			f.failed = err
+		}
+		return err
+	}
+	f.lastHard = hard
+	f.removeOld(keepFrom)
+	return nil
+}
+
+func resetIndex(reset bool, index uint64) uint64 {
+	if reset {
+		return index
+	}
+	return 0
+}
+
+// removeOld frees space. A failure only leaves files that the next call
+// removes.
+func (f *Folder) removeOld(keepFrom uint64) {
+	names, err := f.snapshotNames()
+	if err == nil {
+		for _, name := range names[min(snapshotsKept, len(names)):] {
+			_ = os.Remove(filepath.Join(f.dir, snapshotFolder, name))
+		}
+	}
+	f.wal.removeBefore(keepFrom, f.lastHard)
+}
+
+// snapshotNames lists complete snapshots, the newest first.
+func (f *Folder) snapshotNames() ([]string, error) {
+	files, err := os.ReadDir(filepath.Join(f.dir, snapshotFolder))
+	if err != nil {
+		return nil, fmt.Errorf("snapshots: %w", err)
+	}
+	var names []string
+	for _, file := range files {
+		if strings.HasSuffix(file.Name(), snapshotSuffix) {
+			names = append(names, file.Name())
+		}
+	}
+	slices.Sort(names)
+	slices.Reverse(names)
+	return names, nil
+}
+
+// loadSnapshot reads the newest snapshot. A damaged one is not skipped: an
+// older one may lack entries that the log no longer holds.
+func (f *Folder) loadSnapshot() (raft.Snapshot, error) {
+	names, err := f.snapshotNames()
+	if err != nil || len(names) == 0 {
+		return raft.Snapshot{}, err
+	}
+	path := filepath.Join(f.dir, snapshotFolder, names[0])
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return raft.Snapshot{}, fmt.Errorf("snapshot: %w", err)
+	}
+	s, err := decodeSnapshot(data)
+	if err != nil {
+		return s, fmt.Errorf("%w: %s: %w; %s", ErrDamaged, path, err, recoveryAdvice)
+	}
+	index, _ := strconv.ParseUint(strings.SplitN(names[0], "-", 2)[0], 10, 64)
+	if index != s.Index {
+		return s, fmt.Errorf("%w: %s holds a snapshot at %d; %s", ErrDamaged, path, s.Index, recoveryAdvice)
+	}
+	return s, nil
+}
+
+// Size returns the bytes on disk.
+func (f *Folder) Size() int64 {
+	var total int64
+	_ = filepath.WalkDir(f.dir, func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			if info, err := d.Info(); err == nil {
+				total += info.Size()
+			}
+		}
+		return nil
+	})
+	return total
+}
+
+// Close releases the folder.
+func (f *Folder) Close() {
+	if f.wal != nil {
+		f.wal.close()
+	}
+	_ = f.lock.Close()
+}
+
+var encMode = func() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 1 << 24, MaxMapPairs: 1024}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
