--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -22,6 +22,7 @@
 	listeners map[string]*listener // by address
 	conns     map[*conn]struct{}
 	links     map[link]*state
+	starts    map[string]uint64 // of each host, so that a stopped process stays cut off
 }
 
 type link struct{ from, to string }
@@ -33,17 +34,23 @@
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, links: map[link]*state{}}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, links: map[link]*state{}, starts: map[string]uint64{}}
 }
 
 // Host is one process's view of the network. It implements network.Network.
+// It is dead once the host was stopped.
 type Host struct {
-	net  *Network
-	name string
+	net   *Network
+	name  string
+	start uint64
 }
 
-// Host returns the host of the given name, also after a stop.
-func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
+// Host returns a view for a process that starts now on the named host.
+func (n *Network) Host(name string) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &Host{net: n, name: name, start: n.starts[name]}
+}
 
 // SetDelay sets the one-way delay between two hosts, both ways.
 func (n *Network) SetDelay(a, b string, delay time.Duration) {
@@ -97,6 +104,7 @@
 func (n *Network) Stop(host string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.starts[host]++
 	for address, l := range n.listeners {
 		if l.host == host {
 			delete(n.listeners, address)
@@ -120,6 +128,9 @@
 func (h *Host) Listen(address string) (net.Listener, error) {
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
+	if h.stopped() {
+		return nil, &net.OpError{Op: "listen", Err: net.ErrClosed}
+	}
 	if _, taken := h.net.listeners[address]; taken {
 		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
 	}
@@ -133,7 +144,11 @@
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	h.net.mu.Lock()
 	l, ok := h.net.listeners[address]
+	stopped := h.stopped()
 	h.net.mu.Unlock()
+	if stopped {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
 	if !ok {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
@@ -148,6 +163,9 @@
 	return h.connect(l)
 }
 
+// stopped needs the network's lock.
+func (h *Host) stopped() bool { return h.start != h.net.starts[h.name] }
+
 func wait(ctx context.Context, d time.Duration) error {
 	if d == 0 {
 		return ctx.Err()
@@ -165,9 +183,15 @@
 func (h *Host) connect(l *listener) (net.Conn, error) {
 	client, server := newConnPair(h.net, h.name, l.host, l.address)
 	h.net.mu.Lock()
-	h.net.conns[client] = struct{}{}
-	h.net.conns[server] = struct{}{}
+	stopped := h.stopped()
+	if !stopped {
+		h.net.conns[client] = struct{}{}
+		h.net.conns[server] = struct{}{}
+	}
 	h.net.mu.Unlock()
+	if stopped {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
 	select {
 	case l.queue <- server:
 		return client, nil
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -148,3 +148,131 @@
 capacity: 8
 YAML
 } >"$RUN/settings/agent-4.yaml"
+
+write_note() { # number action version digest
+	cat >"$RUN/note-$1.yaml" <<YAML
+note: $1
+models:
+  $2:
+    - name: quote
+      version: "$3"
+      manifest: $4
+      replicas: {role: quote}
+YAML
+}
+
+weights() { # version seed-flags...
+	local version=$1
+	shift
+	"$BIN/rhubarb-standin" weights --dir "$RUN/origin" --name quote --version "$version" \
+		--size "${WEIGHTS_MIB}MiB" "$@" | tail -n 1 | grep -o 'sha256:[0-9a-f]*'
+}
+
+echo "== writing two versions of the weights, ${WEIGHTS_MIB} MiB each"
+readonly DIGEST1=$(weights 1 --seed 1)
+readonly DIGEST2=$(weights 2 --seed 2)
+write_note 1 add 1 "$DIGEST1"
+write_note 2 change 2 "$DIGEST2"
+
+echo "== starting processes (logs under $RUN)"
+start origin "$BIN/rhubarb-standin" origin --listen "$(addr 100)" --dir "$RUN/origin"
+start store "$BIN/rhubarb-standin" store --listen "$(addr 101)" --dir "$RUN/origin"
+start service "$BIN/rhubarb-standin" service --listen "$(addr 99)" --name dispatch
+for i in 0 1 2 3; do
+	start "engine-$i" "$BIN/rhubarb-standin" engine --listen "$(addr $((90 + i)))" --check-fence
+	start "control-$i" "$BIN/rhubarb-control" --settings "$RUN/settings/control-$i.yaml"
+	start "entry-$i" "$BIN/rhubarb-entry" --settings "$RUN/settings/entry-$i.yaml"
+done
+for i in 0 1 2 3 4; do
+	start "agent-$i" "$BIN/rhubarb-agent" --settings "$RUN/settings/agent-$i.yaml"
+done
+
+readonly CTL=("$BIN/rhubarbctl" --token-file "$RUN/tokens/operator"
+	--control "$(addr 20),$(addr 21),$(addr 22),$(addr 23)")
+readonly ENTRIES="$(addr 40),$(addr 41),$(addr 42),$(addr 43)"
+
+ready() { # admin port offset
+	curl -sf -o /dev/null "http://$(addr "$1")/readyz"
+}
+for i in 0 1 2 3; do wait_for 20 "control-$i ready" ready $((30 + i)); done
+
+live_on() { # version count
+	local live
+	live=$("${CTL[@]}" --json endpoints | grep -o "\"version\": *\"$1\"" | wc -l)
+	[ "$live" -ge "$2" ]
+}
+
+echo "== note 1: quote version 1"
+now_ms() { date +%s%3N; }
+t0=$(now_ms)
+"${CTL[@]}" apply --wait "$RUN/note-1.yaml"
+echo "in force everywhere after $(($(now_ms) - t0)) ms"
+wait_for 60 "version 1 live on 4 endpoints" live_on 1 4
+echo "live on 4 endpoints after $(($(now_ms) - t0)) ms"
+curl -sf "http://$(addr 100)/counters" && echo
+
+echo "== quotes and orders while version 2 rolls out"
+"$BIN/rhubarb-load" quotes --entry "$ENTRIES" --zone bne-a --token-file "$RUN/tokens/caller" \
+	--models quote=1 --rate "$QUOTE_RATE" --duration "${QUOTE_SECONDS}s" --stream-share 0.7 \
+	--weights "quote=$RUN/origin/manifests/${DIGEST1#sha256:}" \
+	--weights "quote=$RUN/origin/manifests/${DIGEST2#sha256:}" \
+	--min-done 0.99 --out "$RUN/quotes.json" 2>"$RUN/quotes.log" &
+quotes=$!
+"$BIN/rhubarb-load" services --entry "$ENTRIES" --zone bne-a --token-file "$RUN/tokens/caller" \
+	--service dispatch --executions "http://$(addr 99)/executions" --rate 5 \
+	--duration "${QUOTE_SECONDS}s" --out "$RUN/orders.json" 2>"$RUN/orders.log" &
+orders=$!
+sleep 3
+t0=$(now_ms)
+"${CTL[@]}" apply --wait "$RUN/note-2.yaml"
+echo "in force everywhere after $(($(now_ms) - t0)) ms"
+wait_for 60 "version 2 live on 4 endpoints" live_on 2 4
+echo "live on 4 endpoints after $(($(now_ms) - t0)) ms"
+"${CTL[@]}" status
+quotes_ok=0 orders_ok=0
+wait "$quotes" || quotes_ok=$?
+wait "$orders" || orders_ok=$?
+echo "-- quotes"
+cat "$RUN/quotes.json"
+echo "-- orders"
+cat "$RUN/orders.json"
+
+echo "== bytes that left the origin, the store, and went between endpoints"
+curl -sf "http://$(addr 100)/counters" && echo
+curl -sf "http://$(addr 101)/counters" && echo
+peer_bytes=0
+for i in 0 1 2 3; do
+	n=$(curl -sf "http://$(addr $((80 + i)))/metrics" | awk '/^rhubarb_agent_chunk_bytes_total.*source="peer"/ {s += $2} END {printf "%d", s}')
+	peer_bytes=$((peer_bytes + n))
+done
+echo "bytes from other endpoints: $peer_bytes"
+
+[ "$quotes_ok" = 0 ] || fail "quotes: rhubarb-load exited $quotes_ok"
+[ "$orders_ok" = 0 ] || fail "orders: rhubarb-load exited $orders_ok"
+[ "$peer_bytes" -gt 0 ] || fail "no chunk came from another endpoint"
+
+echo "== bad input changes nothing"
+refused() { # expected-pattern command...
+	local pattern=$1 out
+	shift
+	out=$("$@" 2>&1) && fail "accepted: $*"
+	grep -qi -- "$pattern" <<<"$out" || fail "unclear error for $*: $out"
+	echo "refused: $(grep -i -m 1 -- "$pattern" <<<"$out")"
+}
+printf 'note: 3\nadapters:\n  add:\n    - {name: council, base: missing, version: "1", manifest: %s}\n' "$DIGEST1" >"$RUN/bad-base.yaml"
+printf 'note: 3\nmodel:\n  add: []\n' >"$RUN/bad-field.yaml"
+refused base "${CTL[@]}" apply "$RUN/bad-base.yaml"
+refused model "${CTL[@]}" apply "$RUN/bad-field.yaml"
+sed 's/^log_level:.*/log_levle: info/' "$RUN/settings/agent-0.yaml" >"$RUN/settings/bad-agent.yaml"
+refused log_levle "$BIN/rhubarb-agent" --check --settings "$RUN/settings/bad-agent.yaml"
+sed 's|^data_dir:.*|data_dir: /proc/nowhere|' "$RUN/settings/control-0.yaml" >"$RUN/settings/bad-control.yaml"
+refused data_dir "$BIN/rhubarb-control" --check --settings "$RUN/settings/bad-control.yaml"
+caller() { # body
+	curl -s -H "Authorization: Bearer $(cat "$RUN/tokens/caller")" -H 'Rhubarb-Organisation: small' \
+		-w ' %{http_code}' -d "$1" "http://$(addr 40)/v1/chat/completions"
+}
+grep -q ' 400$' <<<"$(caller '')" || fail "empty body: $(caller '')"
+grep -q ' 404$' <<<"$(caller '{"model":"nobody","messages":[{"role":"user","content":"x"}]}')" || fail "unknown model"
+"${CTL[@]}" --json status | grep -q '"revision": *2' || fail "bad input changed the revision"
+
+echo "== all checks held"
