--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/storage"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// cluster runs daemons on loopback, one data folder each.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	token   auth.Token
+	names   []string
+	session map[string]string
+	daemons map[string]*instance
+	change  func(name string, s *Settings, o *Options)
+}
+
+type instance struct {
+	*Daemon
+	stop func()
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, dir: t.TempDir(), names: names, session: map[string]string{}, daemons: map[string]*instance{},
+	}
+	file := filepath.Join(c.dir, "token")
+	if err := os.WriteFile(file, []byte("token-of-the-test-cluster"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var err error
+	if c.token, err = auth.ReadToken(file); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		c.session[name] = freeAddress(t)
+	}
+	t.Cleanup(func() {
+		for _, d := range c.daemons {
+			d.stop()
+		}
+	})
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (c *cluster) start(name string) *instance {
+	c.t.Helper()
+	s := DefaultSettings()
+	s.Instance, s.Replica, s.Zone, s.Region = name, name, "z", "r"
+	s.SessionListen, s.OperatorListen = c.session[name], freeAddress(c.t)
+	s.DataDir, s.Voters = filepath.Join(c.dir, name), c.session
+	o := Options{Tick: 20 * time.Millisecond, ProcessToken: &c.token, OperatorToken: &c.token, Storage: storage.Options{}}
+	if c.change != nil {
+		c.change(name, &s, &o)
+	}
+	d, err := New(s, o, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	var stopped bool
+	i := &instance{Daemon: d}
+	i.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-done; err != nil {
+			c.t.Errorf("%s: %v", name, err)
+		}
+	}
+	c.daemons[name] = i
+	return i
+}
+
+func (c *cluster) startAll() {
+	for _, name := range c.names {
+		c.start(name)
+	}
+}
+
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			for name, d := range c.daemons {
+				data, _ := json.Marshal(d.Status())
+				c.t.Logf("%s: %s", name, data)
+			}
+			c.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) leader() *instance {
+	for _, d := range c.daemons {
+		if v := d.replica.View(); v.Raft.Role == raft.Leader {
+			return d
+		}
+	}
+	return nil
+}
+
+func noteText(number int) string {
+	action := "change"
+	if number == 1 {
+		action = "add"
+	}
+	return fmt.Sprintf("note: %d\nmodels:\n  %s:\n    - name: m\n      version: \"%d\"\n      manifest: sha256:%064d\n      replicas: {role: quote}\n",
+		number, action, number, number)
+}
+
+// submit sends a note until it gets a final answer.
+func (c *cluster) submit(number int) NoteAnswer {
+	c.t.Helper()
+	doc, err := release.Parse([]byte(noteText(number)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var answer NoteAnswer
+	c.eventually(fmt.Sprintf("note %d answered", number), func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, answer = l.SubmitNote(ctx, doc)
+		return answer.Status != "unknown" && answer.Status != "not-run"
+	})
+	return answer
+}
+
+func (c *cluster) converged(revision uint64) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("revision %d everywhere", revision), func() bool {
+		for _, d := range c.daemons {
+			if d.replica.View().Catalogue.Revision != revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a cluster that does not form, or loses a note over a restart
+// of every replica.
+func TestNotesSurviveRestartOfAllReplicas(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "c1", "c2", "c3", "c4")
+	c.startAll()
+	for n := 1; n <= 3; n++ {
+		is.Equal(c.submit(n).Status, "accepted")
+	}
+	c.converged(3)
+	for _, d := range c.daemons {
+		d.stop()
+	}
+	c.startAll()
+	first := c.submit(2)
+	is.Equal(first.Status, "accepted")
+	is.True(strings.HasPrefix(string(first.Digest), "sha256:"))
+	is.Equal(c.submit(5).Status, "refused")
+	is.Equal(c.submit(4).Status, "accepted")
+	c.converged(4)
+}
--- /dev/null
+++ b/internal/control/hub.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/membership"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+const (
+	// membersInterval bounds how long a change of the member table waits to be
+	// sent together with others.
+	membersInterval = 50 * time.Millisecond
+	expireInterval  = 250 * time.Millisecond
+)
+
+// subscriber is a session that gets updates.
+type subscriber struct {
+	session  *transport.Session
+	revision uint64 // catalogue revision sent
+	members  bool
+	version  uint64 // member version sent
+	listed   uint64 // quarantine version sent
+}
+
+// hub holds the member table and the subscribers.
+type hub struct {
+	mu          sync.Mutex
+	epoch       uint64
+	table       *membership.Table[wire.Announce]
+	subscribers map[*transport.Session]*subscriber
+	view        func() *View
+	announced   func(wire.Announce, time.Time)
+	dropped     func()
+	wake        chan struct{}
+}
+
+func newHub(view func() *View) *hub {
+	epoch := uint64(time.Now().UnixNano())
+	return &hub{
+		epoch: epoch, view: view, wake: make(chan struct{}, 1),
+		subscribers: map[*transport.Session]*subscriber{},
+		table:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
+	}
+}
+
+// significant tells whether followers need an announcement beyond what they
+// can see themselves; load alone is a hint that entries refresh by their own
+// attempts.
+func significant(previous, next membership.Record[wire.Announce]) bool {
+	a, b := previous.Report, next.Report
+	if a.Ready != b.Ready || a.Capacity != b.Capacity || a.Confirmed != b.Confirmed ||
+		a.GateAddress != b.GateAddress || a.ChunkAddress != b.ChunkAddress || a.Role != b.Role ||
+		len(a.Sets) != len(b.Sets) {
+		return true
+	}
+	for i := range a.Sets {
+		if a.Sets[i] != b.Sets[i] {
+			return true
+		}
+	}
+	return abs(a.InFlight-b.InFlight)*loadSteps > max(b.Capacity, 1)
+}
+
+// loadSteps is how finely members report load: a change below a quarter of the
+// capacity is not sent on.
+const loadSteps = 4
+
+func abs(v int) int { return max(v, -v) }
+
+// Announce takes in an announcement.
+func (h *hub) Announce(a wire.Announce, now time.Time) {
+	h.mu.Lock()
+	before := h.table.Version()
+	fresh := h.table.Apply(membership.Record[wire.Announce]{
+		Endpoint: a.Endpoint, Incarnation: a.Incarnation, Sequence: a.Sequence,
+		Draining: a.Draining, Gone: a.Gone, Report: a,
+	}, now)
+	changed := h.table.Version() != before
+	h.mu.Unlock()
+	if fresh && h.announced != nil {
+		h.announced(a, now)
+	}
+	if changed {
+		h.wakeUp()
+	}
+}
+
+func (h *hub) wakeUp() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Live lists the present endpoints.
+func (h *hub) Live() []wire.Announce {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	records := h.table.Live()
+	live := make([]wire.Announce, len(records))
+	for i, r := range records {
+		live[i] = r.Report
+	}
+	return live
+}
+
+// Subscribe starts or restarts updates to a session.
+func (h *hub) Subscribe(s *transport.Session, q wire.Subscribe) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sub := &subscriber{session: s, members: q.Members, revision: q.Revision}
+	h.subscribers[s] = sub
+	v := h.view()
+	h.sendCatalogue(sub, v, true)
+	if q.Members {
+		h.sendMembers(sub, h.table.Since(q.Epoch, q.Version))
+	}
+}
+
+// Forget ends updates to a session.
+func (h *hub) Forget(s *transport.Session) {
+	h.mu.Lock()
+	delete(h.subscribers, s)
+	h.mu.Unlock()
+}
+
+// Push sends the catalogue of a new view to every subscriber at once.
+func (h *hub) Push(v *View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, sub := range h.subscribers {
+		h.sendCatalogue(sub, v, false)
+	}
+}
+
+// sendCatalogue sends what the subscriber lacks. A failed send ends the
+// session: the subscriber then subscribes again with the revision it holds.
+func (h *hub) sendCatalogue(sub *subscriber, v *View, first bool) {
+	revision := v.Catalogue.Revision
+	if !first && sub.revision == revision && sub.listed == v.Quarantine {
+		return
+	}
+	msg := wire.Catalogue{Revision: revision, Digest: v.Digest, Quarantined: v.Suspects}
+	switch {
+	case sub.revision == revision && revision != 0:
+		msg.Base, msg.Delta = revision, &release.Delta{From: revision, To: revision}
+	case v.Delta != nil && v.Delta.To == revision && v.Delta.From == sub.revision && sub.revision != 0:
+		msg.Base, msg.Delta = sub.revision, v.Delta
+	default:
+		catalogue := v.Catalogue
+		msg.Full = &catalogue
+	}
+	sub.revision, sub.listed = revision, v.Quarantine
+	if sub.session.Send(msg) != nil {
+		sub.session.Close()
+	}
+}
+
+func (h *hub) sendMembers(sub *subscriber, u membership.Update[wire.Announce]) {
+	msg := wire.Members{Epoch: u.Epoch, Version: u.Version, Base: u.Base, Removed: u.Removed}
+	for _, r := range u.Updated {
+		msg.Updated = append(msg.Updated, r.Report)
+	}
+	sub.version = u.Version
+	if sub.session.Send(msg) != nil {
+		sub.session.Close()
+	}
+}
+
+// flush sends member changes to those who asked for them.
+func (h *hub) flush() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	version := h.table.Version()
+	updates := map[uint64]membership.Update[wire.Announce]{}
+	for _, sub := range h.subscribers {
+		if !sub.members || sub.version == version {
+			continue
+		}
+		u, ok := updates[sub.version]
+		if !ok {
+			u = h.table.Since(h.epoch, sub.version)
+			updates[sub.version] = u
+		}
+		h.sendMembers(sub, u)
+	}
+}
+
+// Run sends member changes and removes silent endpoints until done closes.
+func (h *hub) Run(done <-chan struct{}) {
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-expire.C:
+			h.mu.Lock()
+			expired := h.table.Expire(now)
+			h.mu.Unlock()
+			if len(expired) == 0 {
+				continue
+			}
+		case <-h.wake:
+		}
+		h.flush()
+		pause := time.NewTimer(membersInterval)
+		select {
+		case <-done:
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+}
--- /dev/null
+++ b/internal/control/inforce.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// revisionsTracked is how many of the last revisions are reported on.
+const revisionsTracked = 64
+
+// RevisionStatus says whether an accepted note is in force.
+type RevisionStatus struct {
+	Revision uint64 `json:"revision"`
+	InForce  bool   `json:"in_force"`
+	// AfterMs is the time from commit to being in force, as seen by this
+	// replica.
+	AfterMs int64 `json:"in_force_after_ms,omitempty"`
+	// WaitingFor lists endpoints that neither acknowledged the revision nor
+	// have certainly lost the lease on an older one.
+	WaitingFor []string `json:"waiting_for,omitempty"`
+	// LeaseExpired lists endpoints that did not acknowledge it and whose lease
+	// has run out: they refuse new work.
+	LeaseExpired []string `json:"lease_expired,omitempty"`
+}
+
+// inForce follows the last revisions. A lease on an older revision was asked
+// for before the newer one was committed, so it has run out once lease plus
+// grace have passed since.
+type inForce struct {
+	mu      sync.Mutex
+	lease   time.Duration // lease plus grace
+	known   map[string]acknowledged
+	tracked []*trackedRevision
+}
+
+type acknowledged struct {
+	revision uint64
+	gone     bool
+	heard    time.Time
+}
+
+type trackedRevision struct {
+	revision  uint64
+	committed time.Time
+	done      bool
+	after     time.Duration
+}
+
+func newInForce(lease time.Duration) *inForce {
+	return &inForce{lease: lease, known: map[string]acknowledged{}}
+}
+
+// Committed starts to follow a revision.
+func (f *inForce) Committed(revision uint64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracked = append(f.tracked, &trackedRevision{revision: revision, committed: now})
+	if len(f.tracked) > revisionsTracked {
+		f.tracked = f.tracked[1:]
+	}
+	f.settle(now)
+}
+
+// Announced takes in the revision that an endpoint acts on. An endpoint without
+// its lease refuses work, so its announcement does not acknowledge anything.
+func (f *inForce) Announced(a wire.Announce, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.known[a.Endpoint]
+	next := acknowledged{revision: held.revision, gone: a.Gone, heard: now}
+	if a.Confirmed {
+		next.revision = a.Revision
+	}
+	f.known[a.Endpoint] = next
+	f.settle(now)
+}
+
+// settle marks revisions as in force, the oldest first.
+func (f *inForce) settle(now time.Time) {
+	for endpoint, a := range f.known {
+		if a.gone || now.Sub(a.heard) > f.lease+knownFor {
+			delete(f.known, endpoint)
+		}
+	}
+	for _, t := range f.tracked {
+		if t.done {
+			continue
+		}
+		waiting, _ := f.split(t, now)
+		if len(waiting) == 0 {
+			t.done, t.after = true, now.Sub(t.committed)
+		}
+	}
+}
+
+// knownFor is how long a silent endpoint is reported after its lease ran out.
+const knownFor = time.Minute
+
+func (f *inForce) split(t *trackedRevision, now time.Time) (waiting, expired []string) {
+	over := now.Sub(t.committed) >= f.lease
+	for endpoint, a := range f.known {
+		switch {
+		case a.revision >= t.revision:
+		case over:
+			expired = append(expired, endpoint)
+		default:
+			waiting = append(waiting, endpoint)
+		}
+	}
+	slices.Sort(waiting)
+	slices.Sort(expired)
+	return waiting, expired
+}
+
+// Report describes the tracked revisions, the newest first.
+func (f *inForce) Report(now time.Time) []RevisionStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle(now)
+	var report []RevisionStatus
+	for _, t := range slices.Backward(f.tracked) {
+		s := RevisionStatus{Revision: t.revision, InForce: t.done, AfterMs: t.after.Milliseconds()}
+		s.WaitingFor, s.LeaseExpired = f.split(t, now)
+		if t.done {
+			s.WaitingFor = nil
+		}
+		report = append(report, s)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/control/manage.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rhubarbhill/rhubarbhill/raft"
+)
+
+// minVoters is the number of voters below which none is removed.
+const minVoters = 3
+
+// caughtUpEntries is how far a learner may be behind to become a voter.
+const caughtUpEntries = 16
+
+// repairPolicy decides membership changes of the leader, one at a time.
+type repairPolicy struct {
+	self         string
+	lossTicks    int // of silence before a voter counts as lost
+	targetVoters int
+	maxReplicas  int
+}
+
+// next returns the change to make now, if any. present holds the replicas heard
+// of lately, by name.
+func (p repairPolicy) next(s raft.Status, present map[string]hello) (raft.Change, bool) {
+	if s.Role != raft.Leader || s.MembershipPending {
+		return raft.Change{}, false
+	}
+	m := s.Membership
+	lost := p.lostVoter(s, present)
+	learner := p.readyLearner(s, present)
+	switch {
+	case lost != "" && len(m.Voters) > p.targetVoters && len(m.Voters) > minVoters:
+		return raft.Change{Kind: raft.Remove, ID: lost}, true
+	case lost != "" && learner != "":
+		return raft.Change{Kind: raft.Promote, ID: learner}, true
+	case lost != "" && len(m.Voters) > minVoters:
+		return raft.Change{Kind: raft.Remove, ID: lost}, true
+	case learner != "" && len(m.Voters) < p.targetVoters:
+		return raft.Change{Kind: raft.Promote, ID: learner}, true
+	}
+	if old := p.replacedLearner(m, present); old != "" {
+		return raft.Change{Kind: raft.Remove, ID: old}, true
+	}
+	return p.join(m, present)
+}
+
+// lostVoter returns a voter that was silent for too long, or whose name is in
+// use by another storage: its log is gone for good.
+func (p repairPolicy) lostVoter(s raft.Status, present map[string]hello) string {
+	for _, id := range s.Membership.Voters {
+		if id != p.self && (replaced(id, present) || p.silent(s, id)) {
+			return id
+		}
+	}
+	return ""
+}
+
+func (p repairPolicy) silent(s raft.Status, id string) bool {
+	peer, ok := s.Progress[id]
+	return ok && peer.QuietTicks >= p.lossTicks
+}
+
+func replaced(id string, present map[string]hello) bool {
+	h, ok := present[nameOf(id)]
+	return ok && h.ID != id
+}
+
+func nameOf(id string) string {
+	if i := strings.LastIndex(id, "."); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
+func (p repairPolicy) readyLearner(s raft.Status, present map[string]hello) string {
+	for _, id := range s.Membership.Learners {
+		peer := s.Progress[id]
+		if !replaced(id, present) && peer.QuietTicks*4 < p.lossTicks && peer.Match > 0 &&
+			peer.Match+caughtUpEntries >= s.Last {
+			return id
+		}
+	}
+	return ""
+}
+
+func (p repairPolicy) replacedLearner(m raft.Membership, present map[string]hello) string {
+	for _, id := range m.Learners {
+		if replaced(id, present) {
+			return id
+		}
+	}
+	return ""
+}
+
+// join adds a replica that is present and no member as a learner.
+func (p repairPolicy) join(m raft.Membership, present map[string]hello) (raft.Change, bool) {
+	if len(m.Replicas()) >= p.maxReplicas {
+		return raft.Change{}, false
+	}
+	var joining []hello
+	for _, h := range present {
+		if !m.Contains(h.ID) {
+			joining = append(joining, h)
+		}
+	}
+	if len(joining) == 0 {
+		return raft.Change{}, false
+	}
+	slices.SortFunc(joining, func(a, b hello) int { return strings.Compare(a.ID, b.ID) })
+	return raft.Change{Kind: raft.AddLearner, ID: joining[0].ID, Address: joining[0].Address}, true
+}
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+)
+
+const subsystem = "control"
+
+// daemonMetrics are the daemon's own counters.
+type daemonMetrics struct {
+	notes, proposals *prometheus.CounterVec
+	malformed        prometheus.Counter
+}
+
+func newDaemonMetrics(r *prometheus.Registry) *daemonMetrics {
+	counters := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help,
+		}, []string{label})
+	}
+	m := &daemonMetrics{
+		notes:     counters("notes_total", "Submitted notes by answer.", "answer"),
+		proposals: counters("proposals_total", "Proposals of entries and agents by answer.", "answer"),
+		malformed: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "malformed_messages_total",
+			Help: "Messages that could not be decoded.",
+		}),
+	}
+	r.MustRegister(m.notes, m.proposals, m.malformed)
+	return m
+}
+
+// follow registers gauges that read the published view.
+func (m *daemonMetrics) follow(r *prometheus.Registry, d *Daemon) {
+	gauge := func(name, help string, value func(v *View) float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help,
+		}, func() float64 { return value(d.replica.View()) }))
+	}
+	truth := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge("revision", "Last accepted note.", func(v *View) float64 { return float64(v.Catalogue.Revision) })
+	gauge("term", "Raft term.", func(v *View) float64 { return float64(v.Raft.Term) })
+	gauge("commit_index", "Committed log index.", func(v *View) float64 { return float64(v.Raft.Commit) })
+	gauge("leader", "1 while this replica leads.", func(v *View) float64 { return truth(v.Raft.Role == raft.Leader) })
+	gauge("voters", "Voters of the newest membership.", func(v *View) float64 { return float64(len(v.Raft.Membership.Voters)) })
+	gauge("learners", "Learners of the newest membership.", func(v *View) float64 { return float64(len(v.Raft.Membership.Learners)) })
+	gauge("disk_failed", "1 while this replica cannot store anything.", func(v *View) float64 { return truth(v.DiskError != nil) })
+	gauge("claims", "Claims within retention.", func(v *View) float64 { return float64(v.Sizes.Claims) })
+	gauge("expired_keys", "Keys remembered past retention.", func(v *View) float64 { return float64(v.Sizes.ExpiredKeys) })
+	gauge("suspects", "Suspected and quarantined requests.", func(v *View) float64 { return float64(v.Sizes.Suspects) })
+	gauge("endpoints", "Endpoints present.", func(*View) float64 { return float64(len(d.hub.Live())) })
+}
--- /dev/null
+++ b/internal/control/operator.go
@@ -0,0 +1,290 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/operator"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Status answers GET /v1/status.
+type Status struct {
+	Replica  string         `json:"replica"`
+	ID       string         `json:"id"`
+	Role     string         `json:"role"`
+	Leader   string         `json:"leader"`
+	Term     uint64         `json:"term"`
+	Voters   []string       `json:"voters"`
+	Learners []string       `json:"learners"`
+	Revision uint64         `json:"revision"`
+	Digest   release.Digest `json:"digest"`
+	// InForce is true when the current revision is in force.
+	InForce         bool             `json:"in_force"`
+	InForceRevision uint64           `json:"in_force_revision"`
+	WaitingFor      []string         `json:"waiting_for"`
+	LeaseExpired    []string         `json:"lease_expired"`
+	Revisions       []RevisionStatus `json:"revisions"`
+
+	Endpoints []operator.Endpoint `json:"endpoints"`
+	Catalogue release.Catalogue   `json:"catalogue"`
+
+	Commit     uint64            `json:"commit"`
+	Unresolved bool              `json:"unresolved"`
+	Lag        map[string]uint64 `json:"lag,omitempty"` // entries, per replica; leader only
+	Ledger     ledger.Sizes      `json:"ledger"`
+	DiskError  string            `json:"disk_error,omitempty"`
+}
+
+// NoteAnswer answers POST /v1/notes and /v1/notes:check. Statuses are those of
+// package operator.
+type NoteAnswer struct {
+	Status   string            `json:"status"`
+	Number   uint64            `json:"number,omitempty"` // of the note, of its accepted rival, or the expected one
+	Digest   release.Digest    `json:"digest,omitempty"` // of the note or of its accepted rival
+	Reason   string            `json:"reason,omitempty"`
+	Problems []release.Problem `json:"problems,omitempty"`
+	Leader   string            `json:"leader,omitempty"`
+}
+
+func (d *Daemon) operatorHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(operator.PathNotes, d.postNote).Methods(http.MethodPost)
+	r.HandleFunc(operator.PathNotesCheck, d.checkNote).Methods(http.MethodPost)
+	r.HandleFunc(operator.PathStatus, d.getStatus).Methods(http.MethodGet)
+	r.HandleFunc(operator.PathEndpoints, d.getEndpoints).Methods(http.MethodGet)
+	r.HandleFunc(operator.PathQuarantine, d.getQuarantine).Methods(http.MethodGet)
+	r.HandleFunc(operator.PathRollout, d.getRollout).Methods(http.MethodGet)
+	r.HandleFunc("/v1/outcomes/{organisation}/{key:.+}", d.getOutcome).Methods(http.MethodGet)
+	r.HandleFunc("/v1/outcomes/{key}", d.getOutcome).Methods(http.MethodGet)
+	return d.operatorToken.Require(r)
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// readNote parses the note of a request, or answers it.
+func readNote(w http.ResponseWriter, r *http.Request) (*release.Document, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, release.MaxNoteBytes+1))
+	if err == nil {
+		var doc *release.Document
+		if doc, err = release.Parse(data); err == nil {
+			return doc, true
+		}
+	}
+	respond(w, http.StatusBadRequest, invalidNote(err, release.Note{}))
+	return nil, false
+}
+
+func invalidNote(err error, n release.Note) NoteAnswer {
+	a := NoteAnswer{Status: operator.NoteInvalid, Number: n.Number, Reason: err.Error()}
+	a.Problems = append(a.Problems, release.Problems(err)...)
+	return a
+}
+
+func (d *Daemon) postNote(w http.ResponseWriter, r *http.Request) {
+	doc, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+	defer cancel()
+	status, answer := d.SubmitNote(ctx, doc)
+	d.metrics.notes.WithLabelValues(answer.Status).Inc()
+	respond(w, status, answer)
+}
+
+// SubmitNote proposes a note and translates the result.
+func (d *Daemon) SubmitNote(ctx context.Context, doc *release.Document) (int, NoteAnswer) {
+	n := doc.Note
+	answer := NoteAnswer{Number: n.Number, Digest: n.Digest()}
+	a := d.replica.Propose(ctx, ledger.Command{Note: &ledger.SubmitNote{
+		Number: n.Number, Digest: answer.Digest, Canonical: n.Canonical(),
+	}})
+	switch a.Status {
+	case wire.ProposeNotRun:
+		answer.Status, answer.Reason, answer.Leader = operator.NoteNotRun, a.Detail, d.replica.View().Raft.Leader
+		return http.StatusServiceUnavailable, answer
+	case wire.ProposeUnknown:
+		answer.Status = operator.NoteUnknown
+		answer.Reason = a.Detail + "; send the same note again"
+		return http.StatusGatewayTimeout, answer
+	}
+	switch r := a.Result; r.Status {
+	case ledger.StatusAccepted:
+		answer.Status = operator.NoteAccepted
+		return http.StatusOK, answer
+	case ledger.StatusConflict:
+		answer.Status, answer.Number, answer.Digest, answer.Reason = operator.NoteConflict, r.Number, r.Digest, r.Reason
+		return http.StatusConflict, answer
+	default:
+		return d.refusedNote(doc, answer, r)
+	}
+}
+
+// refusedNote adds lines to the reason of a refusal where they are known.
+func (d *Daemon) refusedNote(doc *release.Document, answer NoteAnswer, r ledger.Result) (int, NoteAnswer) {
+	answer.Status, answer.Reason = operator.NoteRefused, r.Reason
+	if r.Number != 0 {
+		answer.Number = r.Number
+		return http.StatusConflict, answer
+	}
+	var invalid *release.InvalidError
+	if err := doc.Check(d.replica.View().Catalogue); errors.As(err, &invalid) {
+		answer.Reason, answer.Problems = err.Error(), invalid.Problems
+	}
+	return http.StatusUnprocessableEntity, answer
+}
+
+func (d *Daemon) checkNote(w http.ResponseWriter, r *http.Request) {
+	doc, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	if err := doc.Check(d.replica.View().Catalogue); err != nil {
+		respond(w, http.StatusUnprocessableEntity, invalidNote(err, doc.Note))
+		return
+	}
+	respond(w, http.StatusOK, NoteAnswer{
+		Status: operator.NoteValid, Number: doc.Note.Number, Digest: doc.Note.Digest(),
+	})
+}
+
+func (d *Daemon) getStatus(w http.ResponseWriter, _ *http.Request) {
+	respond(w, http.StatusOK, d.Status())
+}
+
+// Status describes the replica as GET /v1/status does.
+func (d *Daemon) Status() Status {
+	v := d.replica.View()
+	m := v.Raft.Membership
+	s := Status{
+		Replica: d.settings.Replica, ID: v.Raft.ID, Role: v.Raft.Role.String(), Leader: v.Raft.Leader,
+		Term: v.Raft.Term, Voters: m.Voters, Learners: m.Learners, Revision: v.Catalogue.Revision,
+		Digest: v.Digest, Endpoints: d.endpoints(), Catalogue: v.Catalogue, Commit: v.Raft.Commit,
+		Unresolved: v.Unresolved, Ledger: v.Sizes,
+	}
+	if v.DiskError != nil {
+		s.DiskError = v.DiskError.Error()
+	}
+	if v.Raft.Role == raft.Leader {
+		s.Lag = map[string]uint64{}
+		for id, p := range v.Raft.Progress {
+			s.Lag[id] = v.Raft.Last - min(v.Raft.Last, p.Match)
+		}
+	}
+	s.Revisions = d.inForce.Report(time.Now())
+	for i, r := range s.Revisions {
+		if i == 0 {
+			s.InForce, s.WaitingFor, s.LeaseExpired = r.InForce, r.WaitingFor, r.LeaseExpired
+		}
+		if r.InForce {
+			s.InForceRevision = max(s.InForceRevision, r.Revision)
+		}
+	}
+	if len(s.Revisions) == 0 {
+		s.InForce = v.Catalogue.Revision == 0
+	}
+	return s
+}
+
+func (d *Daemon) endpoints() []operator.Endpoint {
+	endpoints := []operator.Endpoint{}
+	for _, a := range d.hub.Live() {
+		endpoints = append(endpoints, operator.EndpointOf(a))
+	}
+	return endpoints
+}
+
+func (d *Daemon) getEndpoints(w http.ResponseWriter, _ *http.Request) {
+	respond(w, http.StatusOK, operator.Endpoints{Endpoints: d.endpoints()})
+}
+
+func (d *Daemon) getQuarantine(w http.ResponseWriter, _ *http.Request) {
+	answer := operator.Quarantine{Requests: []wire.QuarantinedRequest{}}
+	now := time.Now().UnixMilli()
+	for _, q := range d.replica.View().Suspects {
+		if q.Until > now {
+			answer.Requests = append(answer.Requests, q)
+		}
+	}
+	respond(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) getRollout(w http.ResponseWriter, _ *http.Request) {
+	v := d.replica.View()
+	s := d.Status()
+	live := d.hub.Live()
+	answer := operator.Rollout{Revision: s.Revision, InForce: s.InForce, Waiting: s.WaitingFor, Sets: []operator.RolloutSet{}}
+	for _, name := range sortedModels(v.Catalogue) {
+		set, _ := v.Catalogue.Set(name)
+		answer.Sets = append(answer.Sets, rolloutOf(set, live))
+	}
+	respond(w, http.StatusOK, answer)
+}
+
+func rolloutOf(set release.WeightsSet, live []wire.Announce) operator.RolloutSet {
+	id := set.ID()
+	r := operator.RolloutSet{SetID: id, Model: set.Model.Name, Version: set.Model.Version, Endpoints: []operator.RolloutEndpoint{}}
+	for _, a := range live {
+		if a.Kind != wire.KindEngine || a.Role != set.Model.Role {
+			continue
+		}
+		r.Total++
+		e := operator.RolloutEndpoint{Endpoint: a.Endpoint, RolloutProgress: wire.RolloutProgress{SetID: id}}
+		for _, p := range a.Rollouts {
+			if p.SetID == id {
+				e.RolloutProgress = p
+			}
+		}
+		for _, loaded := range a.Sets {
+			if loaded.SetID == id {
+				r.Live++
+				e.Phase = "live"
+			}
+		}
+		r.Endpoints = append(r.Endpoints, e)
+	}
+	return r
+}
+
+// getOutcome answers from state that is certainly current: only the leader,
+// confirmed by a quorum, can.
+func (d *Daemon) getOutcome(w http.ResponseWriter, r *http.Request) {
+	organisation, key := mux.Vars(r)["organisation"], mux.Vars(r)["key"]
+	if organisation == "" {
+		organisation = r.URL.Query().Get("organisation")
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+	defer cancel()
+	var o ledger.Outcome
+	var known bool
+	if !d.replica.Read(ctx, func(l *ledger.Ledger) { o, known = l.Outcome(organisation, key) }) {
+		respond(w, http.StatusServiceUnavailable, wire.Error{Code: "not-leader", Detail: d.replica.View().Raft.Leader})
+		return
+	}
+	answer := operator.Outcome{Organisation: organisation, Key: key, Owner: o.Owner}
+	status := http.StatusOK
+	switch {
+	case !known:
+		status = http.StatusNotFound
+	case o.Complete != nil:
+		answer.Outcome, answer.Status = o.Complete.Outcome, o.Complete.Status
+	case o.Status == ledger.StatusExpired:
+		status = http.StatusGone
+		answer.Outcome = string(ledger.StatusExpired)
+	}
+	respond(w, status, answer)
+}
--- /dev/null
+++ b/internal/control/replica.go
@@ -0,0 +1,499 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/storage"
+)
+
+const (
+	inboxLength = 8192
+	// turnLimit bounds the work taken in before one sync.
+	turnLimit = 1024
+	// keepEntries before a snapshot let followers that are a little behind
+	// catch up without one.
+	keepEntries       = 512
+	diskRetryInterval = 500 * time.Millisecond
+)
+
+// Log entries carry a kind in their first byte, so that notes are found among
+// uncommitted entries without decoding them.
+const (
+	payloadNote  = 'N'
+	payloadOther = 'C'
+)
+
+// Answer is the result of a proposal.
+type Answer struct {
+	Status string // wire.ProposeCommitted, ProposeNotRun or ProposeUnknown
+	Result ledger.Result
+	Detail string
+}
+
+func notRun(detail string) Answer  { return Answer{Status: wire.ProposeNotRun, Detail: detail} }
+func unknown(detail string) Answer { return Answer{Status: wire.ProposeUnknown, Detail: detail} }
+
+// View is what the loop publishes after each turn. It is never changed.
+type View struct {
+	Raft       raft.Status
+	Catalogue  release.Catalogue
+	Digest     release.Digest
+	Delta      *release.Delta // from the revision before, if known
+	Suspects   []wire.QuarantinedRequest
+	Quarantine uint64
+	// Unresolved is true while this replica holds a note or membership that is
+	// not known to be committed, or cannot store anything.
+	Unresolved bool
+	Sizes      ledger.Sizes
+	DiskError  error
+}
+
+// ReplicaConfig configures a Replica.
+type ReplicaConfig struct {
+	Tick          time.Duration
+	SnapshotEvery uint64
+	Send          func(raft.Message)
+	// Published is called after each turn that changed the view.
+	Published func(old, next *View)
+	// Committed is called for each command applied, with its result.
+	Applied func(ledger.Command, ledger.Result)
+	// Manage is called once a second in the loop while this replica leads.
+	Manage func(n *raft.Node)
+	Log    log.Interface
+}
+
+// Replica runs a raft node with its ledger and data folder.
+type Replica struct {
+	cfg    ReplicaConfig
+	node   *raft.Node
+	folder *storage.Folder
+	ledger *ledger.Ledger
+	inbox  chan work
+	view   atomic.Pointer[View]
+
+	waiters      map[uint64]waiter
+	reads        map[uint64]func(bool)
+	readsAt      []pendingApply
+	nextRead     uint64
+	applied      uint64
+	lastSnapshot uint64
+	diskErr      error
+	stopped      chan struct{}
+}
+
+// work is one item for the loop: a message for the node, or an operation.
+type work struct {
+	message *raft.Message
+	op      func()
+}
+
+type waiter struct {
+	term   uint64
+	answer chan<- Answer
+}
+
+type pendingApply struct {
+	index uint64
+	done  func(bool)
+}
+
+// NewReplica builds a replica from an opened folder.
+func NewReplica(cfg ReplicaConfig, raftCfg raft.Config, folder *storage.Folder, state storage.State) (*Replica, error) {
+	l, err := ledger.Restore(state.Snapshot.Data)
+	if err != nil {
+		return nil, err
+	}
+	raftCfg.ID = state.Identity.ID()
+	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		cfg: cfg, node: node, folder: folder, ledger: l,
+		inbox: make(chan work, inboxLength), waiters: map[uint64]waiter{}, reads: map[uint64]func(bool){},
+		applied: state.Snapshot.Index, lastSnapshot: state.Snapshot.Index, stopped: make(chan struct{}),
+	}
+	r.publish()
+	return r, nil
+}
+
+// View returns the newest published view.
+func (r *Replica) View() *View { return r.view.Load() }
+
+// Run executes the loop until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	defer close(r.stopped)
+	ticker := time.NewTicker(r.cfg.Tick)
+	defer ticker.Stop()
+	manage := time.NewTicker(time.Second)
+	defer manage.Stop()
+	r.process(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.node.Tick()
+		case <-manage.C:
+			if r.cfg.Manage != nil {
+				r.cfg.Manage(r.node)
+			}
+		case w := <-r.inbox:
+			r.handle(w)
+			r.drain()
+		}
+		r.process(ctx)
+	}
+}
+
+// drain takes in what else is waiting, so that one sync covers it.
+func (r *Replica) drain() {
+	for range turnLimit {
+		select {
+		case w := <-r.inbox:
+			r.handle(w)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) handle(w work) {
+	if w.message != nil {
+		r.node.Step(*w.message)
+		return
+	}
+	w.op()
+}
+
+// do queues work for the loop. It reports false when the queue is full.
+func (r *Replica) do(op func()) bool { return r.queue(work{op: op}) }
+
+func (r *Replica) queue(w work) bool {
+	select {
+	case r.inbox <- w:
+		return true
+	default:
+		return false
+	}
+}
+
+// Step hands in a message. Messages beyond the queue are dropped, as a network
+// may do.
+func (r *Replica) Step(m raft.Message) {
+	r.queue(work{message: &m})
+}
+
+// Bootstrap starts a new cluster from a snapshot if this replica is still
+// empty.
+func (r *Replica) Bootstrap(s raft.Snapshot, hard raft.HardState) {
+	r.do(func() {
+		if err := r.node.Bootstrap(s, hard.Term); err != nil {
+			r.cfg.Log.WithError(err).Info("bootstrap_refused")
+		}
+	})
+}
+
+// Propose submits a command and waits for its result. An answer "not-run" is
+// given only when the command is not and cannot become committed.
+func (r *Replica) Propose(ctx context.Context, c ledger.Command) Answer {
+	answer := make(chan Answer, 1)
+	if !r.do(func() { r.propose(c, answer) }) {
+		return notRun("too much work waiting")
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return unknown("no quorum answered in time")
+	case <-r.stopped:
+		return unknown("replica stopped")
+	}
+}
+
+func (r *Replica) propose(c ledger.Command, answer chan<- Answer) {
+	if r.diskErr != nil {
+		answer <- notRun(r.diskErr.Error())
+		return
+	}
+	c.AtMs = time.Now().UnixMilli()
+	data, err := ledger.Encode(c)
+	if err != nil {
+		answer <- notRun(err.Error())
+		return
+	}
+	kind := byte(payloadOther)
+	if c.Note != nil {
+		kind = payloadNote
+	}
+	index, term, err := r.node.Propose(append([]byte{kind}, data...))
+	if err != nil {
+		answer <- notRun(err.Error())
+		return
+	}
+	r.waiters[index] = waiter{term: term, answer: answer}
+}
+
+// Read runs f in the loop on state that includes everything accepted before
+// the call. It reports false when this replica cannot say so.
+func (r *Replica) Read(ctx context.Context, f func(*ledger.Ledger)) bool {
+	done := make(chan bool, 1)
+	queued := r.do(func() {
+		r.nextRead++
+		context := r.nextRead
+		if r.diskErr != nil || r.node.ReadIndex(context) != nil {
+			done <- false
+			return
+		}
+		r.reads[context] = func(ok bool) {
+			if ok {
+				f(r.ledger)
+			}
+			done <- ok
+		}
+	})
+	if !queued {
+		return false
+	}
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
+		return false
+	case <-r.stopped:
+		return false
+	}
+}
+
+// process handles everything that the node has ready.
+func (r *Replica) process(ctx context.Context) {
+	worked := false
+	for r.node.HasReady() {
+		worked = true
+		ready := r.node.Ready()
+		r.sendAll(ready.Early)
+		if !r.persist(ctx, ready) {
+			return
+		}
+		r.node.Advance()
+		if ready.Snapshot != nil {
+			r.restore(*ready.Snapshot)
+		}
+		for _, e := range ready.Committed {
+			r.apply(e)
+		}
+		r.publish()
+		r.sendAll(ready.Messages)
+		r.confirmReads(ready.Reads)
+	}
+	r.failReads()
+	if worked {
+		r.compact()
+		return
+	}
+	role, leader := r.node.Role()
+	if seen := r.View().Raft; seen.Role != role || seen.Leader != leader {
+		r.publish()
+	}
+}
+
+func (r *Replica) sendAll(messages []raft.Message) {
+	for _, m := range messages {
+		r.cfg.Send(m)
+	}
+}
+
+// persist stores what must survive. On a full disk it tries again and on a
+// failed one it waits for the end: in both cases this replica meanwhile answers
+// no message, so it acknowledges nothing and another one leads.
+func (r *Replica) persist(ctx context.Context, ready raft.Ready) bool {
+	for {
+		err := r.store(ready)
+		if err == nil {
+			if r.diskErr != nil {
+				r.cfg.Log.Info("disk_recovered")
+				r.diskErr = nil
+			}
+			return true
+		}
+		if r.diskErr == nil {
+			r.cfg.Log.WithError(err).Error("disk_failed")
+		}
+		r.diskErr = err
+		r.publish()
+		if !r.stepAside(ctx, err) {
+			return false
+		}
+	}
+}
+
+func (r *Replica) store(ready raft.Ready) error {
+	if s := ready.Snapshot; s != nil {
+		if err := r.folder.SaveSnapshot(*s, ready.HardState, true, s.Index); err != nil {
+			return err
+		}
+		r.lastSnapshot = s.Index
+	}
+	return r.folder.Save(ready.HardState, ready.Entries)
+}
+
+// stepAside answers waiting work without the node until the next try.
+func (r *Replica) stepAside(ctx context.Context, err error) bool {
+	var retry <-chan time.Time
+	if errors.Is(err, storage.ErrRetry) {
+		timer := time.NewTimer(diskRetryInterval)
+		defer timer.Stop()
+		retry = timer.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-retry:
+			return true
+		case w := <-r.inbox:
+			if w.op != nil {
+				w.op() // proposals and reads see diskErr and are refused
+			}
+		}
+	}
+}
+
+func (r *Replica) restore(s raft.Snapshot) {
+	l, err := ledger.Restore(s.Data)
+	if err != nil {
+		panic(fmt.Sprintf("snapshot at %d from the leader: %v", s.Index, err))
+	}
+	r.ledger, r.applied = l, s.Index
+	for index, w := range r.waiters {
+		if index <= s.Index {
+			w.answer <- unknown("replaced by a snapshot")
+			delete(r.waiters, index)
+		}
+	}
+}
+
+func (r *Replica) apply(e raft.Entry) {
+	r.applied = e.Index
+	var result ledger.Result
+	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
+		c, err := ledger.Decode(e.Data[1:])
+		if err == nil {
+			result = r.ledger.Apply(c)
+			if r.cfg.Applied != nil {
+				r.cfg.Applied(c, result)
+			}
+		} else {
+			result = ledger.Result{Status: ledger.StatusRefused, Reason: err.Error()}
+		}
+	}
+	w, ok := r.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiters, e.Index)
+	if w.term != e.Term {
+		w.answer <- notRun("another leader's entry took its place")
+		return
+	}
+	w.answer <- Answer{Status: wire.ProposeCommitted, Result: result}
+}
+
+func (r *Replica) confirmReads(states []raft.ReadState) {
+	for _, s := range states {
+		if done, ok := r.reads[s.Context]; ok {
+			delete(r.reads, s.Context)
+			r.readsAt = append(r.readsAt, pendingApply{index: s.Index, done: done})
+		}
+	}
+	waiting := r.readsAt[:0]
+	for _, p := range r.readsAt {
+		if p.index > r.applied {
+			waiting = append(waiting, p)
+			continue
+		}
+		p.done(true)
+	}
+	r.readsAt = waiting
+}
+
+// failReads ends reads that this replica can no longer confirm.
+func (r *Replica) failReads() {
+	if role, _ := r.node.Role(); len(r.reads) == 0 || role == raft.Leader {
+		return
+	}
+	for context, done := range r.reads {
+		done(false)
+		delete(r.reads, context)
+	}
+}
+
+func (r *Replica) compact() {
+	if r.applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+		return
+	}
+	data, err := r.ledger.Snapshot()
+	if err != nil {
+		r.cfg.Log.WithError(err).Error("snapshot_failed")
+		return
+	}
+	s, err := r.node.Compact(r.applied, data, keepEntries)
+	if err != nil {
+		return // a membership was committed meanwhile; the next turn tries again
+	}
+	r.lastSnapshot = s.Index
+	keepFrom := s.Index - min(s.Index, keepEntries)
+	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
+	hard.Vote = r.node.Vote()
+	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
+		r.cfg.Log.WithError(err).Error("snapshot_not_stored")
+	}
+}
+
+func (r *Replica) publish() {
+	old := r.view.Load()
+	status := r.node.Status()
+	next := &View{
+		Raft: status, Catalogue: r.ledger.Catalogue(), Delta: r.ledger.LastDelta(),
+		Quarantine: r.ledger.QuarantineVersion(), Sizes: r.ledger.Sizes(), DiskError: r.diskErr,
+		Unresolved: r.unresolved(status),
+	}
+	if old != nil && old.Catalogue.Revision == next.Catalogue.Revision {
+		next.Digest = old.Digest
+	} else {
+		next.Digest = next.Catalogue.Digest()
+	}
+	if old != nil && old.Quarantine == next.Quarantine {
+		next.Suspects = old.Suspects
+	} else {
+		next.Suspects = r.ledger.Suspects(r.ledger.NowMs())
+	}
+	r.view.Store(next)
+	if r.cfg.Published != nil && old != nil {
+		r.cfg.Published(old, next)
+	}
+}
+
+// unresolved reports whether a confirmation by this replica could hide a note:
+// it holds one that is not applied, or a membership that is not committed.
+func (r *Replica) unresolved(status raft.Status) bool {
+	if r.diskErr != nil || status.MembershipPending || len(status.Membership.Voters) == 0 {
+		return true
+	}
+	found := false
+	r.node.After(r.applied, func(e raft.Entry) bool {
+		found = e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
+		return !found
+	})
+	return found
+}
--- /dev/null
+++ b/internal/control/sessions.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+)
+
+const (
+	proposeTimeout = 5 * time.Second
+	// maxProposals bounds proposals in work; more are refused as not run.
+	maxProposals = 4096
+)
+
+// receive handles one message of the session port.
+func (d *Daemon) receive(ctx context.Context, s *transport.Session, env wire.Envelope) {
+	switch env.Type {
+	case wire.TypeRaft:
+		handle(d, s, env, func(m wire.Raft) { d.receivePeer(m) })
+	case wire.TypeConfirmRequest:
+		handle(d, s, env, func(m wire.ConfirmRequest) { _ = s.Send(d.confirmReply(m)) })
+	case wire.TypeAnnounce:
+		handle(d, s, env, func(m wire.Announce) {
+			d.hub.Announce(m, time.Now())
+			if env.ID != 0 {
+				_ = s.Reply(env, wire.AnnounceReply{Revision: d.replica.View().Catalogue.Revision})
+			}
+		})
+	case wire.TypeSubscribe:
+		handle(d, s, env, func(m wire.Subscribe) { d.hub.Subscribe(s, m) })
+	case wire.TypePropose:
+		handle(d, s, env, func(m wire.Propose) { d.receiveProposal(ctx, s, env, m) })
+	default:
+		_ = s.Reply(env, wire.Error{Code: "unsupported", Detail: "message kind not served here"})
+	}
+}
+
+func handle[M wire.Message](d *Daemon, s *transport.Session, env wire.Envelope, f func(M)) {
+	var m M
+	if err := env.Into(&m); err != nil {
+		d.metrics.malformed.Inc()
+		if env.ID != 0 {
+			_ = s.Reply(env, wire.Error{Code: "malformed", Detail: err.Error()})
+		}
+		return
+	}
+	f(m)
+}
+
+func (d *Daemon) receivePeer(m wire.Raft) {
+	var frame peerFrame
+	if wire.Unmarshal(m.Message, &frame) != nil {
+		d.metrics.malformed.Inc()
+		return
+	}
+	if frame.Hello != nil {
+		d.peers.Heard(*frame.Hello, time.Now())
+	}
+	if frame.Raft == nil {
+		return
+	}
+	message, err := raft.DecodeMessage(frame.Raft)
+	if err != nil {
+		d.metrics.malformed.Inc()
+		return
+	}
+	d.replica.Step(message)
+}
+
+// confirmReply is this replica's answer by the confirmation rule. The voters
+// are the newest ones known to be committed: a membership that is only in this
+// log may never be, and is covered by Unresolved.
+func (d *Daemon) confirmReply(m wire.ConfirmRequest) wire.ConfirmReply {
+	v := d.replica.View()
+	return wire.ConfirmReply{
+		Mark: m.Mark, Replica: v.Raft.ID, Revision: v.Catalogue.Revision, Unresolved: v.Unresolved,
+		Voters: v.Raft.Committed.Voters, VoterIndex: v.Raft.Committed.Index,
+		Addresses: v.Raft.Membership.Addresses, Term: v.Raft.Term,
+	}
+}
+
+// receiveProposal answers a proposal of an entry or agent. Notes come only over
+// the operator port.
+func (d *Daemon) receiveProposal(ctx context.Context, s *transport.Session, env wire.Envelope, m wire.Propose) {
+	c, err := ledger.Decode(m.Command)
+	switch {
+	case err != nil:
+		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: err.Error()})
+		return
+	case c.Note != nil:
+		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: "notes are submitted on the operator port"})
+		return
+	}
+	select {
+	case d.proposals <- struct{}{}:
+	default:
+		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: "too many proposals in work"})
+		return
+	}
+	go func() {
+		defer func() { <-d.proposals }()
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		_ = s.Reply(env, d.proposeReply(d.replica.Propose(ctx, c)))
+	}()
+}
+
+func (d *Daemon) proposeReply(a Answer) wire.ProposeReply {
+	d.metrics.proposals.WithLabelValues(a.Status).Inc()
+	reply := wire.ProposeReply{Status: a.Status, Detail: a.Detail}
+	if a.Status == wire.ProposeCommitted {
+		data, err := wire.Marshal(a.Result)
+		if err != nil {
+			return wire.ProposeReply{Status: wire.ProposeUnknown, Detail: err.Error()}
+		}
+		reply.Result = data
+		return reply
+	}
+	v := d.replica.View()
+	reply.Leader = v.Raft.Membership.Addresses[v.Raft.Leader]
+	return reply
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"net"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+)
+
+// Defaults of the settings.
+const (
+	defaultTick          = 50 * time.Millisecond
+	defaultVoterLoss     = 15 * time.Second
+	defaultLease         = 2 * time.Second
+	defaultSnapshotEvery = 2000
+	defaultMaxReplicas   = 8
+)
+
+// Settings of the control daemon.
+type Settings struct {
+	Instance string `yaml:"instance"`
+	Zone     string `yaml:"zone"`
+	Region   string `yaml:"region"`
+	LogLevel string `yaml:"log_level"`
+	// AdminListen serves metrics and health checks without a token. It must be
+	// a loopback address.
+	AdminListen      string `yaml:"admin_listen"`
+	ProcessTokenFile string `yaml:"process_token_file"`
+
+	Replica           string `yaml:"replica"`
+	SessionListen     string `yaml:"session_listen"`
+	OperatorListen    string `yaml:"operator_listen"`
+	OperatorTokenFile string `yaml:"operator_token_file"`
+	DataDir           string `yaml:"data_dir"`
+	// Advertise is the session address given to others. Default session_listen.
+	Advertise string `yaml:"advertise"`
+	// Voters maps the names of the first voters to their session addresses. A
+	// replica that is not listed joins as a learner.
+	Voters map[string]string `yaml:"voters"`
+
+	// VoterLossSeconds of silence before a voter is replaced or removed.
+	// Shorter repairs sooner; longer keeps a voter through a restart. Default
+	// 15 s.
+	VoterLossSeconds float64 `yaml:"voter_loss_seconds"`
+	// TargetVoters is the number of voters to return to after a repair.
+	// Default: the number of first voters.
+	TargetVoters int `yaml:"target_voters"`
+	// SnapshotEvery is the number of log entries between snapshots. Fewer make
+	// restarts faster and cost more writing. Default 2000.
+	SnapshotEvery uint64 `yaml:"snapshot_every"`
+	// GraceSeconds is the agents' grace setting: how long they serve without
+	// confirmation. The in-force report waits for it. Default 0 s.
+	GraceSeconds float64 `yaml:"grace_seconds"`
+}
+
+// DefaultSettings returns settings with defaults filled in.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:         "info",
+		VoterLossSeconds: defaultVoterLoss.Seconds(),
+		SnapshotEvery:    defaultSnapshotEvery,
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check() error {
+	var p settings.Problems
+	p.Required("instance", s.Instance)
+	p.Required("zone", s.Zone)
+	p.Required("region", s.Region)
+	p.Required("replica", s.Replica)
+	p.Required("data_dir", s.DataDir)
+	p.LogLevel("log_level", s.LogLevel)
+	p.Address("session_listen", s.SessionListen)
+	p.Address("operator_listen", s.OperatorListen)
+	p.Address("admin_listen", s.AdminListen)
+	if host, _, err := net.SplitHostPort(s.AdminListen); err == nil && !net.ParseIP(host).IsLoopback() {
+		p.Add("admin_listen", "%q is not a loopback address; the admin port has no token", s.AdminListen)
+	}
+	p.Readable("process_token_file", s.ProcessTokenFile)
+	p.Readable("operator_token_file", s.OperatorTokenFile)
+	if s.Advertise != "" {
+		p.Address("advertise", s.Advertise)
+	}
+	if len(s.Voters) == 0 {
+		p.Add("voters", "needs the names and session addresses of the first voters")
+	}
+	for name, address := range s.Voters {
+		p.Address("voters."+name, address)
+	}
+	if s.VoterLossSeconds < 1 {
+		p.Add("voter_loss_seconds", "must be 1 or more, got %v", s.VoterLossSeconds)
+	}
+	if s.SnapshotEvery == 0 {
+		p.Add("snapshot_every", "must be above 0")
+	}
+	if s.TargetVoters < 0 || s.GraceSeconds < 0 {
+		p.Add("target_voters, grace_seconds", "must not be negative")
+	}
+	return p.Err()
+}
+
+func (s *Settings) advertised() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.SessionListen
+}
+
+func (s *Settings) targetVoters() int {
+	if s.TargetVoters > 0 {
+		return s.TargetVoters
+	}
+	return len(s.Voters)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/raft/log.go
+++ b/raft/log.go
@@ -47,7 +47,7 @@
 
 // truncate removes the entries from index on.
 func (l *memoryLog) truncate(index uint64) {
-	l.entries = l.entries[:index-l.first : index-l.first]
+	l.entries = l.entries[: index-l.first : index-l.first]
 	l.stable = min(l.stable, index-1)
 }
 
--- a/raft/message.go
+++ b/raft/message.go
@@ -69,6 +69,19 @@
 	Remove
 )
 
+// String implements fmt.Stringer.
+func (k ChangeKind) String() string {
+	switch k {
+	case AddLearner:
+		return "add-learner"
+	case Promote:
+		return "promote"
+	case Remove:
+		return "remove"
+	}
+	return "unknown"
+}
+
 // Change is a membership change of one replica.
 type Change struct {
 	Kind    ChangeKind
--- a/raft/node.go
+++ b/raft/node.go
@@ -197,6 +197,18 @@
 	return Snapshot{Index: 1, Term: 1, Data: data, Membership: Membership{Index: 1, Voters: sorted, Addresses: addresses}}
 }
 
+// Bootstrap installs the initial state of a new cluster in an empty node.
+func (n *Node) Bootstrap(s Snapshot, term uint64) error {
+	if n.log.last() > 0 || len(n.memberships) > 0 {
+		return errors.New("bootstrap: the log is not empty")
+	}
+	if term > n.hard.Term {
+		n.becomeFollower(term, "")
+	}
+	n.install(s)
+	return nil
+}
+
 // Status returns a copy of the node's state.
 func (n *Node) Status() Status {
 	s := Status{
@@ -214,16 +226,22 @@
 	return s
 }
 
-// Uncommitted calls visit for each entry of the log that is not known to be
-// committed, until it returns false.
-func (n *Node) Uncommitted(visit func(Entry) bool) {
-	for _, e := range n.log.entries {
-		if e.Index > n.hard.Commit && !visit(e) {
+// After calls visit for each entry of the log after index, until it returns
+// false.
+func (n *Node) After(index uint64, visit func(Entry) bool) {
+	for i := max(index+1, n.log.first); i <= n.log.last(); i++ {
+		if !visit(n.log.entries[i-n.log.first]) {
 			return
 		}
 	}
 }
 
+// Role returns the node's role and the leader that it knows.
+func (n *Node) Role() (role Role, leader string) { return n.role, n.leader }
+
+// Vote returns the vote of the current term.
+func (n *Node) Vote() string { return n.hard.Vote }
+
 func (n *Node) membership() Membership {
 	if len(n.memberships) == 0 {
 		return Membership{}
