--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,195 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/confirm"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+const (
+	confirmInterval  = 500 * time.Millisecond
+	announceInterval = time.Second
+	// announceSpacing bounds announcements on changes.
+	announceSpacing = 50 * time.Millisecond
+)
+
+// confirmLoop asks all voters for their revision.
+func (a *Agent) confirmLoop(ctx context.Context) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		a.state.mu.Lock()
+		mark := a.state.lease.Ask(time.Now())
+		a.state.mu.Unlock()
+		a.control.Broadcast(wire.ConfirmRequest{Mark: mark})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.askVoters:
+		}
+	}
+}
+
+func (a *Agent) receiveConfirm(_ string, r wire.ConfirmReply) {
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	before := s.lease.Held(now)
+	s.lease.Receive(confirm.Reply{
+		Mark: r.Mark, Replica: r.Replica, Revision: r.Revision, Unresolved: r.Unresolved,
+		Voters: r.Voters, VoterIndex: r.VoterIndex,
+	})
+	s.term = max(s.term, r.Term)
+	if s.lease.Held(now) != before {
+		s.notify()
+		a.orders.wake()
+	}
+}
+
+func (a *Agent) sessionOpened() {
+	select {
+	case a.askVoters <- struct{}{}:
+	default:
+	}
+	a.state.notify()
+}
+
+func (a *Agent) sessionLost(replica string, err error) {
+	a.log.WithField("replica", replica).WithError(err).Debug("control_session_lost")
+	a.membersMu.Lock()
+	a.members.Lost(replica, time.Now())
+	a.membersMu.Unlock()
+}
+
+func (a *Agent) receiveCatalogue(replica string, c wire.Catalogue) {
+	next, ok := a.nextCatalogue(c)
+	if !ok {
+		a.control.Resubscribe(replica)
+		return
+	}
+	if next == nil || !a.state.setCatalogue(*next) {
+		return
+	}
+	a.log.WithField("revision", next.Revision).Info("catalogue_in_force")
+	a.state.notify()
+	a.orders.wake()
+}
+
+// nextCatalogue returns the catalogue of a message, nil if it has nothing new,
+// and false if it cannot be applied to what the agent holds.
+func (a *Agent) nextCatalogue(c wire.Catalogue) (*release.Catalogue, bool) {
+	a.state.mu.Lock()
+	held, has := a.state.catalogue, a.state.hasCatalogue
+	a.state.mu.Unlock()
+	if has && c.Revision <= held.Revision {
+		return nil, true
+	}
+	var next release.Catalogue
+	switch {
+	case c.Full != nil:
+		next = *c.Full
+	case c.Delta != nil:
+		applied, err := c.Delta.Apply(held)
+		if err != nil || !has {
+			return nil, false
+		}
+		next = applied
+	default:
+		return nil, true
+	}
+	if next.Revision != c.Revision || next.Digest() != c.Digest {
+		a.log.WithFields(log.Fields{"revision": c.Revision, "full": c.Full != nil}).Error("catalogue_digest_mismatch")
+		return nil, false
+	}
+	return &next, true
+}
+
+func (a *Agent) receiveMembers(replica string, m wire.Members) {
+	a.membersMu.Lock()
+	fits := a.members.Apply(replica, m.Update(), time.Now())
+	a.membersMu.Unlock()
+	if !fits {
+		a.control.Resubscribe(replica)
+		return
+	}
+	a.updatePeers()
+}
+
+// updatePeers tells the transfer which agents fetch the same weights.
+func (a *Agent) updatePeers() {
+	if !a.isEngine() {
+		return
+	}
+	a.membersMu.Lock()
+	a.members.Expire(time.Now())
+	var peers []Peer
+	for _, r := range a.members.Live() {
+		p := r.Report
+		if p.Endpoint != a.cfg.Settings.Endpoint && p.Kind == wire.KindEngine && p.Role == a.cfg.Settings.Role {
+			peers = append(peers, Peer{Endpoint: p.Endpoint, Region: p.Region, Zone: p.Zone, ChunkAddress: p.ChunkAddress})
+		}
+	}
+	a.membersMu.Unlock()
+	a.cfg.Weights.SetPeers(peers)
+}
+
+// announceLoop announces each second and on changes.
+func (a *Agent) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		a.announce()
+		a.updatePeers()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceSpacing):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.state.changed:
+		}
+	}
+}
+
+func (a *Agent) announce() { a.control.Broadcast(a.announcement()) }
+
+// announceGone sends the last announcement.
+func (a *Agent) announceGone() {
+	a.state.mu.Lock()
+	a.gone = true
+	a.state.mu.Unlock()
+	if a.control.Broadcast(a.announcement()) > 0 {
+		time.Sleep(goneFlush)
+	}
+}
+
+func (a *Agent) announcement() wire.Announce {
+	settings := a.cfg.Settings
+	var rollouts []wire.RolloutProgress
+	if a.isEngine() {
+		rollouts = a.orders.progress()
+	}
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.sequence++
+	return wire.Announce{
+		Endpoint: settings.Endpoint, Incarnation: a.incarnation, Sequence: a.sequence,
+		Kind: settings.Kind, Role: settings.Role, Service: settings.Service,
+		Zone: settings.Zone, Region: settings.Region,
+		GateAddress: settings.AdvertiseGate, ChunkAddress: settings.AdvertisePeer,
+		Sets: s.servable(), InFlight: s.gate.InFlight(), Capacity: s.gate.Capacity(),
+		Ready: s.ready(), Draining: s.gate.Draining(), Revision: s.catalogue.Revision,
+		Confirmed: s.lease.Held(time.Now()), Rollouts: rollouts, Gone: a.gone,
+	}
+}
--- /dev/null
+++ b/internal/agent/crash.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/gate"
+	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+)
+
+const (
+	// crashSettle is how long attempts may take to notice a crash.
+	crashSettle       = time.Second
+	crashSettlePoll   = 20 * time.Millisecond
+	proposeTimeout    = 5 * time.Second
+	proposeRetryPause = 500 * time.Millisecond
+	// proposeRetries bounds the effort for one report; the requests are
+	// suspected again if they crash the next endpoint.
+	proposeRetries = 20
+)
+
+// crashes finds out which requests were in flight when the backend crashed.
+type crashes struct {
+	agent *Agent
+
+	mu        sync.Mutex
+	attempts  map[gate.ID]brokenAttempt
+	incidents uint64
+	// proposals end when the agent stops.
+	proposals context.Context
+	stop      context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+type brokenAttempt struct {
+	attempt gate.Attempt
+	at      time.Time
+}
+
+func newCrashes(a *Agent) *crashes {
+	ctx, stop := context.WithCancel(context.Background())
+	return &crashes{agent: a, attempts: map[gate.ID]brokenAttempt{}, proposals: ctx, stop: stop}
+}
+
+// broken notes an attempt whose connection the backend broke, and asks for a
+// report that tells a crash from an answer cut short.
+func (c *crashes) broken(attempt gate.Attempt) {
+	c.mu.Lock()
+	c.attempts[attempt.ID] = brokenAttempt{attempt, time.Now()}
+	c.mu.Unlock()
+	c.agent.refreshEngine()
+}
+
+// backendAlive forgets attempts that broke before a report of the same backend
+// process was asked for.
+func (c *crashes) backendAlive(asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, b := range c.attempts {
+		if b.at.Before(asked) {
+			delete(c.attempts, id)
+		}
+	}
+}
+
+// backendCrashed reports the attempts that the crash of the backend broke.
+// started identifies the backend's process, if it says so.
+func (c *crashes) backendCrashed(ctx context.Context, started int64) {
+	c.settle(ctx)
+	c.mu.Lock()
+	var fingerprints []string
+	alone := len(c.attempts) == 1
+	for _, b := range c.attempts {
+		alone = alone && b.attempt.Alone
+		if b.attempt.Fingerprint != "" {
+			fingerprints = append(fingerprints, b.attempt.Fingerprint)
+		}
+	}
+	clear(c.attempts)
+	c.incidents++
+	a := c.agent
+	incident := fmt.Sprintf("%s/%d/%d/%d", a.cfg.Settings.Endpoint, a.incarnation, started, c.incidents)
+	c.mu.Unlock()
+	if len(fingerprints) == 0 {
+		return
+	}
+	slices.Sort(fingerprints)
+	fingerprints = slices.Compact(fingerprints)
+	a.metrics.crashes.Inc()
+	a.log.WithFields(log.Fields{"incident": incident, "requests": len(fingerprints)}).Error("backend_crashed")
+	c.propose(ledger.Command{Crash: &ledger.ReportCrash{
+		Incident: incident, Endpoint: a.cfg.Settings.Endpoint, Fingerprints: fingerprints, Alone: alone,
+	}})
+}
+
+// settle waits until the attempts in flight have noticed the crash.
+func (c *crashes) settle(ctx context.Context) {
+	end := time.Now().Add(crashSettle)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		c.agent.state.mu.Lock()
+		running := c.agent.state.gate.InFlight()
+		c.agent.state.mu.Unlock()
+		if running == 0 {
+			return
+		}
+		time.Sleep(crashSettlePoll)
+	}
+}
+
+// cleared reports that a suspect finished when it ran alone.
+func (c *crashes) cleared(fingerprint string) {
+	c.propose(ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: fingerprint}})
+}
+
+// propose commits a command in the background. Both commands are idempotent,
+// so an unknown result is retried.
+func (c *crashes) propose(cmd ledger.Command) {
+	c.wg.Go(func() {
+		for range proposeRetries {
+			pctx, cancel := context.WithTimeout(c.proposals, proposeTimeout)
+			_, err := c.agent.control.Propose(pctx, cmd)
+			cancel()
+			if err == nil || c.proposals.Err() != nil {
+				return
+			}
+			level := c.agent.log.WithError(err)
+			if errors.Is(err, controlclient.ErrUnknown) {
+				level.Debug("crash_proposal_unknown")
+			} else {
+				level.Warn("crash_proposal_failed")
+			}
+			time.Sleep(proposeRetryPause)
+		}
+	})
+}
+
+// close ends proposals in progress.
+func (c *crashes) close() {
+	c.stop()
+	c.wg.Wait()
+}
--- /dev/null
+++ b/internal/agent/forward.go
@@ -0,0 +1,380 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/gate"
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// maxAnswerBytes bounds an engine's answer without stream, which is held until
+// its weights set is checked.
+const maxAnswerBytes = 16 << 20
+
+var (
+	errCancelled = errors.New("attempt cancelled")
+	errWrongSet  = errors.New("engine reports another weights set than the pinned one")
+	errCrossed   = errors.New("engine sent part of another answer")
+	errCutShort  = errors.New("answer ended without its end marker")
+	errTooLarge  = errors.New("answer is larger than the limit")
+
+	errCallerGone = errors.New("entry closed the connection")
+)
+
+// newBackendClient returns the client for forwarded attempts. A plain service
+// gets a connection for each call: net/http resends some requests by itself
+// when a reused connection fails, and a call must run at most once.
+func newBackendClient(kind wire.EndpointKind, n network.Network) *http.Client {
+	transport := network.HTTPTransport(n)
+	transport.DisableKeepAlives = kind == wire.KindService
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// forward serves one attempt.
+func (a *Agent) forward(w http.ResponseWriter, r *http.Request) {
+	t, err := parseAttempt(w, r, int64(a.cfg.Settings.MaxBody))
+	w.Header().Set(wire.HeaderAttempt, t.id)
+	if err == nil && a.isEngine() {
+		err = t.prepareChat()
+	}
+	if err != nil {
+		a.refuse(w, http.StatusBadRequest, gate.Decision{Reason: reasonInvalid, Proved: true})
+		return
+	}
+	ctx, cancel := attemptContext(r.Context(), t.deadline)
+	defer cancel(nil)
+	if d := a.begin(ctx, t, cancel); d.Verdict != gate.Start {
+		a.refuse(w, statusOf(d.Reason), d)
+		return
+	}
+	a.run(ctx, w, r, t)
+}
+
+func attemptContext(parent context.Context, deadline time.Duration) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	if deadline <= 0 {
+		return ctx, cancel
+	}
+	timer := time.AfterFunc(deadline, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func(cause error) { timer.Stop(); cancel(cause) }
+}
+
+func statusOf(reason gate.Reason) int {
+	switch reason {
+	case gate.SetNotLoaded, reasonModelWithdrawn, gate.AlreadySeen, gate.WasFenced, gate.TooOld, reasonGateRestarted:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse answers an attempt that does not start. Only a proved refusal is
+// reported as not run.
+func (a *Agent) refuse(w http.ResponseWriter, status int, d gate.Decision) {
+	result := outcome.Unknown
+	if d.Proved {
+		result = outcome.NotRun
+	}
+	a.metrics.refusals.WithLabelValues(string(d.Reason)).Inc()
+	h := w.Header()
+	h.Set(wire.HeaderOutcome, string(result))
+	h.Set(wire.HeaderReason, string(d.Reason))
+	h.Set("Retry-After", "1")
+	http.Error(w, string(d.Reason), status)
+}
+
+// begin asks the gate, and waits while an attempt that runs alone has to.
+func (a *Agent) begin(ctx context.Context, t *attempt, cancel context.CancelCauseFunc) gate.Decision {
+	for {
+		d, ended := a.tryBegin(t, cancel)
+		if d.Verdict != gate.Wait {
+			return d
+		}
+		timer := time.NewTimer(exclusivePoll)
+		select {
+		case <-ended:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			a.state.mu.Lock()
+			a.state.gate.Withdraw(t.request.ID)
+			a.state.mu.Unlock()
+			return gate.Decision{Reason: reasonCallerGone, Proved: true}
+		}
+	}
+}
+
+const exclusivePoll = 100 * time.Millisecond
+
+func (a *Agent) tryBegin(t *attempt, cancel context.CancelCauseFunc) (gate.Decision, <-chan struct{}) {
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if t.incarnation != 0 && t.incarnation != a.incarnation {
+		return gate.Decision{Reason: reasonGateRestarted}, s.ended
+	}
+	c := s.conditions(now)
+	if c.Refusal == "" && a.isEngine() && !s.serves(t.model, t.request.Set) {
+		c.Refusal = reasonModelWithdrawn
+	}
+	d := s.gate.Begin(t.request, c, now)
+	if d.Verdict == gate.Start {
+		s.health.started(t.request.ID, t.request.Set, cancel, now)
+	}
+	return d, s.ended
+}
+
+// run sends a started attempt to the backend and passes the answer on.
+func (a *Agent) run(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempt) {
+	request, err := a.backendRequest(ctx, r, t)
+	if err != nil {
+		a.notSent(w, http.StatusBadRequest, t, reasonInvalid)
+		return
+	}
+	// The process may have been paused since the gate decided.
+	if reason, ok := a.mayStillServe(); !ok {
+		a.notSent(w, http.StatusServiceUnavailable, t, reason)
+		return
+	}
+	response, err := a.backend.Do(request)
+	if err != nil {
+		a.sendFailed(ctx, w, t, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if a.isEngine() && response.StatusCode == http.StatusNotFound {
+		a.refreshEngine()
+		a.notSent(w, http.StatusConflict, t, gate.SetNotLoaded)
+		return
+	}
+	a.answer(ctx, w, t, response)
+}
+
+func (a *Agent) mayStillServe() (gate.Reason, bool) {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	return a.state.mayServe(time.Now())
+}
+
+// notSent refuses an attempt that had started but never ran on the backend.
+func (a *Agent) notSent(w http.ResponseWriter, status int, t *attempt, reason gate.Reason) {
+	a.state.retract(t.request.ID)
+	a.refuse(w, status, gate.Decision{Reason: reason, Proved: true})
+}
+
+// sendFailed handles a backend that gave no answer.
+func (a *Agent) sendFailed(ctx context.Context, w http.ResponseWriter, t *attempt, err error) {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		a.refreshEngine()
+		a.notSent(w, http.StatusServiceUnavailable, t, reasonUnreachable)
+		return
+	}
+	a.failed(ctx, t, err)
+	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: "backend-broken"})
+}
+
+// failed records an attempt without a whole answer. A connection that the
+// backend broke may mean that it crashed.
+func (a *Agent) failed(ctx context.Context, t *attempt, err error) {
+	reason := failureReason(ctx, err)
+	a.metrics.failures.WithLabelValues(reason).Inc()
+	a.log.WithFields(log.Fields{"attempt": t.id, "reason": reason}).WithError(err).Info("attempt_failed")
+	if reason == "cut-short" {
+		a.crashes.broken(gate.Attempt{ID: t.request.ID, Fingerprint: t.request.Fingerprint, Alone: t.request.Alone})
+	}
+	a.state.finish(t.request.ID, false)
+	if reason == "wrong-set" {
+		a.refreshEngine()
+	}
+}
+
+func failureReason(ctx context.Context, err error) string {
+	switch {
+	case errors.Is(context.Cause(ctx), errCancelled):
+		return "cancelled"
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return "deadline"
+	case ctx.Err() != nil, errors.Is(err, errCallerGone):
+		return "caller-gone"
+	case errors.Is(err, errWrongSet):
+		return "wrong-set"
+	case errors.Is(err, errCrossed):
+		return "crossed"
+	case errors.Is(err, errTooLarge):
+		return "too-large"
+	}
+	return "cut-short"
+}
+
+// backendRequest builds the request to the engine or service.
+func (a *Agent) backendRequest(ctx context.Context, r *http.Request, t *attempt) (*http.Request, error) {
+	url := a.cfg.Settings.Backend + strings.TrimPrefix(r.URL.RequestURI(), wire.PathGateForward)
+	request, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(t.body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // never resent by net/http
+	if a.isEngine() {
+		request.Header.Set("Content-Type", "application/json")
+		if t.priority != "" {
+			request.Header.Set(engine.HeaderPriority, t.priority)
+		}
+		return request, nil
+	}
+	copyHeader(request.Header, r.Header)
+	return request, nil
+}
+
+// connectionHeaders concern one connection, or the system's own processes.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Authorization": true, "Content-Length": true, "Accept-Encoding": true,
+	wire.HeaderOutcome: true, wire.HeaderReason: true, wire.HeaderGateIncarnation: true, wire.HeaderAttempt: true,
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[http.CanonicalHeaderKey(name)] {
+			to[name] = append([]string(nil), values...)
+		}
+	}
+}
+
+// answer passes the backend's answer on. A failure after the first byte aborts
+// the connection, so that nothing looks like an end.
+func (a *Agent) answer(ctx context.Context, w http.ResponseWriter, t *attempt, response *http.Response) {
+	begun, err := false, error(nil)
+	switch {
+	case !a.isEngine():
+		begun, err = true, a.passService(w, response)
+	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+		s := &stream{agent: a, w: w, attempt: t, header: response.Header}
+		err = s.relay(response.Body)
+		begun = s.begun
+	default:
+		err = a.passWhole(w, t, response)
+	}
+	if err == nil {
+		a.completed(t)
+		return
+	}
+	a.failed(ctx, t, err)
+	if begun {
+		panic(http.ErrAbortHandler)
+	}
+	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: gate.Reason(failureReason(ctx, err))})
+}
+
+func (a *Agent) completed(t *attempt) {
+	a.state.finish(t.request.ID, true)
+	a.metrics.completed.Inc()
+	if t.request.Alone && t.request.Fingerprint != "" {
+		a.crashes.cleared(t.request.Fingerprint)
+	}
+}
+
+// passService copies a service's answer as it comes.
+func (a *Agent) passService(w http.ResponseWriter, response *http.Response) error {
+	copyHeader(w.Header(), response.Header)
+	if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	w.Header().Set(wire.HeaderOutcome, string(outcome.Done))
+	w.WriteHeader(response.StatusCode)
+	flusher := http.NewResponseController(w)
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return errors.Join(errCallerGone, err)
+			}
+			if err := flusher.Flush(); err != nil {
+				return errors.Join(errCallerGone, err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// passWhole holds an engine's answer until it is whole and its set is checked.
+func (a *Agent) passWhole(w http.ResponseWriter, t *attempt, response *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxAnswerBytes {
+		return errTooLarge
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		var head chunkHead
+		if err := json.Unmarshal(data, &head); err != nil {
+			return fmt.Errorf("%w: %w", errCutShort, err)
+		}
+		if err := t.checkOrigin(response.Header, head); err != nil {
+			return err
+		}
+		w.Header().Set(wire.HeaderWeightsSet, t.request.Set)
+	}
+	a.token(t)
+	h := w.Header()
+	copyHeader(h, response.Header)
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	h.Set(wire.HeaderOutcome, string(outcome.Done))
+	w.WriteHeader(response.StatusCode)
+	if _, err = w.Write(data); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
+func (a *Agent) token(t *attempt) {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	a.state.health.token(t.request.ID, time.Now())
+}
+
+// chunkHead holds the fields of an answer that tell where it comes from.
+type chunkHead struct {
+	ID          string `json:"id"`
+	Model       string `json:"model"`
+	Fingerprint string `json:"system_fingerprint"`
+}
+
+// checkOrigin compares the engine's reports on an answer with the attempt.
+func (t *attempt) checkOrigin(h http.Header, head chunkHead) error {
+	if set := h.Get(engine.HeaderWeightsSet); set != t.request.Set || head.Fingerprint != t.request.Set {
+		return errWrongSet
+	}
+	if head.Model != "" && head.Model != t.model {
+		return errCrossed
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/health.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/gate"
+)
+
+// health judges an engine by its progress. It is part of state and guarded by
+// its lock.
+type health struct {
+	stallAfter    time.Duration
+	probeInterval time.Duration
+
+	running  map[gate.ID]*flight
+	progress time.Time // last token, whole answer or successful probe
+	failed   bool      // the last judgement
+
+	gaps latencies
+}
+
+// flight is an attempt in progress on the backend.
+type flight struct {
+	started, last time.Time
+	setID         string
+	tokens        int
+	cancel        context.CancelCauseFunc
+}
+
+func newHealth(s Settings) health {
+	return health{
+		stallAfter: s.StallAfter.Std(), probeInterval: s.ProbeInterval.Std(),
+		running: map[gate.ID]*flight{},
+		gaps:    latencies{limit: s.TokenLatency.Std()},
+	}
+}
+
+func (h *health) started(id gate.ID, setID string, cancel context.CancelCauseFunc, now time.Time) {
+	h.running[id] = &flight{started: now, last: now, setID: setID, cancel: cancel}
+}
+
+// token records progress of an attempt.
+func (h *health) token(id gate.ID, now time.Time) {
+	h.progress, h.failed = now, false
+	f, ok := h.running[id]
+	if !ok {
+		return
+	}
+	if f.tokens > 0 {
+		h.gaps.add(now.Sub(f.last))
+	}
+	f.tokens++
+	f.last = now
+}
+
+func (h *health) ended(id gate.ID) { delete(h.running, id) }
+
+// suspicious reports whether a probe has to decide: work in flight without a
+// token for the stall time, or nothing known for the probe interval.
+func (h *health) suspicious(now time.Time) bool {
+	if h.failed {
+		return true
+	}
+	since, limit := h.progress, h.probeInterval
+	if len(h.running) > 0 {
+		oldest := h.oldest()
+		if oldest.After(since) {
+			since = oldest
+		}
+		limit = h.stallAfter
+	}
+	return now.Sub(since) >= limit
+}
+
+func (h *health) oldest() time.Time {
+	var oldest time.Time
+	for _, f := range h.running {
+		if oldest.IsZero() || f.started.Before(oldest) {
+			oldest = f.started
+		}
+	}
+	return oldest
+}
+
+// probed records the result of a probe that started at the given time. Tokens
+// since then outweigh a failed probe.
+func (h *health) probed(ok bool, start, now time.Time) (changed bool) {
+	failed := !ok && !h.progress.After(start)
+	changed = failed != h.failed
+	h.failed = failed
+	if ok {
+		h.progress = now
+	}
+	return changed
+}
+
+// inFlight counts attempts in progress that are pinned to a set.
+func (h *health) inFlight(setID string) int {
+	n := 0
+	for _, f := range h.running {
+		if f.setID == setID {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	latencySamples   = 256
+	pressureIncrease = 0.25
+	pressureDecrease = 0.05
+	// quietTolerance is the growth over the quiet baseline that the design's
+	// target allows during a rollout.
+	quietTolerance = 1.1
+	// baselineWeight is the weight of a new sample in the moving average.
+	baselineWeight = 0.2
+	// minLatencySamples is the least number of gaps that give a percentile.
+	minLatencySamples = 20
+	latencyQuantile   = 0.95
+	// minLatencyLimit keeps jitter on very fast engines from counting.
+	minLatencyLimit = 5 * time.Millisecond
+)
+
+// latencies turns times between tokens into a pressure on transfers: it rises
+// fast while the 95th percentile is above the limit and falls slowly.
+type latencies struct {
+	limit    time.Duration
+	samples  []time.Duration
+	baseline time.Duration // percentile without transfers
+	pressure float64
+}
+
+func (l *latencies) add(gap time.Duration) {
+	if len(l.samples) < latencySamples {
+		l.samples = append(l.samples, gap)
+	}
+}
+
+// next evaluates the samples since the last call.
+func (l *latencies) next(transferring bool) float64 {
+	if len(l.samples) < minLatencySamples {
+		l.pressure = max(0, l.pressure-pressureDecrease)
+		return l.pressure
+	}
+	slices.Sort(l.samples)
+	p95 := l.samples[int(float64(len(l.samples))*latencyQuantile)]
+	l.samples = l.samples[:0]
+	if !transferring {
+		l.learn(p95)
+	}
+	if transferring && p95 > l.effectiveLimit() {
+		l.pressure = min(1, l.pressure+pressureIncrease)
+	} else {
+		l.pressure = max(0, l.pressure-pressureDecrease)
+	}
+	return l.pressure
+}
+
+func (l *latencies) learn(p95 time.Duration) {
+	if l.baseline == 0 {
+		l.baseline = p95
+		return
+	}
+	l.baseline += time.Duration(baselineWeight * float64(p95-l.baseline))
+}
+
+func (l *latencies) effectiveLimit() time.Duration {
+	if l.baseline == 0 {
+		return l.limit
+	}
+	return min(l.limit, max(minLatencyLimit, time.Duration(quietTolerance*float64(l.baseline))))
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,371 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+const (
+	reconcileInterval = time.Second
+	// orderRetry spaces repeated orders for one set.
+	orderRetry = 2 * time.Second
+	fetchRetry = time.Second
+)
+
+// Phases of a rollout beyond those of the transfer.
+const (
+	phaseLoading = "loading"
+	phaseLive    = "live"
+	phaseFailed  = "failed"
+)
+
+// orders brings the engine to the sets that the catalogue names: it has them
+// fetched and verified, then orders the engine to load or unload.
+type orders struct {
+	agent  *Agent
+	fences *engine.Fences // used by run only
+	signal chan struct{}
+	// retryAt spaces orders after a failure, by set; used by run only.
+	retryAt map[string]time.Time
+
+	mu      sync.Mutex
+	fetches map[string]*fetch // by set
+	// ordering is the set being loaded, and failure the last one refused.
+	ordering string
+	failures map[string]string
+}
+
+type fetch struct {
+	cancel context.CancelFunc
+	dir    string // once verified
+	done   bool
+}
+
+func newOrders(a *Agent, started time.Time) *orders {
+	return &orders{
+		agent: a, fences: engine.NewFences(started), signal: make(chan struct{}, 1),
+		retryAt: map[string]time.Time{}, fetches: map[string]*fetch{}, failures: map[string]string{},
+	}
+}
+
+// wake asks for a comparison of the engine with the catalogue.
+func (o *orders) wake() {
+	select {
+	case o.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (o *orders) run(ctx context.Context) {
+	if !o.agent.isEngine() {
+		return
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		o.reconcile(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-o.signal:
+		}
+	}
+}
+
+// view is what one comparison rests on.
+type view struct {
+	known  bool
+	wanted []release.WeightsSet
+	loaded []wire.LoadedSet
+	usable bool // the engine answers and no stop is in progress
+}
+
+func (o *orders) view() view {
+	s := o.agent.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return view{
+		known: s.hasCatalogue, wanted: s.catalogue.SetsForRole(s.role),
+		loaded: slices.Clone(s.engine.Sets), usable: s.reachable && !s.gate.Draining(),
+	}
+}
+
+func (o *orders) reconcile(ctx context.Context, wg *sync.WaitGroup) {
+	v := o.view()
+	if !v.known {
+		return
+	}
+	o.dropFetches(v.wanted)
+	for _, set := range v.wanted {
+		o.startFetch(ctx, wg, set)
+	}
+	if !v.usable {
+		return
+	}
+	for _, loaded := range v.loaded {
+		o.unloadIfWithdrawn(ctx, loaded, v.wanted)
+	}
+	for _, set := range v.wanted {
+		if !holds(v.loaded, set.ID()) {
+			o.load(ctx, set)
+		}
+	}
+	o.prune(v)
+}
+
+func holds(loaded []wire.LoadedSet, id string) bool {
+	return slices.ContainsFunc(loaded, func(l wire.LoadedSet) bool { return l.SetID == id })
+}
+
+func (o *orders) dropFetches(wanted []release.WeightsSet) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, f := range o.fetches {
+		if slices.ContainsFunc(wanted, func(s release.WeightsSet) bool { return s.ID() == id }) {
+			continue
+		}
+		f.cancel()
+		o.agent.cfg.Weights.Cancel(id)
+		delete(o.fetches, id)
+		delete(o.failures, id)
+	}
+}
+
+// startFetch has a set fetched and verified, also one that the engine already
+// holds: its chunks are served to peers only once verified.
+func (o *orders) startFetch(ctx context.Context, wg *sync.WaitGroup, set release.WeightsSet) {
+	id := set.ID()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.fetches[id]; ok {
+		return
+	}
+	fctx, cancel := context.WithCancel(ctx)
+	f := &fetch{cancel: cancel}
+	o.fetches[id] = f
+	wg.Go(func() {
+		defer cancel()
+		o.fetch(fctx, f, set)
+	})
+}
+
+func (o *orders) fetch(ctx context.Context, f *fetch, set release.WeightsSet) {
+	for ctx.Err() == nil {
+		dir, err := o.agent.cfg.Weights.Fetch(ctx, set)
+		if err == nil {
+			o.mu.Lock()
+			f.dir, f.done = dir, true
+			o.mu.Unlock()
+			o.wake()
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		o.agent.log.WithField("set", set.ID()).WithError(err).Warn("fetch_failed")
+		select {
+		case <-ctx.Done():
+		case <-time.After(fetchRetry):
+		}
+	}
+}
+
+func (o *orders) verifiedDir(id string) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f, ok := o.fetches[id]
+	return f.dirOrEmpty(), ok && f.done
+}
+
+func (f *fetch) dirOrEmpty() string {
+	if f == nil {
+		return ""
+	}
+	return f.dir
+}
+
+// load orders a verified set, and reads back what the engine then holds.
+func (o *orders) load(ctx context.Context, set release.WeightsSet) {
+	id := set.ID()
+	dir, verified := o.verifiedDir(id)
+	if !verified || time.Now().Before(o.retryAt[id]) {
+		return
+	}
+	o.setOrdering(id)
+	defer o.setOrdering("")
+	order := engine.Order{Action: engine.ActionLoad, Set: engine.OrderSet{
+		SetID: id, Model: set.Model.Name, Version: set.Model.Version, Dir: dir,
+	}}
+	for _, adapter := range set.Adapters {
+		order.Set.Adapters = append(order.Set.Adapters, engine.OrderAdapter{Name: adapter.Name, Version: adapter.Version})
+	}
+	sets, err := o.order(ctx, order, func() bool { return o.wants(id) })
+	if errors.Is(err, engine.ErrInvalidFiles) {
+		o.refetch(id) // verified again before the next order
+	}
+	if err == nil && !holds(sets.Sets, id) {
+		err = errNotInForce
+	}
+	o.outcome(order, err)
+}
+
+// unloadIfWithdrawn unloads a set whose model the catalogue no longer has, once
+// no request in progress is pinned to it. The gate refuses it from the moment
+// of the withdrawal.
+func (o *orders) unloadIfWithdrawn(ctx context.Context, loaded wire.LoadedSet, wanted []release.WeightsSet) {
+	current := slices.ContainsFunc(wanted, func(s release.WeightsSet) bool { return s.Model.Name == loaded.Model })
+	if current || time.Now().Before(o.retryAt[loaded.SetID]) || o.inUse(loaded.SetID) {
+		return
+	}
+	order := engine.Order{Action: engine.ActionUnload, Set: engine.OrderSet{
+		SetID: loaded.SetID, Model: loaded.Model, Version: loaded.Version,
+	}}
+	sets, err := o.order(ctx, order, func() bool { return !o.wantsModel(loaded.Model) })
+	if err == nil && holds(sets.Sets, loaded.SetID) {
+		err = errNotInForce
+	}
+	o.outcome(order, err)
+}
+
+func (o *orders) inUse(setID string) bool {
+	s := o.agent.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.inFlight(setID) > 0
+}
+
+// Errors of orders.
+var (
+	errNoLease    = errors.New("no confirmation lease")
+	errNotWanted  = errors.New("catalogue has changed")
+	errNotInForce = errors.New("engine does not report the ordered state")
+)
+
+// order sends one order. The lease and the catalogue are checked immediately
+// before it: an engine may ignore fencing tokens. Whatever the answer, the
+// report read afterwards says what the engine holds.
+func (o *orders) order(ctx context.Context, order engine.Order, wanted func() bool) (engine.Sets, error) {
+	a := o.agent
+	octx, cancel := context.WithTimeout(ctx, a.cfg.Settings.OrderTimeout.Std())
+	defer cancel()
+	before, err := a.engine.Sets(octx)
+	if err != nil {
+		return engine.Sets{}, err
+	}
+	a.state.mu.Lock()
+	order.Fence = o.fences.Next(a.state.term, before.Fence)
+	a.state.mu.Unlock()
+	if _, ok := a.mayStillServe(); !ok {
+		return before, errNoLease
+	}
+	if !wanted() {
+		return before, errNotWanted
+	}
+	orderErr := a.engine.Order(octx, order)
+	rctx, cancelRead := context.WithTimeout(ctx, enginePollTimeout)
+	defer cancelRead()
+	after, err := a.engine.Sets(rctx)
+	if err != nil {
+		return engine.Sets{}, errors.Join(orderErr, err)
+	}
+	a.takeReport(after, nil)
+	return after, orderErr
+}
+
+func (o *orders) outcome(order engine.Order, err error) {
+	a := o.agent
+	id := order.Set.SetID
+	fields := log.Fields{"action": order.Action, "set": id, "model": order.Set.Model, "version": order.Set.Version}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.retryAt[id] = time.Now().Add(orderRetry)
+		o.failures[id] = err.Error()
+		a.metrics.orders.WithLabelValues(order.Action, "failed").Inc()
+		a.log.WithFields(fields).WithError(err).Warn("order_failed")
+		return
+	}
+	delete(o.retryAt, id)
+	delete(o.failures, id)
+	a.metrics.orders.WithLabelValues(order.Action, "done").Inc()
+	a.log.WithFields(fields).Info("order_done")
+}
+
+func (o *orders) wants(id string) bool {
+	return slices.ContainsFunc(o.view().wanted, func(s release.WeightsSet) bool { return s.ID() == id })
+}
+
+func (o *orders) wantsModel(model string) bool {
+	return slices.ContainsFunc(o.view().wanted, func(s release.WeightsSet) bool { return s.Model.Name == model })
+}
+
+func (o *orders) refetch(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.fetches, id)
+}
+
+func (o *orders) setOrdering(id string) {
+	o.mu.Lock()
+	o.ordering = id
+	o.mu.Unlock()
+	o.agent.state.notify()
+}
+
+// prune keeps the files of wanted and loaded sets.
+func (o *orders) prune(v view) {
+	var keep []string
+	for _, set := range v.wanted {
+		keep = append(keep, set.ID())
+	}
+	for _, loaded := range v.loaded {
+		keep = append(keep, loaded.SetID)
+	}
+	if err := o.agent.cfg.Weights.Prune(keep); err != nil {
+		o.agent.log.WithError(err).Warn("prune_failed")
+	}
+}
+
+// transferring reports whether a set is being fetched.
+func (o *orders) transferring() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, f := range o.fetches {
+		if !f.done {
+			return true
+		}
+	}
+	return false
+}
+
+// progress reports transfers, with the phases that come after them.
+func (o *orders) progress() []wire.RolloutProgress {
+	list := o.agent.cfg.Weights.Progress()
+	loaded := o.view().loaded
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range list {
+		p := &list[i]
+		switch {
+		case holds(loaded, p.SetID):
+			p.Phase = phaseLive
+		case o.ordering == p.SetID:
+			p.Phase = phaseLoading
+		case o.failures[p.SetID] != "":
+			p.Phase, p.Detail = phaseFailed, o.failures[p.SetID]
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Defaults of Settings.
+const (
+	defaultLogLevel      = "info"
+	defaultStallAfter    = 5 * time.Second
+	defaultProbeInterval = 5 * time.Second
+	defaultProbeTimeout  = 3 * time.Second
+	defaultOrderTimeout  = time.Minute
+	defaultTokenLatency  = 72 * time.Millisecond
+	defaultMaxBody       = 8 << 20
+)
+
+// Values of Settings.Objective and Settings.RegionLinks.
+const (
+	objectiveTime        = "time"
+	objectiveOriginBytes = "origin-bytes"
+	regionLinksNever     = "never"
+	regionLinksOnce      = "once"
+)
+
+// Settings configures an agent.
+type Settings struct {
+	Instance         string `yaml:"instance"`
+	Zone             string `yaml:"zone"`
+	Region           string `yaml:"region"`
+	LogLevel         string `yaml:"log_level"`
+	AdminListen      string `yaml:"admin_listen"`
+	ProcessTokenFile string `yaml:"process_token_file"`
+
+	Endpoint string            `yaml:"endpoint"`
+	Kind     wire.EndpointKind `yaml:"kind"`
+	Role     string            `yaml:"role"`    // engines: matched against a model's role
+	Service  string            `yaml:"service"` // plain services: the service's name
+
+	GateListen    string `yaml:"gate_listen"`
+	PeerListen    string `yaml:"peer_listen"`
+	AdvertiseGate string `yaml:"advertise_gate"`
+	AdvertisePeer string `yaml:"advertise_peer"`
+	// Backend is the URL of the engine or service.
+	Backend string `yaml:"backend"`
+	// Controls are the session addresses of all control replicas.
+	Controls []string `yaml:"controls"`
+
+	CacheDir string `yaml:"cache_dir"`
+	Store    string `yaml:"store"`
+	Origin   string `yaml:"origin"`
+	// Objective is what transfers optimise: time or origin-bytes. Default time.
+	Objective string `yaml:"objective"`
+	// RegionLinks is never or once: how often a chunk may cross the link
+	// between two regions. Default never.
+	RegionLinks string `yaml:"region_links"`
+	// DownloadRate and UploadRate bound transfers. Default 1 GiB/s. Lower
+	// leaves more of the link to live requests and delays rollouts.
+	DownloadRate settings.Rate `yaml:"download_rate"`
+	UploadRate   settings.Rate `yaml:"upload_rate"`
+
+	// Capacity is the number of requests that may run at once.
+	Capacity int `yaml:"capacity"`
+	// Grace extends serving without confirmation. Default 0 s. Anything above
+	// lets a partitioned instance serve a withdrawn model for that long.
+	Grace settings.Duration `yaml:"grace"`
+	// StallAfter is the time with work in flight and no token after which the
+	// endpoint is not ready. Default 5 s. Shorter finds a hung engine sooner
+	// and misjudges long prefills.
+	StallAfter settings.Duration `yaml:"stall_after"`
+	// ProbeInterval is the idle time after which one token is generated as a
+	// check. Default 5 s. Shorter costs engine time.
+	ProbeInterval settings.Duration `yaml:"probe_interval"`
+	// ProbeTimeout ends a check without an answer. Default 3 s.
+	ProbeTimeout settings.Duration `yaml:"probe_timeout"`
+	// OrderTimeout ends an order to the engine without an answer. Default
+	// 1 min. Longer suits slow loads and widens the window in which an order
+	// delayed by the network can arrive late.
+	OrderTimeout settings.Duration `yaml:"order_timeout"`
+	// TokenLatency is the 95th percentile of the time between tokens above
+	// which transfers slow down. Default 72 ms.
+	TokenLatency settings.Duration `yaml:"token_latency"`
+	// MaxBody bounds a request's body. Default 8 MiB.
+	MaxBody settings.Size `yaml:"max_body"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:      defaultLogLevel,
+		Objective:     objectiveTime,
+		RegionLinks:   regionLinksNever,
+		StallAfter:    settings.Duration(defaultStallAfter),
+		ProbeInterval: settings.Duration(defaultProbeInterval),
+		ProbeTimeout:  settings.Duration(defaultProbeTimeout),
+		OrderTimeout:  settings.Duration(defaultOrderTimeout),
+		TokenLatency:  settings.Duration(defaultTokenLatency),
+		MaxBody:       defaultMaxBody,
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check() error {
+	var p settings.Problems
+	p.Required("instance", s.Instance)
+	p.Required("zone", s.Zone)
+	p.Required("region", s.Region)
+	p.Required("endpoint", s.Endpoint)
+	p.LogLevel("log_level", s.LogLevel)
+	p.Address("admin_listen", s.AdminListen)
+	p.Readable("process_token_file", s.ProcessTokenFile)
+	p.OneOf("kind", string(s.Kind), string(wire.KindEngine), string(wire.KindService))
+	p.Address("gate_listen", s.GateListen)
+	p.Address("advertise_gate", s.AdvertiseGate)
+	p.URL("backend", s.Backend)
+	p.Addresses("controls", s.Controls)
+	p.Positive("capacity", int64(s.Capacity))
+	p.Positive("stall_after", int64(s.StallAfter))
+	p.Positive("probe_interval", int64(s.ProbeInterval))
+	p.Positive("probe_timeout", int64(s.ProbeTimeout))
+	p.Positive("order_timeout", int64(s.OrderTimeout))
+	p.Positive("token_latency", int64(s.TokenLatency))
+	p.Positive("max_body", int64(s.MaxBody))
+	if s.Kind == wire.KindService {
+		p.Required("service", s.Service)
+	} else {
+		s.checkEngine(&p)
+	}
+	return p.Err()
+}
+
+func (s *Settings) checkEngine(p *settings.Problems) {
+	p.Required("role", s.Role)
+	p.Required("cache_dir", s.CacheDir)
+	p.Address("peer_listen", s.PeerListen)
+	p.Address("advertise_peer", s.AdvertisePeer)
+	p.URL("origin", s.Origin)
+	if s.Store != "" {
+		p.URL("store", s.Store)
+	}
+	p.OneOf("objective", s.Objective, objectiveTime, objectiveOriginBytes)
+	p.OneOf("region_links", s.RegionLinks, regionLinksNever, regionLinksOnce)
+}
--- /dev/null
+++ b/internal/agent/state.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/confirm"
+	"github.com/rhubarbhill/rhubarbhill/gate"
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Reasons for refusing an attempt beyond those of the gate and the lease.
+const (
+	reasonNoCatalogue    gate.Reason = "no-catalogue"
+	reasonNotReady       gate.Reason = "endpoint-not-ready"
+	reasonModelWithdrawn gate.Reason = "model-withdrawn"
+	reasonUnreachable    gate.Reason = "endpoint-unreachable"
+	reasonCallerGone     gate.Reason = "caller-gone"
+	reasonInvalid        gate.Reason = "invalid-attempt"
+	reasonGateRestarted  gate.Reason = "gate-restarted"
+)
+
+// state is what the agent decides by. Decisions and the facts they rest on are
+// read and changed under one lock, so that a withdrawal or a lost lease counts
+// from the moment it is known.
+type state struct {
+	kind wire.EndpointKind
+	role string
+
+	mu    sync.Mutex
+	lease *confirm.Lease
+	gate  *gate.Gate
+	term  uint64
+
+	catalogue    release.Catalogue
+	hasCatalogue bool
+
+	engine    engine.Sets // last report
+	reachable bool
+	health    health
+
+	ended   chan struct{} // closed and replaced when an attempt ends
+	changed chan struct{} // holds one signal after a change worth announcing
+}
+
+func newState(s Settings, started time.Time) *state {
+	return &state{
+		kind: s.Kind, role: s.Role,
+		lease:   confirm.New(confirm.Config{Grace: s.Grace.Std(), FirstMark: uint64(started.UnixNano())}),
+		gate:    gate.New(gate.Config{Capacity: s.Capacity}),
+		health:  newHealth(s),
+		ended:   make(chan struct{}),
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// notify asks for an announcement.
+func (s *state) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// conditions returns the facts for the gate. The caller holds mu.
+func (s *state) conditions(now time.Time) gate.Conditions {
+	c := gate.Conditions{NoSets: s.kind == wire.KindService}
+	reason, ok := s.mayServe(now)
+	switch {
+	case !ok:
+		c.Refusal = reason
+	case !s.ready():
+		c.Refusal = reasonNotReady
+	}
+	for _, loaded := range s.servable() {
+		c.Sets = append(c.Sets, loaded.SetID)
+	}
+	return c
+}
+
+// mayServe checks the lease against the revision acted on. The caller holds mu.
+func (s *state) mayServe(now time.Time) (gate.Reason, bool) {
+	if !s.hasCatalogue {
+		return reasonNoCatalogue, false
+	}
+	reason, ok := s.lease.Check(s.catalogue.Revision, now)
+	return gate.Reason(reason), ok
+}
+
+// servable lists loaded sets whose model the catalogue has for this role. A
+// changed model stays servable in its old version until the engine reports the
+// new one. The caller holds mu.
+func (s *state) servable() []wire.LoadedSet {
+	var sets []wire.LoadedSet
+	for _, loaded := range s.engine.Sets {
+		if m, ok := s.catalogue.Models[loaded.Model]; ok && m.Role == s.role {
+			sets = append(sets, loaded)
+		}
+	}
+	return sets
+}
+
+// ready reports whether the endpoint answers and makes progress. The caller
+// holds mu.
+func (s *state) ready() bool { return s.reachable && !s.health.failed }
+
+// serves reports whether model, the name in a request's body, belongs to the
+// pinned set and is not withdrawn. The caller holds mu.
+func (s *state) serves(model, setID string) bool {
+	set, ok := s.catalogue.Resolve(model)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(s.engine.Sets, func(l wire.LoadedSet) bool { return l.SetID == setID })
+	return i < 0 || s.engine.Sets[i].Model == set.Model.Name
+}
+
+// setCatalogue acts on a catalogue unless it is older than the one acted on.
+func (s *state) setCatalogue(c release.Catalogue) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hasCatalogue && c.Revision <= s.catalogue.Revision {
+		return false
+	}
+	s.catalogue, s.hasCatalogue = c, true
+	return true
+}
+
+// revision is the revision acted on.
+func (s *state) revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalogue.Revision
+}
+
+// attemptEnded wakes attempts that wait to run alone and a stop that waits for
+// the last one. The caller holds mu.
+func (s *state) attemptEnded() {
+	close(s.ended)
+	s.ended = make(chan struct{})
+}
+
+// finish records the end of an attempt.
+func (s *state) finish(id gate.ID, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Finish(id, whole)
+	s.health.ended(id)
+	s.attemptEnded()
+}
+
+// retract records that a started attempt was never sent.
+func (s *state) retract(id gate.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Retract(id)
+	s.health.ended(id)
+	s.attemptEnded()
+}
+
+// fence keeps an attempt from starting, and cancels it where asked to and it
+// runs.
+func (s *state) fence(id gate.ID, sameStart, cancel bool) gate.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.gate.Fence(id, sameStart, time.Now())
+	if f, ok := s.health.running[id]; ok && cancel {
+		f.cancel(errCancelled)
+	}
+	return known
+}
--- /dev/null
+++ b/internal/agent/stream.go
@@ -0,0 +1,129 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	maxEventBytes  = 1 << 20
+	endMarker      = "[DONE]"
+	dataPrefix     = "data:"
+	streamReadSize = 16 << 10
+)
+
+// stream passes one answer on event by event. Each event is checked before its
+// first byte is sent.
+type stream struct {
+	agent   *Agent
+	w       http.ResponseWriter
+	attempt *attempt
+	header  http.Header
+	begun   bool
+	id      string // of the first event; a different one belongs to another answer
+}
+
+// relay returns nil only after the end marker was passed on.
+func (s *stream) relay(body io.Reader) error {
+	reader := bufio.NewReaderSize(body, streamReadSize)
+	for {
+		raw, data, err := readEvent(reader)
+		if errors.Is(err, io.EOF) {
+			return errCutShort
+		}
+		if err != nil {
+			return err
+		}
+		done := string(data) == endMarker
+		if !done && len(data) > 0 {
+			if err := s.check(data); err != nil {
+				return err
+			}
+		}
+		if err := s.pass(raw); err != nil {
+			return err
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+func (s *stream) check(data []byte) error {
+	var head chunkHead
+	if err := json.Unmarshal(data, &head); err != nil {
+		return fmt.Errorf("%w: %w", errCutShort, err)
+	}
+	if err := s.attempt.checkOrigin(s.header, head); err != nil {
+		return err
+	}
+	if s.id == "" {
+		s.id = head.ID
+	}
+	if head.ID != s.id {
+		return errCrossed
+	}
+	s.agent.token(s.attempt)
+	return nil
+}
+
+func (s *stream) pass(raw []byte) error {
+	if !s.begun {
+		h := s.w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-cache")
+		h.Set(wire.HeaderWeightsSet, s.attempt.request.Set)
+		s.w.WriteHeader(http.StatusOK)
+		s.begun = true
+	}
+	if _, err := s.w.Write(raw); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
+// readEvent returns the next event with its closing empty line, and its data.
+// A part of an event at the end is never returned.
+func readEvent(r *bufio.Reader) (raw, data []byte, err error) {
+	for {
+		line, err := readLine(r, maxEventBytes-len(raw))
+		if err != nil {
+			return nil, nil, err
+		}
+		raw = append(raw, line...)
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return raw, data, nil
+		}
+		if rest, ok := bytes.CutPrefix(text, []byte(dataPrefix)); ok {
+			if data != nil {
+				data = append(data, '\n')
+			}
+			data = append(data, bytes.TrimPrefix(rest, []byte(" "))...)
+		}
+	}
+}
+
+func readLine(r *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, errTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
