--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -14,6 +14,9 @@
 // Token is a bearer token. Its text never reaches logs through formatting.
 type Token struct{ secret string }
 
+// NewToken returns a token of the given text, for programs that embed daemons.
+func NewToken(secret string) Token { return Token{secret: secret} }
+
 // String hides the secret.
 func (Token) String() string { return "[token]" }
 
--- a/internal/loadtool/addresses.go
+++ b/internal/loadtool/addresses.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 )
 
 const (
@@ -23,11 +24,10 @@
 	maxIdleConns   = 4096
 )
 
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns,
-		DialContext: (&net.Dialer{Timeout: lookupTimeout}).DialContext,
-	}}
+func newHTTPClient(n network.Network) *http.Client {
+	transport := network.HTTPTransport(n)
+	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = maxIdleConns, maxIdleConns
+	return &http.Client{Transport: transport}
 }
 
 // addressBook asks entries for the ranked addresses and keeps the answer for
--- a/internal/loadtool/config.go
+++ b/internal/loadtool/config.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/standin"
 )
@@ -34,6 +35,8 @@
 	Drain         time.Duration
 	Organisations Mix
 	Seed          uint64
+	// Network opens the connections; nil uses the operating system's.
+	Network network.Network
 }
 
 // Quotes configures a run of chat completions.
--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -43,7 +43,7 @@
 	if err := cfg.check(); err != nil {
 		return Summary{}, err
 	}
-	client := newHTTPClient()
+	client := newHTTPClient(cfg.Network)
 	defer client.CloseIdleConnections()
 	run := &orderRun{
 		cfg:      cfg,
--- a/internal/loadtool/quotes.go
+++ b/internal/loadtool/quotes.go
@@ -52,7 +52,7 @@
 	if err := cfg.check(); err != nil {
 		return Summary{}, err
 	}
-	client := newHTTPClient()
+	client := newHTTPClient(cfg.Network)
 	defer client.CloseIdleConnections()
 	run := &quoteRun{
 		cfg:      cfg,
