--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -159,20 +159,24 @@
 	g.whole(ctx, w)
 }
 
-// pause waits for a delay under the present load, and while the engine stalls.
-// It reports false when the caller has gone.
-func (g *generation) pause(ctx context.Context, idle time.Duration) bool {
-	e := g.engine
+// delay returns what a delay of the idle engine is under the present load.
+func (e *Engine) delay(idle time.Duration) time.Duration {
 	running, _ := e.batch.load()
-	factor := 1 + e.cfg.LoadSlope*float64(running-1)/float64(max(1, e.cfg.Capacity))
+	factor := 1 + e.cfg.LoadSlope*float64(max(0, running-1))/float64(max(1, e.cfg.Capacity-1))
 	if slow := e.switches.Get().SlowFactor; slow > 0 {
 		factor *= slow
 	}
-	if !sleep(ctx, time.Duration(float64(idle)*factor)) {
+	return time.Duration(float64(idle) * factor)
+}
+
+// pause waits for a delay under the present load, and while the engine stalls.
+// It reports false when the caller has gone.
+func (g *generation) pause(ctx context.Context, idle time.Duration) bool {
+	if !sleep(ctx, g.engine.delay(idle)) {
 		return false
 	}
 	for {
-		faults, changed := e.switches.Changed()
+		faults, changed := g.engine.switches.Changed()
 		if !faults.Stall {
 			return true
 		}
