--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -39,15 +39,18 @@
 
 // Status answers GET PathStatus.
 type Status struct {
-	Replica   string             `json:"replica"`
-	Leader    string             `json:"leader"`
-	Term      uint64             `json:"term"`
-	Voters    []string           `json:"voters"`
-	Learners  []string           `json:"learners"`
-	Revision  uint64             `json:"revision"`
-	InForce   uint64             `json:"in_force"` // highest revision in force on every known instance
-	Digest    release.Digest     `json:"digest"`
-	Catalogue *release.Catalogue `json:"catalogue,omitempty"`
+	Replica  string   `json:"replica"`
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+	Revision uint64   `json:"revision"`
+	// InForce is true when Revision is in force on every known instance;
+	// InForceRevision is the highest one that is.
+	InForce         bool               `json:"in_force"`
+	InForceRevision uint64             `json:"in_force_revision"`
+	Digest          release.Digest     `json:"digest"`
+	Catalogue       *release.Catalogue `json:"catalogue,omitempty"`
 }
 
 // Endpoints answers GET PathEndpoints.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -183,12 +183,12 @@
 	for {
 		var status Status
 		_, err := c.Get(ctx, PathStatus, nil, &status)
-		if err == nil && status.InForce >= revision {
+		if err == nil && status.InForceRevision >= revision {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return oops.In("operator").Wrapf(ErrNotInForce, "revision %d, in force %d, last error %v", revision, status.InForce, err)
+			return oops.In("operator").Wrapf(ErrNotInForce, "revision %d, in force %d, last error %v", revision, status.InForceRevision, err)
 		case <-time.After(poll):
 		}
 	}
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -98,7 +98,7 @@
 	row(w, "voters", strings.Join(s.Voters, " "))
 	row(w, "learners", strings.Join(s.Learners, " "))
 	row(w, "revision", s.Revision)
-	row(w, "in force", s.InForce)
+	row(w, "in force", s.InForceRevision)
 	row(w, "digest", s.Digest)
 	if s.Catalogue == nil {
 		return
