--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -88,3 +88,14 @@
 	Fingerprint string
 	Alone       bool
 }
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	switch v {
+	case Start:
+		return "start"
+	case Wait:
+		return "wait"
+	}
+	return "refuse"
+}
--- /dev/null
+++ b/internal/agent/answer_test.go
@@ -0,0 +1,225 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Guards against answers of mixed weights, crossed answers and answers cut
+// short that a caller could take for whole ones.
+func TestDamagedAnswersAreAborted(t *testing.T) {
+	const other = "sha256:other"
+	cases := map[string]struct {
+		chat    func(w http.ResponseWriter, r *http.Request, set string)
+		begun   bool // the entry sees part of the answer
+		reason  string
+		crashed bool
+	}{
+		"set swapped in mid-answer": {begun: true, chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			tokens(w, set, 0, 2)
+			event(w, "answer", other, 2)
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}},
+		"other set from the start": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, _ string) {
+			tokens(w, other, 0, 2)
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}},
+		"no set named": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, _ string) {
+			tokens(w, "", 0, 2)
+		}},
+		"whole answer of another set": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			w.Header().Set(engine.HeaderWeightsSet, set)
+			_, _ = fmt.Fprintf(w, `{"system_fingerprint":%q}`, other)
+		}},
+		"crossed": {begun: true, chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			tokens(w, set, 0, 2)
+			event(w, "answer of another request", set, 2)
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}},
+		"ended without marker": {begun: true, chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			tokens(w, set, 0, 2)
+		}},
+		"connection cut": {begun: true, chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			tokens(w, set, 0, 2)
+			panic(http.ErrAbortHandler)
+		}},
+		"cut before the first byte": {reason: "backend-broken", chat: func(http.ResponseWriter, *http.Request, string) {
+			panic(http.ErrAbortHandler)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(r *rig) { r.engine.chat = c.chat }, func(r *rig) {
+				is := is.New(r.t)
+				id := r.nextID()
+				a := r.askID(id, setID("1"))
+				is.True(!a.whole())
+				is.True(a.outcome != "not-run") // the engine may have run it
+				if c.begun {
+					is.True(a.err != nil) // the connection was aborted
+				} else {
+					is.Equal(a.status, http.StatusBadGateway)
+					is.Equal(a.reason, c.reason)
+				}
+				is.Equal(r.attemptState(http.MethodGet, id, 0), "failed")
+				time.Sleep(5 * time.Second)
+				is.Equal(len(r.proposals()), 0) // the engine did not crash
+			})
+		})
+	}
+}
+
+// Guards against late answers: an attempt whose deadline or entry is gone is
+// cancelled on the engine.
+func TestCancelReachesTheEngine(t *testing.T) {
+	cancelled := make(chan struct{}, 8)
+	hang := func(w http.ResponseWriter, r *http.Request, set string) {
+		tokens(w, set, 0, 1)
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	}
+	cases := map[string]func(r *rig, id string){
+		"deadline": func(r *rig, id string) { r.askID(id, setID("1"), wire.HeaderDeadline, "300") },
+		"cancel": func(r *rig, id string) {
+			time.AfterFunc(time.Second, func() { r.attemptState(http.MethodDelete, id, 0) })
+			r.askID(id, setID("1"))
+		},
+		"entry gone": func(r *rig, id string) {
+			time.AfterFunc(time.Second, func() { r.net.Stop("entry") })
+			r.askID(id, setID("1"))
+		},
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
+				id := r.nextID()
+				act(r, id)
+				time.Sleep(2 * time.Second)
+				select {
+				case <-cancelled:
+				default:
+					r.t.Fatal("engine still runs the attempt")
+				}
+				is.New(r.t).Equal(r.attemptState(http.MethodGet, id, 0), "failed")
+			})
+		})
+	}
+}
+
+// Guards against an attempt that runs after it was reported as not run, runs
+// twice, or is reported as not run by a process that cannot know.
+func TestFencedAndRepeatedAttempts(t *testing.T) {
+	run(t, nil, func(r *rig) {
+		is := is.New(r.t)
+		incarnation := r.agent.incarnation
+		id := r.nextID()
+		is.Equal(r.attemptState(http.MethodPost, id, incarnation), "fenced")
+		is.Equal(r.askID(id, setID("1")).outcome, "not-run")
+		id = r.nextID()
+		is.True(r.askID(id, setID("1")).whole())
+		is.Equal(r.attemptState(http.MethodPost, id, incarnation), "done")
+		is.Equal(r.askID(id, setID("1")).outcome, "unknown")
+		is.Equal(r.engine.chats, 1)
+
+		r.stop()
+		r.start()
+		time.Sleep(3 * time.Second)
+		is.Equal(r.attemptState(http.MethodPost, id, incarnation), "unknown")
+		late := r.askID(r.nextID(), setID("1"), wire.HeaderGateIncarnation, fmt.Sprint(incarnation))
+		is.Equal(late.reason, "gate-restarted")
+		is.Equal(late.outcome, "unknown")
+		is.Equal(r.engine.chats, 1)
+	})
+}
+
+// Guards against more work than the capacity, and against a suspect that runs
+// next to others.
+func TestCapacityAndExclusiveRunning(t *testing.T) {
+	var running, most, alone atomic.Int64
+	run(t, func(r *rig) {
+		r.engine.chat = func(w http.ResponseWriter, req *http.Request, set string) {
+			most.Store(max(most.Load(), running.Add(1)))
+			time.Sleep(time.Second)
+			if alone.Load() == 1 && running.Load() != 1 {
+				r.t.Error("a suspect has neighbours")
+			}
+			running.Add(-1)
+			tokens(w, set, 0, 1)
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}
+	}, func(r *rig) {
+		is := is.New(r.t)
+		var wg sync.WaitGroup
+		var whole, refused atomic.Int64
+		for range 10 {
+			id := r.nextID()
+			wg.Go(func() {
+				a := r.askID(id, setID("1"))
+				if a.whole() {
+					whole.Add(1)
+				} else if a.outcome == "not-run" && a.reason == "at-capacity" {
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal([]int64{whole.Load(), refused.Load(), most.Load()}, []int64{4, 6, 4})
+
+		first, suspect, other := r.nextID(), r.nextID(), r.nextID()
+		wg.Go(func() { is.True(r.askID(first, setID("1")).whole()) })
+		time.Sleep(500 * time.Millisecond)
+		wg.Go(func() {
+			a := r.askID(suspect, setID("1"), wire.HeaderAlone, "true", wire.HeaderFingerprint, "f")
+			is.True(a.whole())
+		})
+		time.Sleep(700 * time.Millisecond) // the first has finished
+		alone.Store(1)
+		is.Equal(r.askID(other, setID("1")).reason, "exclusive-running")
+		wg.Wait()
+		time.Sleep(time.Second)
+		proposed := r.proposals()
+		is.Equal(len(proposed), 1)
+		is.Equal(proposed[0].Clear.Fingerprint, "f")
+	})
+}
+
+// Guards against a process that was paused between the gate's decision and the
+// sending, and runs the attempt although its lease has expired.
+func TestPausedAttemptIsNotSentPastTheLease(t *testing.T) {
+	run(t, nil, func(r *rig) {
+		is := is.New(r.t)
+		request, err := http.NewRequest(http.MethodPost, "http://x"+wire.PathGateForward+engine.PathChat, nil)
+		is.NoErr(err)
+		id, err := parseID(r.nextID())
+		is.NoErr(err)
+		ctx, cancel := context.WithCancelCause(r.t.Context())
+		defer cancel(nil)
+		a := &attempt{model: "m", body: []byte("{}")}
+		a.request.ID, a.request.Set = id, setID("1")
+		d, _ := r.agent.tryBegin(a, cancel)
+		is.Equal(d.Verdict.String(), "start")
+		r.net.Isolate(agentHost, []string{"c0", "c1", "c2", "c3"}, true)
+		time.Sleep(2500 * time.Millisecond)
+		w := &recorder{header: http.Header{}}
+		r.agent.run(ctx, w, request, a)
+		is.Equal(w.header.Get(wire.HeaderOutcome), "not-run")
+		is.Equal(r.engine.chats, 0)
+	})
+}
+
+type recorder struct{ header http.Header }
+
+func (r *recorder) Header() http.Header         { return r.header }
+func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
+func (r *recorder) WriteHeader(int)             {}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/rhubarbhill/rhubarbhill/confirm"
+	"github.com/rhubarbhill/rhubarbhill/internal/transfer"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
@@ -129,11 +130,11 @@
 	}
 	a.membersMu.Lock()
 	a.members.Expire(time.Now())
-	var peers []Peer
+	var peers []transfer.Peer
 	for _, r := range a.members.Live() {
 		p := r.Report
 		if p.Endpoint != a.cfg.Settings.Endpoint && p.Kind == wire.KindEngine && p.Role == a.cfg.Settings.Role {
-			peers = append(peers, Peer{Endpoint: p.Endpoint, Region: p.Region, Zone: p.Zone, ChunkAddress: p.ChunkAddress})
+			peers = append(peers, transfer.Peer{Endpoint: p.Endpoint, Region: p.Region, Zone: p.Zone, ChunkAddress: p.ChunkAddress})
 		}
 	}
 	a.membersMu.Unlock()
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -36,6 +36,7 @@
 	signal chan struct{}
 	// retryAt spaces orders after a failure, by set; used by run only.
 	retryAt map[string]time.Time
+	kept    []string // sets kept by the last prune; used by run only
 
 	mu      sync.Mutex
 	fetches map[string]*fetch // by set
@@ -258,6 +259,9 @@
 // report read afterwards says what the engine holds.
 func (o *orders) order(ctx context.Context, order engine.Order, wanted func() bool) (engine.Sets, error) {
 	a := o.agent
+	if _, ok := a.mayStillServe(); !ok {
+		return engine.Sets{}, errNoLease
+	}
 	octx, cancel := context.WithTimeout(ctx, a.cfg.Settings.OrderTimeout.Std())
 	defer cancel()
 	before, err := a.engine.Sets(octx)
@@ -288,6 +292,9 @@
 	a := o.agent
 	id := order.Set.SetID
 	fields := log.Fields{"action": order.Action, "set": id, "model": order.Set.Model, "version": order.Set.Version}
+	if errors.Is(err, errNoLease) || errors.Is(err, errNotWanted) {
+		return // nothing was sent; a change of either wakes run
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
@@ -326,16 +333,21 @@
 
 // prune keeps the files of wanted and loaded sets.
 func (o *orders) prune(v view) {
-	var keep []string
+	keep := []string{}
 	for _, set := range v.wanted {
 		keep = append(keep, set.ID())
 	}
 	for _, loaded := range v.loaded {
 		keep = append(keep, loaded.SetID)
 	}
+	if o.kept != nil && slices.Equal(keep, o.kept) {
+		return
+	}
 	if err := o.agent.cfg.Weights.Prune(keep); err != nil {
 		o.agent.log.WithError(err).Warn("prune_failed")
+		return
 	}
+	o.kept = keep
 }
 
 // transferring reports whether a set is being fetched.
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -4,14 +4,19 @@
 	"context"
 	"net/http"
 
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/transfer"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/swarm"
 )
 
 // Weights fetches and verifies weights sets and serves chunks to peers.
 type Weights interface {
 	// SetPeers replaces the list of agents that fetch the same weights.
-	SetPeers(peers []Peer)
+	SetPeers(peers []transfer.Peer)
 	// Fetch returns the folder of a set once every chunk is verified.
 	Fetch(ctx context.Context, set release.WeightsSet) (dir string, err error)
 	Progress() []wire.RolloutProgress
@@ -23,8 +28,20 @@
 	SetPressure(x float64)
 }
 
-// Peer is another agent with the same role.
-type Peer struct {
-	Endpoint, Region, Zone string
-	ChunkAddress           string
+var _ Weights = (*transfer.Transfer)(nil)
+
+// OpenWeights opens the cache folder of an engine's agent. It returns nil for
+// plain services.
+func OpenWeights(s Settings, token auth.Token, logger log.Interface) (Weights, error) {
+	if s.Kind != wire.KindEngine {
+		return nil, nil
+	}
+	t, err := transfer.New(transfer.Config{
+		CacheDir: s.CacheDir, StoreURL: s.Store, OriginURL: s.Origin,
+		Endpoint: s.Endpoint, Region: s.Region, Zone: s.Zone,
+		Objective: swarm.Objective(s.Objective), RegionLinks: swarm.RegionLinks(s.RegionLinks),
+		DownloadRate: float64(s.DownloadRate), UploadRate: float64(s.UploadRate),
+		Token: token, Log: logger,
+	})
+	return t, err
 }
