--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -136,6 +136,9 @@
 	if err != nil {
 		return nil, nil, oops.In("loadtool").Wrap(err)
 	}
+	// With an Idempotency-Key, net/http would send the request again by itself on
+	// a lost connection; such a resend would not be counted.
+	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+r.cfg.Token.Secret())
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(wire.HeaderOrganisation, organisation)
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,239 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testToken = "operator-token-of-the-test"
+	testNote  = `note: 1
+models:
+  add:
+    - name: quote
+      version: "1"
+      manifest: sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+      replicas: {role: quote}
+`
+	unreachable = "127.0.0.1:1"
+)
+
+// fakeReplica answers by path and keeps the bodies that it received.
+type fakeReplica struct {
+	*httptest.Server
+	mu     sync.Mutex
+	bodies []string
+}
+
+func (f *fakeReplica) received() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.bodies)
+}
+
+// abort stands for an answer that is lost after the request arrived.
+const abort = -1
+
+func startReplica(t *testing.T, status int, answer any) *fakeReplica {
+	t.Helper()
+	f := &fakeReplica{}
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.bodies = append(f.bodies, string(body))
+		f.mu.Unlock()
+		if r.Header.Get("Authorization") != "Bearer "+testToken {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		if status == abort {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(answer)
+	}))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeReplica) address() string { return f.Listener.Addr().String() }
+
+// ctl runs rhubarbctl with short time limits.
+func ctl(t *testing.T, token string, replicas []string, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "token")
+	is.New(t).NoErr(os.WriteFile(path, []byte(token), 0o600))
+	args = append([]string{"--token-file", path, "--timeout", "600ms", "--attempt", "300ms"}, args...)
+	if len(replicas) > 0 {
+		args = append(args, "--control", strings.Join(replicas, ","))
+	}
+	var stdout, stderr bytes.Buffer
+	code = Main(context.Background(), args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func writeNote(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "note.yaml")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// Guards against exit codes that a script would misread, above all "refused"
+// or "unreachable" for a note that may have been accepted.
+func TestApplyExitCodes(t *testing.T) {
+	accepted := NoteAnswer{Status: NoteAccepted, Number: 1}
+	type replica struct {
+		status int
+		answer any
+	}
+	cases := map[string]struct {
+		replicas []replica
+		down     bool // one more replica refuses connections, asked first
+		note     string
+		token    string
+		want     int
+	}{
+		"accepted":              {replicas: []replica{{200, accepted}}, want: ExitOK},
+		"accepted elsewhere":    {replicas: []replica{{200, accepted}}, down: true, want: ExitOK},
+		"lost, then accepted":   {replicas: []replica{{abort, nil}, {200, accepted}}, want: ExitOK},
+		"not run, then taken":   {replicas: []replica{{503, NoteAnswer{Status: NoteNotRun}}, {200, accepted}}, want: ExitOK},
+		"unknown, then taken":   {replicas: []replica{{504, NoteAnswer{Status: NoteUnknown}}, {200, accepted}}, want: ExitOK},
+		"refused":               {replicas: []replica{{409, NoteAnswer{Status: NoteRefused, Number: 4, Reason: "expected number 4"}}}, want: ExitRefused},
+		"conflict":              {replicas: []replica{{409, NoteAnswer{Status: NoteConflict, Number: 1}}}, want: ExitRefused},
+		"lost, then conflict":   {replicas: []replica{{abort, nil}, {409, NoteAnswer{Status: NoteConflict}}}, want: ExitRefused},
+		"unknown":               {replicas: []replica{{504, NoteAnswer{Status: NoteUnknown}}}, want: ExitUnknown},
+		"lost":                  {replicas: []replica{{abort, nil}}, want: ExitUnknown},
+		"lost, others down":     {replicas: []replica{{abort, nil}}, down: true, want: ExitUnknown},
+		"error without status":  {replicas: []replica{{500, "oops"}}, want: ExitUnknown},
+		"success without state": {replicas: []replica{{200, "oops"}}, want: ExitUnknown},
+		"invalid for replica":   {replicas: []replica{{422, NoteAnswer{Status: NoteInvalid}}}, want: ExitBadInput},
+		"invalid":               {replicas: []replica{{200, accepted}}, note: "note: 1\nmodles: {}\n", want: ExitBadInput},
+		"wrong token":           {replicas: []replica{{200, accepted}}, token: "another-token-altogether", want: ExitBadInput},
+		"short token":           {replicas: []replica{{200, accepted}}, token: "tiny-7", want: ExitBadInput},
+		"no replica named":      {want: ExitBadInput},
+		"no leader":             {replicas: []replica{{503, NoteAnswer{Status: NoteNotRun}}}, want: ExitUnreachable},
+		"all down":              {down: true, want: ExitUnreachable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var addresses []string
+			if c.down {
+				addresses = append(addresses, unreachable)
+			}
+			for _, r := range c.replicas {
+				addresses = append(addresses, startReplica(t, r.status, r.answer).address())
+			}
+			note, token := testNote, testToken
+			if c.note != "" {
+				note = c.note
+			}
+			if c.token != "" {
+				token = c.token
+			}
+			code, out, errOut := ctl(t, token, addresses, "apply", writeNote(t, note))
+			t.Log(out, errOut)
+			is.Equal(code, c.want)
+			is.True(!strings.Contains(out+errOut, token)) // tokens are never printed
+		})
+	}
+}
+
+// Guards against a resend that changes the note, or one that goes on after a
+// final answer.
+func TestApplyResendsTheSameNote(t *testing.T) {
+	is := is.New(t)
+	lost := startReplica(t, abort, nil)
+	taken := startReplica(t, 200, NoteAnswer{Status: NoteAccepted, Number: 1})
+	code, _, _ := ctl(t, testToken, []string{lost.address(), taken.address()}, "apply", writeNote(t, testNote))
+	is.Equal(code, ExitOK)
+	is.Equal(lost.received(), []string{testNote})
+	is.Equal(taken.received(), []string{testNote})
+}
+
+// Guards against "in force" that is reported early, and against a wait that
+// hides that the note was accepted.
+func TestApplyWait(t *testing.T) {
+	for inForce, want := range map[uint64]int{1: ExitOK, 0: ExitNotInForce} {
+		is := is.New(t)
+		replica := startReplica(t, 200, map[string]any{"status": NoteAccepted, "number": 1, "in_force": inForce})
+		code, out, _ := ctl(t, testToken, []string{replica.address()},
+			"apply", "--wait", "--wait-timeout", "200ms", "--poll", "20ms", writeNote(t, testNote))
+		is.Equal(code, want)
+		is.True(strings.Contains(out, NoteAccepted))
+		is.Equal(strings.Contains(out, "in force"), want == ExitOK)
+	}
+}
+
+// Guards against commands that fail, print nothing, or print tables where JSON
+// was asked for.
+func TestViews(t *testing.T) {
+	catalogue := release.NewCatalogue()
+	catalogue.Models["quote"] = release.Model{Name: "quote", Version: "0", Role: "quote"}
+	catalogue.Models["old"] = release.Model{Name: "old", Version: "3", Role: "quote"}
+	change := strings.NewReplacer("add:", "change:").Replace(testNote)
+	cases := map[string]struct {
+		args   []string
+		answer any
+		want   []string
+	}{
+		"status": {[]string{"status"}, Status{Replica: "control-0", Revision: 7, Catalogue: &catalogue}, []string{"control-0", "role quote"}},
+		"endpoints": {
+			[]string{"endpoints"},
+			Endpoints{[]Endpoint{EndpointOf(wire.Announce{Endpoint: "engine-0", Draining: true})}},
+			[]string{"engine-0", "draining"},
+		},
+		"quarantine": {
+			[]string{"quarantine"},
+			Quarantine{[]wire.QuarantinedRequest{{Fingerprint: "f1", Quarantined: true, Until: 1000}}},
+			[]string{"f1", "quarantined", "1970-01-01T00:00:01Z"},
+		},
+		"outcome": {[]string{"outcome", "--organisation", "o", "key/1"}, Outcome{Key: "key/1", Outcome: "done"}, []string{"key/1", "done"}},
+		"rollout": {
+			[]string{"rollout", "watch"},
+			Rollout{Revision: 7, InForce: true, Sets: []RolloutSet{{Model: "quote", Live: 1, Total: 1}}},
+			[]string{"1 of 1 live"},
+		},
+		"check": {[]string{"note", "check", writeNote(t, testNote)}, NoteAnswer{Status: NoteValid}, []string{"valid"}},
+		"diff":  {[]string{"note", "diff", writeNote(t, change)}, Status{Catalogue: &catalogue}, []string{"change", "0 role=quote", "1 role=quote"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			replica := startReplica(t, 200, c.answer)
+			code, out, errOut := ctl(t, testToken, []string{unreachable, replica.address()}, c.args...)
+			t.Log(out, errOut)
+			is.Equal(code, ExitOK)
+			for _, want := range c.want {
+				is.True(strings.Contains(out, want))
+			}
+			code, out, _ = ctl(t, testToken, []string{replica.address()}, append(slices.Clone(c.args), "--json")...)
+			is.Equal(code, ExitOK)
+			is.True(json.Valid([]byte(out)))
+			if name == "rollout" {
+				c.args = append(c.args, "--once") // it waits for replicas to come back otherwise
+			}
+			code, _, _ = ctl(t, testToken, []string{unreachable}, c.args...)
+			is.Equal(code, ExitUnreachable)
+		})
+	}
+}
