Run the whole path: rollout, quotes, orders and bad input, as separate processes

The script starts 4 control replicas, 4 entries, 4 engines and 1 service with their agents, a store and an origin.

--- a/internal/network/memnet/conn.go
+++ b/internal/network/memnet/conn.go
@@ -135,6 +135,12 @@
 
 // Write implements net.Conn. It never blocks: the buffers are unbounded.
 func (c *conn) Write(p []byte) (int, error) {
+	c.net.mu.Lock()
+	tap := c.net.tap
+	c.net.mu.Unlock()
+	if tap != nil {
+		tap(c.local, c.remote, p)
+	}
 	c.in.mu.Lock()
 	err := c.in.err
 	c.in.mu.Unlock()
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -23,6 +23,7 @@
 	conns     map[*conn]struct{}
 	links     map[link]*state
 	starts    map[string]uint64 // of each host, so that a stopped process stays cut off
+	tap       func(from, to string, data []byte)
 }
 
 type link struct{ from, to string }
@@ -52,6 +53,13 @@
 	return &Host{net: n, name: name, start: n.starts[name]}
 }
 
+// Tap has every write reported to f before its bytes leave. f must not write.
+func (n *Network) Tap(f func(from, to string, data []byte)) {
+	n.mu.Lock()
+	n.tap = f
+	n.mu.Unlock()
+}
+
 // SetDelay sets the one-way delay between two hosts, both ways.
 func (n *Network) SetDelay(a, b string, delay time.Duration) {
 	n.mu.Lock()
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -176,7 +176,7 @@
 
 echo "== starting processes (logs under $RUN)"
 start origin "$BIN/rhubarb-standin" origin --listen "$(addr 100)" --dir "$RUN/origin"
-start store "$BIN/rhubarb-standin" store --listen "$(addr 101)" --dir "$RUN/origin"
+start store "$BIN/rhubarb-standin" store --listen "$(addr 101)" --dir "$RUN/origin" --requests 4 --burst 4
 start service "$BIN/rhubarb-standin" service --listen "$(addr 99)" --name dispatch
 for i in 0 1 2 3; do
 	start "engine-$i" "$BIN/rhubarb-standin" engine --listen "$(addr $((90 + i)))" --check-fence
@@ -232,19 +232,20 @@
 quotes_ok=0 orders_ok=0
 wait "$quotes" || quotes_ok=$?
 wait "$orders" || orders_ok=$?
-echo "-- quotes"
-cat "$RUN/quotes.json"
-echo "-- orders"
-cat "$RUN/orders.json"
+extract() { # file key...
+	local file=$1 key
+	shift
+	for key in "$@"; do tr -d ' \n' <"$file" | grep -o "\"$key\":{[^}]*}" || true; done
+}
+echo "-- quotes ($RUN/quotes.json)"
+extract "$RUN/quotes.json" outcomes reasons violations weights_sets first_token between_tokens
+echo "-- orders ($RUN/orders.json)"
+extract "$RUN/orders.json" outcomes reasons violations whole_answer
 
 echo "== bytes that left the origin, the store, and went between endpoints"
 curl -sf "http://$(addr 100)/counters" && echo
 curl -sf "http://$(addr 101)/counters" && echo
-peer_bytes=0
-for i in 0 1 2 3; do
-	n=$(curl -sf "http://$(addr $((80 + i)))/metrics" | awk '/^rhubarb_agent_chunk_bytes_total.*source="peer"/ {s += $2} END {printf "%d", s}')
-	peer_bytes=$((peer_bytes + n))
-done
+peer_bytes=$("${CTL[@]}" --json endpoints | grep -o '"peer_bytes": *[0-9]*' | awk -F: '{s += $2} END {printf "%d", s}')
 echo "bytes from other endpoints: $peer_bytes"
 
 [ "$quotes_ok" = 0 ] || fail "quotes: rhubarb-load exited $quotes_ok"
