--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -462,3 +462,14 @@
 	}
 	return false
 }
+
+// Slots returns the slots of all endpoints that can be chosen.
+func (b *Balancer) Slots() int {
+	slots := 0
+	for _, s := range b.endpoints {
+		if s.Ready && !s.ejected {
+			slots += s.Capacity
+		}
+	}
+	return slots
+}
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -27,6 +27,7 @@
 // serveAddresses ranks the entries that are not stopping: those in the
 // caller's zone first, then by load.
 func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	e.ownUsage()
 	zone := r.URL.Query().Get("zone")
 	answer := addressAnswer{
 		Addresses:  []rankedAddress{},
--- /dev/null
+++ b/internal/entry/admit.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/admission"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// admitter makes admission controllers, one for each pool, safe for concurrent
+// use and lets requests wait on them.
+type admitter struct {
+	cfg   admission.Config
+	fleet *fleet
+	peers *peers
+
+	mu      sync.Mutex
+	pools   map[string]*admission.Controller
+	waiting map[uint64]chan *admission.Refusal
+	lastID  uint64
+	budget  *admission.RetryBudget
+}
+
+func newAdmitter(s Settings, f *fleet, p *peers) *admitter {
+	limits := map[string]admission.Limit{}
+	for name, o := range s.Organisations {
+		limits[name] = admission.Limit{Weight: o.Weight, MaxInFlight: o.MaxInFlight}
+	}
+	return &admitter{
+		cfg:   admission.Config{Entry: s.Instance, QueueWait: time.Duration(s.QueueWait), Limits: limits},
+		fleet: f, peers: p,
+		pools:   map[string]*admission.Controller{},
+		waiting: map[uint64]chan *admission.Refusal{},
+		budget:  admission.NewRetryBudget(s.RetryRatio),
+	}
+}
+
+// slot is the right to run one request.
+type slot struct {
+	admitter *admitter
+	pool     string
+	name     string // organisation
+	started  time.Time
+	once     sync.Once
+}
+
+// release gives the slot back. served says that the request ran to its end, so
+// that its duration tells the pool's speed.
+func (s *slot) release(served bool) {
+	s.once.Do(func() {
+		now := time.Now()
+		duration := time.Duration(0)
+		if served {
+			duration = now.Sub(s.started)
+		}
+		a := s.admitter
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.pools[s.pool].Done(s.name, duration)
+		a.advance(s.pool, now)
+	})
+}
+
+// acquire returns a slot, or the final answer.
+func (a *admitter) acquire(ctx context.Context, c *call) (*slot, *answerError) {
+	now := time.Now()
+	priority, _ := strconv.Atoi(c.priority)
+	a.mu.Lock()
+	a.budget.Earn()
+	a.lastID++
+	r := admission.Request{ID: a.lastID, Organisation: c.organisation, Deadline: c.deadline, Priority: priority}
+	pool := a.pool(c.pool, now)
+	admitted, refused := pool.Arrive(r, now)
+	var decided chan *admission.Refusal
+	if !admitted && refused == nil {
+		decided = make(chan *admission.Refusal, 1)
+		a.waiting[r.ID] = decided
+	}
+	a.mu.Unlock()
+	if decided != nil {
+		select {
+		case refused = <-decided:
+		case <-ctx.Done():
+			return nil, a.abandon(r, c)
+		}
+	}
+	if refused != nil {
+		return nil, refusedAnswer(*refused, c)
+	}
+	return &slot{admitter: a, pool: c.pool, name: c.organisation, started: time.Now()}, nil
+}
+
+// abandon withdraws a waiting request whose caller has gone. A slot granted
+// meanwhile goes to the next one.
+func (a *admitter) abandon(r admission.Request, c *call) *answerError {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if decided, waits := a.waiting[r.ID]; waits {
+		delete(a.waiting, r.ID)
+		_ = decided
+		a.pools[c.pool].Leave(r.ID, r.Organisation)
+	} else {
+		a.pools[c.pool].Done(r.Organisation, 0)
+		a.advance(c.pool, time.Now())
+	}
+	return refusal(http.StatusServiceUnavailable, outcome.CallerGone, "the caller closed the connection or its deadline passed")
+}
+
+// pool returns a controller with its present slots. The caller holds mu.
+func (a *admitter) pool(name string, now time.Time) *admission.Controller {
+	p := a.pools[name]
+	if p == nil {
+		p = admission.New(a.cfg)
+		p.SetPeers(a.peers.reports(name, now))
+		a.pools[name] = p
+	}
+	p.SetSlots(a.fleet.slots(name))
+	return p
+}
+
+// advance passes decisions on to waiting requests. The caller holds mu.
+func (a *admitter) advance(name string, now time.Time) {
+	granted, refused := a.pools[name].Advance(now)
+	for _, id := range granted {
+		a.decide(id, nil)
+	}
+	for _, r := range refused {
+		a.decide(r.ID, &r)
+	}
+}
+
+func (a *admitter) decide(id uint64, refused *admission.Refusal) {
+	if decided, waits := a.waiting[id]; waits {
+		delete(a.waiting, id)
+		decided <- refused
+	}
+}
+
+// tick takes in new slots and peers' reports, and refuses what waits in vain.
+func (a *admitter) tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, p := range a.pools {
+		p.SetSlots(a.fleet.slots(name))
+		p.SetPeers(a.peers.reports(name, now))
+		a.advance(name, now)
+	}
+}
+
+// usage returns this entry's demand by pool.
+func (a *admitter) usage() map[string]admission.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	pools := map[string]admission.Report{}
+	for name, p := range a.pools {
+		if !p.Idle() {
+			pools[name] = p.Report()
+		}
+	}
+	return pools
+}
+
+// mayRetry spends a retry.
+func (a *admitter) mayRetry() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Take(time.Now())
+}
+
+func refusedAnswer(r admission.Refusal, c *call) *answerError {
+	reason := outcome.Reason(r.Cause)
+	status, message := http.StatusServiceUnavailable, ""
+	switch r.Cause {
+	case admission.OverShare:
+		status = http.StatusTooManyRequests
+		message = "the organisation's fair share of this pool is in use and the wait would be too long"
+	case admission.OverLimit:
+		status = http.StatusTooManyRequests
+		message = "the organisation's limit of requests in progress is reached"
+	case admission.Deadline:
+		message = "the request cannot finish before its deadline"
+	case admission.NoSlots:
+		message = "no endpoint of this pool is available"
+	}
+	return refusal(status, reason, message).withRetryAfter(r.RetryAfter)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/outcome"
 )
@@ -23,29 +24,31 @@
 	errFinished = errors.New("attempt finished")
 )
 
-const (
-	gateDialTimeout     = time.Second
-	gateIdlePerHost     = 64
-	gateIdleTimeout     = 30 * time.Second
-	maxHeaderBytes      = 64 << 10
-	gateKeepAlivePeriod = 5 * time.Second
-)
+const maxHeaderBytes = 64 << 10
+
+// dialError marks an error before anything was sent.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
 
 // newGateClient returns the client for gates. With reuse false each request
 // gets its own connection: net/http resends a request with an Idempotency-Key
 // by itself when a reused connection fails, which a call that must run at most
 // once cannot allow.
-func newGateClient(reuse bool) *http.Client {
-	dialer := &net.Dialer{Timeout: gateDialTimeout, KeepAlive: gateKeepAlivePeriod}
+func newGateClient(n network.Network, reuse bool) *http.Client {
+	transport := network.HTTPTransport(n)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, kind, address string) (net.Conn, error) {
+		conn, err := dial(ctx, kind, address)
+		if err != nil {
+			return nil, dialError{err}
+		}
+		return conn, nil
+	}
+	transport.DisableKeepAlives = !reuse
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true,
-			DisableKeepAlives:      !reuse,
-			MaxIdleConnsPerHost:    gateIdlePerHost,
-			IdleConnTimeout:        gateIdleTimeout,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -62,7 +65,8 @@
 	stream       bool
 	engine       bool
 	fingerprint  string
-	alone        bool
+	alone        bool     // suspected: runs with no neighbour
+	avoid        []string // endpoints lost to this request
 	affinity     uint64
 	priority     string
 	deadline     time.Time
@@ -72,7 +76,9 @@
 	exclude map[string]bool
 	tokens  int    // tokens that the caller already has
 	last    string // identifier of the last attempt
-	ran     bool   // an attempt may have started
+	// waitUntil bounds the wait for a free endpoint, once one began.
+	waitUntil time.Time
+	ran       bool // an attempt may have started
 }
 
 func (c *call) low() bool {
@@ -101,13 +107,26 @@
 type attempt struct {
 	id       string
 	endpoint string
-	gate     string
+	gate     gateAddress
 	set      string
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	response *http.Response
 }
 
+// gateAddress is where an attempt is sent. The incarnation tells a restarted
+// gate from the one that the attempt was meant for.
+type gateAddress struct {
+	address     string
+	incarnation uint64
+}
+
+func (g gateAddress) url(path string) string { return "http://" + g.address + path }
+
+func (g gateAddress) setHeader(h http.Header) {
+	h.Set(wire.HeaderGateIncarnation, strconv.FormatUint(g.incarnation, 10))
+}
+
 // attemptFailure says why an attempt gave no whole answer.
 type attemptFailure struct {
 	reason outcome.Reason
@@ -115,7 +134,9 @@
 	// started is false only when it is proved that the attempt has not begun.
 	started bool
 	// lost is true when the connection broke while the attempt may have run.
-	lost bool
+	lost     bool
+	gate     gateAddress
+	id       string
 	endpoint string
 }
 
@@ -123,11 +144,11 @@
 	return f.result == balancer.Refused && !f.started
 }
 
-// open places a call on an endpoint and sends it. The answer's header has been
-// checked to belong to this attempt.
-func (e *Entry) open(c *call, client *http.Client) (*attempt, *attemptFailure) {
+// open places a call on an endpoint and sends it as the attempt id. The
+// answer's header has been checked to belong to this attempt.
+func (e *Entry) open(c *call, id string, client *http.Client) (*attempt, *attemptFailure) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
-	a := &attempt{id: e.attempts.Next().String(), ctx: ctx, cancel: cancel}
+	a := &attempt{id: id, ctx: ctx, cancel: cancel}
 	choice, gate, ok := e.fleet.start(balancer.Request{
 		Pool: c.pool, Set: c.set, Affinity: c.affinity, Exclude: c.exclude, Low: c.low(),
 	}, a.id, c.stream, cancel, time.Now())
@@ -139,19 +160,29 @@
 	c.last = a.id
 	failure := e.send(c, a, client)
 	if failure != nil {
+		failure.gate, failure.id = a.gate, a.id
 		e.end(a, failure.result)
 		return nil, failure
 	}
 	return a, nil
 }
 
+// nextAttempt is open with a new identifier.
+func (e *Entry) nextAttempt(c *call) (*attempt, *attemptFailure) {
+	return e.open(c, e.attempts.Next().String(), e.client)
+}
+
 // end records how the attempt ended and releases its connection.
 func (e *Entry) end(a *attempt, result balancer.Result) {
 	a.cancel(errFinished)
+	a.closeBody()
+	e.fleet.finish(a.endpoint, a.id, result, time.Now())
+}
+
+func (a *attempt) closeBody() {
 	if a.response != nil {
 		_ = a.response.Body.Close()
 	}
-	e.fleet.finish(a.endpoint, a.id, result, time.Now())
 }
 
 func (e *Entry) send(c *call, a *attempt, client *http.Client) *attemptFailure {
@@ -168,7 +199,7 @@
 }
 
 func (e *Entry) gateRequest(c *call, a *attempt) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(a.ctx, c.method, "http://"+a.gate+wire.PathGateForward+c.path, bytes.NewReader(c.bodyToSend()))
+	request, err := http.NewRequestWithContext(a.ctx, c.method, a.gate.url(wire.PathGateForward+c.path), bytes.NewReader(c.bodyToSend()))
 	if err != nil {
 		return nil, err
 	}
@@ -177,6 +208,7 @@
 	h := request.Header
 	h.Set("Authorization", "Bearer "+e.processToken.Secret())
 	h.Set(wire.HeaderAttempt, a.id)
+	a.gate.setHeader(h)
 	setIf(h, wire.HeaderWeightsSet, a.set)
 	setIf(h, wire.HeaderFingerprint, c.fingerprint)
 	setIf(h, wire.HeaderPriority, c.priority)
@@ -199,9 +231,9 @@
 
 // transportFailure classifies an error of the connection to the gate.
 func (a *attempt) transportFailure(err error) *attemptFailure {
-	f := &attemptFailure{reason: outcome.CutShort, result: balancer.Failed, started: true, lost: true, endpoint: a.endpoint}
+	f := &attemptFailure{reason: outcome.CutShort, result: balancer.Failed, started: true, lost: true, endpoint: a.endpoint, gate: a.gate, id: a.id}
 	cause := context.Cause(a.ctx)
-	var operation *net.OpError
+	var notSent dialError
 	switch {
 	case errors.Is(cause, errStalled):
 		f.reason, f.lost = outcome.Stalled, false
@@ -209,7 +241,7 @@
 		f.reason, f.result, f.lost = outcome.Deadline, balancer.Cancelled, false
 	case cause != nil:
 		f.reason, f.result, f.lost = outcome.CallerGone, balancer.Cancelled, false
-	case errors.As(err, &operation) && operation.Op == "dial":
+	case errors.As(err, &notSent):
 		f.reason, f.started, f.lost = outcome.ConnectFailed, false, false
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			f.result = balancer.Unreachable
@@ -218,13 +250,19 @@
 	return f
 }
 
+// rejected is the failure of an attempt whose answer must not be passed on.
+func (a *attempt) rejected(reason outcome.Reason) *attemptFailure {
+	return &attemptFailure{reason: reason, result: balancer.Failed, started: true, endpoint: a.endpoint, gate: a.gate, id: a.id}
+}
+
 // checkHeader decides from status and headers whether the answer is a refusal,
-// belongs to this attempt, and comes from the pinned weights set.
+// belongs to this attempt, and comes from the pinned weights set. An answer
+// that the gate does not call whole is none, streams aside.
 func (e *Entry) checkHeader(c *call, a *attempt) *attemptFailure {
 	h := a.response.Header
 	if h.Get(wire.HeaderAttempt) != a.id {
 		e.metrics.drop(outcome.WrongAttempt)
-		return &attemptFailure{reason: outcome.WrongAttempt, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.WrongAttempt)
 	}
 	if h.Get(wire.HeaderOutcome) == string(outcome.NotRun) {
 		f := &attemptFailure{reason: outcome.GateRefused, result: balancer.Refused, endpoint: a.endpoint}
@@ -235,10 +273,11 @@
 	}
 	if c.engine && a.response.StatusCode < http.StatusMultipleChoices && h.Get(wire.HeaderWeightsSet) != a.set {
 		e.metrics.drop(outcome.WrongSet)
-		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.WrongSet)
 	}
-	if c.engine && a.response.StatusCode >= http.StatusInternalServerError {
-		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+	notWhole := !isEventStream(h) && h.Get(wire.HeaderOutcome) != string(outcome.Done)
+	if notWhole || c.engine && a.response.StatusCode >= http.StatusInternalServerError {
+		return a.rejected(outcome.EngineError)
 	}
 	return nil
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbhill/rhubarbhill/balancer"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/outcome"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
 
 const (
@@ -72,6 +73,7 @@
 		return nil, refusal(http.StatusNotFound, outcome.UnknownModel, "no accepted release note lists the model "+strconv.Quote(body.Model))
 	}
 	c.path = pathChat
+	c.fingerprint = quarantine.Fingerprint(pathChat, c.body)
 	c.engine, c.stream = true, body.Stream
 	c.pool = set.Model.Name
 	c.affinity = balancer.Affinity(body.Messages[:min(len(body.Messages), affinityBytes)])
@@ -117,27 +119,52 @@
 // is allowed.
 func (e *Entry) runChat(w http.ResponseWriter, c *call) {
 	relay := &streamRelay{w: w, metrics: e.metrics, arrived: c.arrived}
+	final := e.suspects.apply(c, time.Now())
+	var s *slot
+	if final == nil {
+		s, final = e.admitter.acquire(c.ctx, c)
+	}
+	if final == nil {
+		final = e.tryChat(w, c, relay)
+		s.release(final == nil)
+	}
+	e.settleSuspect(c, final == nil)
+	if final != nil {
+		e.giveUp(w, c, relay, final)
+	}
+}
+
+// tryChat makes attempts and returns nil after a whole answer.
+func (e *Entry) tryChat(w http.ResponseWriter, c *call, relay *streamRelay) *answerError {
 	for tries := 1; ; {
-		a, failure := e.open(c, e.client)
+		a, failure := e.nextAttempt(c)
 		if failure == nil {
 			failure = e.relayChat(w, c, a, relay)
 		}
 		if failure == nil {
-			return
+			return nil
 		}
 		if failure.started {
 			c.ran = true
 			tries++
 		}
 		if final := e.afterFailure(c, failure, tries); final != nil {
-			e.giveUp(w, c, relay, final)
-			return
+			return final
+		}
+		if failure.started && relay.begun {
+			e.metrics.resumed.Inc()
 		}
 	}
 }
 
 // afterFailure prepares the next attempt, or returns the final answer.
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
+	if f.lost && c.engine {
+		e.reportLost(c, f)
+		if final := e.suspects.lost(c, f.endpoint, time.Now()); final != nil {
+			return final
+		}
+	}
 	if c.ctx.Err() != nil {
 		if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
 			return c.failed(http.StatusGatewayTimeout, outcome.Deadline, "the deadline has passed")
@@ -153,8 +180,14 @@
 	if !f.refusedByGate() || f.reason == outcome.SetNotLoaded {
 		c.exclude[f.endpoint] = true
 	}
-	if tries > maxAttempts {
-		return c.failed(http.StatusBadGateway, outcome.RetriesExhausted, "attempts on several endpoints failed, the last one with "+string(f.reason))
+	switch {
+	case !f.started: // no work was lost, so the budget does not apply
+	case tries > maxAttempts:
+		return c.failed(http.StatusBadGateway, outcome.RetriesExhausted,
+			"attempts on several endpoints failed, the last one with "+string(f.reason)).withRetryAfter(time.Second)
+	case !e.admitter.mayRetry():
+		return c.failed(http.StatusBadGateway, outcome.RetryBudget,
+			"the attempt failed with "+string(f.reason)+" and too many requests are being retried").withRetryAfter(time.Second)
 	}
 	e.metrics.retried(f.reason)
 	return nil
@@ -163,13 +196,23 @@
 // awaitEndpoint waits a moment for a slot, or returns the final answer when
 // waiting is pointless.
 func (e *Entry) awaitEndpoint(c *call) *answerError {
+	if c.ran && c.set != "" && !e.fleet.servesSet(c.pool, c.set, c.avoid) {
+		return c.failed(http.StatusBadGateway, outcome.SetGone,
+			"no other endpoint has the weights set that the request began with").withRetryAfter(time.Second)
+	}
 	if !e.fleet.serves(c.pool) {
-		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint serves this model now").withRetryAfter(time.Second)
+		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint serves this pool now").withRetryAfter(time.Second)
+	}
+	if c.waitUntil.IsZero() {
+		c.waitUntil = time.Now().Add(time.Duration(e.settings.QueueWait))
 	}
-	if time.Since(c.arrived) > time.Duration(e.settings.QueueWait) {
-		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint for this model is free").withRetryAfter(time.Second)
+	if time.Now().After(c.waitUntil) {
+		return c.failed(http.StatusServiceUnavailable, outcome.NoEndpoint, "no endpoint of this pool is free").withRetryAfter(time.Second)
 	}
 	clear(c.exclude)
+	for _, endpoint := range c.avoid {
+		c.exclude[endpoint] = true
+	}
 	select {
 	case <-time.After(fullRetryInterval):
 	case <-c.ctx.Done():
@@ -196,7 +239,7 @@
 	if relay.begun {
 		// A stream cannot continue with an answer of another kind.
 		e.end(a, balancer.Failed)
-		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.EngineError)
 	}
 	return e.relayWhole(w, c, a)
 }
@@ -238,11 +281,11 @@
 		Fingerprint string `json:"system_fingerprint"`
 	}
 	if json.Unmarshal(data, &answer) != nil {
-		return &attemptFailure{reason: outcome.CutShort, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.CutShort)
 	}
 	if answer.Fingerprint != "" && answer.Fingerprint != a.set {
 		e.metrics.drop(outcome.WrongSet)
-		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.WrongSet)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/entry/claim_test.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+)
+
+func (e *testEntry) order(key, body string, header ...string) answer {
+	return e.do(http.MethodPost, "/services/orders/book", body, append([]string{"Idempotency-Key", key, "Rhubarb-Organisation", "org"}, header...)...)
+}
+
+// Guards against a booking that runs twice or cannot be repeated, and against
+// unclear refusals.
+func TestClaimedCallRunsOnce(t *testing.T) {
+	g := serviceGate("s1")
+	c := newCluster(t, g)
+	e := c.addEntry()
+	first := e.order("k1", "two loads")
+	c.is.Equal(first.status, http.StatusOK)
+	c.is.Equal(first.outcome(), "done")
+	again := e.order("k1", "two loads")
+	c.is.Equal(again.body, first.body)
+	c.is.Equal(again.header.Get(wire.HeaderAttempt), first.header.Get(wire.HeaderAttempt))
+	c.is.Equal(g.Executions("k1"), 1)
+
+	c.is.Equal(e.order("k1", "three loads").reason(), "key-conflict")
+	missing := e.do(http.MethodPost, "/services/orders/book", "x")
+	c.is.Equal(missing.status, http.StatusBadRequest)
+	c.is.Equal(missing.reason(), "missing-key")
+	// A UUID of version 7 from the year 2020.
+	expired := e.order("016f5e66-e800-7000-8000-000000000000", "x")
+	c.is.Equal(expired.status, http.StatusGone)
+	c.is.Equal(expired.reason(), "key-expired")
+	c.is.Equal(expired.outcome(), "not-run")
+}
+
+// Guards against a double booking when two entries get the same key at once.
+func TestSameKeyThroughTwoEntries(t *testing.T) {
+	g := serviceGate("s1")
+	g.FirstToken = 50 * time.Millisecond
+	c := newCluster(t, g)
+	entries := c.addEntries(2)
+	for i := range 20 {
+		key := fmt.Sprintf("k%d", i)
+		answers := make([]answer, 6)
+		var wg sync.WaitGroup
+		for j := range answers {
+			wg.Go(func() { answers[j] = entries[j%2].order(key, "load") })
+		}
+		wg.Wait()
+		c.is.Equal(g.Executions(key), 1)
+		for _, a := range answers {
+			c.is.Equal(a.outcome(), "done")
+			c.is.Equal(a.body, answers[0].body)
+		}
+	}
+}
+
+// addEntries starts entries that know each other.
+func (c *cluster) addEntries(n int, change ...func(*Settings)) []*testEntry {
+	var entries []*testEntry
+	var list []Peer
+	listeners := c.listen(n)
+	for i, l := range listeners {
+		list = append(list, Peer{Name: "entry-" + string(rune('a'+i)), Address: l.Addr().String(), Zone: "z1"})
+	}
+	for _, l := range listeners {
+		entries = append(entries, c.startEntry(l, append(change, func(s *Settings) { s.Entries = list })...))
+	}
+	return entries
+}
+
+// serviceFaults has every fault of a service call.
+var serviceFaults = []fault{
+	{},
+	{Step: entrytest.StepReceived, Kind: entrytest.Kill},
+	{Step: entrytest.StepReceived, Kind: entrytest.Stall},
+	{Kind: entrytest.Refuse},
+	{Step: entrytest.StepStarted, Kind: entrytest.Kill},
+	{Step: entrytest.StepStarted, Kind: entrytest.Stall},
+	{Step: entrytest.StepLast, Kind: entrytest.Kill},
+}
+
+// Guards against "not run" for a call that ran, and against a second run under
+// one key, over faults of gates and of control.
+func TestClaimsUnderFaults(t *testing.T) {
+	gates := []*entrytest.Gate{serviceGate("s1"), serviceGate("s2")}
+	var current, lose atomic.Value
+	current.Store(fault{})
+	lose.Store("")
+	for _, g := range gates {
+		g.Fault = func(*http.Request, string) fault { return current.Load().(fault) }
+	}
+	c := newCluster(t, gates...)
+	claims := entrytest.NewClaims()
+	var lost atomic.Int32
+	c.control.OnPropose = func(cmd ledger.Command) (wire.ProposeReply, bool) {
+		kind := lose.Load().(string)
+		matches := cmd.Claim != nil && strings.HasPrefix(kind, "claim") || cmd.Complete != nil && strings.HasPrefix(kind, "complete")
+		if !matches || lost.Add(1) > 1 {
+			return wire.ProposeReply{}, false
+		}
+		if strings.HasSuffix(kind, "answer") {
+			claims.Apply(cmd) // committed, and the answer says "unknown"
+		}
+		return wire.ProposeReply{Status: wire.ProposeUnknown}, true
+	}
+	c.control.Apply = claims.Apply
+	entries := c.addEntries(2, func(s *Settings) {
+		s.PlainTimeout, s.QueueWait, s.EjectedShare = Duration(60*time.Millisecond), Duration(60*time.Millisecond), 0.01
+	})
+	n := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		n++
+		key := fmt.Sprintf("key-%d", n)
+		current.Store(rapid.SampledFrom(serviceFaults).Draw(rt, "fault"))
+		lose.Store(rapid.SampledFrom([]string{"", "claim", "claim-answer", "complete", "complete-answer"}).Draw(rt, "lose"))
+		lost.Store(0)
+		at := rapid.IntRange(0, 1).Draw(rt, "entry")
+		first := entries[at].order(key, "load")
+		ran := gates[0].Executions(key) + gates[1].Executions(key)
+		switch {
+		case first.err != nil:
+			rt.Fatal(first.err)
+		case ran > 1:
+			rt.Fatalf("ran %d times", ran)
+		case first.outcome() == "not-run" && ran != 0:
+			rt.Fatal("reported as not run, and ran")
+		case first.outcome() == "done" && (ran != 1 || !strings.Contains(first.body, `"execution":1`)):
+			rt.Fatalf("reported as done with %d runs and %q", ran, first.body)
+		}
+		current.Store(fault{})
+		again := entries[1-at].order(key, "load", "Rhubarb-Deadline-Ms", "2000")
+		ran = gates[0].Executions(key) + gates[1].Executions(key)
+		switch {
+		case ran > 1:
+			rt.Fatalf("ran %d times after a repeat", ran)
+		case first.outcome() == "done" && again.body != first.body:
+			rt.Fatalf("repeat got %q, first %q", again.body, first.body)
+		case first.outcome() == "unknown" && again.outcome() == "not-run":
+			rt.Fatalf("repeat of an unknown call was not run: %s", again.body)
+		}
+	})
+}
+
+// Guards against callers that wait for the result of an entry that died, and
+// against a second run of its call.
+func TestLostEntryLeavesUnknown(t *testing.T) {
+	g := serviceGate("s1")
+	c := newCluster(t, g)
+	entries := c.addEntries(2)
+	// A claim of the second entry's earlier process, which left no result.
+	claim := ledger.Claim{Organisation: "org", Key: "k", Owner: "entry-b.1.1"}
+	probe := &call{method: http.MethodPost, pool: servicePrefix + "orders", path: "/book", body: []byte("load"), organisation: "org"}
+	described, refused := newClaim(probe, http.Header{"Idempotency-Key": {"k"}})
+	c.is.True(refused == nil)
+	claim.RequestDigest = described.RequestDigest
+	c.control.Apply(ledger.Command{Claim: &claim})
+	started := time.Now()
+	a := entries[0].order("k", "load")
+	c.is.Equal(a.outcome(), "unknown")
+	c.is.Equal(a.reason(), "owner-lost")
+	c.is.True(a.header.Get("Retry-After") != "")
+	c.is.True(time.Since(started) < time.Second) // at once, not at the deadline
+	c.is.Equal(g.Executions("k"), 0)
+}
+
+// Guards against a lost caller that also loses the result for its repeats.
+func TestCallOutlivesItsCaller(t *testing.T) {
+	g := serviceGate("s1")
+	g.FirstToken = 100 * time.Millisecond
+	c := newCluster(t, g)
+	e := c.addEntry()
+	a := e.order("k", "load", "Rhubarb-Deadline-Ms", "50")
+	c.is.Equal(a.outcome(), "unknown")
+	b := e.order("k", "load")
+	c.is.Equal(b.outcome(), "done")
+	c.is.Equal(g.Executions("k"), 1)
+}
+
+// Guards against claims taken while control has no quorum.
+func TestNoQuorumMeansNotRun(t *testing.T) {
+	g := serviceGate("s1")
+	c := newCluster(t, g)
+	c.control.OnPropose = func(ledger.Command) (wire.ProposeReply, bool) {
+		return wire.ProposeReply{Status: wire.ProposeNotRun}, true
+	}
+	a := c.addEntry().order("k", "load")
+	c.is.Equal(a.status, http.StatusServiceUnavailable)
+	c.is.Equal(a.reason(), "claims-unavailable")
+	c.is.Equal(a.outcome(), "not-run")
+	c.is.Equal(g.Executions("k"), 0)
+}
+
+// Guards against key times read from keys that are not UUIDs of version 7.
+func TestKeyTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keyTime("018cc251-f400-7abc-8def-0123456789ab"), int64(1704067200000))
+	is.Equal(keyTime("018cc251-f400-4abc-8def-0123456789ab"), int64(0))
+	is.Equal(keyTime("order-17"), int64(0))
+	is.Equal(keyTime("zzzzzzzz-f400-7abc-8def-0123456789ab"), int64(0))
+}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -2,28 +2,29 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/membership"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
 // directory holds the catalogue and the endpoint table that control replicas
-// send. Of several replicas' reports on an endpoint the newest wins.
+// send.
 type directory struct {
 	mu        sync.Mutex
 	known     bool // a catalogue has arrived
 	catalogue release.Catalogue
-	replicas  map[string]*replicaView
-}
-
-type replicaView struct {
-	epoch, version uint64
-	members        map[string]wire.Announce
-	lost           bool
+	view      *membership.View[wire.Announce]
+	connected map[string]bool // by replica, once it has sent its table
 }
 
 func newDirectory() *directory {
-	return &directory{catalogue: release.NewCatalogue(), replicas: map[string]*replicaView{}}
+	return &directory{
+		catalogue: release.NewCatalogue(),
+		view:      membership.NewView[wire.Announce](membership.ViewConfig{}),
+		connected: map[string]bool{},
+	}
 }
 
 // revision returns the catalogue revision held.
@@ -55,8 +56,8 @@
 	if d.known && c.Revision <= d.catalogue.Revision {
 		return true
 	}
-	if c.Delta == nil || c.Base != d.catalogue.Revision {
-		return c.Delta == nil
+	if !d.known || c.Delta == nil || c.Base != d.catalogue.Revision {
+		return false
 	}
 	next := applyDelta(d.catalogue, *c.Delta)
 	if next.Digest() != c.Digest {
@@ -86,66 +87,57 @@
 
 // applyMembers takes in one replica's table. It returns false when the update
 // does not fit the version held.
-func (d *directory) applyMembers(replica string, m wire.Members) bool {
+func (d *directory) applyMembers(replica string, m wire.Members, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view := d.replicas[replica]
-	if m.Base == 0 {
-		view = &replicaView{members: map[string]wire.Announce{}}
-		d.replicas[replica] = view
-	} else if view == nil || view.epoch != m.Epoch || view.version != m.Base {
+	if !d.view.Apply(replica, m.Update(), now) {
 		return false
 	}
-	view.epoch, view.version, view.lost = m.Epoch, m.Version, false
-	for _, a := range m.Updated {
-		view.members[a.Endpoint] = a
-	}
-	for _, name := range m.Removed {
-		delete(view.members, name)
-	}
+	d.connected[replica] = true
+	d.markLost(now)
 	return true
 }
 
-// replicaLost marks a replica's reports as old. They count only while no
-// replica is connected, so that losing control does not empty the table.
-func (d *directory) replicaLost(replica string) {
+// replicaLost records that the session to a replica ended.
+func (d *directory) replicaLost(replica string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if view := d.replicas[replica]; view != nil {
-		view.lost = true
+	if d.connected[replica] {
+		d.connected[replica] = false
+		d.markLost(now)
 	}
 }
 
-// endpoints returns the newest report on each endpoint that has not left.
-func (d *directory) endpoints() map[string]wire.Announce {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	anyConnected := false
-	for _, view := range d.replicas {
-		anyConnected = anyConnected || !view.lost
-	}
-	merged := map[string]wire.Announce{}
-	for _, view := range d.replicas {
-		if view.lost && anyConnected {
-			continue
-		}
-		for name, a := range view.members {
-			if old, ok := merged[name]; !ok || newer(a, old) {
-				merged[name] = a
+// markLost lets the tables of lost replicas expire, but only while another
+// replica is connected: losing all of control does not empty the table.
+func (d *directory) markLost(now time.Time) {
+	for _, connected := range d.connected {
+		if connected {
+			for replica, connected := range d.connected {
+				if !connected {
+					d.view.Lost(replica, now)
+				}
 			}
+			return
 		}
 	}
-	for name, a := range merged {
-		if a.Gone {
-			delete(merged, name)
-		}
-	}
-	return merged
 }
 
-func newer(a, b wire.Announce) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+// expire drops what lost replicas alone still list. It returns whether an
+// endpoint went.
+func (d *directory) expire(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.view.Expire(now)) > 0
+}
+
+// endpoints returns the newest report on each endpoint that has not left.
+func (d *directory) endpoints() map[string]wire.Announce {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	table := map[string]wire.Announce{}
+	for _, r := range d.view.Live() {
+		table[r.Endpoint] = r.Report
 	}
-	return a.Sequence > b.Sequence
+	return table
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
 	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
 	"github.com/rhubarbhill/rhubarbhill/outcome"
@@ -43,6 +45,10 @@
 	Registry     *prometheus.Registry
 	// Listener, when set, is used in place of Settings.Listen.
 	Listener net.Listener
+	// Network, when set, replaces the operating system's.
+	Network network.Network
+	// Policy replaces the choice of endpoints, for measurements.
+	Policy balancer.Policy
 }
 
 // Entry is the caller-facing daemon.
@@ -57,13 +63,27 @@
 	directory *directory
 	fleet     *fleet
 	peers     *peers
+	admitter  *admitter
+	suspects  *suspects
+	flights   *flights
 	attempts  *outcome.Source
-	client    *http.Client
-	control   proposer
+	client    *http.Client // for gates and other entries
+	// onceClient is for calls that must not be sent twice.
+	onceClient *http.Client
+	control    proposer
+	// controlClient keeps the sessions behind control.
+	controlClient *controlclient.Client
+	network       network.Network
 
 	listener net.Listener
 	active   atomic.Int64
 	stopping atomic.Bool
+	// closed is set when a stopping entry takes no new work any more.
+	closed atomic.Bool
+
+	background     context.Context
+	stopBackground context.CancelFunc
+	tasks          sync.WaitGroup
 }
 
 // New returns an entry that is not connected yet.
@@ -73,32 +93,54 @@
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
-	return &Entry{
+	background, stop := context.WithCancel(context.Background())
+	e := &Entry{
 		settings: s, processToken: o.ProcessToken, callerToken: o.CallerToken, log: o.Log,
 		registry:  o.Registry,
 		metrics:   newMetrics(o.Registry),
 		directory: newDirectory(),
 		fleet: newFleet(balancer.Config{
-			Zone: s.Zone, StallAfter: time.Duration(s.StallTimeout),
+			Zone: s.Zone, StallAfter: time.Duration(s.StallTimeout), Policy: o.Policy,
 			ProbeInterval: time.Duration(s.ProbeInterval), EjectedShare: s.EjectedShare,
-		}),
-		peers:    newPeers(s, now),
-		attempts: outcome.NewSource(s.Instance, uint64(now.UnixNano())),
-		client:   newGateClient(true),
-		listener: o.Listener,
+		}, newSubsetRule(s)),
+		peers:      newPeers(s, now),
+		suspects:   newSuspects(),
+		flights:    newFlights(),
+		attempts:   outcome.NewSource(s.Instance, uint64(now.UnixNano())),
+		client:     newGateClient(o.Network, true),
+		onceClient: newGateClient(o.Network, false),
+		network:    network.Or(o.Network),
+		listener:   o.Listener,
+		background: background, stopBackground: stop,
 	}
+	e.admitter = newAdmitter(s, e.fleet, e.peers)
+	client := e.newControlClient()
+	e.control = client
+	e.controlClient = client
+	return e
+}
+
+// inBackground runs a task that a planned stop waits for.
+func (e *Entry) inBackground(task func(ctx context.Context)) {
+	e.tasks.Go(func() { task(e.background) })
 }
 
 // Handler serves callers and other entries.
 func (e *Entry) Handler() http.Handler {
 	router := mux.NewRouter().UseEncodedPath()
+	others := router.PathPrefix("/entry").Subrouter()
+	others.Use(e.processToken.Require)
+	others.HandleFunc(strings.TrimPrefix(pathUsage, "/entry"), e.serveUsage).Methods(http.MethodGet)
+	others.HandleFunc(strings.TrimPrefix(pathOwners, "/entry")+"{id}", e.serveOwner).Methods(http.MethodGet)
 	callers := router.NewRoute().Subrouter()
 	callers.Use(e.requireCaller, e.count)
 	callers.HandleFunc("/v1/addresses", e.serveAddresses).Methods(http.MethodGet)
 	callers.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
-	callers.HandleFunc(pathChat, e.serveChat).Methods(http.MethodPost)
-	callers.HandleFunc(pathServices+"{service}", e.serveService)
-	callers.HandleFunc(pathServices+"{service}/{path:.*}", e.serveService)
+	work := callers.NewRoute().Subrouter()
+	work.Use(e.refuseWhenClosed)
+	work.HandleFunc(pathChat, e.serveChat).Methods(http.MethodPost)
+	work.HandleFunc(pathServices+"{service}", e.serveService)
+	work.HandleFunc(pathServices+"{service}/{path:.*}", e.serveService)
 	return router
 }
 
@@ -112,6 +154,17 @@
 	})
 }
 
+func (e *Entry) refuseWhenClosed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.closed.Load() {
+			e.refuse(w, refusal(http.StatusServiceUnavailable, outcome.Stopping,
+				"this entry is stopping; ask another one for addresses").withRetryAfter(time.Second))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // count keeps the number of requests in progress, for draining.
 func (e *Entry) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -144,14 +197,11 @@
 
 // Run serves until ctx ends, then drains.
 func (e *Entry) Run(ctx context.Context) error {
+	defer e.stopBackground()
 	listener, err := e.listen()
 	if err != nil {
 		return err
 	}
-	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopBackground()
-	client := e.newControlClient()
-	e.control = client
 	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	admin, err := e.startAdmin()
 	if err != nil {
@@ -159,8 +209,9 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { client.Run(background) })
-	wg.Go(func() { e.healthLoop(background) })
+	wg.Go(func() { e.controlClient.Run(e.background) })
+	wg.Go(func() { e.healthLoop(e.background) })
+	wg.Go(func() { e.exchangeLoop(e.background) })
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- server.Serve(listener) })
 	e.log.WithField("listen", listener.Addr().String()).Info("entry.started")
@@ -169,7 +220,7 @@
 		e.drain(server)
 	case err = <-failed:
 	}
-	stopBackground()
+	e.stopBackground()
 	_ = server.Close()
 	_ = admin.Close()
 	wg.Wait()
@@ -185,17 +236,22 @@
 	if e.listener != nil {
 		return e.listener, nil
 	}
-	listener, err := net.Listen("tcp", e.settings.Listen)
+	listener, err := e.network.Listen(e.settings.Listen)
 	return listener, oops.In("entry").Wrap(err)
 }
 
-// drain leaves the address answers at once, serves until every answer that
-// names this entry has expired, and then finishes what is in progress.
+// drain leaves the address answers at once and serves until every answer that
+// names this entry has expired: other entries leave it out after peerExpiry at
+// the latest, and their answers live for the TTL. Then it refuses new work,
+// which no caller should send any more, and finishes what is in progress.
 func (e *Entry) drain(server *http.Server) {
 	e.stopping.Store(true)
+	server.SetKeepAlivesEnabled(false)
 	e.log.Info("entry.draining")
-	time.Sleep(time.Duration(e.settings.AddressTTL))
+	time.Sleep(time.Duration(e.settings.AddressTTL) + peerExpiry)
+	e.closed.Store(true)
 	_ = server.Shutdown(context.Background())
+	e.tasks.Wait()
 }
 
 func (e *Entry) startAdmin() (*http.Server, error) {
@@ -206,7 +262,7 @@
 	if e.settings.AdminListen == "" {
 		return server, nil
 	}
-	listener, err := net.Listen("tcp", e.settings.AdminListen)
+	listener, err := e.network.Listen(e.settings.AdminListen)
 	if err != nil {
 		return nil, oops.In("entry").Wrap(err)
 	}
@@ -229,28 +285,34 @@
 	var client *controlclient.Client
 	client = controlclient.New(controlclient.Config{
 		Name: e.settings.Instance, Token: e.processToken.Secret(), Replicas: e.settings.Controls,
-		Members: true, Revision: e.directory.revision,
+		Members: true, Revision: e.directory.revision, Network: e.network,
 		OnCatalogue: func(replica string, c wire.Catalogue) {
 			if !e.directory.applyCatalogue(c) {
 				client.Resubscribe(replica)
+				return
 			}
+			e.suspects.setControl(replica, c.Quarantined)
 		},
 		OnMembers: func(replica string, m wire.Members) {
-			if !e.directory.applyMembers(replica, m) {
+			if !e.directory.applyMembers(replica, m, time.Now()) {
 				client.Resubscribe(replica)
 				return
 			}
 			e.fleet.update(e.directory.endpoints(), time.Now())
 		},
 		OnLost: func(replica string, err error) {
-			e.directory.replicaLost(replica)
+			e.directory.replicaLost(replica, time.Now())
+			e.suspects.forget(replica)
 			e.log.WithField("replica", replica).WithError(err).Debug("control.session_lost")
 		},
 	})
 	return client
 }
 
+// healthLoop judges endpoints by progress until ctx ends.
 func (e *Entry) healthLoop(ctx context.Context) {
+	probes := newProber(e)
+	defer probes.wg.Wait()
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
@@ -258,9 +320,15 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if e.directory.expire(now) {
+				e.fleet.update(e.directory.endpoints(), now)
+			}
 			for _, id := range e.fleet.check(now) {
 				e.log.WithField("endpoint", id).Warn("endpoint.ejected")
 			}
+			probes.run(ctx, e.fleet.due(now))
+			e.admitter.tick(now)
+			e.suspects.expire(now)
 		}
 	}
 }
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -45,7 +45,7 @@
 	Crossed     = "crossed"      // the answer of another attempt
 	WrongSet    = "wrong-set"    // the answer of another weights set
 	ErrorEvent  = "error-event"  // an error in the stream, then a clean end
-	Duplicate   = "duplicate"    // the last token and the end marker come twice
+	Duplicate   = "duplicate"    // the last token and the end marker come again after the end
 )
 
 // Gate is a fake gate with its engine or service.
@@ -254,9 +254,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if fault.Step == StepLast {
+		w.Header().Set(wire.HeaderOutcome, "done")
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		g.strike(w, r, fault)
 	}
+	w.Header().Set(wire.HeaderOutcome, "done")
 	g.finish(id)
 	_, _ = io.WriteString(w, answer)
 }
@@ -337,6 +339,7 @@
 		set, Text(tokens))
 	w.Header().Set("Content-Type", "application/json")
 	if fault.Step == StepToken || fault.Step == StepLast {
+		w.Header().Set(wire.HeaderOutcome, "done")
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		if fault.Kind != EndEarly {
 			_ = http.NewResponseController(w).Flush()
@@ -344,6 +347,7 @@
 		}
 		return
 	}
+	w.Header().Set(wire.HeaderOutcome, "done")
 	g.finish(id)
 	_, _ = io.WriteString(w, answer)
 }
@@ -380,12 +384,10 @@
 		event(i, g.Set)
 	}
 	if fault.Step == StepLast {
-		switch fault.Kind {
-		case EndEarly:
+		if fault.Kind == EndEarly {
 			return
-		case Duplicate:
-			event(tokens-1, g.Set)
-		default:
+		}
+		if fault.Kind != Duplicate {
 			g.strike(w, r, fault)
 		}
 	}
--- /dev/null
+++ b/internal/entry/fault_test.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+type fault = entrytest.Fault
+
+// faultCases has every fault at every step of an attempt.
+var faultCases = []fault{
+	{Step: entrytest.StepReceived, Kind: entrytest.Kill},
+	{Step: entrytest.StepReceived, Kind: entrytest.Stall},
+	{Kind: entrytest.Refuse},
+	{Kind: entrytest.SetMissing},
+	{Step: entrytest.StepStarted, Kind: entrytest.Kill},
+	{Step: entrytest.StepStarted, Kind: entrytest.Stall},
+	{Kind: entrytest.EngineError},
+	{Kind: entrytest.Crossed},
+	{Step: entrytest.StepHeader, Kind: entrytest.WrongSet},
+	{Step: entrytest.StepHeader, Kind: entrytest.Kill},
+	{Step: entrytest.StepHeader, Kind: entrytest.Stall},
+	{Step: entrytest.StepToken, Kind: entrytest.Kill, Token: 1},
+	{Step: entrytest.StepToken, Kind: entrytest.Kill, Token: 5},
+	{Step: entrytest.StepToken, Kind: entrytest.Stall, Token: 3},
+	{Step: entrytest.StepToken, Kind: entrytest.EndEarly, Token: 2},
+	{Step: entrytest.StepToken, Kind: entrytest.WrongSet, Token: 4},
+	{Step: entrytest.StepToken, Kind: entrytest.ErrorEvent, Token: 2},
+	{Step: entrytest.StepLast, Kind: entrytest.Kill},
+	{Step: entrytest.StepLast, Kind: entrytest.EndEarly},
+	{Step: entrytest.StepLast, Kind: entrytest.Stall},
+	{Step: entrytest.StepLast, Kind: entrytest.Duplicate},
+}
+
+func isProbe(body string) bool { return strings.Contains(body, `"max_tokens":1`) }
+
+// failFirst strikes the first n attempts over all gates. Probes are spared.
+func failFirst(f fault, n int32, gates ...*entrytest.Gate) {
+	var seen atomic.Int32
+	for _, g := range gates {
+		g.Fault = func(_ *http.Request, body string) fault {
+			if !isProbe(body) && seen.Add(1) <= n {
+				return f
+			}
+			return fault{}
+		}
+	}
+}
+
+func faultName(f fault) string { return fmt.Sprintf("%s-%s-%d", f.Kind, f.Step, f.Token) }
+
+// checkTruth fails when an answer claims more than is true: a whole answer has
+// the whole text, a stream with the end marker too, and everything else says so.
+func checkTruth(a answer, stream bool) error {
+	whole := entrytest.Text(6)
+	switch {
+	case a.err != nil:
+		return a.err
+	case stream && a.done && (a.text != whole || a.failed != "" || a.outcome() != "done"):
+		return fmt.Errorf("end marker after %q, error %q, outcome %q", a.text, a.failed, a.outcome())
+	case stream && a.status == http.StatusOK && !a.done && (a.failed == "" || a.outcome() == "done"):
+		return fmt.Errorf("stream ended silently after %q with outcome %q", a.text, a.outcome())
+	case !strings.HasPrefix(whole, a.text):
+		return fmt.Errorf("text %q is not a prefix", a.text)
+	case !stream && a.status == http.StatusOK && !strings.Contains(a.body, whole):
+		return fmt.Errorf("status 200 with %q", a.body)
+	case a.status != http.StatusOK && a.outcome() != "unknown" && a.outcome() != "not-run":
+		return fmt.Errorf("status %d with outcome %q", a.status, a.outcome())
+	}
+	return nil
+}
+
+// Guards against a single fault at any step that reaches the caller, as a cut,
+// crossed or mixed answer or as an error.
+func TestOneFaultIsMasked(t *testing.T) {
+	for _, f := range faultCases {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
+				t.Parallel()
+				gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
+				failFirst(f, 1, gates...)
+				c := newCluster(t, gates...)
+				e := c.addEntry(func(s *Settings) { s.PlainTimeout = s.StallTimeout })
+				a := e.chat(stream, "hello")
+				c.is.NoErr(checkTruth(a, stream))
+				c.is.Equal(a.status, http.StatusOK)
+				c.is.Equal(a.outcome(), "done")
+				c.is.True(!stream || a.done && a.text == entrytest.Text(6))
+			})
+		}
+	}
+}
+
+// Guards against a fault on every endpoint that is passed off as a whole
+// answer, or as "not run" although it ran.
+func TestFaultEverywhereIsToldTruly(t *testing.T) {
+	for _, f := range faultCases {
+		if f.Kind == entrytest.Duplicate {
+			continue // harmless, see TestOneFaultIsMasked
+		}
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
+				t.Parallel()
+				gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
+				failFirst(f, 1<<30, gates...)
+				c := newCluster(t, gates...)
+				e := c.addEntry(func(s *Settings) { s.PlainTimeout, s.QueueWait = s.StallTimeout, s.StallTimeout })
+				a := e.chat(stream, "hello")
+				c.is.NoErr(checkTruth(a, stream))
+				if stream || f.Step != entrytest.StepToken && f.Step != entrytest.StepLast || f.Kind == entrytest.EndEarly {
+					c.is.True(!a.done)
+				}
+				started := 0
+				for _, g := range gates {
+					n, _, _, _ := g.Counts()
+					started += n
+				}
+				if a.outcome() == "not-run" {
+					c.is.Equal(started, 0)
+				}
+			})
+		}
+	}
+}
+
+// Guards against answers that mix attempts, over any sequence of faults.
+func TestAnyFaultSequenceIsToldTruly(t *testing.T) {
+	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
+	var plan atomic.Pointer[[]fault]
+	var at atomic.Int32
+	for _, g := range gates {
+		g.Fault = func(_ *http.Request, body string) fault {
+			if isProbe(body) {
+				return fault{}
+			}
+			if i := int(at.Add(1)) - 1; i < len(*plan.Load()) {
+				return (*plan.Load())[i]
+			}
+			return fault{}
+		}
+	}
+	plan.Store(&[]fault{})
+	c := newCluster(t, gates...)
+	e := c.addEntry(func(s *Settings) {
+		s.StallTimeout, s.PlainTimeout, s.QueueWait = Duration(50*time.Millisecond), Duration(50*time.Millisecond), Duration(100*time.Millisecond)
+		s.EjectedShare, s.RetryRatio = 0.01, 1
+	})
+	n := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		n++ // other content each time, so that no run is a suspect from the last
+		faults := rapid.SliceOfN(rapid.SampledFrom(faultCases), 0, 4).Draw(rt, "faults")
+		stream := rapid.Bool().Draw(rt, "stream")
+		plan.Store(&faults)
+		at.Store(0)
+		if err := checkTruth(e.chat(stream, fmt.Sprint(n)), stream); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a stream that continues with another weights set's tokens.
+func TestStreamResumesOnSameSetOnly(t *testing.T) {
+	other := engineGate("g2")
+	other.Set = "sha256:set-two"
+	first := engineGate("g1")
+	first.Fault = func(_ *http.Request, body string) fault {
+		if isProbe(body) {
+			return fault{}
+		}
+		return fault{Step: entrytest.StepToken, Kind: entrytest.Kill, Token: 3}
+	}
+	first.Zone, other.Zone = "z1", "z2" // the entry begins in its own zone
+	c := newCluster(t, first, other)
+	e := c.addEntry()
+	a := e.chat(true, "hello")
+	c.is.NoErr(checkTruth(a, true))
+	c.is.True(!a.done)
+	c.is.Equal(a.text, entrytest.Text(3))
+	c.is.Equal(a.outcome(), "unknown")
+}
+
+// Guards against a resume from another token index: tokens lost or repeated.
+func TestResumeSendsTokenIndex(t *testing.T) {
+	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
+	var resumed atomic.Value
+	var seen atomic.Int32
+	for _, g := range gates {
+		g.Fault = func(r *http.Request, body string) fault {
+			if isProbe(body) {
+				return fault{}
+			}
+			if seen.Add(1) == 1 {
+				return fault{Step: entrytest.StepToken, Kind: entrytest.Kill, Token: 4}
+			}
+			resumed.Store(r.Header.Get(wire.HeaderResumeFrom))
+			return fault{}
+		}
+	}
+	c := newCluster(t, gates...)
+	a := c.addEntry().chat(true, "hello")
+	c.is.True(a.done)
+	c.is.Equal(a.text, entrytest.Text(6))
+	c.is.Equal(resumed.Load(), "4")
+}
+
+// Guards against an endpoint that says healthy and answers nothing and still
+// gets work.
+func TestSilentEndpointIsEjected(t *testing.T) {
+	silent := engineGate("g1")
+	silent.Fault = func(*http.Request, string) fault {
+		return fault{Step: entrytest.StepStarted, Kind: entrytest.Stall}
+	}
+	c := newCluster(t, silent, engineGate("g2"), engineGate("g3"))
+	e := c.addEntry(func(s *Settings) { s.ProbeInterval = Duration(100 * time.Millisecond) })
+	c.eventually("silent endpoint is ejected without any request", func() bool {
+		e.fleet.mu.Lock()
+		defer e.fleet.mu.Unlock()
+		return e.fleet.balancer.Ejected("g1")
+	})
+	for i := range 20 {
+		started := time.Now()
+		a := e.chat(true, fmt.Sprint(i))
+		c.is.True(a.done)
+		c.is.True(time.Since(started) < time.Duration(e.settings.StallTimeout)) // none waited for a stall
+	}
+}
+
+// Guards against a failed endpoint whose retries multiply the load.
+func TestRetryBudgetBounds(t *testing.T) {
+	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
+	for _, g := range gates {
+		g.Fault = func(_ *http.Request, body string) fault {
+			if isProbe(body) {
+				return fault{}
+			}
+			return fault{Kind: entrytest.EngineError}
+		}
+	}
+	c := newCluster(t, gates...)
+	e := c.addEntry(func(s *Settings) { s.EjectedShare = 0.01 })
+	const requests = 100
+	for i := range requests {
+		c.is.True(e.chat(false, fmt.Sprint(i)).outcome() != "done")
+	}
+	attempts := 0
+	for _, g := range gates {
+		n, _, _, probes := g.Counts()
+		attempts += n - probes
+	}
+	t.Logf("%d attempts for %d requests", attempts, requests)
+	// Ratio 0.1, a saved burst of 20 and 1 per second, over a few seconds.
+	c.is.True(attempts <= requests+requests/10+20+10)
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	balancer *balancer.Balancer
 	gates    map[string]wire.Announce
 	running  map[string]*runningAttempt
+	outside  map[string]int // slots of endpoints outside the subset, by pool
+	subset   subsetRule
 }
 
 type runningAttempt struct {
@@ -27,7 +30,7 @@
 	cancel   context.CancelCauseFunc
 }
 
-func newFleet(cfg balancer.Config) *fleet {
+func newFleet(cfg balancer.Config, subset subsetRule) *fleet {
 	if cfg.Rand == nil {
 		cfg.Rand = rand.IntN
 	}
@@ -35,6 +38,7 @@
 		balancer: balancer.New(cfg),
 		gates:    map[string]wire.Announce{},
 		running:  map[string]*runningAttempt{},
+		subset:   subset,
 	}
 }
 
@@ -60,24 +64,31 @@
 	for _, a := range table {
 		list = append(list, toEndpoint(a))
 	}
+	list, outside := f.subset.apply(list)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gates = table
+	f.gates, f.outside = table, outside
 	f.balancer.Update(list, now)
 }
 
 // start picks an endpoint and records the attempt on it in one step, so that
 // concurrent requests see each other.
-func (f *fleet) start(r balancer.Request, attempt string, stream bool, cancel context.CancelCauseFunc, now time.Time) (balancer.Choice, string, bool) {
+func (f *fleet) start(r balancer.Request, attempt string, stream bool, cancel context.CancelCauseFunc, now time.Time) (balancer.Choice, gateAddress, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	choice, ok := f.balancer.Pick(r, now)
 	if !ok {
-		return choice, "", false
+		return choice, gateAddress{}, false
 	}
 	f.balancer.Started(choice.ID, attempt, stream, now)
 	f.running[attempt] = &runningAttempt{endpoint: choice.ID, cancel: cancel}
-	return choice, f.gates[choice.ID].GateAddress, true
+	return choice, f.gate(choice.ID), true
+}
+
+// gate returns where an endpoint is reached. The caller holds mu.
+func (f *fleet) gate(id string) gateAddress {
+	a := f.gates[id]
+	return gateAddress{address: a.GateAddress, incarnation: a.Incarnation}
 }
 
 func (f *fleet) progress(endpoint, attempt string, now time.Time) {
@@ -93,10 +104,13 @@
 	f.balancer.Finished(endpoint, attempt, result, now)
 }
 
-func (f *fleet) free(pool string, now time.Time) (free, slots int) {
+// slots returns the slots of a pool over the whole fleet: those of endpoints
+// outside this entry's subset count in full, those in it while available.
+func (f *fleet) slots(pool string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.Free(pool, now)
+	_, slots := f.balancer.Free(pool, time.Now())
+	return slots + f.outside[pool]
 }
 
 // serves reports whether any endpoint of the table serves the pool, ready or not.
@@ -106,6 +120,42 @@
 	return f.balancer.Serves(pool)
 }
 
+// servesSet reports whether any endpoint outside avoid has the weights set.
+func (f *fleet) servesSet(pool, set string, avoid []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, a := range f.gates {
+		if slices.Contains(avoid, id) {
+			continue
+		}
+		for _, s := range a.Sets {
+			if s.Model == pool && s.SetID == set {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// due returns the endpoints to probe, with a pool that each serves.
+func (f *fleet) due(now time.Time) []probeTarget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var targets []probeTarget
+	for _, id := range f.balancer.Probes(now) {
+		if sets := f.gates[id].Sets; len(sets) > 0 {
+			targets = append(targets, probeTarget{id: id, gate: f.gate(id), model: sets[0].Model, set: sets[0].SetID})
+		}
+	}
+	return targets
+}
+
+func (f *fleet) probed(id string, result balancer.Result, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Probed(id, result, now)
+}
+
 // check ejects endpoints without progress and ends the attempts that stall.
 func (f *fleet) check(now time.Time) []string {
 	f.mu.Lock()
@@ -123,3 +173,17 @@
 	}
 	return ejected
 }
+
+// capacity returns the slots of all endpoints in use.
+func (f *fleet) capacity() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.Slots()
+}
+
+// incarnation returns the announced incarnation of an endpoint.
+func (f *fleet) incarnation(id string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gates[id].Incarnation
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -97,11 +97,25 @@
 	c.control.SetMembers(table...)
 }
 
+func (c *cluster) listen(n int) []net.Listener {
+	c.t.Helper()
+	var list []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.is.NoErr(err)
+		list = append(list, l)
+	}
+	return list
+}
+
 // addEntry starts an entry and waits until it knows catalogue and endpoints.
 func (c *cluster) addEntry(change ...func(*Settings)) *testEntry {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.is.NoErr(err)
+	return c.startEntry(c.listen(1)[0], change...)
+}
+
+func (c *cluster) startEntry(listener net.Listener, change ...func(*Settings)) *testEntry {
+	c.t.Helper()
 	s := DefaultSettings()
 	s.Instance, s.Zone, s.Region = "entry-"+string(rune('a'+len(c.entries))), "z1", "r1"
 	s.Advertise, s.Controls = listener.Addr().String(), []string{c.control.Address()}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,31 +1,46 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"hash/fnv"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/admission"
+)
+
+const (
+	// exchangeInterval is how often an entry asks others for their usage.
+	exchangeInterval = 200 * time.Millisecond
+	exchangeTimeout  = 500 * time.Millisecond
+	// exchangePeers bounds the entries asked. With more entries each asks those
+	// that follow it in order of name, and takes them as a sample of all.
+	exchangePeers = 8
+	// peerExpiry is the time without contact after which another entry is left
+	// out of address answers. With the TTL of an answer it stays below the 3 s
+	// after which a draining server receives no new work.
+	peerExpiry = time.Second
+	// usageExpiry is how long the last report of an entry that does not answer
+	// still counts as its demand. One whose connection is refused counts no more.
+	usageExpiry = 10 * time.Second
 )
 
-// peerExpiry is the time without contact after which another entry is left out
-// of address answers.
-const peerExpiry = 3 * time.Second
+// pathUsage is served to other entries, with the process token.
+const pathUsage = "/entry/usage"
 
 // usage is what entries tell each other.
 type usage struct {
-	Name     string                  `json:"name"`
-	Stopping bool                    `json:"stopping"`
-	InFlight int                     `json:"in_flight"`
-	Slots    int                     `json:"slots"`
-	Pools    map[string]poolUsageMap `json:"pools,omitempty"`
-}
-
-// poolUsageMap gives the demand of each organisation in a pool.
-type poolUsageMap map[string]organisationUsage
-
-type organisationUsage struct {
-	InFlight int `json:"in_flight"`
-	Waiting  int `json:"waiting"`
+	Name     string                      `json:"name"`
+	Stopping bool                        `json:"stopping"`
+	InFlight int                         `json:"in_flight"`
+	Slots    int                         `json:"slots"`
+	Pools    map[string]admission.Report `json:"pools,omitempty"`
 }
 
 // peerState is an entry as this one sees it.
@@ -35,6 +50,8 @@
 	heard time.Time
 	last  usage
 	self  bool
+	// refused is true while the peer's address refuses connections.
+	refused bool
 }
 
 // peers holds the entries named in the settings.
@@ -65,38 +82,163 @@
 	var list []peerState
 	for _, s := range p.list {
 		fresh := now.Sub(s.heard) < peerExpiry || now.Sub(p.started) < peerExpiry && s.heard.IsZero()
-		if !s.last.Stopping && (s.self || fresh) {
+		if !s.last.Stopping && !s.refused && (s.self || fresh) {
 			list = append(list, *s)
 		}
 	}
 	return list
 }
 
-// others returns the entries but this one.
+// others returns the entries that this one asks for their usage.
 func (p *peers) others() []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Peer
+	var before, after []Peer
+	past := false
 	for _, s := range p.list {
-		if !s.self {
-			list = append(list, s.Peer)
+		switch {
+		case s.self:
+			past = true
+		case past:
+			after = append(after, s.Peer)
+		default:
+			before = append(before, s.Peer)
 		}
 	}
-	return list
+	ring := append(after, before...)
+	return ring[:min(len(ring), exchangePeers)]
 }
 
 // heard records a peer's report.
 func (p *peers) heard(name string, u usage, now time.Time) {
+	p.change(name, func(s *peerState) {
+		s.last, s.heard, s.refused = u, now, false
+		s.load = float64(u.InFlight) / float64(max(1, u.Slots))
+	})
+}
+
+// gone records that a peer's connection was refused: nothing runs there.
+func (p *peers) gone(name string) {
+	p.change(name, func(s *peerState) { s.refused = true })
+}
+
+func (p *peers) change(name string, f func(*peerState)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.list {
-		if s.Name == name {
-			s.last, s.heard = u, now
+		if s.Name == name && !s.self {
+			f(s)
+		}
+	}
+}
+
+// setSelf sets this entry's own usage, for ranking.
+func (p *peers) setSelf(u usage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.list {
+		if s.self {
+			s.last = u
 			s.load = float64(u.InFlight) / float64(max(1, u.Slots))
 		}
 	}
 }
 
+// reports returns the other entries' demand in a pool. An entry that was never
+// heard of counts as idle, so that its part of the spare slots stays free.
+func (p *peers) reports(pool string, now time.Time) map[string]admission.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reports := map[string]admission.Report{}
+	for _, s := range p.list {
+		fresh := now.Sub(s.heard) < usageExpiry || now.Sub(p.started) < peerExpiry
+		if !s.self && !s.refused && fresh {
+			reports[s.Name] = s.last.Pools[pool]
+		}
+	}
+	return reports
+}
+
+// exchangeLoop asks the other entries for their usage until ctx ends.
+func (e *Entry) exchangeLoop(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		var wg sync.WaitGroup
+		for _, peer := range e.peers.others() {
+			wg.Go(func() { e.askPeer(ctx, peer) })
+		}
+		wg.Wait()
+		e.admitter.tick(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) askPeer(ctx context.Context, peer Peer) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var u usage
+	switch err := e.getFromPeer(ctx, peer, pathUsage, &u); {
+	case err == nil && u.Name == peer.Name:
+		e.peers.heard(peer.Name, u, time.Now())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		e.peers.gone(peer.Name)
+	}
+}
+
+// getFromPeer asks another entry and decodes its answer.
+func (e *Entry) getFromPeer(ctx context.Context, peer Peer, path string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Address+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+e.processToken.Secret())
+	response, err := e.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.New("status " + response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(out)
+}
+
+func (e *Entry) ownUsage() usage {
+	pools := e.admitter.usage()
+	u := usage{
+		Name: e.settings.Instance, Stopping: e.stopping.Load(),
+		InFlight: int(e.active.Load()), Pools: pools, Slots: e.fleet.capacity(),
+	}
+	e.peers.setSelf(u)
+	return u
+}
+
+func (e *Entry) serveUsage(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.ownUsage())
+}
+
+// find returns the entry with a name.
+func (p *peers) find(name string) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.list {
+		if s.Name == name {
+			return s.Peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+// serveOwner tells another entry whether an attempt is in progress here.
+func (e *Entry) serveOwner(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, ownerAnswer{Running: e.flights.owns(mux.Vars(r)["id"])})
+}
+
 // spread gives equally ranked entries an order that differs between callers.
 func spread(name string, r *http.Request) uint64 {
 	h := fnv.New64a()
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -11,7 +11,9 @@
 
 	"github.com/rhubarbhill/rhubarbhill/balancer"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
 	"github.com/rhubarbhill/rhubarbhill/outcome"
+	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
 const pathServices = "/services/"
@@ -54,13 +56,83 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	answer, final := e.runService(c, e.client)
-	if final != nil {
-		e.giveUp(w, c, &streamRelay{}, final)
-		return
+	result := callResult{}
+	if idempotent(r) {
+		result = e.runService(c)
+	} else {
+		claim, refused := newClaim(c, r.Header)
+		if refused != nil {
+			e.refuse(w, refused)
+			return
+		}
+		result = e.runOnce(&claimedCall{call: c, claim: claim})
+	}
+	o, reason := result.outcome()
+	e.metrics.answered(o, reason)
+	if o == outcome.NotRun {
+		e.metrics.refused(reason)
+	}
+	result.write(w)
+}
+
+// idempotent reports whether a call may be repeated: by its method, or because
+// the caller says so.
+func idempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
 	}
-	answer.write(w)
-	e.metrics.answered(outcome.Done, "")
+	return r.Header.Get(wire.HeaderIdempotent) == "true"
+}
+
+const (
+	maxKeyBytes = 255
+	// anonymousOrganisation owns the claims of callers that name none.
+	anonymousOrganisation = "anonymous"
+)
+
+// newClaim checks the idempotency key and describes the call for the log.
+func newClaim(c *call, h http.Header) (ledger.Claim, *answerError) {
+	key := h.Get(wire.HeaderIdempotencyKey)
+	switch {
+	case key == "":
+		return ledger.Claim{}, refusal(http.StatusBadRequest, outcome.MissingKey,
+			"this call is not idempotent and needs an "+wire.HeaderIdempotencyKey+" header; send the same key when repeating it")
+	case len(key) > maxKeyBytes:
+		return ledger.Claim{}, refusal(http.StatusBadRequest, outcome.InvalidHeader,
+			wire.HeaderIdempotencyKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	organisation := c.organisation
+	if organisation == "" {
+		organisation = anonymousOrganisation
+	}
+	content := append([]byte(c.method+" "+c.pool+" "+c.path+"\n"), c.body...)
+	return ledger.Claim{
+		Organisation: organisation, Key: key,
+		RequestDigest: release.DigestOf(content), KeyTimeMs: keyTime(key),
+	}, nil
+}
+
+const (
+	uuidLength        = 36
+	uuidVersionAt     = 14
+	uuidTimestampHex  = 12
+	uuidTimestampDash = 8
+)
+
+// keyTime returns when a key was made, in Unix milliseconds, if it is a UUID of
+// version 7, which says so; zero otherwise. With it a key that is older than
+// the log's retention is refused even when the log has forgotten it.
+func keyTime(key string) int64 {
+	if len(key) != uuidLength || key[uuidVersionAt] != '7' || key[uuidTimestampDash] != '-' {
+		return 0
+	}
+	digits := key[:uuidTimestampDash] + key[uuidTimestampDash+1:uuidTimestampHex+1]
+	ms, err := strconv.ParseInt(digits, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return ms
 }
 
 func (e *Entry) newServiceCall(w http.ResponseWriter, r *http.Request) (*call, *answerError) {
@@ -103,25 +175,32 @@
 }
 
 // runService runs an idempotent call, repeating it while that is allowed.
-func (e *Entry) runService(c *call, client *http.Client) (*serviceAnswer, *answerError) {
+func (e *Entry) runService(c *call) callResult {
+	s, refused := e.admitter.acquire(c.ctx, c)
+	if refused != nil {
+		return callResult{failure: refused}
+	}
+	served := false
+	defer func() { s.release(served) }()
 	for tries := 1; ; {
-		answer, failure := e.tryService(c, client)
+		answer, failure := e.tryService(c, e.attempts.Next().String(), e.client)
 		if failure == nil {
-			return answer, nil
+			served = true
+			return callResult{answer: answer, attempt: c.last}
 		}
 		if failure.started {
 			c.ran = true
 			tries++
 		}
 		if final := e.afterFailure(c, failure, tries); final != nil {
-			return nil, final
+			return callResult{failure: final, attempt: c.last}
 		}
 	}
 }
 
 // tryService makes one attempt and reads its answer to the end.
-func (e *Entry) tryService(c *call, client *http.Client) (*serviceAnswer, *attemptFailure) {
-	a, failure := e.open(c, client)
+func (e *Entry) tryService(c *call, id string, client *http.Client) (*serviceAnswer, *attemptFailure) {
+	a, failure := e.open(c, id, client)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -11,18 +11,21 @@
 
 // Defaults of Settings.
 const (
-	defaultDrainAddressTTL = 10 * time.Second
-	defaultDeadline        = 30 * time.Second
-	defaultQueueWait       = 2 * time.Second
-	defaultStallTimeout    = 2 * time.Second
-	defaultPlainTimeout    = 30 * time.Second
-	defaultProbeInterval   = 2 * time.Second
-	defaultSubsetAbove     = 64
-	defaultSubsetSize      = 32
-	defaultEjectedShare    = 0.34
-	defaultRetryRatio      = 0.1
-	defaultMaxBody         = 4 << 20
-	defaultLogLevel        = "info"
+	defaultAddressTTL = 2 * time.Second
+	// maxAddressTTL and peerExpiry add up to the 3 s after which a draining
+	// server receives no new work.
+	maxAddressTTL        = 3*time.Second - peerExpiry
+	defaultDeadline      = 30 * time.Second
+	defaultQueueWait     = 2 * time.Second
+	defaultStallTimeout  = 2 * time.Second
+	defaultPlainTimeout  = 30 * time.Second
+	defaultProbeInterval = 2 * time.Second
+	defaultSubsetAbove   = 64
+	defaultSubsetSize    = 32
+	defaultEjectedShare  = 0.34
+	defaultRetryRatio    = 0.1
+	defaultMaxBody       = 4 << 20
+	defaultLogLevel      = "info"
 )
 
 // Peer is an entry that callers may use.
@@ -58,8 +61,9 @@
 	// Entries lists all entries, this one included or not. Default: this one
 	// only. Callers learn the addresses from it.
 	Entries []Peer `yaml:"entries"`
-	// AddressTTL is how long callers may use an address answer. Default 10 s.
-	// A longer TTL lowers look-ups and lengthens a planned stop.
+	// AddressTTL is how long callers may use an address answer. Default 2 s,
+	// which is also the most: a stopping entry is named by answers until then.
+	// A shorter TTL lowers the time of a planned stop and costs look-ups.
 	AddressTTL Duration `yaml:"address_ttl"`
 	// Deadline applies to requests without Rhubarb-Deadline-Ms. Default 30 s.
 	Deadline Duration `yaml:"deadline"`
@@ -117,7 +121,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel:      defaultLogLevel,
-		AddressTTL:    Duration(defaultDrainAddressTTL),
+		AddressTTL:    Duration(defaultAddressTTL),
 		Deadline:      Duration(defaultDeadline),
 		QueueWait:     Duration(defaultQueueWait),
 		StallTimeout:  Duration(defaultStallTimeout),
@@ -196,6 +200,9 @@
 			problem(f.name, "must be positive")
 		}
 	}
+	if s.AddressTTL > Duration(maxAddressTTL) {
+		problem("address_ttl", "must be at most %s, so that a stopping entry receives no new work after 3 s", maxAddressTTL)
+	}
 	if s.SubsetSize < 1 || s.SubsetAbove < s.SubsetSize {
 		problem("subset_size", "must be at least 1 and at most subset_above")
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -196,11 +196,11 @@
 	}
 	var chunk chatChunk
 	if json.Unmarshal(data, &chunk) != nil || len(chunk.Error) > 0 && string(chunk.Error) != "null" {
-		return &attemptFailure{reason: outcome.EngineError, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.EngineError)
 	}
 	if chunk.Fingerprint != "" && chunk.Fingerprint != a.set {
 		e.metrics.drop(outcome.WrongSet)
-		return &attemptFailure{reason: outcome.WrongSet, result: balancer.Failed, started: true, endpoint: a.endpoint}
+		return a.rejected(outcome.WrongSet)
 	}
 	if relay.finished && (chunk.finished() || chunk.token()) {
 		return nil // repeated by an attempt resumed after the last token
--- /dev/null
+++ b/internal/entry/suspects.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+// ownSuspicion is how long this entry acts on its own evidence. It bridges the
+// time until control, which gets the same evidence, lists the fingerprint; a
+// broken connection alone is weak evidence, so it is shorter than a quarantine.
+const ownSuspicion = 5 * time.Minute
+
+// suspectBusyRetry is when the caller of a suspect that runs already may come
+// back.
+const suspectBusyRetry = 2 * time.Second
+
+// suspects makes a quarantine list safe for concurrent use. What any replica
+// lists counts: one that lags may be the only one that knows.
+type suspects struct {
+	mu        sync.Mutex
+	list      *quarantine.List
+	byReplica map[string][]quarantine.Record
+}
+
+func newSuspects() *suspects {
+	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}}
+}
+
+func (s *suspects) setControl(replica string, listed []wire.QuarantinedRequest) {
+	records := make([]quarantine.Record, 0, len(listed))
+	for _, q := range listed {
+		records = append(records, quarantine.Record{
+			Fingerprint: q.Fingerprint, Quarantined: q.Quarantined, Until: time.UnixMilli(q.Until), Crashed: q.Crashed,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byReplica[replica] = records
+	s.merge()
+}
+
+// forget drops the list of a lost replica while another one is left.
+func (s *suspects) forget(replica string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.byReplica) > 1 {
+		delete(s.byReplica, replica)
+		s.merge()
+	}
+}
+
+func (s *suspects) merge() {
+	var all []quarantine.Record
+	for _, records := range s.byReplica {
+		all = append(all, records...)
+	}
+	s.list.SetControl(all)
+}
+
+// apply marks the call as a suspect where it is one, or refuses it.
+func (s *suspects) apply(c *call, now time.Time) *answerError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeVerdict(c, s.list.Check(c.fingerprint, now), now)
+}
+
+// lost records that an endpoint was lost under the call, and applies what
+// follows. The caller does not hold mu.
+func (s *suspects) lost(c *call, endpoint string, now time.Time) *answerError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeVerdict(c, s.list.Lost(c.fingerprint, endpoint, now), now)
+}
+
+// takeVerdict marks the call and reserves the single run of a suspect. The
+// caller holds mu.
+func (s *suspects) takeVerdict(c *call, v quarantine.Verdict, now time.Time) *answerError {
+	switch {
+	case v.Quarantined:
+		message := "this request is quarantined until " + v.Until.UTC().Format(time.RFC3339) + ", because endpoints crashed while they ran it"
+		return c.failed(http.StatusUnprocessableEntity, outcome.Quarantined, message).withRetryAfter(v.Until.Sub(now))
+	case !v.Alone:
+		return nil
+	case !c.alone && !s.list.Begin(c.fingerprint):
+		return c.failed(http.StatusServiceUnavailable, outcome.SuspectBusy,
+			"this request is suspected of crashing endpoints and a copy of it is running").withRetryAfter(suspectBusyRetry)
+	}
+	c.alone = true
+	c.avoid = v.Avoid
+	for _, endpoint := range v.Avoid {
+		c.exclude[endpoint] = true
+	}
+	return nil
+}
+
+// end gives back the reservation of a suspect. It returns true when the
+// request is cleared.
+func (s *suspects) end(c *call, whole bool) bool {
+	if !c.alone {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.End(c.fingerprint, whole)
+	return whole
+}
+
+func (s *suspects) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Expire(now)
+}
+
+// reportTimeout bounds reports to control that no caller waits for.
+const reportTimeout = 5 * time.Second
+
+// settleSuspect gives back a suspect's reservation and tells control when it
+// is cleared.
+func (e *Entry) settleSuspect(c *call, whole bool) {
+	if !e.suspects.end(c, whole) {
+		return
+	}
+	e.inBackground(func(ctx context.Context) {
+		_, _ = e.control.Propose(ctx, ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
+	})
+}
+
+// reportLost tells control that an endpoint was lost with its agent: an agent
+// that is still there reports an engine's crash itself. Reports of one entry on
+// one process of an agent are numbered by fingerprint, so that repeats have no
+// effect.
+func (e *Entry) reportLost(c *call, f *attemptFailure) {
+	fingerprint, alone := c.fingerprint, c.alone
+	e.inBackground(func(ctx context.Context) {
+		state, err := e.attemptState(ctx, http.MethodGet, f.gate, f.id)
+		if err == nil && state != stateUnknown {
+			return
+		}
+		crash := &ledger.ReportCrash{
+			Incident: strings.Join([]string{"lost", f.endpoint, fmt.Sprint(f.gate.incarnation), fingerprint}, "/"),
+			Endpoint: f.endpoint, Fingerprints: []string{fingerprint}, Alone: alone,
+		}
+		_, _ = e.control.Propose(ctx, ledger.Command{Crash: crash})
+	})
+}
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -16,6 +16,10 @@
 	// HeaderResumeFrom is the number of tokens the caller already has.
 	HeaderResumeFrom     = "Rhubarb-Resume-From"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderGateIncarnation is the announced incarnation of the agent that an
+	// attempt or a fence is meant for. A fence proves "not run" only with it:
+	// an earlier process of the agent may have run the attempt.
+	HeaderGateIncarnation = "Rhubarb-Gate-Incarnation"
 )
 
 // Paths of the gate, served by the agent on its gate address. A caller's path
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -63,14 +63,33 @@
 	return &List{cfg: cfg, control: map[string]Record{}, own: map[string]Record{}, running: map[string]bool{}}
 }
 
-// SetControl replaces what control has decided.
+// SetControl replaces what control has decided. Records of one fingerprint
+// from several sources are merged.
 func (l *List) SetControl(records []Record) {
 	l.control = make(map[string]Record, len(records))
 	for _, r := range records {
-		l.control[r.Fingerprint] = r
+		l.control[r.Fingerprint] = l.control[r.Fingerprint].merge(r)
 	}
 }
 
+// merge keeps the stricter of two records: the endpoints lost count together,
+// and the later end applies.
+func (r Record) merge(other Record) Record {
+	merged := Record{
+		Fingerprint: other.Fingerprint, Quarantined: r.Quarantined || other.Quarantined,
+		Until: r.Until, Crashed: slices.Clone(r.Crashed),
+	}
+	if other.Until.After(merged.Until) {
+		merged.Until = other.Until
+	}
+	for _, endpoint := range other.Crashed {
+		if !slices.Contains(merged.Crashed, endpoint) {
+			merged.Crashed = append(merged.Crashed, endpoint)
+		}
+	}
+	return merged
+}
+
 // Check returns how a request may be run now.
 func (l *List) Check(fingerprint string, now time.Time) Verdict {
 	record, ok := l.lookup(fingerprint, now)
@@ -83,24 +102,11 @@
 	return Verdict{Alone: true, Avoid: record.Crashed, Until: record.Until, Busy: l.running[fingerprint]}
 }
 
-// lookup merges control's record and the own one: the endpoints lost count
-// together, and the later end applies.
-func (l *List) lookup(fingerprint string, now time.Time) (Record, bool) {
-	merged, found := Record{Fingerprint: fingerprint}, false
+// lookup merges what control and this entry know.
+func (l *List) lookup(fingerprint string, now time.Time) (merged Record, found bool) {
 	for _, source := range []map[string]Record{l.control, l.own} {
-		r, ok := source[fingerprint]
-		if !ok || !now.Before(r.Until) {
-			continue
-		}
-		found = true
-		merged.Quarantined = merged.Quarantined || r.Quarantined
-		if r.Until.After(merged.Until) {
-			merged.Until = r.Until
-		}
-		for _, endpoint := range r.Crashed {
-			if !slices.Contains(merged.Crashed, endpoint) {
-				merged.Crashed = append(merged.Crashed, endpoint)
-			}
+		if r, ok := source[fingerprint]; ok && now.Before(r.Until) {
+			merged, found = merged.merge(r), true
 		}
 	}
 	merged.Quarantined = merged.Quarantined || len(merged.Crashed) >= l.cfg.MaxLosses
