--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -130,7 +130,8 @@
 		is.True(r.askID(id, setID("1")).whole())
 		is.Equal(r.attemptState(http.MethodPost, id, incarnation), "done")
 		is.Equal(r.askID(id, setID("1")).outcome, "unknown")
-		is.Equal(r.engine.chats, 1)
+		chats, _ := r.engine.served()
+		is.Equal(chats, 1)
 
 		r.stop()
 		r.start()
@@ -139,7 +140,8 @@
 		late := r.askID(r.nextID(), setID("1"), wire.HeaderGateIncarnation, fmt.Sprint(incarnation))
 		is.Equal(late.reason, "gate-restarted")
 		is.Equal(late.outcome, "unknown")
-		is.Equal(r.engine.chats, 1)
+		chats, _ = r.engine.served()
+		is.Equal(chats, 1)
 	})
 }
 
@@ -214,7 +216,8 @@
 		w := &recorder{header: http.Header{}}
 		r.agent.run(ctx, w, request, a)
 		is.Equal(w.header.Get(wire.HeaderOutcome), "not-run")
-		is.Equal(r.engine.chats, 0)
+		chats, _ := r.engine.served()
+		is.Equal(chats, 0)
 	})
 }
 
--- /dev/null
+++ b/internal/agent/crash_test.go
@@ -0,0 +1,252 @@
+package agent
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// hang streams one token and then nothing until the connection ends.
+func hang(w http.ResponseWriter, r *http.Request, set string) {
+	tokens(w, set, 0, 1)
+	<-r.Context().Done()
+}
+
+// crash ends the engine process and starts an empty one after the given time.
+func (r *rig) crash(down time.Duration) {
+	r.net.Stop(engineHost)
+	r.engine.change(func(e *fakeEngine) { e.sets, e.fence, e.started, e.chat = nil, 0, e.started+1, nil })
+	time.Sleep(down)
+	r.serve(engineHost, "10.0.1.2:80", r.engine)
+}
+
+// Guards against a crash whose requests are not suspected, also when the engine
+// is back before the agent looks, and against one that is reported twice.
+func TestCrashReportsRequestsInFlight(t *testing.T) {
+	for name, down := range map[string]time.Duration{"back at once": 0, "down for a while": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
+				is := is.New(r.t)
+				var wg sync.WaitGroup
+				for _, fingerprint := range []string{"a", "b", "c"} {
+					id := r.nextID()
+					wg.Go(func() {
+						a := r.askID(id, setID("1"), wire.HeaderFingerprint, fingerprint)
+						if a.whole() || a.outcome == "not-run" {
+							r.t.Errorf("answer after a crash: %+v", a)
+						}
+					})
+				}
+				time.Sleep(time.Second)
+				r.crash(down)
+				wg.Wait()
+				time.Sleep(5 * time.Second)
+				proposed := r.proposals()
+				is.Equal(len(proposed), 1)
+				is.Equal(proposed[0].Crash.Fingerprints, []string{"a", "b", "c"})
+				is.Equal(proposed[0].Crash.Alone, false)
+				is.Equal(proposed[0].Crash.Endpoint, "engine-1")
+				is.True(r.ask(setID("1")).whole()) // loaded again
+			})
+		})
+	}
+}
+
+// Guards against a suspect that crashes alone and is reported as one of many,
+// and against work sent to an engine that is down.
+func TestCrashOfASuspectAlone(t *testing.T) {
+	run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
+		is := is.New(r.t)
+		id := r.nextID()
+		var wg sync.WaitGroup
+		wg.Go(func() { r.askID(id, setID("1"), wire.HeaderFingerprint, "a", wire.HeaderAlone, "true") })
+		time.Sleep(time.Second)
+		r.net.Stop(engineHost)
+		wg.Wait()
+		a := r.ask(setID("1"), wire.HeaderFingerprint, "innocent")
+		is.Equal(a.outcome, "not-run")
+		time.Sleep(2 * time.Second)
+		is.True(!r.last().Ready)
+		is.Equal(r.ask(setID("1")).reason, "endpoint-not-ready")
+		proposed := r.proposals()
+		is.Equal(len(proposed), 1)
+		is.Equal(proposed[0].Crash.Fingerprints, []string{"a"})
+		is.True(proposed[0].Crash.Alone)
+	})
+}
+
+// Guards against an engine that says healthy and answers nothing, idle or with
+// work in flight, and against one that is never used again.
+func TestEngineWithoutProgressIsNotReady(t *testing.T) {
+	for name, busy := range map[string]bool{"idle": false, "with work in flight": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(r *rig) { r.settings.ProbeInterval = settings.Duration(4 * time.Second) }, func(r *rig) {
+				is := is.New(r.t)
+				r.engine.change(func(e *fakeEngine) {
+					e.chat = hang
+					e.probe = func(r *http.Request) { <-r.Context().Done() }
+				})
+				id := r.nextID()
+				var wg sync.WaitGroup
+				if busy {
+					wg.Go(func() { r.askID(id, setID("1"), wire.HeaderDeadline, "20000") })
+				}
+				time.Sleep(10 * time.Second)
+				is.True(!r.last().Ready)
+				a := r.ask(setID("1"))
+				is.Equal(a.outcome, "not-run")
+				is.Equal(a.reason, "endpoint-not-ready")
+				r.engine.change(func(e *fakeEngine) { e.chat, e.probe = nil, nil })
+				wg.Wait()
+				time.Sleep(5 * time.Second)
+				is.True(r.last().Ready)
+				is.True(r.ask(setID("1")).whole())
+			})
+		})
+	}
+}
+
+// Guards against a slow but live engine that is taken out, and against probes
+// while tokens already show progress.
+func TestEngineWithProgressStaysReady(t *testing.T) {
+	run(t, func(r *rig) {
+		r.settings.ProbeInterval = settings.Duration(2 * time.Second)
+		r.engine.chat = func(w http.ResponseWriter, _ *http.Request, set string) {
+			for i := range 10 {
+				tokens(w, set, i, i+1)
+				time.Sleep(3 * time.Second)
+			}
+		}
+	}, func(r *rig) {
+		is := is.New(r.t)
+		_, before := r.engine.served()
+		r.ask(setID("1"))
+		_, after := r.engine.served()
+		is.Equal(after, before)
+		for _, a := range r.controls[0].announced[3:] {
+			is.True(a.Ready)
+		}
+	})
+}
+
+// Guards against a planned stop that interrupts requests, takes new work after
+// 3 s, or leaves the endpoint in the table.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	run(t, func(r *rig) {
+		r.engine.chat = func(w http.ResponseWriter, _ *http.Request, set string) {
+			for i := range 8 {
+				tokens(w, set, i, i+1)
+				time.Sleep(time.Second)
+			}
+			_, _ = w.Write([]byte("data: [DONE]\n\n"))
+		}
+	}, func(r *rig) {
+		is := is.New(r.t)
+		var mu sync.Mutex
+		var accepted []time.Time
+		counts := map[string]int{}
+		ids := make(chan string, 1000)
+		for range cap(ids) {
+			ids <- r.nextID()
+		}
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					begun := time.Now()
+					a := r.askID(<-ids, setID("1"))
+					mu.Lock()
+					switch {
+					case a.whole():
+						counts["whole"]++
+						accepted = append(accepted, begun)
+					case a.outcome == "not-run", a.status == 0: // refused by the gate or the closed port
+						counts["refused"]++
+					default:
+						counts["cut"]++
+					}
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		stopAt := time.Now()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			if !r.last().Draining {
+				r.t.Error("draining was not announced at once")
+			}
+		}()
+		r.stop()
+		close(stop)
+		wg.Wait()
+		is.Equal(counts["cut"], 0)
+		is.True(counts["whole"] >= 4)
+		latest := slices.MaxFunc(accepted, time.Time.Compare)
+		is.True(latest.Sub(stopAt) < 3*time.Second)
+		is.True(time.Since(stopAt) > 5*time.Second) // work in progress finished
+		is.True(r.last().Gone)
+	})
+}
+
+// Guards against a plain service without the gate's rules: no lease, repeated
+// calls, cut answers taken for whole ones, and our own headers passed on.
+func TestPlainService(t *testing.T) {
+	var calls int
+	var seen http.Header
+	var fault func(w http.ResponseWriter)
+	run(t, func(r *rig) {
+		r.settings.Kind, r.settings.Role, r.settings.Service = wire.KindService, "", "dispatch"
+		r.weights = nil
+		r.servers[len(r.servers)-1].Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			calls++
+			seen = req.Header
+			if fault != nil {
+				fault(w)
+			}
+			w.Header().Set("X-Service", "yes")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write([]byte(req.Method + " " + req.URL.RequestURI()))
+		})
+	}, func(r *rig) {
+		is := is.New(r.t)
+		call := func() answer {
+			h := http.Header{wire.HeaderAttempt: {r.nextID()}, wire.HeaderIdempotencyKey: {"key"}}
+			return r.do(http.MethodPut, "/gate/orders//7?x=%2F", "", h)
+		}
+		a := call()
+		is.NoErr(a.err)
+		is.Equal([]any{a.status, a.outcome, a.body}, []any{http.StatusCreated, "done", "PUT /orders//7?x=%2F"})
+		is.Equal(seen.Get(wire.HeaderIdempotencyKey), "key")
+		is.Equal(seen.Get("Authorization"), "")
+		is.True(r.last().Ready)
+
+		fault = func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+		calls = 0
+		a = call()
+		is.Equal([]any{a.status, a.outcome, calls}, []any{http.StatusBadGateway, "unknown", 1})
+		fault = func(w http.ResponseWriter) {
+			_, _ = w.Write([]byte("half"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		is.True(call().err != nil)
+		r.net.Isolate(agentHost, []string{"c0", "c1", "c2"}, true)
+		time.Sleep(3 * time.Second)
+		is.Equal(call().outcome, "not-run")
+	})
+}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -103,11 +103,17 @@
 	order func(o engine.Order) (status int)
 	chat  func(w http.ResponseWriter, r *http.Request, setID string)
 	probe func(r *http.Request)
+	// reportDelay delays set reports.
+	reportDelay time.Duration
 }
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/engine/sets":
+		e.mu.Lock()
+		delay := e.reportDelay
+		e.mu.Unlock()
+		time.Sleep(delay)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(engine.Sets{Fence: e.fence, Sets: e.sets, Started: e.started})
@@ -143,6 +149,26 @@
 	return http.StatusOK
 }
 
+// change sets faults while the engine serves.
+func (e *fakeEngine) change(f func(e *fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e)
+}
+
+// ordered returns the orders received so far.
+func (e *fakeEngine) ordered() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+func (e *fakeEngine) served() (chats, probes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.chats, e.probes
+}
+
 func (e *fakeEngine) serveChat(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	var request struct {
@@ -209,10 +235,16 @@
 func (f *fakeWeights) Prune([]string) error             { return nil }
 func (f *fakeWeights) SetPressure(x float64)            { f.mu.Lock(); f.pressure = x; f.mu.Unlock() }
 
+func (f *fakeWeights) setHold(hold chan struct{}) { f.mu.Lock(); f.hold = hold; f.mu.Unlock() }
+func (f *fakeWeights) fetches() int               { f.mu.Lock(); defer f.mu.Unlock(); return len(f.fetched) }
+
 func (f *fakeWeights) Fetch(ctx context.Context, set release.WeightsSet) (string, error) {
-	if f.hold != nil {
+	f.mu.Lock()
+	hold := f.hold
+	f.mu.Unlock()
+	if hold != nil {
 		select {
-		case <-f.hold:
+		case <-hold:
 		case <-ctx.Done():
 			return "", ctx.Err()
 		}
@@ -270,9 +302,7 @@
 		r.net.Isolate(h, hosts, false)
 	}
 	if r.agent != nil {
-		r.engine.mu.Lock()
-		r.engine.chat, r.engine.probe, r.engine.order = nil, nil, nil
-		r.engine.mu.Unlock()
+		r.engine.change(func(e *fakeEngine) { e.chat, e.probe, e.order = nil, nil, nil })
 		r.stop()
 	}
 	for _, s := range r.servers {
