--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -43,7 +43,7 @@
 	if err := cfg.check(); err != nil {
 		return Summary{}, err
 	}
-	client := newHTTPClient()
+	client := newHTTPClient(cfg.Network)
 	defer client.CloseIdleConnections()
 	run := &orderRun{
 		cfg:      cfg,
@@ -136,6 +136,9 @@
 	if err != nil {
 		return nil, nil, oops.In("loadtool").Wrap(err)
 	}
+	// With an Idempotency-Key, net/http would send the request again by itself on
+	// a lost connection; such a resend would not be counted.
+	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+r.cfg.Token.Secret())
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(wire.HeaderOrganisation, organisation)
