--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -175,7 +175,7 @@
 func TestApplyWait(t *testing.T) {
 	for inForce, want := range map[uint64]int{1: ExitOK, 0: ExitNotInForce} {
 		is := is.New(t)
-		replica := startReplica(t, 200, map[string]any{"status": NoteAccepted, "number": 1, "in_force": inForce})
+		replica := startReplica(t, 200, map[string]any{"status": NoteAccepted, "number": 1, "in_force_revision": inForce})
 		code, out, _ := ctl(t, testToken, []string{replica.address()},
 			"apply", "--wait", "--wait-timeout", "200ms", "--poll", "20ms", writeNote(t, testNote))
 		is.Equal(code, want)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,23 +1,30 @@
 package settings
 
 import (
-	"bytes"
 	"errors"
-	"io"
+	"fmt"
 	"os"
+	"reflect"
+	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 	"github.com/samber/oops"
 )
 
-// Checker is implemented by settings types. Check returns every problem found,
-// each naming its field.
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 1 << 20
+
+// Checker is implemented by settings types, which are structs. Check returns
+// every problem found, each naming its field; see Problems.
 type Checker interface {
 	Check() error
 }
 
 // Load reads the YAML file at path into out, which holds the defaults, and
-// checks it. Unknown fields are errors that name line and column.
+// checks it. The error names every problem, with line and column where the
+// file has one.
 func Load(path string, out Checker) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -29,11 +36,159 @@
 	return nil
 }
 
-// Decode parses data strictly into out and checks it.
+// Decode parses data strictly into out and checks it. Each field is decoded on
+// its own, so that one wrong field does not hide another.
 func Decode(data []byte, out Checker) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
-	if err := decoder.Decode(out); err != nil && !errors.Is(err, io.EOF) {
-		return errors.New(yaml.FormatError(err, false, true))
+	if len(data) > MaxFileBytes {
+		return fmt.Errorf("file is longer than %d bytes", MaxFileBytes)
+	}
+	values, err := topLevel(data)
+	if err != nil {
+		return err
+	}
+	fields := map[string]reflect.Value{}
+	collectFields(reflect.ValueOf(out).Elem(), fields)
+	var problems []error
+	failed := map[string]bool{}
+	for _, value := range values {
+		name := value.Key.GetToken().Value
+		problem := decodeField(value, name, fields, failed)
+		if problem != nil {
+			problems = append(problems, problem)
+		}
+	}
+	for _, problem := range list(out.Check()) {
+		if !failed[fieldOf(problem)] {
+			problems = append(problems, problem)
+		}
+	}
+	return errors.Join(problems...)
+}
+
+// topLevel returns the fields of the document.
+func topLevel(data []byte) ([]*ast.MappingValueNode, error) {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, located(err)
+	}
+	if len(file.Docs) > 1 {
+		return nil, fmt.Errorf("file has %d YAML documents, must have one", len(file.Docs))
+	}
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		return nil, nil
+	}
+	if err := refuseExtensions(file.Docs[0].Body); err != nil {
+		return nil, err
+	}
+	switch body := file.Docs[0].Body.(type) {
+	case *ast.MappingNode:
+		return body.Values, nil
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{body}, nil
+	case *ast.CommentGroupNode:
+		return nil, nil
+	}
+	return nil, errors.New("file is not a list of fields such as \"instance: a\"")
+}
+
+// extensionFinder finds YAML that settings do not need.
+type extensionFinder struct{ found ast.Node }
+
+// Visit implements ast.Visitor.
+func (f *extensionFinder) Visit(n ast.Node) ast.Visitor {
+	switch n.Type() {
+	case ast.AliasType, ast.AnchorType, ast.MergeKeyType, ast.TagType:
+		f.found = n
+		return nil
+	}
+	return f
+}
+
+// refuseExtensions keeps a short file from expanding into a large one, and
+// tags from the decoder, which panics on some of them.
+func refuseExtensions(body ast.Node) error {
+	f := &extensionFinder{}
+	ast.Walk(f, body)
+	if f.found == nil {
+		return nil
+	}
+	problem := errors.New("anchors, aliases, merge keys and tags are not allowed")
+	if token := f.found.GetToken(); token != nil && token.Position != nil {
+		return fmt.Errorf("line %d, column %d: %w", token.Position.Line, token.Position.Column, problem)
+	}
+	return problem
+}
+
+// collectFields maps the YAML names of a struct's fields to their values.
+func collectFields(structure reflect.Value, fields map[string]reflect.Value) {
+	for i := range structure.NumField() {
+		field := structure.Type().Field(i)
+		name, options, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		switch {
+		case options == "inline":
+			collectFields(structure.Field(i), fields)
+		case name == "-" || !field.IsExported():
+		case name == "":
+			fields[strings.ToLower(field.Name)] = structure.Field(i)
+		default:
+			fields[name] = structure.Field(i)
+		}
+	}
+}
+
+// decodeField decodes one field and notes its name when that fails.
+func decodeField(value *ast.MappingValueNode, name string, fields map[string]reflect.Value, failed map[string]bool) error {
+	position := value.Key.GetToken().Position
+	field, known := fields[name]
+	if !known {
+		return fmt.Errorf("line %d, column %d: %s: unknown field", position.Line, position.Column, name)
+	}
+	err := yaml.NodeToValue(value.Value, field.Addr().Interface(), yaml.Strict())
+	if err == nil {
+		return nil
+	}
+	failed[name] = true
+	if token := value.Value.GetToken(); token != nil && token.Position != nil {
+		position = token.Position
+	}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		if token := syntax.GetToken(); token != nil && token.Position != nil {
+			position = token.Position
+		}
+		err = errors.New(syntax.GetMessage())
+	}
+	return fmt.Errorf("line %d, column %d: %s: %w", position.Line, position.Column, name, err)
+}
+
+// located gives a syntax error in one line.
+func located(err error) error {
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		if token := syntax.GetToken(); token != nil && token.Position != nil {
+			return fmt.Errorf("line %d, column %d: %s", token.Position.Line, token.Position.Column, syntax.GetMessage())
+		}
+		return errors.New(syntax.GetMessage())
+	}
+	return err
+}
+
+// list splits a joined error.
+func list(err error) []error {
+	if err == nil {
+		return nil
+	}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
+// fieldOf returns the top-level field that a problem names.
+func fieldOf(problem error) string {
+	text := problem.Error()
+	if end := strings.IndexAny(text, ":.["); end >= 0 {
+		return text[:end]
 	}
-	return out.Check()
+	return text
 }
