--- a/cmd/rhubarb-standin/main.go
+++ b/cmd/rhubarb-standin/main.go
@@ -173,7 +173,7 @@
 		defer cancel()
 		stopped <- server.Shutdown(shutdown)
 	}()
-	logger.WithField("event", "standin_listening").WithField("address", listener.Addr().String()).Info("listening")
+	logger.WithField("address", listener.Addr().String()).Info("standin_listening")
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/subtle"
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -11,6 +13,9 @@
 
 const minTokenBytes = 16
 
+// hidden stands for a token wherever it is formatted.
+const hidden = "[token]"
+
 // Token is a bearer token. Its text never reaches logs through formatting.
 type Token struct{ secret string }
 
@@ -18,7 +23,13 @@
 func NewToken(secret string) Token { return Token{secret: secret} }
 
 // String hides the secret.
-func (Token) String() string { return "[token]" }
+func (Token) String() string { return hidden }
+
+// Format hides the secret from every verb, %#v included.
+func (Token) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, hidden) }
+
+// MarshalText hides the secret from JSON and YAML.
+func (Token) MarshalText() ([]byte, error) { return []byte(hidden), nil }
 
 // Secret returns the token's text, for an Authorization header.
 func (t Token) Secret() string { return t.secret }
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,63 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const secret = "0123456789abcdef-secret"
+
+// Guards against tokens in logs, whichever way they get into a line.
+func TestRedaction(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := setup(&out, "rhubarb-test", "instance-1", "debug", []auth.Token{auth.NewToken(secret), {}})
+	is.NoErr(err)
+	header := http.Header{"Authorization": {"Bearer of-another-process"}}
+	logger.WithError(errors.New("refused: " + secret)).WithFields(log.Fields{
+		"header": header, "list": []string{"x", secret}, "token": auth.NewToken("of-another-process"),
+		"pointer": &header, "raw": []byte("x"), "count": 3, "text": "authorization: bearer of-another-process, kept",
+	}).Warn("event_" + secret)
+	is.True(!strings.Contains(out.String(), secret))
+	is.True(!strings.Contains(out.String(), "of-another-process"))
+	is.True(strings.Contains(out.String(), "kept"))
+	is.True(strings.Contains(out.String(), `"count":3`))
+}
+
+// Guards against lines that are not JSON or lack the fields of the process.
+func TestCommonFields(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := setup(&out, "rhubarb-test", "instance-1", "info", nil)
+	is.NoErr(err)
+	logger.Debug("too_detailed")
+	logger.Info("first\nline")
+	logger.WithField("a", 1).Error("second")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	for _, text := range lines {
+		var line struct {
+			Fields  map[string]any
+			Level   string
+			Message string
+		}
+		is.NoErr(json.Unmarshal([]byte(text), &line))
+		is.Equal(line.Fields["program"], "rhubarb-test")
+		is.Equal(line.Fields["instance"], "instance-1")
+		is.True(line.Message != "" && line.Level != "")
+	}
+	_, err = Setup("rhubarb-test", "instance-1", "loud")
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/metrics/page.go
@@ -0,0 +1,58 @@
+package metrics
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Described is what a metric says about itself.
+type Described struct {
+	Name   string
+	Help   string
+	Labels []string
+}
+
+// description matches the text form of a prometheus.Desc, the only one in
+// which the client library gives out its parts.
+var description = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)"(?:, unit: "[^"]*")?, constLabels: {[^}]*}, variableLabels: {([^}]*)}`)
+
+// Describe lists the metrics of collectors by name, those without samples
+// included.
+func Describe(collectors ...prometheus.Collector) []Described {
+	var found []Described
+	for _, collector := range collectors {
+		descs := make(chan *prometheus.Desc)
+		go func() {
+			collector.Describe(descs)
+			close(descs)
+		}()
+		for desc := range descs {
+			parts := description.FindStringSubmatch(desc.String())
+			if parts == nil {
+				continue
+			}
+			d := Described{Name: parts[1], Help: parts[2]}
+			if parts[3] != "" {
+				d.Labels = strings.Split(parts[3], ",")
+			}
+			found = append(found, d)
+		}
+	}
+	slices.SortFunc(found, func(a, b Described) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
+// Table writes metrics as a Markdown table.
+func Table(described []Described) string {
+	var b strings.Builder
+	b.WriteString("| metric | labels | meaning |\n|---|---|---|\n")
+	for _, d := range described {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", d.Name, strings.Join(d.Labels, ", "), d.Help)
+	}
+	return b.String()
+}
