--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -69,7 +69,7 @@
 	p.Required("zone", s.Zone)
 	p.Required("region", s.Region)
 	p.Required("replica", s.Replica)
-	p.Required("data_dir", s.DataDir)
+	p.WritableFolder("data_dir", s.DataDir)
 	p.LogLevel("log_level", s.LogLevel)
 	p.Address("session_listen", s.SessionListen)
 	p.Address("operator_listen", s.OperatorListen)
--- /dev/null
+++ b/internal/matrix/checks_test.go
@@ -0,0 +1,168 @@
+package matrix
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/operator"
+)
+
+// check is one invariant of docs/design.md, section 2. Every cell uses all.
+type check struct {
+	invariant  string
+	violations func(o observation) []string
+}
+
+var checks = []check{
+	{"quotes are whole, own, and by one weights set", checkQuotes},
+	{"orders run at most once and are reported truly", checkOrders},
+	{"accepted notes are never lost or changed", checkAccepted},
+	{"withdrawn models are refused once in force", checkInForce},
+	{"a draining endpoint gets no new work", checkDraining},
+	{"a planned stop cuts no request", checkPlannedStop},
+	{"one request costs at most two endpoints", checkCrashes},
+}
+
+func checkQuotes(o observation) []string {
+	return loadViolations(o.quotes.Violations, o.quotes.Examples)
+}
+
+func checkOrders(o observation) []string {
+	return loadViolations(o.orders.Violations, o.orders.Examples)
+}
+
+func loadViolations(counts map[string]int, examples []string) []string {
+	var found []string
+	for name, n := range counts {
+		if n > 0 {
+			found = append(found, fmt.Sprintf("%s %d times, such as %v", name, n, examples))
+		}
+	}
+	return found
+}
+
+// checkAccepted resends every note: an accepted one must be answered the same
+// way, and at most one note of each number may be accepted.
+func checkAccepted(o observation) []string {
+	client := o.system.operator()
+	defer client.HTTP.CloseIdleConnections()
+	var found []string
+	accepted := map[uint64]string{}
+	for _, s := range o.system.submissions {
+		ctx, cancel := context.WithTimeout(context.Background(), convergeLimit)
+		again, err := client.Submit(ctx, s.note)
+		cancel()
+		if err != nil && !errors.Is(err, operator.ErrRefused) {
+			found = append(found, fmt.Sprintf("note %d resent: %v", s.answer.Number, err))
+			continue
+		}
+		if s.answer.Status != operator.NoteAccepted {
+			continue
+		}
+		if again.Status != s.answer.Status || again.Digest != s.answer.Digest {
+			found = append(found, fmt.Sprintf("note %d was %+v, resent %+v", s.answer.Number, s.answer, again))
+		}
+		if other, ok := accepted[s.answer.Number]; ok && other != string(s.answer.Digest) {
+			found = append(found, fmt.Sprintf("note %d accepted with two digests", s.answer.Number))
+		}
+		accepted[s.answer.Number] = string(s.answer.Digest)
+	}
+	return found
+}
+
+// checkInForce compares each engine's starts with the first moment at which a
+// replica applied the withdrawal.
+func checkInForce(o observation) []string {
+	at, ok := o.system.withdrawnAt()
+	if !ok {
+		return nil
+	}
+	var found []string
+	for _, s := range o.system.starts {
+		if strings.Contains(s.body, `"model":"old"`) && s.at.After(at.Add(inForceTarget)) {
+			found = append(found, fmt.Sprintf("%s started a withdrawn model %v after acceptance", s.engine, s.at.Sub(at)))
+		}
+	}
+	return found
+}
+
+// withdrawnAt is when the note that withdraws model old was first known to be
+// accepted.
+func (s *system) withdrawnAt() (time.Time, bool) {
+	withdrawing := map[uint64]bool{}
+	for _, sub := range s.submissions {
+		if sub.answer.Status == operator.NoteAccepted && strings.Contains(string(sub.note), "withdraw") {
+			withdrawing[sub.answer.Number] = true
+		}
+	}
+	for _, e := range s.events {
+		if number, ok := e.fields["note"].(uint64); ok && e.message == "note_accepted" && withdrawing[number] {
+			return e.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func checkDraining(o observation) []string {
+	var found []string
+	for _, stop := range o.system.stopped {
+		number, ok := strings.CutPrefix(stop.process, "agent-")
+		if !ok {
+			continue
+		}
+		until := o.system.restartOf(stop.process, stop.at)
+		for _, s := range o.system.starts {
+			if s.engine == "engine-"+number && s.at.After(stop.at.Add(drainTarget)) && s.at.Before(until) {
+				found = append(found, fmt.Sprintf("%s started work %v after %s was asked to stop", s.engine, s.at.Sub(stop.at), stop.process))
+			}
+		}
+	}
+	return found
+}
+
+// restartOf is when a process logged its start again after the given time.
+func (s *system) restartOf(process string, after time.Time) time.Time {
+	for _, e := range s.events {
+		if e.process == process && e.at.After(after) && (e.message == "started" || e.message == "agent_started") {
+			return e.at
+		}
+	}
+	return time.Now()
+}
+
+// checkPlannedStop requires every request to be done where nothing but planned
+// stops happened. Model old is left out when it was withdrawn.
+func checkPlannedStop(o observation) []string {
+	if len(o.plan) > 0 || len(o.system.stopped) == 0 {
+		return nil
+	}
+	var found []string
+	for reason, n := range o.quotes.Reasons {
+		if !strings.HasPrefix(reason, "done") {
+			found = append(found, fmt.Sprintf("%d quotes ended %s", n, reason))
+		}
+	}
+	for reason, n := range o.orders.Reasons {
+		if !strings.HasPrefix(reason, "done") {
+			found = append(found, fmt.Sprintf("%d orders ended %s", n, reason))
+		}
+	}
+	return found
+}
+
+// checkCrashes counts the engines that started the request that crashes them.
+func checkCrashes(o observation) []string {
+	started := 0
+	for _, s := range o.system.starts {
+		if strings.Contains(s.body, crashMarker) {
+			started++
+		}
+	}
+	if started > 2 {
+		return []string{fmt.Sprintf("the request was started %d times", started)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/matrix/events_test.go
@@ -0,0 +1,145 @@
+package matrix
+
+import (
+	"bytes"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// step is a moment on one of the four paths at which a fault is injected.
+type step string
+
+// Steps, in order, by path.
+const (
+	stepReceived     step = "received"
+	stepProposed     step = "proposed"
+	stepSynced       step = "synced"
+	stepCommitted    step = "committed"
+	stepApplied      step = "applied"
+	stepAcknowledged step = "acknowledged"
+
+	stepManifest    step = "manifest"
+	stepChunk       step = "chunk"
+	stepVerified    step = "verified"
+	stepLoadOrdered step = "load ordered"
+	stepLoaded      step = "loaded"
+
+	stepAdmitted   step = "admitted"
+	stepClaimed    step = "claimed"
+	stepDispatched step = "dispatched"
+	stepStarted    step = "started"
+	stepFirstToken step = "first token"
+	stepLastToken  step = "last token"
+	stepAnswered   step = "answered"
+
+	stepAnnounced step = "announced"
+	stepDrained   step = "drained"
+	stepGone      step = "gone"
+)
+
+// rule injects a fault the first time a step is reached after the scenario's
+// action has begun. at names the process where it was reached.
+type rule struct {
+	step  step
+	fault func(s *system, at string)
+	fired bool
+}
+
+// reached fires the rules of a step. It runs in the goroutine that reached it,
+// so that the step's own effect is not yet seen by other processes.
+func (s *system) reached(at step, process string) {
+	s.mu.Lock()
+	var due []*rule
+	if s.armed {
+		for _, r := range s.rules {
+			if r.step == at && !r.fired {
+				r.fired = true
+				due = append(due, r)
+			}
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range due {
+		r.fault(s, process)
+	}
+}
+
+// arm lets steps fire rules from now on.
+func (s *system) arm() {
+	s.mu.Lock()
+	s.armed = true
+	s.mu.Unlock()
+}
+
+// eventHandler turns a process's log events into steps.
+type eventHandler struct {
+	system  *system
+	process string
+}
+
+var stepOfEvent = map[string]step{
+	"note_proposed":       stepProposed,
+	"note_synced":         stepSynced,
+	"note_committed":      stepCommitted,
+	"note_accepted":       stepApplied,
+	"catalogue_in_force":  stepAcknowledged,
+	"weights_verified":    stepVerified,
+	"order_done":          stepLoaded,
+	"claim_granted":       stepClaimed,
+	"draining":            stepAnnounced,
+	"entry.draining":      stepAnnounced,
+	"drained":             stepDrained,
+	"entry.drained":       stepDrained,
+	"entry.stopped":       stepGone,
+	"last_announcement":   stepGone,
+	"leadership_released": stepAnnounced,
+}
+
+// HandleLog implements log.Handler.
+func (h eventHandler) HandleLog(e *log.Entry) error {
+	h.system.note(h.process, e)
+	if at, ok := stepOfEvent[e.Message]; ok {
+		h.system.reached(at, h.process)
+	}
+	return nil
+}
+
+// event is a remembered log line.
+type event struct {
+	at      time.Time
+	process string
+	message string
+	fields  log.Fields
+}
+
+func (s *system) note(process string, e *log.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, event{time.Now(), process, e.Message, e.Fields})
+}
+
+// stepOfWrite recognises steps by what one process sends to another.
+var stepOfWrite = []struct {
+	from, to, text string
+	step           step
+}{
+	{"operator", "control-", "POST /v1/notes HTTP", stepReceived},
+	{"agent-", "origin", "GET /manifests/", stepManifest},
+	{"agent-", "origin", "GET /objects/", stepChunk},
+	{"agent-", "engine-", "POST /engine/orders", stepLoadOrdered},
+	{"caller", "entry-", "POST /", stepAdmitted},
+	{"entry-", "agent-", " /gate/", stepDispatched},
+	{"engine-", "agent-", `"delta":{"`, stepFirstToken},
+	{"engine-", "agent-", "[DONE]", stepLastToken},
+	{"entry-", "caller", "[DONE]", stepAnswered},
+}
+
+func (s *system) observeWrite(from, to string, data []byte) {
+	for _, w := range stepOfWrite {
+		if strings.HasPrefix(from, w.from) && strings.HasPrefix(to, w.to) && bytes.Contains(data, []byte(w.text)) {
+			s.reached(w.step, from)
+		}
+	}
+}
--- /dev/null
+++ b/internal/matrix/faults_test.go
@@ -0,0 +1,268 @@
+package matrix
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/operator"
+	"github.com/rhubarbhill/rhubarbhill/internal/standin"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Times of faults, virtual.
+const (
+	killedFor    = 2 * time.Second
+	cutFor       = 6 * time.Second
+	slowDelay    = 250 * time.Millisecond
+	answerLost   = 3 * time.Second
+	repairedIn   = 25 * time.Second // voter loss time-out and the membership change
+	crashResends = 4
+)
+
+// fault is one way in which something fails.
+type fault struct {
+	name string
+	// inject brings the fault about in the process that reached the step, or
+	// in the process that it can befall.
+	inject func(s *system, at string)
+	// impossible says why the fault cannot happen on a path, or is empty.
+	impossible func(path string) string
+}
+
+func always(string) string { return "" }
+
+func onlyOn(path, reason string) func(string) string {
+	return func(p string) string {
+		if p == path {
+			return ""
+		}
+		return reason
+	}
+}
+
+var faults = []fault{
+	{"process kill", killProcess, always},
+	{"lost disk", loseDisk, always},
+	{"silent cut, outgoing", func(s *system, at string) { s.cut(victim(at), true, false, cutFor) }, always},
+	{"silent cut, both ways", func(s *system, at string) { s.cut(victim(at), true, true, cutFor) }, always},
+	{"slow link", slowLink, always},
+	{"corrupt chunk", corruptChunk, onlyOn("weights", "no chunk moves on this path")},
+	{"version changed in mid-copy", changeVersion, onlyOn("weights", "no copy is in flight on this path")},
+	{"operator race", raceOperators, always},
+	{"lost answer", loseAnswer, always},
+	{"duplicate and reordered message", duplicateNote, always},
+	{"crash-inducing request", sendCrashingRequest, always},
+	{"second loss after a repair", loseTwice, always},
+}
+
+// victim is the process that a fault befalls. Callers and operators are
+// outside the system: the process that they talk to fails instead.
+func victim(at string) string {
+	switch at {
+	case "operator":
+		return "control-0"
+	case "caller":
+		return "entry-0"
+	}
+	return at
+}
+
+// later runs f after d and is waited for at the end of the run.
+func (s *system) later(d time.Duration, f func()) {
+	s.restarts.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
+func killProcess(s *system, at string) {
+	name := victim(at)
+	s.net.Stop(name)
+	s.restarts.Go(func() {
+		s.stop(name)
+		time.Sleep(killedFor)
+		s.start(name)
+	})
+}
+
+// loseDisk kills a process and removes its files. Where the process that
+// reached the step has none, a control replica loses its disk.
+func loseDisk(s *system, at string) {
+	name := victim(at)
+	if !strings.HasPrefix(name, "control-") && !strings.HasPrefix(name, "agent-") || name == "agent-service" {
+		name = "control-1"
+	}
+	s.net.Stop(name)
+	s.restarts.Go(func() {
+		s.stop(name)
+		s.wipe(name)
+		time.Sleep(killedFor)
+		s.start(name)
+	})
+}
+
+func (s *system) cut(name string, outgoing, incoming bool, d time.Duration) {
+	set := func(change func(from, to string)) {
+		for _, other := range s.names() {
+			if other == name {
+				continue
+			}
+			if outgoing {
+				change(name, other)
+			}
+			if incoming {
+				change(other, name)
+			}
+		}
+	}
+	set(s.net.Cut)
+	s.later(d, func() { set(s.net.Heal) })
+}
+
+func slowLink(s *system, at string) {
+	name := victim(at)
+	set := func(delay time.Duration) {
+		for _, other := range s.names() {
+			if other != name {
+				s.net.SetDelay(name, other, delay)
+			}
+		}
+	}
+	set(slowDelay)
+	s.later(cutFor, func() { set(0) })
+}
+
+func (s *system) setOriginFaults(f string) {
+	request, err := http.NewRequest(http.MethodPost, standin.PathFaults, strings.NewReader(f))
+	if err != nil {
+		s.fail("%v", err)
+		return
+	}
+	s.origin.Handler().ServeHTTP(discardResponse{}, request)
+}
+
+type discardResponse struct{}
+
+func (discardResponse) Header() http.Header         { return http.Header{} }
+func (discardResponse) Write(p []byte) (int, error) { return len(p), nil }
+func (discardResponse) WriteHeader(int)             {}
+
+func corruptChunk(s *system, _ string) {
+	s.setOriginFaults(`{"corrupt_object":"*","corrupt_times":2}`)
+}
+
+// changeVersion changes an object of version 2 while it is copied, and puts the
+// right content back after a while.
+func changeVersion(s *system, _ string) {
+	s.setOriginFaults(`{"change_object":"quote/2/model-00001-of-00003.safetensors","change_after_bytes":1}`)
+	s.later(killedFor, func() { s.setOriginFaults(`{"change_object":""}`) })
+}
+
+// raceOperators submits two further notes under one number at once.
+func raceOperators(s *system, _ string) {
+	s.restarts.Go(func() {
+		number, ok := s.nextNumber()
+		if !ok {
+			s.fail("no replica told the revision")
+			return
+		}
+		for _, note := range [][]byte{s.weights.changeQuote(number), s.weights.withdrawOld(number)} {
+			s.restarts.Go(func() {
+				if err := s.submit(note); err != nil {
+					s.fail("racing note: %v", err)
+				}
+			})
+		}
+	})
+}
+
+func (s *system) nextNumber() (int, bool) {
+	client := s.operator()
+	defer client.HTTP.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), convergeLimit)
+	defer cancel()
+	var status operator.Status
+	_, err := client.Get(ctx, operator.PathStatus, nil, &status)
+	return int(status.Revision) + 1, err == nil
+}
+
+// loseAnswer cuts the way back to callers and operators.
+func loseAnswer(s *system, _ string) {
+	set := func(change func(from, to string)) {
+		for _, name := range s.names() {
+			switch {
+			case strings.HasPrefix(name, "control-"):
+				change(name, "operator")
+			case strings.HasPrefix(name, "entry-"):
+				change(name, "caller")
+			}
+		}
+	}
+	set(s.net.Cut)
+	s.later(answerLost, func() { set(s.net.Heal) })
+}
+
+// duplicateNote submits the first note again and gives links different delays,
+// so that messages of different senders overtake each other.
+func duplicateNote(s *system, at string) {
+	for i, name := range s.names() {
+		if name != at {
+			s.net.SetDelay(at, name, time.Duration(i)*7*time.Millisecond)
+		}
+	}
+	s.restarts.Go(func() {
+		if err := s.submit(s.weights.note1()); err != nil {
+			s.fail("resent note: %v", err)
+		}
+	})
+}
+
+// sendCrashingRequest sends a request that crashes each engine that runs it,
+// and sends it again through both entries.
+func sendCrashingRequest(s *system, _ string) {
+	s.restarts.Go(func() {
+		client := &http.Client{Transport: network.HTTPTransport(s.net.Host("caller")), Timeout: 10 * time.Second}
+		defer client.CloseIdleConnections()
+		for i := range crashResends {
+			body := fmt.Appendf(nil, `{"model":"quote","messages":[{"role":"user","content":"%s"}],"max_tokens":4}`, crashMarker)
+			request, err := http.NewRequest(http.MethodPost, "http://"+entryAddress(i%entries)+"/v1/chat/completions", bytes.NewReader(body))
+			if err != nil {
+				s.fail("%v", err)
+				return
+			}
+			request.Header.Set("Authorization", "Bearer "+callerToken.Secret())
+			request.Header.Set(wire.HeaderOrganisation, "small")
+			if response, err := client.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// loseTwice loses a control replica for good, waits until the voter set was
+// repaired, and loses another one for a while.
+func loseTwice(s *system, _ string) {
+	s.net.Stop("control-3")
+	s.restarts.Go(func() {
+		s.stop("control-3")
+		time.Sleep(repairedIn)
+		s.kill("control-2")
+		number, ok := s.nextNumber()
+		if !ok {
+			s.fail("no replica told the revision after the second loss")
+			return
+		}
+		note := fmt.Appendf(nil, "note: %d\nmodels:\n  add:\n    - {name: late, version: \"1\", manifest: %s, replicas: {role: none}}\n", number, s.weights.old)
+		if err := s.submit(note); err != nil {
+			s.fail("note after the second loss: %v", err)
+		}
+		s.start("control-2")
+		s.start("control-3")
+	})
+}
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -102,3 +102,23 @@
 		p.Add(field, "%q is not one of debug, info, warn, error, fatal", value)
 	}
 }
+
+// WritableFolder requires a folder in which files can be created, and creates
+// the folder where it is missing.
+func (p *Problems) WritableFolder(field, path string) {
+	if path == "" {
+		p.Required(field, path)
+		return
+	}
+	err := os.MkdirAll(path, 0o700)
+	if err == nil {
+		var probe *os.File
+		if probe, err = os.CreateTemp(path, ".writable-*"); err == nil {
+			_ = probe.Close()
+			err = os.Remove(probe.Name())
+		}
+	}
+	if err != nil {
+		p.Add(field, "%v", err)
+	}
+}
