--- /dev/null
+++ b/internal/entry/services.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+const pathServices = "/services/"
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
+}
+
+// ownHeaders are set or consumed by the entry.
+var ownHeaders = []string{
+	"Authorization", wire.HeaderOutcome, wire.HeaderReason, wire.HeaderAttempt, wire.HeaderWeightsSet,
+	wire.HeaderFingerprint, wire.HeaderAlone, wire.HeaderResumeFrom, wire.HeaderDeadline, wire.HeaderPriority,
+}
+
+// passedHeader copies the headers that belong to caller and endpoint.
+func passedHeader(from http.Header) http.Header {
+	h := from.Clone()
+	for _, names := range from.Values("Connection") {
+		for name := range strings.SplitSeq(names, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	for _, name := range ownHeaders {
+		h.Del(name)
+	}
+	return h
+}
+
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	c, refused := e.newServiceCall(w, r)
+	if refused != nil {
+		e.refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	result := callResult{}
+	if idempotent(r) {
+		result = e.runService(c)
+	} else {
+		claim, refused := newClaim(c, r.Header)
+		if refused != nil {
+			e.refuse(w, refused)
+			return
+		}
+		result = e.runOnce(&claimedCall{call: c, claim: claim})
+	}
+	o, reason := result.outcome()
+	e.metrics.answered(o, reason)
+	if o == outcome.NotRun {
+		e.metrics.refused(reason)
+	}
+	result.write(w)
+}
+
+// idempotent reports whether a call may be repeated: by its method, or because
+// the caller says so.
+func idempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return r.Header.Get(wire.HeaderIdempotent) == "true"
+}
+
+const (
+	maxKeyBytes = 255
+	// anonymousOrganisation owns the claims of callers that name none.
+	anonymousOrganisation = "anonymous"
+)
+
+// newClaim checks the idempotency key and describes the call for the log.
+func newClaim(c *call, h http.Header) (ledger.Claim, *answerError) {
+	key := h.Get(wire.HeaderIdempotencyKey)
+	switch {
+	case key == "":
+		return ledger.Claim{}, refusal(http.StatusBadRequest, outcome.MissingKey,
+			"this call is not idempotent and needs an "+wire.HeaderIdempotencyKey+" header; send the same key when repeating it")
+	case len(key) > maxKeyBytes:
+		return ledger.Claim{}, refusal(http.StatusBadRequest, outcome.InvalidHeader,
+			wire.HeaderIdempotencyKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	organisation := c.organisation
+	if organisation == "" {
+		organisation = anonymousOrganisation
+	}
+	content := append([]byte(c.method+" "+c.pool+" "+c.path+"\n"), c.body...)
+	return ledger.Claim{
+		Organisation: organisation, Key: key,
+		RequestDigest: release.DigestOf(content), KeyTimeMs: keyTime(key),
+	}, nil
+}
+
+const (
+	uuidLength        = 36
+	uuidVersionAt     = 14
+	uuidTimestampHex  = 12
+	uuidTimestampDash = 8
+)
+
+// keyTime returns when a key was made, in Unix milliseconds, if it is a UUID of
+// version 7, which says so; zero otherwise. With it a key that is older than
+// the log's retention is refused even when the log has forgotten it.
+func keyTime(key string) int64 {
+	if len(key) != uuidLength || key[uuidVersionAt] != '7' || key[uuidTimestampDash] != '-' {
+		return 0
+	}
+	digits := key[:uuidTimestampDash] + key[uuidTimestampDash+1:uuidTimestampHex+1]
+	ms, err := strconv.ParseInt(digits, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return ms
+}
+
+func (e *Entry) newServiceCall(w http.ResponseWriter, r *http.Request) (*call, *answerError) {
+	c, refused := e.newCall(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	service := mux.Vars(r)["service"]
+	c.pool = servicePrefix + service
+	if !e.fleet.serves(c.pool) {
+		return nil, refusal(http.StatusNotFound, outcome.UnknownService,
+			"no endpoint announces the service "+strconv.Quote(service)).withRetryAfter(time.Second)
+	}
+	c.path = strings.TrimPrefix(r.URL.EscapedPath(), pathServices+service)
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	c.header = passedHeader(r.Header)
+	return c, nil
+}
+
+// serviceAnswer is the whole answer of a service.
+type serviceAnswer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	attempt string
+}
+
+func (s *serviceAnswer) write(w http.ResponseWriter) {
+	h := w.Header()
+	for name, values := range passedHeader(s.header) {
+		h[name] = values
+	}
+	h.Set(wire.HeaderOutcome, string(outcome.Done))
+	h.Set(wire.HeaderAttempt, s.attempt)
+	h.Set("Content-Length", strconv.Itoa(len(s.body)))
+	w.WriteHeader(s.status)
+	_, _ = w.Write(s.body)
+}
+
+// runService runs an idempotent call, repeating it while that is allowed.
+func (e *Entry) runService(c *call) callResult {
+	s, refused := e.admitter.acquire(c.ctx, c)
+	if refused != nil {
+		return callResult{failure: refused}
+	}
+	served := false
+	defer func() { s.release(served) }()
+	for tries := 1; ; {
+		answer, failure := e.tryService(c, e.attempts.Next().String(), e.client)
+		if failure == nil {
+			served = true
+			return callResult{answer: answer, attempt: c.last}
+		}
+		if failure.started {
+			c.ran = true
+			tries++
+		}
+		if final := e.afterFailure(c, failure, tries); final != nil {
+			return callResult{failure: final, attempt: c.last}
+		}
+	}
+}
+
+// tryService makes one attempt and reads its answer to the end.
+func (e *Entry) tryService(c *call, id string, client *http.Client) (*serviceAnswer, *attemptFailure) {
+	a, failure := e.open(c, id, client)
+	if failure != nil {
+		return nil, failure
+	}
+	data, err := a.readWhole(maxAnswerBytes)
+	if err != nil {
+		f := a.transportFailure(err)
+		e.end(a, f.result)
+		return nil, f
+	}
+	e.end(a, balancer.Completed)
+	return &serviceAnswer{status: a.response.StatusCode, header: a.response.Header, body: data, attempt: a.id}, nil
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -142,7 +142,7 @@
 	}
 	token, err := auth.ReadToken(cli.TokenFile)
 	if err != nil {
-		problems.Add("--token-file", err.Error())
+		problems.Add("--token-file", "%v", err)
 	}
 	if err := problems.Err(); err != nil {
 		return nil, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
@@ -172,6 +172,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := release.Parse(note); err != nil {
+		return s.printInvalid(err)
+	}
 	ctx, cancel := s.limited()
 	defer cancel()
 	answer, err := s.client.Check(ctx, note)
@@ -191,6 +194,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := release.Parse(note); err != nil {
+		return s.printInvalid(err)
+	}
 	ctx, cancel := s.limited()
 	defer cancel()
 	answer, err := s.client.Submit(ctx, note)
@@ -282,4 +288,33 @@
 	File string `arg:"" help:"Release note, YAML."`
 }
 
-var _ = release.Digest("")
+// Run implements the command. It shows changes against the catalogue of the
+// replica that answers.
+func (c *noteDiff) Run(s *session) error {
+	data, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	document, err := release.Parse(data)
+	if err != nil {
+		return s.printInvalid(err)
+	}
+	ctx, cancel := s.limited()
+	defer cancel()
+	var status Status
+	if _, err := s.client.Get(ctx, PathStatus, nil, &status); err != nil {
+		return err
+	}
+	before := release.NewCatalogue()
+	if status.Catalogue != nil {
+		before = *status.Catalogue
+	}
+	if err := document.Check(before); err != nil {
+		return s.printInvalid(err)
+	}
+	after, _, err := release.Apply(document.Note, before)
+	if err != nil {
+		return s.printInvalid(err)
+	}
+	return s.printChanges(changes(before, after))
+}
--- /dev/null
+++ b/internal/operator/diff.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Kinds of Change.
+const (
+	changeAdd      = "add"
+	changeChange   = "change"
+	changeWithdraw = "withdraw"
+)
+
+// Change is one line of a diff between two catalogues.
+type Change struct {
+	Change string `json:"change"` // add, change or withdraw
+	Kind   string `json:"kind"`   // model or adapter
+	Name   string `json:"name"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// changes lists the differences, models first, in order of name.
+func changes(before, after release.Catalogue) []Change {
+	return append(
+		changedEntries("model", before.Models, after.Models, describeModel),
+		changedEntries("adapter", before.Adapters, after.Adapters, describeAdapter)...)
+}
+
+func changedEntries[E comparable](kind string, before, after map[string]E, describe func(E) string) []Change {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(before)), maps.Keys(after))
+	slices.SortFunc(names, strings.Compare)
+	var list []Change
+	for _, name := range slices.Compact(names) {
+		old, had := before[name]
+		now, has := after[name]
+		switch {
+		case !had:
+			list = append(list, Change{changeAdd, kind, name, "", describe(now)})
+		case !has:
+			list = append(list, Change{changeWithdraw, kind, name, describe(old), ""})
+		case old != now:
+			list = append(list, Change{changeChange, kind, name, describe(old), describe(now)})
+		}
+	}
+	return list
+}
+
+func describeModel(m release.Model) string {
+	return fmt.Sprintf("%s role=%s %s", m.Version, m.Role, short(string(m.Manifest)))
+}
+
+func describeAdapter(a release.Adapter) string {
+	return fmt.Sprintf("%s base=%s %s", a.Version, a.Base, short(string(a.Manifest)))
+}
