--- a/internal/transfer/measure/main.go
+++ b/internal/transfer/measure/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -53,6 +54,7 @@
 
 type commandLine struct {
 	Instances int    `help:"Run only rows with this number of instances." default:"0"`
+	NoSockets bool   `help:"Leave out the runs over sockets."`
 	Method    string `help:"Run only rows whose method starts with this text."`
 }
 
@@ -76,9 +78,33 @@
 		}
 	}
 	_ = out.Flush()
+	if !args.NoSockets {
+		worst = max(worst, socketRows(args))
+	}
 	fmt.Printf("worst_time_ratio %.3f target %.1f\n", worst, ratioTarget)
 }
 
+// socketRows runs agents over rate-limited loopback sockets beside quotes.
+func socketRows(args commandLine) float64 {
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(out, "\nover sockets\nN\tdeployment\ttime s\ttime / lower bound\torigin copies\t"+
+		"first token p95 ms, rollout / quiet\ttoken gap p95 ms, rollout / quiet")
+	worst := 0.0
+	for _, d := range []deployment{kerbline(12), ochandiano(14)} {
+		if args.Instances != 0 && args.Instances != d.instances {
+			continue
+		}
+		ratio, err := printSockets(out, d)
+		if err != nil {
+			_, _ = fmt.Fprintf(out, "%d\t%s\tfailed: %v\n", d.instances, d.name, err)
+			ratio = math.Inf(1)
+		}
+		worst = max(worst, ratio)
+	}
+	_ = out.Flush()
+	return worst
+}
+
 // run prints the row and returns its time over the lower bound.
 func (r row) run(out io.Writer) float64 {
 	started := time.Now()
