swarm: fewer outside fetches for small manifests

Cause: over sockets at 12 instances with 32 chunks, 48 of 96 chunks out of the origin were in flight together, ended together at 12.6 s and then had to spread for 3 s.

--- a/swarm/config.go
+++ b/swarm/config.go
@@ -42,7 +42,8 @@
 	// FetchesPerPeer bounds concurrent fetches from one peer (default 2).
 	FetchesPerPeer int
 	// OutsideFetches bounds concurrent fetches from store and origin (default
-	// 16 divided by the instances of the region, from 1 to 4). Regions with
+	// 16 divided by the instances of the region, from 1 to 4, and fewer for
+	// small manifests). Regions with
 	// equal numbers of fetches get equal shares of the origin's link; fewer
 	// fetches let each chunk arrive, and be passed on, earlier.
 	OutsideFetches int
@@ -73,11 +74,14 @@
 	defaultFetchesPerPeer = 2
 	maxOutsideFetches     = 4
 	outsideFetchesRegion  = 16
-	stallTimeoutTime      = 10 * time.Second
-	stallTimeoutBytes     = 30 * time.Second
-	defaultHearTimeout    = time.Second
-	originCopiesTime      = 4
-	spareCopiesBytes      = 0.05
+	// outsideInFlightParts keeps an instance's fetches from outside below this
+	// part of what it takes from there.
+	outsideInFlightParts = 8
+	stallTimeoutTime     = 10 * time.Second
+	stallTimeoutBytes    = 30 * time.Second
+	defaultHearTimeout   = time.Second
+	originCopiesTime     = 4
+	spareCopiesBytes     = 0.05
 	// storeWait is how long objective origin-bytes waits for a store that
 	// asked for a pause before it turns to the origin.
 	storeWait = 10 * time.Second
--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -157,7 +157,9 @@
 	s.outsideLimit = s.cfg.OutsideFetches
 	if s.outsideLimit == 0 {
 		share := (outsideFetchesRegion + len(candidates)/2) / len(candidates)
-		s.outsideLimit = min(maxOutsideFetches, max(1, share))
+		// Chunks in flight together also end together, and then have to spread.
+		inFlight := len(s.keys) / len(candidates) / outsideInFlightParts
+		s.outsideLimit = max(1, min(maxOutsideFetches, share, inFlight))
 	}
 	s.designated = s.designated[:0]
 	for i, key := range s.keys {
