swarm: bound the chunks that one instance takes from outside

Cause: with 32 chunks over 5 instances one can get twice the mean and ends last. At most 1.25 of the mean now.

--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -162,8 +162,8 @@
 		s.outsideLimit = max(1, min(maxOutsideFetches, share, inFlight))
 	}
 	s.designated = s.designated[:0]
-	for i, key := range s.keys {
-		node := candidates[first(candidates, key)]
+	for i, k := range assign(candidates, s.keys) {
+		node := candidates[k]
 		if node.ID == s.cfg.Self.ID {
 			s.designated = append(s.designated, int32(i))
 		}
--- a/swarm/topology.go
+++ b/swarm/topology.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -77,6 +78,29 @@
 	return best
 }
 
+// loadSlack is how far above the mean the chunks of one instance may be.
+const loadSlack = 1.25
+
+// assign returns for each key the index in nodes of the node that takes the
+// chunk from outside: the first with room. Without the bound an instance can
+// get twice the mean of a small manifest.
+func assign(nodes []hashedNode, keys []uint64) []int {
+	room := int(math.Ceil(loadSlack * float64(len(keys)) / float64(len(nodes))))
+	load := make([]int, len(nodes))
+	list := make([]int, len(keys))
+	for i, key := range keys {
+		best, bestWeight := -1, uint64(0)
+		for k, n := range nodes {
+			if w := mix(n.hash ^ key); load[k] < room && (best < 0 || w > bestWeight) {
+				best, bestWeight = k, w
+			}
+		}
+		load[best]++
+		list[i] = best
+	}
+	return list
+}
+
 // rank is the number of nodes that come before id for key.
 func rank(nodes []hashedNode, key uint64, id uint64) int {
 	own, before := mix(id^key), 0
