--- a/swarm/pace.go
+++ b/swarm/pace.go
@@ -4,16 +4,21 @@
 
 const (
 	paceInterval = 250 * time.Millisecond
-	paceGrowth   = 1.25
+	paceGrowth   = 1.5
+	// paceMemory is how much of the highest rate is remembered per adjustment.
+	paceMemory = 0.9
 	// paceCut is the share of the rate given up at full pressure.
 	paceCut = 0.5
 )
 
 // Pace sets the rate of transfers beside live traffic: it falls in proportion
-// to the pressure, from what is really moved, and grows back step by step.
+// to the pressure, from the highest rate moved of late, and grows back step by
+// step. Falling from the rate of the moment would stop an instance that waits
+// for chunks.
 type Pace struct {
 	limit, floor float64
 	rate         float64
+	peak         float64 // highest rate moved of late
 	at           time.Duration
 	moved        int64
 }
@@ -33,11 +38,12 @@
 	}
 	actual := float64(moved-p.moved) / elapsed.Seconds()
 	p.at, p.moved = now, moved
+	p.peak = max(actual, p.peak*paceMemory)
 	switch {
 	case !(pressure > 0): // also for NaN
 		p.rate = min(p.limit, p.rate*paceGrowth)
-	case actual > 0:
-		p.rate = max(p.floor, min(p.rate, actual)*(1-paceCut*min(1, pressure)))
+	case p.peak > 0:
+		p.rate = max(p.floor, min(p.rate, p.peak)*(1-paceCut*min(1, pressure)))
 	}
 	return p.rate
 }
--- a/swarm/pace_test.go
+++ b/swarm/pace_test.go
@@ -20,13 +20,13 @@
 	}
 	is.Equal(tick(0, 90e6), 1000e6)
 	is.Equal(tick(1, 90e6), 45e6) // half of what was moved
-	is.True(tick(0.2, 45e6) > 40e6)
-	for range 20 {
+	is.True(tick(0.2, 1e6) > 40e6) // an instance that waits is not stopped
+	for range 60 {
 		tick(1, p.rate)
 	}
 	is.Equal(p.rate, 2e6) // the floor
 	is.Equal(tick(1, 0), 2e6)
-	is.Equal(tick(0, 2e6), 2.5e6)
+	is.Equal(tick(0, 2e6), 3e6)
 	for range 60 {
 		tick(0, p.rate)
 	}
