--- a/internal/transfer/measure/main.go
+++ b/internal/transfer/measure/main.go
@@ -53,9 +53,10 @@
 }
 
 type commandLine struct {
-	Instances int    `help:"Run only rows with this number of instances." default:"0"`
-	NoSockets bool   `help:"Leave out the runs over sockets."`
-	Method    string `help:"Run only rows whose method starts with this text."`
+	Instances   int    `help:"Run only rows with this number of instances." default:"0"`
+	NoSockets   bool   `help:"Leave out the runs over sockets."`
+	Bookkeeping bool   `help:"Measure only what reports of held chunks cost."`
+	Method      string `help:"Run only rows whose method starts with this text."`
 }
 
 func (c commandLine) selects(r row) bool {
@@ -65,6 +66,13 @@
 func main() {
 	var args commandLine
 	kong.Parse(&args)
+	if args.Bookkeeping {
+		if err := bookkeeping(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(out, "N\tdeployment\tmethod\ttime s\ttime / lower bound\torigin copies\tregion link copies\trun s")
 	worst := 0.0
--- a/swarm/pace_test.go
+++ b/swarm/pace_test.go
@@ -19,7 +19,7 @@
 		return p.Adjust(now, pressure, moved)
 	}
 	is.Equal(tick(0, 90e6), 1000e6)
-	is.Equal(tick(1, 90e6), 45e6) // half of what was moved
+	is.Equal(tick(1, 90e6), 45e6)  // half of what was moved
 	is.True(tick(0.2, 1e6) > 40e6) // an instance that waits is not stopped
 	for range 60 {
 		tick(1, p.rate)
--- a/swarm/scheduler_test.go
+++ b/swarm/scheduler_test.go
@@ -296,6 +296,40 @@
 	is.True(crossed > 0)
 }
 
+// Gives the processor time of one chunk with eight peers, as at 290 instances.
+func BenchmarkScheduler(b *testing.B) {
+	for _, chunks := range []int{2048, 16384} {
+		b.Run(fmt.Sprint(chunks), func(b *testing.B) {
+			for range b.N {
+				runScheduler(chunks)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*chunks), "ns/chunk")
+		})
+	}
+}
+
+func runScheduler(chunks int) {
+	keys := make([]uint64, chunks)
+	nodes := make([]Node, 145)
+	for i := range keys {
+		keys[i] = mix(uint64(i + 1))
+	}
+	for i := range nodes {
+		nodes[i] = Node{ID: fmt.Sprint(i), Region: "r"}
+	}
+	s := New(0, Config{Self: nodes[0]}, keys, NewPenalties())
+	s.SetNodes(0, nodes)
+	for i := range chunks {
+		now := time.Duration(i) * 40 * time.Millisecond
+		for _, p := range s.Peers() {
+			s.PeerHas(now, p.ID, i)
+		}
+		for _, f := range s.Next(now) {
+			s.Done(now, f)
+		}
+	}
+}
+
 func ExampleScheduler() {
 	nodes := []Node{{ID: "a", Region: "navarra"}, {ID: "b", Region: "navarra"}}
 	s := New(0, Config{Self: nodes[0]}, []uint64{101, 102}, NewPenalties())
