--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -121,6 +121,7 @@
 	}
 	if c.Outcome == outcomeNotRun {
 		delete(k.held, id)
+		k.dropReleased()
 		return Result{Status: StatusAccepted, Owner: c.Owner}
 	}
 	if len(c.Body) > MaxResultBytes {
@@ -133,6 +134,19 @@
 
 const outcomeNotRun = "not-run"
 
+// dropReleased removes released claims from the order once they outnumber the
+// held ones, so that claiming and releasing a key over and over costs nothing.
+func (k *claims) dropReleased() {
+	if len(k.order) <= 2*len(k.held)+releasedSlack {
+		return
+	}
+	k.order = slices.DeleteFunc(k.order, func(r *claimRecord) bool {
+		return k.held[claimKey{r.Organisation, r.Key}] != r
+	})
+}
+
+const releasedSlack = 1024
+
 func (k *claims) keepBody(r *claimRecord) {
 	if len(r.Result.Body) == 0 {
 		return
--- a/ledger/suspects.go
+++ b/ledger/suspects.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
@@ -25,6 +26,7 @@
 type suspects struct {
 	held      map[string]suspect
 	incidents map[string]int64 // reported incidents and when they are forgotten
+	nextMs    int64            // nothing expires before
 }
 
 func newSuspects() suspects {
@@ -42,6 +44,7 @@
 		return Result{Status: StatusDuplicate}
 	}
 	s.incidents[c.Incident] = nowMs + QuarantineMs
+	s.nextMs = min(s.nextMs, nowMs+QuarantineMs)
 	alone := c.Alone && len(c.Fingerprints) == 1
 	for _, fingerprint := range c.Fingerprints {
 		if fingerprint == "" || len(fingerprint) > maxFingerprintBytes {
@@ -73,17 +76,25 @@
 }
 
 func (s *suspects) expire(nowMs int64) bool {
+	if nowMs < s.nextMs {
+		return false
+	}
 	changed := false
+	s.nextMs = math.MaxInt64
 	for fingerprint, held := range s.held {
 		if held.UntilMs <= nowMs {
 			delete(s.held, fingerprint)
 			changed = true
+			continue
 		}
+		s.nextMs = min(s.nextMs, held.UntilMs)
 	}
 	for incident, until := range s.incidents {
 		if until <= nowMs {
 			delete(s.incidents, incident)
+			continue
 		}
+		s.nextMs = min(s.nextMs, until)
 	}
 	return changed
 }
--- a/release/note.go
+++ b/release/note.go
@@ -177,6 +177,9 @@
 
 // Visit implements ast.Visitor.
 func (f *aliasFinder) Visit(n ast.Node) ast.Visitor {
+	if f.found != nil {
+		return nil
+	}
 	switch n.Type() {
 	case ast.AliasType, ast.AnchorType, ast.MergeKeyType, ast.TagType:
 		f.found = n
--- /dev/null
+++ b/release/note_test.go
@@ -0,0 +1,143 @@
+package release
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const manifestDigest = "sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+const firstNote = `note: 1
+models:
+  add:
+    - name: quote-large
+      version: "2"
+      manifest: ` + manifestDigest + `
+      replicas: {role: quote}
+adapters:
+  add:
+    - name: council
+      base: quote-large
+      version: "1"
+      manifest: ` + manifestDigest + "\n"
+
+func Example() {
+	doc, err := Parse([]byte(firstNote))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	catalogue, delta, err := Apply(doc.Note, NewCatalogue())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	set, _ := catalogue.Resolve("council")
+	fmt.Println(catalogue.Revision, len(delta.Models), set.Model.Name)
+	// Output: 1 1 quote-large
+}
+
+// Guards against a note whose identity depends on layout, comments or order.
+func TestCanonicalFormIgnoresLayout(t *testing.T) {
+	is := is.New(t)
+	a, err := Parse([]byte("note: 2 # comment\nmodels:\n  withdraw: [{name: b}, {name: a}]\n"))
+	is.NoErr(err)
+	b, err := Parse([]byte("models:\n  withdraw:\n  - name: a\n  - {name: \"b\"}\nnote: 2\n"))
+	is.NoErr(err)
+	is.Equal(a.Note.Digest(), b.Note.Digest())
+	again, err := ParseCanonical(a.Note.Canonical())
+	is.NoErr(err)
+	is.Equal(again.Digest(), a.Note.Digest())
+	_, err = ParseCanonical(append(a.Note.Canonical(), ' '))
+	is.True(err != nil)
+}
+
+// Guards against a faulty note that takes effect, and against an error that
+// does not say where the fault is.
+func TestFaultyNotesNameLineAndField(t *testing.T) {
+	base, err := Parse([]byte(firstNote))
+	if err != nil {
+		t.Fatal(err)
+	}
+	catalogue, _, err := Apply(base.Note, NewCatalogue())
+	if err != nil {
+		t.Fatal(err)
+	}
+	model := "    - name: %s\n      version: \"3\"\n      manifest: " + manifestDigest + "\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown field":       {"note: 2\nmodels:\n  remove: []\n", "line 3"},
+		"duplicate key":       {"note: 2\nnote: 3\n", "line 2"},
+		"not YAML":            {"note: [\n", "line 1"},
+		"two documents":       {"note: 2\n---\nnote: 3\n", "one YAML document"},
+		"alias":               {"note: 2\nmodels:\n  withdraw: &x [{name: a}]\nadapters:\n  withdraw: *x\n", "line 3"},
+		"empty":               {"", "is empty"},
+		"changes nothing":     {"note: 2\n", "changes nothing"},
+		"bad manifest":        {"note: 2\nmodels:\n  change:\n    - name: quote-large\n      version: \"3\"\n      manifest: sha256:xy\n", "line 6, column 17, models.change[0].manifest"},
+		"no role":             {fmt.Sprintf("note: 2\nmodels:\n  add:\n"+model, "new"), "models.add[0].replicas: is required"},
+		"named twice":         {"note: 2\nmodels:\n  withdraw: [{name: a}, {name: a}]\n", "line 3"},
+		"wrong number":        {fmt.Sprintf("note: 5\nmodels:\n  change:\n"+model, "quote-large"), "line 1, column 7, note: number must be 2"},
+		"change of unknown":   {fmt.Sprintf("note: 2\nmodels:\n  change:\n"+model, "nothing"), "line 4, column 13, models.change[0].name"},
+		"base withdrawn":      {"note: 2\nmodels:\n  withdraw:\n    - name: quote-large\n", "line 4, column 13, models.withdraw[0].name"},
+		"adapter as model":    {"note: 2\nmodels:\n  withdraw: [{name: council}]\n", "no model \"council\""},
+		"add of existing":     {strings.Replace(firstNote, "note: 1", "note: 2", 1), "exists already"},
+		"base does not exist": {"note: 2\nadapters:\n  change:\n    - {name: council, base: gone, version: \"1\", manifest: " + manifestDigest + "}\n", "adapters.change[0].base"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			doc, err := Parse([]byte(c.text))
+			if err == nil {
+				err = doc.Check(catalogue)
+			}
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("got %v, want it to contain %q", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a delta that leads elsewhere than the note itself.
+func TestDeltaReproducesTheCatalogue(t *testing.T) {
+	is := is.New(t)
+	base, err := Parse([]byte(firstNote))
+	is.NoErr(err)
+	one, d1, err := Apply(base.Note, NewCatalogue())
+	is.NoErr(err)
+	change, err := Parse([]byte("note: 2\nmodels:\n  change:\n    - name: quote-large\n      version: \"3\"\n      manifest: " + manifestDigest + "\nadapters:\n  withdraw: [{name: council}]\n"))
+	is.NoErr(err)
+	two, d2, err := Apply(change.Note, one)
+	is.NoErr(err)
+	is.Equal(two.Models["quote-large"].Role, "quote") // kept by a change without replicas
+	got, err := d1.Apply(NewCatalogue())
+	is.NoErr(err)
+	got, err = d2.Apply(got)
+	is.NoErr(err)
+	is.Equal(got.Digest(), two.Digest())
+	_, err = d2.Apply(NewCatalogue())
+	is.True(err != nil)
+	is.Equal(len(one.Adapters), 1) // Apply does not change its input
+}
+
+// Guards against notes that crash the parser, and against a note that changes
+// its identity when read back.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(firstNote))
+	f.Add([]byte("note: 2\nmodels:\n  withdraw: [{name: a}]\n"))
+	f.Add([]byte("note: &a [*a]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, err := Parse(data)
+		if err != nil {
+			_ = Problems(err)
+			return
+		}
+		again, err := ParseCanonical(doc.Note.Canonical())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again.Digest() != doc.Note.Digest() {
+			t.Fatal("identity changed")
+		}
+		_ = doc.Check(NewCatalogue())
+	})
+}
