--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -17,18 +18,20 @@
 	"go.uber.org/goleak"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 	"github.com/rhubarbhill/rhubarbhill/raft"
 	"github.com/rhubarbhill/rhubarbhill/release"
-	"github.com/rhubarbhill/rhubarbhill/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// cluster runs daemons on loopback, one data folder each.
+// cluster runs daemons over an in-memory network under virtual time, one data
+// folder each.
 type cluster struct {
 	t       *testing.T
 	dir     string
 	token   auth.Token
+	net     *memnet.Network
 	names   []string
 	session map[string]string
 	daemons map[string]*instance
@@ -37,13 +40,15 @@
 
 type instance struct {
 	*Daemon
+	name string
 	stop func()
+	kill func()
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, dir: t.TempDir(), names: names, session: map[string]string{}, daemons: map[string]*instance{},
+		t: t, dir: t.TempDir(), names: names, session: map[string]string{}, daemons: map[string]*instance{}, net: memnet.New(),
 	}
 	file := filepath.Join(c.dir, "token")
 	if err := os.WriteFile(file, []byte("token-of-the-test-cluster"), 0o600); err != nil {
@@ -53,34 +58,24 @@
 	if c.token, err = auth.ReadToken(file); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range names {
-		c.session[name] = freeAddress(t)
+	for i, name := range names {
+		c.session[name] = fmt.Sprintf("10.0.0.%d:1", i+1)
 	}
 	t.Cleanup(func() {
 		for _, d := range c.daemons {
-			d.stop()
+			d.kill()
 		}
 	})
 	return c
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (c *cluster) start(name string) *instance {
 	c.t.Helper()
 	s := DefaultSettings()
 	s.Instance, s.Replica, s.Zone, s.Region = name, name, "z", "r"
-	s.SessionListen, s.OperatorListen = c.session[name], freeAddress(c.t)
+	s.SessionListen, s.OperatorListen = c.session[name], "operator-"+name
 	s.DataDir, s.Voters = filepath.Join(c.dir, name), c.session
-	o := Options{Tick: 20 * time.Millisecond, ProcessToken: &c.token, OperatorToken: &c.token, Storage: storage.Options{}}
+	o := Options{Network: c.net.Host(name), ProcessToken: &c.token, OperatorToken: &c.token}
 	if c.change != nil {
 		c.change(name, &s, &o)
 	}
@@ -91,22 +86,41 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
-	var stopped bool
-	i := &instance{Daemon: d}
-	i.stop = func() {
-		if stopped {
-			return
-		}
-		stopped = true
-		cancel()
-		if err := <-done; err != nil {
-			c.t.Errorf("%s: %v", name, err)
-		}
+	i := &instance{Daemon: d, name: name}
+	var once sync.Once
+	end := func(how func()) {
+		once.Do(func() {
+			how()
+			if err := <-done; err != nil {
+				c.t.Errorf("%s: %v", name, err)
+			}
+			c.net.Stop(name)
+		})
+	}
+	i.stop = func() { end(cancel) }
+	i.kill = func() {
+		end(func() {
+			c.net.Stop(name)
+			d.halt()
+			cancel()
+		})
 	}
 	c.daemons[name] = i
+	synctest.Wait()
 	return i
 }
 
+// others lists the replicas but one.
+func (c *cluster) others(name string) []*instance {
+	var list []*instance
+	for _, n := range c.names {
+		if d := c.daemons[n]; d != nil && n != name {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 func (c *cluster) startAll() {
 	for _, name := range c.names {
 		c.start(name)
@@ -115,7 +129,7 @@
 
 func (c *cluster) eventually(what string, f func() bool) {
 	c.t.Helper()
-	deadline := time.Now().Add(20 * time.Second)
+	deadline := time.Now().Add(time.Minute)
 	for !f() {
 		if time.Now().After(deadline) {
 			for name, d := range c.daemons {
@@ -128,13 +142,15 @@
 	}
 }
 
+// leader is the leader of the newest term.
 func (c *cluster) leader() *instance {
+	var best *instance
 	for _, d := range c.daemons {
-		if v := d.replica.View(); v.Raft.Role == raft.Leader {
-			return d
+		if v := d.replica.View(); v.Raft.Role == raft.Leader && (best == nil || v.Raft.Term > best.replica.View().Raft.Term) {
+			best = d
 		}
 	}
-	return nil
+	return best
 }
 
 func noteText(number int) string {
@@ -182,6 +198,10 @@
 // Guards against a cluster that does not form, or loses a note over a restart
 // of every replica.
 func TestNotesSurviveRestartOfAllReplicas(t *testing.T) {
+	synctest.Test(t, testRestartOfAll)
+}
+
+func testRestartOfAll(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, "c1", "c2", "c3", "c4")
 	c.startAll()
@@ -190,7 +210,7 @@
 	}
 	c.converged(3)
 	for _, d := range c.daemons {
-		d.stop()
+		d.kill()
 	}
 	c.startAll()
 	first := c.submit(2)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -63,6 +63,7 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposals     chan struct{}
+	halt          context.CancelFunc // stops at once, without handing over
 }
 
 // New opens the data folder and builds the daemon.
@@ -215,6 +216,7 @@
 	net := network.Or(d.opts.Network)
 	loop, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
+	d.halt = stopLoop
 	var wg sync.WaitGroup
 	session := mux.NewRouter()
 	session.Handle(wire.PathSession, tracked(&wg, &transport.Server{
@@ -259,10 +261,11 @@
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-loop.Done():
 	case err = <-failures:
 	}
 	cancel()
-	d.handOver()
+	d.handOver(loop)
 	stopLoop()
 	closeAll(running)
 	wg.Wait()
@@ -280,13 +283,10 @@
 }
 
 // handOver gives leadership to another voter before a planned stop.
-func (d *Daemon) handOver() {
-	if d.replica.View().Raft.Role != raft.Leader {
-		return
-	}
+func (d *Daemon) handOver(loop context.Context) {
 	d.replica.do(func() { d.replica.node.TransferLeadership() })
 	deadline := time.Now().Add(transferTimeout)
-	for time.Now().Before(deadline) && d.replica.View().Raft.Role == raft.Leader {
+	for loop.Err() == nil && time.Now().Before(deadline) && d.replica.View().Raft.Role == raft.Leader {
 		time.Sleep(bootstrapInterval / 10)
 	}
 }
--- /dev/null
+++ b/internal/control/faults_test.go
@@ -0,0 +1,376 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// disk fails or calls back at chosen operations.
+type disk struct {
+	full     atomic.Bool
+	broken   atomic.Bool
+	onSync   atomic.Pointer[func()] // before a sync
+	onSynced atomic.Pointer[func()] // after a sync
+}
+
+func (d *disk) Write(f *os.File, data []byte) (int, error) {
+	if d.full.Load() {
+		return 0, errors.New("no space left on device")
+	}
+	return f.Write(data)
+}
+
+func (d *disk) Sync(f *os.File) error {
+	if hook := d.onSync.Load(); hook != nil {
+		(*hook)()
+	}
+	if d.broken.Load() {
+		return errors.New("input/output error")
+	}
+	err := f.Sync()
+	if hook := d.onSynced.Load(); hook != nil {
+		(*hook)()
+	}
+	return err
+}
+
+var fourNames = []string{"c1", "c2", "c3", "c4"}
+
+func startedCluster(t *testing.T, disks map[string]*disk) *cluster {
+	t.Helper()
+	c := newCluster(t, fourNames...)
+	c.change = func(name string, _ *Settings, o *Options) {
+		if disks != nil {
+			if disks[name] == nil {
+				disks[name] = &disk{}
+			}
+			o.Storage.Files = disks[name]
+		}
+	}
+	c.startAll()
+	c.eventually("leader", func() bool { return c.leader() != nil })
+	return c
+}
+
+func document(t *testing.T, number int) *release.Document {
+	t.Helper()
+	doc, err := release.Parse([]byte(noteText(number)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// Guards against a note that is lost, accepted twice or changed when the leader
+// dies at any step between receiving and acknowledging it.
+func TestKillAtEachStepOfAcceptance(t *testing.T) {
+	for _, step := range []string{"received", "proposed", "synced", "committed", "acknowledged"} {
+		t.Run(step, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				disks := map[string]*disk{}
+				c := startedCluster(t, disks)
+				is.Equal(c.submit(1).Status, "accepted")
+				l := c.leader()
+				die := func() { c.net.Stop(l.name); l.halt() }
+				switch step {
+				case "received":
+					die()
+				case "proposed":
+					disks[l.name].onSync.Store(&die)
+				case "synced":
+					disks[l.name].onSynced.Store(&die)
+				case "committed":
+					applied := l.replica.cfg.Applied
+					l.replica.cfg.Applied = func(k ledger.Command, r ledger.Result) { die(); applied(k, r) }
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				_, first := l.SubmitNote(ctx, document(t, 2))
+				cancel()
+				l.kill()
+				delete(c.daemons, l.name)
+				is.Equal(c.submit(2).Status, "accepted")
+				is.Equal(c.submit(2).Digest, first.Digest)
+				is.Equal(c.submit(4).Status, "refused")
+				is.Equal(c.submit(3).Status, "accepted")
+				disks[l.name] = nil
+				c.start(l.name)
+				c.converged(3)
+				is.Equal(c.submit(2).Digest, first.Digest)
+			})
+		})
+	}
+}
+
+// Guards against a paused leader that answers with stale state when it resumes.
+func TestLeaderPauseAndResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		is.Equal(c.submit(1).Status, "accepted")
+		l := c.leader()
+		resume := make(chan struct{})
+		l.replica.do(func() { <-resume })
+		c.eventually("another leader", func() bool { return c.leader() != l })
+		is.Equal(c.submit(2).Status, "accepted")
+		late := make(chan Answer, 1)
+		go func() {
+			late <- l.replica.Propose(context.Background(), ledger.Command{Claim: &ledger.Claim{Organisation: "o", Key: "k", Owner: "a"}})
+		}()
+		synctest.Wait()
+		close(resume)
+		is.True((<-late).Status != wire.ProposeCommitted) // it led when asked, but no longer
+		c.converged(2)
+		is.True(!l.replica.Read(t.Context(), func(*ledger.Ledger) {}))
+	})
+}
+
+// Guards against a voter that returns from a long silent partition and deposes
+// the leader, answers from old state, or stays out for good.
+func TestLongSilentPartitionAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		is.Equal(c.submit(1).Status, "accepted")
+		c.converged(1)
+		l := c.leader()
+		cut := c.others(l.name)[0]
+		c.net.Isolate(cut.name, c.names, true)
+		time.Sleep(2 * time.Minute)
+		is.Equal(len(l.Status().Voters), 3) // the lost voter was removed
+		is.Equal(c.submit(2).Status, "accepted")
+		reply := cut.confirmReply(wire.ConfirmRequest{})
+		is.Equal(reply.Revision, uint64(1))
+		is.True(!cut.replica.Read(t.Context(), func(*ledger.Ledger) {}))
+		term := l.Status().Term
+		c.net.Isolate(cut.name, c.names, false)
+		c.eventually("voter again", func() bool { return slices.Contains(l.Status().Voters, cut.Status().ID) })
+		is.Equal(l.Status().Term, term)
+		is.Equal(c.leader(), l)
+		c.converged(2)
+		is.Equal(len(l.Status().Voters), 4)
+	})
+}
+
+// Guards against a replica that lost its disk and votes on a history that it
+// has forgotten, or that forms a second cluster as the first of the voters.
+func TestLostDiskRejoinsAsLearner(t *testing.T) {
+	for _, name := range []string{"c1", "c3"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startedCluster(t, nil)
+				is.Equal(c.submit(1).Status, "accepted")
+				old := c.daemons[name].Status().ID
+				c.daemons[name].kill()
+				is.NoErr(os.RemoveAll(filepath.Join(c.dir, name)))
+				back := c.start(name)
+				id := back.Status().ID
+				is.True(id != old)
+				c.eventually("promoted", func() bool {
+					l := c.leader()
+					return l != nil && slices.Contains(l.Status().Voters, id) && !slices.Contains(l.Status().Voters, old)
+				})
+				is.Equal(len(c.leader().Status().Voters), 4)
+				is.Equal(c.submit(2).Status, "accepted")
+				c.converged(2)
+			})
+		})
+	}
+}
+
+// Guards against a repair that leaves the system unable to accept after one
+// more loss.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		is.Equal(c.submit(1).Status, "accepted")
+		lost := c.others(c.leader().name)[0]
+		lost.kill()
+		delete(c.daemons, lost.name)
+		c.eventually("removed", func() bool { l := c.leader(); return l != nil && len(l.Status().Voters) == 3 })
+		l := c.leader()
+		l.kill()
+		delete(c.daemons, l.name)
+		is.Equal(c.submit(2).Status, "accepted")
+		c.start(lost.name)
+		c.start(l.name)
+		c.eventually("four voters", func() bool { l := c.leader(); return l != nil && len(l.Status().Voters) == 4 })
+		c.converged(2)
+	})
+}
+
+// Guards against notes that lose their identity over snapshots, and against a
+// replica that cannot catch up once the log was truncated.
+func TestRestartAfter500Notes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "c1", "c2", "c3")
+		c.change = func(_ string, s *Settings, _ *Options) { s.SnapshotEvery = 100 }
+		c.startAll()
+		is.Equal(c.submit(1).Status, "accepted")
+		behind := c.others(c.leader().name)[0]
+		behind.kill()
+		delete(c.daemons, behind.name)
+		digests := map[int]release.Digest{}
+		for n := 2; n <= 700; n++ {
+			digests[n] = c.submit(n).Digest
+		}
+		for _, d := range c.daemons {
+			d.kill()
+		}
+		c.startAll()
+		for _, n := range []int{2, 250, 700} {
+			is.Equal(c.submit(n).Status, "accepted")
+			is.Equal(c.submit(n).Digest, digests[n])
+		}
+		c.converged(700)
+		is.True(c.daemons[behind.name].replica.View().Raft.SnapshotIndex > 0)
+	})
+}
+
+// Guards against a replica that acknowledges what its disk did not store, and
+// against a leader that keeps leading without one.
+func TestFullAndFailingDiskStepAside(t *testing.T) {
+	for _, fault := range []string{"full", "broken"} {
+		t.Run(fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				disks := map[string]*disk{}
+				c := startedCluster(t, disks)
+				is.Equal(c.submit(1).Status, "accepted")
+				l := c.leader()
+				disks[l.name].full.Store(fault == "full")
+				disks[l.name].broken.Store(fault == "broken")
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, answer := l.SubmitNote(ctx, document(t, 2))
+				cancel()
+				is.Equal(answer.Status, "unknown")
+				is.True(l.confirmReply(wire.ConfirmRequest{}).Unresolved)
+				is.True(l.ready() != nil)
+				c.eventually("another leader", func() bool { return c.leader() != l })
+				is.Equal(c.submit(2).Status, "accepted")
+				is.Equal(l.replica.View().Catalogue.Revision, uint64(1))
+				disks[l.name].full.Store(false)
+				if fault == "broken" { // only a restart tells what the disk holds
+					disks[l.name].broken.Store(false)
+					l.kill()
+					c.start(l.name)
+				}
+				c.converged(2)
+			})
+		})
+	}
+}
+
+// Guards against a voter that confirms the old revision while it holds a newer
+// note that may be accepted without its knowledge.
+func TestVoterWithUnresolvedNoteDoesNotConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		is.Equal(c.submit(1).Status, "accepted")
+		c.converged(1)
+		time.Sleep(time.Second)
+		l := c.leader()
+		others := c.others(l.name)
+		for _, d := range c.daemons {
+			is.True(!d.confirmReply(wire.ConfirmRequest{}).Unresolved)
+		}
+		for _, side := range []string{l.name, others[0].name} {
+			c.net.Isolate(side, []string{others[1].name, others[2].name}, true)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, answer := l.SubmitNote(ctx, document(t, 2))
+		cancel()
+		is.Equal(answer.Status, "unknown")
+		for _, d := range []*instance{l, others[0]} {
+			is.True(d.confirmReply(wire.ConfirmRequest{}).Unresolved)
+		}
+		is.True(!others[1].confirmReply(wire.ConfirmRequest{}).Unresolved)
+		for _, name := range c.names {
+			c.net.Isolate(name, c.names, false)
+		}
+		is.Equal(c.submit(2).Status, "accepted")
+		c.converged(2)
+		time.Sleep(time.Second)
+		for _, d := range c.daemons {
+			is.True(!d.confirmReply(wire.ConfirmRequest{}).Unresolved)
+		}
+	})
+}
+
+// Guards against repairs that shrink the voters too far, promote a replica that
+// is behind, or act on a replica that merely restarts.
+func TestRepairPolicy(t *testing.T) {
+	p := repairPolicy{self: "a.1", lossTicks: 100, targetVoters: 4, maxReplicas: 5}
+	status := func(voters, learners []string, quiet map[string]int) raft.Status {
+		s := raft.Status{Role: raft.Leader, Last: 100, Progress: map[string]raft.PeerStatus{}}
+		s.Membership = raft.Membership{Voters: voters, Learners: learners}
+		for _, id := range append(slices.Clone(voters), learners...) {
+			if id != p.self {
+				s.Progress[id] = raft.PeerStatus{Match: 100, QuietTicks: quiet[id]}
+			}
+		}
+		return s
+	}
+	four, three := []string{"a.1", "b.1", "c.1", "d.1"}, []string{"a.1", "b.1", "c.1"}
+	five := append(slices.Clone(four), "e.1")
+	present := func(ids ...string) map[string]hello {
+		m := map[string]hello{}
+		for _, id := range ids {
+			m[nameOf(id)] = hello{ID: id, Name: nameOf(id), Address: "x"}
+		}
+		return m
+	}
+	behind := status(three, []string{"d.2"}, nil)
+	behind.Progress["d.2"] = raft.PeerStatus{Match: 10}
+	pending := status(four, nil, map[string]int{"d.1": 200})
+	pending.MembershipPending = true
+	for name, c := range map[string]struct {
+		status  raft.Status
+		present map[string]hello
+		want    string
+	}{
+		"healthy":                    {status(four, nil, nil), nil, "none"},
+		"short silence":              {status(four, nil, map[string]int{"d.1": 99}), nil, "none"},
+		"lost voter":                 {status(four, nil, map[string]int{"d.1": 100}), nil, "remove d.1"},
+		"lost voter of three":        {status(three, nil, map[string]int{"c.1": 200}), nil, "none"},
+		"standby takes over":         {status(three, []string{"e.1"}, map[string]int{"c.1": 200}), nil, "promote e.1"},
+		"then the lost one goes":     {status(five, nil, map[string]int{"c.1": 200}), nil, "remove c.1"},
+		"silent standby":             {status(three, []string{"e.1"}, map[string]int{"c.1": 200, "e.1": 90}), nil, "none"},
+		"lost disk":                  {status(four, nil, nil), present("d.2"), "remove d.1"},
+		"joins as learner":           {status(three, nil, nil), present("b.1", "d.2"), "add-learner d.2"},
+		"behind":                     {behind, nil, "none"},
+		"caught up":                  {status(three, []string{"d.2"}, nil), nil, "promote d.2"},
+		"standby beyond the target":  {status(four, []string{"e.1"}, nil), nil, "none"},
+		"learner that lost its disk": {status(four, []string{"e.1"}, nil), present("e.2"), "remove e.1"},
+		"too many replicas":          {status(four, []string{"e.1"}, nil), present("f.1"), "none"},
+		"another change is pending":  {pending, nil, "none"},
+		"not the leader":             {raft.Status{}, nil, "none"},
+	} {
+		got := "none"
+		if change, ok := p.next(c.status, c.present); ok {
+			got = fmt.Sprintf("%v %s", change.Kind, change.ID)
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
