--- /dev/null
+++ b/raft/node_test.go
@@ -0,0 +1,243 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func Example() {
+	node, _ := NewNode(Config{ID: "a.1"}, HardState{}, Snapshot{}, nil)
+	_ = node.Bootstrap(BootstrapSnapshot([]string{"a.1"}, nil, nil), 1)
+	for range 20 {
+		node.Tick()
+	}
+	_, _, _ = node.Propose([]byte("hello"))
+	for node.HasReady() {
+		ready := node.Ready()
+		// Here ready.Early is sent and the rest is stored and synced.
+		node.Advance()
+		for _, e := range ready.Committed {
+			if e.Kind == EntryCommand {
+				fmt.Println(string(e.Data))
+			}
+		}
+	}
+	// Output: hello
+}
+
+// trio is three voters with a perfect network, apart from isolated ones.
+type trio struct {
+	t        *testing.T
+	nodes    map[string]*Node
+	ids      []string
+	isolated map[string]bool
+	sent     int
+}
+
+func newTrio(t *testing.T) *trio {
+	t.Helper()
+	c := &trio{t: t, nodes: map[string]*Node{}, ids: []string{"a", "b", "c"}, isolated: map[string]bool{}}
+	for _, id := range c.ids {
+		n, err := NewNode(Config{ID: id, MaxUncommittedBytes: 100, MaxInflight: 4, MaxAppendBytes: 64}, HardState{}, Snapshot{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Bootstrap(BootstrapSnapshot(c.ids, nil, nil), 1); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes[id] = n
+	}
+	c.nodes["a"].Campaign()
+	c.settle()
+	if role, _ := c.nodes["a"].Role(); role != Leader {
+		t.Fatal("no leader")
+	}
+	return c
+}
+
+// settle delivers messages until none are left.
+func (c *trio) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range c.ids {
+			n := c.nodes[id]
+			for n.HasReady() {
+				busy = true
+				r := n.Ready()
+				n.Advance()
+				for _, m := range append(r.Early, r.Messages...) {
+					c.sent++
+					if !c.isolated[m.From] && !c.isolated[m.To] {
+						c.nodes[m.To].Step(m)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (c *trio) tick(times int) {
+	for range times {
+		for _, id := range c.ids {
+			c.nodes[id].Tick()
+		}
+		c.settle()
+	}
+}
+
+// Guards against a leader that keeps answering without a quorum: check-quorum
+// ends its role within two election time-outs.
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	is := is.New(t)
+	c := newTrio(t)
+	c.isolated["a"] = true
+	for range 20 {
+		c.nodes["a"].Tick()
+	}
+	_, _, err := c.nodes["a"].Propose([]byte("x"))
+	is.Equal(err, ErrNotLeader)
+	is.Equal(c.nodes["a"].ReadIndex(1), ErrNotLeader)
+}
+
+// Guards against a returning replica that deposes a live leader: pre-vote keeps
+// its term, and those who hear the leader refuse.
+func TestReturningReplicaDoesNotDisrupt(t *testing.T) {
+	is := is.New(t)
+	c := newTrio(t)
+	term := c.nodes["a"].Status().Term
+	c.isolated["c"] = true
+	c.tick(200)
+	is.Equal(c.nodes["c"].Status().Term, term) // a pre-vote raises no term
+	delete(c.isolated, "c")
+	c.nodes["c"].Campaign() // before it hears the leader
+	c.settle()
+	// A vote request that skips the pre-vote is ignored as well.
+	c.nodes["b"].Step(Message{Kind: MsgVote, From: "c", To: "b", Term: term + 1, Index: 99, LogTerm: term})
+	c.settle()
+	is.Equal(c.nodes["b"].Status().Term, term)
+	role, _ := c.nodes["a"].Role()
+	is.Equal(role, Leader)
+	c.tick(5)
+	is.Equal(c.nodes["c"].Status().Leader, "a")
+}
+
+// Guards against a leader that queues without bound for a quorum or a follower
+// that does not answer.
+func TestFlowControl(t *testing.T) {
+	is := is.New(t)
+	c := newTrio(t)
+	c.isolated["b"], c.isolated["c"] = true, true
+	sent := c.sent
+	accepted := 0
+	for range 50 {
+		if _, _, err := c.nodes["a"].Propose(make([]byte, 10)); err == nil {
+			accepted++
+		} else {
+			is.Equal(err, ErrBusy)
+		}
+		c.settle()
+	}
+	is.Equal(accepted, 10) // MaxUncommittedBytes
+	is.True(c.sent-sent <= 2*4+2)
+	clear(c.isolated)
+	c.tick(20)
+	is.Equal(c.nodes["b"].Status().Commit, c.nodes["a"].Status().Last)
+}
+
+// Guards against reads that are answered from a log without an entry of the
+// leader's own term, and against leadership that a planned stop leaves behind.
+func TestTransferAndRead(t *testing.T) {
+	is := is.New(t)
+	c := newTrio(t)
+	c.nodes["a"].TransferLeadership()
+	_, _, err := c.nodes["a"].Propose([]byte("x"))
+	is.Equal(err, ErrNotLeader)
+	c.settle()
+	role, leader := c.nodes["a"].Role()
+	is.Equal(role, Follower)
+	is.True(leader == "b" || leader == "c")
+	is.NoErr(c.nodes[leader].ReadIndex(7))
+	var reads []ReadState
+	for range 3 {
+		for _, id := range c.ids {
+			for n := c.nodes[id]; n.HasReady(); {
+				r := n.Ready()
+				n.Advance()
+				reads = append(reads, r.Reads...)
+				for _, m := range append(r.Early, r.Messages...) {
+					c.nodes[m.To].Step(m)
+				}
+			}
+		}
+	}
+	is.Equal(len(reads), 1)
+	is.Equal(reads[0].Context, uint64(7))
+}
+
+// Guards against membership changes that do not fit, and against the loss of
+// the last voter.
+func TestChangesThatDoNotFitAreRefused(t *testing.T) {
+	c := newTrio(t)
+	for _, change := range []Change{
+		{Kind: AddLearner, ID: "b"}, {Kind: Promote, ID: "b"}, {Kind: Remove, ID: "x"}, {Kind: AddLearner}, {},
+	} {
+		if _, err := c.nodes["a"].ProposeConfChange(change); err == nil {
+			t.Errorf("%+v was not refused", change)
+		}
+	}
+	if _, err := (Membership{Voters: []string{"a"}}).apply(Change{Kind: Remove, ID: "a"}); err == nil {
+		t.Error("the last voter was removed")
+	}
+}
+
+// Guards against input from the network that crashes a replica.
+func FuzzDecodeMessage(f *testing.F) {
+	member, err := encMode.Marshal(Membership{Voters: []string{"a", "b"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, m := range []Message{
+		{Kind: MsgAppend, From: "b", To: "a", Term: 2, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryCommand, Data: []byte("x")}}},
+		{Kind: MsgAppend, From: "b", To: "a", Term: 2, Entries: []Entry{{Index: 1, Term: 2, Kind: EntryMembership, Data: member}}},
+		{Kind: MsgSnapshot, From: "b", To: "a", Term: 2, Snapshot: &SnapshotChunk{Index: 3, Term: 1, Membership: Membership{Voters: []string{"a"}}}},
+		{Kind: MsgVote, From: "b", To: "a", Term: 9, Index: 1, LogTerm: 1},
+		{Kind: MsgAppendReply, From: "b", To: "a", Term: 1, Index: 1 << 60},
+		{Kind: MsgSnapshotReply, From: "b", To: "a", Term: 1, Index: 1, Hint: 1 << 60},
+	} {
+		data, err := EncodeMessage(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := DecodeMessage(data)
+		if err != nil {
+			return
+		}
+		m.To = "a"
+		for _, lead := range []bool{false, true} {
+			n, err := NewNode(Config{ID: "a"}, HardState{}, Snapshot{}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			voters := []string{"a"}
+			if !lead {
+				voters = append(voters, m.From)
+			}
+			_ = n.Bootstrap(BootstrapSnapshot(voters, nil, []byte("data")), 1)
+			n.Campaign()
+			for range 2 {
+				n.Step(m)
+				for range 3 {
+					if n.HasReady() {
+						n.Ready()
+						n.Advance()
+					}
+				}
+			}
+		}
+	})
+}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -43,6 +43,7 @@
 	id      string
 	disk    disk
 	down    bool
+	paused  bool // neither ticks nor receives, and does not know it
 	note    int // ledger: highest note applied
 	applied uint64
 	reads   map[uint64]uint64 // context to the index acknowledged when asked
@@ -199,8 +200,11 @@
 	}
 	i := s.rng.IntN(min(len(s.network), 1+s.rng.IntN(8)))
 	m := s.network[i]
-	s.network = slices.Delete(s.network, i, i+1)
 	n := s.nodes[m.To]
+	if n != nil && n.paused {
+		return
+	}
+	s.network = slices.Delete(s.network, i, i+1)
 	if n == nil || n.down || s.blocked[[2]string{m.From, m.To}] {
 		return
 	}
@@ -212,7 +216,7 @@
 		s.t.Fatal(err)
 	}
 	n.Step(m)
-	s.process(n, false)
+	s.process(n, s.rng.IntN(40) == 0)
 }
 
 func (s *sim) pick() *simNode {
@@ -254,15 +258,19 @@
 	actCompact
 	actRead
 	actTransfer
-	actions
+	actPause
+	actResume
 )
 
 func (s *sim) step(action int) {
 	switch action {
 	case actRun:
 		for range 12 {
+			if s.rng.IntN(10) == 0 {
+				s.restart()
+			}
 			for _, id := range s.ids() {
-				if n := s.nodes[id]; !n.down {
+				if n := s.nodes[id]; !n.down && !n.paused {
 					n.Tick()
 					s.process(n, false)
 				}
@@ -273,7 +281,7 @@
 			s.observe()
 		}
 	case actTick:
-		if n := s.pick(); !n.down {
+		if n := s.pick(); !n.down && !n.paused {
 			for range 1 + s.rng.IntN(12) {
 				n.Tick()
 			}
@@ -301,11 +309,7 @@
 		s.process(n, true)
 		n.down = true
 	case actRestart:
-		for _, id := range s.ids() {
-			if n := s.nodes[id]; n.down {
-				s.boot(n)
-			}
-		}
+		s.restart()
 	case actLoseDisk:
 		s.loseDisk()
 	case actChange:
@@ -318,11 +322,15 @@
 		}
 	case actRead:
 		if n := s.leader(); n != nil {
-			n.nextCtx++
-			n.reads[n.nextCtx] = s.acked
-			_ = n.ReadIndex(n.nextCtx)
-			s.process(n, false)
+			s.read(n)
+		}
+	case actPause:
+		s.resume()
+		if n := s.leader(); n != nil {
+			n.paused = true
 		}
+	case actResume:
+		s.resume()
 	case actTransfer:
 		if n := s.leader(); n != nil {
 			n.TransferLeadership()
@@ -332,6 +340,33 @@
 	s.observe()
 }
 
+func (s *sim) restart() {
+	for _, id := range s.ids() {
+		if n := s.nodes[id]; n.down {
+			s.boot(n)
+		}
+	}
+}
+
+// resume ends a pause. A leader that does not know that it was paused may be
+// asked to read before it hears of its successor.
+func (s *sim) resume() {
+	for _, id := range s.ids() {
+		n := s.nodes[id]
+		if n.paused && !n.down && n.role == Leader {
+			s.read(n)
+		}
+		n.paused = false
+	}
+}
+
+func (s *sim) read(n *simNode) {
+	n.nextCtx++
+	n.reads[n.nextCtx] = s.acked
+	_ = n.ReadIndex(n.nextCtx)
+	s.process(n, false)
+}
+
 func (s *sim) isolate(id string) {
 	for _, other := range s.ids() {
 		s.blocked[[2]string{id, other}] = true
@@ -513,7 +548,7 @@
 		weighted := []int{
 			actRun, actRun, actRun, actRun, actTick, actPropose, actPropose, actPropose, actPartition, actHeal,
 			actHeal, actCrash, actRestart, actRestart, actLoseDisk, actChange, actChange, actChange, actCompact,
-			actRead, actTransfer,
+			actRead, actTransfer, actPause, actResume,
 		}
 		s.step(actRun)
 		s.step(actRun)
@@ -529,6 +564,7 @@
 func (s *sim) recover() {
 	s.step(actHeal)
 	s.step(actRestart)
+	s.resume()
 	before := s.acked
 	for range 60 {
 		if n := s.leader(); n != nil {
