--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -45,17 +45,6 @@
 	DiskError  string            `json:"disk_error,omitempty"`
 }
 
-// NoteAnswer answers POST /v1/notes and /v1/notes:check. Statuses are those of
-// package operator.
-type NoteAnswer struct {
-	Status   string            `json:"status"`
-	Number   uint64            `json:"number,omitempty"` // of the note, of its accepted rival, or the expected one
-	Digest   release.Digest    `json:"digest,omitempty"` // of the note or of its accepted rival
-	Reason   string            `json:"reason,omitempty"`
-	Problems []release.Problem `json:"problems,omitempty"`
-	Leader   string            `json:"leader,omitempty"`
-}
-
 func (d *Daemon) operatorHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(operator.PathNotes, d.postNote).Methods(http.MethodPost)
@@ -88,8 +77,8 @@
 	return nil, false
 }
 
-func invalidNote(err error, n release.Note) NoteAnswer {
-	a := NoteAnswer{Status: operator.NoteInvalid, Number: n.Number, Reason: err.Error()}
+func invalidNote(err error, n release.Note) operator.NoteAnswer {
+	a := operator.NoteAnswer{Status: operator.NoteInvalid, Number: n.Number, Reason: err.Error()}
 	a.Problems = append(a.Problems, release.Problems(err)...)
 	return a
 }
@@ -107,9 +96,9 @@
 }
 
 // SubmitNote proposes a note and translates the result.
-func (d *Daemon) SubmitNote(ctx context.Context, doc *release.Document) (int, NoteAnswer) {
+func (d *Daemon) SubmitNote(ctx context.Context, doc *release.Document) (int, operator.NoteAnswer) {
 	n := doc.Note
-	answer := NoteAnswer{Number: n.Number, Digest: n.Digest()}
+	answer := operator.NoteAnswer{Number: n.Number, Digest: n.Digest()}
 	a := d.replica.Propose(ctx, ledger.Command{Note: &ledger.SubmitNote{
 		Number: n.Number, Digest: answer.Digest, Canonical: n.Canonical(),
 	}})
@@ -135,7 +124,7 @@
 }
 
 // refusedNote adds lines to the reason of a refusal where they are known.
-func (d *Daemon) refusedNote(doc *release.Document, answer NoteAnswer, r ledger.Result) (int, NoteAnswer) {
+func (d *Daemon) refusedNote(doc *release.Document, answer operator.NoteAnswer, r ledger.Result) (int, operator.NoteAnswer) {
 	answer.Status, answer.Reason = operator.NoteRefused, r.Reason
 	if r.Number != 0 {
 		answer.Number = r.Number
@@ -157,7 +146,7 @@
 		respond(w, http.StatusUnprocessableEntity, invalidNote(err, doc.Note))
 		return
 	}
-	respond(w, http.StatusOK, NoteAnswer{
+	respond(w, http.StatusOK, operator.NoteAnswer{
 		Status: operator.NoteValid, Number: doc.Note.Number, Digest: doc.Note.Digest(),
 	})
 }
