--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 
 measure-weights:
 	go run ./internal/transfer/measure
+
+.PHONY: measure-notes
+measure-notes:
+	go run ./internal/control/measure
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,8 @@
 	// Tick of the raft node. Default 50 ms: a lost leader is replaced within
 	// about a second.
 	Tick time.Duration
+	// TurnLimit bounds the work that one sync covers, see ReplicaConfig.
+	TurnLimit int
 	// ProcessToken and OperatorToken replace the token files.
 	ProcessToken, OperatorToken *auth.Token
 	Bytes                       *transport.ByteCounts
@@ -129,7 +131,7 @@
 		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
 	}
 	replica, err := NewReplica(ReplicaConfig{
-		Tick: d.opts.Tick, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
+		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
 		Published: d.published, Applied: d.applied, Manage: d.manage, Log: d.log,
 	}, raft.Config{}, d.folder, state)
 	if err != nil {
@@ -143,6 +145,9 @@
 	return nil
 }
 
+// Replica returns the daemon's replica.
+func (d *Daemon) Replica() *Replica { return d.replica }
+
 func (d *Daemon) hello() hello {
 	v := d.replica.View()
 	return hello{
@@ -282,6 +287,14 @@
 	})
 }
 
+// Kill makes Run return at once without handing over leadership, as the end of
+// the process would.
+func (d *Daemon) Kill() {
+	if d.halt != nil {
+		d.halt()
+	}
+}
+
 // handOver gives leadership to another voter before a planned stop.
 func (d *Daemon) handOver(loop context.Context) {
 	d.replica.do(func() { d.replica.node.TransferLeadership() })
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,8 +19,8 @@
 
 const (
 	inboxLength = 8192
-	// turnLimit bounds the work taken in before one sync.
-	turnLimit = 1024
+	// defaultTurnLimit bounds the work taken in before one sync.
+	defaultTurnLimit = 1024
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
 	keepEntries       = 512
@@ -62,7 +63,10 @@
 type ReplicaConfig struct {
 	Tick          time.Duration
 	SnapshotEvery uint64
-	Send          func(raft.Message)
+	// TurnLimit bounds the work that one sync covers. More raises throughput
+	// and the time that the first of it waits. Default 1024.
+	TurnLimit int
+	Send      func(raft.Message)
 	// Published is called after each turn that changed the view.
 	Published func(old, next *View)
 	// Committed is called for each command applied, with its result.
@@ -113,6 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.TurnLimit = cmp.Or(cfg.TurnLimit, defaultTurnLimit)
 	raftCfg.ID = state.Identity.ID()
 	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
 	if err != nil {
@@ -158,7 +163,7 @@
 
 // drain takes in what else is waiting, so that one sync covers it.
 func (r *Replica) drain() {
-	for range turnLimit {
+	for range r.cfg.TurnLimit - 1 {
 		select {
 		case w := <-r.inbox:
 			r.handle(w)
@@ -207,12 +212,8 @@
 // Propose submits a command and waits for its result. An answer "not-run" is
 // given only when the command is not and cannot become committed.
 func (r *Replica) Propose(ctx context.Context, c ledger.Command) Answer {
-	answer := make(chan Answer, 1)
-	if !r.do(func() { r.propose(c, answer) }) {
-		return notRun("too much work waiting")
-	}
 	select {
-	case a := <-answer:
+	case a := <-r.Start(c):
 		return a
 	case <-ctx.Done():
 		return unknown("no quorum answered in time")
@@ -221,6 +222,16 @@
 	}
 }
 
+// Start submits a command without waiting. Commands started by one caller enter
+// the log in order.
+func (r *Replica) Start(c ledger.Command) <-chan Answer {
+	answer := make(chan Answer, 1)
+	if !r.do(func() { r.propose(c, answer) }) {
+		answer <- notRun("too much work waiting")
+	}
+	return answer
+}
+
 func (r *Replica) propose(c ledger.Command, answer chan<- Answer) {
 	if r.diskErr != nil {
 		answer <- notRun(r.diskErr.Error())
