Count endpoints that a revision waits for instead of listing them

Cause: each announcement listed all known endpoints for every tracked revision that was not in force. In a burst of 50 notes at 800 endpoints that was some 40,000 steps per announcement, and the sessions of the replicas fell behind. Ruled out: the push itself (the same messages are sent before and after).

--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -33,22 +33,25 @@
 	mu      sync.Mutex
 	lease   time.Duration // lease plus grace
 	known   map[string]acknowledged
-	tracked []*trackedRevision
+	tracked []*trackedRevision // in order
 }
 
 type acknowledged struct {
 	revision uint64
-	gone     bool
 	heard    time.Time
 }
 
 type trackedRevision struct {
 	revision  uint64
 	committed time.Time
+	waiting   int // known endpoints below the revision, while not done
 	done      bool
 	after     time.Duration
 }
 
+// knownFor is how long a silent endpoint is reported after its lease ran out.
+const knownFor = time.Minute
+
 func newInForce(lease time.Duration) *inForce {
 	return &inForce{lease: lease, known: map[string]acknowledged{}}
 }
@@ -57,7 +60,13 @@
 func (f *inForce) Committed(revision uint64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracked = append(f.tracked, &trackedRevision{revision: revision, committed: now})
+	t := &trackedRevision{revision: revision, committed: now}
+	for _, a := range f.known {
+		if a.revision < revision {
+			t.waiting++
+		}
+	}
+	f.tracked = append(f.tracked, t)
 	if len(f.tracked) > revisionsTracked {
 		f.tracked = f.tracked[1:]
 	}
@@ -69,35 +78,60 @@
 func (f *inForce) Announced(a wire.Announce, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	held := f.known[a.Endpoint]
-	next := acknowledged{revision: held.revision, gone: a.Gone, heard: now}
+	held, known := f.known[a.Endpoint]
+	if a.Gone {
+		if known {
+			f.forget(a.Endpoint, held)
+			f.settle(now)
+		}
+		return
+	}
+	next := acknowledged{revision: held.revision, heard: now}
 	if a.Confirmed {
-		next.revision = a.Revision
+		next.revision = max(held.revision, a.Revision)
 	}
 	f.known[a.Endpoint] = next
-	f.settle(now)
+	if !known {
+		f.count(0, next.revision, 1, true)
+		return
+	}
+	if next.revision > held.revision {
+		f.count(held.revision, next.revision, -1, false)
+		f.settle(now)
+	}
 }
 
-// settle marks revisions as in force, the oldest first.
-func (f *inForce) settle(now time.Time) {
-	for endpoint, a := range f.known {
-		if a.gone || now.Sub(a.heard) > f.lease+knownFor {
-			delete(f.known, endpoint)
+// count changes how many endpoints are waited for: with above, for revisions
+// above to, otherwise for those after from up to to.
+func (f *inForce) count(from, to uint64, change int, above bool) {
+	for _, t := range f.tracked {
+		if !t.done && ((above && t.revision > to) || (!above && t.revision > from && t.revision <= to)) {
+			t.waiting += change
 		}
 	}
+}
+
+func (f *inForce) forget(endpoint string, held acknowledged) {
+	delete(f.known, endpoint)
+	f.count(0, held.revision, -1, true)
+}
+
+// settle marks revisions as in force.
+func (f *inForce) settle(now time.Time) {
 	for _, t := range f.tracked {
-		if t.done {
-			continue
-		}
-		waiting, _ := f.split(t, now)
-		if len(waiting) == 0 {
-			t.done, t.after = true, now.Sub(t.committed)
+		if age := now.Sub(t.committed); !t.done && (t.waiting == 0 || age >= f.lease) {
+			t.done, t.after = true, age
 		}
 	}
 }
 
-// knownFor is how long a silent endpoint is reported after its lease ran out.
-const knownFor = time.Minute
+func (f *inForce) expire(now time.Time) {
+	for endpoint, a := range f.known {
+		if now.Sub(a.heard) > f.lease+knownFor {
+			f.forget(endpoint, a)
+		}
+	}
+}
 
 func (f *inForce) split(t *trackedRevision, now time.Time) (waiting, expired []string) {
 	over := now.Sub(t.committed) >= f.lease
@@ -119,6 +153,7 @@
 func (f *inForce) Report(now time.Time) []RevisionStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.expire(now)
 	f.settle(now)
 	var report []RevisionStatus
 	for _, t := range slices.Backward(f.tracked) {
--- a/internal/control/measure/fleet.go
+++ b/internal/control/measure/fleet.go
@@ -36,7 +36,6 @@
 	lease     *confirm.Lease
 	catalogue release.Catalogue
 	announce  wire.Announce
-	changed   bool
 	inForce   map[uint64]time.Time // first time with this revision or a later one, and the lease
 	reached   uint64
 }
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -190,7 +190,6 @@
 
 // faulty is a disk that fails on demand.
 type faulty struct {
-	osFiles
 	writeLimit int
 	full       bool
 	syncErr    error
