--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -331,14 +331,17 @@
 	if !g.sleep(r, time.Duration(tokens)*g.PerToken) {
 		return
 	}
-	set := g.Set
+	set, text := g.Set, Text(tokens)
 	if fault.Kind == WrongSet {
-		set = "sha256:other"
+		set, text = "sha256:other", "x"
+		if fault.Step == StepHeader {
+			set = "" // only the header tells
+		}
 	}
 	answer := fmt.Sprintf(`{"object":"chat.completion","system_fingerprint":%q,"choices":[{"message":{"content":%q},"finish_reason":"stop"}]}`,
-		set, Text(tokens))
+		set, text)
 	w.Header().Set("Content-Type", "application/json")
-	if fault.Step == StepToken || fault.Step == StepLast {
+	if (fault.Step == StepToken || fault.Step == StepLast) && fault.Kind != WrongSet {
 		w.Header().Set(wire.HeaderOutcome, "done")
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		if fault.Kind != EndEarly {
@@ -365,12 +368,20 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	event := func(i int, set string) {
-		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"t%d \"},\"finish_reason\":null}]}\n\n", id, set, i)
+		word := "t"
+		if set != g.Set {
+			word = "x" // other weights give other text
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"%s%d \"},\"finish_reason\":null}]}\n\n", id, set, word, i)
 		_ = flush()
 	}
+	set := g.Set
 	if fault.Step == StepHeader {
-		_ = flush()
-		g.strike(w, r, fault)
+		if fault.Kind != WrongSet {
+			_ = flush()
+			g.strike(w, r, fault)
+		}
+		set = "" // only the header tells
 	}
 	for i := from; i < tokens; i++ {
 		if i > from && !g.sleep(r, g.PerToken) {
@@ -381,7 +392,7 @@
 				return
 			}
 		}
-		event(i, g.Set)
+		event(i, set)
 	}
 	if fault.Step == StepLast {
 		if fault.Kind == EndEarly {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -180,10 +180,3 @@
 	defer f.mu.Unlock()
 	return f.balancer.Slots()
 }
-
-// incarnation returns the announced incarnation of an endpoint.
-func (f *fleet) incarnation(id string) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.gates[id].Incarnation
-}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -123,15 +123,22 @@
 // reportTimeout bounds reports to control that no caller waits for.
 const reportTimeout = 5 * time.Second
 
+// report commits a command in the background.
+func (e *Entry) report(cmd ledger.Command) {
+	e.inBackground(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		_, _ = e.control.Propose(ctx, cmd)
+	})
+}
+
 // settleSuspect gives back a suspect's reservation and tells control when it
 // is cleared.
 func (e *Entry) settleSuspect(c *call, whole bool) {
 	if !e.suspects.end(c, whole) {
 		return
 	}
-	e.inBackground(func(ctx context.Context) {
-		_, _ = e.control.Propose(ctx, ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
-	})
+	e.report(ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
 }
 
 // reportLost tells control that an endpoint was lost with its agent: an agent
@@ -141,6 +148,8 @@
 func (e *Entry) reportLost(c *call, f *attemptFailure) {
 	fingerprint, alone := c.fingerprint, c.alone
 	e.inBackground(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+		defer cancel()
 		state, err := e.attemptState(ctx, http.MethodGet, f.gate, f.id)
 		if err == nil && state != stateUnknown {
 			return
@@ -149,6 +158,6 @@
 			Incident: strings.Join([]string{"lost", f.endpoint, fmt.Sprint(f.gate.incarnation), fingerprint}, "/"),
 			Endpoint: f.endpoint, Fingerprints: []string{fingerprint}, Alone: alone,
 		}
-		_, _ = e.control.Propose(ctx, ledger.Command{Crash: crash})
+		e.report(ledger.Command{Crash: crash})
 	})
 }
