--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,275 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func one(string) float64 { return 1 }
+
+// Guards against shares that exceed demand, waste slots or give an
+// organisation less than one that asks for more than its share.
+func TestFairSharesAreMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := float64(rapid.IntRange(0, 100).Draw(t, "slots"))
+		demands, total := map[string]float64{}, 0.0
+		for i, d := range rapid.SliceOfN(rapid.IntRange(0, 60), 1, 10).Draw(t, "demands") {
+			demands[fmt.Sprint(i)] = float64(d)
+			total += float64(d)
+		}
+		shares := FairShares(slots, demands, one)
+		used, largest := 0.0, 0.0
+		for name, share := range shares {
+			if share > demands[name]+1e-9 {
+				t.Fatalf("%s gets %v of %v", name, share, demands[name])
+			}
+			used += share
+			largest = max(largest, share)
+		}
+		if math.Abs(used-min(slots, total)) > 1e-6 {
+			t.Fatalf("%v of %v slots used, demand %v", used, slots, total)
+		}
+		for name, share := range shares {
+			if share < demands[name]-1e-9 && share < largest-1e-6 {
+				t.Fatalf("%s is short with %v while another has %v", name, share, largest)
+			}
+		}
+	})
+}
+
+// Guards against entries whose parts add up to more than the pool.
+func TestPartsOfAllEntriesFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 100).Draw(t, "slots")
+		reports := map[string]Report{}
+		for e := range rapid.IntRange(1, 5).Draw(t, "entries") {
+			r := Report{}
+			for o := range 4 {
+				r[fmt.Sprint(o)] = Usage{InFlight: rapid.IntRange(0, 20).Draw(t, "inflight"), Waiting: rapid.IntRange(0, 20).Draw(t, "waiting")}
+			}
+			reports[fmt.Sprint(e)] = r
+		}
+		sum := 0.0
+		for name := range reports {
+			sum += Divide(slots, name, reports, one).Slots
+		}
+		if math.Abs(sum-float64(slots)) > 1e-6 {
+			t.Fatalf("parts add up to %v of %d", sum, slots)
+		}
+	})
+}
+
+func request(id uint64, organisation string) Request {
+	return Request{ID: id, Organisation: organisation, Deadline: epoch.Add(time.Hour)}
+}
+
+// Guards against a small organisation that waits behind a large one's queue.
+func TestFreeSlotGoesToTheSmallest(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Entry: "a"})
+	c.SetSlots(4)
+	for id := range uint64(8) {
+		admitted, refused := c.Arrive(request(id, "large"), epoch)
+		is.Equal(admitted, id < 4)
+		is.True(refused == nil)
+	}
+	admitted, _ := c.Arrive(request(100, "small"), epoch)
+	is.True(!admitted)
+	c.Done("large", time.Second)
+	granted, _ := c.Advance(epoch)
+	is.Equal(granted, []uint64{100})
+}
+
+// Guards against requests that are held although they come too late, and
+// against refusals that do not say when to return.
+func TestRefusalIsAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Entry: "a", QueueWait: time.Second})
+	_, refused := c.Arrive(request(1, "org"), epoch)
+	is.Equal(refused.Cause, NoSlots)
+	c.SetSlots(1)
+	admitted, _ := c.Arrive(request(2, "org"), epoch)
+	is.True(admitted)
+	c.Done("org", 400*time.Millisecond) // the pool's speed
+	is.True(firstOf(c.Arrive(request(3, "org"), epoch)))
+	short := request(4, "org")
+	short.Deadline = epoch.Add(300 * time.Millisecond)
+	_, refused = c.Arrive(short, epoch)
+	is.Equal(refused.Cause, Deadline)
+	for id := uint64(5); id < 7; id++ { // expected waits of 0.4 and 0.8 s
+		_, refused = c.Arrive(request(id, "org"), epoch)
+		is.True(refused == nil)
+	}
+	_, refused = c.Arrive(request(7, "org"), epoch)
+	is.Equal(refused.Cause, OverShare)
+	is.True(refused.RetryAfter >= time.Second)
+	// The slot never comes free: those that wait are refused when it is too late.
+	_, expired := c.Advance(epoch.Add(1100 * time.Millisecond))
+	is.Equal(len(expired), 2)
+}
+
+func firstOf(admitted bool, _ *Refusal) bool { return admitted }
+
+// Guards against slots that leak or are granted twice, over any sequence of
+// arrivals, ends and departures.
+func TestControllerKeepsCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		c := New(Config{Entry: "a", QueueWait: time.Second})
+		c.SetSlots(slots)
+		now, next := epoch, uint64(0)
+		waiting, running := map[uint64]string{}, []string{}
+		advance := func() {
+			granted, refused := c.Advance(now)
+			for _, id := range granted {
+				running = append(running, waiting[id])
+				delete(waiting, id)
+			}
+			for _, r := range refused {
+				delete(waiting, r.ID)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				next++
+				r := request(next, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org"))
+				admitted, refused := c.Arrive(r, now)
+				if admitted {
+					running = append(running, r.Organisation)
+				} else if refused == nil {
+					waiting[r.ID] = r.Organisation
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(running) > 0 {
+					c.Done(running[0], 50*time.Millisecond)
+					running = running[1:]
+					advance()
+				}
+			},
+			"leave": func(t *rapid.T) {
+				for id, organisation := range waiting {
+					c.Leave(id, organisation)
+					delete(waiting, id)
+					break
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+				advance()
+			},
+			"": func(t *rapid.T) {
+				if len(running) > slots {
+					t.Fatalf("%d run on %d slots", len(running), slots)
+				}
+				if len(waiting) > 0 && len(running) == 0 {
+					t.Fatal("requests wait while every slot is free")
+				}
+				if c.inFlight != len(running) || c.waiting != len(waiting) {
+					t.Fatalf("counts %d, %d; want %d, %d", c.inFlight, c.waiting, len(running), len(waiting))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a limit exceeded over entries whose reports cross, and
+// against allowances that stay where nobody uses them.
+func TestLimitOverEntries(t *testing.T) {
+	const limit, entries = 12, 3
+	rapid.Check(t, func(t *rapid.T) {
+		var cs []*Controller
+		for i := range entries {
+			c := New(Config{Entry: fmt.Sprint(i), Entries: entries, Limits: map[string]Limit{"org": {MaxInFlight: limit}}})
+			c.SetSlots(1000)
+			cs = append(cs, c)
+		}
+		id := uint64(0)
+		total := func() (n int) {
+			for _, c := range cs {
+				n += c.usage("org").InFlight
+			}
+			return n
+		}
+		round := func(reports []Report) {
+			for i, c := range cs {
+				peers := map[string]Report{}
+				for j := range cs {
+					if j != i {
+						peers[fmt.Sprint(j)] = reports[j]
+					}
+				}
+				c.SetPeers(peers)
+				c.Rebalance(entries)
+			}
+		}
+		snapshot := func() (reports []Report) {
+			for _, c := range cs {
+				reports = append(reports, c.Report())
+			}
+			return reports
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				c := rapid.SampledFrom(cs).Draw(t, "entry")
+				for range rapid.IntRange(1, 10).Draw(t, "n") {
+					id++
+					c.Arrive(request(id, "org"), epoch)
+				}
+			},
+			"done": func(t *rapid.T) {
+				c := rapid.SampledFrom(cs).Draw(t, "entry")
+				for range min(c.usage("org").InFlight, rapid.IntRange(1, 10).Draw(t, "n")) {
+					c.Done("org", time.Millisecond)
+				}
+			},
+			"round": func(*rapid.T) { round(snapshot()) },
+			"": func(t *rapid.T) {
+				if n := total(); n > limit {
+					t.Fatalf("%d in flight of %d", n, limit)
+				}
+			},
+		})
+		// One entry alone asks: it gets nearly all of the limit.
+		for _, c := range cs {
+			for c.usage("org").InFlight > 0 {
+				c.Done("org", time.Millisecond)
+			}
+		}
+		for range 40 {
+			round(snapshot())
+			for {
+				id++
+				if admitted, _ := cs[0].Arrive(request(id, "org"), epoch); !admitted {
+					break
+				}
+			}
+		}
+		if n := cs[0].usage("org").InFlight; n < limit-2 {
+			t.Fatalf("only %d of %d used by the one entry that asks", n, limit)
+		}
+	})
+}
+
+// Guards against retries beyond the ratio.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewRetryBudget(0.1)
+	taken := 0
+	for range 1000 {
+		b.Earn()
+		if b.Take(epoch) {
+			taken++
+		}
+	}
+	is.True(taken <= 100+DefaultRetryBurst)
+	is.True(!b.Take(epoch))
+	is.True(b.Take(epoch.Add(2 * time.Second))) // an idle entry can retry again
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -34,6 +34,9 @@
 type Config struct {
 	// Entry is the name under which this entry's own report is counted.
 	Entry string
+	// Entries is the number of all entries, this one included. Default 1. Each
+	// begins with an equal part of an organisation's limit.
+	Entries int
 	// QueueWait is the longest expected wait that is accepted. Default 2 s.
 	// Longer gives fewer refusals and later answers under overload.
 	QueueWait time.Duration
@@ -79,6 +82,7 @@
 type organisation struct {
 	inFlight int
 	queue    []waiting
+	turn     uint64 // when it was last given a slot; zero for a new one
 }
 
 // Controller admits requests to one pool.
@@ -88,8 +92,10 @@
 	organisations map[string]*organisation
 	inFlight      int
 	waiting       int
+	turns         uint64
 	peers         map[string]Report
-	service       float64 // smoothed service time, seconds
+	allowances    map[string]float64 // of organisations with a limit, once moved
+	service       float64            // smoothed service time, seconds
 }
 
 // New returns a controller without slots.
@@ -100,7 +106,7 @@
 	if cfg.MaxQueue == 0 {
 		cfg.MaxQueue = DefaultMaxQueue
 	}
-	return &Controller{cfg: cfg, organisations: map[string]*organisation{}, peers: map[string]Report{}}
+	return &Controller{cfg: cfg, organisations: map[string]*organisation{}, peers: map[string]Report{}, allowances: map[string]float64{}}
 }
 
 // SetSlots sets the pool's slots, over all entries.
@@ -109,19 +115,31 @@
 // SetPeers sets the other entries' latest reports.
 func (c *Controller) SetPeers(reports map[string]Report) { c.peers = reports }
 
-// Report is this entry's own usage.
+// Report is this entry's own usage. It names every organisation with a limit.
 func (c *Controller) Report() Report {
 	r := Report{}
 	for name, o := range c.organisations {
 		if o.inFlight > 0 || len(o.queue) > 0 {
-			r[name] = Usage{InFlight: o.inFlight, Waiting: len(o.queue)}
+			r[name] = c.usage(name)
+		}
+	}
+	for name, limit := range c.cfg.Limits {
+		if limit.MaxInFlight > 0 {
+			usage := c.usage(name)
+			usage.Allowance = c.allowance(name)
+			r[name] = usage
 		}
 	}
 	return r
 }
 
-// Idle reports whether no request is admitted or waiting.
-func (c *Controller) Idle() bool { return c.inFlight == 0 && c.waiting == 0 }
+func (c *Controller) usage(name string) Usage {
+	o := c.organisations[name]
+	if o == nil {
+		return Usage{}
+	}
+	return Usage{InFlight: o.inFlight, Waiting: len(o.queue)}
+}
 
 func (c *Controller) weight(name string) float64 {
 	if w := c.cfg.Limits[name].Weight; w > 0 {
@@ -192,21 +210,23 @@
 
 // next returns the organisation that the next slot goes to: of those with
 // waiting requests and room below their limit, the one that holds the fewest
-// slots for its weight. It is empty when there is no slot.
+// slots for its weight, and among equals the one served longest ago. It is
+// empty when there is no slot.
 func (c *Controller) next(division Division) string {
 	// Every entry may use one slot, so that a new request need not wait for
 	// the next exchange of reports.
 	if c.inFlight >= max(1, int(math.Floor(division.Slots+roundingSlack))) {
 		return ""
 	}
-	best, lowest := "", 0.0
+	best, lowest, turn := "", 0.0, uint64(0)
 	for _, name := range slices.Sorted(maps.Keys(c.organisations)) {
 		o := c.organisations[name]
 		if len(o.queue) == 0 || o.inFlight >= c.limit(name) {
 			continue
 		}
-		if held := float64(c.held(name)) / c.weight(name); best == "" || held < lowest {
-			best, lowest = name, held
+		held := float64(c.held(name)) / c.weight(name)
+		if best == "" || held < lowest || held == lowest && o.turn < turn {
+			best, lowest, turn = name, held, o.turn
 		}
 	}
 	return best
@@ -215,13 +235,13 @@
 // roundingSlack keeps sums of parts that are whole up to rounding errors whole.
 const roundingSlack = 1e-6
 
-// limit is this entry's part of the organisation's own limit.
+// limit is the number of slots that the organisation's own limit leaves to it
+// at this entry.
 func (c *Controller) limit(name string) int {
-	limit := c.cfg.Limits[name].MaxInFlight
-	if limit == 0 {
+	if c.cfg.Limits[name].MaxInFlight == 0 {
 		return math.MaxInt
 	}
-	return LimitPart(limit, name, c.cfg.Entry, c.reports())
+	return int(math.Floor(c.allowance(name) + roundingSlack))
 }
 
 func (c *Controller) grant(o *organisation) uint64 {
@@ -230,6 +250,8 @@
 	c.waiting--
 	o.inFlight++
 	c.inFlight++
+	c.turns++
+	o.turn = c.turns
 	return id
 }
 
--- a/admission/share.go
+++ b/admission/share.go
@@ -3,14 +3,16 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 )
 
 // Usage is the demand of one organisation at one entry.
 type Usage struct {
-	InFlight int
-	Waiting  int
+	InFlight int `json:"in_flight"`
+	Waiting  int `json:"waiting"`
+	// Allowance is the entry's part of the organisation's own limit, for
+	// organisations that have one.
+	Allowance float64 `json:"allowance,omitempty"`
 }
 
 // Demand is the number of slots that would be in use without a shortage.
@@ -73,44 +75,3 @@
 	d.Slots += max(0, spare) / float64(max(1, len(reports)))
 	return d
 }
-
-// LimitPart divides the limit of an organisation among entries in proportion
-// to their demand. The parts of all entries add up to at most limit.
-func LimitPart(limit int, organisation, self string, reports map[string]Report) int {
-	names := slices.Sorted(maps.Keys(reports))
-	total := 0
-	for _, name := range names {
-		total += reports[name][organisation].Demand()
-	}
-	if total <= limit {
-		return reports[self][organisation].Demand() + spareLimit(limit-total, self, names)
-	}
-	left := limit
-	parts := map[string]int{}
-	for _, name := range names {
-		exact := float64(limit) * float64(reports[name][organisation].Demand()) / float64(total)
-		parts[name] = int(math.Floor(exact))
-		left -= parts[name]
-	}
-	for _, name := range names {
-		if left > 0 && reports[name][organisation].Demand() > parts[name] {
-			parts[name]++
-			left--
-		}
-	}
-	return parts[self]
-}
-
-// spareLimit divides what nobody asks for equally, the remainder in order of
-// name.
-func spareLimit(spare int, self string, names []string) int {
-	place := slices.Index(names, self)
-	if place < 0 {
-		return 0
-	}
-	part := spare / len(names)
-	if place < spare%len(names) {
-		part++
-	}
-	return part
-}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -473,3 +473,14 @@
 	}
 	return slots
 }
+
+// Pools returns the names of all pools, sorted.
+func (b *Balancer) Pools() []string {
+	pools := map[string]bool{}
+	for _, s := range b.endpoints {
+		for pool := range s.Serves {
+			pools[pool] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(pools))
+}
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,258 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const pool = "m"
+
+func fleet(n int, change ...func(i int, e *Endpoint)) []Endpoint {
+	var table []Endpoint
+	for i := range n {
+		e := Endpoint{ID: fmt.Sprintf("e%02d", i), Zone: "z1", Capacity: 4, Ready: true, Probe: true, Serves: map[string]string{pool: "set"}}
+		for _, f := range change {
+			f(i, &e)
+		}
+		table = append(table, e)
+	}
+	return table
+}
+
+func newBalancer(cfg Config, table []Endpoint) *Balancer {
+	cfg.Zone = "z1"
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(1, 2)).IntN
+	}
+	b := New(cfg)
+	b.Update(table, epoch)
+	return b
+}
+
+// Guards against an endpoint filled above its capacity by lagging reports, or
+// chosen against the request, over any sequence of events.
+func TestPickNeverOverfills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := fleet(4, func(i int, e *Endpoint) {
+			if i == 3 {
+				e.Serves = map[string]string{pool: "other"}
+			}
+		})
+		b := newBalancer(Config{Rand: func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "rand") }}, table)
+		now, id := epoch, 0
+		running := map[string]string{}
+		count := map[string]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				r := Request{Pool: pool, Set: rapid.SampledFrom([]string{"", "set"}).Draw(t, "set"), Affinity: uint64(rapid.IntRange(0, 3).Draw(t, "affinity"))}
+				if rapid.Bool().Draw(t, "exclude") {
+					r.Exclude = map[string]bool{"e00": true}
+				}
+				c, ok := b.Pick(r, now)
+				if !ok {
+					return
+				}
+				if r.Exclude[c.ID] || r.Set != "" && c.Set != r.Set || b.Ejected(c.ID) {
+					t.Fatalf("chose %v for %v", c, r)
+				}
+				id++
+				b.Started(c.ID, fmt.Sprint(id), true, now)
+				running[fmt.Sprint(id)] = c.ID
+				if count[c.ID]++; count[c.ID] > 4 {
+					t.Fatalf("%d in flight on %s", count[c.ID], c.ID)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				for a, e := range running {
+					b.Finished(e, a, rapid.SampledFrom([]Result{Completed, Failed, Refused, Cancelled, Unreachable}).Draw(t, "result"), now)
+					delete(running, a)
+					count[e]--
+					break
+				}
+			},
+			"report": func(t *rapid.T) {
+				i := rapid.IntRange(0, 3).Draw(t, "i")
+				table[i].Sequence++
+				table[i].InFlight = rapid.IntRange(0, 4).Draw(t, "reported") // late: any number
+				b.Update(table, now)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				b.Check(now)
+				for _, e := range b.Probes(now) {
+					b.Probed(e, rapid.SampledFrom([]Result{Completed, Failed, Refused}).Draw(t, "probe"), now)
+				}
+			},
+			"": func(t *rapid.T) {
+				out := 0
+				for _, s := range b.endpoints {
+					if s.ejected && !s.unreachable {
+						out++
+					}
+				}
+				if float64(out) > DefaultEjectedShare*4 {
+					t.Fatalf("%d of 4 ejected", out)
+				}
+			},
+		})
+	})
+}
+
+// Guards against a stalled endpoint that stays in, and one that returns with
+// full weight at once.
+func TestStallEjectsAndReturnIsSlow(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(Config{}, fleet(4, func(_ int, e *Endpoint) { e.Capacity = 20 }))
+	b.Started("e00", "a", true, epoch)
+	b.Started("e01", "b", true, epoch)
+	now := epoch.Add(DefaultStallAfter)
+	b.Progress("e01", "b", now)
+	is.True(b.Stalled("e00", "a", now))
+	is.True(!b.Stalled("e01", "b", now))
+	is.Equal(b.Check(now), []string{"e00"})
+	b.Probed("e00", Completed, now.Add(time.Second))
+	is.True(b.Ejected("e00")) // not before its time
+	now = now.Add(DefaultEjectFor)
+	b.Probed("e00", Completed, now)
+	is.True(!b.Ejected("e00"))
+	s := b.endpoints["e00"]
+	is.True(s.ramp(now, DefaultSlowStart) <= slowStartFloor)
+	is.Equal(s.ramp(now.Add(DefaultSlowStart), DefaultSlowStart), 1.0)
+	slow := 0
+	for range 100 {
+		if c, _ := b.Pick(Request{Pool: pool}, now); c.ID == "e00" {
+			slow++
+		}
+	}
+	is.True(slow < 10)
+}
+
+// Guards against a stream held by an endpoint that serves others.
+func TestOwnTokensCountAfterTheFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(Config{}, fleet(1))
+	b.Started("e00", "a", true, epoch)
+	b.Started("e00", "b", true, epoch)
+	b.Progress("e00", "a", epoch.Add(time.Second))
+	now := epoch.Add(4 * time.Second)
+	b.Progress("e00", "b", now)
+	is.True(b.Stalled("e00", "a", now)) // its own tokens stopped
+	is.True(!b.Stalled("e00", "b", now))
+}
+
+// Guards against traffic that crosses zones without need, or stays in a full one.
+func TestZoneFirstThenSpill(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(Config{}, fleet(4, func(i int, e *Endpoint) {
+		if i >= 2 {
+			e.Zone = "z2"
+		}
+	}))
+	zones := map[string]int{}
+	for i := range 16 {
+		c, ok := b.Pick(Request{Pool: pool}, epoch)
+		is.True(ok)
+		zones[b.endpoints[c.ID].Zone]++
+		if i == 5 {
+			is.Equal(zones["z2"], 0)
+		}
+		b.Started(c.ID, fmt.Sprint(i), true, epoch)
+	}
+	is.Equal(zones, map[string]int{"z1": 8, "z2": 8})
+}
+
+// Guards against prefix affinity that overloads an endpoint.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(Config{}, fleet(4, func(_ int, e *Endpoint) { e.Capacity = 100 }))
+	affinity := Affinity([]byte("system prompt"))
+	first, _ := b.Pick(Request{Pool: pool, Affinity: affinity}, epoch)
+	load := map[string]int{}
+	for i := range 200 {
+		c, _ := b.Pick(Request{Pool: pool, Affinity: affinity}, epoch)
+		if i < 2 {
+			is.Equal(c.ID, first.ID)
+		}
+		b.Started(c.ID, fmt.Sprint(i), true, epoch)
+		load[c.ID]++
+	}
+	is.True(load[first.ID] >= 50)
+	is.True(float64(load[first.ID]) <= 50*DefaultAffinityLoad+2)
+}
+
+// Guards against low priority that takes the last slots.
+func TestLowPriorityLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(Config{}, fleet(1, func(_ int, e *Endpoint) { e.Capacity = 10 }))
+	for i := range 9 {
+		b.Started("e00", fmt.Sprint(i), true, epoch)
+	}
+	_, low := b.Pick(Request{Pool: pool, Low: true}, epoch)
+	_, normal := b.Pick(Request{Pool: pool}, epoch)
+	is.True(!low)
+	is.True(normal)
+}
+
+func members(n, zones int, prefix string) []Member {
+	var list []Member
+	for i := range n {
+		list = append(list, Member{Name: fmt.Sprintf("%s%03d", prefix, i), Zone: fmt.Sprintf("z%d", i%zones)})
+	}
+	return list
+}
+
+// Guards against endpoints that few or many entries use, at the design scale:
+// 370 entries, 800 endpoints, 6 zones.
+func TestSubsetsAreEven(t *testing.T) {
+	is := is.New(t)
+	entries, endpoints := members(370, 6, "entry"), members(800, 6, "endpoint")
+	const size = 32
+	uses := map[string]int{}
+	for _, self := range entries {
+		subset := Subset(self, entries, endpoints, size)
+		is.Equal(len(subset), size)
+		is.Equal(len(slices.Compact(slices.Sorted(slices.Values(subset)))), size)
+		local := 0
+		for _, name := range subset {
+			uses[name]++
+			if endpoints[slices.IndexFunc(endpoints, func(m Member) bool { return m.Name == name })].Zone == self.Zone {
+				local++
+			}
+		}
+		is.Equal(local, size*3/4)
+	}
+	lowest, highest := 1<<30, 0
+	for _, e := range endpoints {
+		lowest, highest = min(lowest, uses[e.Name]), max(highest, uses[e.Name])
+	}
+	mean := float64(len(entries)*size) / float64(len(endpoints))
+	t.Logf("uses per endpoint: lowest %d, mean %.1f, highest %d", lowest, mean, highest)
+	is.True(float64(lowest) >= 0.75*mean)
+	is.True(float64(highest) <= 1.25*mean)
+}
+
+// Guards against a change of one endpoint that moves most connections.
+func TestSubsetChangesLittle(t *testing.T) {
+	is := is.New(t)
+	entries, endpoints := members(370, 6, "entry"), members(800, 6, "endpoint")
+	moved := 0
+	for _, self := range entries {
+		before := Subset(self, entries, endpoints, 32)
+		after := Subset(self, entries, endpoints[1:], 32)
+		for _, name := range before {
+			if !slices.Contains(after, name) {
+				moved++
+			}
+		}
+	}
+	t.Logf("moved %.2f of 32 endpoints per entry", float64(moved)/370)
+	is.True(float64(moved)/370 <= 2)
+}
--- /dev/null
+++ b/balancer/example_test.go
@@ -0,0 +1,27 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+)
+
+// An endpoint that holds a stream and yields no token is ejected.
+func Example() {
+	now := time.Now()
+	b := balancer.New(balancer.Config{Zone: "z1", EjectedShare: 0.5, Rand: rand.IntN})
+	serves := map[string]string{"quote-large": "sha256:set"}
+	b.Update([]balancer.Endpoint{
+		{ID: "a", Zone: "z1", Capacity: 8, Ready: true, Serves: serves},
+		{ID: "b", Zone: "z1", Capacity: 8, Ready: true, Serves: serves},
+	}, now)
+	b.Started("a", "attempt-1", true, now)
+	fmt.Println("ejected:", b.Check(now.Add(3*time.Second)))
+	choice, ok := b.Pick(balancer.Request{Pool: "quote-large"}, now.Add(3*time.Second))
+	fmt.Println(choice.ID, choice.Set, ok)
+	// Output:
+	// ejected: [a]
+	// b sha256:set true
+}
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -31,7 +31,7 @@
 		limits[name] = admission.Limit{Weight: o.Weight, MaxInFlight: o.MaxInFlight}
 	}
 	return &admitter{
-		cfg:   admission.Config{Entry: s.Instance, QueueWait: time.Duration(s.QueueWait), Limits: limits},
+		cfg:   admission.Config{Entry: s.Instance, Entries: p.count(), QueueWait: time.Duration(s.QueueWait), Limits: limits},
 		fleet: f, peers: p,
 		pools:   map[string]*admission.Controller{},
 		waiting: map[uint64]chan *admission.Refusal{},
@@ -151,14 +151,25 @@
 	}
 }
 
+// rebalance moves limits between entries after a complete round of reports.
+func (a *admitter) rebalance(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, name := range a.fleet.pools() {
+		p := a.pool(name, now)
+		p.SetPeers(a.peers.reports(name, now))
+		p.Rebalance(a.cfg.Entries)
+	}
+}
+
 // usage returns this entry's demand by pool.
 func (a *admitter) usage() map[string]admission.Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	pools := map[string]admission.Report{}
 	for name, p := range a.pools {
-		if !p.Idle() {
-			pools[name] = p.Report()
+		if report := p.Report(); len(report) > 0 {
+			pools[name] = report
 		}
 	}
 	return pools
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -180,3 +180,10 @@
 	defer f.mu.Unlock()
 	return f.balancer.Slots()
 }
+
+// pools returns the names of all pools.
+func (f *fleet) pools() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.Pools()
+}
--- /dev/null
+++ b/internal/entry/load_test.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+// Guards against a small organisation that starves, and against refused
+// requests that are held, during a burst of 3 times capacity by a large one.
+func TestBurstLeavesSmallOrganisationItsShare(t *testing.T) {
+	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
+	for _, g := range gates {
+		g.Capacity, g.Tokens, g.PerToken = 4, 10, 5*time.Millisecond // 50 ms for an answer
+	}
+	c := newCluster(t, gates...)
+	entries := c.addEntries(2, func(s *Settings) { s.QueueWait = Duration(150 * time.Millisecond) })
+	const slots = 8
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var large, refused, held atomic.Int32
+	for i := range 3 * slots {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				started := time.Now()
+				a := entries[i%2].chat(true, fmt.Sprint("large", i, n), wire.HeaderOrganisation, "large")
+				if a.done {
+					large.Add(1)
+					continue
+				}
+				refused.Add(1)
+				if time.Since(started) > 400*time.Millisecond || a.header.Get("Retry-After") == "" {
+					held.Add(1)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	const small = 20
+	done := 0
+	for i := range small {
+		if entries[i%2].chat(true, fmt.Sprint("small", i), wire.HeaderOrganisation, "small").done {
+			done++
+		}
+	}
+	close(stop)
+	wg.Wait()
+	t.Logf("small %d of %d, large %d, refused %d", done, small, large.Load(), refused.Load())
+	c.is.Equal(done, small)
+	c.is.True(large.Load() > 0)
+	c.is.Equal(held.Load(), int32(0))
+	for _, g := range gates {
+		_, _, peak, _ := g.Counts()
+		c.is.True(peak <= g.Capacity)
+	}
+}
+
+// Guards against a limit that each entry grants in full.
+func TestLimitHoldsOverEntries(t *testing.T) {
+	g := engineGate("g1")
+	g.Capacity, g.Tokens, g.PerToken = 64, 40, 5*time.Millisecond
+	c := newCluster(t, g)
+	entries := c.addEntries(4, func(s *Settings) {
+		s.Organisations = map[string]OrganisationLimit{"org": {MaxInFlight: 6}}
+	})
+	c.eventually("entries know each other", func() bool {
+		for _, e := range entries {
+			for _, p := range e.peers.serving(time.Now()) {
+				if p.heard.IsZero() && !p.self {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	var wg sync.WaitGroup
+	for i := range 48 {
+		wg.Go(func() { entries[i%4].chat(true, fmt.Sprint(i), wire.HeaderOrganisation, "org") })
+	}
+	wg.Wait()
+	_, _, peak, _ := g.Counts()
+	t.Logf("peak %d", peak)
+	c.is.True(peak <= 6)
+	c.is.True(peak >= 4) // and is used
+}
+
+// Guards against a request that crashes every endpoint while its caller
+// resends it through every entry.
+func TestPoisonCostsTwoEndpoints(t *testing.T) {
+	var gates []*entrytest.Gate
+	for i := range 5 {
+		gates = append(gates, engineGate(fmt.Sprintf("g%d", i)))
+	}
+	var lost atomic.Int32
+	var control *entrytest.Control
+	var mu sync.Mutex
+	crashed := []string{}
+	poison := quarantine.Fingerprint(pathChat, []byte(chatText(true, "poison")))
+	for _, g := range gates {
+		g.Fault = func(r *http.Request, body string) fault {
+			if !strings.Contains(body, "poison") {
+				return fault{}
+			}
+			if lost.Add(1) <= 2 && r.Header.Get(wire.HeaderFingerprint) != poison {
+				t.Error("another fingerprint")
+			}
+			mu.Lock()
+			crashed = append(crashed, g.ID)
+			listed := wire.QuarantinedRequest{
+				Fingerprint: poison, Until: time.Now().Add(time.Hour).UnixMilli(), Crashed: crashed, Quarantined: len(crashed) > 1,
+			}
+			mu.Unlock()
+			control.SetCatalogue(testCatalogue(), listed) // as an agent's report makes control do
+			return fault{Step: entrytest.StepStarted, Kind: entrytest.Kill}
+		}
+	}
+	c := newCluster(t, gates...)
+	control = c.control
+	entries := c.addEntries(2)
+	for i := range 20 {
+		a := entries[i%2].chat(i%3 != 0, "poison", wire.HeaderOrganisation, fmt.Sprint(i))
+		c.is.True(a.outcome() != "done")
+		if i > 0 {
+			c.is.Equal(a.reason(), "quarantined")
+			c.is.Equal(a.status, http.StatusUnprocessableEntity)
+			c.is.True(strings.Contains(a.body, "until"))
+			c.is.True(a.header.Get("Retry-After") != "")
+		}
+	}
+	c.is.Equal(lost.Load(), int32(2))
+	c.is.True(entries[0].chat(true, "neighbour").done)
+}
+
+// Guards against an innocent neighbour of a crash that stays a suspect.
+func TestNeighbourIsCleared(t *testing.T) {
+	g := engineGate("g1")
+	other := engineGate("g2")
+	c := newCluster(t, g, other)
+	print := quarantine.Fingerprint(pathChat, []byte(chatText(true, "neighbour")))
+	e := c.addEntry()
+	c.control.SetCatalogue(testCatalogue(), wire.QuarantinedRequest{
+		Fingerprint: print, Until: time.Now().Add(time.Hour).UnixMilli(), Crashed: []string{"g1"},
+	})
+	c.eventually("entry knows the suspect", func() bool {
+		e.suspects.mu.Lock()
+		defer e.suspects.mu.Unlock()
+		return e.suspects.list.Check(print, time.Now()).Alone
+	})
+	c.is.True(e.chat(true, "neighbour").done)
+	_, alone, _, _ := other.Counts()
+	c.is.Equal(alone, 1)
+	c.eventually("control is told", func() bool {
+		for _, cmd := range c.control.Commands() {
+			if cmd.Clear != nil && cmd.Clear.Fingerprint == print {
+				return true
+			}
+		}
+		return false
+	})
+	c.is.True(e.chat(true, "neighbour").done)
+	_, alone, _, _ = other.Counts()
+	c.is.Equal(alone, 1)
+}
+
+// Guards against an endpoint that is lost with its agent and reported by none.
+func TestLostInstanceIsReported(t *testing.T) {
+	g := engineGate("g1")
+	c := newCluster(t, g)
+	g.Fault = func(_ *http.Request, body string) fault {
+		if isProbe(body) {
+			return fault{}
+		}
+		go g.Close()
+		time.Sleep(20 * time.Millisecond)
+		return fault{Step: entrytest.StepStarted, Kind: entrytest.Kill}
+	}
+	a := c.addEntry().chat(true, "hello")
+	c.is.Equal(a.outcome(), "unknown")
+	c.eventually("the loss is reported", func() bool {
+		for _, cmd := range c.control.Commands() {
+			if cmd.Crash != nil && cmd.Crash.Endpoint == "g1" {
+				return len(cmd.Crash.Fingerprints) == 1
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a planned stop that cuts streams, keeps the address in
+// answers, or refuses callers that still hold a valid answer.
+func TestPlannedStopInterruptsNothing(t *testing.T) {
+	g := engineGate("g1")
+	g.Capacity, g.Tokens, g.PerToken = 64, 100, 20*time.Millisecond // 2 s, longer than the stop's notice
+	c := newCluster(t, g)
+	entries := c.addEntries(2)
+	leaving, staying := entries[0], entries[1]
+	addresses := func(e *testEntry) string { return e.do(http.MethodGet, "/v1/addresses?zone=z1", "").body }
+	c.eventually("both are listed", func() bool {
+		return strings.Contains(addresses(staying), `"entry-a"`) && strings.Contains(addresses(leaving), `"entry-b"`)
+	})
+	long := make(chan answer, 1)
+	go func() { long <- leaving.chat(true, "long") }()
+	c.eventually("the stream began", func() bool { n, _, _, _ := g.Counts(); return n > 0 })
+	stopped := make(chan struct{})
+	go func() { leaving.stop(); close(stopped) }()
+	c.eventually("stopping", func() bool { return leaving.stopping.Load() })
+	c.is.True(!strings.Contains(addresses(leaving), `"entry-a"`)) // at once
+	c.is.True(leaving.chat(true, "during notice").done)
+	c.eventually("the other entry leaves it out", func() bool { return !strings.Contains(addresses(staying), `"entry-a"`) })
+	a := <-long
+	c.is.True(a.done)
+	c.is.Equal(a.text, entrytest.Text(100))
+	<-stopped
+	c.is.True(leaving.chat(true, "after").err != nil)
+}
+
+// Guards against address answers that do not rank the caller's zone first.
+func TestAddressesRankZoneFirst(t *testing.T) {
+	c := newCluster(t, engineGate("g1"))
+	list := []Peer{{Name: "entry-x", Address: "127.0.0.1:1", Zone: "z2"}, {Name: "entry-y", Address: "127.0.0.1:2", Zone: "z3"}}
+	e := c.addEntry(func(s *Settings) {
+		s.Entries = append(list, Peer{Name: s.Instance, Address: s.Advertise, Zone: s.Zone})
+	})
+	for _, p := range list {
+		e.peers.heard(p.Name, usage{Name: p.Name}, time.Now())
+	}
+	for _, zone := range []string{"z1", "z2", "z3"} {
+		a := e.do(http.MethodGet, "/v1/addresses?zone="+zone, "")
+		first, _, _ := strings.Cut(strings.TrimPrefix(a.body, `{"addresses":[{`), "}")
+		c.is.True(strings.Contains(first, `"zone":"`+zone+`"`))
+		c.is.True(strings.Contains(a.body, `"ttl_seconds":0.1`))
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -89,6 +89,26 @@
 	return list
 }
 
+// count is the number of entries, this one included.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list)
+}
+
+// allHeardSince reports whether every other entry has reported since a time or
+// is known to be down.
+func (p *peers) allHeardSince(start time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.list {
+		if !s.self && !s.refused && s.heard.Before(start) {
+			return false
+		}
+	}
+	return true
+}
+
 // others returns the entries that this one asks for their usage.
 func (p *peers) others() []Peer {
 	p.mu.Lock()
@@ -165,10 +185,14 @@
 	defer ticker.Stop()
 	for {
 		var wg sync.WaitGroup
+		started := time.Now()
 		for _, peer := range e.peers.others() {
 			wg.Go(func() { e.askPeer(ctx, peer) })
 		}
 		wg.Wait()
+		if e.peers.allHeardSince(started) {
+			e.admitter.rebalance(time.Now())
+		}
 		e.admitter.tick(time.Now())
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/outcome/example_test.go
@@ -0,0 +1,16 @@
+package outcome_test
+
+import (
+	"fmt"
+
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// Attempt identifiers differ between process starts and attempts.
+func Example() {
+	source := outcome.NewSource("entry-1", 1000)
+	id := source.Next()
+	parsed, err := outcome.ParseAttemptID(id.String())
+	fmt.Println(id, parsed == id, err)
+	// Output: entry-1.rs.1 true <nil>
+}
--- /dev/null
+++ b/quarantine/example_test.go
@@ -0,0 +1,22 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+// A request that was in flight on two endpoints as they crashed is refused.
+func Example() {
+	now := time.Now()
+	list := quarantine.New(quarantine.Config{})
+	f := quarantine.Fingerprint("/v1/chat/completions", []byte(`{"model":"m","messages":[]}`))
+	fmt.Println(list.Check(f, now).Alone)
+	fmt.Println(list.Lost(f, "endpoint-1", now).Alone)
+	fmt.Println(list.Lost(f, "endpoint-2", now).Quarantined)
+	// Output:
+	// false
+	// true
+	// true
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,110 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Guards against a resend that escapes its quarantine by another spelling, and
+// against different requests taken for the same.
+func TestFingerprintIsCanonical(t *testing.T) {
+	is := is.New(t)
+	print := func(body string) string { return Fingerprint("/v1/chat/completions", []byte(body)) }
+	a := print(`{"model":"m","messages":[{"role":"user","content":"x"}]}`)
+	for _, same := range []string{
+		`{ "messages": [ {"content":"x","role":"user"} ], "model":"m" }`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"user":"other"}`,
+		`{"model":"m","messages":[{"role":"user","content":"\u0078"}],"resume_from_token":4}`,
+	} {
+		is.Equal(print(same), a)
+	}
+	for _, other := range []string{
+		`{"model":"m2","messages":[{"role":"user","content":"x"}]}`,
+		`{"model":"m","messages":[{"role":"user","content":"y"}]}`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":9007199254740993}`,
+	} {
+		is.True(print(other) != a)
+	}
+	is.True(print(`{"max_tokens":9007199254740993}`) != print(`{"max_tokens":9007199254740992}`))
+	is.True(print("not JSON") != print("not JSON either"))
+	is.True(Fingerprint("/other", []byte("x")) != Fingerprint("/v1", []byte("x")))
+}
+
+func FuzzFingerprint(f *testing.F) {
+	f.Add([]byte(`{"model":"m","user":"u"}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if len(Fingerprint("/", body)) != 64 || Fingerprint("/", body) != Fingerprint("/", body) {
+			t.Fatal("not a stable digest")
+		}
+	})
+}
+
+// Guards against a suspect that runs twice at once, on an endpoint lost to it,
+// or on a third endpoint.
+func TestSuspectCostsTwoEndpointsAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := New(Config{}), epoch
+		lost, running := map[string]bool{}, false
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				v := l.Check("f", now)
+				if v.Quarantined || v.Alone && (v.Busy || !l.Begin("f")) {
+					return
+				}
+				if running && v.Alone {
+					t.Fatal("two copies of a suspect run")
+				}
+				running = v.Alone
+				if !rapid.Bool().Draw(t, "crashes") {
+					if v.Alone {
+						l.End("f", false)
+					}
+					running = false
+					return
+				}
+				endpoint := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "endpoint")
+				for _, avoid := range v.Avoid {
+					if endpoint == avoid {
+						endpoint = "other-" + endpoint
+					}
+				}
+				l.Lost("f", endpoint, now)
+				lost[endpoint] = true
+				if v.Alone {
+					l.End("f", false)
+				}
+				running = false
+			},
+			"time": func(t *rapid.T) { now = now.Add(time.Minute / 10) },
+			"": func(t *rapid.T) {
+				if now.Sub(epoch) < DefaultPeriod && len(lost) > DefaultMaxLosses {
+					t.Fatalf("endpoints lost: %v", lost)
+				}
+			},
+		})
+	})
+}
+
+// Guards against a quarantine without end, and one that own evidence lifts.
+func TestQuarantineEndsAtItsDate(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	until := epoch.Add(time.Hour)
+	l.SetControl([]Record{{Fingerprint: "f", Quarantined: true, Until: until, Crashed: []string{"a", "b"}}})
+	l.End("g", true)
+	is.Equal(l.Check("f", epoch).Until, until)
+	is.True(l.Check("f", until.Add(-1)).Quarantined)
+	is.Equal(l.Check("f", until), Verdict{})
+	// Control's evidence and the own one count together.
+	l.SetControl([]Record{{Fingerprint: "h", Until: until, Crashed: []string{"a"}}})
+	is.True(!l.Check("h", epoch).Quarantined)
+	is.True(l.Lost("h", "b", epoch).Quarantined)
+	l.Expire(until.Add(time.Hour))
+	is.Equal(len(l.own), 0)
+}
