--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -29,33 +29,28 @@
 
 // NoteAnswer answers POST PathNotes and POST PathNotesCheck.
 type NoteAnswer struct {
-	Status   string         `json:"status"`
+	Status   string            `json:"status"`
 	Number   uint64            `json:"number,omitempty"` // of the note, of its accepted rival, or the expected one
 	Digest   release.Digest    `json:"digest,omitempty"` // of the note or of its accepted rival
 	Reason   string            `json:"reason,omitempty"`
-	Problems []NoteProblem     `json:"problems,omitempty"`
+	Problems []release.Problem `json:"problems,omitempty"`
 	Leader   string            `json:"leader,omitempty"`
 }
 
-// NoteProblem is one fault of a note.
-type NoteProblem struct {
-	Line   int    `json:"line,omitempty"`
-	Column int    `json:"column,omitempty"`
-	Field  string `json:"field"`
-	Detail string `json:"detail"`
-}
-
 // Status answers GET PathStatus.
 type Status struct {
-	Replica   string             `json:"replica"`
-	Leader    string             `json:"leader"`
-	Term      uint64             `json:"term"`
-	Voters    []string           `json:"voters"`
-	Learners  []string           `json:"learners"`
-	Revision  uint64             `json:"revision"`
-	InForce   uint64             `json:"in_force"` // highest revision in force on every known instance
-	Digest    release.Digest     `json:"digest"`
-	Catalogue *release.Catalogue `json:"catalogue,omitempty"`
+	Replica  string   `json:"replica"`
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+	Revision uint64   `json:"revision"`
+	// InForce is true when Revision is in force on every known instance;
+	// InForceRevision is the highest one that is.
+	InForce         bool               `json:"in_force"`
+	InForceRevision uint64             `json:"in_force_revision"`
+	Digest          release.Digest     `json:"digest"`
+	Catalogue       *release.Catalogue `json:"catalogue,omitempty"`
 }
 
 // Endpoints answers GET PathEndpoints.
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -72,11 +71,10 @@
 }
 
 func writeManifest(dir string, m manifest.Manifest) (release.Digest, error) {
-	data, err := json.Marshal(m)
+	data, digest, err := manifest.Encode(m)
 	if err != nil {
 		return "", oops.In("standin").Wrap(err)
 	}
-	digest := release.DigestOf(data)
 	path := filepath.Join(dir, manifestsDir, digest.Hex())
 	if err := os.MkdirAll(filepath.Dir(path), dirMode); err != nil {
 		return "", oops.In("standin").Wrap(err)
@@ -135,17 +133,13 @@
 	rows := size / (tensorColumns * bf16Bytes)
 	first := (rows + 1) / 2
 	split, end := first*tensorColumns*bf16Bytes, rows*tensorColumns*bf16Bytes
-	header := map[string]any{
-		metadataKey: map[string]string{"format": "pt"},
-		fmt.Sprintf("model.layers.%d.attention.weight", shard): tensor{"BF16", []int64{first, tensorColumns}, [2]int64{0, split}},
-		fmt.Sprintf("model.layers.%d.mlp.weight", shard):       tensor{"BF16", []int64{rows - first, tensorColumns}, [2]int64{split, end}},
-	}
-	text, err := json.Marshal(header)
-	if err != nil {
-		return nil, 0, oops.In("standin").Wrap(err)
-	}
-	for len(text)%headerLengthBytes != 0 {
-		text = append(text, ' ')
-	}
-	return append(binary.LittleEndian.AppendUint64(nil, uint64(len(text))), text...), end, nil
+	header, err := manifest.EncodeSafetensorsHeader(map[string]manifest.Tensor{
+		fmt.Sprintf("model.layers.%d.attention.weight", shard): bf16(first, 0, split),
+		fmt.Sprintf("model.layers.%d.mlp.weight", shard):       bf16(rows-first, split, end),
+	})
+	return header, end, oops.In("standin").Wrap(err)
+}
+
+func bf16(rows, from, to int64) manifest.Tensor {
+	return manifest.Tensor{DType: "BF16", Shape: []int64{rows, tensorColumns}, Offsets: [2]int64{from, to}}
 }
