--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -181,9 +181,9 @@
 	return f.balancer.Slots()
 }
 
-// incarnation returns the announced incarnation of an endpoint.
-func (f *fleet) incarnation(id string) uint64 {
+// pools returns the names of all pools.
+func (f *fleet) pools() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.gates[id].Incarnation
+	return f.balancer.Pools()
 }
