--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -35,6 +35,10 @@
 			tokens(w, other, 0, 2)
 			_, _ = io.WriteString(w, "data: [DONE]\n\n")
 		}},
+		"other set in the header": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			w.Header().Set(engine.HeaderWeightsSet, other)
+			_, _ = fmt.Fprintf(w, `{"system_fingerprint":%q}`, set)
+		}},
 		"no set named": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, _ string) {
 			tokens(w, "", 0, 2)
 		}},
@@ -103,9 +107,12 @@
 	for name, act := range cases {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
-				id := r.nextID()
+				id, begun := r.nextID(), time.Now()
 				act(r, id)
-				time.Sleep(2 * time.Second)
+				time.Sleep(2*time.Second - time.Since(begun))
+				if late := time.Since(begun); late > 2*time.Second {
+					r.t.Fatalf("cancelled after %v", late)
+				}
 				select {
 				case <-cancelled:
 				default:
@@ -117,6 +124,20 @@
 	}
 }
 
+// Guards against a caller that is told of a missing model when the engine has
+// lost its set, as after a restart that the agent has not seen yet.
+func TestLostSetIsNotRun(t *testing.T) {
+	run(t, nil, func(r *rig) {
+		is := is.New(r.t)
+		time.Sleep(100 * time.Millisecond) // between two reports
+		r.engine.change(func(e *fakeEngine) { e.sets = nil })
+		a := r.ask(setID("1"))
+		is.Equal([]string{a.outcome, a.reason}, []string{"not-run", "set-not-loaded"})
+		time.Sleep(2 * time.Second)
+		is.True(r.ask(setID("1")).whole())
+	})
+}
+
 // Guards against an attempt that runs after it was reported as not run, runs
 // twice, or is reported as not run by a process that cannot know.
 func TestFencedAndRepeatedAttempts(t *testing.T) {
@@ -207,7 +228,7 @@
 		is.NoErr(err)
 		ctx, cancel := context.WithCancelCause(r.t.Context())
 		defer cancel(nil)
-		a := &attempt{model: "m", body: []byte("{}")}
+		a := &attempt{model: "m", body: []byte(`{"model":"m"}`)}
 		a.request.ID, a.request.Set = id, setID("1")
 		d, _ := r.agent.tryBegin(a, cancel)
 		is.Equal(d.Verdict.String(), "start")
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -30,7 +30,17 @@
 // Guards against a crash whose requests are not suspected, also when the engine
 // is back before the agent looks, and against one that is reported twice.
 func TestCrashReportsRequestsInFlight(t *testing.T) {
-	for name, down := range map[string]time.Duration{"back at once": 0, "down for a while": 5 * time.Second} {
+	cases := map[string]func(r *rig){
+		"back at once":     func(r *rig) { r.crash(0) },
+		"down for a while": func(r *rig) { r.crash(5 * time.Second) },
+		"restart reported before the connections break": func(r *rig) {
+			r.engine.change(func(e *fakeEngine) { e.sets, e.fence, e.started, e.chat = nil, 0, e.started+1, nil })
+			r.agent.refreshEngine()
+			time.Sleep(300 * time.Millisecond)
+			r.crash(0)
+		},
+	}
+	for name, crash := range cases {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
 				is := is.New(r.t)
@@ -45,7 +55,7 @@
 					})
 				}
 				time.Sleep(time.Second)
-				r.crash(down)
+				crash(r)
 				wg.Wait()
 				time.Sleep(5 * time.Second)
 				proposed := r.proposals()
@@ -62,8 +72,14 @@
 // Guards against a suspect that crashes alone and is reported as one of many,
 // and against work sent to an engine that is down.
 func TestCrashOfASuspectAlone(t *testing.T) {
-	run(t, func(r *rig) { r.engine.chat = hang }, func(r *rig) {
+	run(t, nil, func(r *rig) {
 		is := is.New(r.t)
+		r.engine.change(func(e *fakeEngine) {
+			e.chat = func(http.ResponseWriter, *http.Request, string) { panic(http.ErrAbortHandler) }
+		})
+		r.ask(setID("1"), wire.HeaderFingerprint, "cut short without a crash")
+		time.Sleep(2 * time.Second)
+		r.engine.change(func(e *fakeEngine) { e.chat = hang })
 		id := r.nextID()
 		var wg sync.WaitGroup
 		wg.Go(func() { r.askID(id, setID("1"), wire.HeaderFingerprint, "a", wire.HeaderAlone, "true") })
@@ -130,9 +146,9 @@
 		r.ask(setID("1"))
 		_, after := r.engine.served()
 		is.Equal(after, before)
-		for _, a := range r.controls[0].announced[3:] {
-			is.True(a.Ready)
-		}
+		r.each(func(c *fakeControl) {
+			is.True(!slices.ContainsFunc(c.announced[3:], func(a wire.Announce) bool { return !a.Ready }))
+		})
 	})
 }
 
--- a/internal/agent/lease_test.go
+++ b/internal/agent/lease_test.go
@@ -99,16 +99,17 @@
 		r.accept(testCatalogue(3, ""))
 		time.Sleep(time.Second)
 		is.Equal(r.ask(setID("1")).reason, "model-withdrawn")
-		stale := full(testCatalogue(2, "1"))
 		forged := full(testCatalogue(4, "1"))
-		forged.Digest = stale.Digest
-		r.each(func(c *fakeControl) {
-			for s := range c.sessions {
-				_ = s.Send(stale)
-				_ = s.Send(forged)
-			}
-		})
-		time.Sleep(time.Second)
-		is.Equal(r.agent.state.revision(), uint64(3))
+		forged.Digest = full(testCatalogue(2, "1")).Digest
+		for _, message := range []wire.Catalogue{full(testCatalogue(2, "1")), forged} {
+			r.each(func(c *fakeControl) {
+				c.catalogue = testCatalogue(0, "") // a replica that is behind
+				for s := range c.sessions {
+					_ = s.Send(message)
+				}
+			})
+			time.Sleep(time.Second)
+			is.Equal(r.agent.state.revision(), uint64(3))
+		}
 	})
 }
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -122,8 +122,9 @@
 	}
 }
 
-// Guards against orders without a lease: an engine that ignores tokens must get
-// none from an agent that is cut off, resumed from a pause, or behind.
+// Guards against orders without a lease or a reason: an engine that ignores
+// tokens must get none from an agent that is cut off, resumed from a pause, or
+// behind, and none for a set that was withdrawn meanwhile.
 func TestNoOrderWithoutLease(t *testing.T) {
 	cases := map[string]func(r *rig){
 		"cut off": func(r *rig) { r.net.Isolate(agentHost, []string{"c0", "c1", "c2"}, true) },
@@ -134,6 +135,12 @@
 			time.Sleep(100 * time.Millisecond) // the order waits for a report
 			r.net.Isolate(agentHost, []string{"c0", "c1", "c2", "c3"}, true)
 		},
+		"withdrawn after the first check": func(r *rig) {
+			r.engine.change(func(e *fakeEngine) { e.reportDelay = time.Second })
+			close(r.weights.hold)
+			time.Sleep(100 * time.Millisecond)
+			r.accept(testCatalogue(2, ""))
+		},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
