--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -201,12 +201,21 @@
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	}
 	select {
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	default:
+	}
+	select {
 	case l.queue <- server:
-		return client, nil
+	default:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	select {
 	case <-l.closed:
+		l.resetQueued()
 	default:
 	}
-	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	return client, nil
 }
 
 type addr string
@@ -223,6 +232,19 @@
 	closeOnce sync.Once
 }
 
+// resetQueued breaks connections that were never accepted, as TCP does when a
+// listener closes.
+func (l *listener) resetQueued() {
+	for {
+		select {
+		case c := <-l.queue:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	select {
@@ -241,6 +263,7 @@
 	}
 	l.net.mu.Unlock()
 	l.closeOnce.Do(func() { close(l.closed) })
+	l.resetQueued()
 	return nil
 }
 
