--- a/internal/loadtool/addresses.go
+++ b/internal/loadtool/addresses.go
@@ -8,10 +8,10 @@
 	"net"
 	"net/http"
 	"net/url"
-	"sync"
 	"time"
 
 	"github.com/samber/oops"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
@@ -38,13 +38,21 @@
 	token auth.Token
 	http  *http.Client
 
-	mu      sync.Mutex
+	// turn guards the fields below. It is held during a lookup, so waiting for
+	// it ends with the waiter's context.
+	turn    *semaphore.Weighted
 	ranked  []string
 	until   time.Time
 	lookups int
 	failed  int
 }
 
+func newAddressBook(cfg Config, client *http.Client) *addressBook {
+	return &addressBook{
+		seeds: cfg.Entries, zone: cfg.Zone, token: cfg.Token, http: client, turn: semaphore.NewWeighted(1),
+	}
+}
+
 type addressAnswer struct {
 	Addresses []struct {
 		Address string `json:"address"`
@@ -54,8 +62,10 @@
 
 // get returns the ranked addresses. Lookups are made one at a time.
 func (b *addressBook) get(ctx context.Context) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	if b.turn.Acquire(ctx, 1) != nil {
+		return nil
+	}
+	defer b.turn.Release(1)
 	if time.Now().Before(b.until) {
 		return b.ranked
 	}
@@ -107,8 +117,9 @@
 
 // counts returns the numbers of lookups and of those without an answer.
 func (b *addressBook) counts() (lookups, failed int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	if b.turn.Acquire(context.Background(), 1) == nil {
+		defer b.turn.Release(1)
+	}
 	return b.lookups, b.failed
 }
 
--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -47,7 +47,7 @@
 	defer client.CloseIdleConnections()
 	run := &orderRun{
 		cfg:      cfg,
-		book:     &addressBook{seeds: cfg.Entries, zone: cfg.Zone, token: cfg.Token, http: client},
+		book:     newAddressBook(cfg.Config, client),
 		recorder: newRecorder("services", cfg.Config),
 		http:     client,
 		told:     map[string]*toldOutcomes{},
--- a/internal/loadtool/quotes.go
+++ b/internal/loadtool/quotes.go
@@ -56,7 +56,7 @@
 	defer client.CloseIdleConnections()
 	run := &quoteRun{
 		cfg:      cfg,
-		book:     &addressBook{seeds: cfg.Entries, zone: cfg.Zone, token: cfg.Token, http: client},
+		book:     newAddressBook(cfg.Config, client),
 		recorder: newRecorder("quotes", cfg.Config),
 		checker:  newChecker(cfg.Weights),
 		http:     client,
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -171,6 +171,13 @@
 	return h.connect(l)
 }
 
+// Stopped reports whether the host was stopped since this view was taken.
+func (h *Host) Stopped() bool {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	return h.stopped()
+}
+
 // stopped needs the network's lock.
 func (h *Host) stopped() bool { return h.start != h.net.starts[h.name] }
 
