--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -32,7 +32,13 @@
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if path := os.Getenv(costSettings); path != "" {
+		runForCost(path)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const (
 	testToken   = "0123456789abcdef0123"
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -1,11 +1,13 @@
 package agent
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 )
 
 type agentMetrics struct {
@@ -16,7 +18,7 @@
 	crashes   prometheus.Counter
 }
 
-func newMetrics(registry prometheus.Registerer, s *state) *agentMetrics {
+func newMetrics(registry prometheus.Registerer, s *state, bytes *transport.ByteCounts) *agentMetrics {
 	opts := func(name, help string) prometheus.Opts {
 		return prometheus.Opts{Namespace: metrics.Namespace, Subsystem: "agent", Name: name, Help: help}
 	}
@@ -37,7 +39,13 @@
 			return value()
 		})
 	}
+	payload := func(direction string, value *atomic.Int64) prometheus.CounterFunc {
+		o := opts("control_bytes_total", "Payload of the sessions to control replicas.")
+		o.ConstLabels = prometheus.Labels{"direction": direction}
+		return prometheus.NewCounterFunc(prometheus.CounterOpts(o), func() float64 { return float64(value.Load()) })
+	}
 	registry.MustRegister(
+		payload("sent", &bytes.Sent), payload("received", &bytes.Received),
 		m.refusals, m.failures, m.orders, m.completed, m.crashes,
 		gauge("in_flight", "Attempts in progress.", func() float64 { return float64(s.gate.InFlight()) }),
 		gauge("revision", "Catalogue revision acted on.", func() float64 { return float64(s.catalogue.Revision) }),
