Send the replicas' addresses once per session

Cause: each confirmation carried all addresses, which nobody needs twice. The comment in internal/wire says so.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -65,6 +65,7 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposals     chan struct{}
+	told          sync.Map           // session to the membership index whose addresses it has
 	halt          context.CancelFunc // stops at once, without handing over
 }
 
@@ -225,7 +226,7 @@
 	var wg sync.WaitGroup
 	session := mux.NewRouter()
 	session.Handle(wire.PathSession, tracked(&wg, &transport.Server{
-		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.hub.Forget, Bytes: d.opts.Bytes,
+		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
 	}))
 	servers := []struct {
 		address string
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -22,7 +22,7 @@
 	case wire.TypeRaft:
 		handle(d, s, env, func(m wire.Raft) { d.receivePeer(m) })
 	case wire.TypeConfirmRequest:
-		handle(d, s, env, func(m wire.ConfirmRequest) { _ = s.Send(d.confirmReply(m)) })
+		handle(d, s, env, func(m wire.ConfirmRequest) { _ = s.Send(d.addressesOnce(s, d.confirmReply(m))) })
 	case wire.TypeAnnounce:
 		handle(d, s, env, func(m wire.Announce) {
 			d.hub.Announce(m, time.Now())
@@ -83,6 +83,24 @@
 	}
 }
 
+// addressesOnce leaves out the replicas' addresses when the session has them:
+// they made up half of the bytes of confirmation.
+func (d *Daemon) addressesOnce(s *transport.Session, r wire.ConfirmReply) wire.ConfirmReply {
+	index := d.replica.View().Raft.Membership.Index
+	if told, ok := d.told.Load(s); ok && told == index {
+		r.Addresses = nil
+		return r
+	}
+	d.told.Store(s, index)
+	return r
+}
+
+// sessionClosed forgets what is kept for a session.
+func (d *Daemon) sessionClosed(s *transport.Session) {
+	d.hub.Forget(s)
+	d.told.Delete(s)
+}
+
 // receiveProposal answers a proposal of an entry or agent. Notes come only over
 // the operator port.
 func (d *Daemon) receiveProposal(ctx context.Context, s *transport.Session, env wire.Envelope, m wire.Propose) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -80,6 +80,7 @@
 	Voters     []string `cbor:"5,keyasint"`
 	VoterIndex uint64   `cbor:"6,keyasint"`
 	// Addresses maps replicas, learners included, to their session addresses.
+	// It comes with the first reply of a session and after each change.
 	Addresses map[string]string `cbor:"7,keyasint"`
 	// Term orders leaders' fencing numbers for engine orders.
 	Term uint64 `cbor:"8,keyasint"`
