Push catalogues outside the replica's loop

Cause: the loop encoded and queued the catalogue for every subscriber before it acknowledged anything, some 10 ms with 800 subscribers. Subscribers that several notes passed by now get the full catalogue instead of each delta.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -169,7 +169,7 @@
 		}).Info("membership_changed")
 	}
 	if old.Catalogue.Revision != next.Catalogue.Revision || old.Quarantine != next.Quarantine {
-		d.hub.Push(next)
+		d.hub.Changed()
 	}
 }
 
@@ -262,6 +262,7 @@
 	wg.Go(func() { d.replica.Run(loop) })
 	wg.Go(func() { d.peers.Run(loop, d.settings.Voters) })
 	wg.Go(func() { d.hub.Run(ctx.Done()) })
+	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	var err error
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -34,13 +34,14 @@
 	subscribers map[*transport.Session]*subscriber
 	view        func() *View
 	announced   func(wire.Announce, time.Time)
-	wake        chan struct{}
+	wake        chan struct{} // the member table changed
+	changed     chan struct{} // a new view was published
 }
 
 func newHub(view func() *View) *hub {
 	epoch := uint64(time.Now().UnixNano())
 	return &hub{
-		epoch: epoch, view: view, wake: make(chan struct{}, 1),
+		epoch: epoch, view: view, wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		subscribers: map[*transport.Session]*subscriber{},
 		table:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
 	}
@@ -84,17 +85,20 @@
 		h.announced(a, now)
 	}
 	if changed {
-		h.wakeUp()
+		signal(h.wake)
 	}
 }
 
-func (h *hub) wakeUp() {
+func signal(c chan struct{}) {
 	select {
-	case h.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// Changed has the newest view pushed at once, without waiting for it.
+func (h *hub) Changed() { signal(h.changed) }
+
 // Live lists the present endpoints.
 func (h *hub) Live() []wire.Announce {
 	h.mu.Lock()
@@ -127,10 +131,11 @@
 	h.mu.Unlock()
 }
 
-// Push sends the catalogue of a new view to every subscriber at once.
-func (h *hub) Push(v *View) {
+// push sends the newest catalogue to every subscriber that lacks it.
+func (h *hub) push() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	v := h.view()
 	for _, sub := range h.subscribers {
 		h.sendCatalogue(sub, v, false)
 	}
@@ -189,6 +194,19 @@
 	}
 }
 
+// RunPush sends new catalogues until done closes. It is apart from the
+// replica's loop, which would otherwise acknowledge nothing meanwhile.
+func (h *hub) RunPush(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-h.changed:
+			h.push()
+		}
+	}
+}
+
 // Run sends member changes and removes silent endpoints until done closes.
 func (h *hub) Run(done <-chan struct{}) {
 	expire := time.NewTicker(expireInterval)
