--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -65,6 +65,7 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposals     chan struct{}
+	told          sync.Map           // session to the membership index whose addresses it has
 	halt          context.CancelFunc // stops at once, without handing over
 }
 
@@ -168,7 +169,7 @@
 		}).Info("membership_changed")
 	}
 	if old.Catalogue.Revision != next.Catalogue.Revision || old.Quarantine != next.Quarantine {
-		d.hub.Push(next)
+		d.hub.Changed()
 	}
 }
 
@@ -225,7 +226,7 @@
 	var wg sync.WaitGroup
 	session := mux.NewRouter()
 	session.Handle(wire.PathSession, tracked(&wg, &transport.Server{
-		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.hub.Forget, Bytes: d.opts.Bytes,
+		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
 	}))
 	servers := []struct {
 		address string
@@ -261,6 +262,7 @@
 	wg.Go(func() { d.replica.Run(loop) })
 	wg.Go(func() { d.peers.Run(loop, d.settings.Voters) })
 	wg.Go(func() { d.hub.Run(ctx.Done()) })
+	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	var err error
