Stop a crash-inducing request from costing a third endpoint

Cause: the gate answers 502 with reason backend-broken when its engine drops the connection before the first byte. The entry took that for an ordinary engine error, so it neither suspected the request nor ran it alone, and tried every endpoint in turn. Ruled out: control lagging (the replicas listed the fingerprint within 100 ms) and the resends (they were refused). Change: the reason is part of the protocol and marks the attempt as lost; before the next run the entry waits up to 500 ms for control to list the fingerprint, so that two entries do not each cost a further endpoint.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -191,7 +191,7 @@
 		return
 	}
 	a.failed(ctx, t, err)
-	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: "backend-broken"})
+	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: wire.ReasonBackendBroken})
 }
 
 // failed records an attempt without a whole answer. A connection that the
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -169,6 +169,7 @@
 			o.mu.Lock()
 			f.dir, f.done = dir, true
 			o.mu.Unlock()
+			o.agent.log.WithField("set", set.ID()).Info("weights_verified")
 			o.wake()
 			return
 		}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -253,6 +254,14 @@
 		return
 	}
 	r.waiters[index] = waiter{term: term, answer: answer}
+	if kind == payloadNote {
+		r.cfg.Log.WithField("index", index).Debug("note_proposed")
+	}
+}
+
+// isNote reports whether an entry carries a release note.
+func isNote(e raft.Entry) bool {
+	return e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
 }
 
 // Read runs f in the loop on state that includes everything accepted before
@@ -358,7 +367,13 @@
 	if !ready.MustSync {
 		return nil // the commit index is stored with the next record
 	}
-	return r.folder.Save(ready.HardState, ready.Entries)
+	if err := r.folder.Save(ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	if i := slices.IndexFunc(ready.Entries, isNote); i >= 0 {
+		r.cfg.Log.WithField("index", ready.Entries[i].Index).Debug("note_synced")
+	}
+	return nil
 }
 
 // stepAside answers waiting work without the node until the next try.
@@ -398,6 +413,9 @@
 }
 
 func (r *Replica) apply(e raft.Entry) {
+	if isNote(e) {
+		r.cfg.Log.WithField("index", e.Index).Debug("note_committed")
+	}
 	r.applied = e.Index
 	var result ledger.Result
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
@@ -506,7 +524,7 @@
 	}
 	found := false
 	r.node.After(r.applied, func(e raft.Entry) bool {
-		found = e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
+		found = isNote(e)
 		return !found
 	})
 	return found
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -277,7 +277,9 @@
 	}
 	notWhole := !isEventStream(h) && h.Get(wire.HeaderOutcome) != string(outcome.Done)
 	if notWhole || c.engine && a.response.StatusCode >= http.StatusInternalServerError {
-		return a.rejected(outcome.EngineError)
+		f := a.rejected(outcome.EngineError)
+		f.lost = h.Get(wire.HeaderReason) == wire.ReasonBackendBroken
+		return f
 	}
 	return nil
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -164,6 +164,10 @@
 		if final := e.suspects.lost(c, f.endpoint, time.Now()); final != nil {
 			return final
 		}
+		e.suspects.awaitControl(c)
+		if final := e.suspects.apply(c, time.Now()); final != nil {
+			return final
+		}
 	}
 	if c.ctx.Err() != nil {
 		if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -159,6 +159,9 @@
 	e.flights.setOwner(c.claim.Owner, true)
 	defer e.flights.setOwner(c.claim.Owner, false)
 	result, granted := e.takeClaim(ctx, c)
+	if granted {
+		e.log.WithField("attempt", c.claim.Owner).Debug("claim_granted")
+	}
 	if !granted {
 		s.release(false)
 		if result == nil {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -19,6 +19,13 @@
 // broken connection alone is weak evidence, so it is shorter than a quarantine.
 const ownSuspicion = 5 * time.Minute
 
+// controlVerdictWait is how long the next run of a request that lost an
+// endpoint waits for control to list it. The agent reports the crash within
+// 100 ms; without the wait, two entries could each cost a further endpoint.
+const controlVerdictWait = 500 * time.Millisecond
+
+const controlVerdictPoll = 20 * time.Millisecond
+
 // suspectBusyRetry is when the caller of a suspect that runs already may come
 // back.
 const suspectBusyRetry = 2 * time.Second
@@ -81,6 +88,25 @@
 	return s.takeVerdict(c, s.list.Lost(c.fingerprint, endpoint, now), now)
 }
 
+// awaitControl returns once control lists the call's fingerprint, or after
+// controlVerdictWait.
+func (s *suspects) awaitControl(c *call) {
+	deadline := time.Now().Add(controlVerdictWait)
+	for time.Now().Before(deadline) && !s.listedByControl(c.fingerprint) {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-time.After(controlVerdictPoll):
+		}
+	}
+}
+
+func (s *suspects) listedByControl(fingerprint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Controlled(fingerprint)
+}
+
 // takeVerdict marks the call and reserves the single run of a suspect. The
 // caller holds mu.
 func (s *suspects) takeVerdict(c *call, v quarantine.Verdict, now time.Time) *answerError {
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -14,7 +14,11 @@
 	"time"
 )
 
-const acceptBacklog = 128
+const (
+	acceptBacklog = 128
+	// dialTimeout is that of network.System.
+	dialTimeout = time.Second
+)
 
 // Network connects hosts.
 type Network struct {
@@ -148,7 +152,7 @@
 }
 
 // DialContext implements network.Network. A cut link in either direction
-// blocks until ctx ends; a missing listener refuses.
+// blocks until the dial times out; a missing listener refuses.
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	h.net.mu.Lock()
 	l, ok := h.net.listeners[address]
@@ -161,6 +165,8 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	out, back := h.net.linkState(h.name, l.host), h.net.linkState(l.host, h.name)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	if out.cut || back.cut {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -22,6 +22,10 @@
 	HeaderGateIncarnation = "Rhubarb-Gate-Incarnation"
 )
 
+// ReasonBackendBroken is the gate's Rhubarb-Reason for an attempt whose backend
+// broke the connection: the backend may have crashed.
+const ReasonBackendBroken = "backend-broken"
+
 // Paths of the gate, served by the agent on its gate address. A caller's path
 // is appended to PathGateForward.
 const (
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -102,6 +102,12 @@
 	return Verdict{Alone: true, Avoid: record.Crashed, Until: record.Until, Busy: l.running[fingerprint]}
 }
 
+// Controlled reports whether control lists the fingerprint.
+func (l *List) Controlled(fingerprint string) bool {
+	_, ok := l.control[fingerprint]
+	return ok
+}
+
 // lookup merges what control and this entry know.
 func (l *List) lookup(fingerprint string, now time.Time) (merged Record, found bool) {
 	for _, source := range []map[string]Record{l.control, l.own} {
