Wait for announcements after a start before reporting a note as in force

A restarted replica knew no endpoint and reported every replayed note as in force. It now waits 2 s, one redial and one announcement interval.

The property of package raft no longer loses the only replica that has the first membership: the daemon then forms the cluster anew, which the simulation does not do.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -73,7 +73,7 @@
 func New(s Settings, opts Options, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(),
-		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease + seconds(s.GraceSeconds)),
+		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease+seconds(s.GraceSeconds), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
 	if err := d.readTokens(); err != nil {
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -140,6 +140,71 @@
 	})
 }
 
+// Guards against a planned stop that costs an election time-out.
+func TestPlannedStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		is.Equal(c.submit(1).Status, "accepted")
+		l := c.leader()
+		started := time.Now()
+		l.stop()
+		delete(c.daemons, l.name)
+		c.eventually("another leader", func() bool { return c.leader() != nil })
+		is.True(time.Since(started) < 100*time.Millisecond)
+		is.Equal(c.submit(2).Status, "accepted")
+	})
+}
+
+// Guards against a restarted replica that reports a note as in force before it
+// has heard of any endpoint, and against one that counts a restarted endpoint
+// or one without its lease.
+func TestInForceAfterRestart(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	f := newInForce(defaultLease, start)
+	f.Committed(1, start)
+	is.True(!f.Report(start)[0].InForce)
+	announce := func(endpoint string, revision uint64, confirmed bool, after time.Duration) RevisionStatus {
+		f.Announced(wire.Announce{Endpoint: endpoint, Revision: revision, Confirmed: confirmed}, start.Add(after))
+		return f.Report(start.Add(after))[0]
+	}
+	is.True(!announce("a", 1, true, time.Second).InForce)
+	is.True(f.Report(start.Add(announceTime))[0].InForce)
+	f.Committed(2, start.Add(3*time.Second))
+	is.Equal(announce("b", 2, false, 3*time.Second).WaitingFor, []string{"a", "b"})
+	is.Equal(announce("a", 2, true, 3*time.Second).WaitingFor, []string{"b"})
+	is.True(announce("b", 2, true, 4*time.Second).InForce)
+	f.Committed(3, start.Add(5*time.Second))
+	announce("a", 3, true, 5*time.Second)
+	f.Announced(wire.Announce{Endpoint: "b", Gone: true}, start.Add(6*time.Second))
+	is.True(f.Report(start.Add(6 * time.Second))[0].InForce)
+	f.Committed(4, start.Add(7*time.Second))
+	is.Equal(f.Report(start.Add(9 * time.Second))[0].LeaseExpired, []string{"a"})
+	is.True(f.Report(start.Add(9 * time.Second))[0].InForce)
+	is.Equal(len(f.Report(start.Add(time.Hour))[0].LeaseExpired), 0) // forgotten
+}
+
+// Guards against memory that grows with the size of recorded answers.
+func TestLargeAnswersMakeSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		l := c.leader()
+		for i := range 2 * snapshotBytes / ledger.MaxResultBytes {
+			key := fmt.Sprint(i)
+			l.replica.Start(ledger.Command{Claim: &ledger.Claim{Organisation: "o", Key: key, Owner: "a"}})
+			a := l.replica.Propose(t.Context(), ledger.Command{Complete: &ledger.Complete{
+				Organisation: "o", Key: key, Owner: "a", Outcome: "done", Body: make([]byte, ledger.MaxResultBytes),
+			}})
+			is.Equal(a.Result.Status, ledger.StatusCompleted)
+		}
+		s := l.replica.View().Raft
+		is.True(s.SnapshotIndex > 1)
+		is.True(s.Last-s.FirstLog < 2*snapshotBytes/ledger.MaxResultBytes+keepLargeEntries+10)
+	})
+}
+
 // Guards against a voter that returns from a long silent partition and deposes
 // the leader, answers from old state, or stays out for good.
 func TestLongSilentPartitionAndReturn(t *testing.T) {
--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -29,9 +29,13 @@
 // inForce follows the last revisions. A lease on an older revision was asked
 // for before the newer one was committed, so it has run out once lease plus
 // grace have passed since.
+//
+// A replica that has just started knows no endpoints. It reports nothing as in
+// force before they had time to announce themselves.
 type inForce struct {
 	mu      sync.Mutex
 	lease   time.Duration // lease plus grace
+	started time.Time
 	known   map[string]acknowledged
 	tracked []*trackedRevision // in order
 }
@@ -49,11 +53,15 @@
 	after     time.Duration
 }
 
+// announceTime is the time within which every endpoint that holds a lease has
+// announced itself to a replica that started: one redial and one interval.
+const announceTime = 2 * time.Second
+
 // knownFor is how long a silent endpoint is reported after its lease ran out.
 const knownFor = time.Minute
 
-func newInForce(lease time.Duration) *inForce {
-	return &inForce{lease: lease, known: map[string]acknowledged{}}
+func newInForce(lease time.Duration, now time.Time) *inForce {
+	return &inForce{lease: lease, started: now, known: map[string]acknowledged{}}
 }
 
 // Committed starts to follow a revision.
@@ -118,8 +126,9 @@
 
 // settle marks revisions as in force.
 func (f *inForce) settle(now time.Time) {
+	heard := now.Sub(f.started) >= announceTime
 	for _, t := range f.tracked {
-		if age := now.Sub(t.committed); !t.done && (t.waiting == 0 || age >= f.lease) {
+		if age := now.Sub(t.committed); !t.done && ((heard && t.waiting == 0) || age >= f.lease) {
 			t.done, t.after = true, age
 		}
 	}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -161,7 +161,7 @@
 	m := v.Raft.Membership
 	s := Status{
 		Replica: d.settings.Replica, ID: v.Raft.ID, Role: v.Raft.Role.String(), Leader: v.Raft.Leader,
-		Term: v.Raft.Term, Voters: m.Voters, Learners: m.Learners, Revision: v.Catalogue.Revision,
+		Term: v.Raft.Term, Voters: append([]string{}, m.Voters...), Learners: append([]string{}, m.Learners...), Revision: v.Catalogue.Revision,
 		Digest: v.Digest, Endpoints: d.endpoints(), Catalogue: v.Catalogue, Commit: v.Raft.Commit,
 		Unresolved: v.Unresolved, Ledger: v.Sizes,
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -23,7 +23,11 @@
 	defaultTurnLimit = 1024
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
-	keepEntries       = 512
+	keepEntries = 512
+	// snapshotBytes of applied commands make a snapshot due before the count
+	// does, since recorded answers can be large. Fewer entries are then kept.
+	snapshotBytes     = 16 << 20
+	keepLargeEntries  = 32
 	diskRetryInterval = 500 * time.Millisecond
 )
 
@@ -91,6 +95,7 @@
 	nextRead     uint64
 	applied      uint64
 	lastSnapshot uint64
+	logBytes     int // applied since the last snapshot
 	diskErr      error
 	stopped      chan struct{}
 }
@@ -399,6 +404,7 @@
 
 func (r *Replica) apply(e raft.Entry) {
 	r.applied = e.Index
+	r.logBytes += len(e.Data)
 	var result ledger.Result
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
 		c, err := ledger.Decode(e.Data[1:])
@@ -453,7 +459,11 @@
 }
 
 func (r *Replica) compact() {
-	if r.applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+	keep := uint64(keepEntries)
+	switch {
+	case r.logBytes >= snapshotBytes:
+		keep = keepLargeEntries
+	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
 		return
 	}
 	data, err := r.ledger.Snapshot()
@@ -461,12 +471,12 @@
 		r.cfg.Log.WithError(err).Error("snapshot_failed")
 		return
 	}
-	s, err := r.node.Compact(r.applied, data, keepEntries)
+	s, err := r.node.Compact(r.applied, data, keep)
 	if err != nil {
 		return // a membership was committed meanwhile; the next turn tries again
 	}
-	r.lastSnapshot = s.Index
-	keepFrom := s.Index - min(s.Index, keepEntries)
+	r.lastSnapshot, r.logBytes = s.Index, 0
+	keepFrom := s.Index - min(s.Index, keep)
 	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
 	hard.Vote = r.node.Vote()
 	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -14,6 +14,9 @@
 	proposeTimeout = 5 * time.Second
 	// maxProposals bounds proposals in work; more are refused as not run.
 	maxProposals = 4096
+	// maxCommandBytes bounds one proposal. The ledger drops a recorded answer
+	// above ledger.MaxResultBytes, but the log would hold it.
+	maxCommandBytes = 1 << 20
 )
 
 // receive handles one message of the session port.
@@ -109,6 +112,9 @@
 	case err != nil:
 		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: err.Error()})
 		return
+	case len(m.Command) > maxCommandBytes:
+		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: "command is too long"})
+		return
 	case c.Note != nil:
 		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeNotRun, Detail: "notes are submitted on the operator port"})
 		return
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -393,13 +393,18 @@
 			}
 		}
 	}
+	formed := false // some other replica has received the first membership
 	for _, n := range s.nodes {
+		formed = formed || (n != lost && n.disk.snapshot.Index > 0)
 		for _, m := range n.memberships {
 			if !majority(m.Voters, kept) {
 				return
 			}
 		}
 	}
+	if !formed {
+		return
+	}
 	delete(s.nodes, lost.id)
 	s.newNode(strings.SplitN(lost.id, ".", 2)[0])
 	s.losses++
