--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO_TOOL = go tool -modfile=tools/go.mod
 export CGO_ENABLED = 1
 
-.PHONY: build run test lint format matrix measure-weights
+.PHONY: build run test lint format matrix measure-weights measure-requests
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,3 +22,7 @@
 
 measure-weights:
 	go run ./internal/transfer/measure
+
+# Goodput, latency, fairness and lost work of the entry by load, policy and fault.
+measure-requests:
+	go run ./internal/entry/measure
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -73,6 +73,7 @@
 	peak       int
 	alone      int
 	probes     int
+	generated  int
 	stopped    chan struct{}
 }
 
@@ -140,6 +141,13 @@
 	return g.total, g.alone, g.peak, g.probes
 }
 
+// Generated returns the tokens of streams sent so far, probes excluded.
+func (g *Gate) Generated() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.generated
+}
+
 // State returns the state of an attempt.
 func (g *Gate) State(id string) string {
 	g.mu.Lock()
@@ -393,6 +401,11 @@
 			}
 		}
 		event(i, set)
+		if tokens > 1 {
+			g.mu.Lock()
+			g.generated++
+			g.mu.Unlock()
+		}
 	}
 	if fault.Step == StepLast {
 		if fault.Kind == EndEarly {
