control: send agents no load changes of other endpoints

Subscribe gets the field Peers; the hub keeps a second table whose versions count only presence, addresses, role and place.

Guards removed once each, with the test failing: the filter, the expiry of the second table, the comparison of addresses.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,7 +81,7 @@
 	a.orders = newOrders(a, started)
 	a.control = controlclient.New(controlclient.Config{
 		Name: cfg.Settings.Endpoint, Token: cfg.Token.Secret(), Replicas: cfg.Settings.Controls,
-		Members: a.isEngine(), Revision: a.state.revision, Bytes: &a.bytes, Network: cfg.Network,
+		Members: a.isEngine(), Peers: true, Revision: a.state.revision, Bytes: &a.bytes, Network: cfg.Network,
 		OnCatalogue: a.receiveCatalogue, OnMembers: a.receiveMembers, OnConfirm: a.receiveConfirm,
 		OnOpen: func(string, *transport.Session) { a.sessionOpened() },
 		OnLost: a.sessionLost,
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -21,16 +21,20 @@
 type subscriber struct {
 	session  *transport.Session
 	revision uint64 // catalogue revision sent
-	members  bool
-	version  uint64 // member version sent
-	listed   uint64 // quarantine version sent
+	// table is what the subscriber follows; nil without members.
+	table   *membership.Table[wire.Announce]
+	version uint64 // member version sent
+	listed  uint64 // quarantine version sent
 }
 
 // hub holds the member table and the subscribers.
 type hub struct {
-	mu          sync.Mutex
-	epoch       uint64
-	table       *membership.Table[wire.Announce]
+	mu    sync.Mutex
+	epoch uint64
+	table *membership.Table[wire.Announce]
+	// peers is the same table for agents, which need no news of load and
+	// readiness: with 800 endpoints those alone exceed an agent's 6 KB/s.
+	peers       *membership.Table[wire.Announce]
 	subscribers map[*transport.Session]*subscriber
 	view        func() *View
 	announced   func(wire.Announce, time.Time)
@@ -44,6 +48,7 @@
 		epoch: epoch, view: view, wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		subscribers: map[*transport.Session]*subscriber{},
 		table:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
+		peers:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: peerChanged}),
 	}
 }
 
@@ -65,6 +70,13 @@
 	return abs(a.InFlight-b.InFlight)*loadSteps > max(b.Capacity, 1)
 }
 
+// peerChanged tells whether agents that fetch weights need an announcement.
+func peerChanged(previous, next membership.Record[wire.Announce]) bool {
+	a, b := previous.Report, next.Report
+	return a.ChunkAddress != b.ChunkAddress || a.Role != b.Role || a.Kind != b.Kind ||
+		a.Region != b.Region || a.Zone != b.Zone
+}
+
 // loadSteps is how finely members report load: a change below a quarter of the
 // capacity is not sent on.
 const loadSteps = 4
@@ -74,12 +86,10 @@
 // Announce takes in an announcement.
 func (h *hub) Announce(a wire.Announce, now time.Time) {
 	h.mu.Lock()
-	before := h.table.Version()
-	fresh := h.table.Apply(membership.Record[wire.Announce]{
-		Endpoint: a.Endpoint, Incarnation: a.Incarnation, Sequence: a.Sequence,
-		Draining: a.Draining, Gone: a.Gone, Report: a,
-	}, now)
-	changed := h.table.Version() != before
+	before := h.table.Version() + h.peers.Version()
+	fresh := h.table.Apply(a.Record(), now)
+	h.peers.Apply(a.Record(), now)
+	changed := h.table.Version()+h.peers.Version() != before
 	h.mu.Unlock()
 	if fresh && h.announced != nil {
 		h.announced(a, now)
@@ -115,13 +125,19 @@
 func (h *hub) Subscribe(s *transport.Session, q wire.Subscribe) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sub := &subscriber{session: s, members: q.Members, revision: q.Revision}
+	sub := &subscriber{session: s, revision: q.Revision}
 	h.subscribers[s] = sub
 	v := h.view()
 	h.sendCatalogue(sub, v, true)
-	if q.Members {
-		h.sendMembers(sub, h.table.Since(q.Epoch, q.Version))
+	switch {
+	case q.Members && q.Peers:
+		sub.table = h.peers
+	case q.Members:
+		sub.table = h.table
+	default:
+		return
 	}
+	h.sendMembers(sub, sub.table.Since(q.Epoch, q.Version))
 }
 
 // Forget ends updates to a session.
@@ -165,12 +181,8 @@
 }
 
 func (h *hub) sendMembers(sub *subscriber, u membership.Update[wire.Announce]) {
-	msg := wire.Members{Epoch: u.Epoch, Version: u.Version, Base: u.Base, Removed: u.Removed}
-	for _, r := range u.Updated {
-		msg.Updated = append(msg.Updated, r.Report)
-	}
 	sub.version = u.Version
-	if sub.session.Send(msg) != nil {
+	if sub.session.Send(wire.MembersFrom(u)) != nil {
 		sub.session.Close()
 	}
 }
@@ -179,16 +191,20 @@
 func (h *hub) flush() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	version := h.table.Version()
-	updates := map[uint64]membership.Update[wire.Announce]{}
+	type position struct {
+		table   *membership.Table[wire.Announce]
+		version uint64
+	}
+	updates := map[position]membership.Update[wire.Announce]{}
 	for _, sub := range h.subscribers {
-		if !sub.members || sub.version == version {
+		if sub.table == nil || sub.version == sub.table.Version() {
 			continue
 		}
-		u, ok := updates[sub.version]
+		at := position{sub.table, sub.version}
+		u, ok := updates[at]
 		if !ok {
-			u = h.table.Since(h.epoch, sub.version)
-			updates[sub.version] = u
+			u = sub.table.Since(h.epoch, sub.version)
+			updates[at] = u
 		}
 		h.sendMembers(sub, u)
 	}
@@ -218,6 +234,7 @@
 		case now := <-expire.C:
 			h.mu.Lock()
 			expired := h.table.Expire(now)
+			h.peers.Expire(now)
 			h.mu.Unlock()
 			if len(expired) == 0 {
 				continue
--- /dev/null
+++ b/internal/control/members_test.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Guards against load changes of a large fleet that reach every agent, and
+// against agents that miss a new address or a lost peer.
+func TestPeerSubscribersGetNoLoadChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		var entry, agent, removed atomic.Int64
+		_, stopEntry := c.client(controlclient.Config{Members: true, OnMembers: func(string, wire.Members) { entry.Add(1) }})
+		defer stopEntry()
+		sender, stopAgent := c.client(controlclient.Config{Members: true, Peers: true, OnMembers: func(_ string, m wire.Members) {
+			agent.Add(1)
+			removed.Add(int64(len(m.Removed)))
+		}})
+		defer stopAgent()
+		announce := wire.Announce{Endpoint: "e1", Incarnation: 1, Kind: wire.KindEngine, Role: "quote", Capacity: 8}
+		received := func(change func(a *wire.Announce)) (byEntry, byAgent int64) {
+			entry.Store(0)
+			agent.Store(0)
+			change(&announce)
+			announce.Sequence++
+			sender.Broadcast(announce)
+			time.Sleep(time.Second)
+			return entry.Load(), agent.Load()
+		}
+		all := int64(len(c.names))
+		byEntry, byAgent := received(func(*wire.Announce) {})
+		is.Equal([]int64{byEntry, byAgent}, []int64{all, all})
+		byEntry, byAgent = received(func(a *wire.Announce) { a.InFlight = 8; a.Ready = true })
+		is.Equal([]int64{byEntry, byAgent}, []int64{all, 0})
+		byEntry, byAgent = received(func(a *wire.Announce) { a.ChunkAddress = "10.0.0.9:81" })
+		is.True(byAgent == all)
+		time.Sleep(4 * time.Second)
+		is.Equal(removed.Load(), all)
+	})
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -125,6 +125,8 @@
 	Members  bool   `cbor:"3,keyasint"` // send member updates too
 	Epoch    uint64 `cbor:"4,keyasint,omitempty"`
 	Version  uint64 `cbor:"5,keyasint,omitempty"`
+	// Peers, with Members, leaves out changes of load and readiness.
+	Peers bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Propose asks for a command to be committed. Command is a ledger command,
