--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -247,3 +247,4 @@
 func (r *recorder) Header() http.Header         { return r.header }
 func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
 func (r *recorder) WriteHeader(int)             {}
+func (r *recorder) Flush()                      {}
