agent: parse an event of a stream only when its head changes

Cause: each event was parsed as JSON to compare id, model and weights set, although these bytes repeat in every event of an answer. Now an event that begins with the same bytes, up to the choices, as one that was checked is passed on. Ruled out: searching for the set's name anywhere in the event, since a nested field could carry it. Guards removed once, with TestDamagedAnswersAreAborted failing: the comparison of the bytes, and that all fields are within them.

--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -31,6 +31,13 @@
 			event(w, "answer", other, 2)
 			_, _ = io.WriteString(w, "data: [DONE]\n\n")
 		}},
+		"set swapped, named after the choices": {begun: true, chat: func(w http.ResponseWriter, _ *http.Request, set string) {
+			tokens(w, set, 0, 0)
+			for _, named := range []string{set, set, other} {
+				_, _ = fmt.Fprintf(w, "data: {\"id\":\"answer\",\"choices\":[],\"system_fingerprint\":%q}\n\n", named)
+			}
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}},
 		"other set from the start": {reason: "wrong-set", chat: func(w http.ResponseWriter, _ *http.Request, _ string) {
 			tokens(w, other, 0, 2)
 			_, _ = io.WriteString(w, "data: [DONE]\n\n")
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -28,6 +28,10 @@
 	header  http.Header
 	begun   bool
 	id      string // of the first event; a different one belongs to another answer
+	// checked is the part of the last checked event before its choices, if all
+	// fields that tell the origin are in it. An event that begins with the same
+	// bytes has the same origin and is not parsed again.
+	checked []byte
 }
 
 // relay returns nil only after the end marker was passed on.
@@ -57,6 +61,10 @@
 }
 
 func (s *stream) check(data []byte) error {
+	if len(s.checked) > 0 && bytes.HasPrefix(data, s.checked) {
+		s.agent.token(s.attempt)
+		return nil
+	}
 	var head chunkHead
 	if err := json.Unmarshal(data, &head); err != nil {
 		return fmt.Errorf("%w: %w", errCutShort, err)
@@ -70,10 +78,25 @@
 	if head.ID != s.id {
 		return errCrossed
 	}
+	s.checked = originPrefix(s.checked[:0], data, head)
 	s.agent.token(s.attempt)
 	return nil
 }
 
+// originPrefix appends the part of an event before its choices, or nothing if
+// that part alone does not have the fields of head.
+func originPrefix(to, data []byte, head chunkHead) []byte {
+	end := bytes.Index(data, []byte(`,"choices":[`))
+	if end < 0 {
+		return to
+	}
+	var alone chunkHead
+	if json.Unmarshal(append(append(to, data[:end]...), '}'), &alone) != nil || alone != head {
+		return to
+	}
+	return append(to, data[:end+len(`,"choices":[`)]...)
+}
+
 func (s *stream) pass(raw []byte) error {
 	if !s.begun {
 		h := s.w.Header()
