--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -462,3 +462,25 @@
 	}
 	return false
 }
+
+// Slots returns the slots of all endpoints that can be chosen.
+func (b *Balancer) Slots() int {
+	slots := 0
+	for _, s := range b.endpoints {
+		if s.Ready && !s.ejected {
+			slots += s.Capacity
+		}
+	}
+	return slots
+}
+
+// Pools returns the names of all pools, sorted.
+func (b *Balancer) Pools() []string {
+	pools := map[string]bool{}
+	for _, s := range b.endpoints {
+		for pool := range s.Serves {
+			pools[pool] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(pools))
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,8 @@
 	// Tick of the raft node. Default 50 ms: a lost leader is replaced within
 	// about a second.
 	Tick time.Duration
+	// TurnLimit bounds the work that one sync covers, see ReplicaConfig.
+	TurnLimit int
 	// ProcessToken and OperatorToken replace the token files.
 	ProcessToken, OperatorToken *auth.Token
 	Bytes                       *transport.ByteCounts
@@ -63,13 +65,15 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposals     chan struct{}
+	told          sync.Map           // session to the membership index whose addresses it has
+	halt          context.CancelFunc // stops at once, without handing over
 }
 
 // New opens the data folder and builds the daemon.
 func New(s Settings, opts Options, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(),
-		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease + seconds(s.GraceSeconds)),
+		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease+seconds(s.GraceSeconds), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
 	if err := d.readTokens(); err != nil {
@@ -128,7 +132,7 @@
 		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
 	}
 	replica, err := NewReplica(ReplicaConfig{
-		Tick: d.opts.Tick, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
+		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
 		Published: d.published, Applied: d.applied, Manage: d.manage, Log: d.log,
 	}, raft.Config{}, d.folder, state)
 	if err != nil {
@@ -142,6 +146,9 @@
 	return nil
 }
 
+// Replica returns the daemon's replica.
+func (d *Daemon) Replica() *Replica { return d.replica }
+
 func (d *Daemon) hello() hello {
 	v := d.replica.View()
 	return hello{
@@ -162,7 +169,7 @@
 		}).Info("membership_changed")
 	}
 	if old.Catalogue.Revision != next.Catalogue.Revision || old.Quarantine != next.Quarantine {
-		d.hub.Push(next)
+		d.hub.Changed()
 	}
 }
 
@@ -215,10 +222,11 @@
 	net := network.Or(d.opts.Network)
 	loop, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
+	d.halt = stopLoop
 	var wg sync.WaitGroup
 	session := mux.NewRouter()
 	session.Handle(wire.PathSession, tracked(&wg, &transport.Server{
-		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.hub.Forget, Bytes: d.opts.Bytes,
+		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
 	}))
 	servers := []struct {
 		address string
@@ -254,15 +262,17 @@
 	wg.Go(func() { d.replica.Run(loop) })
 	wg.Go(func() { d.peers.Run(loop, d.settings.Voters) })
 	wg.Go(func() { d.hub.Run(ctx.Done()) })
+	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-loop.Done():
 	case err = <-failures:
 	}
 	cancel()
-	d.handOver()
+	d.handOver(loop)
 	stopLoop()
 	closeAll(running)
 	wg.Wait()
@@ -279,14 +289,19 @@
 	})
 }
 
-// handOver gives leadership to another voter before a planned stop.
-func (d *Daemon) handOver() {
-	if d.replica.View().Raft.Role != raft.Leader {
-		return
+// Kill makes Run return at once without handing over leadership, as the end of
+// the process would.
+func (d *Daemon) Kill() {
+	if d.halt != nil {
+		d.halt()
 	}
+}
+
+// handOver gives leadership to another voter before a planned stop.
+func (d *Daemon) handOver(loop context.Context) {
 	d.replica.do(func() { d.replica.node.TransferLeadership() })
 	deadline := time.Now().Add(transferTimeout)
-	for time.Now().Before(deadline) && d.replica.View().Raft.Role == raft.Leader {
+	for loop.Err() == nil && time.Now().Before(deadline) && d.replica.View().Raft.Role == raft.Leader {
 		time.Sleep(bootstrapInterval / 10)
 	}
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,11 +20,15 @@
 
 const (
 	inboxLength = 8192
-	// turnLimit bounds the work taken in before one sync.
-	turnLimit = 1024
+	// defaultTurnLimit bounds the work taken in before one sync.
+	defaultTurnLimit = 1024
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
-	keepEntries       = 512
+	keepEntries = 512
+	// snapshotBytes of applied commands make a snapshot due before the count
+	// does, since recorded answers can be large. Fewer entries are then kept.
+	snapshotBytes     = 16 << 20
+	keepLargeEntries  = 32
 	diskRetryInterval = 500 * time.Millisecond
 )
 
@@ -62,7 +68,10 @@
 type ReplicaConfig struct {
 	Tick          time.Duration
 	SnapshotEvery uint64
-	Send          func(raft.Message)
+	// TurnLimit bounds the work that one sync covers. More raises throughput
+	// and the time that the first of it waits. Default 1024.
+	TurnLimit int
+	Send      func(raft.Message)
 	// Published is called after each turn that changed the view.
 	Published func(old, next *View)
 	// Committed is called for each command applied, with its result.
@@ -87,6 +96,7 @@
 	nextRead     uint64
 	applied      uint64
 	lastSnapshot uint64
+	logBytes     int // applied since the last snapshot
 	diskErr      error
 	stopped      chan struct{}
 }
@@ -113,6 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.TurnLimit = cmp.Or(cfg.TurnLimit, defaultTurnLimit)
 	raftCfg.ID = state.Identity.ID()
 	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
 	if err != nil {
@@ -158,7 +169,7 @@
 
 // drain takes in what else is waiting, so that one sync covers it.
 func (r *Replica) drain() {
-	for range turnLimit {
+	for range r.cfg.TurnLimit - 1 {
 		select {
 		case w := <-r.inbox:
 			r.handle(w)
@@ -207,12 +218,8 @@
 // Propose submits a command and waits for its result. An answer "not-run" is
 // given only when the command is not and cannot become committed.
 func (r *Replica) Propose(ctx context.Context, c ledger.Command) Answer {
-	answer := make(chan Answer, 1)
-	if !r.do(func() { r.propose(c, answer) }) {
-		return notRun("too much work waiting")
-	}
 	select {
-	case a := <-answer:
+	case a := <-r.Start(c):
 		return a
 	case <-ctx.Done():
 		return unknown("no quorum answered in time")
@@ -221,6 +228,16 @@
 	}
 }
 
+// Start submits a command without waiting. Commands started by one caller enter
+// the log in order.
+func (r *Replica) Start(c ledger.Command) <-chan Answer {
+	answer := make(chan Answer, 1)
+	if !r.do(func() { r.propose(c, answer) }) {
+		answer <- notRun("too much work waiting")
+	}
+	return answer
+}
+
 func (r *Replica) propose(c ledger.Command, answer chan<- Answer) {
 	if r.diskErr != nil {
 		answer <- notRun(r.diskErr.Error())
@@ -242,6 +259,14 @@
 		return
 	}
 	r.waiters[index] = waiter{term: term, answer: answer}
+	if kind == payloadNote {
+		r.cfg.Log.WithField("index", index).Debug("note_proposed")
+	}
+}
+
+// isNote reports whether an entry carries a release note.
+func isNote(e raft.Entry) bool {
+	return e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
 }
 
 // Read runs f in the loop on state that includes everything accepted before
@@ -344,7 +369,16 @@
 		}
 		r.lastSnapshot = s.Index
 	}
-	return r.folder.Save(ready.HardState, ready.Entries)
+	if !ready.MustSync {
+		return nil // the commit index is stored with the next record
+	}
+	if err := r.folder.Save(ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	if i := slices.IndexFunc(ready.Entries, isNote); i >= 0 {
+		r.cfg.Log.WithField("index", ready.Entries[i].Index).Debug("note_synced")
+	}
+	return nil
 }
 
 // stepAside answers waiting work without the node until the next try.
@@ -384,7 +418,11 @@
 }
 
 func (r *Replica) apply(e raft.Entry) {
+	if isNote(e) {
+		r.cfg.Log.WithField("index", e.Index).Debug("note_committed")
+	}
 	r.applied = e.Index
+	r.logBytes += len(e.Data)
 	var result ledger.Result
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
 		c, err := ledger.Decode(e.Data[1:])
@@ -439,7 +477,11 @@
 }
 
 func (r *Replica) compact() {
-	if r.applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+	keep := uint64(keepEntries)
+	switch {
+	case r.logBytes >= snapshotBytes:
+		keep = keepLargeEntries
+	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
 		return
 	}
 	data, err := r.ledger.Snapshot()
@@ -447,12 +489,12 @@
 		r.cfg.Log.WithError(err).Error("snapshot_failed")
 		return
 	}
-	s, err := r.node.Compact(r.applied, data, keepEntries)
+	s, err := r.node.Compact(r.applied, data, keep)
 	if err != nil {
 		return // a membership was committed meanwhile; the next turn tries again
 	}
-	r.lastSnapshot = s.Index
-	keepFrom := s.Index - min(s.Index, keepEntries)
+	r.lastSnapshot, r.logBytes = s.Index, 0
+	keepFrom := s.Index - min(s.Index, keep)
 	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
 	hard.Vote = r.node.Vote()
 	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
@@ -492,7 +534,7 @@
 	}
 	found := false
 	r.node.After(r.applied, func(e raft.Entry) bool {
-		found = e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
+		found = isNote(e)
 		return !found
 	})
 	return found
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -45,7 +45,7 @@
 	Crossed     = "crossed"      // the answer of another attempt
 	WrongSet    = "wrong-set"    // the answer of another weights set
 	ErrorEvent  = "error-event"  // an error in the stream, then a clean end
-	Duplicate   = "duplicate"    // the last token and the end marker come twice
+	Duplicate   = "duplicate"    // the last token and the end marker come again after the end
 )
 
 // Gate is a fake gate with its engine or service.
@@ -254,9 +254,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if fault.Step == StepLast {
+		w.Header().Set(wire.HeaderOutcome, "done")
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		g.strike(w, r, fault)
 	}
+	w.Header().Set(wire.HeaderOutcome, "done")
 	g.finish(id)
 	_, _ = io.WriteString(w, answer)
 }
@@ -329,14 +331,18 @@
 	if !g.sleep(r, time.Duration(tokens)*g.PerToken) {
 		return
 	}
-	set := g.Set
+	set, text := g.Set, Text(tokens)
 	if fault.Kind == WrongSet {
-		set = "sha256:other"
+		set, text = "sha256:other", "x"
+		if fault.Step == StepHeader {
+			set = "" // only the header tells
+		}
 	}
 	answer := fmt.Sprintf(`{"object":"chat.completion","system_fingerprint":%q,"choices":[{"message":{"content":%q},"finish_reason":"stop"}]}`,
-		set, Text(tokens))
+		set, text)
 	w.Header().Set("Content-Type", "application/json")
-	if fault.Step == StepToken || fault.Step == StepLast {
+	if (fault.Step == StepToken || fault.Step == StepLast) && fault.Kind != WrongSet {
+		w.Header().Set(wire.HeaderOutcome, "done")
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		if fault.Kind != EndEarly {
 			_ = http.NewResponseController(w).Flush()
@@ -344,6 +350,7 @@
 		}
 		return
 	}
+	w.Header().Set(wire.HeaderOutcome, "done")
 	g.finish(id)
 	_, _ = io.WriteString(w, answer)
 }
@@ -361,12 +368,20 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	event := func(i int, set string) {
-		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"t%d \"},\"finish_reason\":null}]}\n\n", id, set, i)
+		word := "t"
+		if set != g.Set {
+			word = "x" // other weights give other text
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"%s%d \"},\"finish_reason\":null}]}\n\n", id, set, word, i)
 		_ = flush()
 	}
+	set := g.Set
 	if fault.Step == StepHeader {
-		_ = flush()
-		g.strike(w, r, fault)
+		if fault.Kind != WrongSet {
+			_ = flush()
+			g.strike(w, r, fault)
+		}
+		set = "" // only the header tells
 	}
 	for i := from; i < tokens; i++ {
 		if i > from && !g.sleep(r, g.PerToken) {
@@ -377,15 +392,13 @@
 				return
 			}
 		}
-		event(i, g.Set)
+		event(i, set)
 	}
 	if fault.Step == StepLast {
-		switch fault.Kind {
-		case EndEarly:
+		if fault.Kind == EndEarly {
 			return
-		case Duplicate:
-			event(tokens-1, g.Set)
-		default:
+		}
+		if fault.Kind != Duplicate {
 			g.strike(w, r, fault)
 		}
 	}
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -14,7 +14,11 @@
 	"time"
 )
 
-const acceptBacklog = 128
+const (
+	acceptBacklog = 128
+	// dialTimeout is that of network.System.
+	dialTimeout = time.Second
+)
 
 // Network connects hosts.
 type Network struct {
@@ -23,6 +27,7 @@
 	conns     map[*conn]struct{}
 	links     map[link]*state
 	starts    map[string]uint64 // of each host, so that a stopped process stays cut off
+	tap       func(from, to string, data []byte)
 }
 
 type link struct{ from, to string }
@@ -52,6 +57,13 @@
 	return &Host{net: n, name: name, start: n.starts[name]}
 }
 
+// Tap has every write reported to f before its bytes leave. f must not write.
+func (n *Network) Tap(f func(from, to string, data []byte)) {
+	n.mu.Lock()
+	n.tap = f
+	n.mu.Unlock()
+}
+
 // SetDelay sets the one-way delay between two hosts, both ways.
 func (n *Network) SetDelay(a, b string, delay time.Duration) {
 	n.mu.Lock()
@@ -140,7 +152,7 @@
 }
 
 // DialContext implements network.Network. A cut link in either direction
-// blocks until ctx ends; a missing listener refuses.
+// blocks until the dial times out; a missing listener refuses.
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	h.net.mu.Lock()
 	l, ok := h.net.listeners[address]
@@ -153,6 +165,8 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	out, back := h.net.linkState(h.name, l.host), h.net.linkState(l.host, h.name)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	if out.cut || back.cut {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
@@ -163,6 +177,13 @@
 	return h.connect(l)
 }
 
+// Stopped reports whether the host was stopped since this view was taken.
+func (h *Host) Stopped() bool {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	return h.stopped()
+}
+
 // stopped needs the network's lock.
 func (h *Host) stopped() bool { return h.start != h.net.starts[h.name] }
 
@@ -193,12 +214,21 @@
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	}
 	select {
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	default:
+	}
+	select {
 	case l.queue <- server:
-		return client, nil
+	default:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	select {
 	case <-l.closed:
+		l.resetQueued()
 	default:
 	}
-	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	return client, nil
 }
 
 type addr string
@@ -215,6 +245,19 @@
 	closeOnce sync.Once
 }
 
+// resetQueued breaks connections that were never accepted, as TCP does when a
+// listener closes.
+func (l *listener) resetQueued() {
+	for {
+		select {
+		case c := <-l.queue:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	select {
@@ -233,6 +276,7 @@
 	}
 	l.net.mu.Unlock()
 	l.closeOnce.Do(func() { close(l.closed) })
+	l.resetQueued()
 	return nil
 }
 
--- a/swarm/scheduler.go
+++ b/swarm/scheduler.go
@@ -70,7 +70,13 @@
 	inFlight map[int]Source
 
 	peerFetches, outsideFetches int
-	started, progressed         time.Duration
+	outsideLimit                int
+	started                     time.Duration
+	settled                     time.Duration // no designated fetch before
+	progressed                  time.Duration // last chunk other than by fallback
+	fallback                    map[int]bool  // chunks in flight by fallback
+	fallbackLeft                int           // share of the spare copies
+	fallbackAt                  time.Duration // last start
 }
 
 // New returns a scheduler for chunks with the given keys, the same on every
@@ -85,7 +91,7 @@
 		wanted:  NewBitmap(len(keys)),
 		missing: len(keys), holders: make([]uint8, len(keys)),
 		pauses: map[chunkSource]*chunkPause{}, inFlight: map[int]Source{},
-		started: now, progressed: now,
+		started: now, progressed: now, fallback: map[int]bool{}, fallbackLeft: -1,
 	}
 	for i := range keys {
 		s.wanted.Set(i)
@@ -95,8 +101,15 @@
 }
 
 // SetNodes replaces the list of live instances. Self may be absent from it.
-func (s *Scheduler) SetNodes(_ time.Duration, nodes []Node) {
-	s.topology = newTopology(s.cfg.Self, nodes)
+func (s *Scheduler) SetNodes(now time.Duration, nodes []Node) {
+	next := newTopology(s.cfg.Self, nodes)
+	if slices.Equal(next.nodes, s.topology.nodes) {
+		return
+	}
+	s.topology = next
+	if now > s.started {
+		s.settled = now + s.cfg.HearTimeout
+	}
 	neighbours := s.topology.neighbours(s.cfg.MaxPeers, s.cfg.RegionLinks)
 	for _, p := range slices.Clone(s.peers) {
 		if !slices.Contains(neighbours, p.node) {
@@ -109,6 +122,29 @@
 		}
 	}
 	s.designate()
+	s.setShare()
+}
+
+// setShare limits fallback to this instance's share of the spare copies. It
+// is set once there are other instances, and not raised when instances die.
+func (s *Scheduler) setShare() {
+	if s.fallbackLeft >= 0 || len(s.topology.nodes) < 2 {
+		return
+	}
+	forced := 1.0
+	if s.cfg.RegionLinks == RegionLinksNever {
+		forced = float64(len(s.topology.regions))
+	}
+	copies := s.cfg.OriginCopies
+	switch {
+	case copies > 0:
+	case s.cfg.Objective == ObjectiveOriginBytes:
+		copies = forced + spareCopiesBytes
+	default:
+		copies = originCopiesTime
+	}
+	spare := max(0, copies-forced) * float64(len(s.keys))
+	s.fallbackLeft = int(spare) / len(s.topology.nodes)
 }
 
 // designate chooses, for each chunk, the instance that takes it from outside.
@@ -118,6 +154,11 @@
 		candidates = s.topology.nodes
 		s.homes = make([]uint8, len(s.keys))
 	}
+	s.outsideLimit = s.cfg.OutsideFetches
+	if s.outsideLimit == 0 {
+		share := (outsideFetchesRegion + len(candidates)/2) / len(candidates)
+		s.outsideLimit = min(maxOutsideFetches, max(1, share))
+	}
 	s.designated = s.designated[:0]
 	for i, key := range s.keys {
 		node := candidates[first(candidates, key)]
@@ -198,7 +239,9 @@
 func (s *Scheduler) Hold(now time.Duration, chunk int) {
 	if s.have.Set(chunk) {
 		s.missing--
-		s.progressed = now
+		if !s.fallback[chunk] {
+			s.progressed = now
+		}
 	}
 	s.wanted.Clear(chunk)
 }
@@ -214,9 +257,9 @@
 
 // Done records that a fetched chunk was verified.
 func (s *Scheduler) Done(now time.Duration, f Fetch) {
-	s.ended(f)
 	s.penalties.success(f.Source)
 	s.Hold(now, f.Chunk)
+	s.ended(f)
 }
 
 // Failed records that a fetch gave no verified chunk. The source is avoided
@@ -227,11 +270,10 @@
 		s.wanted.Set(f.Chunk)
 	}
 	s.penalties.fault(now, f.Source, fault, retryAfter)
-	if f.Source.Kind == KindPeer {
+	switch {
+	case f.Source.Kind == KindPeer && (fault == FaultCorrupt || fault == FaultMissing || fault == FaultRefused):
 		s.disbelieve(f)
-		return
-	}
-	if fault == FaultCorrupt || fault == FaultMissing {
+	case f.Source.Kind != KindPeer && (fault == FaultCorrupt || fault == FaultMissing):
 		s.pauseChunk(now, f)
 	}
 }
@@ -268,6 +310,7 @@
 		return
 	}
 	delete(s.inFlight, f.Chunk)
+	delete(s.fallback, f.Chunk)
 	if f.Source.Kind != KindPeer {
 		s.outsideFetches--
 		return
@@ -291,10 +334,9 @@
 		return nil
 	}
 	fetches := s.nextFromPeers(now, nil)
-	if !s.heardAll(now) {
-		return fetches
+	if s.heardAll(now) && now >= s.settled {
+		fetches = s.nextDesignated(now, fetches)
 	}
-	fetches = s.nextDesignated(now, fetches)
 	return s.nextFallback(now, fetches)
 }
 
@@ -302,7 +344,7 @@
 	if now >= s.started+s.cfg.HearTimeout {
 		return true
 	}
-	return !slices.ContainsFunc(s.peers, func(p *peerState) bool { return !p.heard })
+	return len(s.peers) > 0 && !slices.ContainsFunc(s.peers, func(p *peerState) bool { return !p.heard })
 }
 
 func (s *Scheduler) nextFromPeers(now time.Duration, fetches []Fetch) []Fetch {
@@ -317,7 +359,7 @@
 			if s.peerFetches >= s.cfg.PeerFetches || p.inFlight != load || s.penalties.Avoided(now, source) {
 				continue
 			}
-			chunk, ok := s.rarest(p)
+			chunk, ok := s.rarest(now, p)
 			if !ok {
 				continue
 			}
@@ -331,14 +373,18 @@
 
 // rarest chooses among chunks that p holds one with the fewest holders among
 // the neighbours, at random among equals.
-func (s *Scheduler) rarest(p *peerState) (chunk int, ok bool) {
+func (s *Scheduler) rarest(now time.Duration, p *peerState) (chunk int, ok bool) {
 	words := len(s.wanted)
 	offset := s.random.IntN(words)
+	remote := p.node.Region != s.cfg.Self.Region
 	seen, best, ties := 0, uint8(0), 0
 	for w := range words {
 		w = (w + offset) % words
 		for word := s.wanted[w] & p.have[w]; word != 0; word &= word - 1 {
 			i := w*wordBits + bits.TrailingZeros64(word)
+			if remote && s.heldInRegion(now, i) {
+				continue
+			}
 			seen++
 			switch n := s.holders[i]; {
 			case !ok || n < best:
@@ -362,7 +408,7 @@
 		s.designated = s.designated[1:]
 	}
 	for _, i := range s.designated {
-		if s.outsideFetches >= s.cfg.OutsideFetches {
+		if s.outsideFetches >= s.outsideLimit {
 			break
 		}
 		if chunk := int(i); s.wanted.Has(chunk) && !s.heldByUsablePeer(now, chunk) {
@@ -373,46 +419,58 @@
 }
 
 func (s *Scheduler) heldByUsablePeer(now time.Duration, chunk int) bool {
-	if s.holders[chunk] == 0 {
-		return false
-	}
-	return slices.ContainsFunc(s.peers, func(p *peerState) bool {
-		return p.have.Has(chunk) && !s.penalties.Avoided(now, Source{Kind: KindPeer, Peer: p.node.ID})
+	return s.holders[chunk] > 0 && slices.ContainsFunc(s.peers, func(p *peerState) bool {
+		return s.usableHolder(now, p, chunk)
 	})
 }
 
-// nextFallback takes a chunk of another instance from outside when nothing
-// was verified for a stall timeout per instance that comes before this one.
+// heldInRegion reports whether a region link need not be used for the chunk.
+func (s *Scheduler) heldInRegion(now time.Duration, chunk int) bool {
+	return s.holders[chunk] > 1 && slices.ContainsFunc(s.peers, func(p *peerState) bool {
+		return p.node.Region == s.cfg.Self.Region && s.usableHolder(now, p, chunk)
+	})
+}
+
+func (s *Scheduler) usableHolder(now time.Duration, p *peerState, chunk int) bool {
+	return p.have.Has(chunk) && !s.penalties.Avoided(now, Source{Kind: KindPeer, Peer: p.node.ID})
+}
+
+// nextFallback takes a chunk of another instance from outside, one at a time,
+// when no other source has given anything for a stall timeout. A chunk that it
+// brings reaches the neighbours and ends their own stalls.
 func (s *Scheduler) nextFallback(now time.Duration, fetches []Fetch) []Fetch {
 	stalls := int((now - s.progressed) / s.cfg.StallTimeout)
 	if stalls == 0 || s.outsideFetches > 0 {
 		return fetches
 	}
+	if s.fallbackLeft <= 0 && now < s.fallbackAt+s.cfg.StallTimeout {
+		return fetches
+	}
+	allowedRank := 1<<min(stalls, maxDoublings) - 1
 	local := s.topology.inRegion(s.cfg.Self.Region)
 	for chunk := range s.keys {
-		if !s.wanted.Has(chunk) || s.heldByUsablePeer(now, chunk) {
+		if !s.wanted.Has(chunk) || s.heldByUsablePeer(now, chunk) || s.fallbackRank(local, chunk) > allowedRank {
 			continue
 		}
-		if s.fallbackRank(local, chunk) > stalls {
-			continue
-		}
-		if before := len(fetches); s.outsideFetches == 0 {
-			if fetches = s.fetchOutside(now, chunk, fetches); len(fetches) > before {
-				break
-			}
+		before := len(fetches)
+		if fetches = s.fetchOutside(now, chunk, fetches); len(fetches) > before {
+			s.fallback[chunk] = true
+			s.fallbackLeft--
+			s.fallbackAt = now
+			break
 		}
 	}
 	return fetches
 }
 
-// fallbackRank is the number of stall timeouts to wait for a chunk. Instances
-// outside the chunk's home region wait one more.
+// fallbackRank is the number of instances of the region that come before this
+// one for a chunk, and one more outside the chunk's home region.
 func (s *Scheduler) fallbackRank(local []hashedNode, chunk int) int {
 	n := rank(local, s.keys[chunk], s.topology.self.hash)
 	if s.homes != nil && s.topology.regions[s.homes[chunk]] != s.cfg.Self.Region {
 		n++
 	}
-	return max(n, 1)
+	return n
 }
 
 func (s *Scheduler) fetchOutside(now time.Duration, chunk int, fetches []Fetch) []Fetch {
