--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,8 +42,8 @@
 	// Tick of the raft node. Default 50 ms: a lost leader is replaced within
 	// about a second.
 	Tick time.Duration
-	// TurnLimit bounds the work that one sync covers, see ReplicaConfig.
-	TurnLimit int
+	// TurnLimit and SnapshotBytes are those of ReplicaConfig.
+	TurnLimit, SnapshotBytes int
 	// ProcessToken and OperatorToken replace the token files.
 	ProcessToken, OperatorToken *auth.Token
 	Bytes                       *transport.ByteCounts
@@ -132,7 +132,7 @@
 		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
 	}
 	replica, err := NewReplica(ReplicaConfig{
-		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
+		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotBytes: d.opts.SnapshotBytes, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
 		Published: d.published, Applied: d.applied, Manage: d.manage, Log: d.log,
 	}, raft.Config{}, d.folder, state)
 	if err != nil {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -24,11 +24,10 @@
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
 	keepEntries = 512
-	// snapshotBytes of applied commands make a snapshot due before the count
-	// does, since recorded answers can be large. Fewer entries are then kept.
-	snapshotBytes     = 16 << 20
-	keepLargeEntries  = 32
-	diskRetryInterval = 500 * time.Millisecond
+	// keepLargeEntries is kept instead after a snapshot that was due by size.
+	keepLargeEntries     = 32
+	defaultSnapshotBytes = 16 << 20
+	diskRetryInterval    = 500 * time.Millisecond
 )
 
 // Log entries carry a kind in their first byte, so that notes are found among
@@ -67,6 +66,10 @@
 type ReplicaConfig struct {
 	Tick          time.Duration
 	SnapshotEvery uint64
+	// SnapshotBytes of applied commands make a snapshot due before
+	// SnapshotEvery does, since recorded answers can be large. Fewer bound
+	// memory and cost more writing. Default 16 MiB.
+	SnapshotBytes int
 	// TurnLimit bounds the work that one sync covers. More raises throughput
 	// and the time that the first of it waits. Default 1024.
 	TurnLimit int
@@ -122,6 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.SnapshotBytes = cmp.Or(cfg.SnapshotBytes, defaultSnapshotBytes)
 	cfg.TurnLimit = cmp.Or(cfg.TurnLimit, defaultTurnLimit)
 	raftCfg.ID = state.Identity.ID()
 	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
@@ -461,7 +465,7 @@
 func (r *Replica) compact() {
 	keep := uint64(keepEntries)
 	switch {
-	case r.logBytes >= snapshotBytes:
+	case r.logBytes >= r.cfg.SnapshotBytes:
 		keep = keepLargeEntries
 	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
 		return
