Report a submission that was never sent as unreachable, not unknown

Cause: a time-out while a connection is being opened carries no dial error, so rhubarbctl took the note for sent. Seen as a failure of TestApplyExitCodes/all down on a loaded machine. Now a client trace tells whether a connection was there.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,9 +6,10 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -52,6 +53,12 @@
 func (c *Client) call(ctx context.Context, replica, method, path string, body []byte) (a answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.AttemptTimeout)
 	defer cancel()
+	// A deadline that passes while the connection is being opened carries no
+	// dial error, so the trace tells whether anything can have been sent.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+replica+path, bytes.NewReader(body))
 	if err != nil {
 		return a, false, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
@@ -62,8 +69,7 @@
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		var dial *net.OpError
-		return a, !errors.As(err, &dial) || dial.Op != "dial", oops.In("operator").Wrap(err)
+		return a, connected.Load(), oops.In("operator").Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.status = response.StatusCode
