--- a/internal/matrix/faults_test.go
+++ b/internal/matrix/faults_test.go
@@ -52,6 +52,7 @@
 	{"lost disk", loseDisk, always},
 	{"silent cut, outgoing", func(s *system, at string) { s.cut(victim(at), true, false, cutFor) }, always},
 	{"silent cut, both ways", func(s *system, at string) { s.cut(victim(at), true, true, cutFor) }, always},
+	{"pause and resume", pauseProcess, always},
 	{"slow link", slowLink, always},
 	{"corrupt chunk", corruptChunk, onlyOn("weights", "no chunk moves on this path")},
 	{"version changed in mid-copy", changeVersion, onlyOn("weights", "no copy is in flight on this path")},
@@ -59,9 +60,13 @@
 	{"lost answer", loseAnswer, always},
 	{"duplicate and reordered message", duplicateNote, always},
 	{"crash-inducing request", sendCrashingRequest, always},
+	{"late cache event", func(*system, string) {}, func(string) string { return noCacheEvents }},
 	{"second loss after a repair", loseTwice, always},
 }
 
+const noCacheEvents = "no decision reads cache events: prefix affinity follows from what an entry sent itself"
+
+
 // victim is the process that a fault befalls. Callers and operators are
 // outside the system: the process that they talk to fails instead.
 func victim(at string) string {
@@ -92,6 +97,14 @@
 	})
 }
 
+// pauseProcess stops all communication of a process and lets it go on later. It
+// comes back with the state, and the requests, of the time before.
+func pauseProcess(s *system, at string) {
+	name := victim(at)
+	s.net.Freeze(name)
+	s.later(cutFor, func() { s.net.Thaw(name) })
+}
+
 // loseDisk kills a process and removes its files. Where the process that
 // reached the step has none, a control replica loses its disk.
 func loseDisk(s *system, at string) {
--- a/internal/network/memnet/conn.go
+++ b/internal/network/memnet/conn.go
@@ -85,7 +85,7 @@
 
 // tryRead returns what can be read now, or what to wait for.
 func (c *conn) tryRead(p []byte) (n int, changed <-chan struct{}, until time.Time, err error) {
-	cut := c.net.linkState(c.remote, c.local).cut
+	blocked := c.net.blocked(c.remote, c.local)
 	b := c.in
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -95,7 +95,7 @@
 		return 0, nil, until, os.ErrDeadlineExceeded
 	case b.err != nil:
 		return 0, nil, until, b.err
-	case cut:
+	case blocked:
 		return 0, b.changed, b.deadline, nil
 	case len(b.segments) == 0 && b.eof:
 		return 0, nil, until, io.EOF
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -28,6 +28,7 @@
 	links     map[link]*state
 	starts    map[string]uint64 // of each host, so that a stopped process stays cut off
 	tap       func(from, to string, data []byte)
+	frozen    map[string]chan struct{} // closed at the thaw
 }
 
 type link struct{ from, to string }
@@ -39,7 +40,7 @@
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, links: map[link]*state{}, starts: map[string]uint64{}}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, links: map[link]*state{}, starts: map[string]uint64{}, frozen: map[string]chan struct{}{}}
 }
 
 // Host is one process's view of the network. It implements network.Network.
@@ -111,6 +112,46 @@
 	return *n.link(from, to)
 }
 
+// Freeze holds back all that a host sends and receives, while its peers' writes
+// and dials succeed, as for a paused process. Its timers go on.
+func (n *Network) Freeze(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen[host] == nil {
+		n.frozen[host] = make(chan struct{})
+	}
+}
+
+// Thaw ends a freeze.
+func (n *Network) Thaw(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if thawed := n.frozen[host]; thawed != nil {
+		close(thawed)
+		delete(n.frozen, host)
+	}
+	for c := range n.conns {
+		c.in.wake()
+	}
+}
+
+// awaitThaw blocks while the host is frozen.
+func (n *Network) awaitThaw(host string) {
+	n.mu.Lock()
+	thawed := n.frozen[host]
+	n.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+// blocked reports whether bytes from one host to another are held back now.
+func (n *Network) blocked(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.link(from, to).cut || n.frozen[from] != nil || n.frozen[to] != nil
+}
+
 // Stop resets all connections of a host and closes its listeners, as the end
 // of a process does. Peers behind a cut link learn nothing.
 func (n *Network) Stop(host string) {
@@ -154,6 +195,7 @@
 // DialContext implements network.Network. A cut link in either direction
 // blocks until the dial times out; a missing listener refuses.
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	h.net.awaitThaw(h.name)
 	h.net.mu.Lock()
 	l, ok := h.net.listeners[address]
 	stopped := h.stopped()
@@ -262,6 +304,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.queue:
+		l.net.awaitThaw(l.host)
 		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
