--- /dev/null
+++ b/internal/agent/agenttest/doc.go
@@ -0,0 +1,3 @@
+// Package agenttest has fakes of what an agent talks to, voters and an engine,
+// at their network interfaces. Tests and measurements use it.
+package agenttest
--- /dev/null
+++ b/internal/agent/agenttest/engine.go
@@ -0,0 +1,155 @@
+package agenttest
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// EndMarker ends a whole stream.
+const EndMarker = "data: [DONE]\n\n"
+
+// Engine is an engine whose faults are functions. Change its fields with Change
+// once it serves.
+type Engine struct {
+	Sets        []wire.LoadedSet
+	Fence       uint64
+	Started     int64
+	ChecksFence bool // refuses old fencing tokens
+	// Order runs before an order; a status other than 0 replaces it.
+	Order func(o engine.Order) (status int)
+	// Chat, when set, answers requests.
+	Chat func(w http.ResponseWriter, r *http.Request, setID string)
+	// Probe, when set, runs before the answer to a request for one token.
+	Probe func(r *http.Request)
+	// ReportDelay delays set reports.
+	ReportDelay time.Duration
+
+	mu     sync.Mutex
+	orders []engine.Order
+	chats  int
+	probes int
+}
+
+// ServeHTTP implements the engine interface.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/engine/sets":
+		e.mu.Lock()
+		delay := e.ReportDelay
+		e.mu.Unlock()
+		time.Sleep(delay)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(engine.Sets{Fence: e.Fence, Sets: e.Sets, Started: e.Started})
+	case "/engine/orders":
+		var o engine.Order
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		w.WriteHeader(e.obey(o))
+	case engine.PathChat:
+		e.serveChat(w, r)
+	}
+}
+
+func (e *Engine) obey(o engine.Order) int {
+	e.mu.Lock()
+	e.orders = append(e.orders, o)
+	hook := e.Order
+	e.mu.Unlock()
+	if hook != nil {
+		if status := hook(o); status != 0 {
+			return status
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFence && o.Fence < e.Fence {
+		return http.StatusConflict
+	}
+	e.Fence = max(e.Fence, o.Fence)
+	e.Sets = slices.DeleteFunc(e.Sets, func(l wire.LoadedSet) bool { return l.Model == o.Set.Model })
+	if o.Action == engine.ActionLoad {
+		e.Sets = append(e.Sets, wire.LoadedSet{Model: o.Set.Model, Version: o.Set.Version, SetID: o.Set.SetID})
+	}
+	return http.StatusOK
+}
+
+// Change sets faults while the engine serves.
+func (e *Engine) Change(f func(e *Engine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e)
+}
+
+// Ordered returns the orders received so far.
+func (e *Engine) Ordered() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// Served returns the numbers of requests and of probes so far.
+func (e *Engine) Served() (chats, probes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.chats, e.probes
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var request struct {
+		Model     string `json:"model"`
+		MaxTokens int    `json:"max_tokens"`
+	}
+	_ = json.Unmarshal(body, &request)
+	e.mu.Lock()
+	i := slices.IndexFunc(e.Sets, func(l wire.LoadedSet) bool { return l.Model == request.Model })
+	if i < 0 {
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	setID, hook, probe := e.Sets[i].SetID, e.Chat, e.Probe
+	isProbe := request.MaxTokens == 1
+	if isProbe {
+		e.probes++
+	} else {
+		e.chats++
+	}
+	e.mu.Unlock()
+	if isProbe {
+		if probe != nil {
+			probe(r)
+		}
+		_, _ = io.WriteString(w, "{}")
+		return
+	}
+	if hook != nil {
+		hook(w, r, setID)
+		return
+	}
+	Tokens(w, setID, 0, 3)
+	_, _ = io.WriteString(w, EndMarker)
+}
+
+// Tokens streams part of an answer.
+func Tokens(w http.ResponseWriter, setID string, from, to int) {
+	w.Header().Set(engine.HeaderWeightsSet, setID)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i < to; i++ {
+		Event(w, "answer", setID, i)
+	}
+}
+
+// Event streams one token of the answer with the given identifier.
+func Event(w http.ResponseWriter, id, setID string, token int) {
+	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", id, setID, token)
+	_ = http.NewResponseController(w).Flush()
+}
