--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,8 @@
 
 	membersMu sync.Mutex
 	members   *membership.View[wire.Announce]
+	// membersChanged is set until the transfer knows the peers.
+	membersChanged bool
 
 	pollEngine chan struct{} // asks for a report of the engine
 	askVoters  chan struct{} // asks for a round of confirmation
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -115,6 +115,7 @@
 func (a *Agent) receiveMembers(replica string, m wire.Members) {
 	a.membersMu.Lock()
 	fits := a.members.Apply(replica, m.Update(), time.Now())
+	a.membersChanged = true
 	a.membersMu.Unlock()
 	if !fits {
 		a.control.Resubscribe(replica)
@@ -129,7 +130,12 @@
 		return
 	}
 	a.membersMu.Lock()
-	a.members.Expire(time.Now())
+	expired := a.members.Expire(time.Now())
+	if len(expired) == 0 && !a.membersChanged {
+		a.membersMu.Unlock()
+		return
+	}
+	a.membersChanged = false
 	var peers []transfer.Peer
 	for _, r := range a.members.Live() {
 		p := r.Report
