agent: count only whole answers as progress, pass error streams as they are

Cause: an engine that answers every request with a quick error looked healthy, and an error with the content type of a stream became status 200. Guards removed once, with TestEngineThatOnlyFailsIsNotReady failing: the status check of streams, and progress only for status 2xx.

--- a/confirm/lease_test.go
+++ b/confirm/lease_test.go
@@ -85,6 +85,20 @@
 	is.True(!lease.Held(start.Add(2 * time.Second)))
 }
 
+// Guards against grace that does not end, or that counts as a held lease.
+func TestGraceExtendsServing(t *testing.T) {
+	is := is.New(t)
+	lease := confirm.New(confirm.Config{Grace: time.Minute})
+	mark := lease.Ask(start)
+	lease.Receive(reply(mark, "a", 7))
+	lease.Receive(reply(mark, "b", 7))
+	_, ok := lease.Check(7, start.Add(61*time.Second))
+	is.True(ok)
+	is.True(!lease.Held(start.Add(2 * time.Second)))
+	_, ok = lease.Check(7, start.Add(62*time.Second))
+	is.True(!ok)
+}
+
 // Guards against answers of an earlier process start that count for this one.
 func TestMarksOfEarlierStartsAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -130,6 +130,28 @@
 	}
 }
 
+// Guards against an engine whose quick errors count as progress.
+func TestEngineThatOnlyFailsIsNotReady(t *testing.T) {
+	run(t, func(r *rig) {
+		r.engine.Chat = func(w http.ResponseWriter, _ *http.Request, _ string) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		r.settings.ProbeInterval = settings.Duration(4 * time.Second)
+	}, func(r *rig) {
+		is := is.New(r.t)
+		r.engine.Change(func(e *agenttest.Engine) {
+			e.Probe = func(*http.Request) { panic(http.ErrAbortHandler) }
+		})
+		is.Equal(r.ask(setID("1")).status, http.StatusInternalServerError)
+		for range 12 {
+			time.Sleep(500 * time.Millisecond)
+			r.ask(setID("1"))
+		}
+		is.True(!r.last().Ready)
+	})
+}
+
 // Guards against a slow but live engine that is taken out, and against probes
 // while tokens already show progress.
 func TestEngineWithProgressStaysReady(t *testing.T) {
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -269,7 +269,7 @@
 	switch {
 	case !a.isEngine():
 		begun, err = true, a.passService(w, response)
-	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+	case response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		s := &stream{agent: a, w: w, attempt: t, header: response.Header}
 		err = s.relay(response.Body)
 		begun = s.begun
@@ -342,8 +342,8 @@
 			return err
 		}
 		w.Header().Set(wire.HeaderWeightsSet, t.request.Set)
+		a.token(t) // an error is no progress
 	}
-	a.token(t)
 	h := w.Header()
 	copyHeader(h, response.Header)
 	h.Set("Content-Length", strconv.Itoa(len(data)))
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -141,6 +141,7 @@
 		o.agent.cfg.Weights.Cancel(id)
 		delete(o.fetches, id)
 		delete(o.failures, id)
+		delete(o.retryAt, id)
 	}
 }
 
