Count every refusal and retry reason from zero; generate docs/metrics.md

Entry, agent and control register their known label values at the start. The page is checked against the registries of the three daemons.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,7 +76,7 @@
 		pollEngine: make(chan struct{}, 1),
 		askVoters:  make(chan struct{}, 1),
 	}
-	a.metrics = newMetrics(cfg.Registry, a.state, &a.bytes)
+	a.metrics = newMetrics(cfg.Registry, a.state, &a.bytes, cfg.Weights)
 	a.crashes = newCrashes(a)
 	a.orders = newOrders(a, started)
 	a.control = controlclient.New(controlclient.Config{
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -92,7 +92,7 @@
 	if d.Proved {
 		result = outcome.NotRun
 	}
-	a.metrics.refusals.WithLabelValues(string(d.Reason)).Inc()
+	a.metrics.refusals.Inc(d.Reason)
 	h := w.Header()
 	h.Set(wire.HeaderOutcome, string(result))
 	h.Set(wire.HeaderReason, string(d.Reason))
@@ -198,7 +198,7 @@
 // backend broke may mean that it crashed.
 func (a *Agent) failed(ctx context.Context, t *attempt, err error) {
 	reason := failureReason(ctx, err)
-	a.metrics.failures.WithLabelValues(reason).Inc()
+	a.metrics.failures.Inc(reason)
 	a.log.WithFields(log.Fields{"attempt": t.id, "reason": reason}).WithError(err).Info("attempt_failed")
 	if reason == "cut-short" {
 		a.crashes.broken(gate.Attempt{ID: t.request.ID, Fingerprint: t.request.Fingerprint, Alone: t.request.Alone})
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -146,6 +146,9 @@
 	return nil
 }
 
+// Registry returns the daemon's metrics.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
 // Replica returns the daemon's replica.
 func (d *Daemon) Replica() *Replica { return d.replica }
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -4,6 +4,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/operator"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/raft"
 )
 
@@ -29,6 +31,14 @@
 			Help: "Messages that could not be decoded.",
 		}),
 	}
+	for _, answer := range []string{
+		operator.NoteAccepted, operator.NoteRefused, operator.NoteConflict, operator.NoteInvalid, operator.NoteUnknown, operator.NoteNotRun,
+	} {
+		m.notes.WithLabelValues(answer)
+	}
+	for _, answer := range []string{wire.ProposeCommitted, wire.ProposeNotRun, wire.ProposeUnknown} {
+		m.proposals.WithLabelValues(answer)
+	}
 	r.MustRegister(m.notes, m.proposals, m.malformed)
 	return m
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,9 +9,9 @@
 
 type entryMetrics struct {
 	answers  *prometheus.CounterVec
-	refusals *prometheus.CounterVec
-	retries  *prometheus.CounterVec
-	dropped  *prometheus.CounterVec
+	refusals metrics.Reasons[outcome.Reason]
+	retries  metrics.Reasons[outcome.Reason]
+	dropped  metrics.Reasons[outcome.Reason]
 	resumed  prometheus.Counter
 	inFlight prometheus.Gauge
 	first    prometheus.Histogram
@@ -19,6 +19,11 @@
 }
 
 func newMetrics(registry prometheus.Registerer) *entryMetrics {
+	reasons := func(name, help string, known []outcome.Reason) metrics.Reasons[outcome.Reason] {
+		return metrics.NewReasons(registry, "entry", name, help, known)
+	}
+	// An attempt's reason becomes the request's when it may not be repeated.
+	all := append(outcome.RefusalReasons(), outcome.AttemptReasons()...)
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: "entry", Name: name, Help: help,
@@ -31,9 +36,10 @@
 	}
 	m := &entryMetrics{
 		answers:  counter("answers_total", "Answers to callers by outcome and reason.", "outcome", "reason"),
-		refusals: counter("refusals_total", "Requests refused before dispatch, by reason.", "reason"),
-		retries:  counter("retries_total", "Attempts repeated on another endpoint, by reason.", "reason"),
-		dropped:  counter("dropped_answers_total", "Answers of endpoints dropped as not belonging to the attempt, by reason.", "reason"),
+		refusals: reasons("refusals_total", "Requests answered as not run, by reason.", all),
+		retries:  reasons("retries_total", "Attempts repeated on another endpoint, by reason.", outcome.AttemptReasons()),
+		dropped: reasons("dropped_answers_total", "Answers of endpoints dropped as not belonging to the attempt, by reason.",
+			[]outcome.Reason{outcome.WrongAttempt, outcome.WrongSet}),
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: "entry", Name: "streams_resumed_total",
 			Help: "Streams continued on another endpoint after their first token.",
@@ -46,7 +52,7 @@
 		claims: histogram("claim_seconds", "Time to commit a claim.", prometheus.ExponentialBuckets(0.001, 2, 12)),
 	}
 	if registry != nil {
-		registry.MustRegister(m.answers, m.refusals, m.retries, m.dropped, m.resumed, m.inFlight, m.first, m.claims)
+		registry.MustRegister(m.answers, m.resumed, m.inFlight, m.first, m.claims)
 	}
 	return m
 }
@@ -55,6 +61,6 @@
 	m.answers.WithLabelValues(string(o), string(r)).Inc()
 }
 
-func (m *entryMetrics) refused(r outcome.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
-func (m *entryMetrics) retried(r outcome.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
-func (m *entryMetrics) drop(r outcome.Reason)    { m.dropped.WithLabelValues(string(r)).Inc() }
+func (m *entryMetrics) refused(r outcome.Reason) { m.refusals.Inc(r) }
+func (m *entryMetrics) retried(r outcome.Reason) { m.retries.Inc(r) }
+func (m *entryMetrics) drop(r outcome.Reason)    { m.dropped.Inc(r) }
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -7,7 +7,8 @@
 type Reasons[R ~string] struct{ vector *prometheus.CounterVec }
 
 // NewReasons registers a counter with the label reason. A reason outside the
-// known ones is counted too, and appears with its first event.
+// known ones is counted too, and appears with its first event. A nil
+// Registerer leaves the counter unregistered.
 func NewReasons[R ~string](r prometheus.Registerer, subsystem, name, help string, known []R) Reasons[R] {
 	vector := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: Namespace, Subsystem: subsystem, Name: name, Help: help,
@@ -15,7 +16,9 @@
 	for _, reason := range known {
 		vector.WithLabelValues(string(reason))
 	}
-	r.MustRegister(vector)
+	if r != nil {
+		r.MustRegister(vector)
+	}
 	return Reasons[R]{vector}
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -55,9 +55,12 @@
 	described := Describe(
 		prometheus.NewCounterVec(prometheus.CounterOpts{Name: "b", Help: `Says "x".`}, []string{"k", "l"}),
 		prometheus.NewGauge(prometheus.GaugeOpts{Name: "a", Help: "Plain."}),
+		prometheus.NewGauge(prometheus.GaugeOpts{Name: "c", ConstLabels: prometheus.Labels{"way": "in"}}),
+		prometheus.NewGauge(prometheus.GaugeOpts{Name: "c", ConstLabels: prometheus.Labels{"way": "out"}}),
 	)
-	is.Equal(len(described), 2)
+	is.Equal(len(described), 3)
 	is.Equal(described[0], Described{Name: "a", Help: "Plain."})
 	is.Equal(described[1].Labels, []string{"k", "l"})
+	is.Equal(described[2].Labels, []string{"way"})
 	is.True(strings.Contains(Table(described), "| `a` |  | Plain. |\n"))
 }
--- a/internal/metrics/page.go
+++ b/internal/metrics/page.go
@@ -19,7 +19,7 @@
 
 // description matches the text form of a prometheus.Desc, the only one in
 // which the client library gives out its parts.
-var description = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)"(?:, unit: "[^"]*")?, constLabels: {[^}]*}, variableLabels: {([^}]*)}`)
+var description = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)"(?:, unit: "[^"]*")?, constLabels: {([^}]*)}, variableLabels: {([^}]*)}`)
 
 // Describe lists the metrics of collectors by name, those without samples
 // included.
@@ -37,14 +37,17 @@
 				continue
 			}
 			d := Described{Name: parts[1], Help: parts[2]}
-			if parts[3] != "" {
-				d.Labels = strings.Split(parts[3], ",")
+			for label := range strings.SplitSeq(parts[3]+","+parts[4], ",") {
+				if name, _, _ := strings.Cut(label, "="); name != "" {
+					d.Labels = append(d.Labels, name)
+				}
 			}
 			found = append(found, d)
 		}
 	}
 	slices.SortFunc(found, func(a, b Described) int { return cmp.Compare(a.Name, b.Name) })
-	return found
+	// One metric has several descriptions when its constant labels differ.
+	return slices.CompactFunc(found, func(a, b Described) bool { return a.Name == b.Name })
 }
 
 // Table writes metrics as a Markdown table.
--- /dev/null
+++ b/internal/metrics/page_test.go
@@ -0,0 +1,161 @@
+package metrics_test
+
+import (
+	"context"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/agent"
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/control"
+	"github.com/rhubarbhill/rhubarbhill/internal/entry"
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	root       = "../.."
+	page       = root + "/docs/metrics.md"
+	updatePage = "UPDATE_PAGES" // environment variable: write the page instead of comparing
+)
+
+// registries returns the registry of each daemon, as it is after a start.
+func registries(t *testing.T) map[string]*prometheus.Registry {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	entryRegistry, agentRegistry := prometheus.NewRegistry(), prometheus.NewRegistry()
+	entry.New(entry.Options{Settings: entry.DefaultSettings(), Log: logger, Registry: entryRegistry})
+	settings := agent.DefaultSettings()
+	settings.Kind, settings.Capacity = wire.KindEngine, 1
+	agent.New(agent.Config{Settings: settings, Log: logger, Registry: agentRegistry})
+
+	controlSettings := control.DefaultSettings()
+	controlSettings.Replica, controlSettings.DataDir = "control-0", t.TempDir()
+	processToken := auth.NewToken("token-of-the-metrics-test")
+	daemon, err := control.New(controlSettings, control.Options{ProcessToken: &processToken, OperatorToken: &processToken}, logger)
+	is.New(t).NoErr(err)
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	t.Cleanup(func() { _ = daemon.Run(stopped) }) // closes the data folder
+	return map[string]*prometheus.Registry{"entry": entryRegistry, "agent": agentRegistry, "control": daemon.Registry()}
+}
+
+// Guards against a page that lists other metrics than the daemons have.
+// UPDATE_PAGES=1 go test ./internal/metrics rewrites it.
+func TestPageIsCurrent(t *testing.T) {
+	is := is.New(t)
+	all := registries(t)
+	data, err := os.ReadFile(page)
+	is.NoErr(err)
+	text := string(data)
+	for _, daemon := range []string{"entry", "control", "agent"} {
+		own := []metrics.Described{}
+		for _, d := range metrics.Describe(all[daemon]) {
+			if strings.HasPrefix(d.Name, metrics.Namespace+"_") {
+				own = append(own, d)
+			}
+		}
+		begin, end := "<!-- begin "+daemon+" -->\n", "<!-- end "+daemon+" -->"
+		before, rest, ok := strings.Cut(text, begin)
+		is.True(ok)
+		_, after, ok := strings.Cut(rest, end)
+		is.True(ok)
+		text = before + begin + metrics.Table(own) + end + after
+	}
+	if os.Getenv(updatePage) != "" {
+		is.NoErr(os.WriteFile(page, []byte(text), 0o644))
+		return
+	}
+	if text != string(data) {
+		t.Error("docs/metrics.md is stale; run UPDATE_PAGES=1 go test ./internal/metrics")
+	}
+}
+
+// Guards against a reason that is added to the code but is invisible in the
+// counters until it first happens.
+func TestEveryReasonStartsAtZero(t *testing.T) {
+	is := is.New(t)
+	all := registries(t)
+	for folder, daemon := range map[string]string{
+		"outcome": "entry", "gate": "agent", "confirm": "agent", "internal/agent": "agent",
+	} {
+		visible := reasonLabels(t, all[daemon])
+		reasons := reasonConstants(t, folder)
+		is.True(len(reasons) > 0)
+		for _, reason := range reasons {
+			if !visible[reason] {
+				t.Errorf("reason %q of %s has no counter at the start of the %s", reason, folder, daemon)
+			}
+		}
+	}
+}
+
+func reasonLabels(t *testing.T, registry *prometheus.Registry) map[string]bool {
+	t.Helper()
+	families, err := registry.Gather()
+	is.New(t).NoErr(err)
+	found := map[string]bool{}
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			for _, label := range m.GetLabel() {
+				if label.GetName() == "reason" {
+					found[label.GetValue()] = true
+				}
+			}
+		}
+	}
+	return found
+}
+
+// reasonConstants returns the values of the constants of type Reason or
+// gate.Reason in a package.
+func reasonConstants(t *testing.T, folder string) []string {
+	t.Helper()
+	is := is.New(t)
+	files, err := filepath.Glob(filepath.Join(root, folder, "*.go"))
+	is.NoErr(err)
+	var found []string
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		is.NoErr(err)
+		ast.Inspect(file, func(n ast.Node) bool {
+			spec, ok := n.(*ast.ValueSpec)
+			if !ok || !isReason(spec.Type) {
+				return true
+			}
+			for _, value := range spec.Values {
+				if literal, ok := value.(*ast.BasicLit); ok {
+					text, err := strconv.Unquote(literal.Value)
+					is.NoErr(err)
+					found = append(found, text)
+				}
+			}
+			return true
+		})
+	}
+	return found
+}
+
+func isReason(expression ast.Expr) bool {
+	switch e := expression.(type) {
+	case *ast.Ident:
+		return e.Name == "Reason"
+	case *ast.SelectorExpr:
+		return e.Sel.Name == "Reason"
+	}
+	return false
+}
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -47,3 +47,51 @@
 	WrongSet      Reason = "wrong-set"
 	RepeatedToken Reason = "repeated-token"
 )
+
+// RefusalReasons lists the reasons for refusing a request.
+func RefusalReasons() []Reason {
+	return []Reason{
+		EmptyBody,
+		InvalidBody,
+		BodyTooLarge,
+		MissingModel,
+		UnknownModel,
+		UnknownService,
+		InvalidHeader,
+		Unauthorized,
+		NoCatalogue,
+		NoEndpoint,
+		OverShare,
+		OverLimit,
+		DeadlineTooShort,
+		Quarantined,
+		SuspectBusy,
+		MissingKey,
+		KeyConflict,
+		KeyExpired,
+		ClaimsUnavailable,
+		OwnerLost,
+		StillRunning,
+		CallerGone,
+		RetriesExhausted,
+		RetryBudget,
+		SetGone,
+		Stopping,
+	}
+}
+
+// AttemptReasons lists the reasons for ending an attempt.
+func AttemptReasons() []Reason {
+	return []Reason{
+		GateRefused,
+		SetNotLoaded,
+		ConnectFailed,
+		CutShort,
+		Stalled,
+		Deadline,
+		EngineError,
+		WrongAttempt,
+		WrongSet,
+		RepeatedToken,
+	}
+}
