--- a/internal/matrix/system_test.go
+++ b/internal/matrix/system_test.go
@@ -68,6 +68,10 @@
 	body   string
 }
 
+// fromCaller tells a caller's quote from the agent's own generation probe,
+// which a gate without lease may send.
+func (s start) fromCaller() bool { return strings.Contains(s.body, "request-id=") }
+
 // system is a whole deployment over an in-memory network.
 type system struct {
 	t       *testing.T
