--- a/raft/node.go
+++ b/raft/node.go
@@ -445,8 +445,7 @@
 		return 0, 0, ErrBusy
 	}
 	n.uncommitted += len(data)
-	n.appendOwn(EntryCommand, data)
-	n.broadcastAppend()
+	n.appendOwn(EntryCommand, data) // Ready sends it, together with others
 	return n.log.last(), n.hard.Term, nil
 }
 
@@ -558,6 +557,9 @@
 // Ready returns the work to do. The owner calls Advance once everything in it
 // that has to be persisted is synced.
 func (n *Node) Ready() Ready {
+	if n.role == Leader {
+		n.broadcastAppend()
+	}
 	r := Ready{
 		Snapshot: n.newSnap, HardState: n.hard, Early: n.early, Messages: n.messages, Reads: n.readStates,
 	}
