--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 measure-weights:
 	go run ./internal/transfer/measure
 
+.PHONY: measure-notes
+measure-notes:
+	go run ./internal/control/measure
+
 # Goodput, latency, fairness and lost work of the entry by load, policy and fault.
 measure-requests:
 	go run ./internal/entry/measure
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -141,6 +141,7 @@
 		o.agent.cfg.Weights.Cancel(id)
 		delete(o.fetches, id)
 		delete(o.failures, id)
+		delete(o.retryAt, id)
 	}
 }
 
@@ -169,6 +170,7 @@
 			o.mu.Lock()
 			f.dir, f.done = dir, true
 			o.mu.Unlock()
+			o.agent.log.WithField("set", set.ID()).Info("weights_verified")
 			o.wake()
 			return
 		}
