--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,8 +42,8 @@
 	// Tick of the raft node. Default 50 ms: a lost leader is replaced within
 	// about a second.
 	Tick time.Duration
-	// TurnLimit bounds the work that one sync covers, see ReplicaConfig.
-	TurnLimit int
+	// TurnLimit and SnapshotBytes are those of ReplicaConfig.
+	TurnLimit, SnapshotBytes int
 	// ProcessToken and OperatorToken replace the token files.
 	ProcessToken, OperatorToken *auth.Token
 	Bytes                       *transport.ByteCounts
@@ -73,7 +73,7 @@
 func New(s Settings, opts Options, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(),
-		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease + seconds(s.GraceSeconds)),
+		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease+seconds(s.GraceSeconds), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
 	if err := d.readTokens(); err != nil {
@@ -132,7 +132,7 @@
 		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
 	}
 	replica, err := NewReplica(ReplicaConfig{
-		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
+		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotBytes: d.opts.SnapshotBytes, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
 		Published: d.published, Applied: d.applied, Manage: d.manage, Log: d.log,
 	}, raft.Config{}, d.folder, state)
 	if err != nil {
@@ -146,6 +146,9 @@
 	return nil
 }
 
+// Registry returns the daemon's metrics.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
 // Replica returns the daemon's replica.
 func (d *Daemon) Replica() *Replica { return d.replica }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,11 @@
 	defaultTurnLimit = 1024
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
-	keepEntries       = 512
-	diskRetryInterval = 500 * time.Millisecond
+	keepEntries = 512
+	// keepLargeEntries is kept instead after a snapshot that was due by size.
+	keepLargeEntries     = 32
+	defaultSnapshotBytes = 16 << 20
+	diskRetryInterval    = 500 * time.Millisecond
 )
 
 // Log entries carry a kind in their first byte, so that notes are found among
@@ -63,6 +67,10 @@
 type ReplicaConfig struct {
 	Tick          time.Duration
 	SnapshotEvery uint64
+	// SnapshotBytes of applied commands make a snapshot due before
+	// SnapshotEvery does, since recorded answers can be large. Fewer bound
+	// memory and cost more writing. Default 16 MiB.
+	SnapshotBytes int
 	// TurnLimit bounds the work that one sync covers. More raises throughput
 	// and the time that the first of it waits. Default 1024.
 	TurnLimit int
@@ -91,6 +99,7 @@
 	nextRead     uint64
 	applied      uint64
 	lastSnapshot uint64
+	logBytes     int // applied since the last snapshot
 	diskErr      error
 	stopped      chan struct{}
 }
@@ -117,6 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.SnapshotBytes = cmp.Or(cfg.SnapshotBytes, defaultSnapshotBytes)
 	cfg.TurnLimit = cmp.Or(cfg.TurnLimit, defaultTurnLimit)
 	raftCfg.ID = state.Identity.ID()
 	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
@@ -253,6 +263,14 @@
 		return
 	}
 	r.waiters[index] = waiter{term: term, answer: answer}
+	if kind == payloadNote {
+		r.cfg.Log.WithField("index", index).Debug("note_proposed")
+	}
+}
+
+// isNote reports whether an entry carries a release note.
+func isNote(e raft.Entry) bool {
+	return e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
 }
 
 // Read runs f in the loop on state that includes everything accepted before
@@ -358,7 +376,13 @@
 	if !ready.MustSync {
 		return nil // the commit index is stored with the next record
 	}
-	return r.folder.Save(ready.HardState, ready.Entries)
+	if err := r.folder.Save(ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	if i := slices.IndexFunc(ready.Entries, isNote); i >= 0 {
+		r.cfg.Log.WithField("index", ready.Entries[i].Index).Debug("note_synced")
+	}
+	return nil
 }
 
 // stepAside answers waiting work without the node until the next try.
@@ -398,7 +422,11 @@
 }
 
 func (r *Replica) apply(e raft.Entry) {
+	if isNote(e) {
+		r.cfg.Log.WithField("index", e.Index).Debug("note_committed")
+	}
 	r.applied = e.Index
+	r.logBytes += len(e.Data)
 	var result ledger.Result
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
 		c, err := ledger.Decode(e.Data[1:])
@@ -453,7 +481,11 @@
 }
 
 func (r *Replica) compact() {
-	if r.applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+	keep := uint64(keepEntries)
+	switch {
+	case r.logBytes >= r.cfg.SnapshotBytes:
+		keep = keepLargeEntries
+	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
 		return
 	}
 	data, err := r.ledger.Snapshot()
@@ -461,12 +493,12 @@
 		r.cfg.Log.WithError(err).Error("snapshot_failed")
 		return
 	}
-	s, err := r.node.Compact(r.applied, data, keepEntries)
+	s, err := r.node.Compact(r.applied, data, keep)
 	if err != nil {
 		return // a membership was committed meanwhile; the next turn tries again
 	}
-	r.lastSnapshot = s.Index
-	keepFrom := s.Index - min(s.Index, keepEntries)
+	r.lastSnapshot, r.logBytes = s.Index, 0
+	keepFrom := s.Index - min(s.Index, keep)
 	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
 	hard.Vote = r.node.Vote()
 	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
@@ -506,7 +538,7 @@
 	}
 	found := false
 	r.node.After(r.applied, func(e raft.Entry) bool {
-		found = e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
+		found = isNote(e)
 		return !found
 	})
 	return found
--- a/internal/matrix/checks_test.go
+++ b/internal/matrix/checks_test.go
@@ -1,13 +1,12 @@
 package matrix
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/operator"
+	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
 // check is one invariant of docs/design.md, section 2. Every cell uses all.
@@ -44,31 +43,27 @@
 	return found
 }
 
-// checkAccepted resends every note: an accepted one must be answered the same
-// way, and at most one note of each number may be accepted.
+// checkAccepted requires an accepted note to be answered the same way again,
+// and at most one note of each number to be accepted.
 func checkAccepted(o observation) []string {
-	client := o.system.operator()
-	defer client.HTTP.CloseIdleConnections()
 	var found []string
-	accepted := map[uint64]string{}
-	for _, s := range o.system.submissions {
-		ctx, cancel := context.WithTimeout(context.Background(), convergeLimit)
-		again, err := client.Submit(ctx, s.note)
-		cancel()
-		if err != nil && !errors.Is(err, operator.ErrRefused) {
-			found = append(found, fmt.Sprintf("note %d resent: %v", s.answer.Number, err))
+	accepted := map[uint64]release.Digest{}
+	for _, r := range o.resent {
+		first := r.first.answer
+		if r.err != nil {
+			found = append(found, fmt.Sprintf("note %d resent: %v", first.Number, r.err))
 			continue
 		}
-		if s.answer.Status != operator.NoteAccepted {
+		if first.Status != operator.NoteAccepted {
 			continue
 		}
-		if again.Status != s.answer.Status || again.Digest != s.answer.Digest {
-			found = append(found, fmt.Sprintf("note %d was %+v, resent %+v", s.answer.Number, s.answer, again))
+		if r.again.Status != first.Status || r.again.Digest != first.Digest {
+			found = append(found, fmt.Sprintf("note %d was %+v, resent %+v", first.Number, first, r.again))
 		}
-		if other, ok := accepted[s.answer.Number]; ok && other != string(s.answer.Digest) {
-			found = append(found, fmt.Sprintf("note %d accepted with two digests", s.answer.Number))
+		if other, ok := accepted[first.Number]; ok && other != first.Digest {
+			found = append(found, fmt.Sprintf("note %d accepted with two digests", first.Number))
 		}
-		accepted[s.answer.Number] = string(s.answer.Digest)
+		accepted[first.Number] = first.Digest
 	}
 	return found
 }
