engine: drop an order's undelivered bytes when it times out

Cause: after a timeout the kernel went on sending what it had buffered, so an order could reach an engine that ignores fencing tokens long after the lease under which it was sent.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/samber/oops"
@@ -80,7 +81,25 @@
 
 // New returns a client for the engine at the URL base.
 func New(base string, n network.Network) *Client {
-	return &Client{base: base, http: &http.Client{Transport: network.HTTPTransport(n)}}
+	transport := network.HTTPTransport(n)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, kind, address string) (net.Conn, error) {
+		conn, err := dial(ctx, kind, address)
+		if err == nil {
+			discardOnClose(conn)
+		}
+		return conn, err
+	}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// discardOnClose drops bytes that were not delivered when the connection is
+// closed. Otherwise the kernel goes on sending an order after its timeout,
+// which an engine that ignores fencing tokens would obey.
+func discardOnClose(conn net.Conn) {
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0)
+	}
 }
 
 // Close releases idle connections.
