--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -110,7 +110,7 @@
 	p.Required("region", s.Region)
 	p.Required("endpoint", s.Endpoint)
 	p.LogLevel("log_level", s.LogLevel)
-	p.Address("admin_listen", s.AdminListen)
+	p.Loopback("admin_listen", s.AdminListen)
 	p.Readable("process_token_file", s.ProcessTokenFile)
 	p.OneOf("kind", string(s.Kind), string(wire.KindEngine), string(wire.KindService))
 	p.Address("gate_listen", s.GateListen)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -73,7 +73,7 @@
 func New(s Settings, opts Options, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(),
-		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease+seconds(s.GraceSeconds), time.Now()),
+		proposals: make(chan struct{}, maxProposals), inForce: newInForce(defaultLease+s.Grace.Std(), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
 	if err := d.readTokens(); err != nil {
@@ -123,7 +123,7 @@
 func (d *Daemon) build(state storage.State) error {
 	id := state.Identity.ID()
 	d.policy = repairPolicy{
-		self: id, lossTicks: int(seconds(d.settings.VoterLossSeconds) / d.opts.Tick),
+		self: id, lossTicks: int(d.settings.VoterLoss.Std() / d.opts.Tick),
 		targetVoters: d.settings.targetVoters(), maxReplicas: defaultMaxReplicas,
 	}
 	d.peers = &peers{
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"net"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -11,6 +10,7 @@
 const (
 	defaultTick          = 50 * time.Millisecond
 	defaultVoterLoss     = 15 * time.Second
+	minVoterLoss         = time.Second
 	defaultLease         = 2 * time.Second
 	defaultSnapshotEvery = 2000
 	defaultMaxReplicas   = 8
@@ -38,27 +38,27 @@
 	// replica that is not listed joins as a learner.
 	Voters map[string]string `yaml:"voters"`
 
-	// VoterLossSeconds of silence before a voter is replaced or removed.
+	// VoterLoss is the silence after which a voter is replaced or removed.
 	// Shorter repairs sooner; longer keeps a voter through a restart. Default
 	// 15 s.
-	VoterLossSeconds float64 `yaml:"voter_loss_seconds"`
+	VoterLoss settings.Duration `yaml:"voter_loss"`
 	// TargetVoters is the number of voters to return to after a repair.
 	// Default: the number of first voters.
 	TargetVoters int `yaml:"target_voters"`
 	// SnapshotEvery is the number of log entries between snapshots. Fewer make
 	// restarts faster and cost more writing. Default 2000.
 	SnapshotEvery uint64 `yaml:"snapshot_every"`
-	// GraceSeconds is the agents' grace setting: how long they serve without
+	// Grace is the agents' grace setting: how long they serve without
 	// confirmation. The in-force report waits for it. Default 0 s.
-	GraceSeconds float64 `yaml:"grace_seconds"`
+	Grace settings.Duration `yaml:"grace"`
 }
 
 // DefaultSettings returns settings with defaults filled in.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:         "info",
-		VoterLossSeconds: defaultVoterLoss.Seconds(),
-		SnapshotEvery:    defaultSnapshotEvery,
+		LogLevel:      "info",
+		VoterLoss:     settings.Duration(defaultVoterLoss),
+		SnapshotEvery: defaultSnapshotEvery,
 	}
 }
 
@@ -73,10 +73,7 @@
 	p.LogLevel("log_level", s.LogLevel)
 	p.Address("session_listen", s.SessionListen)
 	p.Address("operator_listen", s.OperatorListen)
-	p.Address("admin_listen", s.AdminListen)
-	if host, _, err := net.SplitHostPort(s.AdminListen); err == nil && !net.ParseIP(host).IsLoopback() {
-		p.Add("admin_listen", "%q is not a loopback address; the admin port has no token", s.AdminListen)
-	}
+	p.Loopback("admin_listen", s.AdminListen)
 	p.Readable("process_token_file", s.ProcessTokenFile)
 	p.Readable("operator_token_file", s.OperatorTokenFile)
 	if s.Advertise != "" {
@@ -88,14 +85,14 @@
 	for name, address := range s.Voters {
 		p.Address("voters."+name, address)
 	}
-	if s.VoterLossSeconds < 1 {
-		p.Add("voter_loss_seconds", "must be 1 or more, got %v", s.VoterLossSeconds)
+	if s.VoterLoss.Std() < minVoterLoss {
+		p.Add("voter_loss", "must be %s or more, got %s", minVoterLoss, s.VoterLoss.Std())
 	}
 	if s.SnapshotEvery == 0 {
 		p.Add("snapshot_every", "must be above 0")
 	}
-	if s.TargetVoters < 0 || s.GraceSeconds < 0 {
-		p.Add("target_voters, grace_seconds", "must not be negative")
+	if s.TargetVoters < 0 {
+		p.Add("target_voters", "must not be negative")
 	}
 	return p.Err()
 }
@@ -113,5 +110,3 @@
 	}
 	return len(s.Voters)
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -102,12 +102,12 @@
 			return nil, refusal(http.StatusBadRequest, outcome.InvalidHeader, wire.HeaderPriority+" is not a whole number")
 		}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBody)))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, outcome.BodyTooLarge,
-			"the request body is larger than "+strconv.FormatInt(e.settings.MaxBodyBytes, 10)+" bytes")
+			"the request body is larger than "+strconv.FormatInt(int64(e.settings.MaxBody), 10)+" bytes")
 	case err != nil:
 		return nil, refusal(http.StatusBadRequest, outcome.InvalidBody, "the request body could not be read")
 	}
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// Loopback checks an IP address with port of the machine itself, for ports
+// without a token.
+func (p *Problems) Loopback(field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err == nil && !a.Addr().IsLoopback() {
+		p.Add(field, "%q is not a loopback address; this port has no token", value)
+		return
+	}
+	p.Address(field, value)
+}
+
 // Addresses checks that there is at least one address and that none repeats.
 func (p *Problems) Addresses(field string, values []string) {
 	if len(values) == 0 {
