--- /dev/null
+++ b/internal/settings/examples_test.go
@@ -0,0 +1,93 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/agent"
+	"github.com/rhubarbhill/rhubarbhill/internal/control"
+	"github.com/rhubarbhill/rhubarbhill/internal/entry"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+)
+
+// installedPath matches the paths of a deployment that a test machine lacks.
+var installedPath = regexp.MustCompile(`/(etc|var)/[^\s]+`)
+
+// Guards against example files that a daemon refuses, that leave out a setting,
+// or that set one without a comment above it.
+func TestDeploymentExamples(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/*/*.yaml")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(len(files), 10)
+	for _, path := range files {
+		t.Run(strings.TrimPrefix(path, "../../"), func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile(path)
+			is.NoErr(err)
+			entrySettings, controlSettings, agentSettings := entry.DefaultSettings(), control.DefaultSettings(), agent.DefaultSettings()
+			var out settings.Checker = &agentSettings
+			switch filepath.Base(path) {
+			case "entry.yaml":
+				out = &entrySettings
+			case "control.yaml":
+				out = &controlSettings
+			}
+			dir := t.TempDir()
+			text := installedPath.ReplaceAllStringFunc(string(data), func(installed string) string {
+				local := filepath.Join(dir, filepath.Base(installed))
+				if strings.HasSuffix(installed, "-token") {
+					is.NoErr(os.WriteFile(local, []byte("token-of-the-example"), 0o600))
+				}
+				return local
+			})
+			is.NoErr(settings.Decode([]byte(text), out))
+			for _, field := range yamlFields(reflect.TypeOf(out).Elem()) {
+				if agentSettings.Kind == "service" && engineOnly[field] || agentSettings.Kind == "engine" && field == "service" {
+					continue
+				}
+				if !strings.Contains(text, "\n"+field+":") {
+					t.Errorf("%s is not shown", field)
+				}
+			}
+			checkComments(t, text)
+		})
+	}
+}
+
+// engineOnly lists the agent's settings that a plain service has no use for.
+var engineOnly = map[string]bool{
+	"role": true, "peer_listen": true, "advertise_peer": true, "cache_dir": true, "store": true, "origin": true,
+	"objective": true, "region_links": true, "download_rate": true, "upload_rate": true, "order_timeout": true, "token_latency": true,
+}
+
+func yamlFields(structure reflect.Type) []string {
+	var names []string
+	for i := range structure.NumField() {
+		name, _, _ := strings.Cut(structure.Field(i).Tag.Get("yaml"), ",")
+		names = append(names, name)
+	}
+	return names
+}
+
+// checkComments reports fields that do not stand below a comment, alone or in
+// a group of fields.
+func checkComments(t *testing.T, text string) {
+	t.Helper()
+	commented := false
+	for line := range strings.SplitSeq(text, "\n") {
+		switch {
+		case line == "":
+			commented = false
+		case strings.HasPrefix(line, "#"):
+			commented = true
+		case !strings.HasPrefix(line, " ") && !commented:
+			t.Errorf("%q has no comment", line)
+		}
+	}
+}
