Tell entries of crashes by announcements, without waiting for a commit

Cause: crash reports reached entries through the log only. While the leader was cut off or paused, another entry ran the resent request on a third and fourth endpoint. Ruled out: the wait for control before the next run, which ends after 500 ms. Change: the endpoint's announcement names its last crash for a minute; any reachable control replica passes it on. Each crash counts once per entry, so that neighbours cleared by a run alone stay cleared. Starts are now taken where the gate sends them: an engine behind a cut link reads a request that its gate had sent before the note, and had cancelled. Remaining: 2 cells that lose two of four disks at once have no quorum.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -198,5 +198,6 @@
 		Sets: s.servable(), InFlight: s.gate.InFlight(), Capacity: s.gate.Capacity(),
 		Ready: s.ready(), Draining: s.gate.Draining(), Revision: s.catalogue.Revision,
 		Confirmed: s.lease.Held(time.Now()), Rollouts: rollouts, Gone: a.gone,
+		Crash: a.crashes.announced(time.Now()),
 	}
 }
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbhill/rhubarbhill/gate"
 	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
 )
 
@@ -24,6 +25,9 @@
 	// proposeRetries bounds the effort for one report; the requests are
 	// suspected again if they crash the next endpoint.
 	proposeRetries = 20
+	// crashAnnounced is how long announcements name the last crash: long enough
+	// for a new leader to be found and the report to be committed.
+	crashAnnounced = time.Minute
 )
 
 // crashes finds out which requests were in flight when the backend crashed.
@@ -33,6 +37,8 @@
 	mu        sync.Mutex
 	attempts  map[gate.ID]brokenAttempt
 	incidents uint64
+	last      *wire.Crash
+	lastAt    time.Time
 	// proposals end when the agent stops.
 	proposals context.Context
 	stop      context.CancelFunc
@@ -93,6 +99,10 @@
 	}
 	slices.Sort(fingerprints)
 	fingerprints = slices.Compact(fingerprints)
+	c.mu.Lock()
+	c.last, c.lastAt = &wire.Crash{Incident: incident, Fingerprints: fingerprints}, time.Now()
+	c.mu.Unlock()
+	a.state.notify()
 	a.metrics.crashes.Inc()
 	a.log.WithFields(log.Fields{"incident": incident, "requests": len(fingerprints)}).Error("backend_crashed")
 	c.propose(ledger.Command{Crash: &ledger.ReportCrash{
@@ -100,6 +110,16 @@
 	}})
 }
 
+// announced is the crash that announcements name now.
+func (c *crashes) announced(now time.Time) *wire.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.lastAt) > crashAnnounced {
+		return nil
+	}
+	return c.last
+}
+
 // settle waits until the attempts in flight have noticed the crash.
 func (c *crashes) settle(ctx context.Context) {
 	end := time.Now().Add(crashSettle)
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -63,7 +63,7 @@
 	a, b := previous.Report, next.Report
 	if a.Ready != b.Ready || a.Capacity != b.Capacity || a.Confirmed != b.Confirmed ||
 		a.GateAddress != b.GateAddress || a.ChunkAddress != b.ChunkAddress || a.Role != b.Role ||
-		len(a.Sets) != len(b.Sets) {
+		len(a.Sets) != len(b.Sets) || !a.Crash.SameIncident(b.Crash) {
 		return true
 	}
 	for i := range a.Sets {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -298,6 +298,9 @@
 				client.Resubscribe(replica)
 				return
 			}
+			for _, a := range m.Updated {
+				e.suspects.announced(a, time.Now())
+			}
 			e.fleet.update(e.directory.endpoints(), time.Now())
 		},
 		OnLost: func(replica string, err error) {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -36,10 +36,11 @@
 	mu        sync.Mutex
 	list      *quarantine.List
 	byReplica map[string][]quarantine.Record
+	incidents map[string]string // last crash taken in, by endpoint
 }
 
 func newSuspects() *suspects {
-	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}}
+	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}}
 }
 
 func (s *suspects) setControl(replica string, listed []wire.QuarantinedRequest) {
@@ -55,6 +56,21 @@
 	s.merge()
 }
 
+// announced takes in the crash that an endpoint's announcement names. It comes
+// without a commit, so it counts also while the log has no leader. Each crash
+// counts once: its neighbours may be cleared while it is still announced.
+func (s *suspects) announced(a wire.Announce, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Crash == nil || s.incidents[a.Endpoint] == a.Crash.Incident {
+		return
+	}
+	s.incidents[a.Endpoint] = a.Crash.Incident
+	for _, fingerprint := range a.Crash.Fingerprints {
+		s.list.Lost(fingerprint, a.Endpoint, now)
+	}
+}
+
 // forget drops the list of a lost replica while another one is left.
 func (s *suspects) forget(replica string) {
 	s.mu.Lock()
--- a/internal/matrix/events_test.go
+++ b/internal/matrix/events_test.go
@@ -147,6 +147,11 @@
 }
 
 func (s *system) observeWrite(from, to string, data []byte) {
+	if strings.HasPrefix(to, "engine-") && bytes.Contains(data, []byte("POST /v1/chat/completions")) {
+		s.mu.Lock()
+		s.starts = append(s.starts, start{time.Now(), to, string(data)})
+		s.mu.Unlock()
+	}
 	for _, w := range stepOfWrite {
 		if strings.HasPrefix(from, w.from) && strings.HasPrefix(to, w.to) && bytes.Contains(data, []byte(w.text)) {
 			s.reached(w.step, from)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -39,6 +39,23 @@
 	Rollouts  []RolloutProgress `cbor:"18,keyasint,omitempty"`
 	// Gone is true in the last announcement of a stopped agent.
 	Gone bool `cbor:"19,keyasint,omitempty"`
+	// Crash is the endpoint's last crash, for a minute. It reaches entries
+	// without a commit, so also while the log has no leader.
+	Crash *Crash `cbor:"20,keyasint,omitempty"`
+}
+
+// Crash names the requests that were in flight when an engine crashed.
+type Crash struct {
+	Incident     string   `cbor:"1,keyasint"`
+	Fingerprints []string `cbor:"2,keyasint"`
+}
+
+// SameIncident reports whether both are nil or of one crash.
+func (c *Crash) SameIncident(other *Crash) bool {
+	if c == nil || other == nil {
+		return c == other
+	}
+	return c.Incident == other.Incident
 }
 
 // LoadedSet is a weights set that an engine serves.
