--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +100,9 @@
 	applied      uint64
 	lastSnapshot uint64
 	logBytes     int // applied since the last snapshot
+	snapshotting bool
+	writers      sync.WaitGroup
+	savedHard    raft.HardState // as stored last
 	diskErr      error
 	stopped      chan struct{}
 }
@@ -135,7 +139,7 @@
 	r := &Replica{
 		cfg: cfg, node: node, folder: folder, ledger: l,
 		inbox: make(chan work, inboxLength), waiters: map[uint64]waiter{}, reads: map[uint64]func(bool){},
-		applied: state.Snapshot.Index, lastSnapshot: state.Snapshot.Index, stopped: make(chan struct{}),
+		applied: state.Snapshot.Index, lastSnapshot: state.Snapshot.Index, savedHard: state.HardState, stopped: make(chan struct{}),
 	}
 	r.publish()
 	return r, nil
@@ -146,6 +150,7 @@
 
 // Run executes the loop until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
+	defer r.writers.Wait()
 	defer close(r.stopped)
 	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
@@ -362,12 +367,16 @@
 		if err := r.folder.SaveSnapshot(*s, ready.HardState, true, s.Index); err != nil {
 			return err
 		}
-		r.lastSnapshot = s.Index
+		r.lastSnapshot, r.savedHard = s.Index, ready.HardState
 	}
 	if !ready.MustSync {
 		return nil // the commit index is stored with the next record
 	}
-	return r.folder.Save(ready.HardState, ready.Entries)
+	err := r.folder.Save(ready.HardState, ready.Entries)
+	if err == nil {
+		r.savedHard = ready.HardState
+	}
+	return err
 }
 
 // stepAside answers waiting work without the node until the next try.
@@ -462,9 +471,13 @@
 	}
 }
 
+// compact starts a snapshot when one is due. The state is encoded in the loop
+// and written beside it.
 func (r *Replica) compact() {
 	keep := uint64(keepEntries)
 	switch {
+	case r.snapshotting:
+		return
 	case r.logBytes >= r.cfg.SnapshotBytes:
 		keep = keepLargeEntries
 	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
@@ -475,17 +488,33 @@
 		r.cfg.Log.WithError(err).Error("snapshot_failed")
 		return
 	}
-	s, err := r.node.Compact(r.applied, data, keep)
+	s, err := r.node.MakeSnapshot(r.applied, data)
 	if err != nil {
 		return // a membership was committed meanwhile; the next turn tries again
 	}
-	r.lastSnapshot, r.logBytes = s.Index, 0
-	keepFrom := s.Index - min(s.Index, keep)
-	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
-	hard.Vote = r.node.Vote()
-	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
+	r.snapshotting, r.logBytes = true, 0
+	r.writers.Go(func() {
+		err := r.folder.WriteSnapshot(s)
+		select {
+		case r.inbox <- work{op: func() { r.adopt(s, keep, err) }}:
+		case <-r.stopped:
+		}
+	})
+}
+
+// adopt finishes a snapshot that was written, unless the leader's has replaced
+// it meanwhile.
+func (r *Replica) adopt(s raft.Snapshot, keep uint64, err error) {
+	r.snapshotting = false
+	if err == nil && s.Index > r.lastSnapshot && r.diskErr == nil {
+		r.node.Compact(s, keep)
+		hard := raft.HardState{Term: r.savedHard.Term, Vote: r.savedHard.Vote, Commit: s.Index}
+		err = r.folder.AdoptSnapshot(s.Index, hard, false, s.Index-min(s.Index, keep))
+	}
+	if err != nil {
 		r.cfg.Log.WithError(err).Error("snapshot_not_stored")
 	}
+	r.lastSnapshot = max(r.lastSnapshot, s.Index) // also after a failure: the next one tries again
 }
 
 func (r *Replica) publish() {
--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -20,7 +20,7 @@
 	maxClaims = 1 << 18
 	// maxBodyBytes bounds recorded answers; the oldest bodies go first and
 	// their claims answer done without a body.
-	maxBodyBytes = 32 << 20
+	maxBodyBytes = 16 << 20
 	// maxExpiredHashes bounds exact memory of expired keys, 8 MiB.
 	maxExpiredHashes = 1 << 20
 	filterBytes      = 8 << 20
--- a/raft/node.go
+++ b/raft/node.go
@@ -102,22 +102,22 @@
 
 	progress    map[string]*progress
 	peers       []string // keys of progress, in order
-	uncommitted int // bytes
+	uncommitted int      // bytes
 	termStart   uint64
 	round       uint64
 	reads       []pendingRead
 	transferTo  string
 
-	incoming   *Snapshot // snapshot being received
-	lastSaved  HardState
+	incoming  *Snapshot // snapshot being received
+	lastSaved HardState
 	// syncedCommit is the commit index of the last Ready that was synced.
 	syncedCommit uint64
-	newSnap    *Snapshot
-	ready      bool // a Ready awaits Advance
-	pendingEnd uint64
-	early      []Message
-	messages   []Message
-	readStates []ReadState
+	newSnap      *Snapshot
+	ready        bool // a Ready awaits Advance
+	pendingEnd   uint64
+	early        []Message
+	messages     []Message
+	readStates   []ReadState
 }
 
 type pendingRead struct {
@@ -520,23 +520,28 @@
 	}
 }
 
-// Compact records a snapshot of the applied state at index and drops older
-// entries but for the last keep.
-func (n *Node) Compact(index uint64, data []byte, keep uint64) (Snapshot, error) {
+// MakeSnapshot wraps the encoded state applied up to index. Compact adopts it
+// once it is stored.
+func (n *Node) MakeSnapshot(index uint64, data []byte) (Snapshot, error) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.applied {
-		return Snapshot{}, fmt.Errorf("compacting at %d: log holds %d to %d, applied %d",
+		return Snapshot{}, fmt.Errorf("snapshot at %d: log holds %d to %d, applied %d",
 			index, n.log.first, n.log.last(), n.applied)
 	}
 	m, err := n.membershipAt(index)
-	if err != nil {
-		return Snapshot{}, err
+	return Snapshot{Index: index, Term: term, Membership: m, Data: data}, err
+}
+
+// Compact adopts a snapshot made by MakeSnapshot and drops the entries up to it
+// but for the last keep. An older one than the node has is ignored.
+func (n *Node) Compact(s Snapshot, keep uint64) {
+	if s.Index <= n.snapshot.Index {
+		return
 	}
-	n.snapshot = Snapshot{Index: index, Term: term, Membership: m, Data: data}
-	if index > keep {
-		n.log.compact(index - keep)
+	n.snapshot = s
+	if s.Index > keep {
+		n.log.compact(s.Index - keep)
 	}
-	return n.snapshot, nil
 }
 
 func (n *Node) membershipAt(index uint64) (Membership, error) {
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -44,7 +44,7 @@
 	disk    disk
 	down    bool
 	paused  bool // neither ticks nor receives, and does not know it
-	note    int // ledger: highest note applied
+	note    int  // ledger: highest note applied
 	applied uint64
 	reads   map[uint64]uint64 // context to the index acknowledged when asked
 	nextCtx uint64
@@ -316,7 +316,8 @@
 		s.changeMembership()
 	case actCompact:
 		n := s.pick()
-		if snapshot, err := n.Compact(n.applied, fmt.Appendf(nil, "\x00\x00\x00%d", n.note), uint64(s.rng.IntN(3))); !n.down && err == nil {
+		if snapshot, err := n.MakeSnapshot(n.applied, fmt.Appendf(nil, "\x00\x00\x00%d", n.note)); !n.down && err == nil {
+			n.Compact(snapshot, uint64(s.rng.IntN(3)))
 			n.disk.snapshot = snapshot
 			n.disk.entries = slices.DeleteFunc(n.disk.entries, func(e Entry) bool { return e.Index <= snapshot.Index })
 		}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -283,23 +283,25 @@
 	return err
 }
 
-// SaveSnapshot stores a snapshot and removes what it makes unnecessary. With
-// reset the stored log is replaced as a whole, as for a received snapshot;
-// otherwise entries after keepFrom stay.
-func (f *Folder) SaveSnapshot(s raft.Snapshot, hard raft.HardState, reset bool, keepFrom uint64) error {
-	if f.failed != nil {
-		return f.failed
-	}
+// WriteSnapshot stores the file of a snapshot. Unlike all other methods it may
+// run at the same time as another one, so that a large file holds up nothing.
+func (f *Folder) WriteSnapshot(s raft.Snapshot) error {
 	data, err := encodeSnapshot(s)
 	if err != nil {
 		return err
 	}
 	name := fmt.Sprintf("%020d-%020d%s", s.Index, s.Term, snapshotSuffix)
-	if err := f.writeFile(filepath.Join(f.dir, snapshotFolder, name), data); err != nil {
-		return err
+	return f.writeFile(filepath.Join(f.dir, snapshotFolder, name), data)
+}
+
+// AdoptSnapshot records that a written snapshot is in use and removes what it
+// makes unnecessary: older snapshots, and log entries before keepFrom. With
+// reset the stored log is replaced as a whole, as for a received snapshot.
+func (f *Folder) AdoptSnapshot(index uint64, hard raft.HardState, reset bool, keepFrom uint64) error {
+	if f.failed != nil {
+		return f.failed
 	}
-	err = f.wal.append(record{Hard: hard, Reset: resetIndex(reset, s.Index), Snapshot: s.Index})
-	if err != nil {
+	if err := f.wal.append(record{Hard: hard, Reset: resetIndex(reset, index), Snapshot: index}); err != nil {
 		if errors.Is(err, ErrFailed) {
 			f.failed = err
 		}
@@ -310,6 +312,17 @@
 	return nil
 }
 
+// SaveSnapshot writes and adopts a snapshot.
+func (f *Folder) SaveSnapshot(s raft.Snapshot, hard raft.HardState, reset bool, keepFrom uint64) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	if err := f.WriteSnapshot(s); err != nil {
+		return err
+	}
+	return f.AdoptSnapshot(s.Index, hard, reset, keepFrom)
+}
+
 func resetIndex(reset bool, index uint64) uint64 {
 	if reset {
 		return index
