--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -92,7 +92,7 @@
 	if d.Proved {
 		result = outcome.NotRun
 	}
-	a.metrics.refusals.WithLabelValues(string(d.Reason)).Inc()
+	a.metrics.refusals.Inc(d.Reason)
 	h := w.Header()
 	h.Set(wire.HeaderOutcome, string(result))
 	h.Set(wire.HeaderReason, string(d.Reason))
@@ -191,14 +191,14 @@
 		return
 	}
 	a.failed(ctx, t, err)
-	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: "backend-broken"})
+	a.refuse(w, http.StatusBadGateway, gate.Decision{Reason: wire.ReasonBackendBroken})
 }
 
 // failed records an attempt without a whole answer. A connection that the
 // backend broke may mean that it crashed.
 func (a *Agent) failed(ctx context.Context, t *attempt, err error) {
 	reason := failureReason(ctx, err)
-	a.metrics.failures.WithLabelValues(reason).Inc()
+	a.metrics.failures.Inc(reason)
 	a.log.WithFields(log.Fields{"attempt": t.id, "reason": reason}).WithError(err).Info("attempt_failed")
 	if reason == "cut-short" {
 		a.crashes.broken(gate.Attempt{ID: t.request.ID, Fingerprint: t.request.Fingerprint, Alone: t.request.Alone})
@@ -269,7 +269,7 @@
 	switch {
 	case !a.isEngine():
 		begun, err = true, a.passService(w, response)
-	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+	case response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		s := &stream{agent: a, w: w, attempt: t, header: response.Header}
 		err = s.relay(response.Body)
 		begun = s.begun
@@ -342,8 +342,8 @@
 			return err
 		}
 		w.Header().Set(wire.HeaderWeightsSet, t.request.Set)
+		a.token(t) // an error is no progress
 	}
-	a.token(t)
 	h := w.Header()
 	copyHeader(h, response.Header)
 	h.Set("Content-Length", strconv.Itoa(len(data)))
