--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -117,6 +119,59 @@
 	}
 }
 
+// Guards against two operators who are both told that their note has the same
+// number, on one replica or over a change of leader.
+func TestOperatorsRaceForANumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startedCluster(t, nil)
+		const operators, notes = 5, 6
+		var mu sync.Mutex
+		accepted := map[int]map[release.Digest]bool{}
+		var wg sync.WaitGroup
+		for i := range operators {
+			wg.Go(func() {
+				for n := 1; n <= notes; {
+					text := strings.Replace(noteText(n), "quote", fmt.Sprint("role", i), 1)
+					doc, err := release.Parse([]byte(text))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+					mu.Lock()
+					l := c.leader()
+					mu.Unlock()
+					if l == nil {
+						l = c.daemons["c1"]
+					}
+					_, a := l.SubmitNote(ctx, doc)
+					cancel()
+					mu.Lock()
+					switch a.Status {
+					case "accepted", "conflict":
+						if accepted[n] == nil {
+							accepted[n] = map[release.Digest]bool{}
+						}
+						accepted[n][a.Digest] = true
+						n++
+					}
+					mu.Unlock()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(15 * time.Millisecond)
+		first := c.leader()
+		first.replica.do(func() { first.replica.node.TransferLeadership() })
+		wg.Wait()
+		for n := 1; n <= notes; n++ {
+			is.Equal(len(accepted[n]), 1) // everybody was told of the same note
+		}
+		c.converged(notes)
+	})
+}
+
 // Guards against a paused leader that answers with stale state when it resumes.
 func TestLeaderPauseAndResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -41,7 +41,7 @@
 		is.Equal([]int64{byEntry, byAgent}, []int64{all, all})
 		byEntry, byAgent = received(func(a *wire.Announce) { a.InFlight = 8; a.Ready = true })
 		is.Equal([]int64{byEntry, byAgent}, []int64{all, 0})
-		byEntry, byAgent = received(func(a *wire.Announce) { a.ChunkAddress = "10.0.0.9:81" })
+		_, byAgent = received(func(a *wire.Announce) { a.ChunkAddress = "10.0.0.9:81" })
 		is.True(byAgent == all)
 		time.Sleep(4 * time.Second)
 		is.Equal(removed.Load(), all)
