Answer GET /v1/outcomes/{key}; use the real ledger in entry tests

The ledger gets a Lookup command, which answers as a claim would and takes nothing. The fake control now runs package ledger in place of its own claims. A gate that says it restarted, or that the model was withdrawn, is understood without a retry; an endpoint is tried again only when it was merely full.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -134,14 +134,14 @@
 	// started is false only when it is proved that the attempt has not begun.
 	started bool
 	// lost is true when the connection broke while the attempt may have run.
-	lost     bool
+	lost bool
+	// withdrawn is true when the gate refused because a note withdrew the model.
+	withdrawn bool
+	// full is true when the gate refused for lack of capacity only.
+	full     bool
+	endpoint string
 	gate     gateAddress
 	id       string
-	endpoint string
-}
-
-func (f *attemptFailure) refusedByGate() bool {
-	return f.result == balancer.Refused && !f.started
 }
 
 // open places a call on an endpoint and sends it as the attempt id. The
@@ -255,6 +255,32 @@
 	return &attemptFailure{reason: reason, result: balancer.Failed, started: true, endpoint: a.endpoint, gate: a.gate, id: a.id}
 }
 
+// Reasons of gates that the entry tells apart.
+const (
+	gateAtCapacity     = "at-capacity"
+	gateRestarted      = "gate-restarted"
+	gateModelWithdrawn = "model-withdrawn"
+)
+
+// gateRefusal returns the failure of an attempt that the gate refused before
+// its start, nil for any other answer. A gate that restarted cannot itself
+// vouch for what its earlier process did, but an attempt is sent only once, so
+// its refusal is proof.
+func (a *attempt) gateRefusal(h http.Header) *attemptFailure {
+	why := h.Get(wire.HeaderReason)
+	if h.Get(wire.HeaderOutcome) != string(outcome.NotRun) && why != gateRestarted {
+		return nil
+	}
+	f := &attemptFailure{
+		reason: outcome.GateRefused, result: balancer.Refused, endpoint: a.endpoint, gate: a.gate, id: a.id,
+		withdrawn: why == gateModelWithdrawn, full: why == gateAtCapacity,
+	}
+	if a.response.StatusCode == http.StatusConflict {
+		f.reason = outcome.SetNotLoaded
+	}
+	return f
+}
+
 // checkHeader decides from status and headers whether the answer is a refusal,
 // belongs to this attempt, and comes from the pinned weights set. An answer
 // that the gate does not call whole is none, streams aside.
@@ -264,11 +290,7 @@
 		e.metrics.drop(outcome.WrongAttempt)
 		return a.rejected(outcome.WrongAttempt)
 	}
-	if h.Get(wire.HeaderOutcome) == string(outcome.NotRun) {
-		f := &attemptFailure{reason: outcome.GateRefused, result: balancer.Refused, endpoint: a.endpoint}
-		if a.response.StatusCode == http.StatusConflict {
-			f.reason = outcome.SetNotLoaded
-		}
+	if f := a.gateRefusal(h); f != nil {
 		return f
 	}
 	if c.engine && a.response.StatusCode < http.StatusMultipleChoices && h.Get(wire.HeaderWeightsSet) != a.set {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -181,7 +181,10 @@
 	if f.reason == outcome.SetNotLoaded && !c.ran {
 		c.set = "" // nothing ran, so the request may be pinned anew
 	}
-	if !f.refusedByGate() || f.reason == outcome.SetNotLoaded {
+	if f.withdrawn {
+		return c.failed(http.StatusNotFound, outcome.UnknownModel, "the model was withdrawn by a release note")
+	}
+	if !f.full {
 		c.exclude[f.endpoint] = true
 	}
 	switch {
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -104,7 +104,6 @@
 		g.Fault = func(*http.Request, string) fault { return current.Load().(fault) }
 	}
 	c := newCluster(t, gates...)
-	claims := entrytest.NewClaims()
 	var lost atomic.Int32
 	c.control.OnPropose = func(cmd ledger.Command) (wire.ProposeReply, bool) {
 		kind := lose.Load().(string)
@@ -113,11 +112,10 @@
 			return wire.ProposeReply{}, false
 		}
 		if strings.HasSuffix(kind, "answer") {
-			claims.Apply(cmd) // committed, and the answer says "unknown"
+			c.control.Apply(cmd) // committed, and the answer says "unknown"
 		}
 		return wire.ProposeReply{Status: wire.ProposeUnknown}, true
 	}
-	c.control.Apply = claims.Apply
 	entries := c.addEntries(2, func(s *Settings) {
 		s.PlainTimeout, s.QueueWait, s.EjectedShare = Duration(60*time.Millisecond), Duration(60*time.Millisecond), 0.01
 	})
@@ -163,8 +161,8 @@
 	entries := c.addEntries(2)
 	// A claim of the second entry's earlier process, which left no result.
 	claim := ledger.Claim{Organisation: "org", Key: "k", Owner: "entry-b.1.1"}
-	probe := &call{method: http.MethodPost, pool: servicePrefix + "orders", path: "/book", body: []byte("load"), organisation: "org"}
-	described, refused := newClaim(probe, http.Header{"Idempotency-Key": {"k"}})
+	probe := &call{method: http.MethodPost, pool: servicePrefix + "orders", path: "/book", body: []byte("load")}
+	described, refused := newClaim(probe, http.Header{"Idempotency-Key": {"k"}, "Rhubarb-Organisation": {"org"}})
 	c.is.True(refused == nil)
 	claim.RequestDigest = described.RequestDigest
 	c.control.Apply(ledger.Command{Claim: &claim})
@@ -204,6 +202,30 @@
 	c.is.Equal(g.Executions("k"), 0)
 }
 
+// Guards against a caller that cannot learn what became of its call.
+func TestOutcomeByKey(t *testing.T) {
+	g := serviceGate("s1")
+	c := newCluster(t, g)
+	e := c.addEntry()
+	look := func(key string) answer {
+		return e.do(http.MethodGet, "/v1/outcomes/"+key, "", "Rhubarb-Organisation", "org")
+	}
+	c.is.Equal(look("a/b").status, http.StatusNotFound)
+	c.is.Equal(look("a/b").outcome(), "") // a claim may be on its way: nothing is certain
+	e.order("a/b", "load")
+	done := look("a/b")
+	c.is.Equal(done.outcome(), "done")
+	c.is.True(strings.Contains(done.body, `"state":"done"`))
+	lost := ledger.Claim{Organisation: "org", Key: "lost", Owner: "entry-z.1.1", RequestDigest: "sha256:x"}
+	c.control.Apply(ledger.Command{Claim: &lost})
+	c.is.Equal(look("lost").outcome(), "unknown")
+	g.FirstToken = 200 * time.Millisecond
+	ended := make(chan answer)
+	go func() { ended <- e.order("slow", "load") }()
+	c.eventually("the call runs", func() bool { return strings.Contains(look("slow").body, `"state":"running"`) })
+	c.is.Equal((<-ended).outcome(), "done")
+}
+
 // Guards against key times read from keys that are not UUIDs of version 7.
 func TestKeyTime(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -136,6 +136,7 @@
 	callers.Use(e.requireCaller, e.count)
 	callers.HandleFunc("/v1/addresses", e.serveAddresses).Methods(http.MethodGet)
 	callers.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
+	callers.HandleFunc("/v1/outcomes/{key:.+}", e.serveOutcome).Methods(http.MethodGet)
 	work := callers.NewRoute().Subrouter()
 	work.Use(e.refuseWhenClosed)
 	work.HandleFunc(pathChat, e.serveChat).Methods(http.MethodPost)
--- a/internal/entry/entrytest/control.go
+++ b/internal/entry/entrytest/control.go
@@ -14,15 +14,15 @@
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
-// Control is a fake control replica that holds claims in memory.
+// Control is a fake control replica: a ledger without a replicated log.
 type Control struct {
 	Token string
 	// CommitDelay is the time that a commit takes.
 	CommitDelay time.Duration
 	// OnPropose, when set, may answer a command in place of the ledger.
 	OnPropose func(cmd ledger.Command) (wire.ProposeReply, bool)
-	// Apply answers commands. Default: Claims.
-	Apply func(cmd ledger.Command) ledger.Result
+	// Ledger answers commands, as on a real replica.
+	Ledger *ledger.Ledger
 
 	server   *httptest.Server
 	mu       sync.Mutex
@@ -36,9 +36,7 @@
 func (c *Control) Start() *Control {
 	c.sessions = map[*transport.Session]bool{}
 	c.members = wire.Members{Epoch: 1}
-	if c.Apply == nil {
-		c.Apply = NewClaims().Apply
-	}
+	c.Ledger = ledger.New()
 	c.server = httptest.NewServer(&transport.Server{
 		Handler:   c.handle,
 		Authorize: func(r *http.Request) bool { return r.Header.Get("Authorization") == "Bearer "+c.Token },
@@ -93,6 +91,15 @@
 	return append([]ledger.Command(nil), c.commands...)
 }
 
+// Apply commits a command.
+func (c *Control) Apply(cmd ledger.Command) ledger.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cmd.AtMs = time.Now().UnixMilli()
+	c.commands = append(c.commands, cmd)
+	return c.Ledger.Apply(cmd)
+}
+
 func (c *Control) handle(_ context.Context, s *transport.Session, env wire.Envelope) {
 	switch env.Type {
 	case wire.TypeSubscribe:
@@ -125,78 +132,8 @@
 			return
 		}
 	}
-	c.mu.Lock()
-	cmd.AtMs = time.Now().UnixMilli()
-	c.commands = append(c.commands, cmd)
-	result := c.Apply(cmd)
-	c.mu.Unlock()
-	data, err := wire.Marshal(result)
+	data, err := wire.Marshal(c.Apply(cmd))
 	if err == nil {
 		_ = s.Reply(env, wire.ProposeReply{Status: wire.ProposeCommitted, Result: data})
 	}
 }
-
-// Claims is the part of a ledger that holds claims.
-type Claims struct {
-	mu     sync.Mutex
-	claims map[string]*claim
-}
-
-type claim struct {
-	digest   release.Digest
-	owner    string
-	complete *ledger.Complete
-}
-
-// keyRetention is how long a key may be old.
-const keyRetention = 24 * time.Hour
-
-// NewClaims returns an empty ledger of claims.
-func NewClaims() *Claims { return &Claims{claims: map[string]*claim{}} }
-
-// Apply answers claims and completions; it accepts every other command.
-func (l *Claims) Apply(cmd ledger.Command) ledger.Result {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case cmd.Claim != nil:
-		return l.claim(cmd.AtMs, *cmd.Claim)
-	case cmd.Complete != nil:
-		return l.complete(*cmd.Complete)
-	}
-	return ledger.Result{Status: ledger.StatusAccepted}
-}
-
-func (l *Claims) claim(atMs int64, c ledger.Claim) ledger.Result {
-	if c.KeyTimeMs != 0 && atMs-c.KeyTimeMs > keyRetention.Milliseconds() {
-		return ledger.Result{Status: ledger.StatusExpired}
-	}
-	id := c.Organisation + "/" + c.Key
-	held := l.claims[id]
-	switch {
-	case held == nil:
-		l.claims[id] = &claim{digest: c.RequestDigest, owner: c.Owner}
-		return ledger.Result{Status: ledger.StatusAccepted, Owner: c.Owner}
-	case held.digest != c.RequestDigest:
-		return ledger.Result{Status: ledger.StatusConflict}
-	case held.complete != nil:
-		return ledger.Result{Status: ledger.StatusCompleted, Owner: held.owner, Complete: held.complete}
-	case held.owner == c.Owner:
-		return ledger.Result{Status: ledger.StatusAccepted, Owner: c.Owner}
-	}
-	return ledger.Result{Status: ledger.StatusDuplicate, Owner: held.owner}
-}
-
-func (l *Claims) complete(c ledger.Complete) ledger.Result {
-	id := c.Organisation + "/" + c.Key
-	held := l.claims[id]
-	if held == nil || held.owner != c.Owner || held.complete != nil {
-		return ledger.Result{Status: ledger.StatusRefused}
-	}
-	if c.Outcome == "not-run" {
-		delete(l.claims, id)
-	} else {
-		held.complete = &c
-	}
-	return ledger.Result{Status: ledger.StatusAccepted}
-}
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -224,7 +224,7 @@
 	}
 	if status := g.admit(id, r.Header.Get(wire.HeaderAlone) != "", fault); status != 0 {
 		w.Header().Set(wire.HeaderOutcome, "not-run")
-		w.Header().Set(wire.HeaderReason, "capacity")
+		w.Header().Set(wire.HeaderReason, "at-capacity")
 		w.WriteHeader(status)
 		return
 	}
--- /dev/null
+++ b/internal/entry/outcomes.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// States in the answer to GET /v1/outcomes/{key}.
+const (
+	keyDone     = "done"
+	keyUnknown  = "unknown"
+	keyRunning  = "running"
+	keyExpired  = "expired"
+	keyNotKnown = "not-claimed"
+)
+
+// outcomeAnswer tells what became of the call under a key. A key that is not
+// claimed proves nothing: its call may be on the way to the log.
+type outcomeAnswer struct {
+	Key     string `json:"key"`
+	State   string `json:"state"`
+	Attempt string `json:"attempt,omitempty"`
+	// Status is the status of the recorded answer.
+	Status int `json:"status,omitempty"`
+}
+
+func (e *Entry) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	key := mux.Vars(r)["key"]
+	ctx, cancel := context.WithTimeout(r.Context(), claimTimeout)
+	defer cancel()
+	result, err := e.control.Propose(ctx, ledger.Command{Lookup: &ledger.Lookup{Organisation: claimOrganisation(r.Header), Key: key}})
+	if err != nil {
+		e.refuse(w, claimsUnavailable("claims cannot be read now"))
+		return
+	}
+	answer := outcomeAnswer{Key: key, Attempt: result.Owner}
+	status := http.StatusOK
+	switch {
+	case result.Status == ledger.StatusCompleted && result.Complete != nil:
+		answer.State, answer.Status = keyUnknown, result.Complete.Status
+		if outcome.Outcome(result.Complete.Outcome) == outcome.Done {
+			answer.State = keyDone
+		}
+	case result.Status == ledger.StatusDuplicate && e.ownerWorks(ctx, result.Owner):
+		answer.State = keyRunning
+	case result.Status == ledger.StatusDuplicate:
+		answer.State = keyUnknown
+	case result.Status == ledger.StatusExpired:
+		answer.State, status = keyExpired, http.StatusGone
+	default:
+		answer.State, status = keyNotKnown, http.StatusNotFound
+	}
+	if answer.State == keyDone || answer.State == keyUnknown {
+		w.Header().Set(wire.HeaderOutcome, answer.State)
+		w.Header().Set(wire.HeaderAttempt, answer.Attempt)
+	}
+	writeJSON(w, status, answer)
+}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -102,17 +103,18 @@
 		return ledger.Claim{}, refusal(http.StatusBadRequest, outcome.InvalidHeader,
 			wire.HeaderIdempotencyKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
-	organisation := c.organisation
-	if organisation == "" {
-		organisation = anonymousOrganisation
-	}
 	content := append([]byte(c.method+" "+c.pool+" "+c.path+"\n"), c.body...)
 	return ledger.Claim{
-		Organisation: organisation, Key: key,
+		Organisation: claimOrganisation(h), Key: key,
 		RequestDigest: release.DigestOf(content), KeyTimeMs: keyTime(key),
 	}, nil
 }
 
+// claimOrganisation is the organisation that owns the keys of a caller.
+func claimOrganisation(h http.Header) string {
+	return cmp.Or(h.Get(wire.HeaderOrganisation), anonymousOrganisation)
+}
+
 const (
 	uuidLength        = 36
 	uuidVersionAt     = 14
--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -94,6 +94,18 @@
 	return Result{Status: StatusAccepted, Owner: c.Owner}
 }
 
+// lookup answers as a claim would, without taking the key.
+func (k *claims) lookup(q Lookup) Result {
+	id := claimKey{q.Organisation, q.Key}
+	if held := k.held[id]; held != nil {
+		return held.answer(Claim{RequestDigest: held.Digest})
+	}
+	if k.remembers(hashOf(id)) {
+		return Result{Status: StatusExpired, Reason: "key is past its retention of 24 h"}
+	}
+	return refused("key is not claimed")
+}
+
 // answer gives the result of another claim of a key that is held.
 func (r *claimRecord) answer(c Claim) Result {
 	switch {
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -12,6 +12,7 @@
 	Complete *Complete     `cbor:"4,keyasint,omitempty"`
 	Crash    *ReportCrash  `cbor:"5,keyasint,omitempty"`
 	Clear    *ClearSuspect `cbor:"6,keyasint,omitempty"`
+	Lookup   *Lookup       `cbor:"7,keyasint,omitempty"`
 }
 
 // SubmitNote submits a release note in canonical form.
@@ -33,6 +34,13 @@
 	KeyTimeMs     int64          `cbor:"5,keyasint,omitempty"`
 }
 
+// Lookup asks for the claim of a key and changes nothing. As an entry of the
+// log its answer is not older than the question.
+type Lookup struct {
+	Organisation string `cbor:"1,keyasint"`
+	Key          string `cbor:"2,keyasint"`
+}
+
 // Complete records the first result of a claimed call. With Outcome "not-run"
 // the claim is released, so that the caller may send the call again.
 type Complete struct {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -45,7 +45,7 @@
 		return c, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	operations := 0
-	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil} {
+	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil, c.Lookup != nil} {
 		if set {
 			operations++
 		}
@@ -76,6 +76,8 @@
 	case c.Clear != nil:
 		l.quarantine++
 		return l.suspects.clear(*c.Clear)
+	case c.Lookup != nil:
+		return l.claims.lookup(*c.Lookup)
 	}
 	return refused("empty command")
 }
