agent: don't judge a full engine by a probe that had to wait

Cause: with the batch full of requests without stream, no token is seen and the probe waits behind them, so a working engine was announced as not ready. Guard removed once, with TestFullEngineWithoutStreamsStaysReady failing. A second signal now ends a draining agent at once.

--- a/cmd/rhubarb-agent/main.go
+++ b/cmd/rhubarb-agent/main.go
@@ -69,6 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return agent.New(agent.Config{
 		Settings: config, Token: token, Weights: weights, Log: logger, Registry: metrics.NewRegistry(),
 	}).Run(ctx)
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -22,6 +22,7 @@
 	resumeFrom  string
 	body        []byte
 	model       string // engines: the name in the body
+	stream      bool   // engines: tokens are passed on as they come
 }
 
 // parseAttempt reads headers and body.
@@ -66,12 +67,13 @@
 // resumed stream.
 func (a *attempt) prepareChat() error {
 	var head struct {
-		Model string `json:"model"`
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
 	}
 	if err := json.Unmarshal(a.body, &head); err != nil {
 		return err
 	}
-	a.model = head.Model
+	a.model, a.stream = head.Model, head.Stream
 	if a.resumeFrom == "" {
 		return nil
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -127,15 +127,24 @@
 	if ctx.Err() != nil {
 		return
 	}
-	a.state.mu.Lock()
-	changed := a.state.health.probed(err == nil, start, time.Now())
-	a.state.mu.Unlock()
-	if changed {
+	if a.judge(err == nil, start) {
 		a.log.WithField("progress", err == nil).WithError(err).Warn("engine_progress_changed")
 		a.state.notify()
 	}
 }
 
+// judge takes in the result of a probe. A failed probe says nothing while the
+// batch is full of requests whose tokens are not seen: it may have had to wait.
+func (a *Agent) judge(ok bool, start time.Time) (changed bool) {
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ok && s.gate.InFlight() >= s.gate.Capacity() && !s.health.visible() {
+		return false
+	}
+	return s.health.probed(ok, start, time.Now())
+}
+
 func (a *Agent) probeTarget() (wire.LoadedSet, bool) {
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/agent/agenttest"
+	"github.com/rhubarbhill/rhubarbhill/internal/engine"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
@@ -130,6 +132,35 @@
 	}
 }
 
+// Guards against a full engine that is taken out because a probe had to wait
+// behind long answers without stream.
+func TestFullEngineWithoutStreamsStaysReady(t *testing.T) {
+	run(t, func(r *rig) {
+		r.engine.Chat = func(w http.ResponseWriter, _ *http.Request, set string) {
+			time.Sleep(20 * time.Second)
+			w.Header().Set(engine.HeaderWeightsSet, set)
+			_, _ = fmt.Fprintf(w, `{"system_fingerprint":%q}`, set)
+		}
+	}, func(r *rig) {
+		is := is.New(r.t)
+		r.engine.Change(func(e *agenttest.Engine) {
+			e.Probe = func(r *http.Request) { <-r.Context().Done() }
+		})
+		var wg sync.WaitGroup
+		for range r.settings.Capacity {
+			id := r.nextID()
+			wg.Go(func() {
+				if a := r.askWhole(id, setID("1")); a.outcome != "done" || a.status != http.StatusOK {
+					r.t.Errorf("%+v", a)
+				}
+			})
+		}
+		wg.Wait()
+		announced := r.controls[0].Announced()[3:]
+		is.True(!slices.ContainsFunc(announced, func(a wire.Announce) bool { return !a.Ready }))
+	})
+}
+
 // Guards against an engine whose quick errors count as progress.
 func TestEngineThatOnlyFailsIsNotReady(t *testing.T) {
 	run(t, func(r *rig) {
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -262,6 +262,12 @@
 	return r.do(http.MethodPost, wire.PathGateForward+engine.PathChat, `{"model":"m","stream":true}`, h)
 }
 
+// askWhole sends one attempt without stream.
+func (r *rig) askWhole(id, set string) answer {
+	h := http.Header{wire.HeaderAttempt: {id}, wire.HeaderWeightsSet: {set}}
+	return r.do(http.MethodPost, wire.PathGateForward+engine.PathChat, `{"model":"m"}`, h)
+}
+
 func (r *rig) do(method, path, body string, h http.Header) answer {
 	client := &http.Client{Transport: &http.Transport{DialContext: r.net.Host("entry").DialContext, DisableKeepAlives: true}}
 	request, err := http.NewRequest(method, "http://"+gateAddress+path, strings.NewReader(body))
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -139,7 +139,7 @@
 	}
 	d := s.gate.Begin(t.request, c, now)
 	if d.Verdict == gate.Start {
-		s.health.started(t.request.ID, t.request.Set, cancel, now)
+		s.health.started(t.request.ID, flight{started: now, last: now, setID: t.request.Set, stream: t.stream, cancel: cancel})
 	}
 	return d, s.ended
 }
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -25,6 +25,7 @@
 type flight struct {
 	started, last time.Time
 	setID         string
+	stream        bool // its tokens are seen
 	tokens        int
 	cancel        context.CancelCauseFunc
 }
@@ -37,9 +38,7 @@
 	}
 }
 
-func (h *health) started(id gate.ID, setID string, cancel context.CancelCauseFunc, now time.Time) {
-	h.running[id] = &flight{started: now, last: now, setID: setID, cancel: cancel}
-}
+func (h *health) started(id gate.ID, f flight) { h.running[id] = &f }
 
 // token records progress of an attempt.
 func (h *health) token(id gate.ID, now time.Time) {
@@ -96,6 +95,16 @@
 	return changed
 }
 
+// visible reports whether the progress of an attempt in flight can be seen.
+func (h *health) visible() bool {
+	for _, f := range h.running {
+		if f.stream {
+			return true
+		}
+	}
+	return false
+}
+
 // inFlight counts attempts in progress that are pinned to a set.
 func (h *health) inFlight(setID string) int {
 	n := 0
