controlclient: open sessions to replicas that others name

Cause: an agent must ask all voters, but knew only the addresses in its settings, so a voter added later was never asked. Confirmation answers carry the addresses of all replicas and proposal answers that of the leader; both are now learned, up to 16 in all. Guard removed once, with TestLearnsReplicasFromConfirmations failing.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,13 +22,18 @@
 // ErrUnknown means that it is not known whether a command was committed.
 var ErrUnknown = errors.New("not known whether the command was committed")
 
-const proposeRetryInterval = 50 * time.Millisecond
+const (
+	proposeRetryInterval = 50 * time.Millisecond
+	// maxReplicas bounds the addresses learned from replicas.
+	maxReplicas = 16
+)
 
 // Config configures a Client.
 type Config struct {
 	Name  string // instance or endpoint name, for the replicas' logs
 	Token string // bearer token of the system's processes
 	// Replicas are the session addresses (IP and port) of control replicas.
+	// Further ones are learned from what replicas answer.
 	Replicas []string
 	// Members asks for member updates as well as the catalogue.
 	Members bool
@@ -49,22 +56,56 @@
 
 // Client holds the sessions. Run starts it.
 type Client struct {
-	cfg     Config
-	dialers map[string]*transport.Dialer
+	cfg Config
 
-	mu     sync.Mutex
-	leader string
+	mu      sync.Mutex
+	leader  string
+	dialers map[string]*transport.Dialer
+	order   []string                // addresses in the order they became known
+	run     func(*transport.Dialer) // set while Run runs
 }
 
 // New returns a client that has not started.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, dialers: map[string]*transport.Dialer{}}
-	for _, address := range cfg.Replicas {
-		c.dialers[address] = c.newDialer(address)
-	}
+	c.learn(cfg.Replicas...)
 	return c
 }
 
+// learn adds replicas that are not known yet.
+func (c *Client) learn(addresses ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range addresses {
+		if _, known := c.dialers[address]; known || address == "" || len(c.dialers) >= maxReplicas {
+			continue
+		}
+		d := c.newDialer(address)
+		c.dialers[address] = d
+		c.order = append(c.order, address)
+		if c.run != nil {
+			c.run(d)
+		}
+	}
+}
+
+// dialer returns the dialer of a known replica, or nil.
+func (c *Client) dialer(address string) *transport.Dialer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialers[address]
+}
+
+func (c *Client) all() []*transport.Dialer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*transport.Dialer, 0, len(c.order))
+	for _, address := range c.order {
+		list = append(list, c.dialers[address])
+	}
+	return list
+}
+
 func (c *Client) newDialer(address string) *transport.Dialer {
 	return &transport.Dialer{
 		Address: address,
@@ -84,9 +125,17 @@
 // Run keeps all sessions open until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, d := range c.dialers {
-		wg.Go(func() { d.Run(ctx) })
+	start := func(d *transport.Dialer) { wg.Go(func() { d.Run(ctx) }) }
+	c.mu.Lock()
+	c.run = start
+	for _, address := range c.order {
+		start(c.dialers[address])
 	}
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.mu.Lock()
+	c.run = nil
+	c.mu.Unlock()
 	wg.Wait()
 }
 
@@ -108,7 +157,16 @@
 	case wire.TypeMembers:
 		deliver(env, address, c.cfg.OnMembers)
 	case wire.TypeConfirmReply:
-		deliver(env, address, c.cfg.OnConfirm)
+		deliver(env, address, c.confirmed)
+	}
+}
+
+// confirmed learns the replicas that an answer names: voters change over the
+// life of an agent.
+func (c *Client) confirmed(address string, r wire.ConfirmReply) {
+	c.learn(slices.Sorted(maps.Values(r.Addresses))...)
+	if c.cfg.OnConfirm != nil {
+		c.cfg.OnConfirm(address, r)
 	}
 }
 
@@ -123,7 +181,7 @@
 // many it was queued for.
 func (c *Client) Broadcast(msg wire.Message) int {
 	sent := 0
-	for _, d := range c.dialers {
+	for _, d := range c.all() {
 		if s := d.Session(); s != nil && s.Send(msg) == nil {
 			sent++
 		}
@@ -134,8 +192,8 @@
 // Resubscribe asks one replica for the full catalogue and member table, after
 // a delta that does not fit.
 func (c *Client) Resubscribe(replica string) {
-	d, ok := c.dialers[replica]
-	if !ok {
+	d := c.dialer(replica)
+	if d == nil {
 		return
 	}
 	if s := d.Session(); s != nil {
@@ -158,6 +216,7 @@
 				return ledger.Result{}, err
 			}
 			if reply.Leader != "" {
+				c.learn(reply.Leader)
 				c.setLeader(reply.Leader)
 			}
 			switch reply.Status {
@@ -188,8 +247,8 @@
 // "not run": nothing was sent.
 func (c *Client) proposeTo(ctx context.Context, address string, data []byte) (wire.ProposeReply, error) {
 	notRun := wire.ProposeReply{Status: wire.ProposeNotRun}
-	d, ok := c.dialers[address]
-	if !ok {
+	d := c.dialer(address)
+	if d == nil {
 		return notRun, nil
 	}
 	s := d.Session()
@@ -211,14 +270,13 @@
 // candidates lists the replicas, the last known leader first.
 func (c *Client) candidates() []string {
 	c.mu.Lock()
-	leader := c.leader
-	c.mu.Unlock()
-	order := make([]string, 0, len(c.dialers))
-	if _, ok := c.dialers[leader]; ok {
-		order = append(order, leader)
+	defer c.mu.Unlock()
+	order := make([]string, 0, len(c.order))
+	if _, ok := c.dialers[c.leader]; ok {
+		order = append(order, c.leader)
 	}
-	for _, address := range c.cfg.Replicas {
-		if address != leader {
+	for _, address := range c.order {
+		if address != c.leader {
 			order = append(order, address)
 		}
 	}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -52,7 +52,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 	for range 200 {
 		open := 0
-		for _, d := range c.dialers {
+		for _, d := range c.all() {
 			if d.Session() != nil {
 				open++
 			}
@@ -108,3 +108,27 @@
 	_, err := c.Propose(ctx, ledger.Command{})
 	is.True(errors.Is(err, ErrNotRun))
 }
+
+// Guards against an agent that never asks a voter added after its start.
+func TestLearnsReplicasFromConfirmations(t *testing.T) {
+	is := is.New(t)
+	added, _ := replica(t, func() *wire.ProposeReply { return nil })
+	server := httptest.NewServer(&transport.Server{
+		Authorize: func(*http.Request) bool { return true },
+		Handler: func(_ context.Context, s *transport.Session, env wire.Envelope) {
+			if env.Type == wire.TypeConfirmRequest {
+				_ = s.Send(wire.ConfirmReply{Addresses: map[string]string{"added": added}})
+			}
+		},
+	})
+	t.Cleanup(server.Close)
+	c := startClient(t, strings.TrimPrefix(server.URL, "http://"))
+	is.Equal(c.Broadcast(wire.ConfirmRequest{}), 1)
+	for range 200 {
+		if d := c.dialer(added); d != nil && d.Session() != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the added replica was not dialled")
+}
