--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -42,13 +43,21 @@
 	if err := settings.Load(args.Settings, &s); err != nil || args.Check {
 		return err
 	}
-	logger, err := logging.Setup("rhubarb-control", s.Instance, s.LogLevel)
+	processToken, err := auth.ReadToken(s.ProcessTokenFile)
+	if err != nil {
+		return err
+	}
+	operatorToken, err := auth.ReadToken(s.OperatorTokenFile)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.Setup("rhubarb-control", s.Instance, s.LogLevel, processToken, operatorToken)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	daemon, err := control.New(s, control.Options{}, logger)
+	daemon, err := control.New(s, control.Options{ProcessToken: &processToken, OperatorToken: &operatorToken}, logger)
 	if err != nil {
 		return err
 	}
--- a/cmd/rhubarb-entry/main.go
+++ b/cmd/rhubarb-entry/main.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.Setup(program, config.Instance, config.LogLevel)
+	logger, err := logging.Setup(program, config.Instance, config.LogLevel, processToken, callerToken)
 	if err != nil {
 		return oops.In(program).Wrapf(err, "log_level")
 	}
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -81,11 +82,16 @@
 	data, err := os.ReadFile("operating.md")
 	is.NoErr(err)
 	text := string(data)
-	var names []string
-	for _, event := range eventNames(t) {
-		names = append(names, event)
-	}
+	names := eventNames(t)
 	is.True(len(names) > 20)
+	_, section, _ := strings.Cut(text, "\n## Log events\n")
+	section, _, _ = strings.Cut(section, "\n## ")
+	for _, quoted := range regexp.MustCompile("`[a-z0-9_.]+`[,| ]").FindAllString(section, -1) {
+		name := strings.Trim(quoted, "`,| ")
+		if !slices.Contains(names, name) && !slices.Contains([]string{"message", "fields", "program", "instance"}, name) {
+			t.Errorf("operating.md lists the event `%s`, which no daemon logs", name)
+		}
+	}
 	for _, reason := range append(outcome.RefusalReasons(), outcome.AttemptReasons()...) {
 		names = append(names, string(reason))
 	}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -111,7 +111,7 @@
 	p.Required("endpoint", s.Endpoint)
 	p.LogLevel("log_level", s.LogLevel)
 	p.Loopback("admin_listen", s.AdminListen)
-	p.Readable("process_token_file", s.ProcessTokenFile)
+	p.Token("process_token_file", s.ProcessTokenFile)
 	p.OneOf("kind", string(s.Kind), string(wire.KindEngine), string(wire.KindService))
 	p.Address("gate_listen", s.GateListen)
 	p.Address("advertise_gate", s.AdvertiseGate)
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -74,8 +74,8 @@
 	p.Address("session_listen", s.SessionListen)
 	p.Address("operator_listen", s.OperatorListen)
 	p.Loopback("admin_listen", s.AdminListen)
-	p.Readable("process_token_file", s.ProcessTokenFile)
-	p.Readable("operator_token_file", s.OperatorTokenFile)
+	p.Token("process_token_file", s.ProcessTokenFile)
+	p.Token("operator_token_file", s.OperatorTokenFile)
 	if s.Advertise != "" {
 		p.Address("advertise", s.Advertise)
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -127,8 +127,8 @@
 	p.Required("zone", s.Zone)
 	p.Required("region", s.Region)
 	p.LogLevel("log_level", s.LogLevel)
-	p.Readable("process_token_file", s.ProcessTokenFile)
-	p.Readable("caller_token_file", s.CallerTokenFile)
+	p.Token("process_token_file", s.ProcessTokenFile)
+	p.Token("caller_token_file", s.CallerTokenFile)
 	p.Address("listen", s.Listen)
 	p.Address("advertise", s.Advertise)
 	if s.AdminListen != "" {
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 )
 
 // Problems collects what is wrong with settings, so that all of it is reported
@@ -93,6 +95,17 @@
 	_ = f.Close()
 }
 
+// Token checks that a file holds a token.
+func (p *Problems) Token(field, path string) {
+	if path == "" {
+		p.Add(field, "is required: a file with a token")
+		return
+	}
+	if _, err := auth.ReadToken(path); err != nil {
+		p.Add(field, "%v", err)
+	}
+}
+
 // OneOf checks that value is one of the given ones.
 func (p *Problems) OneOf(field, value string, allowed ...string) {
 	if !slices.Contains(allowed, value) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,7 +35,7 @@
 	p.Required("instance", e.Common.Instance)
 	p.Address("listen", e.Listen)
 	p.Addresses("peers", e.Peers)
-	p.Readable("token_file", e.Token)
+	p.Token("token_file", e.Token)
 	p.Positive("cache", int64(e.Cache))
 	p.OneOf("mode", e.Mode, "time", "origin-bytes")
 	p.URL("backend", e.Backend)
@@ -45,7 +45,7 @@
 func tokenFile(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "token")
-	is.New(t).NoErr(os.WriteFile(path, []byte("x"), 0o600))
+	is.New(t).NoErr(os.WriteFile(path, []byte("token-of-the-test"), 0o600))
 	return path
 }
 
@@ -109,6 +109,18 @@
 	}
 }
 
+// Guards against a token file that a check accepts and a start does not.
+func TestTokenFiles(t *testing.T) {
+	is := is.New(t)
+	short := filepath.Join(t.TempDir(), "short")
+	is.NoErr(os.WriteFile(short, []byte("x"), 0o600))
+	for _, path := range []string{"", short, short + "-missing"} {
+		var p Problems
+		p.Token("token_file", path)
+		is.True(p.Err() != nil && strings.HasPrefix(p.Err().Error(), "token_file: "))
+	}
+}
+
 // Guards against one problem that hides another, and against one problem that
 // is reported twice.
 func TestDecodeReportsAllProblems(t *testing.T) {
