--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -81,20 +81,6 @@
 	p.Address(field, u.Host)
 }
 
-// Readable checks that a file can be opened.
-func (p *Problems) Readable(field, path string) {
-	if path == "" {
-		p.Add(field, "is required: a file")
-		return
-	}
-	f, err := os.Open(path)
-	if err != nil {
-		p.Add(field, "%v", err)
-		return
-	}
-	_ = f.Close()
-}
-
 // Token checks that a file holds a token.
 func (p *Problems) Token(field, path string) {
 	if path == "" {
--- /dev/null
+++ b/raft/example_test.go
@@ -0,0 +1,33 @@
+package raft_test
+
+import (
+	"fmt"
+
+	"github.com/rhubarbhill/rhubarbhill/raft"
+)
+
+// The loop around a node: persist, sync, send, apply.
+func Example() {
+	node, err := raft.NewNode(raft.Config{ID: "a.1"}, raft.HardState{}, raft.Snapshot{}, nil)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	_ = node.Bootstrap(raft.BootstrapSnapshot([]string{"a.1"}, nil, nil), 1)
+	for range 20 { // one call each Config.Tick in a real program
+		node.Tick()
+	}
+	_, _, _ = node.Propose([]byte("hello"))
+	for node.HasReady() {
+		ready := node.Ready()
+		// Send ready.Early; store the snapshot, the entries and the hard state; sync.
+		node.Advance()
+		// Send ready.Messages.
+		for _, entry := range ready.Committed {
+			if entry.Kind == raft.EntryCommand {
+				fmt.Println(string(entry.Data))
+			}
+		}
+	}
+	// Output: hello
+}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -44,7 +44,7 @@
 	disk    disk
 	down    bool
 	paused  bool // neither ticks nor receives, and does not know it
-	note    int // ledger: highest note applied
+	note    int  // ledger: highest note applied
 	applied uint64
 	reads   map[uint64]uint64 // context to the index acknowledged when asked
 	nextCtx uint64
