--- a/internal/loadtool/check.go
+++ b/internal/loadtool/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -21,8 +22,16 @@
 	violationDone     = "reported-done-but-did-not-run"
 	violationOutcome  = "answer-without-outcome"
 	violationDeadline = "answer-after-deadline"
+	violationRetry    = "refusal-without-retry-after"
 )
 
+// lacksRetryAfter reports whether a refusal for want of capacity does not say
+// when to come back.
+func lacksRetryAfter(status int, header http.Header) bool {
+	return (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) &&
+		header.Get("Retry-After") == ""
+}
+
 // quoteAnswer is an answer that was presented as whole.
 type quoteAnswer struct {
 	model     string
--- a/internal/loadtool/loadtool_test.go
+++ b/internal/loadtool/loadtool_test.go
@@ -87,6 +87,9 @@
 			w.Header().Set(wire.HeaderOutcome, outcome)
 			w.Header().Set(wire.HeaderReason, reason)
 		}
+		if reason != "no-retry-after" {
+			w.Header().Set("Retry-After", "1")
+		}
 		http.Error(w, `{"error":{"message":"m","code":"`+reason+`"}}`, http.StatusServiceUnavailable)
 	})
 }
@@ -170,7 +173,11 @@
 				second.ServeHTTP(w, r)
 			}), ""
 		}, end: "done", violation: violationSet},
-		"refused":         {entry: plain(func(http.Handler) http.Handler { return refuse("not-run", "over-share") }), end: "not-run/over-share"},
+		"refused": {entry: plain(func(http.Handler) http.Handler { return refuse("not-run", "over-share") }), end: "not-run/over-share"},
+		"refused without Retry-After": {
+			entry: plain(func(http.Handler) http.Handler { return refuse("not-run", "no-retry-after") }),
+			end:   "not-run/no-retry-after", violation: violationRetry,
+		},
 		"without outcome": {entry: plain(func(http.Handler) http.Handler { return refuse("", "") }), end: "unknown/" + reasonTransport, violation: violationOutcome},
 	}
 	for name, c := range cases {
--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -159,6 +159,9 @@
 		r.recorder.violation(violationOutcome, fmt.Sprintf("%s: status %d", key, response.StatusCode))
 		return result{outcomeUnknown, reasonTransport}
 	}
+	if lacksRetryAfter(response.StatusCode, response.Header) {
+		r.recorder.violation(violationRetry, key+": "+end.reason)
+	}
 	if end.outcome != outcomeDone || response.StatusCode != http.StatusOK || len(body) == 0 {
 		return end
 	}
--- a/internal/loadtool/quotes.go
+++ b/internal/loadtool/quotes.go
@@ -258,6 +258,9 @@
 			x.run.recorder.violation(violationOutcome, fmt.Sprintf("%s: status %d", x.quote.requestID, refused.StatusCode))
 			return result{outcomeUnknown, reasonTransport}
 		}
+		if lacksRetryAfter(refused.StatusCode, header) {
+			x.run.recorder.violation(violationRetry, x.quote.requestID+": "+end.reason)
+		}
 		if end.outcome == outcomeNotRun {
 			x.run.recorder.observe(x.run.recorder.refusal, time.Since(x.due))
 		}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -47,10 +47,12 @@
 	Revision uint64   `json:"revision"`
 	// InForce is true when Revision is in force on every known instance;
 	// InForceRevision is the highest one that is.
-	InForce         bool               `json:"in_force"`
-	InForceRevision uint64             `json:"in_force_revision"`
-	Digest          release.Digest     `json:"digest"`
-	Catalogue       *release.Catalogue `json:"catalogue,omitempty"`
+	InForce         bool   `json:"in_force"`
+	InForceRevision uint64 `json:"in_force_revision"`
+	// WaitingFor lists the instances that keep Revision from being in force.
+	WaitingFor []string           `json:"waiting_for,omitempty"`
+	Digest     release.Digest     `json:"digest"`
+	Catalogue  *release.Catalogue `json:"catalogue,omitempty"`
 }
 
 // Endpoints answers GET PathEndpoints.
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -99,6 +99,9 @@
 	row(w, "learners", strings.Join(s.Learners, " "))
 	row(w, "revision", s.Revision)
 	row(w, "in force", s.InForceRevision)
+	if len(s.WaitingFor) > 0 {
+		row(w, "waiting for", strings.Join(s.WaitingFor, " "))
+	}
 	row(w, "digest", s.Digest)
 	if s.Catalogue == nil {
 		return
