--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 )
 
 // Problems collects what is wrong with settings, so that all of it is reported
@@ -79,18 +81,15 @@
 	p.Address(field, u.Host)
 }
 
-// Readable checks that a file can be opened.
-func (p *Problems) Readable(field, path string) {
+// Token checks that a file holds a token.
+func (p *Problems) Token(field, path string) {
 	if path == "" {
-		p.Add(field, "is required: a file")
+		p.Add(field, "is required: a file with a token")
 		return
 	}
-	f, err := os.Open(path)
-	if err != nil {
+	if _, err := auth.ReadToken(path); err != nil {
 		p.Add(field, "%v", err)
-		return
 	}
-	_ = f.Close()
 }
 
 // OneOf checks that value is one of the given ones.
