--- a/cmd/rhubarb-agent/main.go
+++ b/cmd/rhubarb-agent/main.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.Setup(program, config.Instance, config.LogLevel)
+	logger, err := logging.Setup(program, config.Instance, config.LogLevel, token)
 	if err != nil {
 		return oops.In(program).Wrapf(err, "log_level")
 	}
@@ -69,6 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return agent.New(agent.Config{
 		Settings: config, Token: token, Weights: weights, Log: logger, Registry: metrics.NewRegistry(),
 	}).Run(ctx)
