--- a/cmd/rhubarb-load/main.go
+++ b/cmd/rhubarb-load/main.go
@@ -147,6 +147,7 @@
 	Resends    int               `default:"3" help:"Resends of an order whose outcome is unknown."`
 	Duplicates float64           `default:"0.1" help:"Share of orders sent twice at once, 0 to 1."`
 	Executions []string          `required:"" help:"URLs of the service stand-ins' executions." placeholder:"URL"`
+	Lookups    int               `default:"100" help:"Keys whose outcome is asked for at the end."`
 	Settle     settings.Duration `default:"2s" help:"Wait before executions are read."`
 }
 
@@ -157,7 +158,7 @@
 	}
 	summary, err := loadtool.RunOrders(ctx, loadtool.Orders{
 		Config: cfg, Service: c.Service, Path: c.Path, Resends: c.Resends, Duplicates: c.Duplicates,
-		Executions: c.Executions, Settle: c.Settle.Std(),
+		Executions: c.Executions, Lookups: c.Lookups, Settle: c.Settle.Std(),
 	})
 	if err != nil {
 		return exitBadInput, err
--- a/internal/loadtool/check.go
+++ b/internal/loadtool/check.go
@@ -22,6 +22,7 @@
 	violationDone     = "reported-done-but-did-not-run"
 	violationOutcome  = "answer-without-outcome"
 	violationDeadline = "answer-after-deadline"
+	violationLookup   = "outcome-lookup-differs"
 	violationRetry    = "refusal-without-retry-after"
 )
 
--- a/internal/loadtool/config.go
+++ b/internal/loadtool/config.go
@@ -70,6 +70,8 @@
 	// Executions are the URLs at which the service's stand-ins answer their
 	// executions.
 	Executions []string
+	// Lookups is the number of keys whose outcome is asked for at the end.
+	Lookups int
 	// Settle is the wait before executions are read, in which an order that was
 	// reported as not run would show itself.
 	Settle time.Duration
--- a/internal/loadtool/loadtool_test.go
+++ b/internal/loadtool/loadtool_test.go
@@ -246,32 +246,35 @@
 		answer    func(r run, w http.ResponseWriter, again bool)
 		outcome   string
 		violation string
+		lookup    string // state that the entry answers for every key
 	}{
-		"honest": {func(r run, w http.ResponseWriter, _ bool) { done(r, w) }, "done", ""},
+		"outcome lookup agrees":  {answer: func(r run, w http.ResponseWriter, _ bool) { done(r, w) }, outcome: "done", lookup: "done"},
+		"outcome lookup differs": {answer: func(r run, w http.ResponseWriter, _ bool) { done(r, w) }, outcome: "done", lookup: "not-claimed", violation: violationLookup},
+		"honest":                 {func(r run, w http.ResponseWriter, _ bool) { done(r, w) }, "done", "", ""},
 		"twice": {func(r run, w http.ResponseWriter, _ bool) {
 			r(httptest.NewRecorder())
 			done(r, w)
-		}, "done", violationDouble},
+		}, "done", violationDouble, ""},
 		"not run, but ran": {func(r run, w http.ResponseWriter, _ bool) {
 			r(httptest.NewRecorder())
 			refuse("not-run", "no-endpoint").ServeHTTP(w, nil)
-		}, "not-run", violationNotRun},
+		}, "not-run", violationNotRun, ""},
 		"done, but did not run": {func(_ run, w http.ResponseWriter, _ bool) {
 			w.Header().Set(wire.HeaderOutcome, "done")
-		}, "done", violationDone},
+		}, "done", violationDone, ""},
 		"unknown, then first result": {func(r run, w http.ResponseWriter, again bool) {
 			if again {
 				done(r, w)
 				return
 			}
 			refuse("unknown", "owner-lost").ServeHTTP(w, nil)
-		}, "done", ""},
+		}, "done", "", ""},
 		"lost after the effect": {func(r run, w http.ResponseWriter, again bool) {
 			if !again {
 				r(httptest.NewRecorder())
 			}
 			panic(http.ErrAbortHandler)
-		}, "unknown", ""},
+		}, "unknown", "", ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -280,8 +283,13 @@
 			is.NoErr(err)
 			executions := httptest.NewServer(service.Handler())
 			defer executions.Close()
+			entry := mux.NewRouter()
+			entry.HandleFunc("/v1/outcomes/{key}", func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(`{"state":"` + c.lookup + `"}`))
+			})
+			entry.PathPrefix("/").Handler(serviceEntry(service, c.answer))
 			s, err := RunOrders(t.Context(), Orders{
-				Config:  testConfig(startEntry(t, serviceEntry(service, c.answer))),
+				Config: testConfig(startEntry(t, entry)), Lookups: testCount,
 				Service: "dispatch", Path: "/orders", Resends: 1, Executions: []string{executions.URL + "/executions"},
 			})
 			is.NoErr(err)
--- a/internal/loadtool/orders.go
+++ b/internal/loadtool/orders.go
@@ -21,6 +21,8 @@
 const (
 	maxOrderBytes = 1 << 20
 	resendPause   = 300 * time.Millisecond
+	// stateNotClaimed is an entry's answer about a key that was never claimed.
+	stateNotClaimed = "not-claimed"
 )
 
 // orderRun is the state of one run of orders.
@@ -35,7 +37,10 @@
 }
 
 // toldOutcomes counts what callers were told about one key.
-type toldOutcomes struct{ done, notRun, unknown int }
+type toldOutcomes struct {
+	organisation          string
+	done, notRun, unknown int
+}
 
 // RunOrders sends orders until the run's bounds are reached, and compares what
 // callers were told with the executions.
@@ -66,7 +71,7 @@
 		return Summary{}, err
 	}
 	lookups, failed := run.book.counts()
-	run.recorder.update(func(s *Summary) { s.Lookups, s.FailedLookups = lookups, failed })
+	run.recorder.update(func(s *Summary) { s.Lookups, s.FailedLookups = lookups, failed+s.FailedLookups })
 	return run.recorder.finish(), nil
 }
 
@@ -97,7 +102,7 @@
 			begun = due
 		}
 		end := r.once(ctx, organisation, key)
-		r.note(key, end.outcome)
+		r.note(organisation, key, end.outcome)
 		switch end.outcome {
 		case outcomeDone:
 			r.recorder.observe(r.recorder.whole, time.Since(begun))
@@ -174,12 +179,12 @@
 	return end
 }
 
-func (r *orderRun) note(key, told string) {
+func (r *orderRun) note(organisation, key, told string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.told[key]
 	if t == nil {
-		t = &toldOutcomes{}
+		t = &toldOutcomes{organisation: organisation}
 		r.told[key] = t
 	}
 	switch told {
@@ -206,9 +211,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	total := 0
+	total, lookups := 0, 0
 	for key, told := range r.told {
 		total += counts[key]
+		if lookups < r.cfg.Lookups {
+			lookups++
+			r.lookUp(ctx, key, *told, counts[key])
+		}
 		if violation := told.violation(counts[key]); violation != "" {
 			r.recorder.violation(violation, fmt.Sprintf("%s: %d executions, told %+v", key, counts[key], *told))
 		}
@@ -231,6 +240,47 @@
 	return ""
 }
 
+// lookUp asks an entry for the outcome of a key and compares the answer with
+// the executions. An entry that cannot tell counts as a failed lookup.
+func (r *orderRun) lookUp(ctx context.Context, key string, told toldOutcomes, executions int) {
+	state := ""
+	for _, address := range r.book.get(ctx) {
+		var err error
+		if state, err = r.askOutcome(ctx, address, told.organisation, key); err == nil && state != "" {
+			break
+		}
+	}
+	switch {
+	case state == "":
+		r.recorder.update(func(s *Summary) { s.FailedLookups++ })
+	case state == outcomeDone && executions == 0, state == stateNotClaimed && executions > 0,
+		told.done > 0 && state != outcomeDone:
+		r.recorder.violation(violationLookup, fmt.Sprintf("%s: state %s, %d executions, told %+v", key, state, executions, told))
+	}
+}
+
+// askOutcome returns the state in the answer, or "" when there is none.
+func (r *orderRun) askOutcome(ctx context.Context, address, organisation, key string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/outcomes/"+key, nil)
+	if err != nil {
+		return "", oops.In("loadtool").Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+r.cfg.Token.Secret())
+	request.Header.Set(wire.HeaderOrganisation, organisation)
+	response, err := r.http.Do(request)
+	if err != nil {
+		return "", oops.In("loadtool").Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		State string `json:"state"`
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxLookupBytes)).Decode(&answer)
+	return answer.State, oops.In("loadtool").Wrap(err)
+}
+
 func (r *orderRun) executions(ctx context.Context, target string) (standin.Executions, error) {
 	var executions standin.Executions
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
--- a/internal/loadtool/summary.go
+++ b/internal/loadtool/summary.go
@@ -55,8 +55,8 @@
 	Refusal       Latency `json:"refusal"` // from sending to a "not run" answer
 
 	Lookups       int `json:"address_lookups"`
-	FailedLookups int `json:"address_lookups_failed"`
-	Failovers     int `json:"failovers"` // entries that refused the connection
+	FailedLookups int `json:"lookups_failed"` // of addresses and of outcomes
+	Failovers     int `json:"failovers"`      // entries that refused the connection
 	Resent        int `json:"resent,omitempty"`
 	Executions    int `json:"executions,omitempty"`
 }
