--- a/internal/loadtool/config.go
+++ b/internal/loadtool/config.go
@@ -77,8 +77,35 @@
 	Settle time.Duration
 }
 
-func (c Config) check() error {
+// minTokens leaves room for the tokens that state weights and request.
+const minTokens = 2
+
+func (q Quotes) check() error {
 	var p settings.Problems
+	q.Config.problems(&p)
+	if len(q.Models) == 0 {
+		p.Add("models", "needs at least one name")
+	}
+	if q.Tokens < minTokens {
+		p.Add("tokens", "must be %d or more", minTokens)
+	}
+	if q.StreamShare < 0 || q.StreamShare > 1 {
+		p.Add("stream-share", "must be between 0 and 1")
+	}
+	return oops.In("loadtool").Wrap(p.Err())
+}
+
+func (o Orders) check() error {
+	var p settings.Problems
+	o.Config.problems(&p)
+	p.Required("service", o.Service)
+	if len(o.Executions) == 0 {
+		p.Add("executions", "needs at least one URL")
+	}
+	return oops.In("loadtool").Wrap(p.Err())
+}
+
+func (c Config) problems(p *settings.Problems) {
 	p.Addresses("entry", c.Entries)
 	if c.Rate <= 0 {
 		p.Add("rate", "must be above 0")
@@ -88,9 +115,8 @@
 	p.Positive("max-in-flight", int64(c.MaxInFlight))
 	p.Positive("deadline", int64(c.Deadline))
 	if len(c.Organisations) == 0 {
-		p.Add("organisation", "needs at least one name")
+		p.Add("organisations", "needs at least one name")
 	}
-	return oops.In("loadtool").Wrap(p.Err())
 }
 
 // Share is one name of a Mix.
--- a/internal/loadtool/loadtool_test.go
+++ b/internal/loadtool/loadtool_test.go
@@ -322,7 +322,12 @@
 
 	cfg.Entries = []string{"localhost:80"}
 	_, err = RunQuotes(context.Background(), Quotes{Config: cfg})
-	is.True(err != nil && strings.Contains(err.Error(), "localhost:80"))
+	is.True(err != nil)
+	for _, field := range []string{"localhost:80", "models", "tokens"} {
+		is.True(strings.Contains(err.Error(), field))
+	}
+	_, err = RunOrders(context.Background(), Orders{Config: cfg})
+	is.True(err != nil && strings.Contains(err.Error(), "service") && strings.Contains(err.Error(), "executions"))
 }
 
 func TestParseMix(t *testing.T) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -72,10 +72,12 @@
 	case http.MethodPost:
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxFaultsBytes))
 		if err == nil {
-			changed := s.Get()
-			if err = decodeStrict(body, &changed); err == nil {
-				s.Update(func(f *F) { *f = changed })
-			}
+			s.Update(func(f *F) {
+				changed := *f
+				if err = decodeStrict(body, &changed); err == nil {
+					*f = changed
+				}
+			})
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
