--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +42,9 @@
 	// AttemptTimeout limits one call to one replica.
 	AttemptTimeout time.Duration
 	HTTP           *http.Client
+
+	mu       sync.Mutex
+	failures map[string]time.Time // last failure of each replica that did not answer since
 }
 
 // answer is what one replica sent back.
@@ -69,6 +74,7 @@
 		request.Header.Set("Content-Type", contentYAML)
 	}
 	response, err := c.HTTP.Do(request)
+	c.remember(replica, err == nil)
 	if err != nil {
 		return a, connected.Load(), oops.In("operator").Wrap(err)
 	}
@@ -78,6 +84,30 @@
 	return a, true, oops.In("operator").Wrap(err)
 }
 
+// order lists the replicas, those that failed last behind the others: a paused
+// replica accepts connections and costs a whole AttemptTimeout each time.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	order := slices.Clone(c.Replicas)
+	slices.SortStableFunc(order, func(a, b string) int { return c.failures[a].Compare(c.failures[b]) })
+	return order
+}
+
+// remember notes whether a replica answered.
+func (c *Client) remember(replica string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failures == nil {
+		c.failures = map[string]time.Time{}
+	}
+	if answered {
+		delete(c.failures, replica)
+		return
+	}
+	c.failures[replica] = time.Now()
+}
+
 // Document is what Get read.
 type Document struct {
 	Text    []byte // JSON
@@ -94,7 +124,7 @@
 	}
 	var best Document
 	last := ErrUnreachable
-	for _, replica := range c.Replicas {
+	for _, replica := range c.order() {
 		a, _, err := c.call(ctx, replica, http.MethodGet, path, nil)
 		switch {
 		case err != nil:
@@ -128,7 +158,7 @@
 // Check asks a replica whether a note would be accepted now.
 func (c *Client) Check(ctx context.Context, note []byte) (NoteAnswer, error) {
 	last := ErrUnreachable
-	for _, replica := range c.Replicas {
+	for _, replica := range c.order() {
 		a, _, err := c.call(ctx, replica, http.MethodPost, PathNotesCheck, note)
 		if err != nil || a.status >= http.StatusInternalServerError {
 			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %v", replica, a.status, err)
@@ -146,7 +176,7 @@
 	mayBeAccepted := false
 	var last error
 	for {
-		for _, replica := range c.Replicas {
+		for _, replica := range c.order() {
 			a, sent, err := c.call(ctx, replica, http.MethodPost, PathNotes, note)
 			if err != nil {
 				mayBeAccepted = mayBeAccepted || sent
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -57,7 +57,7 @@
 	Control   []string          `help:"Operator addresses (IP:port) of control replicas." env:"RHUBARB_CONTROL" placeholder:"IP:PORT"`
 	TokenFile string            `help:"File with the operator token." env:"RHUBARB_TOKEN_FILE" type:"path"`
 	Timeout   settings.Duration `help:"Time limit of a command, waiting aside." default:"15s"`
-	Attempt   settings.Duration `help:"Time limit of one call to one replica." default:"5s"`
+	Attempt   settings.Duration `help:"Time limit of one call to one replica." default:"2s"`
 	JSON      bool              `name:"json" help:"Print JSON instead of tables."`
 
 	Note struct {
--- a/internal/operator/current_test.go
+++ b/internal/operator/current_test.go
@@ -42,3 +42,27 @@
 	is.True(!document.Current)
 	is.Equal(status.Revision, uint64(1))
 }
+
+// Guards against a paused replica that costs every call its time limit.
+func TestReplicaThatFailedIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	asked := 0
+	hanging := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		asked++
+		<-r.Context().Done()
+	}))
+	t.Cleanup(hanging.Close)
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) }))
+	t.Cleanup(live.Close)
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	client := &Client{
+		Replicas: []string{address(hanging), address(live)}, Token: auth.NewToken("t"),
+		AttemptTimeout: 100 * time.Millisecond, HTTP: http.DefaultClient,
+	}
+	for range 3 {
+		var status Status
+		_, err := client.Get(t.Context(), PathStatus, nil, &status)
+		is.NoErr(err)
+	}
+	is.Equal(asked, 1)
+}
