--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 # Goodput, latency, fairness and lost work of the entry by load, policy and fault.
 measure-requests:
 	go run ./internal/entry/measure
+
+measure-capacity: build
+	go build -o bin/capacity ./internal/capacity
+	./scripts/measure-capacity.sh
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/controlclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	announceInterval = time.Second
+	confirmInterval  = 500 * time.Millisecond
+	settleTime       = 3 * time.Second
+	fakeCapacity     = 8
+	zonesPerRegion   = 3
+	zones            = 6
+)
+
+// fleet is a number of fake agents or entries with sessions to all replicas.
+type fleet struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	bytes  transport.ByteCounts
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+func (f *fleet) total() int64 { return f.bytes.Sent.Load() + f.bytes.Received.Load() }
+
+// startAgents starts n fake agents that announce and ask for confirmation as
+// real ones do, with a load that changes at random.
+func startAgents(ctx context.Context, n int, o options, token auth.Token) *fleet {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fleet{cancel: cancel}
+	for i := range n {
+		f.wg.Go(func() { f.runAgent(ctx, i, o, token) })
+	}
+	return f
+}
+
+func (f *fleet) runAgent(ctx context.Context, i int, o options, token auth.Token) {
+	client := controlclient.New(controlclient.Config{
+		Name: fmt.Sprintf("fake-%d", i), Token: token.Secret(), Replicas: o.Controls, Members: true, Bytes: &f.bytes,
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); client.Run(ctx) }()
+	announce := wire.Announce{
+		Endpoint: fmt.Sprintf("fake-%d", i), Incarnation: uint64(time.Now().UnixNano()), Kind: wire.KindEngine, Role: "fake",
+		Zone: fmt.Sprintf("zone-%d", i%zones), Region: fmt.Sprintf("region-%d", i%zones/zonesPerRegion),
+		GateAddress: "127.0.0.1:1", ChunkAddress: "127.0.0.1:2", Capacity: fakeCapacity, Ready: true, Confirmed: true,
+	}
+	time.Sleep(time.Duration(rand.Int64N(int64(announceInterval))))
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for round := uint64(0); ctx.Err() == nil; round++ {
+		if round%uint64(announceInterval/confirmInterval) == 0 {
+			announce.Sequence++
+			announce.InFlight = rand.IntN(fakeCapacity + 1)
+			client.Broadcast(announce)
+		}
+		client.Broadcast(wire.ConfirmRequest{Mark: round})
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	<-done
+}
+
+// startEntries starts n fake entries that follow the member table.
+func startEntries(ctx context.Context, n int, o options, token auth.Token) *fleet {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fleet{cancel: cancel}
+	for i := range n {
+		client := controlclient.New(controlclient.Config{
+			Name: fmt.Sprintf("fake-entry-%d", i), Token: token.Secret(), Replicas: o.Controls, Members: true, Bytes: &f.bytes,
+		})
+		f.wg.Go(func() { client.Run(ctx) })
+	}
+	return f
+}
+
+// measureAgents measures the control replicas against the number of agents.
+func measureAgents(ctx context.Context, o options, token auth.Token) error {
+	heading("Control replica, by number of endpoints")
+	fmt.Println("| endpoints | % of a core | MB | KB/s per agent, all replicas |\n|---|---|---|---|")
+	cpu := series{name: "processor time", unit: "% of a core"}
+	memory := series{name: "memory", unit: "MB"}
+	for _, n := range o.AgentCounts {
+		f := startAgents(ctx, n, o, token)
+		c, perSecond, err := measureFleet(f, o)
+		f.stop()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %d | %.2f | %.1f | %.2f |\n", n, c.corePercent, c.megabytes, perSecond/float64(max(n, 1))/1e3)
+		cpu.add(float64(n), c.corePercent)
+		memory.add(float64(n), c.megabytes)
+		time.Sleep(settleTime) // until the fakes have expired
+	}
+	fmt.Println(fitHeader)
+	cpu.print("endpoint", designEndpoints)
+	memory.print("endpoint", designEndpoints)
+	return nil
+}
+
+// measureFleet measures the control replicas over one phase.
+func measureFleet(f *fleet, o options) (c cost, bytesPerSecond float64, err error) {
+	time.Sleep(settleTime)
+	m, err := startMeter(o.ControlPids...)
+	if err != nil {
+		return c, 0, err
+	}
+	before, started := f.total(), time.Now()
+	time.Sleep(o.Phase)
+	bytesPerSecond = float64(f.total()-before) / time.Since(started).Seconds()
+	c, err = m.stop()
+	return c, bytesPerSecond, err
+}
+
+// measureEntries measures the control replicas against the number of entries,
+// with a fixed number of agents whose load changes every second.
+func measureEntries(ctx context.Context, o options, token auth.Token) error {
+	agents := o.AgentCounts[max(0, len(o.AgentCounts)-2)]
+	heading(fmt.Sprintf("Control replica, by number of entries, with %d endpoints", agents))
+	fmt.Println("| entries | % of a core | MB | KB/s per entry, all replicas |\n|---|---|---|---|")
+	fleet := startAgents(ctx, agents, o, token)
+	defer fleet.stop()
+	cpu := series{name: "processor time", unit: "% of a core"}
+	memory := series{name: "memory", unit: "MB"}
+	for _, n := range o.EntryCounts {
+		f := startEntries(ctx, n, o, token)
+		c, perSecond, err := measureFleet(f, o)
+		f.stop()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %d | %.2f | %.1f | %.2f |\n", n, c.corePercent, c.megabytes, perSecond/float64(max(n, 1))/1e3)
+		cpu.add(float64(n), c.corePercent)
+		memory.add(float64(n), c.megabytes)
+	}
+	fmt.Println(fitHeader)
+	cpu.print("entry", designEntries)
+	memory.print("entry", designEntries)
+	return nil
+}
