Let the newest voters alone decide an election

Cause: while a membership was pending, a candidate needed a majority of the voters before it as well.

--- a/raft/node.go
+++ b/raft/node.go
@@ -399,22 +399,19 @@
 	if n.countVotes() {
 		return
 	}
-	voters := n.membership().Voters
-	if n.membershipPending() { // the voters before count too
-		voters = slices.Concat(voters, n.committedMembership().Voters)
-		slices.Sort(voters)
-		voters = slices.Compact(voters)
-	}
-	for _, id := range voters {
+	for _, id := range n.membership().Voters {
 		if id != n.cfg.ID {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Forced: forced})
 		}
 	}
 }
 
-// countVotes proceeds when the election is won and reports whether it did.
+// countVotes proceeds when the election is won and reports whether it did. The
+// newest voters decide alone, also while their membership is pending: one voter
+// more or less keeps majorities intersecting, and a voter that was removed may
+// hold a longer log and vote for nobody.
 func (n *Node) countVotes() bool {
-	if !n.quorum(func(id string) bool { return n.votes[id] }) {
+	if !majority(n.membership().Voters, func(id string) bool { return n.votes[id] }) {
 		return false
 	}
 	if n.role == PreCandidate {
