Quarantine only requests that crash engines, not those cut short

Cause: an answer that broke off counted as a lost endpoint, so an engine that cuts answers short without crashing had ordinary quotes quarantined. Change: a broken answer makes the request a suspect that runs alone elsewhere; only a crash confirmed by the agent's announcement or by control counts as a lost endpoint. An entry without any control session counts every broken answer. The matrix gets the fault (all engines cut answers for 3 s) and a check.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -161,12 +161,15 @@
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
 	if f.lost && c.engine {
 		e.reportLost(c, f)
-		final := e.suspects.lost(c, f.endpoint, time.Now())
-		e.tellLoss(c, f.endpoint)
+		// An entry that reaches no control replica hears of no crash, so it takes
+		// every broken connection for one.
+		crashed := !e.controlReached()
+		final := e.suspects.broke(c, f.endpoint, crashed, time.Now())
+		e.tellLoss(loss{c.fingerprint, f.endpoint, crashed})
 		if final != nil {
 			return final
 		}
-		e.suspects.awaitControl(c)
+		e.suspects.awaitCrash(c, f.endpoint)
 		if final := e.suspects.apply(c, time.Now()); final != nil {
 			return final
 		}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -20,12 +20,12 @@
 // broken connection alone is weak evidence, so it is shorter than a quarantine.
 const ownSuspicion = 5 * time.Minute
 
-// controlVerdictWait is how long the next run of a request that lost an
-// endpoint waits for control to list it. The agent reports the crash within
-// 100 ms; without the wait, two entries could each cost a further endpoint.
-const controlVerdictWait = 500 * time.Millisecond
+// crashWordWait is how long the next run of a request whose answer broke off
+// waits for word of a crash. The agent announces and reports one within 100 ms;
+// without the wait, two entries could each cost a further endpoint.
+const crashWordWait = 500 * time.Millisecond
 
-const controlVerdictPoll = 20 * time.Millisecond
+const crashWordPoll = 20 * time.Millisecond
 
 // tellTimeout bounds how long a lost request waits until the other entries know
 // of the loss.
@@ -34,17 +34,20 @@
 // pathLosses is served to other entries, with the process token.
 const pathLosses = "/entry/losses"
 
-// loss is an endpoint that was lost while it ran a request.
+// loss is an endpoint that was lost, or broke off its answer, while it ran a
+// request.
 type loss struct {
 	Fingerprint string `json:"fingerprint"`
 	Endpoint    string `json:"endpoint"`
+	// Crashed is false when the endpoint's answer broke off and no crash is known.
+	Crashed bool `json:"crashed"`
 }
 
 // tellLoss tells the other entries of a loss and waits for their answers, so
 // that a copy of the request which its caller sends them, now or after the
 // answer, costs no further endpoint. Control's list reaches them later.
-func (e *Entry) tellLoss(c *call, endpoint string) {
-	body, err := json.Marshal(loss{Fingerprint: c.fingerprint, Endpoint: endpoint})
+func (e *Entry) tellLoss(l loss) {
+	body, err := json.Marshal(l)
 	if err != nil {
 		return
 	}
@@ -138,38 +141,46 @@
 	return s.takeVerdict(c, s.list.Check(c.fingerprint, now), now)
 }
 
-// lost records that an endpoint was lost under the call, and applies what
-// follows. The caller does not hold mu.
-func (s *suspects) lost(c *call, endpoint string, now time.Time) *answerError {
+// broke records that an endpoint's answer to the call broke off, and applies
+// what follows. The call runs alone from now on. Only a crash counts as a lost
+// endpoint: otherwise an engine that cuts answers short would quarantine them.
+func (s *suspects) broke(c *call, endpoint string, crashed bool, now time.Time) *answerError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.takeVerdict(c, s.list.Lost(c.fingerprint, endpoint, now), now)
+	return s.takeVerdict(c, s.record(loss{c.fingerprint, endpoint, crashed}, now), now)
 }
 
-// awaitControl returns once control lists the call's fingerprint, or after
-// controlVerdictWait.
-func (s *suspects) awaitControl(c *call) {
-	deadline := time.Now().Add(controlVerdictWait)
-	for time.Now().Before(deadline) && !s.listedByControl(c.fingerprint) {
+// record needs mu.
+func (s *suspects) record(l loss, now time.Time) quarantine.Verdict {
+	if l.Crashed {
+		return s.list.Lost(l.Fingerprint, l.Endpoint, now)
+	}
+	return s.list.Broke(l.Fingerprint, l.Endpoint, now)
+}
+
+// awaitCrash returns once a crash is confirmed, or after crashWordWait.
+func (s *suspects) awaitCrash(c *call, endpoint string) {
+	deadline := time.Now().Add(crashWordWait)
+	for time.Now().Before(deadline) && !s.confirmed(c.fingerprint, endpoint) {
 		select {
 		case <-c.ctx.Done():
 			return
-		case <-time.After(controlVerdictPoll):
+		case <-time.After(crashWordPoll):
 		}
 	}
 }
 
-func (s *suspects) listedByControl(fingerprint string) bool {
+func (s *suspects) confirmed(fingerprint, endpoint string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.list.Controlled(fingerprint)
+	return s.list.Confirmed(fingerprint, endpoint)
 }
 
 // told records a loss that another entry saw.
 func (s *suspects) told(l loss, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.Lost(l.Fingerprint, l.Endpoint, now)
+	s.record(l, now)
 }
 
 // takeVerdict marks the call and reserves the single run of a suspect. The
--- a/internal/matrix/checks_test.go
+++ b/internal/matrix/checks_test.go
@@ -23,6 +23,7 @@
 	{"a draining endpoint gets no new work", checkDraining},
 	{"a planned stop cuts no request", checkPlannedStop},
 	{"one request costs at most two endpoints", checkCrashes},
+	{"only requests that crash engines are quarantined", checkQuarantined},
 }
 
 func checkQuotes(o observation) []string {
@@ -162,3 +163,20 @@
 	}
 	return nil
 }
+
+// checkQuarantined requires that no quote was quarantined where no engine
+// crashed.
+func checkQuarantined(o observation) []string {
+	for _, e := range o.system.events {
+		if e.message == engineCrashed {
+			return nil
+		}
+	}
+	var found []string
+	for reason, n := range o.quotes.Reasons {
+		if strings.HasSuffix(reason, "/quarantined") {
+			found = append(found, fmt.Sprintf("%d quotes ended %s", n, reason))
+		}
+	}
+	return found
+}
--- a/internal/matrix/events_test.go
+++ b/internal/matrix/events_test.go
@@ -81,21 +81,18 @@
 }
 
 var stepOfEvent = map[string]step{
-	"note_proposed":       stepProposed,
-	"note_synced":         stepSynced,
-	"note_committed":      stepCommitted,
-	"note_accepted":       stepApplied,
-	"catalogue_in_force":  stepAcknowledged,
-	"weights_verified":    stepVerified,
-	"order_done":          stepLoaded,
-	"claim_granted":       stepClaimed,
-	"draining":            stepAnnounced,
-	"entry.draining":      stepAnnounced,
-	"drained":             stepDrained,
-	"entry.drained":       stepDrained,
-	"entry.stopped":       stepGone,
-	"last_announcement":   stepGone,
-	"leadership_released": stepAnnounced,
+	"note_proposed":      stepProposed,
+	"note_synced":        stepSynced,
+	"note_committed":     stepCommitted,
+	"note_accepted":      stepApplied,
+	"catalogue_in_force": stepAcknowledged,
+	"weights_verified":   stepVerified,
+	"order_done":         stepLoaded,
+	"claim_granted":      stepClaimed,
+	"draining":           stepAnnounced,
+	"entry.draining":     stepAnnounced,
+	"drained":            stepDrained,
+	"entry.stopped":      stepGone,
 }
 
 // HandleLog implements log.Handler.
--- a/internal/matrix/faults_test.go
+++ b/internal/matrix/faults_test.go
@@ -24,6 +24,7 @@
 	answerLost   = 3 * time.Second
 	repairedIn   = 25 * time.Second // voter loss time-out and the membership change
 	crashResends = 4
+	answersCut   = 3 * time.Second
 )
 
 // fault is one way in which something fails.
@@ -60,6 +61,7 @@
 	{"lost answer", loseAnswer, always},
 	{"duplicate and reordered message", duplicateNote, always},
 	{"crash-inducing request", sendCrashingRequest, always},
+	{"answers cut short", cutAnswers, always},
 	{"late cache event", func(*system, string) {}, func(string) string { return noCacheEvents }},
 	{"second loss after a repair", loseTwice, always},
 }
@@ -264,6 +266,26 @@
 	})
 }
 
+// cutAnswers has all engines close their answers after a few tokens for a while,
+// so that a quote breaks off on several of them.
+func cutAnswers(s *system, _ string) {
+	set := func(faults string) {
+		client := &http.Client{Transport: network.HTTPTransport(s.net.Host("platform")), Timeout: time.Second}
+		defer client.CloseIdleConnections()
+		for i := range engines {
+			response, err := client.Post("http://"+engineAddress(i)+standin.PathFaults, "application/json", strings.NewReader(faults))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+		}
+	}
+	s.restarts.Go(func() {
+		set(`{"cut_after_tokens":3}`)
+		time.Sleep(answersCut)
+		set(`{"cut_after_tokens":0}`)
+	})
+}
+
 // loseTwice loses a control replica for good, waits until the voter set was
 // repaired, and loses another one for a while.
 func loseTwice(s *system, _ string) {
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -30,6 +30,9 @@
 	Until time.Time
 	// Crashed lists the endpoints lost to it.
 	Crashed []string
+	// Broken lists endpoints whose answer broke off without a confirmed crash.
+	// They are avoided and do not count as lost.
+	Broken []string
 }
 
 // Verdict says how a request may be run.
@@ -77,7 +80,7 @@
 func (r Record) merge(other Record) Record {
 	merged := Record{
 		Fingerprint: other.Fingerprint, Quarantined: r.Quarantined || other.Quarantined,
-		Until: r.Until, Crashed: slices.Clone(r.Crashed),
+		Until: r.Until, Crashed: slices.Clone(r.Crashed), Broken: slices.Concat(r.Broken, other.Broken),
 	}
 	if other.Until.After(merged.Until) {
 		merged.Until = other.Until
@@ -99,13 +102,13 @@
 	if record.Quarantined {
 		return Verdict{Quarantined: true, Until: record.Until}
 	}
-	return Verdict{Alone: true, Avoid: record.Crashed, Until: record.Until, Busy: l.running[fingerprint]}
+	return Verdict{Alone: true, Avoid: slices.Concat(record.Crashed, record.Broken), Until: record.Until, Busy: l.running[fingerprint]}
 }
 
-// Controlled reports whether control lists the fingerprint.
-func (l *List) Controlled(fingerprint string) bool {
-	_, ok := l.control[fingerprint]
-	return ok
+// Confirmed reports whether the endpoint is known to have crashed while it ran
+// the request.
+func (l *List) Confirmed(fingerprint, endpoint string) bool {
+	return slices.Contains(l.control[fingerprint].Crashed, endpoint) || slices.Contains(l.own[fingerprint].Crashed, endpoint)
 }
 
 // lookup merges what control and this entry know.
@@ -119,21 +122,39 @@
 	return merged, found
 }
 
-// Lost records that an endpoint was lost while it ran the request, and returns
+// Lost records that an endpoint crashed while it ran the request, and returns
 // the verdict that now applies.
 func (l *List) Lost(fingerprint, endpoint string, now time.Time) Verdict {
-	r := l.own[fingerprint]
-	if !now.Before(r.Until) {
-		r = Record{Fingerprint: fingerprint}
-	}
+	r := l.renew(fingerprint, now)
 	if !slices.Contains(r.Crashed, endpoint) {
 		r.Crashed = append(slices.Clone(r.Crashed), endpoint)
 	}
-	r.Until = now.Add(l.cfg.Period)
 	l.own[fingerprint] = r
 	return l.Check(fingerprint, now)
 }
 
+// Broke records that an endpoint's answer broke off, which may have been a
+// crash, and returns the verdict that now applies. The request is a suspect;
+// only confirmed crashes quarantine it.
+func (l *List) Broke(fingerprint, endpoint string, now time.Time) Verdict {
+	r := l.renew(fingerprint, now)
+	if !slices.Contains(r.Broken, endpoint) {
+		r.Broken = append(slices.Clone(r.Broken), endpoint)
+	}
+	l.own[fingerprint] = r
+	return l.Check(fingerprint, now)
+}
+
+// renew returns this entry's record, extended from now on.
+func (l *List) renew(fingerprint string, now time.Time) Record {
+	r := l.own[fingerprint]
+	if !now.Before(r.Until) {
+		r = Record{Fingerprint: fingerprint}
+	}
+	r.Until = now.Add(l.cfg.Period)
+	return r
+}
+
 // Begin reserves the single run of a suspect. It returns false while another
 // copy runs.
 func (l *List) Begin(fingerprint string) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -112,3 +112,20 @@
 	l.Expire(until.Add(time.Hour))
 	is.Equal(len(l.own), 0)
 }
+
+// Guards against an engine that cuts answers short without crashing and so has
+// ordinary requests quarantined.
+func TestBrokenAnswersDoNotQuarantine(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{})
+	for _, endpoint := range []string{"a", "b", "c"} {
+		v := l.Broke("f", endpoint, epoch)
+		is.True(v.Alone)
+		is.True(!v.Quarantined)
+	}
+	is.Equal(l.Check("f", epoch).Avoid, []string{"a", "b", "c"})
+	is.True(!l.Confirmed("f", "a"))
+	l.Lost("f", "a", epoch)
+	is.True(l.Confirmed("f", "a"))
+	is.True(l.Lost("f", "b", epoch).Quarantined)
+}
