Store a sole voter's term before its entries leave

Found by review: with one voter a candidate leads at once, and its appends left before term and vote were synced. After a crash it would lead the same term with other entries. TestSoleVoterStoresItsTermFirst fails without the guard.

--- a/raft/node.go
+++ b/raft/node.go
@@ -575,6 +575,11 @@
 	if r.MustSync {
 		n.syncedCommit = n.hard.Commit
 	}
+	// A sole voter leads a term that is not stored yet: after a crash it would
+	// lead it again, with other entries.
+	if n.hard.Term != n.lastSaved.Term || n.hard.Vote != n.lastSaved.Vote {
+		r.Early, r.Messages = nil, slices.Concat(n.early, n.messages)
+	}
 	n.newSnap, n.early, n.messages, n.readStates = nil, nil, nil, nil
 	n.lastSaved = n.hard
 	n.pendingEnd = n.log.last()
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -155,6 +155,24 @@
 	is.Equal(reads[0].Context, uint64(7))
 }
 
+// Guards against a sole voter that sends entries of a term before it is stored:
+// after a crash it would lead the same term with other entries.
+func TestSoleVoterStoresItsTermFirst(t *testing.T) {
+	is := is.New(t)
+	n, err := NewNode(Config{ID: "a"}, HardState{}, Snapshot{}, nil)
+	is.NoErr(err)
+	first := BootstrapSnapshot([]string{"a"}, map[string]string{"a": "x"}, nil)
+	first.Membership.Learners = []string{"b"}
+	is.NoErr(n.Bootstrap(first, 1))
+	n.Ready()
+	n.Advance()
+	n.Campaign()
+	r := n.Ready()
+	is.Equal(len(r.Early), 0)
+	is.True(r.MustSync)
+	is.True(len(r.Messages) > 0)
+}
+
 // Guards against membership changes that do not fit, and against the loss of
 // the last voter.
 func TestChangesThatDoNotFitAreRefused(t *testing.T) {
