Count a confirmation only for the voter set it was given under

Fault: an agent combined answers given under different voter sets. With voters a, b, c a note is accepted by a and b; c answers the older revision, correctly. Then b is removed, which a and c commit. The agent learns the voters a, c from a, whose read quorum is one, and c's earlier answer alone confirms the older revision after the newer one was accepted. Change: package confirm counts answers of the newest voter index only; the model of the agent in package raft does the same. The two new cases of TestOnlyAReadQuorumConfirms fail without the guard. Packages confirm and internal/wire belong to others; these are the smallest changes there.

--- a/confirm/lease.go
+++ b/confirm/lease.go
@@ -66,6 +66,7 @@
 	sent       time.Time
 	revision   uint64
 	unresolved bool
+	voterIndex uint64
 }
 
 // New returns a lease that has not been confirmed.
@@ -96,7 +97,7 @@
 		return
 	}
 	l.learnVoters(r)
-	l.answers[r.Replica] = answer{mark: r.Mark, sent: sent, revision: r.Revision, unresolved: r.Unresolved}
+	l.answers[r.Replica] = answer{mark: r.Mark, sent: sent, revision: r.Revision, unresolved: r.Unresolved, voterIndex: r.VoterIndex}
 	l.confirm()
 }
 
@@ -128,7 +129,10 @@
 	}
 	times := map[uint64][]time.Time{}
 	for _, replica := range l.voters {
-		if a, ok := l.answers[replica]; ok && !a.unresolved {
+		// A voter that answered under an earlier voter set may lack a note that
+		// was accepted under it: only answers under the newest set intersect
+		// every write quorum.
+		if a, ok := l.answers[replica]; ok && !a.unresolved && a.voterIndex == l.voterIndex {
 			times[a.revision] = append(times[a.revision], a.sent)
 		}
 	}
--- a/confirm/lease_test.go
+++ b/confirm/lease_test.go
@@ -51,6 +51,8 @@
 		"different revisions":  {reply(1, "a", 7), reply(1, "b", 8)},
 		"question never asked": {reply(1, "a", 7), foreignMark},
 		"removed voter":        {reply(1, "a", 7), shrunk},
+		"earlier voter set":    {reply(1, "b", 7), shrunk},
+		"earlier set later":    {shrunk, reply(1, "b", 7)},
 		"removed voter later":  {shrunk, reply(1, "a", 7)},
 	}
 	for name, replies := range cases {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -88,7 +88,9 @@
 }
 
 // ConfirmReply is a voter's answer. A voter with Unresolved set holds a newer
-// note that is not known to be committed and confirms no revision.
+// note or voter set that is not known to be committed and confirms no revision.
+// Voters is the newest voter set that the voter knows to be committed; the
+// answer counts only towards a read quorum of that very set.
 type ConfirmReply struct {
 	Mark       uint64   `cbor:"1,keyasint"`
 	Replica    string   `cbor:"2,keyasint"`
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -530,7 +530,9 @@
 		}
 		counts := map[int]int{}
 		for i, id := range ids {
-			if r := s.replies[id]; subset&(1<<i) != 0 && !r.unresolved && slices.Contains(newest.voters, id) {
+			// As package confirm does: an answer under an earlier voter set does
+			// not count for a newer one.
+			if r := s.replies[id]; subset&(1<<i) != 0 && !r.unresolved && r.index == newest.index && slices.Contains(newest.voters, id) {
 				counts[r.note]++
 			}
 		}
