Bound plain requests from dispatch; forget idle organisations

A request without stream whose gate never answered was held until its deadline: the plain time-out began with the answer's header, and the fake gate hid it by sending one. The time-out now begins with the attempt, and the fake sends no header before it stalls. Organisations, named by callers, were kept for ever after a refusal; they are dropped once idle. The test of a poisonous request also runs while control lists nothing.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -172,6 +172,9 @@
 				if len(waiting) > 0 && len(running) == 0 {
 					t.Fatal("requests wait while every slot is free")
 				}
+				if len(running)+len(waiting) == 0 && len(c.organisations) > 0 {
+					t.Fatal("idle organisations are remembered")
+				}
 				if c.inFlight != len(running) || c.waiting != len(waiting) {
 					t.Fatalf("counts %d, %d; want %d, %d", c.inFlight, c.waiting, len(running), len(waiting))
 				}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -301,6 +301,14 @@
 	before := len(o.queue)
 	o.queue = slices.DeleteFunc(o.queue, func(w waiting) bool { return w.ID == id })
 	c.waiting -= before - len(o.queue)
+	c.forgetIdle(name)
+}
+
+// forgetIdle drops an organisation without requests: names come from callers.
+func (c *Controller) forgetIdle(name string) {
+	if o := c.organisations[name]; o != nil && o.inFlight == 0 && len(o.queue) == 0 {
+		delete(c.organisations, name)
+	}
 }
 
 // Done frees the slot of an admitted request. served is the time it took, zero
@@ -309,9 +317,7 @@
 	o := c.organisation(name)
 	o.inFlight--
 	c.inFlight--
-	if o.inFlight == 0 && len(o.queue) == 0 {
-		delete(c.organisations, name)
-	}
+	c.forgetIdle(name)
 	if served <= 0 {
 		return
 	}
@@ -358,6 +364,7 @@
 		}
 		c.waiting -= len(o.queue) - len(kept)
 		o.queue = kept
+		c.forgetIdle(name)
 	}
 	return refused
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -112,6 +112,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	response *http.Response
+	timer    *time.Timer // ends an attempt without stream
 }
 
 // gateAddress is where an attempt is sent. The incarnation tells a restarted
@@ -157,6 +158,9 @@
 		return nil, &attemptFailure{reason: outcome.NoEndpoint, result: balancer.Refused}
 	}
 	a.endpoint, a.set, a.gate = choice.ID, choice.Set, gate
+	if !c.stream { // its progress is invisible
+		a.timer = time.AfterFunc(e.settings.PlainTimeout.Std(), func() { cancel(errStalled) })
+	}
 	c.last = a.id
 	failure := e.send(c, a, client)
 	if failure != nil {
@@ -174,6 +178,9 @@
 
 // end records how the attempt ended and releases its connection.
 func (e *Entry) end(a *attempt, result balancer.Result) {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
 	a.cancel(errFinished)
 	a.closeBody()
 	e.fleet.finish(a.endpoint, a.id, result, time.Now())
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -255,8 +255,6 @@
 
 // relayWhole passes on an answer that is not a stream, once it is complete.
 func (e *Entry) relayWhole(w http.ResponseWriter, c *call, a *attempt) *attemptFailure {
-	timer := time.AfterFunc(time.Duration(e.settings.PlainTimeout), func() { a.cancel(errStalled) })
-	defer timer.Stop()
 	data, err := a.readWhole(maxAnswerBytes)
 	if err != nil {
 		f := a.transportFailure(err)
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -239,7 +239,9 @@
 // strike carries out a kill or a stall.
 func (g *Gate) strike(w http.ResponseWriter, r *http.Request, fault Fault) {
 	if fault.Kind == Stall {
-		_ = http.NewResponseController(w).Flush()
+		if fault.Step != StepReceived && fault.Step != StepStarted {
+			_ = http.NewResponseController(w).Flush()
+		}
 		select {
 		case <-r.Context().Done():
 		case <-g.stopped:
--- a/internal/entry/load_test.go
+++ b/internal/entry/load_test.go
@@ -90,8 +90,13 @@
 }
 
 // Guards against a request that crashes every endpoint while its caller
-// resends it through every entry.
+// resends it through every entry, with control's list and without one.
 func TestPoisonCostsTwoEndpoints(t *testing.T) {
+	t.Run("listed", func(t *testing.T) { testPoison(t, true) })
+	t.Run("control silent", func(t *testing.T) { testPoison(t, false) })
+}
+
+func testPoison(t *testing.T, lists bool) {
 	var gates []*entrytest.Gate
 	for i := range 5 {
 		gates = append(gates, engineGate(fmt.Sprintf("g%d", i)))
@@ -115,13 +120,18 @@
 				Fingerprint: poison, Until: time.Now().Add(time.Hour).UnixMilli(), Crashed: crashed, Quarantined: len(crashed) > 1,
 			}
 			mu.Unlock()
-			control.SetCatalogue(testCatalogue(), listed) // as an agent's report makes control do
+			if lists {
+				control.SetCatalogue(testCatalogue(), listed) // as an agent's report makes control do
+			}
 			return fault{Step: entrytest.StepStarted, Kind: entrytest.Kill}
 		}
 	}
 	c := newCluster(t, gates...)
 	control = c.control
 	entries := c.addEntries(2)
+	c.eventually("entries know each other", func() bool {
+		return entries[0].peers.allHeardSince(time.Now().Add(-peerExpiry)) && entries[1].peers.allHeardSince(time.Now().Add(-peerExpiry))
+	})
 	for i := range 20 {
 		a := entries[i%2].chat(i%3 != 0, "poison", wire.HeaderOrganisation, fmt.Sprint(i))
 		c.is.True(a.outcome() != "done")
