--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO_TOOL = go tool -modfile=tools/go.mod
 export CGO_ENABLED = 1
 
-.PHONY: build run test lint format matrix measure-weights measure-requests
+.PHONY: build run test lint format matrix faults measure-weights measure-notes measure-requests measure-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,8 +14,20 @@
 format:
 	$(GO_TOOL) gofumpt -w .
 
+# The whole fault matrix runs without the race detector, a sample of it with.
 test: lint
 	go test -race -count=1 ./...
+	go test -count=1 -parallel 6 ./internal/matrix -matrix.all
+
+# Runs every cell and writes docs/FAULTS.md. Another seed: make matrix SEED=2
+SEED ?= 1
+matrix:
+	go test -count=1 -parallel 6 ./internal/matrix -matrix.all -matrix.seed $(SEED) -matrix.report $(CURDIR)/docs/FAULTS.md; \
+	  status=$$?; cat docs/FAULTS.md; exit $$status
+
+# Kills and pauses real processes under load.
+faults: build
+	./scripts/faults.sh
 
 run: build
 	./scripts/run.sh
@@ -23,10 +35,13 @@
 measure-weights:
 	go run ./internal/transfer/measure
 
-.PHONY: measure-notes
 measure-notes:
 	go run ./internal/control/measure
 
 # Goodput, latency, fairness and lost work of the entry by load, policy and fault.
 measure-requests:
 	go run ./internal/entry/measure
+
+measure-capacity: build
+	go build -o bin/capacity ./internal/capacity
+	./scripts/measure-capacity.sh
