--- a/raft/node.go
+++ b/raft/node.go
@@ -100,7 +100,6 @@
 	checkAge int // leader: ticks since the last quorum check
 	votes    map[string]bool
 
-	abandoned   map[string]bool // voters whose storage is lost for good
 	progress    map[string]*progress
 	peers       []string // keys of progress, in order
 	uncommitted int      // bytes
@@ -166,7 +165,7 @@
 
 // NewNode returns a node with the state that its storage holds.
 func NewNode(cfg Config, hard HardState, snapshot Snapshot, entries []Entry) (*Node, error) {
-	n := &Node{cfg: cfg.withDefaults(), hard: hard, lastSaved: hard, snapshot: snapshot, abandoned: map[string]bool{}}
+	n := &Node{cfg: cfg.withDefaults(), hard: hard, lastSaved: hard, snapshot: snapshot}
 	n.log.reset(snapshot.Index, snapshot.Term)
 	if snapshot.Index > 0 {
 		n.memberships = []Membership{snapshot.Membership}
@@ -294,51 +293,24 @@
 	}
 }
 
-// Abandon says that the storage of a voter is lost for good, as a replica shows
-// that comes back empty under the voter's name. It is never taken back: the
-// caller must be sure that the identifier does not return.
-//
-// The voters that remain can then decide all together, as long as fewer are
-// abandoned than a write quorum has: every committed entry is on one of them,
-// and every earlier quorum includes one of them. With 4 voters this survives
-// the loss of two disks at once, for which a majority would be missing.
-func (n *Node) Abandon(id string) {
-	if id == n.cfg.ID || n.abandoned[id] {
-		return
-	}
-	n.abandoned[id] = true
-	n.maybeCommit()
-}
-
-// quorum reports whether the replicas for which has returns true are enough of
-// the newest voters and, while a membership change is pending, of the voters
-// before it.
+// quorum reports whether the replicas for which has returns true contain a
+// majority of the newest voters and, while a membership change is pending, of
+// the voters before it.
 func (n *Node) quorum(has func(id string) bool) bool {
-	if !n.enough(n.membership().Voters, has) {
+	if !majority(n.membership().Voters, has) {
 		return false
 	}
-	return !n.membershipPending() || n.enough(n.committedMembership().Voters, has)
+	return !n.membershipPending() || majority(n.committedMembership().Voters, has)
 }
 
-// enough reports whether has holds for a majority of the voters, or for all
-// that are left where that decides; see Abandon.
-func (n *Node) enough(voters []string, has func(id string) bool) bool {
-	count, left, missing := 0, 0, 0
+func majority(voters []string, has func(id string) bool) bool {
+	count := 0
 	for _, id := range voters {
 		if has(id) {
 			count++
 		}
-		if n.abandoned[id] {
-			continue
-		}
-		left++
-		if !has(id) {
-			missing++
-		}
 	}
-	writeQuorum := len(voters)/2 + 1
-	allLeft := missing == 0 && left > 0 && left < len(voters) && len(voters)-left < writeQuorum
-	return count >= writeQuorum || allLeft
+	return count > len(voters)/2
 }
 
 // Tick advances time by one tick.
@@ -439,7 +411,7 @@
 // more or less keeps majorities intersecting, and a voter that was removed may
 // hold a longer log and vote for nobody.
 func (n *Node) countVotes() bool {
-	if !n.enough(n.membership().Voters, func(id string) bool { return n.votes[id] }) {
+	if !majority(n.membership().Voters, func(id string) bool { return n.votes[id] }) {
 		return false
 	}
 	if n.role == PreCandidate {
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -241,8 +241,8 @@
 }
 
 // maybeCommit advances the commit index to the highest entry of this term that
-// a quorum holds. While a membership change is pending the quorum is one of the
-// voters before and of those after it.
+// a quorum holds. While a membership change is pending the quorum is a
+// majority of the voters before and of those after it.
 func (n *Node) maybeCommit() {
 	if n.role != Leader {
 		return
@@ -276,32 +276,30 @@
 }
 
 func (n *Node) quorumMatch() uint64 {
-	index := n.enoughMatch(n.membership().Voters)
+	index := n.majorityMatch(n.membership().Voters)
 	if n.membershipPending() {
-		index = min(index, n.enoughMatch(n.committedMembership().Voters))
+		index = min(index, n.majorityMatch(n.committedMembership().Voters))
 	}
 	return index
 }
 
-// enoughMatch is the highest index that enough of the voters hold.
-func (n *Node) enoughMatch(voters []string) uint64 {
-	match := func(id string) uint64 {
-		if id == n.cfg.ID {
-			return n.log.stable
+func (n *Node) majorityMatch(voters []string) uint64 {
+	matches := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		switch p := n.progress[id]; {
+		case id == n.cfg.ID:
+			matches = append(matches, n.log.stable)
+		case p != nil:
+			matches = append(matches, p.match)
+		default:
+			matches = append(matches, 0)
 		}
-		if p := n.progress[id]; p != nil {
-			return p.match
-		}
-		return 0
 	}
-	var highest uint64
-	for _, candidate := range voters {
-		index := match(candidate)
-		if index > highest && n.enough(voters, func(id string) bool { return match(id) >= index }) {
-			highest = index
-		}
+	if len(matches) == 0 {
+		return 0
 	}
-	return highest
+	sortDescending(matches)
+	return matches[len(matches)/2]
 }
 
 func (n *Node) confirmReads() {
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -27,7 +27,6 @@
 	contents  map[[2]uint64]string // by index and term: data and term before
 	committed map[uint64]Entry
 	losses    int
-	gone      []string // identifiers whose disks are lost
 	accepted  int // highest note committed by a leader
 	acked     uint64
 	replies   map[string]reply // to an agent, since the last acceptance
@@ -376,21 +375,9 @@
 	}
 }
 
-// survivable reports whether some membership can still decide when only the
-// kept voters are left and the others are abandoned.
-func survivable(voters []string, kept func(id string) bool) bool {
-	count := 0
-	for _, id := range voters {
-		if kept(id) {
-			count++
-		}
-	}
-	return len(voters)-count < len(voters)/2+1
-}
-
 // loseDisk replaces a replica by an empty one of the same name, unless that
-// would leave some membership without enough voters for good: the system could
-// then not recover, whatever it does. Some replicas learn of it at once.
+// would leave some membership without a majority for good: the system could
+// then not recover, whatever it does.
 func (s *sim) loseDisk() {
 	lost := s.pick()
 	if len(s.nodes) > 6 {
@@ -402,7 +389,7 @@
 			if e.Kind != EntryMembership {
 				continue
 			}
-			if next, err := decodeMembership(e); err != nil || !survivable(next.Voters, kept) {
+			if next, err := decodeMembership(e); err != nil || !majority(next.Voters, kept) {
 				return
 			}
 		}
@@ -411,7 +398,7 @@
 	for _, n := range s.nodes {
 		formed = formed || (n != lost && n.disk.snapshot.Index > 0)
 		for _, m := range n.memberships {
-			if !survivable(m.Voters, kept) {
+			if !majority(m.Voters, kept) {
 				return
 			}
 		}
@@ -420,26 +407,10 @@
 		return
 	}
 	delete(s.nodes, lost.id)
-	s.gone = append(s.gone, lost.id)
-	for _, id := range s.ids() {
-		if rapid.Bool().Draw(s.t, "learns") {
-			s.nodes[id].Abandon(lost.id)
-		}
-	}
 	s.newNode(strings.SplitN(lost.id, ".", 2)[0])
 	s.losses++
 }
 
-// abandonLost tells every replica of every lost disk, as the replicas that came
-// back empty do.
-func (s *sim) abandonLost() {
-	for _, id := range s.ids() {
-		for _, gone := range s.gone {
-			s.nodes[id].Abandon(gone)
-		}
-	}
-}
-
 func (s *sim) changeMembership() {
 	n := s.leader()
 	if n == nil {
@@ -467,7 +438,7 @@
 		}
 	}
 	next, err := m.apply(change)
-	if err != nil || !survivable(next.Voters, func(id string) bool { return s.nodes[id] != nil }) ||
+	if err != nil || !majority(next.Voters, func(id string) bool { return s.nodes[id] != nil }) ||
 		(change.Kind == Promote && s.nodes[change.ID] == nil) {
 		return // the repair policy promotes no replica that is silent
 	}
@@ -604,7 +575,6 @@
 	s.resume()
 	before := s.acked
 	for range 60 {
-		s.abandonLost()
 		if n := s.leader(); n != nil {
 			s.step(actPropose)
 		}
--- a/raft/step.go
+++ b/raft/step.go
@@ -1,9 +1,16 @@
 package raft
 
+import "slices"
+
+func sortDescending(v []uint64) {
+	slices.Sort(v)
+	slices.Reverse(v)
+}
+
 // Step handles a message from another replica. Messages that make no sense in
 // the node's state are dropped.
 func (n *Node) Step(m Message) {
-	if m.To != n.cfg.ID || n.abandoned[m.From] || m.check() != nil {
+	if m.To != n.cfg.ID || m.check() != nil {
 		return
 	}
 	switch {
