--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,8 @@
 
 	membersMu sync.Mutex
 	members   *membership.View[wire.Announce]
+	// membersChanged is set until the transfer knows the peers.
+	membersChanged bool
 
 	pollEngine chan struct{} // asks for a report of the engine
 	askVoters  chan struct{} // asks for a round of confirmation
@@ -76,12 +78,12 @@
 		pollEngine: make(chan struct{}, 1),
 		askVoters:  make(chan struct{}, 1),
 	}
-	a.metrics = newMetrics(cfg.Registry, a.state)
+	a.metrics = newMetrics(cfg.Registry, a.state, &a.bytes, cfg.Weights)
 	a.crashes = newCrashes(a)
 	a.orders = newOrders(a, started)
 	a.control = controlclient.New(controlclient.Config{
 		Name: cfg.Settings.Endpoint, Token: cfg.Token.Secret(), Replicas: cfg.Settings.Controls,
-		Members: a.isEngine(), Revision: a.state.revision, Bytes: &a.bytes, Network: cfg.Network,
+		Members: a.isEngine(), Peers: true, Revision: a.state.revision, Bytes: &a.bytes, Network: cfg.Network,
 		OnCatalogue: a.receiveCatalogue, OnMembers: a.receiveMembers, OnConfirm: a.receiveConfirm,
 		OnOpen: func(string, *transport.Session) { a.sessionOpened() },
 		OnLost: a.sessionLost,
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -115,21 +115,27 @@
 func (a *Agent) receiveMembers(replica string, m wire.Members) {
 	a.membersMu.Lock()
 	fits := a.members.Apply(replica, m.Update(), time.Now())
+	a.membersChanged = true
 	a.membersMu.Unlock()
 	if !fits {
 		a.control.Resubscribe(replica)
-		return
 	}
-	a.updatePeers()
 }
 
-// updatePeers tells the transfer which agents fetch the same weights.
+// updatePeers tells the transfer which agents fetch the same weights. It runs
+// with each announcement and not with each update, which cost 3 ms with 800
+// members.
 func (a *Agent) updatePeers() {
 	if !a.isEngine() {
 		return
 	}
 	a.membersMu.Lock()
-	a.members.Expire(time.Now())
+	expired := a.members.Expire(time.Now())
+	if len(expired) == 0 && !a.membersChanged {
+		a.membersMu.Unlock()
+		return
+	}
+	a.membersChanged = false
 	var peers []transfer.Peer
 	for _, r := range a.members.Live() {
 		p := r.Report
@@ -192,5 +198,6 @@
 		Sets: s.servable(), InFlight: s.gate.InFlight(), Capacity: s.gate.Capacity(),
 		Ready: s.ready(), Draining: s.gate.Draining(), Revision: s.catalogue.Revision,
 		Confirmed: s.lease.Held(time.Now()), Rollouts: rollouts, Gone: a.gone,
+		Crash: a.crashes.announced(time.Now()),
 	}
 }
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -15,34 +15,44 @@
 	// sent together with others.
 	membersInterval = 50 * time.Millisecond
 	expireInterval  = 250 * time.Millisecond
+	// pushSpacing is the time from one push to the next. The first note after a
+	// pause is pushed at once; those of a burst go together, since each push to
+	// 800 agents costs a replica tens of milliseconds.
+	pushSpacing = 100 * time.Millisecond
 )
 
 // subscriber is a session that gets updates.
 type subscriber struct {
 	session  *transport.Session
 	revision uint64 // catalogue revision sent
-	members  bool
-	version  uint64 // member version sent
-	listed   uint64 // quarantine version sent
+	// table is what the subscriber follows; nil without members.
+	table   *membership.Table[wire.Announce]
+	version uint64 // member version sent
+	listed  uint64 // quarantine version sent
 }
 
 // hub holds the member table and the subscribers.
 type hub struct {
-	mu          sync.Mutex
-	epoch       uint64
-	table       *membership.Table[wire.Announce]
+	mu    sync.Mutex
+	epoch uint64
+	table *membership.Table[wire.Announce]
+	// peers is the same table for agents, which need no news of load and
+	// readiness: with 800 endpoints those alone exceed an agent's 6 KB/s.
+	peers       *membership.Table[wire.Announce]
 	subscribers map[*transport.Session]*subscriber
 	view        func() *View
 	announced   func(wire.Announce, time.Time)
-	wake        chan struct{}
+	wake        chan struct{} // the member table changed
+	changed     chan struct{} // a new view was published
 }
 
 func newHub(view func() *View) *hub {
 	epoch := uint64(time.Now().UnixNano())
 	return &hub{
-		epoch: epoch, view: view, wake: make(chan struct{}, 1),
+		epoch: epoch, view: view, wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		subscribers: map[*transport.Session]*subscriber{},
 		table:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
+		peers:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: peerChanged}),
 	}
 }
 
@@ -53,7 +63,7 @@
 	a, b := previous.Report, next.Report
 	if a.Ready != b.Ready || a.Capacity != b.Capacity || a.Confirmed != b.Confirmed ||
 		a.GateAddress != b.GateAddress || a.ChunkAddress != b.ChunkAddress || a.Role != b.Role ||
-		len(a.Sets) != len(b.Sets) {
+		len(a.Sets) != len(b.Sets) || !a.Crash.SameIncident(b.Crash) {
 		return true
 	}
 	for i := range a.Sets {
@@ -64,6 +74,13 @@
 	return abs(a.InFlight-b.InFlight)*loadSteps > max(b.Capacity, 1)
 }
 
+// peerChanged tells whether agents that fetch weights need an announcement.
+func peerChanged(previous, next membership.Record[wire.Announce]) bool {
+	a, b := previous.Report, next.Report
+	return a.ChunkAddress != b.ChunkAddress || a.Role != b.Role || a.Kind != b.Kind ||
+		a.Region != b.Region || a.Zone != b.Zone
+}
+
 // loadSteps is how finely members report load: a change below a quarter of the
 // capacity is not sent on.
 const loadSteps = 4
@@ -73,28 +90,29 @@
 // Announce takes in an announcement.
 func (h *hub) Announce(a wire.Announce, now time.Time) {
 	h.mu.Lock()
-	before := h.table.Version()
-	fresh := h.table.Apply(membership.Record[wire.Announce]{
-		Endpoint: a.Endpoint, Incarnation: a.Incarnation, Sequence: a.Sequence,
-		Draining: a.Draining, Gone: a.Gone, Report: a,
-	}, now)
-	changed := h.table.Version() != before
+	before := h.table.Version() + h.peers.Version()
+	fresh := h.table.Apply(a.Record(), now)
+	h.peers.Apply(a.Record(), now)
+	changed := h.table.Version()+h.peers.Version() != before
 	h.mu.Unlock()
 	if fresh && h.announced != nil {
 		h.announced(a, now)
 	}
 	if changed {
-		h.wakeUp()
+		signal(h.wake)
 	}
 }
 
-func (h *hub) wakeUp() {
+func signal(c chan struct{}) {
 	select {
-	case h.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// Changed has the newest view pushed at once, without waiting for it.
+func (h *hub) Changed() { signal(h.changed) }
+
 // Live lists the present endpoints.
 func (h *hub) Live() []wire.Announce {
 	h.mu.Lock()
@@ -111,13 +129,19 @@
 func (h *hub) Subscribe(s *transport.Session, q wire.Subscribe) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sub := &subscriber{session: s, members: q.Members, revision: q.Revision}
+	sub := &subscriber{session: s, revision: q.Revision}
 	h.subscribers[s] = sub
 	v := h.view()
 	h.sendCatalogue(sub, v, true)
-	if q.Members {
-		h.sendMembers(sub, h.table.Since(q.Epoch, q.Version))
+	switch {
+	case q.Members && q.Peers:
+		sub.table = h.peers
+	case q.Members:
+		sub.table = h.table
+	default:
+		return
 	}
+	h.sendMembers(sub, sub.table.Since(q.Epoch, q.Version))
 }
 
 // Forget ends updates to a session.
@@ -127,10 +151,11 @@
 	h.mu.Unlock()
 }
 
-// Push sends the catalogue of a new view to every subscriber at once.
-func (h *hub) Push(v *View) {
+// push sends the newest catalogue to every subscriber that lacks it.
+func (h *hub) push() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	v := h.view()
 	for _, sub := range h.subscribers {
 		h.sendCatalogue(sub, v, false)
 	}
@@ -160,12 +185,8 @@
 }
 
 func (h *hub) sendMembers(sub *subscriber, u membership.Update[wire.Announce]) {
-	msg := wire.Members{Epoch: u.Epoch, Version: u.Version, Base: u.Base, Removed: u.Removed}
-	for _, r := range u.Updated {
-		msg.Updated = append(msg.Updated, r.Report)
-	}
 	sub.version = u.Version
-	if sub.session.Send(msg) != nil {
+	if sub.session.Send(wire.MembersFrom(u)) != nil {
 		sub.session.Close()
 	}
 }
@@ -174,21 +195,53 @@
 func (h *hub) flush() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	version := h.table.Version()
-	updates := map[uint64]membership.Update[wire.Announce]{}
+	type position struct {
+		table   *membership.Table[wire.Announce]
+		version uint64
+	}
+	updates := map[position]membership.Update[wire.Announce]{}
 	for _, sub := range h.subscribers {
-		if !sub.members || sub.version == version {
+		if sub.table == nil || sub.version == sub.table.Version() {
 			continue
 		}
-		u, ok := updates[sub.version]
+		at := position{sub.table, sub.version}
+		u, ok := updates[at]
 		if !ok {
-			u = h.table.Since(h.epoch, sub.version)
-			updates[sub.version] = u
+			u = sub.table.Since(h.epoch, sub.version)
+			updates[at] = u
 		}
 		h.sendMembers(sub, u)
 	}
 }
 
+// RunPush sends new catalogues until done closes. It is apart from the
+// replica's loop, which would otherwise acknowledge nothing meanwhile.
+func (h *hub) RunPush(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-h.changed:
+			h.push()
+		}
+		if !pause(done, pushSpacing) {
+			return
+		}
+	}
+}
+
+// pause waits and reports false when done closes first.
+func pause(done <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // Run sends member changes and removes silent endpoints until done closes.
 func (h *hub) Run(done <-chan struct{}) {
 	expire := time.NewTicker(expireInterval)
@@ -200,6 +253,7 @@
 		case now := <-expire.C:
 			h.mu.Lock()
 			expired := h.table.Expire(now)
+			h.peers.Expire(now)
 			h.mu.Unlock()
 			if len(expired) == 0 {
 				continue
@@ -207,11 +261,6 @@
 		case <-h.wake:
 		}
 		h.flush()
-		pause := time.NewTimer(membersInterval)
-		select {
-		case <-done:
-		case <-pause.C:
-		}
-		pause.Stop()
+		pause(done, membersInterval)
 	}
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -38,22 +39,14 @@
 	Endpoints []operator.Endpoint `json:"endpoints"`
 	Catalogue release.Catalogue   `json:"catalogue"`
 
-	Commit     uint64            `json:"commit"`
-	Unresolved bool              `json:"unresolved"`
-	Lag        map[string]uint64 `json:"lag,omitempty"` // entries, per replica; leader only
-	Ledger     ledger.Sizes      `json:"ledger"`
-	DiskError  string            `json:"disk_error,omitempty"`
-}
-
-// NoteAnswer answers POST /v1/notes and /v1/notes:check. Statuses are those of
-// package operator.
-type NoteAnswer struct {
-	Status   string            `json:"status"`
-	Number   uint64            `json:"number,omitempty"` // of the note, of its accepted rival, or the expected one
-	Digest   release.Digest    `json:"digest,omitempty"` // of the note or of its accepted rival
-	Reason   string            `json:"reason,omitempty"`
-	Problems []release.Problem `json:"problems,omitempty"`
-	Leader   string            `json:"leader,omitempty"`
+	Commit     uint64 `json:"commit"`
+	Unresolved bool   `json:"unresolved"`
+	// MembershipPending is true while a change of Voters or Learners is not
+	// known to be committed. The loss of a further voter then stops acceptance.
+	MembershipPending bool              `json:"membership_pending"`
+	Lag               map[string]uint64 `json:"lag,omitempty"` // entries, per replica; leader only
+	Ledger            ledger.Sizes      `json:"ledger"`
+	DiskError         string            `json:"disk_error,omitempty"`
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
@@ -88,8 +81,8 @@
 	return nil, false
 }
 
-func invalidNote(err error, n release.Note) NoteAnswer {
-	a := NoteAnswer{Status: operator.NoteInvalid, Number: n.Number, Reason: err.Error()}
+func invalidNote(err error, n release.Note) operator.NoteAnswer {
+	a := operator.NoteAnswer{Status: operator.NoteInvalid, Number: n.Number, Reason: err.Error()}
 	a.Problems = append(a.Problems, release.Problems(err)...)
 	return a
 }
@@ -107,9 +100,9 @@
 }
 
 // SubmitNote proposes a note and translates the result.
-func (d *Daemon) SubmitNote(ctx context.Context, doc *release.Document) (int, NoteAnswer) {
+func (d *Daemon) SubmitNote(ctx context.Context, doc *release.Document) (int, operator.NoteAnswer) {
 	n := doc.Note
-	answer := NoteAnswer{Number: n.Number, Digest: n.Digest()}
+	answer := operator.NoteAnswer{Number: n.Number, Digest: n.Digest()}
 	a := d.replica.Propose(ctx, ledger.Command{Note: &ledger.SubmitNote{
 		Number: n.Number, Digest: answer.Digest, Canonical: n.Canonical(),
 	}})
@@ -135,7 +128,7 @@
 }
 
 // refusedNote adds lines to the reason of a refusal where they are known.
-func (d *Daemon) refusedNote(doc *release.Document, answer NoteAnswer, r ledger.Result) (int, NoteAnswer) {
+func (d *Daemon) refusedNote(doc *release.Document, answer operator.NoteAnswer, r ledger.Result) (int, operator.NoteAnswer) {
 	answer.Status, answer.Reason = operator.NoteRefused, r.Reason
 	if r.Number != 0 {
 		answer.Number = r.Number
@@ -157,24 +150,42 @@
 		respond(w, http.StatusUnprocessableEntity, invalidNote(err, doc.Note))
 		return
 	}
-	respond(w, http.StatusOK, NoteAnswer{
+	respond(w, http.StatusOK, operator.NoteAnswer{
 		Status: operator.NoteValid, Number: doc.Note.Number, Digest: doc.Note.Digest(),
 	})
 }
 
-func (d *Daemon) getStatus(w http.ResponseWriter, _ *http.Request) {
+// markCurrent says in the answer's header whether this replica leads with a
+// quorum. It refuses, and returns false, where the replica has no state yet.
+func (d *Daemon) markCurrent(w http.ResponseWriter, r *http.Request) bool {
+	v := d.replica.View()
+	if len(v.Raft.Membership.Voters) == 0 {
+		respond(w, http.StatusServiceUnavailable, wire.Error{Code: "not-a-member", Detail: "this replica has no state yet"})
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), currentTimeout)
+	defer cancel()
+	current := v.Raft.Role == raft.Leader && d.replica.Read(ctx, func(*ledger.Ledger) {})
+	w.Header().Set(operator.HeaderCurrent, strconv.FormatBool(current))
+	return true
+}
+
+func (d *Daemon) getStatus(w http.ResponseWriter, r *http.Request) {
+	if !d.markCurrent(w, r) {
+		return
+	}
 	respond(w, http.StatusOK, d.Status())
 }
 
 // Status describes the replica as GET /v1/status does.
 func (d *Daemon) Status() Status {
 	v := d.replica.View()
-	m := v.Raft.Membership
+	m := v.Raft.Committed
 	s := Status{
 		Replica: d.settings.Replica, ID: v.Raft.ID, Role: v.Raft.Role.String(), Leader: v.Raft.Leader,
-		Term: v.Raft.Term, Voters: m.Voters, Learners: m.Learners, Revision: v.Catalogue.Revision,
+		Term: v.Raft.Term, Voters: append([]string{}, m.Voters...), Learners: append([]string{}, m.Learners...), Revision: v.Catalogue.Revision,
 		Digest: v.Digest, Endpoints: d.endpoints(), Catalogue: v.Catalogue, Commit: v.Raft.Commit,
-		Unresolved: v.Unresolved, Ledger: v.Sizes,
+		Unresolved: v.Unresolved, MembershipPending: v.Raft.MembershipPending, Ledger: v.Sizes,
 	}
 	if v.DiskError != nil {
 		s.DiskError = v.DiskError.Error()
@@ -208,11 +219,17 @@
 	return endpoints
 }
 
-func (d *Daemon) getEndpoints(w http.ResponseWriter, _ *http.Request) {
+func (d *Daemon) getEndpoints(w http.ResponseWriter, r *http.Request) {
+	if !d.markCurrent(w, r) {
+		return
+	}
 	respond(w, http.StatusOK, operator.Endpoints{Endpoints: d.endpoints()})
 }
 
-func (d *Daemon) getQuarantine(w http.ResponseWriter, _ *http.Request) {
+func (d *Daemon) getQuarantine(w http.ResponseWriter, r *http.Request) {
+	if !d.markCurrent(w, r) {
+		return
+	}
 	answer := operator.Quarantine{Requests: []wire.QuarantinedRequest{}}
 	now := time.Now().UnixMilli()
 	for _, q := range d.replica.View().Suspects {
@@ -223,7 +240,10 @@
 	respond(w, http.StatusOK, answer)
 }
 
-func (d *Daemon) getRollout(w http.ResponseWriter, _ *http.Request) {
+func (d *Daemon) getRollout(w http.ResponseWriter, r *http.Request) {
+	if !d.markCurrent(w, r) {
+		return
+	}
 	v := d.replica.View()
 	s := d.Status()
 	live := d.hub.Live()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,12 +21,15 @@
 
 const (
 	inboxLength = 8192
-	// turnLimit bounds the work taken in before one sync.
-	turnLimit = 1024
+	// defaultTurnLimit bounds the work taken in before one sync.
+	defaultTurnLimit = 1024
 	// keepEntries before a snapshot let followers that are a little behind
 	// catch up without one.
-	keepEntries       = 512
-	diskRetryInterval = 500 * time.Millisecond
+	keepEntries = 512
+	// keepLargeEntries is kept instead after a snapshot that was due by size.
+	keepLargeEntries     = 32
+	defaultSnapshotBytes = 16 << 20
+	diskRetryInterval    = 500 * time.Millisecond
 )
 
 // Log entries carry a kind in their first byte, so that notes are found among
@@ -62,7 +68,14 @@
 type ReplicaConfig struct {
 	Tick          time.Duration
 	SnapshotEvery uint64
-	Send          func(raft.Message)
+	// SnapshotBytes of applied commands make a snapshot due before
+	// SnapshotEvery does, since recorded answers can be large. Fewer bound
+	// memory and cost more writing. Default 16 MiB.
+	SnapshotBytes int
+	// TurnLimit bounds the work that one sync covers. More raises throughput
+	// and the time that the first of it waits. Default 1024.
+	TurnLimit int
+	Send      func(raft.Message)
 	// Published is called after each turn that changed the view.
 	Published func(old, next *View)
 	// Committed is called for each command applied, with its result.
@@ -87,6 +100,10 @@
 	nextRead     uint64
 	applied      uint64
 	lastSnapshot uint64
+	logBytes     int // applied since the last snapshot
+	snapshotting bool
+	writers      sync.WaitGroup
+	savedHard    raft.HardState // as stored last
 	diskErr      error
 	stopped      chan struct{}
 }
@@ -113,6 +130,8 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.SnapshotBytes = cmp.Or(cfg.SnapshotBytes, defaultSnapshotBytes)
+	cfg.TurnLimit = cmp.Or(cfg.TurnLimit, defaultTurnLimit)
 	raftCfg.ID = state.Identity.ID()
 	node, err := raft.NewNode(raftCfg, state.HardState, state.Snapshot, state.Entries)
 	if err != nil {
@@ -121,7 +140,7 @@
 	r := &Replica{
 		cfg: cfg, node: node, folder: folder, ledger: l,
 		inbox: make(chan work, inboxLength), waiters: map[uint64]waiter{}, reads: map[uint64]func(bool){},
-		applied: state.Snapshot.Index, lastSnapshot: state.Snapshot.Index, stopped: make(chan struct{}),
+		applied: state.Snapshot.Index, lastSnapshot: state.Snapshot.Index, savedHard: state.HardState, stopped: make(chan struct{}),
 	}
 	r.publish()
 	return r, nil
@@ -132,6 +151,7 @@
 
 // Run executes the loop until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
+	defer r.writers.Wait()
 	defer close(r.stopped)
 	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
@@ -158,7 +178,7 @@
 
 // drain takes in what else is waiting, so that one sync covers it.
 func (r *Replica) drain() {
-	for range turnLimit {
+	for range r.cfg.TurnLimit - 1 {
 		select {
 		case w := <-r.inbox:
 			r.handle(w)
@@ -207,12 +227,8 @@
 // Propose submits a command and waits for its result. An answer "not-run" is
 // given only when the command is not and cannot become committed.
 func (r *Replica) Propose(ctx context.Context, c ledger.Command) Answer {
-	answer := make(chan Answer, 1)
-	if !r.do(func() { r.propose(c, answer) }) {
-		return notRun("too much work waiting")
-	}
 	select {
-	case a := <-answer:
+	case a := <-r.Start(c):
 		return a
 	case <-ctx.Done():
 		return unknown("no quorum answered in time")
@@ -221,6 +237,16 @@
 	}
 }
 
+// Start submits a command without waiting. Commands started by one caller enter
+// the log in order.
+func (r *Replica) Start(c ledger.Command) <-chan Answer {
+	answer := make(chan Answer, 1)
+	if !r.do(func() { r.propose(c, answer) }) {
+		answer <- notRun("too much work waiting")
+	}
+	return answer
+}
+
 func (r *Replica) propose(c ledger.Command, answer chan<- Answer) {
 	if r.diskErr != nil {
 		answer <- notRun(r.diskErr.Error())
@@ -242,6 +268,14 @@
 		return
 	}
 	r.waiters[index] = waiter{term: term, answer: answer}
+	if kind == payloadNote {
+		r.cfg.Log.WithField("index", index).Debug("note_proposed")
+	}
+}
+
+// isNote reports whether an entry carries a release note.
+func isNote(e raft.Entry) bool {
+	return e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
 }
 
 // Read runs f in the loop on state that includes everything accepted before
@@ -342,12 +376,19 @@
 		if err := r.folder.SaveSnapshot(*s, ready.HardState, true, s.Index); err != nil {
 			return err
 		}
-		r.lastSnapshot = s.Index
+		r.lastSnapshot, r.savedHard = s.Index, ready.HardState
 	}
 	if !ready.MustSync {
 		return nil // the commit index is stored with the next record
 	}
-	return r.folder.Save(ready.HardState, ready.Entries)
+	if err := r.folder.Save(ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	r.savedHard = ready.HardState
+	if i := slices.IndexFunc(ready.Entries, isNote); i >= 0 {
+		r.cfg.Log.WithField("index", ready.Entries[i].Index).Debug("note_synced")
+	}
+	return nil
 }
 
 // stepAside answers waiting work without the node until the next try.
@@ -387,7 +428,11 @@
 }
 
 func (r *Replica) apply(e raft.Entry) {
+	if isNote(e) {
+		r.cfg.Log.WithField("index", e.Index).Debug("note_committed")
+	}
 	r.applied = e.Index
+	r.logBytes += len(e.Data)
 	var result ledger.Result
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
 		c, err := ledger.Decode(e.Data[1:])
@@ -441,8 +486,16 @@
 	}
 }
 
+// compact starts a snapshot when one is due. The state is encoded in the loop
+// and written beside it.
 func (r *Replica) compact() {
-	if r.applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+	keep := uint64(keepEntries)
+	switch {
+	case r.snapshotting:
+		return
+	case r.logBytes >= r.cfg.SnapshotBytes:
+		keep = keepLargeEntries
+	case r.applied < r.lastSnapshot+r.cfg.SnapshotEvery:
 		return
 	}
 	data, err := r.ledger.Snapshot()
@@ -450,17 +503,33 @@
 		r.cfg.Log.WithError(err).Error("snapshot_failed")
 		return
 	}
-	s, err := r.node.Compact(r.applied, data, keepEntries)
+	s, err := r.node.MakeSnapshot(r.applied, data)
 	if err != nil {
 		return // a membership was committed meanwhile; the next turn tries again
 	}
-	r.lastSnapshot = s.Index
-	keepFrom := s.Index - min(s.Index, keepEntries)
-	hard := raft.HardState{Term: r.node.Status().Term, Commit: s.Index}
-	hard.Vote = r.node.Vote()
-	if err := r.folder.SaveSnapshot(s, hard, false, keepFrom); err != nil {
+	r.snapshotting, r.logBytes = true, 0
+	r.writers.Go(func() {
+		err := r.folder.WriteSnapshot(s)
+		select {
+		case r.inbox <- work{op: func() { r.adopt(s, keep, err) }}:
+		case <-r.stopped:
+		}
+	})
+}
+
+// adopt finishes a snapshot that was written, unless the leader's has replaced
+// it meanwhile.
+func (r *Replica) adopt(s raft.Snapshot, keep uint64, err error) {
+	r.snapshotting = false
+	if err == nil && s.Index > r.lastSnapshot && r.diskErr == nil {
+		r.node.Compact(s, keep)
+		hard := raft.HardState{Term: r.savedHard.Term, Vote: r.savedHard.Vote, Commit: s.Index}
+		err = r.folder.AdoptSnapshot(s.Index, hard, false, s.Index-min(s.Index, keep))
+	}
+	if err != nil {
 		r.cfg.Log.WithError(err).Error("snapshot_not_stored")
 	}
+	r.lastSnapshot = max(r.lastSnapshot, s.Index) // also after a failure: the next one tries again
 }
 
 func (r *Replica) publish() {
@@ -495,7 +564,7 @@
 	}
 	found := false
 	r.node.After(r.applied, func(e raft.Entry) bool {
-		found = e.Kind == raft.EntryCommand && len(e.Data) > 0 && e.Data[0] == payloadNote
+		found = isNote(e)
 		return !found
 	})
 	return found
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -102,12 +102,12 @@
 			return nil, refusal(http.StatusBadRequest, outcome.InvalidHeader, wire.HeaderPriority+" is not a whole number")
 		}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBody)))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, outcome.BodyTooLarge,
-			"the request body is larger than "+strconv.FormatInt(e.settings.MaxBodyBytes, 10)+" bytes")
+			"the request body is larger than "+strconv.FormatInt(int64(e.settings.MaxBody), 10)+" bytes")
 	case err != nil:
 		return nil, refusal(http.StatusBadRequest, outcome.InvalidBody, "the request body could not be read")
 	}
@@ -161,7 +161,16 @@
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
 	if f.lost && c.engine {
 		e.reportLost(c, f)
-		if final := e.suspects.lost(c, f.endpoint, time.Now()); final != nil {
+		// An entry that reaches no control replica hears of no crash, so it takes
+		// every broken connection for one.
+		crashed := !e.controlReached()
+		final := e.suspects.broke(c, f.endpoint, crashed, time.Now())
+		e.tellLoss(loss{c.fingerprint, f.endpoint, crashed})
+		if final != nil {
+			return final
+		}
+		e.suspects.awaitCrash(c, f.endpoint)
+		if final := e.suspects.apply(c, time.Now()); final != nil {
 			return final
 		}
 	}
@@ -177,7 +186,10 @@
 	if f.reason == outcome.SetNotLoaded && !c.ran {
 		c.set = "" // nothing ran, so the request may be pinned anew
 	}
-	if !f.refusedByGate() || f.reason == outcome.SetNotLoaded {
+	if f.withdrawn {
+		return c.failed(http.StatusNotFound, outcome.UnknownModel, "the model was withdrawn by a release note")
+	}
+	if !f.full {
 		c.exclude[f.endpoint] = true
 	}
 	switch {
@@ -246,8 +258,6 @@
 
 // relayWhole passes on an answer that is not a stream, once it is complete.
 func (e *Entry) relayWhole(w http.ResponseWriter, c *call, a *attempt) *attemptFailure {
-	timer := time.AfterFunc(time.Duration(e.settings.PlainTimeout), func() { a.cancel(errStalled) })
-	defer timer.Stop()
 	data, err := a.readWhole(maxAnswerBytes)
 	if err != nil {
 		f := a.transportFailure(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,10 +132,12 @@
 	others.Use(e.processToken.Require)
 	others.HandleFunc(strings.TrimPrefix(pathUsage, "/entry"), e.serveUsage).Methods(http.MethodGet)
 	others.HandleFunc(strings.TrimPrefix(pathOwners, "/entry")+"{id}", e.serveOwner).Methods(http.MethodGet)
+	others.HandleFunc(strings.TrimPrefix(pathLosses, "/entry"), e.serveLoss).Methods(http.MethodPost)
 	callers := router.NewRoute().Subrouter()
 	callers.Use(e.requireCaller, e.count)
 	callers.HandleFunc("/v1/addresses", e.serveAddresses).Methods(http.MethodGet)
 	callers.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
+	callers.HandleFunc("/v1/outcomes/{key:.+}", e.serveOutcome).Methods(http.MethodGet)
 	work := callers.NewRoute().Subrouter()
 	work.Use(e.refuseWhenClosed)
 	work.HandleFunc(pathChat, e.serveChat).Methods(http.MethodPost)
@@ -248,7 +250,11 @@
 	e.stopping.Store(true)
 	server.SetKeepAlivesEnabled(false)
 	e.log.Info("entry.draining")
-	time.Sleep(time.Duration(e.settings.AddressTTL) + peerExpiry)
+	notice := time.Duration(e.settings.AddressTTL)
+	if len(e.peers.others()) > 0 {
+		notice += peerExpiry
+	}
+	time.Sleep(notice)
 	e.closed.Store(true)
 	_ = server.Shutdown(context.Background())
 	e.tasks.Wait()
@@ -281,6 +287,9 @@
 	return nil
 }
 
+// controlReached reports whether any control replica has an open session.
+func (e *Entry) controlReached() bool { return e.controlClient.Reached() }
+
 func (e *Entry) newControlClient() *controlclient.Client {
 	var client *controlclient.Client
 	client = controlclient.New(controlclient.Config{
@@ -298,6 +307,9 @@
 				client.Resubscribe(replica)
 				return
 			}
+			for _, a := range m.Updated {
+				e.suspects.announced(a, time.Now())
+			}
 			e.fleet.update(e.directory.endpoints(), time.Now())
 		},
 		OnLost: func(replica string, err error) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -89,6 +90,26 @@
 	return list
 }
 
+// count is the number of entries, this one included.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list)
+}
+
+// allHeardSince reports whether every other entry has reported since a time or
+// is known to be down.
+func (p *peers) allHeardSince(start time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.list {
+		if !s.self && !s.refused && s.heard.Before(start) {
+			return false
+		}
+	}
+	return true
+}
+
 // others returns the entries that this one asks for their usage.
 func (p *peers) others() []Peer {
 	p.mu.Lock()
@@ -165,10 +186,14 @@
 	defer ticker.Stop()
 	for {
 		var wg sync.WaitGroup
+		started := time.Now()
 		for _, peer := range e.peers.others() {
 			wg.Go(func() { e.askPeer(ctx, peer) })
 		}
 		wg.Wait()
+		if e.peers.allHeardSince(started) {
+			e.admitter.rebalance(time.Now())
+		}
 		e.admitter.tick(time.Now())
 		select {
 		case <-ctx.Done():
@@ -192,7 +217,11 @@
 
 // getFromPeer asks another entry and decodes its answer.
 func (e *Entry) getFromPeer(ctx context.Context, peer Peer, path string, out any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Address+path, nil)
+	return e.askOther(ctx, http.MethodGet, peer, path, nil, out)
+}
+
+func (e *Entry) askOther(ctx context.Context, method string, peer Peer, path string, body []byte, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+peer.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -205,6 +234,9 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.New("status " + response.Status)
 	}
+	if out == nil {
+		return nil
+	}
 	return json.NewDecoder(response.Body).Decode(out)
 }
 
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -19,6 +20,57 @@
 // broken connection alone is weak evidence, so it is shorter than a quarantine.
 const ownSuspicion = 5 * time.Minute
 
+// crashWordWait is how long the next run of a request whose answer broke off
+// waits for word of a crash. The agent announces and reports one within 100 ms;
+// without the wait, two entries could each cost a further endpoint.
+const crashWordWait = 500 * time.Millisecond
+
+const crashWordPoll = 20 * time.Millisecond
+
+// tellTimeout bounds how long a lost request waits until the other entries know
+// of the loss.
+const tellTimeout = 200 * time.Millisecond
+
+// pathLosses is served to other entries, with the process token.
+const pathLosses = "/entry/losses"
+
+// loss is an endpoint that was lost, or broke off its answer, while it ran a
+// request.
+type loss struct {
+	Fingerprint string `json:"fingerprint"`
+	Endpoint    string `json:"endpoint"`
+	// Crashed is false when the endpoint's answer broke off and no crash is known.
+	Crashed bool `json:"crashed"`
+}
+
+// tellLoss tells the other entries of a loss and waits for their answers, so
+// that a copy of the request which its caller sends them, now or after the
+// answer, costs no further endpoint. Control's list reaches them later.
+func (e *Entry) tellLoss(l loss) {
+	body, err := json.Marshal(l)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.background, tellTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, peer := range e.peers.others() {
+		wg.Go(func() { _ = e.askOther(ctx, http.MethodPost, peer, pathLosses, body, nil) })
+	}
+	wg.Wait()
+}
+
+func (e *Entry) serveLoss(w http.ResponseWriter, r *http.Request) {
+	var l loss
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeaderBytes)).Decode(&l)
+	if err != nil || l.Fingerprint == "" || l.Endpoint == "" {
+		http.Error(w, "not a loss", http.StatusBadRequest)
+		return
+	}
+	e.suspects.told(l, time.Now())
+	writeJSON(w, http.StatusOK, l)
+}
+
 // suspectBusyRetry is when the caller of a suspect that runs already may come
 // back.
 const suspectBusyRetry = 2 * time.Second
@@ -29,10 +81,11 @@
 	mu        sync.Mutex
 	list      *quarantine.List
 	byReplica map[string][]quarantine.Record
+	incidents map[string]string // last crash taken in, by endpoint
 }
 
 func newSuspects() *suspects {
-	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}}
+	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}}
 }
 
 func (s *suspects) setControl(replica string, listed []wire.QuarantinedRequest) {
@@ -48,6 +101,21 @@
 	s.merge()
 }
 
+// announced takes in the crash that an endpoint's announcement names. It comes
+// without a commit, so it counts also while the log has no leader. Each crash
+// counts once: its neighbours may be cleared while it is still announced.
+func (s *suspects) announced(a wire.Announce, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Crash == nil || s.incidents[a.Endpoint] == a.Crash.Incident {
+		return
+	}
+	s.incidents[a.Endpoint] = a.Crash.Incident
+	for _, fingerprint := range a.Crash.Fingerprints {
+		s.list.Lost(fingerprint, a.Endpoint, now)
+	}
+}
+
 // forget drops the list of a lost replica while another one is left.
 func (s *suspects) forget(replica string) {
 	s.mu.Lock()
@@ -73,12 +141,46 @@
 	return s.takeVerdict(c, s.list.Check(c.fingerprint, now), now)
 }
 
-// lost records that an endpoint was lost under the call, and applies what
-// follows. The caller does not hold mu.
-func (s *suspects) lost(c *call, endpoint string, now time.Time) *answerError {
+// broke records that an endpoint's answer to the call broke off, and applies
+// what follows. The call runs alone from now on. Only a crash counts as a lost
+// endpoint: otherwise an engine that cuts answers short would quarantine them.
+func (s *suspects) broke(c *call, endpoint string, crashed bool, now time.Time) *answerError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.takeVerdict(c, s.list.Lost(c.fingerprint, endpoint, now), now)
+	return s.takeVerdict(c, s.record(loss{c.fingerprint, endpoint, crashed}, now), now)
+}
+
+// record needs mu.
+func (s *suspects) record(l loss, now time.Time) quarantine.Verdict {
+	if l.Crashed {
+		return s.list.Lost(l.Fingerprint, l.Endpoint, now)
+	}
+	return s.list.Broke(l.Fingerprint, l.Endpoint, now)
+}
+
+// awaitCrash returns once a crash is confirmed, or after crashWordWait.
+func (s *suspects) awaitCrash(c *call, endpoint string) {
+	deadline := time.Now().Add(crashWordWait)
+	for time.Now().Before(deadline) && !s.confirmed(c.fingerprint, endpoint) {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-time.After(crashWordPoll):
+		}
+	}
+}
+
+func (s *suspects) confirmed(fingerprint, endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Confirmed(fingerprint, endpoint)
+}
+
+// told records a loss that another entry saw.
+func (s *suspects) told(l loss, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(l, now)
 }
 
 // takeVerdict marks the call and reserves the single run of a suspect. The
@@ -123,15 +225,22 @@
 // reportTimeout bounds reports to control that no caller waits for.
 const reportTimeout = 5 * time.Second
 
+// report commits a command in the background.
+func (e *Entry) report(cmd ledger.Command) {
+	e.inBackground(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		_, _ = e.control.Propose(ctx, cmd)
+	})
+}
+
 // settleSuspect gives back a suspect's reservation and tells control when it
 // is cleared.
 func (e *Entry) settleSuspect(c *call, whole bool) {
 	if !e.suspects.end(c, whole) {
 		return
 	}
-	e.inBackground(func(ctx context.Context) {
-		_, _ = e.control.Propose(ctx, ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
-	})
+	e.report(ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
 }
 
 // reportLost tells control that an endpoint was lost with its agent: an agent
@@ -141,6 +250,8 @@
 func (e *Entry) reportLost(c *call, f *attemptFailure) {
 	fingerprint, alone := c.fingerprint, c.alone
 	e.inBackground(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+		defer cancel()
 		state, err := e.attemptState(ctx, http.MethodGet, f.gate, f.id)
 		if err == nil && state != stateUnknown {
 			return
@@ -149,6 +260,6 @@
 			Incident: strings.Join([]string{"lost", f.endpoint, fmt.Sprint(f.gate.incarnation), fingerprint}, "/"),
 			Endpoint: f.endpoint, Fingerprints: []string{fingerprint}, Alone: alone,
 		}
-		_, _ = e.control.Propose(ctx, ledger.Command{Crash: crash})
+		e.report(ledger.Command{Crash: crash})
 	})
 }
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -16,6 +16,10 @@
 	PathRollout    = "/v1/rollout"
 )
 
+// HeaderCurrent is "true" on an answer of a replica that has just confirmed
+// with a quorum that it leads, and "false" on what another one last knew.
+const HeaderCurrent = "Rhubarb-Current"
+
 // Statuses of a NoteAnswer.
 const (
 	NoteAccepted = "accepted" // synced on a write quorum
@@ -47,10 +51,12 @@
 	Revision uint64   `json:"revision"`
 	// InForce is true when Revision is in force on every known instance;
 	// InForceRevision is the highest one that is.
-	InForce         bool               `json:"in_force"`
-	InForceRevision uint64             `json:"in_force_revision"`
-	Digest          release.Digest     `json:"digest"`
-	Catalogue       *release.Catalogue `json:"catalogue,omitempty"`
+	InForce         bool   `json:"in_force"`
+	InForceRevision uint64 `json:"in_force_revision"`
+	// WaitingFor lists the instances that keep Revision from being in force.
+	WaitingFor []string           `json:"waiting_for,omitempty"`
+	Digest     release.Digest     `json:"digest"`
+	Catalogue  *release.Catalogue `json:"catalogue,omitempty"`
 }
 
 // Endpoints answers GET PathEndpoints.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -39,12 +42,16 @@
 	// AttemptTimeout limits one call to one replica.
 	AttemptTimeout time.Duration
 	HTTP           *http.Client
+
+	mu       sync.Mutex
+	failures map[string]time.Time // last failure of each replica that did not answer since
 }
 
 // answer is what one replica sent back.
 type answer struct {
-	status int
-	body   []byte
+	status  int
+	body    []byte
+	current bool // by HeaderCurrent
 }
 
 // call sends one request to one replica. sent is false when the request
@@ -52,6 +59,12 @@
 func (c *Client) call(ctx context.Context, replica, method, path string, body []byte) (a answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.AttemptTimeout)
 	defer cancel()
+	// A deadline that passes while the connection is being opened carries no
+	// dial error, so the trace tells whether anything can have been sent.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+replica+path, bytes.NewReader(body))
 	if err != nil {
 		return a, false, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
@@ -61,40 +74,76 @@
 		request.Header.Set("Content-Type", contentYAML)
 	}
 	response, err := c.HTTP.Do(request)
+	c.remember(replica, err == nil)
 	if err != nil {
-		var dial *net.OpError
-		return a, !errors.As(err, &dial) || dial.Op != "dial", oops.In("operator").Wrap(err)
+		return a, connected.Load(), oops.In("operator").Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	a.status = response.StatusCode
+	a.status, a.current = response.StatusCode, response.Header.Get(HeaderCurrent) != "false"
 	a.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	return a, true, oops.In("operator").Wrap(err)
 }
 
-// Get reads a document from the first replica that answers and returns its
-// JSON text too.
-func (c *Client) Get(ctx context.Context, path string, query url.Values, out any) ([]byte, error) {
+// order lists the replicas, those that failed last behind the others: a paused
+// replica accepts connections and costs a whole AttemptTimeout each time.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	order := slices.Clone(c.Replicas)
+	slices.SortStableFunc(order, func(a, b string) int { return c.failures[a].Compare(c.failures[b]) })
+	return order
+}
+
+// remember notes whether a replica answered.
+func (c *Client) remember(replica string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failures == nil {
+		c.failures = map[string]time.Time{}
+	}
+	if answered {
+		delete(c.failures, replica)
+		return
+	}
+	c.failures[replica] = time.Now()
+}
+
+// Document is what Get read.
+type Document struct {
+	Text    []byte // JSON
+	Replica string
+	// Current is false when no replica could confirm that its answer is the
+	// latest state: the document is what one replica last knew.
+	Current bool
+}
+
+// Get reads a document, from a replica whose answer is current if there is one.
+func (c *Client) Get(ctx context.Context, path string, query url.Values, out any) (Document, error) {
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
+	var best Document
 	last := ErrUnreachable
-	for _, replica := range c.Replicas {
+	for _, replica := range c.order() {
 		a, _, err := c.call(ctx, replica, http.MethodGet, path, nil)
 		switch {
 		case err != nil:
 			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: %v", replica, err)
-		case a.status == http.StatusOK:
-			if err := json.Unmarshal(a.body, out); err != nil {
-				return nil, oops.In("operator").Wrapf(err, "%s", replica)
-			}
-			return a.body, nil
 		case a.status >= http.StatusInternalServerError:
 			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %s", replica, a.status, a.body)
-		default:
-			return nil, refusal(replica, a)
+		case a.status != http.StatusOK:
+			return best, refusal(replica, a)
+		case a.current || best.Text == nil:
+			best = Document{Text: a.body, Replica: replica, Current: a.current}
+		}
+		if best.Current {
+			break
 		}
 	}
-	return nil, last
+	if best.Text == nil {
+		return best, last
+	}
+	return best, oops.In("operator").With("replica", best.Replica).Wrap(json.Unmarshal(best.Text, out))
 }
 
 // refusal translates a status of 4xx.
@@ -109,7 +158,7 @@
 // Check asks a replica whether a note would be accepted now.
 func (c *Client) Check(ctx context.Context, note []byte) (NoteAnswer, error) {
 	last := ErrUnreachable
-	for _, replica := range c.Replicas {
+	for _, replica := range c.order() {
 		a, _, err := c.call(ctx, replica, http.MethodPost, PathNotesCheck, note)
 		if err != nil || a.status >= http.StatusInternalServerError {
 			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %v", replica, a.status, err)
@@ -127,7 +176,7 @@
 	mayBeAccepted := false
 	var last error
 	for {
-		for _, replica := range c.Replicas {
+		for _, replica := range c.order() {
 			a, sent, err := c.call(ctx, replica, http.MethodPost, PathNotes, note)
 			if err != nil {
 				mayBeAccepted = mayBeAccepted || sent
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 )
 
 // Problems collects what is wrong with settings, so that all of it is reported
@@ -44,6 +46,17 @@
 	}
 }
 
+// Loopback checks an IP address with port of the machine itself, for ports
+// without a token.
+func (p *Problems) Loopback(field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err == nil && !a.Addr().IsLoopback() {
+		p.Add(field, "%q is not a loopback address; this port has no token", value)
+		return
+	}
+	p.Address(field, value)
+}
+
 // Addresses checks that there is at least one address and that none repeats.
 func (p *Problems) Addresses(field string, values []string) {
 	if len(values) == 0 {
@@ -68,18 +81,15 @@
 	p.Address(field, u.Host)
 }
 
-// Readable checks that a file can be opened.
-func (p *Problems) Readable(field, path string) {
+// Token checks that a file holds a token.
+func (p *Problems) Token(field, path string) {
 	if path == "" {
-		p.Add(field, "is required: a file")
+		p.Add(field, "is required: a file with a token")
 		return
 	}
-	f, err := os.Open(path)
-	if err != nil {
+	if _, err := auth.ReadToken(path); err != nil {
 		p.Add(field, "%v", err)
-		return
 	}
-	_ = f.Close()
 }
 
 // OneOf checks that value is one of the given ones.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -39,6 +39,23 @@
 	Rollouts  []RolloutProgress `cbor:"18,keyasint,omitempty"`
 	// Gone is true in the last announcement of a stopped agent.
 	Gone bool `cbor:"19,keyasint,omitempty"`
+	// Crash is the endpoint's last crash, for a minute. It reaches entries
+	// without a commit, so also while the log has no leader.
+	Crash *Crash `cbor:"20,keyasint,omitempty"`
+}
+
+// Crash names the requests that were in flight when an engine crashed.
+type Crash struct {
+	Incident     string   `cbor:"1,keyasint"`
+	Fingerprints []string `cbor:"2,keyasint"`
+}
+
+// SameIncident reports whether both are nil or of one crash.
+func (c *Crash) SameIncident(other *Crash) bool {
+	if c == nil || other == nil {
+		return c == other
+	}
+	return c.Incident == other.Incident
 }
 
 // LoadedSet is a weights set that an engine serves.
@@ -71,7 +88,9 @@
 }
 
 // ConfirmReply is a voter's answer. A voter with Unresolved set holds a newer
-// note that is not known to be committed and confirms no revision.
+// note or voter set that is not known to be committed and confirms no revision.
+// Voters is the newest voter set that the voter knows to be committed; the
+// answer counts only towards a read quorum of that very set.
 type ConfirmReply struct {
 	Mark       uint64   `cbor:"1,keyasint"`
 	Replica    string   `cbor:"2,keyasint"`
@@ -80,6 +99,7 @@
 	Voters     []string `cbor:"5,keyasint"`
 	VoterIndex uint64   `cbor:"6,keyasint"`
 	// Addresses maps replicas, learners included, to their session addresses.
+	// It comes with the first reply of a session and after each change.
 	Addresses map[string]string `cbor:"7,keyasint"`
 	// Term orders leaders' fencing numbers for engine orders.
 	Term uint64 `cbor:"8,keyasint"`
@@ -124,6 +144,8 @@
 	Members  bool   `cbor:"3,keyasint"` // send member updates too
 	Epoch    uint64 `cbor:"4,keyasint,omitempty"`
 	Version  uint64 `cbor:"5,keyasint,omitempty"`
+	// Peers, with Members, leaves out changes of load and readiness.
+	Peers bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Propose asks for a command to be committed. Command is a ledger command,
--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -20,7 +20,7 @@
 	maxClaims = 1 << 18
 	// maxBodyBytes bounds recorded answers; the oldest bodies go first and
 	// their claims answer done without a body.
-	maxBodyBytes = 32 << 20
+	maxBodyBytes = 16 << 20
 	// maxExpiredHashes bounds exact memory of expired keys, 8 MiB.
 	maxExpiredHashes = 1 << 20
 	filterBytes      = 8 << 20
@@ -94,6 +94,18 @@
 	return Result{Status: StatusAccepted, Owner: c.Owner}
 }
 
+// lookup answers as a claim would, without taking the key.
+func (k *claims) lookup(q Lookup) Result {
+	id := claimKey{q.Organisation, q.Key}
+	if held := k.held[id]; held != nil {
+		return held.answer(Claim{RequestDigest: held.Digest})
+	}
+	if k.remembers(hashOf(id)) {
+		return Result{Status: StatusExpired, Reason: "key is past its retention of 24 h"}
+	}
+	return refused("key is not claimed")
+}
+
 // answer gives the result of another claim of a key that is held.
 func (r *claimRecord) answer(c Claim) Result {
 	switch {
@@ -121,6 +133,7 @@
 	}
 	if c.Outcome == outcomeNotRun {
 		delete(k.held, id)
+		k.dropReleased()
 		return Result{Status: StatusAccepted, Owner: c.Owner}
 	}
 	if len(c.Body) > MaxResultBytes {
@@ -133,6 +146,19 @@
 
 const outcomeNotRun = "not-run"
 
+// dropReleased removes released claims from the order once they outnumber the
+// held ones, so that claiming and releasing a key over and over costs nothing.
+func (k *claims) dropReleased() {
+	if len(k.order) <= 2*len(k.held)+releasedSlack {
+		return
+	}
+	k.order = slices.DeleteFunc(k.order, func(r *claimRecord) bool {
+		return k.held[claimKey{r.Organisation, r.Key}] != r
+	})
+}
+
+const releasedSlack = 1024
+
 func (k *claims) keepBody(r *claimRecord) {
 	if len(r.Result.Body) == 0 {
 		return
