Ask the gate whether its backend crashed, instead of waiting for control

Change: the gate tells in GET /gate-attempts/{id} whether the backend under a broken attempt is still the same process; a gate that is gone or silent counts as lost. After a crash the entry waits 500 ms for copies of the request that run elsewhere.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -12,6 +12,8 @@
 // attemptReply answers questions about an attempt.
 type attemptReply struct {
 	State gate.State `json:"state"`
+	// Backend says what became of the backend under a broken attempt.
+	Backend string `json:"backend,omitempty"`
 	// Incarnation is that of the answering process.
 	Incarnation uint64 `json:"incarnation"`
 }
@@ -34,6 +36,7 @@
 		a.state.mu.Lock()
 		reply.State = a.state.gate.Lookup(id)
 		a.state.mu.Unlock()
+		reply.Backend = a.crashes.verdict(id)
 	case http.MethodPost, http.MethodDelete:
 		reply.State = a.state.fence(id, meant == a.incarnation, r.Method == http.MethodDelete)
 	default:
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	attempts  map[gate.ID]brokenAttempt
+	verdicts  map[gate.ID]verdict // on broken attempts, for crashAnnounced
 	incidents uint64
 	last      *wire.Crash
 	lastAt    time.Time
@@ -50,9 +51,15 @@
 	at      time.Time
 }
 
+// verdict is what became of the backend under a broken attempt.
+type verdict struct {
+	backend string
+	at      time.Time
+}
+
 func newCrashes(a *Agent) *crashes {
 	ctx, stop := context.WithCancel(context.Background())
-	return &crashes{agent: a, attempts: map[gate.ID]brokenAttempt{}, proposals: ctx, stop: stop}
+	return &crashes{agent: a, attempts: map[gate.ID]brokenAttempt{}, verdicts: map[gate.ID]verdict{}, proposals: ctx, stop: stop}
 }
 
 // broken notes an attempt whose connection the backend broke, and asks for a
@@ -70,10 +77,33 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, b := range c.attempts {
-		if b.at.Before(asked) {
+		if !b.at.After(asked) {
 			delete(c.attempts, id)
+			c.decide(id, wire.BackendAlive)
+		}
+	}
+}
+
+// decide needs mu. It also forgets old verdicts.
+func (c *crashes) decide(id gate.ID, backend string) {
+	now := time.Now()
+	for old, v := range c.verdicts {
+		if now.Sub(v.at) > crashAnnounced {
+			delete(c.verdicts, old)
 		}
 	}
+	c.verdicts[id] = verdict{backend, now}
+}
+
+// verdict says what became of the backend under an attempt, and nothing of one
+// that did not break.
+func (c *crashes) verdict(id gate.ID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, waiting := c.attempts[id]; waiting {
+		return wire.BackendPending
+	}
+	return c.verdicts[id].backend
 }
 
 // backendCrashed reports the attempts that the crash of the backend broke.
@@ -83,7 +113,8 @@
 	c.mu.Lock()
 	var fingerprints []string
 	alone := len(c.attempts) == 1
-	for _, b := range c.attempts {
+	for id, b := range c.attempts {
+		c.decide(id, wire.BackendCrashed)
 		alone = alone && b.attempt.Alone
 		if b.attempt.Fingerprint != "" {
 			fingerprints = append(fingerprints, b.attempt.Fingerprint)
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -189,16 +189,6 @@
 	return sent
 }
 
-// Reached reports whether any session is open.
-func (c *Client) Reached() bool {
-	for _, d := range c.all() {
-		if d.Session() != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // Resubscribe asks one replica for the full catalogue and member table, after
 // a delta that does not fit.
 func (c *Client) Resubscribe(replica string) {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -157,19 +157,27 @@
 	}
 }
 
+// pause waits for d or the end of the call.
+func (c *call) pause(d time.Duration) {
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // afterFailure prepares the next attempt, or returns the final answer.
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
 	if f.lost && c.engine {
 		e.reportLost(c, f)
-		// An entry that reaches no control replica hears of no crash, so it takes
-		// every broken connection for one.
-		crashed := !e.controlReached()
-		final := e.suspects.broke(c, f.endpoint, crashed, time.Now())
-		e.tellLoss(loss{c.fingerprint, f.endpoint, crashed})
+		lost := loss{c.fingerprint, f.endpoint, e.endpointCrashed(c, f)}
+		final := e.suspects.broke(c, lost, time.Now())
+		e.tellLoss(lost)
 		if final != nil {
 			return final
 		}
-		e.suspects.awaitCrash(c, f.endpoint)
+		if lost.Crashed {
+			c.pause(copiesCrashWait)
+		}
 		if final := e.suspects.apply(c, time.Now()); final != nil {
 			return final
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -287,9 +287,6 @@
 	return nil
 }
 
-// controlReached reports whether any control replica has an open session.
-func (e *Entry) controlReached() bool { return e.controlClient.Reached() }
-
 func (e *Entry) newControlClient() *controlclient.Client {
 	var client *controlclient.Client
 	client = controlclient.New(controlclient.Config{
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -67,6 +67,7 @@
 	reportedAt time.Time
 	sequence   uint64
 	states     map[string]string
+	crashed    map[string]bool // attempts under which the endpoint crashes
 	executed   map[string]int
 	total      int
 	served     int
@@ -79,7 +80,7 @@
 
 // Start listens on loopback.
 func (g *Gate) Start() *Gate {
-	g.states, g.executed = map[string]string{}, map[string]int{}
+	g.states, g.crashed, g.executed = map[string]string{}, map[string]bool{}, map[string]int{}
 	g.stopped = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc(wire.PathGateForward+"/", g.forward)
@@ -166,9 +167,14 @@
 			g.states[id] = state
 		}
 	}
+	crashed := g.crashed[id]
 	g.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]string{"state": state})
+	answer := map[string]string{"state": state}
+	if crashed {
+		answer["backend"] = wire.BackendCrashed
+	}
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
 // admit starts an attempt, or gives the status of a refusal.
@@ -185,7 +191,7 @@
 		g.states[id] = "refused"
 		return http.StatusServiceUnavailable
 	}
-	g.states[id] = "running"
+	g.states[id], g.crashed[id] = "running", fault.Kind == Kill
 	g.inFlight++
 	g.total++
 	if alone {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -21,12 +21,17 @@
 const ownSuspicion = 5 * time.Minute
 
 // crashWordWait is how long the next run of a request whose answer broke off
-// waits for word of a crash. The agent announces and reports one within 100 ms;
-// without the wait, two entries could each cost a further endpoint.
-const crashWordWait = 500 * time.Millisecond
+// waits for the gate to tell a crash from an answer cut short, which takes it a
+// look at its backend. A link with 250 ms delay takes it 1 s.
+const crashWordWait = 1500 * time.Millisecond
 
 const crashWordPoll = 20 * time.Millisecond
 
+// copiesCrashWait is how long a request that crashed an endpoint waits before it
+// runs again, so that endpoints lost to copies of it that ran at the same time
+// are known. Without it two callers' copies cost a third endpoint.
+const copiesCrashWait = 500 * time.Millisecond
+
 // tellTimeout bounds how long a lost request waits until the other entries know
 // of the loss.
 const tellTimeout = 200 * time.Millisecond
@@ -39,7 +44,7 @@
 type loss struct {
 	Fingerprint string `json:"fingerprint"`
 	Endpoint    string `json:"endpoint"`
-	// Crashed is false when the endpoint's answer broke off and no crash is known.
+	// Crashed is false when the answer broke off and the endpoint is still there.
 	Crashed bool `json:"crashed"`
 }
 
@@ -144,10 +149,10 @@
 // broke records that an endpoint's answer to the call broke off, and applies
 // what follows. The call runs alone from now on. Only a crash counts as a lost
 // endpoint: otherwise an engine that cuts answers short would quarantine them.
-func (s *suspects) broke(c *call, endpoint string, crashed bool, now time.Time) *answerError {
+func (s *suspects) broke(c *call, l loss, now time.Time) *answerError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.takeVerdict(c, s.record(loss{c.fingerprint, endpoint, crashed}, now), now)
+	return s.takeVerdict(c, s.record(l, now), now)
 }
 
 // record needs mu.
@@ -158,24 +163,6 @@
 	return s.list.Broke(l.Fingerprint, l.Endpoint, now)
 }
 
-// awaitCrash returns once a crash is confirmed, or after crashWordWait.
-func (s *suspects) awaitCrash(c *call, endpoint string) {
-	deadline := time.Now().Add(crashWordWait)
-	for time.Now().Before(deadline) && !s.confirmed(c.fingerprint, endpoint) {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-time.After(crashWordPoll):
-		}
-	}
-}
-
-func (s *suspects) confirmed(fingerprint, endpoint string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.list.Confirmed(fingerprint, endpoint)
-}
-
 // told records a loss that another entry saw.
 func (s *suspects) told(l loss, now time.Time) {
 	s.mu.Lock()
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -26,6 +26,14 @@
 // broke the connection: the backend may have crashed.
 const ReasonBackendBroken = "backend-broken"
 
+// What a gate says of its backend after a broken attempt, in the answer to GET
+// PathGateAttempts. It says nothing of attempts that did not break.
+const (
+	BackendPending = "pending" // not known yet
+	BackendAlive   = "alive"   // the same process still answers
+	BackendCrashed = "crashed"
+)
+
 // Paths of the gate, served by the agent on its gate address. A caller's path
 // is appended to PathGateForward.
 const (
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -105,12 +105,6 @@
 	return Verdict{Alone: true, Avoid: slices.Concat(record.Crashed, record.Broken), Until: record.Until, Busy: l.running[fingerprint]}
 }
 
-// Confirmed reports whether the endpoint is known to have crashed while it ran
-// the request.
-func (l *List) Confirmed(fingerprint, endpoint string) bool {
-	return slices.Contains(l.control[fingerprint].Crashed, endpoint) || slices.Contains(l.own[fingerprint].Crashed, endpoint)
-}
-
 // lookup merges what control and this entry know.
 func (l *List) lookup(fingerprint string, now time.Time) (merged Record, found bool) {
 	for _, source := range []map[string]Record{l.control, l.own} {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -124,8 +124,6 @@
 		is.True(!v.Quarantined)
 	}
 	is.Equal(l.Check("f", epoch).Avoid, []string{"a", "b", "c"})
-	is.True(!l.Confirmed("f", "a"))
 	l.Lost("f", "a", epoch)
-	is.True(l.Confirmed("f", "a"))
 	is.True(l.Lost("f", "b", epoch).Quarantined)
 }
