agent: order broken attempts and reports by number, not by time

Cause: a report of the backend asked for in the instant of the break could be the answer of the process before its crash; with time compared by After, TestCrashReportsRequestsInFlight/back at once failed (crash not reported), with Before the gate stayed pending until the next poll. Numbers order both.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -44,7 +44,7 @@
 
 // pollBackend takes in one report and looks for a crash since the last one.
 func (a *Agent) pollBackend(ctx context.Context) {
-	start := time.Now()
+	asked := a.crashes.mark()
 	rctx, cancel := context.WithTimeout(ctx, enginePollTimeout)
 	defer cancel()
 	sets, err := a.reportOf(rctx)
@@ -58,7 +58,7 @@
 	case restarted || refused:
 		a.crashes.backendCrashed(ctx, previous.Started)
 	case err == nil:
-		a.crashes.backendAlive(start)
+		a.crashes.backendAlive(asked)
 	}
 }
 
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -37,6 +37,7 @@
 	mu        sync.Mutex
 	attempts  map[gate.ID]brokenAttempt
 	verdicts  map[gate.ID]verdict // on broken attempts, for crashAnnounced
+	broke     uint64 // attempts so far
 	incidents uint64
 	last      *wire.Crash
 	lastAt    time.Time
@@ -48,7 +49,7 @@
 
 type brokenAttempt struct {
 	attempt gate.Attempt
-	at      time.Time
+	number  uint64 // orders it against reports asked for; see mark
 }
 
 // verdict is what became of the backend under a broken attempt.
@@ -66,18 +67,27 @@
 // report that tells a crash from an answer cut short.
 func (c *crashes) broken(attempt gate.Attempt) {
 	c.mu.Lock()
-	c.attempts[attempt.ID] = brokenAttempt{attempt, time.Now()}
+	c.broke++
+	c.attempts[attempt.ID] = brokenAttempt{attempt, c.broke}
 	c.mu.Unlock()
 	c.agent.refreshEngine()
 }
 
+// mark returns the number of attempts that have broken so far. Take it before a
+// report of the backend is asked for.
+func (c *crashes) mark() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broke
+}
+
 // backendAlive forgets attempts that broke before a report of the same backend
 // process was asked for.
-func (c *crashes) backendAlive(asked time.Time) {
+func (c *crashes) backendAlive(asked uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, b := range c.attempts {
-		if !b.at.After(asked) {
+		if b.number <= asked {
 			delete(c.attempts, id)
 			c.decide(id, wire.BackendAlive)
 		}
