--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -37,7 +37,7 @@
 	mu        sync.Mutex
 	attempts  map[gate.ID]brokenAttempt
 	verdicts  map[gate.ID]verdict // on broken attempts, for crashAnnounced
-	broke     uint64 // attempts so far
+	broke     uint64              // attempts so far
 	incidents uint64
 	last      *wire.Crash
 	lastAt    time.Time
