--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -4,62 +4,38 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
-	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 )
 
-type arguments struct {
-	Settings string           `required:"" help:"Settings file (YAML)."`
-	Check    bool             `help:"Check the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-}
+const program = "rhubarb-control"
 
 func main() {
-	var args arguments
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-	}
-	kong.Parse(&args, kong.Name("rhubarb-control"), kong.Vars{"version": version},
-		kong.Description("A control replica of rhubarbhill."))
-	if err := run(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	config := control.DefaultSettings()
+	daemon.Main(program, "Control replica.", &config, func(ctx context.Context) error {
+		return run(ctx, config)
+	})
 }
 
-func run(args arguments) error {
-	s := control.DefaultSettings()
-	if err := settings.Load(args.Settings, &s); err != nil || args.Check {
-		return err
-	}
-	processToken, err := auth.ReadToken(s.ProcessTokenFile)
+func run(ctx context.Context, config control.Settings) error {
+	processToken, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
 	}
-	operatorToken, err := auth.ReadToken(s.OperatorTokenFile)
+	operatorToken, err := auth.ReadToken(config.OperatorTokenFile)
 	if err != nil {
 		return err
 	}
-	logger, err := logging.Setup("rhubarb-control", s.Instance, s.LogLevel, processToken, operatorToken)
+	logger, err := logging.Setup(program, config.Instance, config.LogLevel, processToken, operatorToken)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	daemon, err := control.New(s, control.Options{ProcessToken: &processToken, OperatorToken: &operatorToken}, logger)
+	d, err := control.New(config, control.Options{ProcessToken: &processToken, OperatorToken: &operatorToken}, logger)
 	if err != nil {
 		return err
 	}
-	return daemon.Run(ctx)
+	return d.Run(ctx)
 }
