--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"slices"
+
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
@@ -57,6 +59,26 @@
 	WaitingFor []string           `json:"waiting_for,omitempty"`
 	Digest     release.Digest     `json:"digest"`
 	Catalogue  *release.Catalogue `json:"catalogue,omitempty"`
+	Endpoints  []Endpoint         `json:"endpoints,omitempty"`
+}
+
+// Live counts the endpoints that serve the set of a model, and those that should.
+func (s Status) Live(model string) (live, total int) {
+	set, ok := s.Catalogue.Set(model)
+	if !ok {
+		return 0, 0
+	}
+	id := set.ID()
+	for _, e := range s.Endpoints {
+		if e.Kind != wire.KindEngine || e.Role != set.Model.Role {
+			continue
+		}
+		total++
+		if slices.ContainsFunc(e.Sets, func(l wire.LoadedSet) bool { return l.SetID == id }) {
+			live++
+		}
+	}
+	return live, total
 }
 
 // Endpoints answers GET PathEndpoints.
--- a/internal/operator/current_test.go
+++ b/internal/operator/current_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
 // Guards against a status that a replica behind a partition, or one without
@@ -66,3 +68,21 @@
 	}
 	is.Equal(asked, 1)
 }
+
+// Guards against a status that counts endpoints of another role, or ones that
+// still serve the version before, as live.
+func TestStatusCountsLiveReplicas(t *testing.T) {
+	is := is.New(t)
+	catalogue := release.NewCatalogue()
+	catalogue.Models["quote"] = release.Model{Name: "quote", Version: "2", Role: "quote"}
+	set, _ := catalogue.Set("quote")
+	endpoint := func(role, setID string) Endpoint {
+		return Endpoint{Kind: wire.KindEngine, Role: role, Sets: []wire.LoadedSet{{Model: "quote", SetID: setID}}}
+	}
+	status := Status{Catalogue: &catalogue, Endpoints: []Endpoint{
+		endpoint("quote", set.ID()), endpoint("quote", "older"), endpoint("other", set.ID()), {Kind: wire.KindService},
+	}}
+	live, total := status.Live("quote")
+	is.Equal(live, 1)
+	is.Equal(total, 2)
+}
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -107,17 +107,23 @@
 		return
 	}
 	row(w)
-	row(w, "NAME", "VERSION", "ON", "MANIFEST")
+	row(w, "NAME", "VERSION", "ON", "LIVE", "MANIFEST")
 	for _, name := range slices.Sorted(maps.Keys(s.Catalogue.Models)) {
 		m := s.Catalogue.Models[name]
-		row(w, name, m.Version, "role "+m.Role, short(string(m.Manifest)))
+		row(w, name, m.Version, "role "+m.Role, s.liveText(name), short(string(m.Manifest)))
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Catalogue.Adapters)) {
 		a := s.Catalogue.Adapters[name]
-		row(w, name, a.Version, "base "+a.Base, short(string(a.Manifest)))
+		row(w, name, a.Version, "base "+a.Base, s.liveText(a.Base), short(string(a.Manifest)))
 	}
 }
 
+// liveText says on how many endpoints the set of a model is live.
+func (s Status) liveText(model string) string {
+	live, total := s.Live(model)
+	return fmt.Sprintf("%d/%d", live, total)
+}
+
 func endpointsTable(w io.Writer, e Endpoints) {
 	row(w, "ENDPOINT", "KIND", "SERVES", "ZONE", "GATE", "STATE", "IN FLIGHT", "REVISION", "SETS")
 	for _, p := range e.Endpoints {
