Matrix: cut an entry and an endpoint off from control

Cause: with the gate's lease check removed all cells passed, since entries refuse withdrawn models too. Change: a fault that leaves an entry and an endpoint reaching each other but not control, so that only the lease protects.

--- a/internal/matrix/faults_test.go
+++ b/internal/matrix/faults_test.go
@@ -53,6 +53,7 @@
 	{"lost disk", loseDisk, always},
 	{"silent cut, outgoing", func(s *system, at string) { s.cut(victim(at), true, false, cutFor) }, always},
 	{"silent cut, both ways", func(s *system, at string) { s.cut(victim(at), true, true, cutFor) }, always},
+	{"entry and endpoint cut off from control", cutFromControl, always},
 	{"pause and resume", pauseProcess, always},
 	{"slow link", slowLink, always},
 	{"corrupt chunk", corruptChunk, onlyOn("weights", "no chunk moves on this path")},
@@ -98,6 +99,23 @@
 	})
 }
 
+// cutFromControl cuts one entry and one agent off from all control replicas,
+// while they still reach each other. The entry does not hear of a withdrawal, so
+// only the gate's lease keeps the endpoint from serving it.
+func cutFromControl(s *system, _ string) {
+	set := func(change func(from, to string)) {
+		for i := range controls {
+			control := fmt.Sprintf("control-%d", i)
+			for _, name := range []string{"entry-0", "agent-0"} {
+				change(name, control)
+				change(control, name)
+			}
+		}
+	}
+	set(s.net.Cut)
+	s.later(cutFor, func() { set(s.net.Heal) })
+}
+
 // pauseProcess stops all communication of a process and lets it go on later. It
 // comes back with the state, and the requests, of the time before.
 func pauseProcess(s *system, at string) {
