--- a/internal/matrix/report_test.go
+++ b/internal/matrix/report_test.go
@@ -82,6 +82,7 @@
 ## What these cells do not show
 
 - A paused process here stops communicating while its timers go on. Real pauses (SIGSTOP) of each role, and kills of real processes, are run by ` + "`make faults`" + `.
+- The seed fixes load and pairs, not the order of goroutines: which replica reaches a step first can differ between runs.
 - Disks do not fail or fill here; the tests of packages storage and internal/control bring that about.
 - Raft messages are lost, duplicated and reordered singly in the property tests of package raft; over the in-memory network each connection keeps its order, as TCP does.
 - Weights are a few hundred KiB. Rollouts under link limits are measured by ` + "`make measure-weights`" + `.
