entry tests: keep the queue wait that they were written for

The reason of the refusal was not recorded. Likely: queue_wait went from 2 s to 800 ms, so a stalled machine is refused. The fixture now sets the 2 s it had; every assertion is unchanged, and tests about queueing set their own.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -120,6 +120,8 @@
 	s.Instance, s.Zone, s.Region = "entry-"+string(rune('a'+len(c.entries))), "z1", "r1"
 	s.Advertise, s.Controls = listener.Addr().String(), []string{c.control.Address()}
 	s.AddressTTL, s.StallTimeout = Duration(100*time.Millisecond), Duration(300*time.Millisecond)
+	// Tests that are not about queueing must not be refused on a busy machine.
+	s.QueueWait = Duration(2 * time.Second)
 	for _, f := range change {
 		f(&s)
 	}
