transfer tests: run over the in-memory network in virtual time

The fixture's agents wait 300 ms for a read and 500 ms without progress before they fall back to the origin, as they should; over sockets a busy machine is that late without any fault. With 12 processes of the test binary at once (load 38), 38 of 48 processes failed, in this test and in TestRegionLinksOnceTakesOneCopy. Ruled out: a second designated instance for a chunk, and a scheduler fault: over the in-memory network in virtual time no run showed a second request. Change: the fake origin and the agents use internal/network/memnet, and the tests run in testing/synctest bubbles, so that only a fault lets time pass. Assertions and timeouts are unchanged. TestCopyHoldsNoChunkInMemory keeps its sockets, since the in-memory network buffers without a bound. Conclusion: the verdict no longer depends on the machine's speed.

--- a/internal/transfer/fake_test.go
+++ b/internal/transfer/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/manifest"
 	"github.com/rhubarbhill/rhubarbhill/release"
@@ -25,9 +29,30 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// lastPort numbers the listeners of all tests.
+var lastPort atomic.Int32
+
+// serve serves h until the test ends.
+func serve(t *testing.T, n network.Network, h http.Handler) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(h)
+	if n != nil {
+		_ = server.Listener.Close()
+		listener, err := n.Listen(fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		server.Listener = listener
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 // fakeOrigin serves manifests and objects, like the origin and the store.
 type fakeOrigin struct {
 	*httptest.Server
+	network   *memnet.Network // nil for loopback sockets
 	mu        sync.Mutex
 	manifests map[string][]byte
 	objects   map[string][]byte
@@ -36,13 +61,36 @@
 	intercept func(w http.ResponseWriter, r *http.Request) bool
 }
 
+// newFakeOrigin returns an origin on an in-memory network, for tests in virtual
+// time: over sockets, a busy machine is late enough to reach the timeouts.
 func newFakeOrigin(t *testing.T) *fakeOrigin {
-	o := &fakeOrigin{manifests: map[string][]byte{}, objects: map[string][]byte{}, requests: map[string]int{}}
-	o.Server = httptest.NewServer(o)
-	t.Cleanup(o.Close)
+	return startOrigin(t, memnet.New())
+}
+
+// newSocketOrigin returns an origin on a loopback socket.
+func newSocketOrigin(t *testing.T) *fakeOrigin { return startOrigin(t, nil) }
+
+func startOrigin(t *testing.T, n *memnet.Network) *fakeOrigin {
+	o := &fakeOrigin{
+		network: n, manifests: map[string][]byte{}, objects: map[string][]byte{}, requests: map[string]int{},
+	}
+	o.Server = serve(t, o.host("origin"), o)
 	return o
 }
 
+// host is the named process's view of the network.
+func (o *fakeOrigin) host(name string) network.Network {
+	if o.network == nil {
+		return nil
+	}
+	return o.network.Host(name)
+}
+
+// withOrigin configures an agent on the origin's network.
+func withOrigin(o *fakeOrigin) func(*Config) {
+	return func(c *Config) { c.OriginURL, c.Network = o.URL, o.host(c.Endpoint) }
+}
+
 func (o *fakeOrigin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.mu.Lock()
 	o.requests[r.URL.Path+" "+r.Header.Get("Range")]++
@@ -152,8 +200,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(tr.PeerHandler())
-	t.Cleanup(func() { server.Close(); tr.Close() })
+	t.Cleanup(tr.Close)
+	server := serve(t, cfg.Network, tr.PeerHandler())
 	return &agent{tr, server, Peer{
 		Endpoint: name, Region: region,
 		ChunkAddress: strings.TrimPrefix(server.URL, "http://"),
--- a/internal/transfer/fault_test.go
+++ b/internal/transfer/fault_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -13,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -25,42 +25,39 @@
 
 const chunkSize = manifest.ChunkBytes
 
-func withOrigin(o *fakeOrigin) func(*Config) {
-	return func(c *Config) { c.OriginURL = o.URL }
-}
-
 // front answers chunk requests of an agent's peer port with h instead.
 func (a *agent) front(t *testing.T, h http.HandlerFunc) {
 	inner := a.PeerHandler()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := serve(t, a.cfg.Network, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, wire.PathChunks) {
 			h(w, r)
 			return
 		}
 		inner.ServeHTTP(w, r)
 	}))
-	t.Cleanup(server.Close)
 	a.peer.ChunkAddress = strings.TrimPrefix(server.URL, "http://")
 }
 
 // Guards against use of chunks that do not match their digest, and against
 // asking a peer again that sent one.
 func TestCorruptPeerIsAvoided(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data := randomBytes(1, 6*chunkSize)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
-	fetchAll(t, set, holder)
-	var asked atomic.Int32
-	holder.front(t, func(w http.ResponseWriter, _ *http.Request) {
-		asked.Add(1)
-		_, _ = w.Write(randomBytes(9, chunkSize))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data := randomBytes(1, 6*chunkSize)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
+		fetchAll(t, set, holder)
+		var asked atomic.Int32
+		holder.front(t, func(w http.ResponseWriter, _ *http.Request) {
+			asked.Add(1)
+			_, _ = w.Write(randomBytes(9, chunkSize))
+		})
+		connect(holder, victim)
+		checkFile(t, fetchAll(t, set, victim)[0], "m", data)
+		is.True(asked.Load() >= 1)
+		is.True(asked.Load() <= 2) // those in flight at the first fault
 	})
-	connect(holder, victim)
-	checkFile(t, fetchAll(t, set, victim)[0], "m", data)
-	is.True(asked.Load() >= 1)
-	is.True(asked.Load() <= 2) // those in flight at the first fault
 }
 
 // Guards against a transfer that hangs on a peer which accepts and sends
@@ -68,20 +65,22 @@
 func TestStalledPeerIsLeft(t *testing.T) {
 	for name, sent := range map[string]int{"no answer": 0, "within a chunk": 1000} {
 		t.Run(name, func(t *testing.T) {
-			origin := newFakeOrigin(t)
-			data := randomBytes(1, 3*chunkSize)
-			set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-			holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
-			fetchAll(t, set, holder)
-			holder.front(t, func(w http.ResponseWriter, r *http.Request) {
-				if sent > 0 {
-					_, _ = w.Write(make([]byte, sent))
-					_ = http.NewResponseController(w).Flush()
-				}
-				<-r.Context().Done()
+			synctest.Test(t, func(t *testing.T) {
+				origin := newFakeOrigin(t)
+				data := randomBytes(1, 3*chunkSize)
+				set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+				holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
+				fetchAll(t, set, holder)
+				holder.front(t, func(w http.ResponseWriter, r *http.Request) {
+					if sent > 0 {
+						_, _ = w.Write(make([]byte, sent))
+						_ = http.NewResponseController(w).Flush()
+					}
+					<-r.Context().Done()
+				})
+				connect(holder, victim)
+				checkFile(t, fetchAll(t, set, victim)[0], "m", data)
 			})
-			connect(holder, victim)
-			checkFile(t, fetchAll(t, set, victim)[0], "m", data)
 		})
 	}
 }
@@ -89,35 +88,39 @@
 // Guards against a transfer that waits for chunks which a peer reports to hold
 // and does not have.
 func TestLyingPeerIsLeft(t *testing.T) {
-	origin := newFakeOrigin(t)
-	data := randomBytes(1, 3*chunkSize)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
-	fetchAll(t, set, holder)
-	holder.front(t, http.NotFound)
-	connect(holder, victim)
-	checkFile(t, fetchAll(t, set, victim)[0], "m", data)
+	synctest.Test(t, func(t *testing.T) {
+		origin := newFakeOrigin(t)
+		data := randomBytes(1, 3*chunkSize)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
+		fetchAll(t, set, holder)
+		holder.front(t, http.NotFound)
+		connect(holder, victim)
+		checkFile(t, fetchAll(t, set, victim)[0], "m", data)
+	})
 }
 
 // Guards against weights mixed from two contents of an object that changes at
 // the origin in mid-copy.
 func TestObjectChangedInMidCopy(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data, other := randomBytes(1, 6*chunkSize), randomBytes(2, 6*chunkSize)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	var requests atomic.Int32
-	origin.setIntercept(func(w http.ResponseWriter, r *http.Request) bool {
-		n := requests.Add(1)
-		if n <= 3 || n > 6 {
-			return false
-		}
-		http.ServeContent(w, r, "", time.Time{}, strings.NewReader(string(other)))
-		return true
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data, other := randomBytes(1, 6*chunkSize), randomBytes(2, 6*chunkSize)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		var requests atomic.Int32
+		origin.setIntercept(func(w http.ResponseWriter, r *http.Request) bool {
+			n := requests.Add(1)
+			if n <= 3 || n > 6 {
+				return false
+			}
+			http.ServeContent(w, r, "", time.Time{}, strings.NewReader(string(other)))
+			return true
+		})
+		a := newAgent(t, "a", "r", withOrigin(origin))
+		checkFile(t, fetchAll(t, set, a)[0], "m", data)
+		is.Equal(requests.Load(), int32(6+3))
 	})
-	a := newAgent(t, "a", "r", withOrigin(origin))
-	checkFile(t, fetchAll(t, set, a)[0], "m", data)
-	is.Equal(requests.Load(), int32(6+3))
 }
 
 // Guards against use of a corrupt store, and against requests to a store
@@ -136,24 +139,28 @@
 	}
 	for name, answer := range faults {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			origin, store := newFakeOrigin(t), newFakeOrigin(t)
-			data := randomBytes(1, 5*chunkSize)
-			set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-			store.setIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
-				answer(w)
-				return true
-			})
-			a := newAgent(t, "a", "r", func(c *Config) {
-				c.OriginURL, c.StoreURL = origin.URL, store.URL
-				c.Swarm.OutsideFetches = 2
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				origin := newFakeOrigin(t)
+				store := startOrigin(t, origin.network)
+				data := randomBytes(1, 5*chunkSize)
+				set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+				store.setIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
+					answer(w)
+					return true
+				})
+				a := newAgent(t, "a", "r", func(c *Config) {
+					withOrigin(origin)(c)
+					c.StoreURL = store.URL
+					c.Swarm.OutsideFetches = 2
+				})
+				checkFile(t, fetchAll(t, set, a)[0], "m", data)
+				is.Equal(origin.objectRequests(), 5)
+				if name == "busy" {
+					is.True(store.objectRequests() <= 2) // those in flight together
+					is.True(a.penalties.Until(swarm.Source{Kind: swarm.KindStore}) > 50*time.Second)
+				}
 			})
-			checkFile(t, fetchAll(t, set, a)[0], "m", data)
-			is.Equal(origin.objectRequests(), 5)
-			if name == "busy" {
-				is.True(store.objectRequests() <= 2) // those in flight together
-				is.True(a.penalties.Until(swarm.Source{Kind: swarm.KindStore}) > 50*time.Second)
-			}
 		})
 	}
 }
@@ -161,70 +168,74 @@
 // Guards against a transfer that never ends when the only holder of a chunk
 // dies, and against the loss of what did arrive.
 func TestOnlyHolderDies(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data := randomBytes(1, 4*chunkSize)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
-	fetchAll(t, set, holder)
-	var served atomic.Int32
-	inner := holder.PeerHandler()
-	holder.front(t, func(w http.ResponseWriter, r *http.Request) {
-		if served.Add(1) > 2 {
-			panic(http.ErrAbortHandler) // dies with two chunks given
-		}
-		inner.ServeHTTP(w, r)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data := randomBytes(1, 4*chunkSize)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		holder, victim := newAgent(t, "holder", "r", withOrigin(origin)), newAgent(t, "victim", "r", withOrigin(origin))
+		fetchAll(t, set, holder)
+		var served atomic.Int32
+		inner := holder.PeerHandler()
+		holder.front(t, func(w http.ResponseWriter, r *http.Request) {
+			if served.Add(1) > 2 {
+				panic(http.ErrAbortHandler) // dies with two chunks given
+			}
+			inner.ServeHTTP(w, r)
+		})
+		connect(holder, victim)
+		checkFile(t, fetchAll(t, set, victim)[0], "m", data)
+		is.Equal(origin.objectRequests(), 4+2)
 	})
-	connect(holder, victim)
-	checkFile(t, fetchAll(t, set, victim)[0], "m", data)
-	is.Equal(origin.objectRequests(), 4+2)
 }
 
 // Guards against a folder of a set that the engine could load before every
 // chunk is verified, and against a cancelled transfer that goes on.
 func TestCancelAndChangeOfSet(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	shared := randomBytes(1, 4*chunkSize)
-	old := append(append([]byte{}, shared...), randomBytes(2, 4*chunkSize)...)
-	next := append(append([]byte{}, shared...), randomBytes(3, 4*chunkSize)...)
-	oldSet := modelSet(origin.publish(t, map[string][]byte{"m/1": old}))
-	nextSet := modelSet(origin.publish(t, map[string][]byte{"m/2": next}))
-	gate := make(chan struct{})
-	open := sync.OnceFunc(func() { close(gate) })
-	defer open()
-	origin.setIntercept(func(_ http.ResponseWriter, r *http.Request) bool {
-		var offset int64
-		_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &offset)
-		if strings.HasSuffix(r.URL.Path, "m/1") && offset >= 5*chunkSize {
-			<-gate
-		}
-		return false
-	})
-	a := newAgent(t, "a", "r", withOrigin(origin))
-	failed := make(chan error, 1)
-	go func() {
-		_, err := a.Fetch(t.Context(), oldSet)
-		failed <- err
-	}()
-	waitFor(t, func() bool { return len(a.Progress()) == 1 && a.Progress()[0].ChunksHave >= 2 })
-	_, err := os.Stat(filepath.Join(a.cfg.CacheDir, "sets", oldSet.ID()))
-	is.True(errors.Is(err, os.ErrNotExist))
-	a.Cancel(oldSet.ID())
-	is.True(errors.Is(<-failed, ErrCancelled))
-	open()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		shared := randomBytes(1, 4*chunkSize)
+		old := append(append([]byte{}, shared...), randomBytes(2, 4*chunkSize)...)
+		next := append(append([]byte{}, shared...), randomBytes(3, 4*chunkSize)...)
+		oldSet := modelSet(origin.publish(t, map[string][]byte{"m/1": old}))
+		nextSet := modelSet(origin.publish(t, map[string][]byte{"m/2": next}))
+		gate := make(chan struct{})
+		open := sync.OnceFunc(func() { close(gate) })
+		defer open()
+		origin.setIntercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			var offset int64
+			_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &offset)
+			if strings.HasSuffix(r.URL.Path, "m/1") && offset >= 5*chunkSize {
+				<-gate
+			}
+			return false
+		})
+		a := newAgent(t, "a", "r", withOrigin(origin))
+		failed := make(chan error, 1)
+		go func() {
+			_, err := a.Fetch(t.Context(), oldSet)
+			failed <- err
+		}()
+		waitFor(t, func() bool { return len(a.Progress()) == 1 && a.Progress()[0].ChunksHave >= 2 })
+		_, err := os.Stat(filepath.Join(a.cfg.CacheDir, "sets", oldSet.ID()))
+		is.True(errors.Is(err, os.ErrNotExist))
+		a.Cancel(oldSet.ID())
+		is.True(errors.Is(<-failed, ErrCancelled))
+		open()
 
-	held := a.version(oldSet.Model.Manifest).heldCount()
-	before := origin.objectRequests()
-	checkFile(t, fetchAll(t, nextSet, a)[0], "m/2", next)
-	sharedHeld := 0
-	for i := range 4 {
-		if a.version(oldSet.Model.Manifest).holds(i) {
-			sharedHeld++
+		held := a.version(oldSet.Model.Manifest).heldCount()
+		before := origin.objectRequests()
+		checkFile(t, fetchAll(t, nextSet, a)[0], "m/2", next)
+		sharedHeld := 0
+		for i := range 4 {
+			if a.version(oldSet.Model.Manifest).holds(i) {
+				sharedHeld++
+			}
 		}
-	}
-	is.True(held >= 2 && sharedHeld >= 1)
-	is.Equal(origin.objectRequests()-before, 8-sharedHeld)
+		is.True(held >= 2 && sharedHeld >= 1)
+		is.Equal(origin.objectRequests()-before, 8-sharedHeld)
+	})
 }
 
 func waitFor(t *testing.T, condition func() bool) {
@@ -241,128 +252,138 @@
 // Guards against chunks fetched twice or trusted unread after a restart in
 // mid-copy.
 func TestRestartInMidCopy(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data := randomBytes(1, 8*chunkSize)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	var allowed atomic.Int32
-	allowed.Store(4)
-	origin.setIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
-		if allowed.Add(-1) >= 0 {
-			return false
-		}
-		w.WriteHeader(http.StatusInternalServerError)
-		return true
-	})
-	dir := t.TempDir()
-	edit := func(c *Config) { c.OriginURL, c.CacheDir = origin.URL, dir }
-	first := newAgent(t, "a", "r", edit)
-	ctx, cancel := context.WithCancel(t.Context())
-	failed := make(chan error, 1)
-	go func() {
-		_, err := first.Fetch(ctx, set)
-		failed <- err
-	}()
-	waitFor(t, func() bool { return len(first.Progress()) == 1 && first.Progress()[0].ChunksHave == 4 })
-	cancel()
-	is.True(<-failed != nil)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data := randomBytes(1, 8*chunkSize)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		var allowed atomic.Int32
+		allowed.Store(4)
+		origin.setIntercept(func(w http.ResponseWriter, _ *http.Request) bool {
+			if allowed.Add(-1) >= 0 {
+				return false
+			}
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		})
+		dir := t.TempDir()
+		edit := func(c *Config) { withOrigin(origin)(c); c.CacheDir = dir }
+		first := newAgent(t, "a", "r", edit)
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := first.Fetch(ctx, set)
+			failed <- err
+		}()
+		waitFor(t, func() bool { return len(first.Progress()) == 1 && first.Progress()[0].ChunksHave == 4 })
+		cancel()
+		is.True(<-failed != nil)
 
-	// One chunk on disk is damaged while the agent is down.
-	v := first.version(set.Model.Manifest)
-	damaged := v.order[0]
-	file, err := os.OpenFile(v.placePath(v.chunks[damaged].first), os.O_WRONLY, 0)
-	is.NoErr(err)
-	_, err = file.WriteAt([]byte("damage"), v.chunks[damaged].first.offset+77)
-	is.NoErr(errors.Join(err, file.Close()))
+		// One chunk on disk is damaged while the agent is down.
+		v := first.version(set.Model.Manifest)
+		damaged := v.order[0]
+		file, err := os.OpenFile(v.placePath(v.chunks[damaged].first), os.O_WRONLY, 0)
+		is.NoErr(err)
+		_, err = file.WriteAt([]byte("damage"), v.chunks[damaged].first.offset+77)
+		is.NoErr(errors.Join(err, file.Close()))
 
-	allowed.Store(1000)
-	before := origin.objectRequests()
-	second := newAgent(t, "a", "r", edit)
-	_, err = second.Verify(t.Context(), set)
-	is.True(errors.Is(err, ErrNotCached))
-	checkFile(t, fetchAll(t, set, second)[0], "m", data)
-	is.Equal(origin.objectRequests()-before, 5)
+		allowed.Store(1000)
+		before := origin.objectRequests()
+		second := newAgent(t, "a", "r", edit)
+		_, err = second.Verify(t.Context(), set)
+		is.True(errors.Is(err, ErrNotCached))
+		checkFile(t, fetchAll(t, set, second)[0], "m", data)
+		is.Equal(origin.objectRequests()-before, 5)
+	})
 }
 
 // Guards against a set that is fetched again, or reported complete unread,
 // after a restart between verification and assembly or with damage on disk.
 func TestRestartAfterVerification(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data, adapter := randomBytes(1, 3*chunkSize), randomBytes(2, 100)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	set.Adapters = []release.Adapter{{Name: "x", Base: "m", Version: "1", Manifest: origin.publish(t, map[string][]byte{"x": adapter})}}
-	dir := t.TempDir()
-	edit := func(c *Config) { c.OriginURL, c.CacheDir = origin.URL, dir }
-	fetchAll(t, set, newAgent(t, "a", "r", edit))
-	requests := origin.objectRequests()
-	is.NoErr(os.RemoveAll(filepath.Join(dir, "sets", set.ID())))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data, adapter := randomBytes(1, 3*chunkSize), randomBytes(2, 100)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		set.Adapters = []release.Adapter{{Name: "x", Base: "m", Version: "1", Manifest: origin.publish(t, map[string][]byte{"x": adapter})}}
+		dir := t.TempDir()
+		edit := func(c *Config) { withOrigin(origin)(c); c.CacheDir = dir }
+		fetchAll(t, set, newAgent(t, "a", "r", edit))
+		requests := origin.objectRequests()
+		is.NoErr(os.RemoveAll(filepath.Join(dir, "sets", set.ID())))
 
-	second := newAgent(t, "a", "r", edit)
-	setDir, err := second.Verify(t.Context(), set)
-	is.NoErr(err)
-	checkFile(t, setDir, "m", data)
-	checkFile(t, setDir, "x", adapter)
-	is.Equal(origin.objectRequests(), requests)
+		second := newAgent(t, "a", "r", edit)
+		setDir, err := second.Verify(t.Context(), set)
+		is.NoErr(err)
+		checkFile(t, setDir, "m", data)
+		checkFile(t, setDir, "x", adapter)
+		is.Equal(origin.objectRequests(), requests)
 
-	// An engine that has the damaged file open keeps its content.
-	is.NoErr(os.WriteFile(filepath.Join(setDir, "m"), randomBytes(3, 3*chunkSize), 0o600))
-	open, err := os.Open(filepath.Join(setDir, "m"))
-	is.NoErr(err)
-	defer func() { _ = open.Close() }()
-	third := newAgent(t, "a", "r", edit)
-	_, err = third.Verify(t.Context(), set)
-	is.True(errors.Is(err, ErrNotCached))
-	checkFile(t, fetchAll(t, set, third)[0], "m", data)
-	head := make([]byte, 8)
-	_, err = open.ReadAt(head, 0)
-	is.NoErr(err)
-	is.Equal(head, randomBytes(3, 8))
+		// An engine that has the damaged file open keeps its content.
+		is.NoErr(os.WriteFile(filepath.Join(setDir, "m"), randomBytes(3, 3*chunkSize), 0o600))
+		open, err := os.Open(filepath.Join(setDir, "m"))
+		is.NoErr(err)
+		defer func() { _ = open.Close() }()
+		third := newAgent(t, "a", "r", edit)
+		_, err = third.Verify(t.Context(), set)
+		is.True(errors.Is(err, ErrNotCached))
+		checkFile(t, fetchAll(t, set, third)[0], "m", data)
+		head := make([]byte, 8)
+		_, err = open.ReadAt(head, 0)
+		is.NoErr(err)
+		is.Equal(head, randomBytes(3, 8))
+	})
 }
 
 // Guards against a cancelled set that keeps hashing or copying files.
 func TestCancelEndsHashing(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": randomBytes(1, chunkSize)}))
-	a := newAgent(t, "a", "r", withOrigin(origin))
-	fetchAll(t, set, a)
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	is.True(errors.Is(a.version(set.Model.Manifest).load(ctx), ErrCancelled))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": randomBytes(1, chunkSize)}))
+		a := newAgent(t, "a", "r", withOrigin(origin))
+		fetchAll(t, set, a)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.True(errors.Is(a.version(set.Model.Manifest).load(ctx), ErrCancelled))
+	})
 }
 
 // Guards against removal of files in use and against files left behind.
 func TestPrune(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	one := modelSet(origin.publish(t, map[string][]byte{"m/1": randomBytes(1, 10)}))
-	two := modelSet(origin.publish(t, map[string][]byte{"m/2": randomBytes(2, 10)}))
-	dir := t.TempDir()
-	edit := func(c *Config) { c.OriginURL, c.CacheDir = origin.URL, dir }
-	a := newAgent(t, "a", "r", edit)
-	fetchAll(t, one, a)
-	fetchAll(t, two, a)
-	b := newAgent(t, "a", "r", edit) // restarted: knows of neither set
-	is.NoErr(b.Prune([]string{two.ID()}))
-	for _, sub := range []string{"sets", "index", "versions", "manifests"} {
-		entries, err := os.ReadDir(filepath.Join(dir, sub))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		one := modelSet(origin.publish(t, map[string][]byte{"m/1": randomBytes(1, 10)}))
+		two := modelSet(origin.publish(t, map[string][]byte{"m/2": randomBytes(2, 10)}))
+		dir := t.TempDir()
+		edit := func(c *Config) { withOrigin(origin)(c); c.CacheDir = dir }
+		a := newAgent(t, "a", "r", edit)
+		fetchAll(t, one, a)
+		fetchAll(t, two, a)
+		b := newAgent(t, "a", "r", edit) // restarted: knows of neither set
+		is.NoErr(b.Prune([]string{two.ID()}))
+		for _, sub := range []string{"sets", "index", "versions", "manifests"} {
+			entries, err := os.ReadDir(filepath.Join(dir, sub))
+			is.NoErr(err)
+			is.Equal(len(entries), 1)
+		}
+		_, err := b.Verify(t.Context(), two)
 		is.NoErr(err)
-		is.Equal(len(entries), 1)
-	}
-	_, err := b.Verify(t.Context(), two)
-	is.NoErr(err)
+	})
 }
 
 // Guards against a model whose files an engine would misread.
 func TestInvalidSafetensorsIsNotAssembled(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	set := modelSet(origin.publish(t, map[string][]byte{"m.safetensors": randomBytes(1, 100)}))
-	a := newAgent(t, "a", "r", withOrigin(origin))
-	_, err := a.Fetch(t.Context(), set)
-	is.True(errors.Is(err, ErrSetInvalid))
-	is.Equal(a.Progress()[0].Phase, PhaseFailed)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		set := modelSet(origin.publish(t, map[string][]byte{"m.safetensors": randomBytes(1, 100)}))
+		a := newAgent(t, "a", "r", withOrigin(origin))
+		_, err := a.Fetch(t.Context(), set)
+		is.True(errors.Is(err, ErrSetInvalid))
+		is.Equal(a.Progress()[0].Phase, PhaseFailed)
+	})
 }
 
 func chunkStatus(t *testing.T, a *agent, digest release.Digest, region, token string) int {
@@ -373,7 +394,7 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+token)
 	request.Header.Set(headerRegion, region)
-	response, err := a.server.Client().Do(request)
+	response, err := a.client.http.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -384,46 +405,47 @@
 // Guards against chunks that cross a region link against the rule because the
 // asking side got it wrong, and against callers without the process token.
 func TestChunkServerRefuses(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	data := randomBytes(1, 100)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
-	digest := release.DigestOf(data)
-	secret := testToken(t).Secret()
-	never := newAgent(t, "a", "r", withOrigin(origin))
-	once := newAgent(t, "b", "r", func(c *Config) { c.OriginURL, c.RegionLinks = origin.URL, swarm.RegionLinksOnce })
-	fetchAll(t, set, never)
-	fetchAll(t, set, once)
-	is.Equal(chunkStatus(t, never, digest, "r", secret), http.StatusOK)
-	is.Equal(chunkStatus(t, never, digest, "r", "wrong"), http.StatusUnauthorized)
-	is.Equal(chunkStatus(t, never, digest, "other", secret), http.StatusForbidden)
-	is.Equal(chunkStatus(t, once, digest, "other", secret), http.StatusOK)
-	is.Equal(chunkStatus(t, once, digest, "other", secret), http.StatusForbidden)
-	is.Equal(chunkStatus(t, once, digest, "third", secret), http.StatusOK)
-	is.Equal(chunkStatus(t, once, release.DigestOf(nil), "r", secret), http.StatusNotFound)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		origin := newFakeOrigin(t)
+		data := randomBytes(1, 100)
+		set := modelSet(origin.publish(t, map[string][]byte{"m": data}))
+		digest := release.DigestOf(data)
+		secret := testToken(t).Secret()
+		never := newAgent(t, "a", "r", withOrigin(origin))
+		once := newAgent(t, "b", "r", func(c *Config) { withOrigin(origin)(c); c.RegionLinks = swarm.RegionLinksOnce })
+		fetchAll(t, set, never)
+		fetchAll(t, set, once)
+		is.Equal(chunkStatus(t, never, digest, "r", secret), http.StatusOK)
+		is.Equal(chunkStatus(t, never, digest, "r", "wrong"), http.StatusUnauthorized)
+		is.Equal(chunkStatus(t, never, digest, "other", secret), http.StatusForbidden)
+		is.Equal(chunkStatus(t, once, digest, "other", secret), http.StatusOK)
+		is.Equal(chunkStatus(t, once, digest, "other", secret), http.StatusForbidden)
+		is.Equal(chunkStatus(t, once, digest, "third", secret), http.StatusOK)
+		is.Equal(chunkStatus(t, once, release.DigestOf(nil), "r", secret), http.StatusNotFound)
+	})
 }
 
 // Guards against transfers that ignore their rate limits.
 func TestRateLimits(t *testing.T) {
-	is := is.New(t)
-	origin := newFakeOrigin(t)
-	set := modelSet(origin.publish(t, map[string][]byte{"m": randomBytes(1, 2*chunkSize)}))
-	fast := newAgent(t, "fast", "r", withOrigin(origin))
-	fetchAll(t, set, fast)
-	for name, edit := range map[string]func(*Config){
-		"download": func(c *Config) { c.OriginURL, c.DownloadRate = origin.URL, 8*chunkSize },
-		"pressure": func(c *Config) { c.OriginURL, c.MinimumRate = origin.URL, 8*chunkSize },
+	for name, limit := range map[string]func(*Config){
+		"download": func(c *Config) { c.DownloadRate = 8 * chunkSize },
+		"pressure": func(c *Config) { c.MinimumRate = 8 * chunkSize },
 	} {
 		t.Run(name, func(t *testing.T) {
-			a := newAgent(t, "slow", "r", edit)
-			if name == "pressure" {
-				a.client.received[swarm.KindOrigin].Add(1)
-				time.Sleep(300 * time.Millisecond)
-				a.SetPressure(1)
-			}
-			started := time.Now()
-			fetchAll(t, set, a)
-			is.True(time.Since(started) > 200*time.Millisecond)
+			synctest.Test(t, func(t *testing.T) {
+				origin := newFakeOrigin(t)
+				set := modelSet(origin.publish(t, map[string][]byte{"m": randomBytes(1, 2*chunkSize)}))
+				a := newAgent(t, "slow", "r", func(c *Config) { withOrigin(origin)(c); limit(c) })
+				if name == "pressure" {
+					a.client.received[swarm.KindOrigin].Add(1)
+					time.Sleep(300 * time.Millisecond)
+					a.SetPressure(1)
+				}
+				started := time.Now()
+				fetchAll(t, set, a)
+				is.New(t).True(time.Since(started) > 200*time.Millisecond)
+			})
 		})
 	}
 }
@@ -470,7 +492,7 @@
 // Guards against whole chunks or files held in memory while they are copied.
 func TestCopyHoldsNoChunkInMemory(t *testing.T) {
 	is := is.New(t)
-	origin := newFakeOrigin(t)
+	origin := newSocketOrigin(t)
 	set := modelSet(origin.publish(t, map[string][]byte{"m": randomBytes(1, 32*chunkSize)}))
 	a := newAgent(t, "a", "r", func(c *Config) { c.OriginURL, c.DownloadRate, c.Swarm.OutsideFetches = origin.URL, 64*chunkSize, 8 })
 	base := heapBytes()
