control: do not follow a resent note as newly accepted

Cause: a resent note is proposed again, and each replica that applied it logged note_accepted and started to follow its revision a second time. Ruled out: answering resends before the log, which would need a linearizable read for the same certainty. Change: the ledger marks the answer to a note that was accepted before as repeated, and the daemon follows only the first. Before/after: after notes 1, 2 and 1 again each replica followed 3 revisions, now 2 (TestResentNoteIsNotNew, seen to fail without the condition). Conclusion: resends change nothing but the answer that the operator reads.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -224,3 +224,19 @@
 	is.Equal(c.submit(4).Status, "accepted")
 	c.converged(4)
 }
+
+// Guards against a resent note that is followed and logged as newly accepted.
+func TestResentNoteIsNotNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "c1", "c2", "c3")
+		c.startAll()
+		for _, n := range []int{1, 2, 1} {
+			is.New(t).Equal(c.submit(n).Status, "accepted")
+		}
+		c.converged(2)
+		synctest.Wait()
+		for _, d := range c.daemons {
+			is.New(t).Equal(len(d.inForce.Report(time.Now())), 2)
+		}
+	})
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -176,9 +176,9 @@
 	}
 }
 
-// applied follows accepted notes. It runs in the replica's loop.
+// applied follows newly accepted notes. It runs in the replica's loop.
 func (d *Daemon) applied(c ledger.Command, r ledger.Result) {
-	if c.Note == nil || r.Status != ledger.StatusAccepted {
+	if c.Note == nil || r.Status != ledger.StatusAccepted || r.Repeated {
 		return
 	}
 	d.inForce.Committed(c.Note.Number, time.Now())
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -93,4 +93,6 @@
 	Digest   release.Digest `cbor:"4,keyasint,omitempty" json:"digest,omitempty"` // of the accepted rival
 	Owner    string         `cbor:"5,keyasint,omitempty" json:"owner,omitempty"`
 	Complete *Complete      `cbor:"6,keyasint,omitempty" json:"-"`
+	// Repeated is true for a note that had been accepted before.
+	Repeated bool `cbor:"7,keyasint,omitempty" json:"repeated,omitempty"`
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -89,7 +89,7 @@
 func (l *Ledger) applyNote(s SubmitNote) Result {
 	if held, ok := l.NoteDigest(s.Number); ok {
 		if held == s.Digest {
-			return Result{Status: StatusAccepted, Number: s.Number, Digest: held}
+			return Result{Status: StatusAccepted, Number: s.Number, Digest: held, Repeated: true}
 		}
 		return Result{
 			Status: StatusConflict, Number: s.Number, Digest: held,
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -55,6 +55,7 @@
 	for _, n := range []int{1, 2, 299, notes} {
 		r := l.Apply(note(n, fmt.Sprint("v", n)))
 		is.Equal(r.Status, StatusAccepted)
+		is.True(r.Repeated)
 		is.Equal(r.Digest, note(n, fmt.Sprint("v", n)).Note.Digest)
 		rival := l.Apply(note(n, "other"))
 		is.Equal(rival.Status, StatusConflict)
