settings: one type for the settings that every daemon has

Cause: six fields and their checks stood in the settings of all three daemons, and differed: entry accepted an empty admin_listen, agent and control refused one although both run without that port. Ruled out: YAML anchors (refused by the reader) and a second file for common settings (one more path to get wrong). Change: settings.Common, embedded inline, with its defaults and its check. Before/after: 3 copies of 6 fields and 6 checks, now 1; admin_listen is optional in every daemon. Tests of settings, docs and the three daemons pass. Conclusion: a common setting is now added or checked in one place.

--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -9,7 +9,6 @@
 
 // Defaults of Settings.
 const (
-	defaultLogLevel      = "info"
 	defaultStallAfter    = 5 * time.Second
 	defaultProbeInterval = 5 * time.Second
 	defaultProbeTimeout  = 3 * time.Second
@@ -28,12 +27,7 @@
 
 // Settings configures an agent.
 type Settings struct {
-	Instance         string `yaml:"instance"`
-	Zone             string `yaml:"zone"`
-	Region           string `yaml:"region"`
-	LogLevel         string `yaml:"log_level"`
-	AdminListen      string `yaml:"admin_listen"`
-	ProcessTokenFile string `yaml:"process_token_file"`
+	settings.Common `yaml:",inline"`
 
 	Endpoint string            `yaml:"endpoint"`
 	Kind     wire.EndpointKind `yaml:"kind"`
@@ -90,7 +84,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:      defaultLogLevel,
+		Common:        settings.DefaultCommon(),
 		Objective:     objectiveTime,
 		RegionLinks:   regionLinksNever,
 		StallAfter:    settings.Duration(defaultStallAfter),
@@ -105,10 +99,8 @@
 // Check implements settings.Checker.
 func (s *Settings) Check() error {
 	var p settings.Problems
-	p.Instance(s.Instance, s.Zone, s.Region, s.LogLevel)
+	p.CheckCommon(s.Common)
 	p.Required("endpoint", s.Endpoint)
-	p.Loopback("admin_listen", s.AdminListen)
-	p.Token("process_token_file", s.ProcessTokenFile)
 	p.OneOf("kind", string(s.Kind), string(wire.KindEngine), string(wire.KindService))
 	p.Address("gate_listen", s.GateListen)
 	p.Address("advertise_gate", s.AdvertiseGate)
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -18,14 +18,7 @@
 
 // Settings of the control daemon.
 type Settings struct {
-	Instance string `yaml:"instance"`
-	Zone     string `yaml:"zone"`
-	Region   string `yaml:"region"`
-	LogLevel string `yaml:"log_level"`
-	// AdminListen serves metrics and health checks without a token. It must be
-	// a loopback address.
-	AdminListen      string `yaml:"admin_listen"`
-	ProcessTokenFile string `yaml:"process_token_file"`
+	settings.Common `yaml:",inline"`
 
 	Replica           string `yaml:"replica"`
 	SessionListen     string `yaml:"session_listen"`
@@ -56,7 +49,7 @@
 // DefaultSettings returns settings with defaults filled in.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:      "info",
+		Common:        settings.DefaultCommon(),
 		VoterLoss:     settings.Duration(defaultVoterLoss),
 		SnapshotEvery: defaultSnapshotEvery,
 	}
@@ -65,13 +58,11 @@
 // Check implements settings.Checker.
 func (s *Settings) Check() error {
 	var p settings.Problems
-	p.Instance(s.Instance, s.Zone, s.Region, s.LogLevel)
+	p.CheckCommon(s.Common)
 	p.Required("replica", s.Replica)
 	p.WritableFolder("data_dir", s.DataDir)
 	p.Address("session_listen", s.SessionListen)
 	p.Address("operator_listen", s.OperatorListen)
-	p.Loopback("admin_listen", s.AdminListen)
-	p.Token("process_token_file", s.ProcessTokenFile)
 	p.Token("operator_token_file", s.OperatorTokenFile)
 	if s.Advertise != "" {
 		p.Address("advertise", s.Advertise)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -23,7 +23,6 @@
 	defaultEjectedShare  = 0.34
 	defaultRetryRatio    = 0.1
 	defaultMaxBody       = 4 << 20
-	defaultLogLevel      = "info"
 )
 
 // Peer is an entry that callers may use.
@@ -45,16 +44,12 @@
 
 // Settings configures an entry.
 type Settings struct {
-	Instance         string   `yaml:"instance"`
-	Zone             string   `yaml:"zone"`
-	Region           string   `yaml:"region"`
-	LogLevel         string   `yaml:"log_level"`
-	AdminListen      string   `yaml:"admin_listen"`
-	ProcessTokenFile string   `yaml:"process_token_file"`
-	CallerTokenFile  string   `yaml:"caller_token_file"`
-	Listen           string   `yaml:"listen"`
-	Advertise        string   `yaml:"advertise"`
-	Controls         []string `yaml:"controls"`
+	settings.Common `yaml:",inline"`
+
+	CallerTokenFile string   `yaml:"caller_token_file"`
+	Listen          string   `yaml:"listen"`
+	Advertise       string   `yaml:"advertise"`
+	Controls        []string `yaml:"controls"`
 
 	// Entries lists all entries, this one included or not. Default: this one
 	// only. Callers learn the addresses from it.
@@ -106,7 +101,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:      defaultLogLevel,
+		Common:        settings.DefaultCommon(),
 		AddressTTL:    Duration(defaultAddressTTL),
 		Deadline:      Duration(defaultDeadline),
 		QueueWait:     Duration(defaultQueueWait),
@@ -124,14 +119,10 @@
 // Check implements settings.Checker.
 func (s *Settings) Check() error {
 	var p settings.Problems
-	p.Instance(s.Instance, s.Zone, s.Region, s.LogLevel)
-	p.Token("process_token_file", s.ProcessTokenFile)
+	p.CheckCommon(s.Common)
 	p.Token("caller_token_file", s.CallerTokenFile)
 	p.Address("listen", s.Listen)
 	p.Address("advertise", s.Advertise)
-	if s.AdminListen != "" {
-		p.Loopback("admin_listen", s.AdminListen)
-	}
 	p.Addresses("controls", s.Controls)
 	s.checkEntries(&p)
 	s.checkNumbers(&p)
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -35,14 +35,6 @@
 	}
 }
 
-// Instance checks the fields that every daemon has about its instance.
-func (p *Problems) Instance(instance, zone, region, logLevel string) {
-	p.Required("instance", instance)
-	p.Required("zone", zone)
-	p.Required("region", region)
-	p.LogLevel("log_level", logLevel)
-}
-
 // Address checks an IP address with port, such as 10.0.0.1:7400 or [::1]:7400.
 func (p *Problems) Address(field, value string) {
 	if value == "" {
