--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -222,42 +222,20 @@
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.folder.Close()
-	net := network.Or(d.opts.Network)
 	loop, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	d.halt = stopLoop
-	var wg sync.WaitGroup
-	session := mux.NewRouter()
-	session.Handle(wire.PathSession, tracked(&wg, &transport.Server{
-		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
-	}))
-	servers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{d.settings.SessionListen, session},
-		{d.settings.OperatorListen, d.operatorHandler()},
-		{d.settings.AdminListen, metrics.AdminHandler(d.registry, d.ready)},
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var wg sync.WaitGroup
+	servers, err := d.listen(loop, &wg)
+	if err != nil {
+		return err
+	}
 	failures := make(chan error, len(servers))
-	var running []*http.Server
 	for _, s := range servers {
-		if s.address == "" {
-			continue
-		}
-		listener, err := net.Listen(s.address)
-		if err != nil {
-			closeAll(running)
-			wg.Wait()
-			return oops.In("control").Wrapf(err, "listening on %s", s.address)
-		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
-		server.BaseContext = func(stdnet.Listener) context.Context { return loop }
-		running = append(running, server)
 		wg.Go(func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				failures <- oops.In("control").Wrap(err)
 			}
 		})
@@ -268,7 +246,6 @@
 	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
-	var err error
 	select {
 	case <-ctx.Done():
 	case <-loop.Done():
@@ -277,12 +254,52 @@
 	cancel()
 	d.handOver(loop)
 	stopLoop()
-	closeAll(running)
+	closeAll(servers)
 	wg.Wait()
 	d.log.Info("stopped")
 	return err
 }
 
+// server is an HTTP server with its listener.
+type server struct {
+	*http.Server
+	listener stdnet.Listener
+}
+
+// listen opens the daemon's ports. Requests get the context of the replica's
+// loop, and those of the session port are counted in wg.
+func (d *Daemon) listen(loop context.Context, wg *sync.WaitGroup) ([]server, error) {
+	session := mux.NewRouter()
+	session.Handle(wire.PathSession, tracked(wg, &transport.Server{
+		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
+	}))
+	var servers []server
+	for _, port := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{d.settings.SessionListen, session},
+		{d.settings.OperatorListen, d.operatorHandler()},
+		{d.settings.AdminListen, metrics.AdminHandler(d.registry, d.ready)},
+	} {
+		if port.address == "" {
+			continue
+		}
+		listener, err := network.Or(d.opts.Network).Listen(port.address)
+		if err != nil {
+			for _, s := range servers {
+				_ = s.listener.Close()
+			}
+			return nil, oops.In("control").Wrapf(err, "listening on %s", port.address)
+		}
+		servers = append(servers, server{&http.Server{
+			Handler: port.handler, ReadHeaderTimeout: headerTimeout,
+			BaseContext: func(stdnet.Listener) context.Context { return loop },
+		}, listener})
+	}
+	return servers, nil
+}
+
 // tracked counts requests in wg, since a server does not wait for sessions.
 func tracked(wg *sync.WaitGroup, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -309,7 +326,7 @@
 	}
 }
 
-func closeAll(servers []*http.Server) {
+func closeAll(servers []server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
