agent: know the peers before a fetch starts

Cause: a fetch was started as soon as the catalogue arrived, while the list of peers reached the transfer only with the next announcement, up to 1 s later. The scheduler turns to the origin after 1 s without reports (HearTimeout), so a new or restarted agent could take from there what its peers held. The manifest was asked from the origin in any case.

Ruled out: a longer HearTimeout, which delays every rollout; passing on each member update at once, which cost 3 ms with 800 members.

Change: before a fetch the agent waits for the first member table, at most 2 s, and has the transfer know the newest peers. A lock keeps two lists given at the same time in order. The fake control of package agenttest can send a table.

Test first: the peers at the start of the fetch were [] in TestFetchStartsWithPeers with tables 0 ms, 10 ms and 1.5 s after the catalogue, and in TestLaterFetchStartsWithNewestPeers; with the change all hold, and a fetch without any table starts within 3 s. internal/agent (race detector) and internal/matrix pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,9 @@
 	members   *membership.View[wire.Announce]
 	// membersChanged is set until the transfer knows the peers.
 	membersChanged bool
+	membersHeard   chan struct{} // closed with the first member table
+	hearMembers    sync.Once
+	peersMu        sync.Mutex // keeps the lists given to the transfer in order
 
 	pollEngine chan struct{} // asks for a report of the engine
 	askVoters  chan struct{} // asks for a round of confirmation
@@ -77,6 +80,8 @@
 		members:    membership.NewView[wire.Announce](membership.ViewConfig{}),
 		pollEngine: make(chan struct{}, 1),
 		askVoters:  make(chan struct{}, 1),
+
+		membersHeard: make(chan struct{}),
 	}
 	a.metrics = newMetrics(cfg.Registry, a.state, &a.bytes, cfg.Weights)
 	a.crashes = newCrashes(a)
--- a/internal/agent/agenttest/control.go
+++ b/internal/agent/agenttest/control.go
@@ -23,6 +23,8 @@
 	Voters     []string
 	VoterIndex uint64
 	Catalogue  release.Catalogue
+	// Members is the table that subscribers get; nil sends none.
+	Members *wire.Members
 
 	mu        sync.Mutex
 	sessions  map[*transport.Session]bool
@@ -41,6 +43,9 @@
 		}
 		c.sessions[s] = true
 		_ = s.Send(Full(c.Catalogue))
+		if c.Members != nil {
+			_ = s.Send(*c.Members)
+		}
 	case wire.TypeAnnounce:
 		var a wire.Announce
 		if env.Into(&a) == nil {
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -17,6 +17,10 @@
 	announceInterval = time.Second
 	// announceSpacing bounds announcements on changes.
 	announceSpacing = 50 * time.Millisecond
+	// membersTimeout bounds how long a fetch waits for the first member table.
+	// Control sends it right after the catalogue; a fetch without it takes from
+	// the origin what peers hold.
+	membersTimeout = 2 * time.Second
 )
 
 // confirmLoop asks all voters for their revision.
@@ -119,16 +123,34 @@
 	a.membersMu.Unlock()
 	if !fits {
 		a.control.Resubscribe(replica)
+		return
+	}
+	a.hearMembers.Do(func() { close(a.membersHeard) })
+}
+
+// awaitPeers waits a bounded time for the first member table, and has the
+// transfer know the newest peers.
+func (a *Agent) awaitPeers(ctx context.Context) {
+	timer := time.NewTimer(membersTimeout)
+	defer timer.Stop()
+	select {
+	case <-a.membersHeard:
+	case <-timer.C:
+		a.log.Warn("no_member_table")
+	case <-ctx.Done():
 	}
+	a.updatePeers()
 }
 
 // updatePeers tells the transfer which agents fetch the same weights. It runs
-// with each announcement and not with each update, which cost 3 ms with 800
-// members.
+// with each announcement and before each fetch, and not with each update, which
+// cost 3 ms with 800 members.
 func (a *Agent) updatePeers() {
 	if !a.isEngine() {
 		return
 	}
+	a.peersMu.Lock()
+	defer a.peersMu.Unlock()
 	a.membersMu.Lock()
 	expired := a.members.Expire(time.Now())
 	if len(expired) == 0 && !a.membersChanged {
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -45,25 +46,36 @@
 
 // fakeWeights has every set at once, or when released.
 type fakeWeights struct {
-	mu       sync.Mutex
-	hold     chan struct{}
-	fetched  []string
-	pressure float64
+	mu      sync.Mutex
+	hold    chan struct{}
+	fetched []string
+	peers   []transfer.Peer
+	// peersAtFetch holds the peers known when each fetch started.
+	peersAtFetch [][]transfer.Peer
+	pressure     float64
 }
 
-func (f *fakeWeights) SetPeers([]transfer.Peer)         {}
 func (f *fakeWeights) Progress() []wire.RolloutProgress { return nil }
 func (f *fakeWeights) PeerHandler() http.Handler        { return http.NotFoundHandler() }
 func (f *fakeWeights) Cancel(string)                    {}
 func (f *fakeWeights) Prune([]string) error             { return nil }
 func (f *fakeWeights) SetPressure(x float64)            { f.mu.Lock(); f.pressure = x; f.mu.Unlock() }
 
+func (f *fakeWeights) SetPeers(peers []transfer.Peer) { f.mu.Lock(); f.peers = peers; f.mu.Unlock() }
+
+func (f *fakeWeights) started() [][]transfer.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.peersAtFetch)
+}
+
 func (f *fakeWeights) setHold(hold chan struct{}) { f.mu.Lock(); f.hold = hold; f.mu.Unlock() }
 func (f *fakeWeights) fetches() int               { f.mu.Lock(); defer f.mu.Unlock(); return len(f.fetched) }
 
 func (f *fakeWeights) Fetch(ctx context.Context, set release.WeightsSet) (string, error) {
 	f.mu.Lock()
 	hold := f.hold
+	f.peersAtFetch = append(f.peersAtFetch, f.peers)
 	f.mu.Unlock()
 	if hold != nil {
 		select {
@@ -149,6 +161,7 @@
 	for i, name := range names {
 		c := &agenttest.Control{
 			Name: name, Revision: 1, Voters: names, VoterIndex: 1, Catalogue: testCatalogue(1, "1"),
+			Members: &wire.Members{Epoch: 1, Version: 1},
 		}
 		address := fmt.Sprintf("10.0.0.%d:80", i)
 		r.controls = append(r.controls, c)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -164,6 +164,7 @@
 }
 
 func (o *orders) fetch(ctx context.Context, f *fetch, set release.WeightsSet) {
+	o.agent.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		dir, err := o.agent.cfg.Weights.Fetch(ctx, set)
 		if err == nil {
--- /dev/null
+++ b/internal/agent/peers_test.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/agent/agenttest"
+	"github.com/rhubarbhill/rhubarbhill/internal/transfer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+var (
+	peerTable = wire.Members{Epoch: 1, Version: 1, Updated: []wire.Announce{{
+		Endpoint: "engine-2", Incarnation: 1, Kind: wire.KindEngine, Role: "quote", ChunkAddress: "10.0.2.1:81",
+	}}}
+	tablePeers = []transfer.Peer{{Endpoint: "engine-2", ChunkAddress: "10.0.2.1:81"}}
+)
+
+// Guards against a new or restarted agent that takes from the origin what its
+// peers hold, because it learns of them only after its fetch has started. The
+// tables come as late as 1.5 s after the catalogue.
+func TestFetchStartsWithPeers(t *testing.T) {
+	for _, delay := range []time.Duration{0, 10 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			run(t, func(r *rig) {
+				r.each(func(c *agenttest.Control) {
+					c.Members = nil
+					if delay == 0 {
+						c.Members = &peerTable
+					}
+				})
+				time.AfterFunc(delay, func() {
+					for _, c := range r.controls {
+						c.Send(peerTable)
+					}
+				})
+			}, func(r *rig) {
+				is := is.New(r.t)
+				is.Equal(r.weights.started(), [][]transfer.Peer{tablePeers})
+			})
+		})
+	}
+}
+
+// Guards against a fetch that a missing member table holds back for good.
+func TestFetchStartsWithoutMemberTable(t *testing.T) {
+	run(t, func(r *rig) {
+		r.each(func(c *agenttest.Control) { c.Members = nil })
+	}, func(r *rig) {
+		is := is.New(r.t)
+		is.Equal(len(r.weights.started()), 1)
+		is.True(r.ask(setID("1")).whole())
+	})
+}
+
+// Guards against a second fetch that starts with the peers of the first one,
+// although a newer table was received before it.
+func TestLaterFetchStartsWithNewestPeers(t *testing.T) {
+	run(t, nil, func(r *rig) {
+		is := is.New(r.t)
+		r.controls[0].Send(wire.Members{Epoch: 1, Version: 2, Base: 1, Updated: peerTable.Updated})
+		time.Sleep(time.Millisecond)
+		r.accept(testCatalogue(2, "2"))
+		time.Sleep(time.Second)
+		is.Equal(len(r.weights.started()), 2)
+		is.Equal(r.weights.started()[1], tablePeers)
+	})
+}
