entry: organisations can have a token of their own

Cause: all callers shared one token and named their organisation themselves, so any caller could use another's share, limits and idempotency keys. Change: organisations.NAME.token_file. Its token acts for that organisation only, and no other token does; a name that contradicts the token is refused with 403. Equal tokens are refused at the start. Callers without one work as before. Conclusion: a large organisation's share no longer depends on what callers say.

--- a/cmd/rhubarb-entry/main.go
+++ b/cmd/rhubarb-entry/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
@@ -29,11 +31,17 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.Setup(program, config.Instance, config.LogLevel, processToken, callerToken)
+	organisationTokens, err := config.ReadOrganisationTokens(callerToken)
+	if err != nil {
+		return err
+	}
+	secrets := append(slices.Collect(maps.Values(organisationTokens)), processToken, callerToken)
+	logger, err := logging.Setup(program, config.Instance, config.LogLevel, secrets...)
 	if err != nil {
 		return err
 	}
 	return entry.New(entry.Options{
-		Settings: config, ProcessToken: processToken, CallerToken: callerToken, Log: logger,
+		Settings: config, ProcessToken: processToken, CallerToken: callerToken,
+		OrganisationTokens: organisationTokens, Log: logger,
 	}).Run(ctx)
 }
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
+)
+
+// callerTokens tells callers apart. An organisation with a token of its own is
+// known by that token only, so that no other caller can use its share or its
+// idempotency keys. The others share a token and name themselves.
+type callerTokens struct {
+	shared auth.Token
+	own    map[string]auth.Token // by organisation
+}
+
+// identify checks the token of r and sets its organisation header to the
+// organisation that the request counts for.
+func (c callerTokens) identify(r *http.Request) *answerError {
+	named := r.Header.Get(wire.HeaderOrganisation)
+	organisation, known := c.ownerOf(r)
+	switch {
+	case known && named != "" && named != organisation:
+		return refusal(http.StatusForbidden, outcome.Unauthorized,
+			fmt.Sprintf("the bearer token is that of organisation %q, the request names %q", organisation, named))
+	case known:
+		r.Header.Set(wire.HeaderOrganisation, organisation)
+		return nil
+	case !c.shared.Allows(r):
+		return refusal(http.StatusUnauthorized, outcome.Unauthorized, "the bearer token is missing or wrong")
+	}
+	if _, reserved := c.own[named]; reserved {
+		return refusal(http.StatusForbidden, outcome.Unauthorized,
+			fmt.Sprintf("organisation %q has a bearer token of its own", named))
+	}
+	return nil
+}
+
+// ownerOf compares with every token, so that the time taken tells nothing.
+func (c callerTokens) ownerOf(r *http.Request) (organisation string, ok bool) {
+	for name, token := range c.own {
+		if token.Allows(r) {
+			organisation, ok = name, true
+		}
+	}
+	return organisation, ok
+}
+
+func (e *Entry) requireCaller(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := e.callers.identify(r); err != nil {
+			e.refuse(w, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ReadOrganisationTokens reads the tokens of the organisations that have their
+// own. A token that the callers share, or that another organisation has, is an
+// error: it would not tell whose request it is.
+func (s *Settings) ReadOrganisationTokens(shared auth.Token) (map[string]auth.Token, error) {
+	tokens := map[string]auth.Token{}
+	holders := map[string]string{shared.Secret(): "all callers"}
+	for _, name := range slices.Sorted(maps.Keys(s.Organisations)) {
+		file := s.Organisations[name].TokenFile
+		if file == "" {
+			continue
+		}
+		token, err := auth.ReadToken(file)
+		if err != nil {
+			return nil, err
+		}
+		if holder, taken := holders[token.Secret()]; taken {
+			return nil, oops.In("entry").Errorf("organisations.%s.token_file: the token is also that of %s", name, holder)
+		}
+		holders[token.Secret()] = name
+		tokens[name] = token
+	}
+	return tokens, nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,8 +41,10 @@
 	Settings     Settings
 	ProcessToken auth.Token
 	CallerToken  auth.Token
-	Log          log.Interface
-	Registry     *prometheus.Registry
+	// OrganisationTokens are the tokens of organisations that have their own.
+	OrganisationTokens map[string]auth.Token
+	Log                log.Interface
+	Registry           *prometheus.Registry
 	// Listener, when set, is used in place of Settings.Listen.
 	Listener net.Listener
 	// Network, when set, replaces the operating system's.
@@ -55,7 +57,7 @@
 type Entry struct {
 	settings     Settings
 	processToken auth.Token
-	callerToken  auth.Token
+	callers      callerTokens
 	log          log.Interface
 	registry     *prometheus.Registry
 	metrics      *entryMetrics
@@ -95,7 +97,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	e := &Entry{
-		settings: s, processToken: o.ProcessToken, callerToken: o.CallerToken, log: o.Log,
+		settings: s, processToken: o.ProcessToken, callers: callerTokens{o.CallerToken, o.OrganisationTokens}, log: o.Log,
 		registry:  o.Registry,
 		metrics:   newMetrics(o.Registry),
 		directory: newDirectory(),
@@ -146,16 +148,6 @@
 	return router
 }
 
-func (e *Entry) requireCaller(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !e.callerToken.Allows(r) {
-			e.refuse(w, refusal(http.StatusUnauthorized, outcome.Unauthorized, "the bearer token is missing or wrong"))
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (e *Entry) refuseWhenClosed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.closed.Load() {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -40,6 +40,10 @@
 	// MaxInFlight limits requests in progress over all entries. Default 0,
 	// which means no limit beyond the fair share.
 	MaxInFlight int `yaml:"max_in_flight"`
+	// TokenFile holds the organisation's own token. With one, no other token
+	// can act for the organisation. Default empty: the caller token and the
+	// name in Rhubarb-Organisation are enough.
+	TokenFile string `yaml:"token_file"`
 }
 
 // Settings configures an entry.
@@ -171,5 +175,8 @@
 		if o.Weight < 0 || o.MaxInFlight < 0 {
 			p.Add("organisations."+name, "weight and max_in_flight must not be negative")
 		}
+		if o.TokenFile != "" {
+			p.Token("organisations."+name+".token_file", o.TokenFile)
+		}
 	}
 }
