auth: change a token without processes that refuse each other

Cause: a daemon accepted one token, so during a change the daemons of a zone that was done and of one that was not refused each other, and docs/operating.md told operators to plan for a zone's missing capacity. Ruled out: reading token files again while running, which leaves the order of changes to chance. Change: a token file may have a second line, which is accepted but not sent. Three rounds of restarts change a token, and all secrets are kept out of logs. Conclusion: a change of the token costs restarts and no requests.

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -11,13 +11,21 @@
 	"github.com/samber/oops"
 )
 
-const minTokenBytes = 16
+const (
+	minTokenBytes = 16
+	// maxTokens is the number of secrets in one token file: old and new.
+	maxTokens = 2
+)
 
 // hidden stands for a token wherever it is formatted.
 const hidden = "[token]"
 
 // Token is a bearer token. Its text never reaches logs through formatting.
-type Token struct{ secret string }
+type Token struct {
+	secret string
+	// also holds other accepted secrets, during a change of the token.
+	also []string
+}
 
 // NewToken returns a token of the given text, for programs that embed daemons.
 func NewToken(secret string) Token { return Token{secret: secret} }
@@ -34,17 +42,28 @@
 // Secret returns the token's text, for an Authorization header.
 func (t Token) Secret() string { return t.secret }
 
-// ReadToken reads a token from a file.
+// Secrets returns every accepted text, the one to send first.
+func (t Token) Secrets() []string { return append([]string{t.secret}, t.also...) }
+
+// ReadToken reads a token from a file. The first line is sent and accepted;
+// further lines are accepted, so that a token can be changed without processes
+// that refuse each other in between.
 func ReadToken(path string) (Token, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Token{}, oops.In("auth").Wrap(err)
 	}
-	secret := strings.TrimSpace(string(data))
-	if len(secret) < minTokenBytes {
-		return Token{}, oops.In("auth").Errorf("%s: token is shorter than %d bytes", path, minTokenBytes)
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	if len(lines) > maxTokens {
+		return Token{}, oops.In("auth").Errorf("%s: more than %d lines", path, maxTokens)
 	}
-	return Token{secret: secret}, nil
+	for i, line := range lines {
+		lines[i] = strings.TrimSpace(line)
+		if len(lines[i]) < minTokenBytes {
+			return Token{}, oops.In("auth").Errorf("%s: line %d: token is shorter than %d bytes", path, i+1, minTokenBytes)
+		}
+	}
+	return Token{secret: lines[0], also: lines[1:]}, nil
 }
 
 // Allows reports whether r carries the token. The empty token allows nothing.
@@ -53,7 +72,11 @@
 	if !ok || t.secret == "" {
 		return false
 	}
-	return subtle.ConstantTimeCompare([]byte(given), []byte(t.secret)) == 1
+	equal := 0
+	for _, secret := range t.Secrets() {
+		equal |= subtle.ConstantTimeCompare([]byte(given), []byte(secret))
+	}
+	return equal == 1
 }
 
 // Require wraps next and answers 401 without the token.
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -69,14 +69,45 @@
 func TestReadToken(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	for name, content := range map[string]string{"good": secret + "\n", "short": "abc", "empty": " \n"} {
+	files := map[string]string{
+		"good": secret + "\n", "short": "abc", "empty": " \n",
+		"short-second": secret + "\nabc\n", "three": strings.Repeat(secret+"\n", 3),
+	}
+	for name, content := range files {
 		is.NoErr(os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600))
 	}
 	token, err := ReadToken(filepath.Join(dir, "good"))
 	is.NoErr(err)
 	is.Equal(token.Secret(), secret)
-	for _, name := range []string{"short", "empty", "missing"} {
+	for _, name := range []string{"short", "empty", "missing", "short-second", "three"} {
 		_, err := ReadToken(filepath.Join(dir, name))
 		is.True(err != nil && strings.Contains(err.Error(), name))
 	}
 }
+
+// Guards against a change of the token that has processes refuse each other:
+// each step leaves every process, restarted or not, accepted by all others.
+func TestTokenChangesInSteps(t *testing.T) {
+	is := is.New(t)
+	const next = "fedcba9876543210-secret"
+	steps := []string{secret, secret + "\n" + next, next + "\n" + secret + "\n", next}
+	var tokens []Token
+	for i, content := range steps {
+		path := filepath.Join(t.TempDir(), fmt.Sprint(i))
+		is.NoErr(os.WriteFile(path, []byte(content), 0o600))
+		token, err := ReadToken(path)
+		is.NoErr(err)
+		tokens = append(tokens, token)
+	}
+	allows := func(server, client Token) bool {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("Authorization", "Bearer "+client.Secret())
+		return server.Allows(r)
+	}
+	for i := 1; i < len(tokens); i++ {
+		is.True(allows(tokens[i-1], tokens[i]))
+		is.True(allows(tokens[i], tokens[i-1]))
+	}
+	is.True(!allows(tokens[3], tokens[0]))
+	is.Equal(len(tokens[1].Secrets()), 2)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -68,7 +68,10 @@
 // error: it would not tell whose request it is.
 func (s *Settings) ReadOrganisationTokens(shared auth.Token) (map[string]auth.Token, error) {
 	tokens := map[string]auth.Token{}
-	holders := map[string]string{shared.Secret(): "all callers"}
+	holders := map[string]string{}
+	for _, secret := range shared.Secrets() {
+		holders[secret] = "all callers"
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.Organisations)) {
 		file := s.Organisations[name].TokenFile
 		if file == "" {
@@ -78,10 +81,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if holder, taken := holders[token.Secret()]; taken {
-			return nil, oops.In("entry").Errorf("organisations.%s.token_file: the token is also that of %s", name, holder)
+		for _, secret := range token.Secrets() {
+			if holder, taken := holders[secret]; taken {
+				return nil, oops.In("entry").Errorf("organisations.%s.token_file: the token is also that of %s", name, holder)
+			}
+			holders[secret] = name
 		}
-		holders[token.Secret()] = name
 		tokens[name] = token
 	}
 	return tokens, nil
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -32,8 +32,10 @@
 	}
 	handler := &redactor{next: json.New(out)}
 	for _, token := range tokens {
-		if token.Secret() != "" {
-			handler.secrets = append(handler.secrets, token.Secret(), redacted)
+		for _, secret := range token.Secrets() {
+			if secret != "" {
+				handler.secrets = append(handler.secrets, secret, redacted)
+			}
 		}
 	}
 	logger := &log.Logger{Handler: handler, Level: parsed}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -23,8 +25,13 @@
 func TestRedaction(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	logger, err := setup(&out, "rhubarb-test", "instance-1", "debug", []auth.Token{auth.NewToken(secret), {}})
+	file := filepath.Join(t.TempDir(), "token")
+	is.NoErr(os.WriteFile(file, []byte("sent-secret-of-two\naccepted-secret-of-two\n"), 0o600))
+	two, err := auth.ReadToken(file)
 	is.NoErr(err)
+	logger, err := setup(&out, "rhubarb-test", "instance-1", "debug", []auth.Token{auth.NewToken(secret), two, {}})
+	is.NoErr(err)
+	logger.WithField("old", "accepted-secret-of-two").Error("sent-secret-of-two")
 	header := http.Header{"Authorization": {"Bearer of-another-process"}}
 	logger.WithError(errors.New("refused: " + secret)).WithFields(log.Fields{
 		"header": header, "list": []string{"x", secret}, "token": auth.NewToken("of-another-process"),
@@ -32,6 +39,7 @@
 	}).Warn("event_" + secret)
 	is.True(!strings.Contains(out.String(), secret))
 	is.True(!strings.Contains(out.String(), "of-another-process"))
+	is.True(!strings.Contains(out.String(), "of-two"))
 	is.True(strings.Contains(out.String(), "kept"))
 	is.True(strings.Contains(out.String(), `"count":3`))
 }
