Remember corrupt peers across restarts of an agent

Cause: penalties were held in memory only, so a restarted agent asked a peer again that had sent it corrupt chunks.

Weighed: without this a restart wastes at most 2 chunks, 8 MiB, for each corrupt neighbour, since a peer is avoided after its first corrupt chunk. That is little, but such a peer stays bad for hours and the cost is one small file, written after a corrupt chunk only. Other faults pass by themselves and are not saved.

The transfer keeps them in the cache folder.

--- a/internal/transfer/job.go
+++ b/internal/transfer/job.go
@@ -116,6 +116,9 @@
 		failure = &fetchError{fault: swarm.FaultUnavailable, cause: r.err}
 	}
 	j.scheduler.Failed(now, r.fetch, failure.fault, failure.retryAfter)
+	if failure.fault == swarm.FaultCorrupt && r.fetch.Source.Kind == swarm.KindPeer {
+		j.t.savePenalties()
+	}
 	j.t.cfg.Log.WithField("chunk", r.fetch.Chunk).WithField("peer", r.fetch.Source.Peer).
 		WithField("kind", int(r.fetch.Source.Kind)).WithError(r.err).Warn("chunk_fetch_failed")
 }
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Transfer{
+	t := &Transfer{
 		cfg: cfg, cache: c,
 		client: &client{
 			cfg: cfg, http: &http.Client{Transport: network.HTTPTransport(cfg.Network)},
@@ -95,7 +95,9 @@
 		locks:         map[release.Digest]*manifestLock{},
 		running:       map[string]*run{},
 		progress:      map[string]*progress{},
-	}, nil
+	}
+	t.restorePenalties()
+	return t, nil
 }
 
 // Close releases idle connections. Running fetches end with their contexts.
