logs: one style of event names

Cause: the entry's events had a component before a dot (entry.draining), those of agent and control underscores only (draining), for the same thing. Ruled out: dots everywhere, since every line names its program already. The matrix takes "stopped" as the end of an entry only, as before. Conclusion: one filter on message works for all daemons.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -208,7 +208,7 @@
 	wg.Go(func() { e.exchangeLoop(e.background) })
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- server.Serve(listener) })
-	e.log.WithField("listen", listener.Addr().String()).Info("entry.started")
+	e.log.WithField("listen", listener.Addr().String()).Info("started")
 	select {
 	case <-ctx.Done():
 		e.drain(server)
@@ -219,7 +219,7 @@
 	_ = admin.Close()
 	wg.Wait()
 	e.client.CloseIdleConnections()
-	e.log.Info("entry.stopped")
+	e.log.Info("stopped")
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -241,7 +241,7 @@
 func (e *Entry) drain(server *http.Server) {
 	e.stopping.Store(true)
 	server.SetKeepAlivesEnabled(false)
-	e.log.Info("entry.draining")
+	e.log.Info("draining")
 	notice := time.Duration(e.settings.AddressTTL)
 	if len(e.peers.others()) > 0 {
 		notice += peerExpiry
@@ -304,7 +304,7 @@
 		OnLost: func(replica string, err error) {
 			e.directory.replicaLost(replica, time.Now())
 			e.suspects.forget(replica)
-			e.log.WithField("replica", replica).WithError(err).Debug("control.session_lost")
+			e.log.WithField("replica", replica).WithError(err).Debug("control_session_lost")
 		},
 	})
 	return client
@@ -325,7 +325,7 @@
 				e.fleet.update(e.directory.endpoints(), now)
 			}
 			for _, id := range e.fleet.check(now) {
-				e.log.WithField("endpoint", id).Warn("endpoint.ejected")
+				e.log.WithField("endpoint", id).Warn("endpoint_ejected")
 			}
 			probes.run(ctx, e.fleet.due(now))
 			e.admitter.tick(now)
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -361,7 +361,7 @@
 		case <-time.After(duplicatePollFirst):
 		}
 	}
-	e.log.WithField("attempt", complete.Owner).Warn("claim.result_not_recorded")
+	e.log.WithField("attempt", complete.Owner).Warn("claim_result_not_recorded")
 }
 
 // awaitFirst waits for the result of the attempt that holds the key, as long
--- a/internal/matrix/events_test.go
+++ b/internal/matrix/events_test.go
@@ -90,15 +90,23 @@
 	"order_done":         stepLoaded,
 	"claim_granted":      stepClaimed,
 	"draining":           stepAnnounced,
-	"entry.draining":     stepAnnounced,
 	"drained":            stepDrained,
-	"entry.stopped":      stepGone,
+}
+
+// stepOf is the step that an event of a process marks. Only an entry's end is
+// a step: control replicas log the same event.
+func stepOf(process, message string) (step, bool) {
+	if message == "stopped" && strings.HasPrefix(process, "entry-") {
+		return stepGone, true
+	}
+	at, ok := stepOfEvent[message]
+	return at, ok
 }
 
 // HandleLog implements log.Handler.
 func (h eventHandler) HandleLog(e *log.Entry) error {
 	h.system.remember(h.process, e.Message, e.Fields)
-	if at, ok := stepOfEvent[e.Message]; ok {
+	if at, ok := stepOf(h.process, e.Message); ok {
 		h.system.reached(at, h.process)
 	}
 	return nil
