Send the load of an endpoint only to the entries that use it

Cause: every change of load went to every entry from each replica, with the whole announcement: 80 KB/s for an entry at 400 endpoints, and an entry took its whole table over anew, subset included, with each of them.

Change: Members leaves load out. An entry names the endpoints that it uses (FollowLoads) to one replica, which sends their load at once, then its changes, and every 500 ms a check that lists endpoints not heard from for 1.25 s. Those are asked for at the other replicas too. Another replica takes over when the session ends or checks stay out for 1.25 s. An entry keeps loads apart from the table: were they merged, a newer load would hide an older change of readiness that comes from another replica.

Ruled out: the hub computing the subset. It would need the entries, their subset settings and a table equal to the entry's; the entry's list needs no agreement. Loads from all replicas: 4 times the messages and no gain but the checks saved.

Also: the rule for sending a load compares with the load sent last instead of the one before, which never sent a slow rise; concurrent member updates can no longer replace the endpoint table of the balancer by an older one, which the constant load updates repaired within a second before.

Each guard was removed in turn and seen to fail its test.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -39,6 +39,7 @@
 	// peers is the same table for agents, which need no news of load and
 	// readiness: with 800 endpoints those alone exceed an agent's 6 KB/s.
 	peers       *membership.Table[wire.Announce]
+	loads       loads
 	subscribers map[*transport.Session]*subscriber
 	view        func() *View
 	announced   func(wire.Announce, time.Time)
@@ -50,15 +51,14 @@
 	epoch := uint64(time.Now().UnixNano())
 	return &hub{
 		epoch: epoch, view: view, wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		subscribers: map[*transport.Session]*subscriber{},
-		table:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
-		peers:       membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: peerChanged}),
+		subscribers: map[*transport.Session]*subscriber{}, loads: newLoads(),
+		table: membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: significant}),
+		peers: membership.New(membership.Config[wire.Announce]{Epoch: epoch, Significant: peerChanged}),
 	}
 }
 
-// significant tells whether followers need an announcement beyond what they
-// can see themselves; load alone is a hint that entries refresh by their own
-// attempts.
+// significant tells whether every entry needs an announcement. Load alone goes
+// only to the entries that use the endpoint.
 func significant(previous, next membership.Record[wire.Announce]) bool {
 	a, b := previous.Report, next.Report
 	if a.Ready != b.Ready || a.Capacity != b.Capacity || a.Confirmed != b.Confirmed ||
@@ -71,7 +71,7 @@
 			return true
 		}
 	}
-	return abs(a.InFlight-b.InFlight)*loadSteps > max(b.Capacity, 1)
+	return false
 }
 
 // peerChanged tells whether agents that fetch weights need an announcement.
@@ -81,19 +81,18 @@
 		a.Region != b.Region || a.Zone != b.Zone
 }
 
-// loadSteps is how finely members report load: a change below a quarter of the
-// capacity is not sent on.
-const loadSteps = 4
-
-func abs(v int) int { return max(v, -v) }
-
 // Announce takes in an announcement.
 func (h *hub) Announce(a wire.Announce, now time.Time) {
 	h.mu.Lock()
-	before := h.table.Version() + h.peers.Version()
+	before := h.table.Version()
 	fresh := h.table.Apply(a.Record(), now)
+	sent := h.table.Version() != before // to all entries, with its load
+	before = h.peers.Version()
 	h.peers.Apply(a.Record(), now)
-	changed := h.table.Version()+h.peers.Version() != before
+	changed := sent || h.peers.Version() != before
+	if fresh && h.loads.announced(a, sent) {
+		changed = true
+	}
 	h.mu.Unlock()
 	if fresh && h.announced != nil {
 		h.announced(a, now)
@@ -148,6 +147,7 @@
 func (h *hub) Forget(s *transport.Session) {
 	h.mu.Lock()
 	delete(h.subscribers, s)
+	h.loads.follow(s, nil)
 	h.mu.Unlock()
 }
 
@@ -212,6 +212,23 @@
 		}
 		h.sendMembers(sub, u)
 	}
+	h.loads.flush(h.table)
+}
+
+// FollowLoads sends a session the load of the listed endpoints, now and on
+// every change.
+func (h *hub) FollowLoads(s *transport.Session, endpoints []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loads.follow(s, endpoints)
+	sendLoads(s, wire.Loads{Changed: h.loads.of(endpoints, h.table)})
+}
+
+// checkLoads tells followers of loads which of their endpoints are silent.
+func (h *hub) checkLoads(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loads.check(h.table, now)
 }
 
 // RunPush sends new catalogues until done closes. It is apart from the
@@ -246,6 +263,8 @@
 func (h *hub) Run(done <-chan struct{}) {
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
+	check := time.NewTicker(wire.LoadCheckInterval)
+	defer check.Stop()
 	for {
 		select {
 		case <-done:
@@ -254,10 +273,14 @@
 			h.mu.Lock()
 			expired := h.table.Expire(now)
 			h.peers.Expire(now)
+			h.loads.forget(expired)
 			h.mu.Unlock()
 			if len(expired) == 0 {
 				continue
 			}
+		case now := <-check.C:
+			h.checkLoads(now)
+			continue
 		case <-h.wake:
 		}
 		h.flush()
--- /dev/null
+++ b/internal/control/loads.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/membership"
+)
+
+const (
+	// loadSteps is how finely load is reported: a change of at most a quarter of
+	// the capacity is not sent on.
+	loadSteps = 4
+	// silentAfter is the time without an announcement after which followers are
+	// told to ask elsewhere. Announcements come every second.
+	silentAfter = 1250 * time.Millisecond
+)
+
+// loads sends the load of endpoints to the sessions that follow them. At 800
+// endpoints and 370 entries, sending each change to every entry cost an entry
+// 160 KB/s.
+type loads struct {
+	follows   map[*transport.Session][]string
+	followers map[string]map[*transport.Session]struct{} // by endpoint
+	sent      map[string]int                             // load sent last, by endpoint
+	changed   map[string]struct{}                        // endpoints whose load is to be sent
+}
+
+func newLoads() loads {
+	return loads{
+		follows:   map[*transport.Session][]string{},
+		followers: map[string]map[*transport.Session]struct{}{},
+		sent:      map[string]int{},
+		changed:   map[string]struct{}{},
+	}
+}
+
+// follow replaces the endpoints that a session follows.
+func (l *loads) follow(s *transport.Session, endpoints []string) {
+	for _, name := range l.follows[s] {
+		delete(l.followers[name], s)
+		if len(l.followers[name]) == 0 {
+			delete(l.followers, name)
+		}
+	}
+	delete(l.follows, s)
+	if len(endpoints) == 0 {
+		return
+	}
+	l.follows[s] = slices.Clone(endpoints)
+	for _, name := range endpoints {
+		if l.followers[name] == nil {
+			l.followers[name] = map[*transport.Session]struct{}{}
+		}
+		l.followers[name][s] = struct{}{}
+	}
+}
+
+// announced takes in an announcement and reports whether its load is to be
+// sent. The load of one that goes to all entries goes with it.
+func (l *loads) announced(a wire.Announce, sentToAll bool) bool {
+	switch {
+	case a.Gone:
+		l.forget([]string{a.Endpoint})
+		return false
+	case sentToAll:
+		l.sent[a.Endpoint] = a.InFlight
+		delete(l.changed, a.Endpoint)
+		return false
+	case abs(a.InFlight-l.sent[a.Endpoint])*loadSteps <= max(a.Capacity, 1):
+		return false
+	}
+	l.sent[a.Endpoint] = a.InFlight
+	l.changed[a.Endpoint] = struct{}{}
+	return true
+}
+
+func abs(v int) int { return max(v, -v) }
+
+// forget drops endpoints that left.
+func (l *loads) forget(endpoints []string) {
+	for _, name := range endpoints {
+		delete(l.sent, name)
+		delete(l.changed, name)
+	}
+}
+
+// of returns the present load of those of the endpoints that are known.
+func (l *loads) of(endpoints []string, table *membership.Table[wire.Announce]) []wire.Load {
+	var list []wire.Load
+	for _, name := range endpoints {
+		if r, ok := table.Get(name); ok {
+			list = append(list, loadOf(r))
+		}
+	}
+	return list
+}
+
+func loadOf(r membership.Record[wire.Announce]) wire.Load {
+	return wire.Load{
+		Endpoint: r.Endpoint, Incarnation: r.Incarnation, Sequence: r.Sequence, InFlight: r.Report.InFlight,
+	}
+}
+
+// flush sends the changes to those who follow them.
+func (l *loads) flush(table *membership.Table[wire.Announce]) {
+	batches := map[*transport.Session][]wire.Load{}
+	for name := range l.changed {
+		r, ok := table.Get(name)
+		if !ok {
+			continue
+		}
+		for s := range l.followers[name] {
+			batches[s] = append(batches[s], loadOf(r))
+		}
+	}
+	clear(l.changed)
+	for s, batch := range batches {
+		sendLoads(s, wire.Loads{Changed: batch})
+	}
+}
+
+// check tells each follower which of its endpoints are silent.
+func (l *loads) check(table *membership.Table[wire.Announce], now time.Time) {
+	silent := map[*transport.Session][]string{}
+	for name, sessions := range l.followers {
+		if heard, ok := table.Heard(name); ok && now.Sub(heard) < silentAfter {
+			continue
+		}
+		for s := range sessions {
+			silent[s] = append(silent[s], name)
+		}
+	}
+	for s := range l.follows {
+		slices.Sort(silent[s])
+		sendLoads(s, wire.Loads{Check: true, Silent: silent[s]})
+	}
+}
+
+// sendLoads ends the session on failure: the follower then asks again.
+func sendLoads(s *transport.Session, m wire.Loads) {
+	if s.Send(m) != nil {
+		s.Close()
+	}
+}
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -38,6 +38,8 @@
 		})
 	case wire.TypeSubscribe:
 		handle(d, s, env, func(m wire.Subscribe) { d.hub.Subscribe(s, m) })
+	case wire.TypeFollowLoads:
+		handle(d, s, env, func(m wire.FollowLoads) { d.hub.FollowLoads(s, m.Endpoints) })
 	case wire.TypePropose:
 		handle(d, s, env, func(m wire.Propose) { d.receiveProposal(ctx, s, env, m) })
 	default:
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -46,6 +46,8 @@
 	OnCatalogue func(replica string, c wire.Catalogue)
 	OnMembers   func(replica string, m wire.Members)
 	OnConfirm   func(replica string, r wire.ConfirmReply)
+	// OnLoads receives the loads asked for with FollowLoads.
+	OnLoads func(replica string, m wire.Loads)
 	// OnOpen and OnLost, when set, are told of sessions.
 	OnOpen func(replica string, s *transport.Session)
 	OnLost func(replica string, err error)
@@ -63,11 +65,17 @@
 	dialers map[string]*transport.Dialer
 	order   []string                // addresses in the order they became known
 	run     func(*transport.Dialer) // set while Run runs
+
+	loads        *loadSources
+	loadsChanged chan struct{}
 }
 
 // New returns a client that has not started.
 func New(cfg Config) *Client {
-	c := &Client{cfg: cfg, dialers: map[string]*transport.Dialer{}}
+	c := &Client{
+		cfg: cfg, dialers: map[string]*transport.Dialer{},
+		loads: newLoadSources(), loadsChanged: make(chan struct{}, 1),
+	}
 	c.learn(cfg.Replicas...)
 	return c
 }
@@ -115,6 +123,8 @@
 		Handler: func(_ context.Context, _ *transport.Session, env wire.Envelope) { c.receive(address, env) },
 		Opened:  func(s *transport.Session) { c.opened(address, s) },
 		Failed: func(err error) {
+			c.loads.lost(address)
+			c.planLoads()
 			if c.cfg.OnLost != nil {
 				c.cfg.OnLost(address, err)
 			}
@@ -132,6 +142,9 @@
 		start(c.dialers[address])
 	}
 	c.mu.Unlock()
+	if c.cfg.OnLoads != nil {
+		wg.Go(func() { c.loadLoop(ctx) })
+	}
 	<-ctx.Done()
 	c.mu.Lock()
 	c.run = nil
@@ -145,6 +158,8 @@
 		subscribe.Revision = c.cfg.Revision()
 	}
 	_ = s.Send(subscribe)
+	c.loads.opened(address)
+	c.planLoads()
 	if c.cfg.OnOpen != nil {
 		c.cfg.OnOpen(address, s)
 	}
@@ -156,6 +171,8 @@
 		deliver(env, address, c.cfg.OnCatalogue)
 	case wire.TypeMembers:
 		deliver(env, address, c.cfg.OnMembers)
+	case wire.TypeLoads:
+		deliver(env, address, c.receivedLoads)
 	case wire.TypeConfirmReply:
 		deliver(env, address, c.confirmed)
 	}
--- /dev/null
+++ b/internal/controlclient/loads.go
@@ -0,0 +1,205 @@
+package controlclient
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+const (
+	loadPlanInterval = 250 * time.Millisecond
+	// loadStall is the time without a check after which another replica sends
+	// loads: two checks are missing.
+	loadStall = 2*wire.LoadCheckInterval + loadPlanInterval
+	// loadAvoidance is how long a replica that stalled is used only when the
+	// others stalled too.
+	loadAvoidance = 30 * time.Second
+)
+
+// FollowLoads replaces the endpoints whose load is wanted. One replica sends
+// them all; for endpoints that it does not hear from, the others are asked too.
+func (c *Client) FollowLoads(endpoints []string) {
+	c.loads.follow(endpoints)
+	c.planLoads()
+}
+
+func (c *Client) planLoads() {
+	select {
+	case c.loadsChanged <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) receivedLoads(address string, m wire.Loads) {
+	if c.loads.received(address, m, time.Now()) {
+		c.planLoads()
+	}
+	if c.cfg.OnLoads != nil {
+		c.cfg.OnLoads(address, m)
+	}
+}
+
+// loadLoop asks replicas for loads until ctx ends.
+func (c *Client) loadLoop(ctx context.Context) {
+	ticker := time.NewTicker(loadPlanInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.loadsChanged:
+		}
+		for address, endpoints := range c.loads.plan(time.Now()) {
+			c.askLoads(address, endpoints)
+		}
+	}
+}
+
+// askLoads asks one replica. One that could not be asked is planned again.
+func (c *Client) askLoads(address string, endpoints []string) {
+	s := c.dialer(address).Session()
+	if s != nil && s.Send(wire.FollowLoads{Endpoints: endpoints}) == nil {
+		return
+	}
+	c.loads.notAsked(address)
+}
+
+// loadSources decides which replica is asked for which loads. The primary is
+// asked for all, and is the first by rank that is connected and did not stall.
+// Ranks are random, so that the entries spread over the replicas.
+type loadSources struct {
+	mu      sync.Mutex
+	rank    func() uint64
+	wanted  []string // in order
+	sources map[string]*loadSource
+	primary string
+}
+
+type loadSource struct {
+	rank       uint64
+	open       bool
+	asked      []string
+	heard      time.Time // last check, or when loads were first asked for
+	silent     []string  // from the last check
+	avoidUntil time.Time
+}
+
+func newLoadSources() *loadSources {
+	return &loadSources{rank: rand.Uint64, sources: map[string]*loadSource{}}
+}
+
+func (l *loadSources) follow(endpoints []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted = slices.Sorted(slices.Values(endpoints))
+}
+
+// opened records a new session, which knows of no earlier request.
+func (l *loadSources) opened(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sources[address]
+	if s == nil {
+		s = &loadSource{rank: l.rank()}
+		l.sources[address] = s
+	}
+	s.open, s.asked, s.silent = true, nil, nil
+}
+
+func (l *loadSources) lost(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.sources[address]; s != nil {
+		s.open, s.asked, s.silent = false, nil, nil
+	}
+}
+
+func (l *loadSources) notAsked(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.sources[address]; s != nil {
+		s.asked = nil
+	}
+}
+
+// received takes in a message and reports whether requests may change by it.
+func (l *loadSources) received(address string, m wire.Loads, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sources[address]
+	if s == nil || !m.Check {
+		return false
+	}
+	changed := !slices.Equal(s.silent, m.Silent)
+	s.heard, s.silent = now, m.Silent
+	return changed
+}
+
+// plan returns the requests that are due, by replica.
+func (l *loadSources) plan(now time.Time) map[string][]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.choosePrimary(now)
+	requests := map[string][]string{}
+	for address, s := range l.sources {
+		want := l.wantedFrom(address)
+		if !s.open || slices.Equal(want, s.asked) {
+			continue
+		}
+		if len(s.asked) == 0 {
+			s.heard, s.silent = now, nil
+		}
+		s.asked = want
+		requests[address] = want
+	}
+	return requests
+}
+
+func (l *loadSources) choosePrimary(now time.Time) {
+	if s := l.sources[l.primary]; s != nil && len(s.asked) > 0 && now.Sub(s.heard) > loadStall {
+		s.avoidUntil = now.Add(loadAvoidance)
+	}
+	l.primary = ""
+	for address, s := range l.sources {
+		if s.open && (l.primary == "" || s.before(l.sources[l.primary], now)) {
+			l.primary = address
+		}
+	}
+}
+
+// before reports whether s is the better primary.
+func (s *loadSource) before(other *loadSource, now time.Time) bool {
+	a, b := latest(s.avoidUntil, now), latest(other.avoidUntil, now)
+	return cmp.Or(a.Compare(b), cmp.Compare(s.rank, other.rank)) < 0
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// wantedFrom lists what a replica is to be asked for.
+func (l *loadSources) wantedFrom(address string) []string {
+	if address == l.primary {
+		return l.wanted
+	}
+	primary := l.sources[l.primary]
+	if primary == nil {
+		return nil
+	}
+	var list []string
+	for _, name := range primary.silent {
+		if _, wanted := slices.BinarySearch(l.wanted, name); wanted {
+			list = append(list, name)
+		}
+	}
+	return list
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,8 @@
 	// controlClient keeps the sessions behind control.
 	controlClient *controlclient.Client
 	network       network.Network
+	// refreshing keeps an older endpoint table from replacing a newer one.
+	refreshing sync.Mutex
 
 	listener net.Listener
 	active   atomic.Int64
@@ -307,8 +309,9 @@
 			for _, a := range m.Updated {
 				e.suspects.announced(a, time.Now())
 			}
-			e.fleet.update(e.directory.endpoints(), time.Now())
+			e.refreshFleet(time.Now())
 		},
+		OnLoads: func(_ string, m wire.Loads) { e.fleet.applyLoads(m.Changed, time.Now()) },
 		OnLost: func(replica string, err error) {
 			e.directory.replicaLost(replica, time.Now())
 			e.suspects.forget(replica)
@@ -330,7 +333,7 @@
 			return
 		case now := <-ticker.C:
 			if e.directory.expire(now) {
-				e.fleet.update(e.directory.endpoints(), now)
+				e.refreshFleet(now)
 			}
 			for _, id := range e.fleet.check(now) {
 				e.log.WithField("endpoint", id).Warn("endpoint.ejected")
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -21,7 +21,9 @@
 	balancer *balancer.Balancer
 	gates    map[string]wire.Announce
 	running  map[string]*runningAttempt
-	outside  map[string]int // slots of endpoints outside the subset, by pool
+	used     []balancer.Endpoint  // the subset, as in the endpoint table
+	loads    map[string]wire.Load // newest of the endpoints used
+	outside  map[string]int       // slots of endpoints outside the subset, by pool
 	subset   subsetRule
 }
 
@@ -37,6 +39,7 @@
 	return &fleet{
 		balancer: balancer.New(cfg),
 		gates:    map[string]wire.Announce{},
+		loads:    map[string]wire.Load{},
 		running:  map[string]*runningAttempt{},
 		subset:   subset,
 	}
@@ -59,16 +62,22 @@
 	return e
 }
 
-func (f *fleet) update(table map[string]wire.Announce, now time.Time) {
+// update takes in the endpoint table and returns the endpoints used.
+func (f *fleet) update(table map[string]wire.Announce, now time.Time) []string {
 	list := make([]balancer.Endpoint, 0, len(table))
 	for _, a := range table {
 		list = append(list, toEndpoint(a))
 	}
 	list, outside := f.subset.apply(list)
+	names := make([]string, 0, len(list))
+	for _, e := range list {
+		names = append(names, e.ID)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gates, f.outside = table, outside
-	f.balancer.Update(list, now)
+	f.gates, f.outside, f.used = table, outside, list
+	f.refresh(now)
+	return names
 }
 
 // start picks an endpoint and records the attempt on it in one step, so that
--- /dev/null
+++ b/internal/entry/loads_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Guards against a late load that replaces a newer one, a load of a process that
+// is gone, and a load that brings back or hides the readiness reported by another
+// replica's announcement.
+func TestLoadsAreKeptApartFromTheTable(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(balancer.Config{}, subsetRule{above: 64})
+	now := time.Unix(1_000, 0)
+	table := func(incarnation, sequence uint64, inFlight int, ready bool) {
+		a := serviceAnnounce("a", incarnation, sequence, inFlight)
+		a.Ready = ready
+		is.Equal(f.update(map[string]wire.Announce{"a": a}, now), []string{"a"})
+	}
+	load := func(incarnation, sequence uint64, inFlight int) {
+		f.applyLoads([]wire.Load{{Endpoint: "a", Incarnation: incarnation, Sequence: sequence, InFlight: inFlight}}, now)
+	}
+	free := func() int {
+		free, _ := f.balancer.Free(servicePrefix+"orders", now)
+		return free
+	}
+	table(2, 5, 0, true)
+	is.Equal(free(), 8)
+	load(2, 7, 6)
+	is.Equal(free(), 2)
+	load(2, 6, 0) // late
+	load(1, 99, 0)
+	is.Equal(free(), 2)
+	table(2, 6, 1, true) // a slower replica's announcement
+	is.Equal(free(), 2)
+	table(2, 6, 1, false) // not ready since before the load
+	is.Equal(free(), 0)
+	table(2, 8, 3, true)
+	is.Equal(free(), 5)
+	load(3, 1, 8) // the restart itself is not known yet
+	is.Equal(free(), 5)
+	table(3, 1, 0, true)
+	load(3, 2, 7)
+	is.Equal(f.balancer.Slots(), 8)
+	is.Equal(f.loads["a"].InFlight, 7)
+	f.applyLoads([]wire.Load{{Endpoint: "unknown", Incarnation: 1}}, now)
+	is.Equal(len(f.loads), 1)
+}
+
+func serviceAnnounce(id string, incarnation, sequence uint64, inFlight int) wire.Announce {
+	return wire.Announce{
+		Endpoint: id, Incarnation: incarnation, Sequence: sequence, Kind: wire.KindService, Service: "orders",
+		Capacity: 8, InFlight: inFlight, Ready: true, Confirmed: true,
+	}
+}
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -23,6 +23,8 @@
 	TypeHave           Type = 11
 	TypeSubscribe      Type = 12
 	TypeAnnounceReply  Type = 13
+	TypeFollowLoads    Type = 14
+	TypeLoads          Type = 15
 )
 
 // Limits on decoded input. A frame above MaxFrameBytes closes the session.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,6 +1,10 @@
 package wire
 
-import "github.com/rhubarbhill/rhubarbhill/release"
+import (
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
 
 // EndpointKind tells engines from plain services.
 type EndpointKind string
@@ -128,7 +132,7 @@
 }
 
 // Members carries endpoint announcements, whole or changed since version Base.
-// Versions count within one process start, identified by Epoch, of the sender.
+// A change of load alone is not a change here: see Loads. Versions count within one process start, identified by Epoch, of the sender.
 type Members struct {
 	Epoch   uint64     `cbor:"1,keyasint"`
 	Version uint64     `cbor:"2,keyasint"`
@@ -137,6 +141,35 @@
 	Removed []string   `cbor:"5,keyasint,omitempty"`
 }
 
+// FollowLoads asks a control replica for the load of the listed endpoints, in
+// place of those asked for before. An empty list ends it.
+type FollowLoads struct {
+	Endpoints []string `cbor:"1,keyasint,omitempty"`
+}
+
+// Loads answers FollowLoads: at once with the load of every endpoint asked for,
+// then with changes. A check comes at least every LoadCheckInterval.
+type Loads struct {
+	Changed []Load `cbor:"1,keyasint,omitempty"`
+	Check   bool   `cbor:"2,keyasint,omitempty"`
+	// Silent, in a check, lists the endpoints asked for from which the replica
+	// has heard nothing lately: it may not know their present load.
+	Silent []string `cbor:"3,keyasint,omitempty"`
+}
+
+// LoadCheckInterval is the time between two checks of a Loads stream.
+const LoadCheckInterval = 500 * time.Millisecond
+
+// Load is the work in progress on an endpoint, with the position of the
+// announcement that reported it.
+type Load struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    string
+	Incarnation uint64
+	Sequence    uint64
+	InFlight    int
+}
+
 // Subscribe asks a control replica for catalogue and member updates.
 type Subscribe struct {
 	Name     string `cbor:"1,keyasint"`
@@ -202,6 +235,8 @@
 func (Catalogue) MessageType() Type      { return TypeCatalogue }
 func (Members) MessageType() Type        { return TypeMembers }
 func (Subscribe) MessageType() Type      { return TypeSubscribe }
+func (FollowLoads) MessageType() Type    { return TypeFollowLoads }
+func (Loads) MessageType() Type          { return TypeLoads }
 func (Propose) MessageType() Type        { return TypePropose }
 func (ProposeReply) MessageType() Type   { return TypeProposeReply }
 func (Raft) MessageType() Type           { return TypeRaft }
--- a/membership/table.go
+++ b/membership/table.go
@@ -111,6 +111,15 @@
 	return e.record, true
 }
 
+// Heard returns when the last announcement of a present endpoint came in.
+func (t *Table[T]) Heard(endpoint string) (time.Time, bool) {
+	e, ok := t.entries[endpoint]
+	if !ok || e.removed {
+		return time.Time{}, false
+	}
+	return e.heard, true
+}
+
 // Live returns the present endpoints, draining ones included, in order of name.
 func (t *Table[T]) Live() []Record[T] {
 	var live []Record[T]
