--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +30,7 @@
 	links     map[link]*state
 	starts    map[string]uint64 // of each host, so that a stopped process stays cut off
 	tap       func(from, to string, data []byte)
+	lastPort  int                      // given to a listener on port 0
 	frozen    map[string]chan struct{} // closed at the thaw
 }
 
@@ -177,13 +180,17 @@
 	}
 }
 
-// Listen implements network.Network.
+// Listen implements network.Network. Port 0 stands for a free port.
 func (h *Host) Listen(address string) (net.Listener, error) {
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
 	if h.stopped() {
 		return nil, &net.OpError{Op: "listen", Err: net.ErrClosed}
 	}
+	if host, ok := strings.CutSuffix(address, ":0"); ok {
+		h.net.lastPort++
+		address = host + ":" + strconv.Itoa(h.net.lastPort)
+	}
 	if _, taken := h.net.listeners[address]; taken {
 		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
 	}
--- /dev/null
+++ b/internal/network/memnet/server.go
@@ -0,0 +1,20 @@
+package memnet
+
+import (
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+)
+
+// StartServer serves handler on a free loopback address of n, or of the
+// operating system when n is nil. The caller closes the server.
+func StartServer(n network.Network, handler http.Handler) (*httptest.Server, error) {
+	listener, err := network.Or(n).Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	return server, nil
+}
--- a/internal/transfer/fake_test.go
+++ b/internal/transfer/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -11,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,22 +27,13 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// lastPort numbers the listeners of all tests.
-var lastPort atomic.Int32
-
 // serve serves h until the test ends.
 func serve(t *testing.T, n network.Network, h http.Handler) *httptest.Server {
 	t.Helper()
-	server := httptest.NewUnstartedServer(h)
-	if n != nil {
-		_ = server.Listener.Close()
-		listener, err := n.Listen(fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		server.Listener = listener
+	server, err := memnet.StartServer(n, h)
+	if err != nil {
+		t.Fatal(err)
 	}
-	server.Start()
 	t.Cleanup(server.Close)
 	return server
 }
