entry tests: run over the in-memory network in virtual time

Cause: the entries of the tests have timeouts of 50 to 300 ms, which a busy machine reaches without a fault. Ruled out: longer timeouts, which would make 60 s of waiting longer and only move the bound. Change: fake control, fake gates, entries and callers use internal/network/ memnet; each test runs in a bubble of testing/synctest. Assertions, timeouts and the number of random schedules are unchanged. The clock starts in 2026, for the keys that name their time, and package rapid does not see the deadline.

--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -23,7 +24,9 @@
 
 // Guards against a booking that runs twice or cannot be repeated, and against
 // unclear refusals.
-func TestClaimedCallRunsOnce(t *testing.T) {
+func TestClaimedCallRunsOnce(t *testing.T) { synctest.Test(t, testClaimedCallRunsOnce) }
+
+func testClaimedCallRunsOnce(t *testing.T) {
 	g := serviceGate("s1")
 	c := newCluster(t, g)
 	e := c.addEntry()
@@ -47,7 +50,9 @@
 }
 
 // Guards against a double booking when two entries get the same key at once.
-func TestSameKeyThroughTwoEntries(t *testing.T) {
+func TestSameKeyThroughTwoEntries(t *testing.T) { synctest.Test(t, testSameKeyThroughTwoEntries) }
+
+func testSameKeyThroughTwoEntries(t *testing.T) {
 	g := serviceGate("s1")
 	g.FirstToken = 50 * time.Millisecond
 	c := newCluster(t, g)
@@ -95,7 +100,9 @@
 
 // Guards against "not run" for a call that ran, and against a second run under
 // one key, over faults of gates and of control.
-func TestClaimsUnderFaults(t *testing.T) {
+func TestClaimsUnderFaults(t *testing.T) { synctest.Test(t, testClaimsUnderFaults) }
+
+func testClaimsUnderFaults(t *testing.T) {
 	gates := []*entrytest.Gate{serviceGate("s1"), serviceGate("s2")}
 	var current, lose atomic.Value
 	current.Store(fault{})
@@ -120,7 +127,7 @@
 		s.PlainTimeout, s.QueueWait, s.EjectedShare = Duration(60*time.Millisecond), Duration(60*time.Millisecond), 0.01
 	})
 	n := 0
-	rapid.Check(t, func(rt *rapid.T) {
+	rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 		n++
 		key := fmt.Sprintf("key-%d", n)
 		current.Store(rapid.SampledFrom(serviceFaults).Draw(rt, "fault"))
@@ -155,7 +162,9 @@
 
 // Guards against callers that wait for the result of an entry that died, and
 // against a second run of its call.
-func TestLostEntryLeavesUnknown(t *testing.T) {
+func TestLostEntryLeavesUnknown(t *testing.T) { synctest.Test(t, testLostEntryLeavesUnknown) }
+
+func testLostEntryLeavesUnknown(t *testing.T) {
 	g := serviceGate("s1")
 	c := newCluster(t, g)
 	entries := c.addEntries(2)
@@ -176,7 +185,9 @@
 }
 
 // Guards against a lost caller that also loses the result for its repeats.
-func TestCallOutlivesItsCaller(t *testing.T) {
+func TestCallOutlivesItsCaller(t *testing.T) { synctest.Test(t, testCallOutlivesItsCaller) }
+
+func testCallOutlivesItsCaller(t *testing.T) {
 	g := serviceGate("s1")
 	g.FirstToken = 100 * time.Millisecond
 	c := newCluster(t, g)
@@ -189,7 +200,9 @@
 }
 
 // Guards against claims taken while control has no quorum.
-func TestNoQuorumMeansNotRun(t *testing.T) {
+func TestNoQuorumMeansNotRun(t *testing.T) { synctest.Test(t, testNoQuorumMeansNotRun) }
+
+func testNoQuorumMeansNotRun(t *testing.T) {
 	g := serviceGate("s1")
 	c := newCluster(t, g)
 	c.control.OnPropose = func(ledger.Command) (wire.ProposeReply, bool) {
@@ -203,7 +216,9 @@
 }
 
 // Guards against a caller that cannot learn what became of its call.
-func TestOutcomeByKey(t *testing.T) {
+func TestOutcomeByKey(t *testing.T) { synctest.Test(t, testOutcomeByKey) }
+
+func testOutcomeByKey(t *testing.T) {
 	g := serviceGate("s1")
 	c := newCluster(t, g)
 	e := c.addEntry()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -13,7 +14,9 @@
 )
 
 // Guards against a broken path from caller to gate, plain and streamed.
-func TestChatPassesThrough(t *testing.T) {
+func TestChatPassesThrough(t *testing.T) { synctest.Test(t, testChatPassesThrough) }
+
+func testChatPassesThrough(t *testing.T) {
 	c := newCluster(t, engineGate("g1"))
 	e := c.addEntry()
 	for _, model := range []string{testModel, "council"} {
@@ -32,7 +35,9 @@
 }
 
 // Guards against unclear refusals of malformed requests.
-func TestRefusalsAreClear(t *testing.T) {
+func TestRefusalsAreClear(t *testing.T) { synctest.Test(t, testRefusalsAreClear) }
+
+func testRefusalsAreClear(t *testing.T) {
 	c := newCluster(t, engineGate("g1"))
 	e := c.addEntry(func(s *Settings) { s.MaxBody = 1000 })
 	for _, test := range []struct {
@@ -60,7 +65,9 @@
 }
 
 // Guards against services that get another path, or answers without headers.
-func TestServicePassesThrough(t *testing.T) {
+func TestServicePassesThrough(t *testing.T) { synctest.Test(t, testServicePassesThrough) }
+
+func testServicePassesThrough(t *testing.T) {
 	c := newCluster(t, serviceGate("s1"))
 	e := c.addEntry()
 	a := e.do(http.MethodGet, "/services/orders/list%2Fall?day=1", "", "Rhubarb-Idempotent", "true")
--- a/internal/entry/entrytest/control.go
+++ b/internal/entry/entrytest/control.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
@@ -17,6 +19,8 @@
 // Control is a fake control replica: a ledger without a replicated log.
 type Control struct {
 	Token string
+	// Network, when set, replaces the operating system's.
+	Network network.Network
 	// CommitDelay is the time that a commit takes.
 	CommitDelay time.Duration
 	// OnPropose, when set, may answer a command in place of the ledger.
@@ -32,12 +36,12 @@
 	commands []ledger.Command
 }
 
-// Start listens on loopback.
+// Start listens on a free port.
 func (c *Control) Start() *Control {
 	c.sessions = map[*transport.Session]bool{}
 	c.members = wire.Members{Epoch: 1}
 	c.Ledger = ledger.New()
-	c.server = httptest.NewServer(&transport.Server{
+	c.server = startServer(c.Network, &transport.Server{
 		Handler:   c.handle,
 		Authorize: func(r *http.Request) bool { return r.Header.Get("Authorization") == "Bearer "+c.Token },
 		Closed: func(s *transport.Session) {
@@ -49,6 +53,15 @@
 	return c
 }
 
+// startServer panics when no port can be opened, as httptest does.
+func startServer(n network.Network, handler http.Handler) *httptest.Server {
+	server, err := memnet.StartServer(n, handler)
+	if err != nil {
+		panic(err)
+	}
+	return server
+}
+
 // Close ends all sessions.
 func (c *Control) Close() {
 	c.mu.Lock()
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
@@ -59,6 +60,9 @@
 	// Fault, when set, is asked once for each attempt.
 	Fault func(r *http.Request, body string) Fault
 
+	// Network, when set, replaces the operating system's.
+	Network network.Network
+
 	server *httptest.Server
 
 	mu         sync.Mutex
@@ -78,14 +82,14 @@
 	stopped    chan struct{}
 }
 
-// Start listens on loopback.
+// Start listens on a free port.
 func (g *Gate) Start() *Gate {
 	g.states, g.crashed, g.executed = map[string]string{}, map[string]bool{}, map[string]int{}
 	g.stopped = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc(wire.PathGateForward+"/", g.forward)
 	mux.HandleFunc(wire.PathGateAttempts, g.attempts)
-	g.server = httptest.NewServer(mux)
+	g.server = startServer(g.Network, mux)
 	return g
 }
 
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -84,8 +85,7 @@
 func TestOneFaultIsMasked(t *testing.T) {
 	for _, f := range faultCases {
 		for _, stream := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
-				t.Parallel()
+			runVirtual(t, fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
 				gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
 				failFirst(f, 1, gates...)
 				c := newCluster(t, gates...)
@@ -108,8 +108,7 @@
 			continue // harmless, see TestOneFaultIsMasked
 		}
 		for _, stream := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
-				t.Parallel()
+			runVirtual(t, fmt.Sprintf("%s-stream=%v", faultName(f), stream), func(t *testing.T) {
 				gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
 				failFirst(f, 1<<30, gates...)
 				c := newCluster(t, gates...)
@@ -133,7 +132,9 @@
 }
 
 // Guards against answers that mix attempts, over any sequence of faults.
-func TestAnyFaultSequenceIsToldTruly(t *testing.T) {
+func TestAnyFaultSequenceIsToldTruly(t *testing.T) { synctest.Test(t, testAnyFaultSequenceIsToldTruly) }
+
+func testAnyFaultSequenceIsToldTruly(t *testing.T) {
 	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
 	var plan atomic.Pointer[[]fault]
 	var at atomic.Int32
@@ -155,7 +156,7 @@
 		s.EjectedShare, s.RetryRatio = 0.01, 1
 	})
 	n := 0
-	rapid.Check(t, func(rt *rapid.T) {
+	rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 		n++ // other content each time, so that no run is a suspect from the last
 		faults := rapid.SliceOfN(rapid.SampledFrom(faultCases), 0, 4).Draw(rt, "faults")
 		stream := rapid.Bool().Draw(rt, "stream")
@@ -168,7 +169,9 @@
 }
 
 // Guards against a stream that continues with another weights set's tokens.
-func TestStreamResumesOnSameSetOnly(t *testing.T) {
+func TestStreamResumesOnSameSetOnly(t *testing.T) { synctest.Test(t, testStreamResumesOnSameSetOnly) }
+
+func testStreamResumesOnSameSetOnly(t *testing.T) {
 	other := engineGate("g2")
 	other.Set = "sha256:set-two"
 	first := engineGate("g1")
@@ -189,7 +192,9 @@
 }
 
 // Guards against a resume from another token index: tokens lost or repeated.
-func TestResumeSendsTokenIndex(t *testing.T) {
+func TestResumeSendsTokenIndex(t *testing.T) { synctest.Test(t, testResumeSendsTokenIndex) }
+
+func testResumeSendsTokenIndex(t *testing.T) {
 	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
 	var resumed atomic.Value
 	var seen atomic.Int32
@@ -214,7 +219,9 @@
 
 // Guards against an endpoint that says healthy and answers nothing and still
 // gets work.
-func TestSilentEndpointIsEjected(t *testing.T) {
+func TestSilentEndpointIsEjected(t *testing.T) { synctest.Test(t, testSilentEndpointIsEjected) }
+
+func testSilentEndpointIsEjected(t *testing.T) {
 	silent := engineGate("g1")
 	silent.Fault = func(*http.Request, string) fault {
 		return fault{Step: entrytest.StepStarted, Kind: entrytest.Stall}
@@ -235,7 +242,9 @@
 }
 
 // Guards against a failed endpoint whose retries multiply the load.
-func TestRetryBudgetBounds(t *testing.T) {
+func TestRetryBudgetBounds(t *testing.T) { synctest.Test(t, testRetryBudgetBounds) }
+
+func testRetryBudgetBounds(t *testing.T) {
 	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2"), engineGate("g3")}
 	for _, g := range gates {
 		g.Fault = func(_ *http.Request, body string) fault {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +21,8 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
@@ -32,10 +35,13 @@
 	testSet   = "sha256:set-one"
 )
 
-// cluster is one fake control, fake gates and real entries.
+// cluster is one fake control, fake gates and real entries on an in-memory
+// network, for tests in virtual time: the timeouts of an entry are so short here
+// that a busy machine reaches them.
 type cluster struct {
 	t       *testing.T
 	is      *is.I
+	net     *memnet.Network
 	control *entrytest.Control
 	gates   []*entrytest.Gate
 	entries []*testEntry
@@ -43,8 +49,9 @@
 
 type testEntry struct {
 	*Entry
-	url  string
-	stop func()
+	url    string
+	client *http.Client
+	stop   func()
 }
 
 func readTestToken(t *testing.T) auth.Token {
@@ -75,12 +82,19 @@
 	return &entrytest.Gate{ID: id, Zone: "z1", Service: "orders", Capacity: 8}
 }
 
+// clusterStart is the earliest time of day in a cluster. Virtual time starts in
+// the year 2000, when keys that name their time were not yet expired.
+var clusterStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // newCluster starts control and gates and announces them.
 func newCluster(t *testing.T, gates ...*entrytest.Gate) *cluster {
-	c := &cluster{t: t, is: is.New(t), control: &entrytest.Control{Token: testToken}, gates: gates}
+	time.Sleep(time.Until(clusterStart))
+	c := &cluster{t: t, is: is.New(t), net: memnet.New(), control: &entrytest.Control{Token: testToken}, gates: gates}
+	c.control.Network = c.net.Host("control")
 	c.control.Start()
 	t.Cleanup(c.control.Close)
 	for _, g := range gates {
+		g.Network = c.net.Host(g.ID)
 		g.Start()
 		t.Cleanup(g.Close)
 	}
@@ -101,7 +115,7 @@
 	c.t.Helper()
 	var list []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := c.net.Host("entry").Listen("127.0.0.1:0")
 		c.is.NoErr(err)
 		list = append(list, l)
 	}
@@ -128,13 +142,14 @@
 	token := readTestToken(c.t)
 	e := New(Options{
 		Settings: s, ProcessToken: token, CallerToken: token, Listener: listener,
-		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		Network: c.net.Host(s.Instance),
+		Log:     &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
 	stopped := false
-	te := &testEntry{Entry: e, url: "http://" + listener.Addr().String(), stop: func() {
+	te := &testEntry{Entry: e, url: "http://" + listener.Addr().String(), client: c.newCaller(), stop: func() {
 		if !stopped {
 			stopped = true
 			cancel()
@@ -187,7 +202,23 @@
 	return a.trailer.Get(wire.HeaderReason)
 }
 
-var testClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// noDeadline hides the test's deadline, which package rapid must not ask for in
+// virtual time.
+type noDeadline struct{ testing.TB }
+
+// runVirtual runs a subtest in virtual time, beside others.
+func runVirtual(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, test)
+	})
+}
+
+func (c *cluster) newCaller() *http.Client {
+	transport := network.HTTPTransport(c.net.Host("caller"))
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
+}
 
 func (e *testEntry) do(method, path, body string, header ...string) answer {
 	request, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
@@ -198,7 +229,7 @@
 	for i := 0; i < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := testClient.Do(request)
+	response, err := e.client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/internal/entry/load_test.go
+++ b/internal/entry/load_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
@@ -17,6 +18,10 @@
 // Guards against a small organisation that starves, and against refused
 // requests that are held, during a burst of 3 times capacity by a large one.
 func TestBurstLeavesSmallOrganisationItsShare(t *testing.T) {
+	synctest.Test(t, testBurstLeavesSmallOrganisationItsShare)
+}
+
+func testBurstLeavesSmallOrganisationItsShare(t *testing.T) {
 	gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
 	for _, g := range gates {
 		g.Capacity, g.Tokens, g.PerToken = 4, 10, 5*time.Millisecond // 50 ms for an answer
@@ -70,7 +75,9 @@
 }
 
 // Guards against a limit that each entry grants in full.
-func TestLimitHoldsOverEntries(t *testing.T) {
+func TestLimitHoldsOverEntries(t *testing.T) { synctest.Test(t, testLimitHoldsOverEntries) }
+
+func testLimitHoldsOverEntries(t *testing.T) {
 	g := engineGate("g1")
 	g.Capacity, g.Tokens, g.PerToken = 64, 40, 5*time.Millisecond
 	c := newCluster(t, g)
@@ -92,8 +99,12 @@
 // Guards against a request that crashes every endpoint while its caller
 // resends it through every entry, with control's list and without one.
 func TestPoisonCostsTwoEndpoints(t *testing.T) {
-	t.Run("listed", func(t *testing.T) { testPoison(t, true) })
-	t.Run("control silent", func(t *testing.T) { testPoison(t, false) })
+	t.Run("listed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { testPoison(t, true) })
+	})
+	t.Run("control silent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { testPoison(t, false) })
+	})
 }
 
 func testPoison(t *testing.T, lists bool) {
@@ -147,7 +158,9 @@
 }
 
 // Guards against an innocent neighbour of a crash that stays a suspect.
-func TestNeighbourIsCleared(t *testing.T) {
+func TestNeighbourIsCleared(t *testing.T) { synctest.Test(t, testNeighbourIsCleared) }
+
+func testNeighbourIsCleared(t *testing.T) {
 	g := engineGate("g1")
 	other := engineGate("g2")
 	c := newCluster(t, g, other)
@@ -178,7 +191,9 @@
 }
 
 // Guards against an endpoint that is lost with its agent and reported by none.
-func TestLostInstanceIsReported(t *testing.T) {
+func TestLostInstanceIsReported(t *testing.T) { synctest.Test(t, testLostInstanceIsReported) }
+
+func testLostInstanceIsReported(t *testing.T) {
 	g := engineGate("g1")
 	c := newCluster(t, g)
 	g.Fault = func(_ *http.Request, body string) fault {
@@ -204,6 +219,10 @@
 // Guards against a planned stop that cuts streams, keeps the address in
 // answers, or refuses callers that still hold a valid answer.
 func TestPlannedStopInterruptsNothing(t *testing.T) {
+	synctest.Test(t, testPlannedStopInterruptsNothing)
+}
+
+func testPlannedStopInterruptsNothing(t *testing.T) {
 	g := engineGate("g1")
 	g.Capacity, g.Tokens, g.PerToken = 64, 100, 20*time.Millisecond // 2 s, longer than the stop's notice
 	c := newCluster(t, g)
@@ -230,7 +249,9 @@
 }
 
 // Guards against address answers that do not rank the caller's zone first.
-func TestAddressesRankZoneFirst(t *testing.T) {
+func TestAddressesRankZoneFirst(t *testing.T) { synctest.Test(t, testAddressesRankZoneFirst) }
+
+func testAddressesRankZoneFirst(t *testing.T) {
 	c := newCluster(t, engineGate("g1"))
 	list := []Peer{{Name: "entry-x", Address: "127.0.0.1:1", Zone: "z2"}, {Name: "entry-y", Address: "127.0.0.1:2", Zone: "z3"}}
 	e := c.addEntry(func(s *Settings) {
