Leave voters and replica out of repeated confirmation answers

Cause: make measure-notes now prints the bytes of control by message type. The answers repeated the voters' identities.

Change: an agent that asks with Short gets the voters and the replica's identity with the first answer of a session and after each change of the voter index; the client completes the others from that answer of the same session, and drops one whose voter index differs. The confirmation rule and its timing are unchanged. Agents that do not set Short get full answers. An answer that could not be queued counts as not told; addresses were lost in that case before. Addresses and their index now come from one view.

TestLoadGoesToFollowersOnly failed once: it copied the announcer's state without its lock, so that its "late" announcement could overtake the one that it copies.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -27,7 +27,7 @@
 		a.state.mu.Lock()
 		mark := a.state.lease.Ask(time.Now())
 		a.state.mu.Unlock()
-		a.control.Broadcast(wire.ConfirmRequest{Mark: mark})
+		a.control.Confirm(mark)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -71,7 +71,7 @@
 			announce.InFlight = rand.IntN(fakeCapacity + 1)
 			client.Broadcast(announce)
 		}
-		client.Broadcast(wire.ConfirmRequest{Mark: round})
+		client.Confirm(round)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -65,7 +65,7 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposals     chan struct{}
-	told          sync.Map           // session to the membership index whose addresses it has
+	told          sync.Map           // session to *told
 	halt          context.CancelFunc // stops at once, without handing over
 }
 
--- a/internal/control/loads_test.go
+++ b/internal/control/loads_test.go
@@ -102,6 +102,13 @@
 	a.client.Broadcast(a.next)
 }
 
+// last returns the last announcement sent.
+func (a *loadAnnouncer) last() wire.Announce {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.next
+}
+
 func (a *loadAnnouncer) setLoad(n int) {
 	a.announce(func(next *wire.Announce) { next.InFlight = n })
 }
@@ -133,7 +140,7 @@
 		is.Equal(f.load("a"), 8)
 		is.Equal(f.load("b"), 0)
 
-		late := a.next
+		late := a.last()
 		late.InFlight = 0
 		for _, change := range []func(){
 			func() {},                  // duplicate
--- a/internal/control/measure/fleet.go
+++ b/internal/control/measure/fleet.go
@@ -174,7 +174,7 @@
 			mark := a.lease.Ask(now)
 			a.settle(now)
 			a.mu.Unlock()
-			a.client.Broadcast(wire.ConfirmRequest{Mark: mark})
+			a.client.Confirm(mark)
 		}
 	}
 }
--- a/internal/control/measure/main.go
+++ b/internal/control/measure/main.go
@@ -297,12 +297,32 @@
 // measureIdle reports bytes and processor time while no note is submitted.
 func (c *cluster) measureIdle(f *fleet) {
 	control, agent, cpu := c.bytes(), f.bytes(), processorTime()
+	before := c.bytesByType(f)
 	time.Sleep(idleTime)
+	after := c.bytesByType(f)
 	seconds := idleTime.Seconds()
 	fmt.Printf("idle agents %d: control %.1f KB/s each, agent %.2f KB/s each, processor %.1f%% of a core for all %d processes' work\n",
 		len(f.agents), float64(c.bytes()-control)/seconds/1000/float64(len(c.names)),
 		float64(f.bytes()-agent)/seconds/1000/float64(len(f.agents)),
 		100*(processorTime()-cpu).Seconds()/seconds, len(c.names)+len(f.agents))
+	for t, bytes := range after {
+		if bytes > before[t] {
+			fmt.Printf("  of control: %-16s %.2f KB/s each\n", wire.Type(t), float64(bytes-before[t])/seconds/1000/float64(len(c.names)))
+		}
+	}
+}
+
+// bytesByType is the payload that the replicas sent and received, by message
+// type. A message between replicas counts twice: sent and received.
+func (c *cluster) bytesByType(f *fleet) [wire.TypeCount]int64 {
+	var total [wire.TypeCount]int64
+	for t := range total {
+		total[t] = c.counts.ReceivedByType[t].Load() + f.counts.ReceivedByType[t].Load()
+		if wire.Type(t) == wire.TypeRaft {
+			total[t] *= 2
+		}
+	}
+	return total
 }
 
 func processorTime() time.Duration {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -28,7 +28,7 @@
 	case wire.TypeRaft:
 		handle(d, s, env, func(m wire.Raft) { d.receivePeer(m) })
 	case wire.TypeConfirmRequest:
-		handle(d, s, env, func(m wire.ConfirmRequest) { _ = s.Send(d.addressesOnce(s, d.confirmReply(m))) })
+		handle(d, s, env, func(m wire.ConfirmRequest) { d.sendConfirmReply(s, m) })
 	case wire.TypeAnnounce:
 		handle(d, s, env, func(m wire.Announce) {
 			d.hub.Announce(m, time.Now())
@@ -83,7 +83,10 @@
 // are the newest ones known to be committed: a membership that is only in this
 // log may never be, and is covered by Unresolved.
 func (d *Daemon) confirmReply(m wire.ConfirmRequest) wire.ConfirmReply {
-	v := d.replica.View()
+	return confirmReplyOf(d.replica.View(), m)
+}
+
+func confirmReplyOf(v *View, m wire.ConfirmRequest) wire.ConfirmReply {
 	return wire.ConfirmReply{
 		Mark: m.Mark, Replica: v.Raft.ID, Revision: v.Catalogue.Revision, Unresolved: v.Unresolved,
 		Voters: v.Raft.Committed.Voters, VoterIndex: v.Raft.Committed.Index,
@@ -91,15 +94,44 @@
 	}
 }
 
-// addressesOnce leaves out the replicas' addresses when the session has them:
-// they made up half of the bytes of confirmation.
-func (d *Daemon) addressesOnce(s *transport.Session, r wire.ConfirmReply) wire.ConfirmReply {
-	index := d.replica.View().Raft.Membership.Index
-	if told, ok := d.told.Load(s); ok && told == index {
-		r.Addresses = nil
+// told is what a session's confirmation replies have said already.
+type told struct {
+	membership uint64 // index of the membership whose addresses it has
+	voterIndex uint64
+}
+
+// sendConfirmReply leaves out what the session has: addresses and voters made up
+// most of the bytes of confirmation. A reply that could not be queued told
+// nothing.
+func (d *Daemon) sendConfirmReply(s *transport.Session, m wire.ConfirmRequest) {
+	v := d.replica.View()
+	full := confirmReplyOf(v, m)
+	now := told{membership: v.Raft.Membership.Index, voterIndex: full.VoterIndex}
+	if s.Send(shortened(full, m.Short, d.toldTo(s), now)) != nil {
+		d.told.Delete(s)
+		return
+	}
+	d.told.Store(s, &now)
+}
+
+// toldTo returns what a session was told, or nil.
+func (d *Daemon) toldTo(s *transport.Session) *told {
+	if t, ok := d.told.Load(s); ok {
+		return t.(*told)
+	}
+	return nil
+}
+
+func shortened(r wire.ConfirmReply, short bool, before *told, now told) wire.ConfirmReply {
+	if before == nil {
 		return r
 	}
-	d.told.Store(s, index)
+	if before.membership == now.membership {
+		r.Addresses = nil
+	}
+	if short && before.voterIndex == now.voterIndex {
+		r.Short, r.Replica, r.Voters = true, "", nil
+	}
 	return r
 }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -66,6 +66,7 @@
 	order   []string                // addresses in the order they became known
 	run     func(*transport.Dialer) // set while Run runs
 
+	sessions     sessionStates
 	loads        *loadSources
 	loadsChanged chan struct{}
 }
@@ -120,7 +121,7 @@
 		Token:   c.cfg.Token,
 		Bytes:   c.cfg.Bytes,
 		Network: c.cfg.Network,
-		Handler: func(_ context.Context, _ *transport.Session, env wire.Envelope) { c.receive(address, env) },
+		Handler: func(_ context.Context, s *transport.Session, env wire.Envelope) { c.receive(address, s, env) },
 		Opened:  func(s *transport.Session) { c.opened(address, s) },
 		Failed: func(err error) {
 			c.loads.lost(address)
@@ -165,7 +166,7 @@
 	}
 }
 
-func (c *Client) receive(address string, env wire.Envelope) {
+func (c *Client) receive(address string, s *transport.Session, env wire.Envelope) {
 	switch env.Type {
 	case wire.TypeCatalogue:
 		deliver(env, address, c.cfg.OnCatalogue)
@@ -174,13 +175,16 @@
 	case wire.TypeLoads:
 		deliver(env, address, c.receivedLoads)
 	case wire.TypeConfirmReply:
-		deliver(env, address, c.confirmed)
+		deliver(env, address, func(address string, r wire.ConfirmReply) { c.confirmed(address, s, r) })
 	}
 }
 
 // confirmed learns the replicas that an answer names: voters change over the
 // life of an agent.
-func (c *Client) confirmed(address string, r wire.ConfirmReply) {
+func (c *Client) confirmed(address string, s *transport.Session, r wire.ConfirmReply) {
+	if !c.sessions.expand(address, s, &r) {
+		return
+	}
 	c.learn(slices.Sorted(maps.Values(r.Addresses))...)
 	if c.cfg.OnConfirm != nil {
 		c.cfg.OnConfirm(address, r)
--- /dev/null
+++ b/internal/controlclient/sessions.go
@@ -0,0 +1,56 @@
+package controlclient
+
+import (
+	"sync"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// sessionStates holds what short messages leave out, by replica. It belongs to
+// one session: the other side of a new one knows nothing of it.
+type sessionStates struct {
+	mu     sync.Mutex
+	states map[string]*sessionState
+}
+
+type sessionState struct {
+	session *transport.Session
+	full    *wire.ConfirmReply // the last full reply
+}
+
+// of returns the state of a session. The caller holds mu.
+func (l *sessionStates) of(address string, s *transport.Session) *sessionState {
+	if l.states == nil {
+		l.states = map[string]*sessionState{}
+	}
+	state := l.states[address]
+	if state == nil || state.session != s {
+		state = &sessionState{session: s}
+		l.states[address] = state
+	}
+	return state
+}
+
+// expand completes a short reply. It reports false for one that does not follow
+// the last full reply: it must not count for that reply's voters.
+func (l *sessionStates) expand(address string, s *transport.Session, r *wire.ConfirmReply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.of(address, s)
+	if !r.Short {
+		full := *r
+		state.full = &full
+		return true
+	}
+	if state.full == nil || state.full.VoterIndex != r.VoterIndex {
+		return false
+	}
+	r.Replica, r.Voters = state.full.Replica, state.full.Voters
+	return true
+}
+
+// Confirm asks every replica for its revision.
+func (c *Client) Confirm(mark uint64) {
+	c.Broadcast(wire.ConfirmRequest{Mark: mark, Short: true})
+}
--- /dev/null
+++ b/internal/controlclient/sessions_test.go
@@ -0,0 +1,40 @@
+package controlclient
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// Guards against a short confirmation that counts for voters of another reply:
+// of another voter set, an earlier session or another replica.
+func TestShortRepliesAreCompletedFromTheirSession(t *testing.T) {
+	is := is.New(t)
+	var states sessionStates
+	first, second := &transport.Session{}, &transport.Session{}
+	expanded := func(address string, s *transport.Session, r wire.ConfirmReply) (wire.ConfirmReply, bool) {
+		ok := states.expand(address, s, &r)
+		return r, ok
+	}
+	short := wire.ConfirmReply{Mark: 2, Revision: 7, VoterIndex: 5, Short: true}
+	_, ok := expanded("x", first, short)
+	is.True(!ok)
+	_, ok = expanded("x", first, wire.ConfirmReply{Mark: 1, Replica: "rx", Voters: []string{"rx", "ry"}, VoterIndex: 5})
+	is.True(ok)
+	r, ok := expanded("x", first, short)
+	is.True(ok)
+	is.Equal(r.Replica, "rx")
+	is.Equal(r.Voters, []string{"rx", "ry"})
+	is.Equal(r.Revision, uint64(7))
+	_, ok = expanded("y", second, short)
+	is.True(!ok)
+	_, ok = expanded("x", second, short)
+	is.True(!ok)
+	_, ok = expanded("x", second, wire.ConfirmReply{Replica: "rx", Voters: []string{"rx"}, VoterIndex: 6})
+	is.True(ok)
+	_, ok = expanded("x", second, short)
+	is.True(!ok)
+}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -50,6 +50,14 @@
 // ByteCounts counts payload bytes in both directions.
 type ByteCounts struct {
 	Sent, Received atomic.Int64
+	// ReceivedByType counts received bytes by message type.
+	ReceivedByType [wire.TypeCount]atomic.Int64
+}
+
+func (b *ByteCounts) received(t wire.Type, bytes int) {
+	if int(t) < len(b.ReceivedByType) {
+		b.ReceivedByType[t].Add(int64(bytes))
+	}
 }
 
 func newSession(conn *websocket.Conn, peer string, handler Handler, bytes *ByteCounts) *Session {
@@ -103,6 +111,7 @@
 		if err != nil {
 			return err
 		}
+		s.bytes.received(env.Type, len(frame))
 		if env.ReplyTo != 0 {
 			s.deliverReply(env)
 			continue
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -25,8 +25,26 @@
 	TypeAnnounceReply  Type = 13
 	TypeFollowLoads    Type = 14
 	TypeLoads          Type = 15
+
+	// TypeCount is one more than the highest type.
+	TypeCount = 16
 )
 
+var typeNames = [TypeCount]string{
+	TypeError: "error", TypeAnnounce: "announce", TypeConfirmRequest: "confirm_request",
+	TypeConfirmReply: "confirm_reply", TypeCatalogue: "catalogue", TypeMembers: "members", TypeRaft: "raft",
+	TypePropose: "propose", TypeProposeReply: "propose_reply", TypeHaveRequest: "have_request", TypeHave: "have",
+	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads",
+}
+
+// String names a message type.
+func (t Type) String() string {
+	if int(t) < len(typeNames) {
+		return typeNames[t]
+	}
+	return "unknown"
+}
+
 // Limits on decoded input. A frame above MaxFrameBytes closes the session.
 const (
 	MaxFrameBytes    = 8 << 20
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -89,6 +89,8 @@
 // sending on the agent's monotonic clock; the reply echoes it.
 type ConfirmRequest struct {
 	Mark uint64 `cbor:"1,keyasint"`
+	// Short allows a short reply.
+	Short bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ConfirmReply is a voter's answer. A voter with Unresolved set holds a newer
@@ -97,16 +99,19 @@
 // answer counts only towards a read quorum of that very set.
 type ConfirmReply struct {
 	Mark       uint64   `cbor:"1,keyasint"`
-	Replica    string   `cbor:"2,keyasint"`
+	Replica    string   `cbor:"2,keyasint,omitempty"`
 	Revision   uint64   `cbor:"3,keyasint"`
-	Unresolved bool     `cbor:"4,keyasint"`
-	Voters     []string `cbor:"5,keyasint"`
+	Unresolved bool     `cbor:"4,keyasint,omitempty"`
+	Voters     []string `cbor:"5,keyasint,omitempty"`
 	VoterIndex uint64   `cbor:"6,keyasint"`
 	// Addresses maps replicas, learners included, to their session addresses.
 	// It comes with the first reply of a session and after each change.
-	Addresses map[string]string `cbor:"7,keyasint"`
+	Addresses map[string]string `cbor:"7,keyasint,omitempty"`
 	// Term orders leaders' fencing numbers for engine orders.
 	Term uint64 `cbor:"8,keyasint"`
+	// Short is true in a reply that leaves out Replica and Voters: they are those
+	// of the last full reply on this session, which has the same VoterIndex.
+	Short bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Catalogue carries the state that accepted notes produced. A delta is applied
