admission: count callers that name no organisation

Controller.next returned the name of the organisation that is served next, and the empty name for "no slot". Callers without Rhubarb-Organisation have the empty name: each was admitted at once although every slot was in use, and one that did queue was never granted a slot.

next now says separately whether there is one. The test fails without the change: the second request of the unnamed organisation got the only slot.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -115,6 +115,19 @@
 	is.Equal(len(expired), 2)
 }
 
+// Guards against callers that name no organisation and so get slots beyond the
+// pool's, or are never granted one for which they wait.
+func TestUnnamedOrganisationIsAdmittedLikeOthers(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Entry: "a"})
+	c.SetSlots(1)
+	is.True(firstOf(c.Arrive(request(1, ""), epoch)))
+	is.True(!firstOf(c.Arrive(request(2, ""), epoch)))
+	c.Done("", 100*time.Millisecond)
+	granted, _ := c.Advance(epoch)
+	is.Equal(granted, []uint64{2})
+}
+
 func firstOf(admitted bool, _ *Refusal) bool { return admitted }
 
 // Guards against slots that leak or are granted twice, over any sequence of
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -161,7 +161,7 @@
 	o := c.organisation(r.Organisation)
 	c.enqueue(o, waiting{r, now})
 	division := c.divide()
-	if granted := c.next(division); granted == r.Organisation && o.queue[0].ID == r.ID {
+	if granted, ok := c.next(division); ok && granted == r.Organisation && o.queue[0].ID == r.ID {
 		c.grant(o)
 		return true, nil
 	}
@@ -211,26 +211,27 @@
 
 // next returns the organisation that the next slot goes to: of those with
 // waiting requests and room below their limit, the one that holds the fewest
-// slots for its weight, and among equals the one served longest ago. It is
-// empty when there is no slot.
-func (c *Controller) next(division Division) string {
+// slots for its weight, and among equals the one served longest ago. ok is
+// false when there is no slot. Callers that name no organisation belong to the
+// one with the empty name.
+func (c *Controller) next(division Division) (best string, ok bool) {
 	// Every entry may use one slot, so that a new request need not wait for
 	// the next exchange of reports.
 	if c.inFlight >= max(1, int(math.Floor(division.Slots+roundingSlack))) {
-		return ""
+		return "", false
 	}
-	best, lowest, turn := "", 0.0, uint64(0)
+	lowest, turn := 0.0, uint64(0)
 	for _, name := range slices.Sorted(maps.Keys(c.organisations)) {
 		o := c.organisations[name]
 		if len(o.queue) == 0 || o.inFlight >= c.limit(name) {
 			continue
 		}
 		held := float64(c.held(name)) / c.weight(name)
-		if best == "" || held < lowest || held == lowest && o.turn < turn {
-			best, lowest, turn = name, held, o.turn
+		if !ok || held < lowest || held == lowest && o.turn < turn {
+			best, lowest, turn, ok = name, held, o.turn, true
 		}
 	}
-	return best
+	return best, ok
 }
 
 // roundingSlack keeps sums of parts that are whole up to rounding errors whole.
@@ -335,8 +336,8 @@
 	division := c.divide()
 	refused = c.expire(division, now)
 	for c.waiting > 0 {
-		name := c.next(division)
-		if name == "" {
+		name, ok := c.next(division)
+		if !ok {
 			break
 		}
 		granted = append(granted, c.grant(c.organisations[name]))
