release, settings: bound the nesting of YAML before it is parsed

Cause: a check of the decoders' limits on depth. The YAML parser's time grows with the square of the nesting: a note of 100,000 "[", under half of the size allowed, kept a core of a control replica busy for 19.4 s, one of 100,000 "- " for 13.8 s; the limit of the decoder ("exceeded max depth") comes after that. Ruled out: a smaller size limit (10,000 "[" in 10 KB still take 0.3 s, and notes with 1,000 changes need the size); a limit in the walk over the parsed file, which comes too late. The lexer alone is linear: 40,000 "[" take 37 ms. Change: package yamldepth counts flow and same-line block nesting in the tokens and refuses more than 64. Notes and settings are checked before they are parsed. Guard: with the check fed no data, TestNestingIsBounded failed in both packages.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
 )
 
 // MaxFileBytes bounds a settings file.
@@ -67,6 +69,9 @@
 
 // topLevel returns the fields of the document.
 func topLevel(data []byte) ([]*ast.MappingValueNode, error) {
+	if err := yamldepth.Check(data); err != nil {
+		return nil, err
+	}
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return nil, located(err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -141,6 +141,13 @@
 	is.True(strings.Contains(err.Error(), path))
 }
 
+// Guards against a settings file whose nesting keeps the start busy for
+// minutes.
+func TestNestingIsBounded(t *testing.T) {
+	err := Decode([]byte("peers: "+strings.Repeat("[", 10_000)), &example{})
+	is.New(t).True(err != nil && strings.Contains(err.Error(), "nested deeper"))
+}
+
 // Guards against settings files that stop or block the process.
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{valid, "", "#", "a", "- a", "a: &x [*x]", "<<: {a: b}", "? a", "listen: !!binary x", "\xff", "peers: [[[[", "wait: 1e99h", "a:\n- b: |\n  c"} {
--- /dev/null
+++ b/internal/yamldepth/depth.go
@@ -0,0 +1,36 @@
+// Package yamldepth bounds how deep YAML may be nested before it is parsed.
+package yamldepth
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/token"
+)
+
+// maxDepth is far above what notes and settings need. The parser's time grows
+// with the square of the depth: 100 KB of "[" took 19 s.
+const maxDepth = 64
+
+// Check refuses data that is nested too deep. Nesting by indentation alone is
+// not counted: its depth grows only with the square root of the size.
+func Check(data []byte) error {
+	flow, entries, line := 0, 0, 0
+	for _, t := range lexer.Tokenize(string(data)) {
+		switch t.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow = max(0, flow-1)
+		case token.SequenceEntryType, token.MappingKeyType:
+			if t.Position.Line != line {
+				entries, line = 0, t.Position.Line
+			}
+			entries++
+		}
+		if flow > maxDepth || entries > maxDepth {
+			return fmt.Errorf("line %d, column %d: is nested deeper than %d", t.Position.Line, t.Position.Column, maxDepth)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/yamldepth/depth_test.go
@@ -0,0 +1,24 @@
+package yamldepth_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
+)
+
+// Guards against input whose nesting keeps the parser busy for minutes, and
+// against a limit that long lists reach.
+func TestCheck(t *testing.T) {
+	for _, part := range []string{"[", "{a: ", "- ", "{", "[[],"} {
+		is.New(t).True(yamldepth.Check([]byte(strings.Repeat(part, 100_000))) != nil) // too deep
+	}
+	for _, whole := range []string{
+		"", strings.Repeat("- a\n", 1000), "a: [" + strings.Repeat("[], ", 1000) + "]", `a: "` + strings.Repeat("[", 1000) + `"`,
+		strings.Repeat("- - a\n", 1000),
+	} {
+		is.New(t).NoErr(yamldepth.Check([]byte(whole)))
+	}
+}
--- a/release/note.go
+++ b/release/note.go
@@ -13,6 +13,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
 )
 
 // Limits on a note.
@@ -123,6 +125,9 @@
 	if len(data) > MaxNoteBytes {
 		return nil, single("note", fmt.Sprintf("is longer than %d bytes", MaxNoteBytes))
 	}
+	if err := yamldepth.Check(data); err != nil {
+		return nil, single("note", err.Error())
+	}
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return nil, syntaxProblem(err)
--- a/release/note_test.go
+++ b/release/note_test.go
@@ -103,6 +103,13 @@
 	is.Equal(len(one.Adapters), 1) // Apply does not change its input
 }
 
+// Guards against a note of the allowed size whose nesting keeps a replica busy
+// for minutes.
+func TestNestingIsBounded(t *testing.T) {
+	_, err := Parse([]byte("note: " + strings.Repeat("[", 10_000)))
+	is.New(t).True(err != nil && strings.Contains(err.Error(), "nested deeper"))
+}
+
 // Guards against notes that crash the parser, and against a note that changes
 // its identity when read back.
 func FuzzParse(f *testing.F) {
