agent: refuse a resumed attempt whose body is "null"

Cause: fuzz target FuzzAttempt, by its seed: "null" decodes into a nil map without an error, and adding the token index to it panicked in the handler. Ruled out: an empty body and a body that is no object; both are errors of the decoder already. Change: prepareChat refuses a body that is not an object. Before/after: panic "assignment to entry in nil map"; now a refusal. Guard: the seed failed before the change.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -25,6 +26,8 @@
 	stream      bool   // engines: tokens are passed on as they come
 }
 
+var errNoObject = errors.New("the body is not a JSON object")
+
 // parseAttempt reads headers and body.
 func parseAttempt(w http.ResponseWriter, r *http.Request, maxBody int64) (*attempt, error) {
 	a := &attempt{
@@ -84,6 +87,9 @@
 	if err := json.Unmarshal(a.body, &fields); err != nil {
 		return err
 	}
+	if fields == nil { // "null" is decoded without an error
+		return errNoObject
+	}
 	fields["resume_from_token"] = json.RawMessage(a.resumeFrom)
 	body, err := json.Marshal(fields)
 	a.body = body
