entry: pass on an event "null" of a resumed stream unchanged

Cause: fuzz target FuzzEvents, by its seed: a gate's event "data: null" decodes into a nil map without an error, and giving it the identifier of the stream's first part panicked. By reading, the attempt would have stayed counted as running. Also by reading, the gate drops such an event today, as it names no weights set; the entry must not rely on it. Change: withID returns such an event unchanged, and bodyToSend such a body, in which a missing model is refused earlier today. Before/after: panic "assignment to entry in nil map"; now the event passes. Guard: the seeds of FuzzEvents and FuzzChatBody failed without the change.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -92,7 +92,7 @@
 		return c.body
 	}
 	var fields map[string]json.RawMessage
-	if json.Unmarshal(c.body, &fields) != nil {
+	if json.Unmarshal(c.body, &fields) != nil || fields == nil { // "null" is decoded without an error
 		return c.body
 	}
 	fields["resume_from_token"] = json.RawMessage(strconv.Itoa(c.tokens))
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -224,7 +224,7 @@
 // withID gives an event of a resumed stream the identifier of the first part.
 func withID(raw, data []byte, id string) []byte {
 	var fields map[string]json.RawMessage
-	if id == "" || json.Unmarshal(data, &fields) != nil {
+	if id == "" || json.Unmarshal(data, &fields) != nil || fields == nil { // "null" is decoded without an error
 		return raw
 	}
 	quoted, err := json.Marshal(id)
