Fuzz targets for the decoders that had none

The target of the wire messages decodes all 13 kinds instead of 7, and applies catalogue deltas and member updates.

--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/release"
+)
+
+// Guards against a frame of another replica, a hello or a raft message, that
+// crashes a replica.
+func FuzzPeerFrame(f *testing.F) {
+	message, err := raft.EncodeMessage(raft.Message{Kind: raft.MsgVote, From: "b", To: "a", Term: 1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, frame := range []peerFrame{{Raft: message}, {Hello: &hello{ID: "1", Name: "b", Address: "10.0.0.1:1"}}} {
+		data, err := wire.Marshal(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var frame peerFrame
+		if wire.Unmarshal(data, &frame) != nil {
+			return
+		}
+		if frame.Hello != nil {
+			p := &peers{seen: map[string]peer{}, byID: map[string]string{}, dialers: map[string]*dialer{}}
+			p.Heard(*frame.Hello, time.Unix(0, 0))
+		}
+		_, _ = raft.DecodeMessage(frame.Raft)
+	})
+}
+
+// Guards against a body of the operator API that crashes a replica, and one
+// that is neither a note nor answered.
+func FuzzOperatorNote(f *testing.F) {
+	f.Add([]byte("note: 1\nmodels:\n  add:\n    - name: m\n      version: \"1\"\n"))
+	f.Add(bytes.Repeat([]byte("#"), release.MaxNoteBytes+2))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := httptest.NewRecorder()
+		_, ok := readNote(w, httptest.NewRequest(http.MethodPost, "/v1/notes", bytes.NewReader(data)))
+		if ok != (w.Body.Len() == 0) {
+			t.Fatalf("note read: %v, answer %q", ok, w.Body)
+		}
+		if !ok && w.Code != http.StatusBadRequest {
+			t.Fatalf("status %d", w.Code)
+		}
+	})
+}
--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -91,3 +91,27 @@
 		}
 	}
 }
+
+// Guards against a settings file of any daemon that stops its start with a
+// crash instead of a list of problems.
+func FuzzDaemonSettings(f *testing.F) {
+	files, err := filepath.Glob("../../deploy/*/*.yaml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entrySettings, controlSettings, agentSettings := entry.DefaultSettings(), control.DefaultSettings(), agent.DefaultSettings()
+		for _, out := range []settings.Checker{&entrySettings, &controlSettings, &agentSettings} {
+			if settings.Decode(data, out) == nil && out.Check() != nil {
+				t.Errorf("%T accepted although its check fails: %q", out, data)
+			}
+		}
+	})
+}
--- a/internal/wire/envelope_test.go
+++ b/internal/wire/envelope_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/membership"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
 
@@ -57,8 +59,21 @@
 		if err != nil {
 			return
 		}
-		for _, out := range []any{&Announce{}, &ConfirmReply{}, &Catalogue{}, &Members{}, &Propose{}, &Have{}, &Subscribe{}} {
+		for _, out := range []any{
+			&Error{}, &Announce{}, &AnnounceReply{}, &ConfirmRequest{}, &ConfirmReply{}, &Catalogue{}, &Members{},
+			&Raft{}, &Propose{}, &ProposeReply{}, &HaveRequest{}, &Have{}, &Subscribe{},
+		} {
 			_ = env.Into(out)
 		}
+		var c Catalogue
+		if env.Into(&c) == nil && c.Delta != nil {
+			held := release.Catalogue{Revision: c.Delta.From}
+			_, _ = c.Delta.Apply(held)
+		}
+		var m Members
+		if env.Into(&m) == nil {
+			view := membership.NewView[Announce](membership.ViewConfig{})
+			view.Apply("a", m.Update(), time.Unix(0, 0))
+		}
 	})
 }
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -314,3 +314,15 @@
 		}
 	})
 }
+
+// Guards against a damaged identity file that crashes the start or passes.
+func FuzzIdentity(f *testing.F) {
+	f.Add([]byte(`{"replica":"a","storage":"00112233445566778899aabbccddeeff"}`))
+	f.Add([]byte("null"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := &Folder{opts: Options{Replica: "a"}}
+		if folder.checkIdentity("identity", data) == nil && folder.identity.Replica != "a" {
+			t.Fatal("identity of another replica accepted")
+		}
+	})
+}
