transfer: fetch a set's model and adapters at the same time

Cause: the manifests of a set were fetched one after another. A small one spends most of its time waiting for the first reports of its peers, so each adapter added the better part of a second to a rollout.

Change: up to 4 manifests of a set at the same time, in order of start, the model first. All fetches of chunks of an instance share 12 slots, what one manifest takes at most. Progress counts each manifest on its own.

Ruled out: all manifests at once, which gained nothing more and costs one session per peer and manifest.

--- a/internal/transfer/config.go
+++ b/internal/transfer/config.go
@@ -39,6 +39,15 @@
 	// bounds the harm of a source that sends a few bytes at a time.
 	ChunkTimeout time.Duration
 
+	// ManifestFetches bounds the manifests of one set, the model's and those of
+	// its adapters, that are fetched at the same time (default 4). More shorten
+	// rollouts of sets with many small adapters, and cost one session per peer
+	// and manifest.
+	ManifestFetches int
+	// ChunkFetches bounds the chunks fetched at the same time in total (default
+	// 12, what one manifest takes at most).
+	ChunkFetches int
+
 	// Swarm overrides limits of the scheduler; its Self, Objective,
 	// RegionLinks and HasStore are set from the fields above.
 	Swarm swarm.Config
@@ -63,6 +72,9 @@
 	defaultHaveInterval = 250 * time.Millisecond
 	defaultReadTimeout  = 5 * time.Second
 	defaultChunkTimeout = 2 * time.Minute
+
+	defaultManifestFetches = 4
+	defaultChunkFetches    = 12
 )
 
 func (c *Config) setDefaults() error {
@@ -87,6 +99,12 @@
 	if c.ChunkTimeout == 0 {
 		c.ChunkTimeout = defaultChunkTimeout
 	}
+	if c.ManifestFetches == 0 {
+		c.ManifestFetches = defaultManifestFetches
+	}
+	if c.ChunkFetches == 0 {
+		c.ChunkFetches = defaultChunkFetches
+	}
 	if c.Objective == "" {
 		c.Objective = swarm.ObjectiveTime
 	}
--- a/internal/transfer/job.go
+++ b/internal/transfer/job.go
@@ -21,7 +21,7 @@
 type job struct {
 	t         *Transfer
 	v         *version
-	progress  *progress
+	progress  *manifestProgress
 	scheduler *swarm.Scheduler
 
 	results  chan fetchResult
@@ -44,7 +44,7 @@
 	added  []uint32
 }
 
-func newJob(t *Transfer, v *version, p *progress) *job {
+func newJob(t *Transfer, v *version, p *manifestProgress) *job {
 	return &job{
 		t: t, v: v, progress: p,
 		results: make(chan fetchResult), reports: make(chan peerReport),
@@ -93,7 +93,7 @@
 	j.t.penaltiesMu.Unlock()
 	for _, f := range fetches {
 		j.tasks.Go(func() {
-			err := j.t.client.fetch(ctx, j.v, f, j.t.address(f.Source.Peer))
+			err := j.fetch(ctx, f)
 			select {
 			case j.results <- fetchResult{f, err}:
 			case <-ctx.Done():
@@ -102,13 +102,25 @@
 	}
 }
 
+// fetch waits for one of the slots that all jobs share.
+func (j *job) fetch(ctx context.Context, f swarm.Fetch) error {
+	select {
+	case j.t.fetches <- struct{}{}:
+		defer func() { <-j.t.fetches }()
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	return j.t.client.fetch(ctx, j.v, f, j.t.address(f.Source.Peer))
+}
+
 func (j *job) finished(r fetchResult) {
 	j.t.penaltiesMu.Lock()
 	defer j.t.penaltiesMu.Unlock()
 	now := j.t.now()
 	if r.err == nil {
 		j.scheduler.Done(now, r.fetch)
-		j.progress.add(r.fetch.Source.Kind, int64(j.v.chunks[r.fetch.Chunk].size), j.scheduler.Held())
+		j.progress.fetched(r.fetch.Source.Kind, int64(j.v.chunks[r.fetch.Chunk].size))
+		j.progress.held(j.scheduler.Held())
 		return
 	}
 	var failure *fetchError
--- a/internal/transfer/measure/main.go
+++ b/internal/transfer/measure/main.go
@@ -56,6 +56,7 @@
 	Instances   int    `help:"Run only rows with this number of instances." default:"0"`
 	NoSockets   bool   `help:"Leave out the runs over sockets."`
 	Bookkeeping bool   `help:"Measure only what reports of held chunks cost."`
+	Adapters    bool   `help:"Measure only a set of a model and 8 adapters over sockets."`
 	Method      string `help:"Run only rows whose method starts with this text."`
 }
 
@@ -74,6 +75,15 @@
 		return
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if args.Adapters {
+		err := adapterRows(out)
+		_ = out.Flush()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	_, _ = fmt.Fprintln(out, "N\tdeployment\tmethod\ttime s\ttime / lower bound\torigin copies\tregion link copies\trun s")
 	worst := 0.0
 	for _, r := range rows() {
--- a/internal/transfer/measure/sockets.go
+++ b/internal/transfer/measure/sockets.go
@@ -27,9 +27,11 @@
 	socketCopyBytes   = socketChunks * chunkBytes
 	socketMachineRate = 16e6
 	socketOriginRate  = socketMachineRate * originCopiesPerWindow / machineCopiesPerWindow
-	quietTime         = 3 * time.Second
-	socketTimeout     = 60 * time.Second
-	socketFile        = "quote-large/2/model.bin"
+	// socketAdapterBytes makes an adapter of two chunks.
+	socketAdapterBytes = chunkBytes * 3 / 2
+	quietTime          = 3 * time.Second
+	socketTimeout      = 60 * time.Second
+	socketFile         = "quote-large/2/model.bin"
 	// pressureBound is the median token gap over the quiet one, above which
 	// transfers slow down.
 	pressureBound = 1.05
@@ -37,16 +39,21 @@
 
 type socketRun struct {
 	deployment deployment
-	origin     *http.Server
-	originURL  string
-	sentOrigin atomic.Int64
-	set        release.WeightsSet
-	token      auth.Token
-	dir        string
-	agents     []*transfer.Transfer
-	servers    []*http.Server
-	addresses  []string
-	quotes     *quoteLoad
+	// adapters is the number of adapters of the set beside its model.
+	adapters int
+	// manifestFetches is the transfers' setting; 0 takes its default.
+	manifestFetches int
+	origin          *http.Server
+	originURL       string
+	sentOrigin      atomic.Int64
+	contents        map[string][]byte // of the origin, by path
+	set             release.WeightsSet
+	token           auth.Token
+	dir             string
+	agents          []*transfer.Transfer
+	servers         []*http.Server
+	addresses       []string
+	quotes          *quoteLoad
 }
 
 type socketResult struct {
@@ -119,17 +126,19 @@
 }
 
 func (r *socketRun) startOrigin() error {
-	data := make([]byte, socketCopyBytes)
-	_, _ = io.ReadFull(rand.Reader, data)
-	var b manifest.Builder
-	if err := b.Add(socketFile, bytes.NewReader(data)); err != nil {
-		return err
-	}
-	_, encoded, digest, err := b.Build()
+	r.contents = map[string][]byte{}
+	digest, err := r.publish(socketFile, socketCopyBytes)
 	if err != nil {
 		return err
 	}
 	r.set.Model = release.Model{Name: "quote-large", Version: "2", Manifest: digest, Role: "quote"}
+	for i := range r.adapters {
+		name := fmt.Sprintf("adapter-%d", i)
+		if digest, err = r.publish(name+"/1/adapter.bin", socketAdapterBytes); err != nil {
+			return err
+		}
+		r.set.Adapters = append(r.set.Adapters, release.Adapter{Name: name, Base: "quote-large", Version: "1", Manifest: digest})
+	}
 	listener, err := newMachineLink(socketOriginRate, socketOriginRate).Listen("127.0.0.1:0")
 	if err != nil {
 		return err
@@ -137,16 +146,30 @@
 	r.originURL = "http://" + listener.Addr().String()
 	r.origin = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if strings.HasPrefix(q.URL.Path, wire.PathManifests) {
-			_, _ = w.Write(encoded)
+			_, _ = w.Write(r.contents[q.URL.Path])
 			return
 		}
 		counted := &countingWriter{w, &r.sentOrigin}
-		http.ServeContent(counted, q, "", time.Time{}, bytes.NewReader(data))
+		http.ServeContent(counted, q, "", time.Time{}, bytes.NewReader(r.contents[q.URL.Path]))
 	})}
 	go func() { _ = r.origin.Serve(listener) }()
 	return nil
 }
 
+// publish adds a version of one file to the origin.
+func (r *socketRun) publish(name string, size int) (release.Digest, error) {
+	data := make([]byte, size)
+	_, _ = io.ReadFull(rand.Reader, data)
+	var b manifest.Builder
+	if err := b.Add(name, bytes.NewReader(data)); err != nil {
+		return "", err
+	}
+	_, encoded, digest, err := b.Build()
+	r.contents[wire.PathObjects+name] = data
+	r.contents[wire.PathManifests+digest.Hex()] = encoded
+	return digest, err
+}
+
 type countingWriter struct {
 	http.ResponseWriter
 	count *atomic.Int64
@@ -167,6 +190,7 @@
 	agent, err := transfer.New(transfer.Config{
 		CacheDir: filepath.Join(r.dir, id), OriginURL: r.originURL,
 		Endpoint: id, Region: region, Network: link, Token: r.token,
+		ManifestFetches: r.manifestFetches,
 	})
 	if err != nil {
 		return "", err
--- a/internal/transfer/progress.go
+++ b/internal/transfer/progress.go
@@ -19,8 +19,6 @@
 type progress struct {
 	mu    sync.Mutex
 	state wire.RolloutProgress
-	// before is the number of chunks held of the manifests already done.
-	before int
 }
 
 func newProgress(setID string) *progress {
@@ -45,29 +43,28 @@
 	p.state.ChunksTotal = chunks
 }
 
-// manifestDone adds the chunks of a manifest whose transfer has ended.
-func (p *progress) manifestDone(chunks int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.before += chunks
-	p.state.ChunksHave = p.before
+// manifestProgress is the part of one manifest. It is used by one goroutine.
+type manifestProgress struct {
+	set     *progress
+	counted int // chunks in the set's count
 }
 
-// held sets the chunks held of the current manifest.
-func (p *progress) held(chunks int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.ChunksHave = p.before + chunks
+// held sets the chunks held of the manifest.
+func (m *manifestProgress) held(chunks int) {
+	m.set.mu.Lock()
+	defer m.set.mu.Unlock()
+	m.set.state.ChunksHave += chunks - m.counted
+	m.counted = chunks
 }
 
-func (p *progress) add(kind swarm.Kind, bytes int64, held int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.ChunksHave = p.before + held
+// fetched counts bytes of a chunk by source.
+func (m *manifestProgress) fetched(kind swarm.Kind, bytes int64) {
+	m.set.mu.Lock()
+	defer m.set.mu.Unlock()
 	switch kind {
 	case swarm.KindPeer:
-		p.state.PeerBytes += bytes
+		m.set.state.PeerBytes += bytes
 	case swarm.KindOrigin:
-		p.state.OriginBytes += bytes
+		m.set.state.OriginBytes += bytes
 	}
 }
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
@@ -37,6 +38,7 @@
 	uploadLimiter *rate.Limiter
 	uploads       chan struct{}
 	feeds         chan struct{}
+	fetches       chan struct{} // slots for chunks
 	started       time.Time
 
 	paceMu                   sync.Mutex
@@ -85,6 +87,7 @@
 		uploadLimiter: rate.NewLimiter(rate.Limit(cfg.UploadRate), rateBurst),
 		uploads:       make(chan struct{}, maxUploads),
 		feeds:         make(chan struct{}, maxFeeds),
+		fetches:       make(chan struct{}, cfg.ChunkFetches),
 		started:       time.Now(),
 		downloadPace:  swarm.NewPace(cfg.DownloadRate, cfg.MinimumRate),
 		uploadPace:    swarm.NewPace(cfg.UploadRate, cfg.MinimumRate),
@@ -230,15 +233,9 @@
 	}
 	p.total(chunks)
 	p.phase(PhaseFetching, "")
-	var versions []*version
-	for i, d := range digests {
-		v, err := t.fetchVersion(ctx, d, manifests[i], p)
-		if err != nil {
-			return "", err
-		}
-		manifests[i] = manifest.Manifest{}
-		p.manifestDone(len(v.chunks))
-		versions = append(versions, v)
+	versions, err := t.fetchVersions(ctx, digests, manifests, p)
+	if err != nil {
+		return "", err
 	}
 	if err := t.cache.writeIndex(set); err != nil {
 		return "", err
@@ -246,6 +243,28 @@
 	return t.cache.assemble(set.ID(), versions)
 }
 
+// fetchVersions fetches several manifests at the same time, in order of start.
+// Small ones spend most of their time waiting for reports of peers.
+func (t *Transfer) fetchVersions(ctx context.Context, digests []release.Digest, manifests []manifest.Manifest, p *progress) ([]*version, error) {
+	versions := make([]*version, len(digests))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(t.cfg.ManifestFetches)
+	for i, d := range digests {
+		group.Go(func() error {
+			part := &manifestProgress{set: p}
+			v, err := t.fetchVersion(ctx, d, manifests[i], part)
+			if err != nil {
+				return err
+			}
+			manifests[i] = manifest.Manifest{} // free for the garbage collector
+			part.held(len(v.chunks))
+			versions[i] = v
+			return nil
+		})
+	}
+	return versions, group.Wait()
+}
+
 func (t *Transfer) lock(ctx context.Context, d release.Digest) (unlock func(), err error) {
 	t.mu.Lock()
 	l := t.locks[d]
@@ -262,7 +281,7 @@
 	}
 }
 
-func (t *Transfer) fetchVersion(ctx context.Context, d release.Digest, m manifest.Manifest, p *progress) (*version, error) {
+func (t *Transfer) fetchVersion(ctx context.Context, d release.Digest, m manifest.Manifest, p *manifestProgress) (*version, error) {
 	unlock, err := t.lock(ctx, d)
 	if err != nil {
 		return nil, err
@@ -404,7 +423,7 @@
 	}
 	p := newProgress(id)
 	p.total(chunks)
-	p.manifestDone(chunks)
+	(&manifestProgress{set: p}).held(chunks)
 	p.phase(PhaseVerified, "")
 	t.mu.Lock()
 	defer t.mu.Unlock()
