Send announcements that repeat the last one as short keep-alives

Cause: each agent announces itself every second with all it has, sets included.

Change: an announcement that differs from the last whole one of its session only in sequence and in-flight is sent as KeepAlive with the sequence of that one. The replica completes it and handles it as any announcement. A replica that has no such announcement ends the session, after which the agent announces itself whole. Replicas say in their confirmation answers that they take KeepAlive; agents send it to no others. Contents are compared encoded, since sets and rollouts may share memory with the agent's state.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -190,14 +190,14 @@
 	}
 }
 
-func (a *Agent) announce() { a.control.Broadcast(a.announcement()) }
+func (a *Agent) announce() { a.control.Announce(a.announcement()) }
 
 // announceGone sends the last announcement.
 func (a *Agent) announceGone() {
 	a.state.mu.Lock()
 	a.gone = true
 	a.state.mu.Unlock()
-	if a.control.Broadcast(a.announcement()) > 0 {
+	if a.control.Announce(a.announcement()) > 0 {
 		time.Sleep(goneFlush)
 	}
 }
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -69,7 +69,7 @@
 		if round%uint64(announceInterval/confirmInterval) == 0 {
 			announce.Sequence++
 			announce.InFlight = rand.IntN(fakeCapacity + 1)
-			client.Broadcast(announce)
+			client.Announce(announce)
 		}
 		client.Confirm(round)
 		select {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -66,6 +66,7 @@
 	metrics       *daemonMetrics
 	proposals     chan struct{}
 	told          sync.Map           // session to *told
+	announced     sync.Map           // session to *wire.Announce, the last whole one
 	halt          context.CancelFunc // stops at once, without handing over
 }
 
--- a/internal/control/loads_test.go
+++ b/internal/control/loads_test.go
@@ -99,7 +99,7 @@
 	defer a.mu.Unlock()
 	a.next.Sequence++
 	change(&a.next)
-	a.client.Broadcast(a.next)
+	a.client.Announce(a.next)
 }
 
 // last returns the last announcement sent.
@@ -140,6 +140,8 @@
 		is.Equal(f.load("a"), 8)
 		is.Equal(f.load("b"), 0)
 
+		other, stop := c.clientOn("other", controlclient.Config{}) // an old session
+		defer stop()
 		late := a.last()
 		late.InFlight = 0
 		for _, change := range []func(){
@@ -148,7 +150,7 @@
 			func() { late.Incarnation, late.Sequence = 1, 9999 }, // of a process that is gone
 		} {
 			change()
-			a.client.Broadcast(late)
+			other.Broadcast(late)
 			time.Sleep(2 * membersInterval)
 			is.Equal(f.load("a"), 8)
 		}
--- a/internal/control/measure/fleet.go
+++ b/internal/control/measure/fleet.go
@@ -55,6 +55,7 @@
 		a.announce = wire.Announce{
 			Endpoint: fmt.Sprintf("endpoint-%d", i), Incarnation: 1, Kind: wire.KindEngine, Role: "quote",
 			Zone: "zone", Region: "region", GateAddress: "127.0.0.1:1", Capacity: 8, Ready: true,
+			Sets: []wire.LoadedSet{{Model: "quote-large", Version: "1", SetID: string(release.DigestOf([]byte("1")))}},
 		}
 		a.client = controlclient.New(controlclient.Config{
 			Name: a.announce.Endpoint, Token: c.token.Secret(), Replicas: addresses, Bytes: &f.counts,
@@ -154,7 +155,7 @@
 
 func (a *agent) sendAnnounce() {
 	a.announce.Sequence++
-	a.client.Broadcast(a.announce)
+	a.client.Announce(a.announce)
 }
 
 func (a *agent) run(ctx context.Context, delay time.Duration) {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -31,11 +31,14 @@
 		handle(d, s, env, func(m wire.ConfirmRequest) { d.sendConfirmReply(s, m) })
 	case wire.TypeAnnounce:
 		handle(d, s, env, func(m wire.Announce) {
+			d.announced.Store(s, &m)
 			d.hub.Announce(m, time.Now())
 			if env.ID != 0 {
 				_ = s.Reply(env, wire.AnnounceReply{Revision: d.replica.View().Catalogue.Revision})
 			}
 		})
+	case wire.TypeKeepAlive:
+		handle(d, s, env, func(m wire.KeepAlive) { d.receiveKeepAlive(s, m) })
 	case wire.TypeSubscribe:
 		handle(d, s, env, func(m wire.Subscribe) { d.hub.Subscribe(s, m) })
 	case wire.TypeFollowLoads:
@@ -90,7 +93,7 @@
 	return wire.ConfirmReply{
 		Mark: m.Mark, Replica: v.Raft.ID, Revision: v.Catalogue.Revision, Unresolved: v.Unresolved,
 		Voters: v.Raft.Committed.Voters, VoterIndex: v.Raft.Committed.Index,
-		Addresses: v.Raft.Membership.Addresses, Term: v.Raft.Term,
+		Addresses: v.Raft.Membership.Addresses, Term: v.Raft.Term, KeepAlives: true,
 	}
 }
 
@@ -130,7 +133,7 @@
 		r.Addresses = nil
 	}
 	if short && before.voterIndex == now.voterIndex {
-		r.Short, r.Replica, r.Voters = true, "", nil
+		r.Short, r.Replica, r.Voters, r.KeepAlives = true, "", nil, false
 	}
 	return r
 }
@@ -139,6 +142,22 @@
 func (d *Daemon) sessionClosed(s *transport.Session) {
 	d.hub.Forget(s)
 	d.told.Delete(s)
+	d.announced.Delete(s)
+}
+
+// receiveKeepAlive takes in an announcement that repeats the last whole one of
+// its session. Without that one the session ends: on the next one the agent
+// announces itself whole.
+func (d *Daemon) receiveKeepAlive(s *transport.Session, m wire.KeepAlive) {
+	last, ok := d.announced.Load(s)
+	if !ok || last.(*wire.Announce).Sequence != m.Base {
+		d.metrics.malformed.Inc()
+		s.Close()
+		return
+	}
+	a := *last.(*wire.Announce)
+	a.Sequence, a.InFlight = m.Sequence, m.InFlight
+	d.hub.Announce(a, time.Now())
 }
 
 // receiveProposal answers a proposal of an entry or agent. Notes come only over
--- /dev/null
+++ b/internal/controlclient/announce.go
@@ -0,0 +1,72 @@
+package controlclient
+
+import (
+	"bytes"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// announced is a whole announcement that was sent.
+type announced struct {
+	sequence uint64
+	content  []byte // encoded, without what KeepAlive carries
+}
+
+// Announce sends an announcement to every replica with an open session and
+// returns how many it was queued for. One that repeats the last is sent as
+// KeepAlive to replicas that take it.
+func (c *Client) Announce(a wire.Announce) int {
+	c.announcing.Lock()
+	defer c.announcing.Unlock()
+	content := contentOf(a)
+	sent := 0
+	for address, d := range c.byAddress() {
+		if s := d.Session(); s != nil && c.sessions.announce(address, s, a, content) == nil {
+			sent++
+		}
+	}
+	return sent
+}
+
+// contentOf encodes what KeepAlive leaves out. A copy would share the sets and
+// rollouts with the caller, who may change them.
+func contentOf(a wire.Announce) []byte {
+	a.Sequence, a.InFlight = 0, 0
+	content, err := wire.Marshal(a)
+	if err != nil {
+		return nil
+	}
+	return content
+}
+
+// announce sends an announcement on a session in the shortest form.
+func (l *sessionStates) announce(address string, s *transport.Session, a wire.Announce, content []byte) error {
+	base := l.announced(address, s)
+	if base != nil && content != nil && bytes.Equal(base.content, content) {
+		return s.Send(wire.KeepAlive{Base: base.sequence, Sequence: a.Sequence, InFlight: a.InFlight})
+	}
+	err := s.Send(a)
+	if err == nil {
+		l.setAnnounced(address, s, &announced{sequence: a.Sequence, content: content})
+	}
+	return err
+}
+
+// announced returns the last whole announcement on a session, or nil when the
+// replica takes no KeepAlive.
+func (l *sessionStates) announced(address string, s *transport.Session) *announced {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.of(address, s)
+	if state.full == nil || !state.full.KeepAlives {
+		return nil
+	}
+	return state.announced
+}
+
+func (l *sessionStates) setAnnounced(address string, s *transport.Session, a *announced) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(address, s).announced = a
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -67,6 +67,7 @@
 	run     func(*transport.Dialer) // set while Run runs
 
 	sessions     sessionStates
+	announcing   sync.Mutex // keeps announcements in order
 	loads        *loadSources
 	loadsChanged chan struct{}
 }
@@ -115,6 +116,12 @@
 	return list
 }
 
+func (c *Client) byAddress() map[string]*transport.Dialer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.dialers)
+}
+
 func (c *Client) newDialer(address string) *transport.Dialer {
 	return &transport.Dialer{
 		Address: address,
--- a/internal/controlclient/sessions.go
+++ b/internal/controlclient/sessions.go
@@ -15,8 +15,9 @@
 }
 
 type sessionState struct {
-	session *transport.Session
-	full    *wire.ConfirmReply // the last full reply
+	session   *transport.Session
+	full      *wire.ConfirmReply // the last full reply
+	announced *announced         // the last whole announcement
 }
 
 // of returns the state of a session. The caller holds mu.
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -25,16 +25,17 @@
 	TypeAnnounceReply  Type = 13
 	TypeFollowLoads    Type = 14
 	TypeLoads          Type = 15
+	TypeKeepAlive      Type = 16
 
 	// TypeCount is one more than the highest type.
-	TypeCount = 16
+	TypeCount = 17
 )
 
 var typeNames = [TypeCount]string{
 	TypeError: "error", TypeAnnounce: "announce", TypeConfirmRequest: "confirm_request",
 	TypeConfirmReply: "confirm_reply", TypeCatalogue: "catalogue", TypeMembers: "members", TypeRaft: "raft",
 	TypePropose: "propose", TypeProposeReply: "propose_reply", TypeHaveRequest: "have_request", TypeHave: "have",
-	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads",
+	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads", TypeKeepAlive: "keep_alive",
 }
 
 // String names a message type.
--- a/internal/wire/envelope_test.go
+++ b/internal/wire/envelope_test.go
@@ -20,6 +20,7 @@
 		ConfirmReply{Mark: 7, Revision: 3, Voters: []string{"a", "b"}, Addresses: map[string]string{"a": "127.0.0.1:1"}},
 		Catalogue{Revision: 1, Full: &catalogue},
 		Members{Epoch: 1, Version: 2, Updated: []Announce{{Endpoint: "e1"}}},
+		KeepAlive{Base: 1, Sequence: 2, InFlight: 3},
 		FollowLoads{Endpoints: []string{"e1"}},
 		Loads{Changed: []Load{{Endpoint: "e1", Incarnation: 1, Sequence: 2, InFlight: 3}}, Check: true, Silent: []string{"e2"}},
 		Propose{Command: []byte{1}},
@@ -64,7 +65,7 @@
 		for _, out := range []any{
 			&Error{}, &Announce{}, &AnnounceReply{}, &ConfirmRequest{}, &ConfirmReply{}, &Catalogue{}, &Members{},
 			&Raft{}, &Propose{}, &ProposeReply{}, &HaveRequest{}, &Have{}, &Subscribe{},
-			&FollowLoads{}, &Loads{},
+			&FollowLoads{}, &Loads{}, &KeepAlive{},
 		} {
 			_ = env.Into(out)
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -80,6 +80,14 @@
 	Detail      string `cbor:"7,keyasint,omitempty" json:"detail,omitempty"`
 }
 
+// KeepAlive is an announcement that differs only in Sequence and InFlight from
+// the last Announce on the same session, whose sequence is Base.
+type KeepAlive struct {
+	Base     uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+	InFlight int    `cbor:"3,keyasint,omitempty"`
+}
+
 // AnnounceReply acknowledges an announcement.
 type AnnounceReply struct {
 	Revision uint64 `cbor:"1,keyasint"`
@@ -112,6 +120,8 @@
 	// Short is true in a reply that leaves out Replica and Voters: they are those
 	// of the last full reply on this session, which has the same VoterIndex.
 	Short bool `cbor:"9,keyasint,omitempty"`
+	// KeepAlives is true in full replies of a replica that takes KeepAlive.
+	KeepAlives bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Catalogue carries the state that accepted notes produced. A delta is applied
@@ -234,6 +244,7 @@
 
 // MessageType implementations.
 func (Announce) MessageType() Type       { return TypeAnnounce }
+func (KeepAlive) MessageType() Type      { return TypeKeepAlive }
 func (AnnounceReply) MessageType() Type  { return TypeAnnounceReply }
 func (ConfirmRequest) MessageType() Type { return TypeConfirmRequest }
 func (ConfirmReply) MessageType() Type   { return TypeConfirmReply }
