release, settings: refuse numbers that YAML changes; name fields in type errors

Cause: seen by running the binaries with bad input. "version: 1.10" without quotes was published as version 1.1, "version: 0x1F" as 31, and "note: 1.5" was taken for note 1, all without a word. "note: two" was reported as "two: cannot unmarshal string into Go struct field Note.Number of type uint64", which names the value as the field. Ruled out: refusing all unquoted versions. "7" and "1.1" are read as written, and operators have such notes. Change: a number whose digits change when it is read as text is refused, and a number with a fraction where a whole one is needed, in notes and settings. Type errors say "line 1, column 7, note: must be a whole number, not text". Package yamldepth becomes yamlcheck and holds both. Before/after: the three notes were accepted; now each is refused with its line. Guard: with the checks skipped, TestNumbersAreNotChanged, TestNumbersAndTypes and TestTypeErrorsNameTheField failed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,7 +12,7 @@
 	"github.com/goccy/go-yaml/parser"
 	"github.com/samber/oops"
 
-	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
+	"github.com/rhubarbhill/rhubarbhill/internal/yamlcheck"
 )
 
 // MaxFileBytes bounds a settings file.
@@ -69,7 +69,7 @@
 
 // topLevel returns the fields of the document.
 func topLevel(data []byte) ([]*ast.MappingValueNode, error) {
-	if err := yamldepth.Check(data); err != nil {
+	if err := yamlcheck.Depth(data); err != nil {
 		return nil, err
 	}
 	file, err := parser.ParseBytes(data, 0)
@@ -148,6 +148,11 @@
 	if !known {
 		return fmt.Errorf("line %d, column %d: %s: unknown field", position.Line, position.Column, name)
 	}
+	if problem := checkNumbers(value.Value, field.Type()); problem != nil {
+		failed[name] = true
+		at := value.Value.GetToken().Position
+		return fmt.Errorf("line %d, column %d: %s: %w", at.Line, at.Column, name, problem)
+	}
 	err := yaml.NodeToValue(value.Value, field.Addr().Interface(), yaml.Strict())
 	if err == nil {
 		return nil
@@ -156,6 +161,7 @@
 	if token := value.Value.GetToken(); token != nil && token.Position != nil {
 		position = token.Position
 	}
+	_, detail, isMismatch := yamlcheck.Mismatch(err)
 	var syntax yaml.Error
 	if errors.As(err, &syntax) {
 		if token := syntax.GetToken(); token != nil && token.Position != nil {
@@ -163,9 +169,32 @@
 		}
 		err = errors.New(syntax.GetMessage())
 	}
+	if isMismatch {
+		err = errors.New(detail)
+	}
 	return fmt.Errorf("line %d, column %d: %s: %w", position.Line, position.Column, name, err)
 }
 
+// checkNumbers refuses numbers that the decoder would change: the fraction of
+// one for a whole number, and the digits of one for text.
+func checkNumbers(value ast.Node, target reflect.Type) error {
+	kind := target.Kind()
+	if kind == reflect.Slice || kind == reflect.Map {
+		kind = target.Elem().Kind()
+	}
+	switch kind {
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		if yamlcheck.Fraction(value) {
+			return errors.New("must be a whole number, not " + value.String())
+		}
+	case reflect.String:
+		if number := yamlcheck.Rewritten(value); number != nil {
+			return number
+		}
+	}
+	return nil
+}
+
 // located gives a syntax error in one line.
 func located(err error) error {
 	var syntax yaml.Error
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -148,6 +148,23 @@
 	is.New(t).True(err != nil && strings.Contains(err.Error(), "nested deeper"))
 }
 
+// Guards against numbers that the parser changes, such as a name 1.10 that was
+// read as 1.1, and against errors that speak of Go types.
+func TestNumbersAndTypes(t *testing.T) {
+	for text, want := range map[string]string{
+		"instance: 1.10\n":     "line 1, column 11: instance: 1.10 would be read as 1.1: write it in quotes",
+		"voters: {a: 0x10}\n":  "line 1, column 9: voters: 0x10 would be read as 16: write it in quotes",
+		"instance: [a]\n":      "line 1, column 11: instance: must be text, not a list",
+		"peers: {a: b}\n":      "line 1, column 8: peers: must be a list, not a mapping",
+		"instance: \"1.10\"\n": "listen: is required: an IP address and port such as 10.0.0.1:7400",
+	} {
+		err := Decode([]byte(text), &example{})
+		is.New(t).True(err != nil)
+		first, _, _ := strings.Cut(err.Error(), "\n")
+		is.New(t).Equal(first, want)
+	}
+}
+
 // Guards against settings files that stop or block the process.
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{valid, "", "#", "a", "- a", "a: &x [*x]", "<<: {a: b}", "? a", "listen: !!binary x", "\xff", "peers: [[[[", "wait: 1e99h", "a:\n- b: |\n  c"} {
--- a/internal/yamldepth/depth.go
+++ b/internal/yamlcheck/depth.go
@@ -1,5 +1,6 @@
-// Package yamldepth bounds how deep YAML may be nested before it is parsed.
-package yamldepth
+// Package yamlcheck bounds how deep YAML may be nested before it is parsed, and
+// words its decoder's errors for those who write the file.
+package yamlcheck
 
 import (
 	"fmt"
@@ -12,9 +13,9 @@
 // with the square of the depth: 100 KB of "[" took 19 s.
 const maxDepth = 64
 
-// Check refuses data that is nested too deep. Nesting by indentation alone is
+// Depth refuses data that is nested too deep. Nesting by indentation alone is
 // not counted: its depth grows only with the square root of the size.
-func Check(data []byte) error {
+func Depth(data []byte) error {
 	flow, entries, line := 0, 0, 0
 	for _, t := range lexer.Tokenize(string(data)) {
 		switch t.Type {
--- /dev/null
+++ b/internal/yamlcheck/numbers.go
@@ -0,0 +1,48 @@
+package yamlcheck
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Rewritten finds a number whose digits change when it is read as text: a
+// version 1.10 without quotes would become 1.1. It returns nil for none.
+func Rewritten(n ast.Node) *Number {
+	f := &numberFinder{}
+	ast.Walk(f, n)
+	return f.found
+}
+
+// Number is a number as it is written, and as it would be read.
+type Number struct {
+	Token *token.Token
+	Field string // key beside it, if any
+	read  string
+}
+
+// Error describes the number.
+func (n *Number) Error() string {
+	return fmt.Sprintf("%s would be read as %s: write it in quotes", n.Token.Value, n.read)
+}
+
+type numberFinder struct{ found *Number }
+
+// Visit implements ast.Visitor.
+func (f *numberFinder) Visit(n ast.Node) ast.Visitor {
+	read := ""
+	switch number := n.(type) {
+	case *ast.IntegerNode:
+		read = fmt.Sprint(number.Value)
+	case *ast.FloatNode:
+		read = strconv.FormatFloat(number.Value, 'f', -1, 64)
+	default:
+		return f
+	}
+	if t := n.GetToken(); f.found == nil && t.Value != read {
+		f.found = &Number{Token: t, Field: keyOf(t), read: read}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/yamlcheck/types.go
@@ -0,0 +1,79 @@
+package yamlcheck
+
+import (
+	"errors"
+	"reflect"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Mismatch describes a value of the wrong type in the terms of YAML, and names
+// the field that it was given for, if its key is beside it. It returns false for
+// other errors.
+func Mismatch(err error) (field, detail string, ok bool) {
+	var kind *yaml.TypeError
+	var overflow *yaml.OverflowError
+	var node *yaml.UnexpectedNodeTypeError
+	switch {
+	case errors.As(err, &kind):
+		return keyOf(kind.Token), "must be " + typeName(kind.DstType) + ", not " + typeName(kind.SrcType), true
+	case errors.As(err, &overflow):
+		return keyOf(overflow.Token), overflow.SrcNum + " is out of range", true
+	case errors.As(err, &node):
+		return keyOf(node.Token), "must be " + nodeName(node.Expected) + ", not " + nodeName(node.Actual), true
+	}
+	return "", "", false
+}
+
+// Fraction reports whether a value is a number with a fraction, which the
+// decoder cuts off for a whole number.
+func Fraction(value ast.Node) bool { return value.Type() == ast.FloatType }
+
+func nodeName(t ast.NodeType) string {
+	switch t {
+	case ast.MappingType, ast.MappingValueType:
+		return "a mapping"
+	case ast.SequenceType:
+		return "a list"
+	case ast.StringType, ast.LiteralType:
+		return "text"
+	case ast.IntegerType, ast.FloatType:
+		return "a number"
+	case ast.BoolType:
+		return "true or false"
+	case ast.NullType:
+		return "empty"
+	}
+	return t.YAMLName()
+}
+
+// keyOf returns the key before a value.
+func keyOf(value *token.Token) string {
+	if value == nil || value.Prev == nil || value.Prev.Type != token.MappingValueType || value.Prev.Prev == nil {
+		return ""
+	}
+	return value.Prev.Prev.Value
+}
+
+func typeName(t reflect.Type) string {
+	if t == nil {
+		return "empty"
+	}
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "text"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	case reflect.Map, reflect.Struct:
+		return "a mapping"
+	case reflect.Pointer:
+		return typeName(t.Elem())
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
--- a/internal/yamldepth/depth_test.go
+++ b/internal/yamlcheck/yamlcheck_test.go
@@ -1,4 +1,4 @@
-package yamldepth_test
+package yamlcheck_test
 
 import (
 	"strings"
@@ -6,19 +6,19 @@
 
 	"github.com/matryer/is"
 
-	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
+	"github.com/rhubarbhill/rhubarbhill/internal/yamlcheck"
 )
 
 // Guards against input whose nesting keeps the parser busy for minutes, and
 // against a limit that long lists reach.
-func TestCheck(t *testing.T) {
+func TestDepth(t *testing.T) {
 	for _, part := range []string{"[", "{a: ", "- ", "{", "[[],"} {
-		is.New(t).True(yamldepth.Check([]byte(strings.Repeat(part, 100_000))) != nil) // too deep
+		is.New(t).True(yamlcheck.Depth([]byte(strings.Repeat(part, 100_000))) != nil) // too deep
 	}
 	for _, whole := range []string{
 		"", strings.Repeat("- a\n", 1000), "a: [" + strings.Repeat("[], ", 1000) + "]", `a: "` + strings.Repeat("[", 1000) + `"`,
 		strings.Repeat("- - a\n", 1000),
 	} {
-		is.New(t).NoErr(yamldepth.Check([]byte(whole)))
+		is.New(t).NoErr(yamlcheck.Depth([]byte(whole)))
 	}
 }
--- a/release/note.go
+++ b/release/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,7 +15,7 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
-	"github.com/rhubarbhill/rhubarbhill/internal/yamldepth"
+	"github.com/rhubarbhill/rhubarbhill/internal/yamlcheck"
 )
 
 // Limits on a note.
@@ -125,7 +126,7 @@
 	if len(data) > MaxNoteBytes {
 		return nil, single("note", fmt.Sprintf("is longer than %d bytes", MaxNoteBytes))
 	}
-	if err := yamldepth.Check(data); err != nil {
+	if err := yamlcheck.Depth(data); err != nil {
 		return nil, single("note", err.Error())
 	}
 	file, err := parser.ParseBytes(data, 0)
@@ -139,6 +140,9 @@
 		return nil, err
 	}
 	doc := &Document{file: file}
+	if err := doc.checkNumbers(); err != nil {
+		return nil, err
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := decoder.Decode(&doc.Note); err != nil {
 		if errors.Is(err, io.EOF) {
@@ -152,6 +156,19 @@
 	return doc, nil
 }
 
+// checkNumbers refuses numbers that the decoder would change.
+func (d *Document) checkNumbers() error {
+	if number := d.node("note"); number != nil && yamlcheck.Fraction(number) {
+		problems := []Problem{{Field: "note", Detail: "must be a whole number, not " + number.String()}}
+		return &InvalidError{Problems: d.locate(problems)}
+	}
+	if n := yamlcheck.Rewritten(d.file.Docs[0].Body); n != nil {
+		p := Problem{Line: n.Token.Position.Line, Column: n.Token.Position.Column, Field: cmp.Or(n.Field, "note"), Detail: n.Error()}
+		return &InvalidError{Problems: []Problem{p}}
+	}
+	return nil
+}
+
 // Check reports whether the note can be applied to c.
 func (d *Document) Check(c Catalogue) error {
 	_, _, err := Apply(d.Note, c)
@@ -175,6 +192,9 @@
 			p.Line, p.Column, p.Field = token.Position.Line, token.Position.Column, token.Value
 		}
 	}
+	if field, detail, ok := yamlcheck.Mismatch(err); ok {
+		p.Field, p.Detail = cmp.Or(field, "note"), detail
+	}
 	return &InvalidError{Problems: []Problem{p}}
 }
 
@@ -224,15 +244,24 @@
 }
 
 func (d *Document) position(field string) (line, column int) {
+	node := d.node(field)
+	if node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
+		return 0, 0
+	}
+	return node.GetToken().Position.Line, node.GetToken().Position.Column
+}
+
+// node returns the value of a field, or nil.
+func (d *Document) node(field string) ast.Node {
 	path, err := yaml.PathString("$." + field)
 	if err != nil {
-		return 0, 0
+		return nil
 	}
 	node, err := path.FilterFile(d.file)
-	if err != nil || node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
-		return 0, 0
+	if err != nil {
+		return nil
 	}
-	return node.GetToken().Position.Line, node.GetToken().Position.Column
+	return node
 }
 
 // Canonical returns the canonical form: JSON with fixed field order and lists
--- a/release/note_test.go
+++ b/release/note_test.go
@@ -110,6 +110,40 @@
 	is.New(t).True(err != nil && strings.Contains(err.Error(), "nested deeper"))
 }
 
+// Guards against errors that do not name the field, or that speak of Go types.
+func TestTypeErrorsNameTheField(t *testing.T) {
+	for text, want := range map[string]string{
+		"note: two\n":                          "line 1, column 7, note: must be a whole number, not text",
+		"note: -1\n":                           "line 1, column 7, note: -1 is out of range",
+		"note: 1\nmodels: 5\n":                 "line 2, column 9, models: must be a mapping, not a number",
+		"note: 1\nmodels:\n  add: x\n":         "line 3, column 8, add: must be a list, not text",
+		"note: 1\nmodels: {add: [{name: []}]}": "line 2, column 23, name: must be text, not a list",
+		"hello":                                "line 1, column 1, note: must be a mapping, not text",
+	} {
+		_, err := Parse([]byte(text))
+		is.New(t).True(err != nil)
+		is.New(t).Equal(err.Error(), want)
+	}
+}
+
+// Guards against numbers that the parser changes: note 1.5 was read as note 1,
+// and a version 1.10 without quotes as version 1.1.
+func TestNumbersAreNotChanged(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte("note: 1.5\n"))
+	is.True(err != nil)
+	is.Equal(err.Error(), "line 1, column 7, note: must be a whole number, not 1.5")
+	text := strings.Replace(firstNote, `version: "1"`, "version: 1.10", 1)
+	is.True(text != firstNote)
+	_, err = Parse([]byte(text))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "version: 1.10 would be read as 1.1: write it in quotes"))
+	for _, unchanged := range []string{`"1.10"`, "1.1", "7"} {
+		_, err = Parse([]byte(strings.Replace(firstNote, `version: "1"`, "version: "+unchanged, 1)))
+		is.NoErr(err)
+	}
+}
+
 // Guards against notes that crash the parser, and against a note that changes
 // its identity when read back.
 func FuzzParse(f *testing.F) {
