--- a/cmd/rhubarb-load/main.go
+++ b/cmd/rhubarb-load/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/loadtool"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/standin"
@@ -25,8 +26,9 @@
 )
 
 type commands struct {
-	Quotes   quotesCommand   `cmd:"" help:"Send chat completions."`
-	Services servicesCommand `cmd:"" help:"Send orders with idempotency keys to a plain service."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Quotes   quotesCommand    `cmd:"" help:"Send chat completions."`
+	Services servicesCommand  `cmd:"" help:"Send orders with idempotency keys to a plain service."`
 }
 
 // commonFlags are shared by both modes.
@@ -170,7 +172,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	var line commands
 	parsed := kong.Parse(&line, kong.Description("Load for rhubarbhill, with a check of every answer."),
-		kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.BindTo(ctx, (*context.Context)(nil)), kong.Vars{"version": daemon.Version("rhubarb-load")}, kong.Exit(daemon.Exit))
 	run := line.Quotes.Run
 	if strings.HasPrefix(parsed.Command(), "services") {
 		run = line.Services.Run
--- a/cmd/rhubarb-standin/main.go
+++ b/cmd/rhubarb-standin/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/standin"
@@ -184,6 +185,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser := kong.Parse(&commands{}, kong.Description("Stand-ins for the systems that rhubarbhill meets."),
-		kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.BindTo(ctx, (*context.Context)(nil)), kong.Exit(daemon.Exit))
 	parser.FatalIfErrorf(parser.Run())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,17 +16,30 @@
 )
 
 type flags struct {
-	Settings string           `help:"Settings file (YAML)." required:"" type:"path"`
+	Settings string           `help:"Settings file (YAML)." required:"" type:"path" placeholder:"FILE"`
 	Check    bool             `help:"Check the settings and exit."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// ExitUsage is the exit code for a wrong command line.
+const ExitUsage = 2
+
+// Exit ends the process, with ExitUsage for the code that kong gives to a wrong
+// command line (80 and above).
+func Exit(code int) {
+	if code >= 80 {
+		code = ExitUsage
+	}
+	os.Exit(code)
+}
+
 // Main parses the command line, loads the settings into config, which holds the
 // defaults, and calls run. SIGTERM and SIGINT end run's context; a second signal
-// ends the process at once. Main exits the process with 1 on an error.
+// ends the process at once. Main exits the process with 1 on an error, and with
+// ExitUsage for a wrong command line.
 func Main(name, description string, config settings.Checker, run func(ctx context.Context) error) {
 	var f flags
-	kong.Parse(&f, kong.Name(name), kong.Description(description), kong.Vars{"version": version(name)})
+	kong.Parse(&f, kong.Name(name), kong.Description(description), kong.Vars{"version": Version(name)}, kong.Exit(Exit))
 	if err := start(f, config, run); err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		os.Exit(1)
@@ -47,7 +60,8 @@
 	return run(ctx)
 }
 
-func version(name string) string {
+// Version returns the name and version of the running program.
+func Version(name string) string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return name + " unknown"
