rhubarbctl: tell bad input, misfits and missing keys as the manual says

Change: each has its exit code and names its flag. A key with a slash is asked for with the organisation in the path; keys that the API cannot tell are refused.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -148,6 +148,15 @@
 
 // refusal translates a status of 4xx.
 func refusal(replica string, a answer) error {
+	plain := !json.Valid(a.body)
+	switch {
+	case a.status == http.StatusNotFound && plain, a.status == http.StatusMethodNotAllowed:
+		return oops.In("operator").Wrapf(ErrBadInput, "%s: status %d: not the operator port of a control replica", replica, a.status)
+	case a.status == http.StatusNotFound:
+		return oops.In("operator").Wrapf(ErrRefused, "no such key is known")
+	case a.status == http.StatusGone:
+		return oops.In("operator").Wrapf(ErrRefused, "the key has expired")
+	}
 	switch a.status {
 	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden:
 		return oops.In("operator").Wrapf(ErrBadInput, "%s: status %d: %s", replica, a.status, bytes.TrimSpace(a.body))
@@ -164,7 +173,11 @@
 			last = oops.In("operator").Wrapf(ErrUnreachable, "%s: status %d: %v", replica, a.status, err)
 			continue
 		}
-		return noteAnswer(replica, a)
+		n, err := noteAnswer(replica, a)
+		if n.Status == NoteInvalid && a.status == http.StatusUnprocessableEntity {
+			err = oops.In("operator").With("replica", replica).Wrapf(ErrRefused, "note does not fit the catalogue")
+		}
+		return n, err
 	}
 	return NoteAnswer{}, last
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"net/url"
 	"os"
+	"path"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/samber/oops"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/release"
 )
@@ -59,6 +62,7 @@
 	Timeout   settings.Duration `help:"Time limit of a command, waiting aside." default:"15s"`
 	Attempt   settings.Duration `help:"Time limit of one call to one replica." default:"2s"`
 	JSON      bool              `name:"json" help:"Print JSON instead of tables."`
+	Version   kong.VersionFlag  `help:"Print the version and exit."`
 
 	Note struct {
 		Check noteCheck `cmd:"" help:"Check a release note without submitting it."`
@@ -113,13 +117,14 @@
 	exited := -1
 	parser, err := kong.New(cli, kong.Name("rhubarbctl"), kong.Writers(out, errOut),
 		kong.Description("Operates a rhubarbhill deployment through its control replicas."),
+		kong.Vars{"version": daemon.Version("rhubarbctl")},
 		kong.Exit(func(code int) { exited = code }))
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "rhubarbctl:", err)
 		return ExitInternal
 	}
 	parsed, err := parser.Parse(args)
-	if exited >= 0 { // --help
+	if exited >= 0 { // --help, --version
 		return exited
 	}
 	if err == nil {
@@ -144,12 +149,17 @@
 	for _, address := range cli.Control {
 		problems.Address("--control", address)
 	}
+	if cli.TokenFile == "" {
+		problems.Add("--token-file", "is required (or RHUBARB_TOKEN_FILE)")
+	}
 	token, err := auth.ReadToken(cli.TokenFile)
-	if err != nil {
+	if err != nil && cli.TokenFile != "" {
 		problems.Add("--token-file", "%v", err)
 	}
-	if err := problems.Err(); err != nil {
-		return nil, oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	positive(&problems, "--timeout", cli.Timeout)
+	positive(&problems, "--attempt", cli.Attempt)
+	if err := badInput(&problems); err != nil {
+		return nil, err
 	}
 	client := &Client{
 		Replicas: cli.Control, Token: token, AttemptTimeout: cli.Attempt.Std(),
@@ -158,6 +168,20 @@
 	return &session{ctx: ctx, cli: cli, client: client, out: out, errOut: errOut, timeout: cli.Timeout.Std()}, nil
 }
 
+// positive reports a flag that is zero: every call would end before it began.
+func positive(problems *settings.Problems, flag string, d settings.Duration) {
+	if d == 0 {
+		problems.Add(flag, "must be above 0s")
+	}
+}
+
+func badInput(problems *settings.Problems) error {
+	if err := problems.Err(); err != nil {
+		return oops.In("operator").Wrapf(ErrBadInput, "%v", err)
+	}
+	return nil
+}
+
 func readNote(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -194,6 +218,12 @@
 
 // Run implements the command.
 func (c *applyCommand) Run(s *session) error {
+	var problems settings.Problems
+	positive(&problems, "--wait-timeout", c.WaitTimeout)
+	positive(&problems, "--poll", c.Poll)
+	if err := badInput(&problems); err != nil {
+		return err
+	}
 	note, err := readNote(c.File)
 	if err != nil {
 		return err
@@ -249,9 +279,34 @@
 
 // Run implements the command.
 func (c *outcomeCommand) Run(s *session) error {
+	location, query, err := c.location()
+	if err != nil {
+		return err
+	}
 	var outcome Outcome
-	query := url.Values{"organisation": {c.Organisation}}
-	return s.get(PathOutcomes+url.PathEscape(c.Key), query, &outcome, func(w io.Writer) { outcomeTable(w, outcome) })
+	return s.get(location, query, &outcome, func(w io.Writer) { outcomeTable(w, outcome) })
+}
+
+// location returns the path and query of the key. The operator API reads the
+// first part of a path of two parts as the organisation, and cleans paths.
+func (c *outcomeCommand) location() (string, url.Values, error) {
+	var problems settings.Problems
+	problems.Required("key", c.Key)
+	problems.Required("--organisation", c.Organisation)
+	if c.Key != "" && path.Clean("/"+c.Key) != "/"+c.Key {
+		problems.Add("key", "%q cannot be asked for: it has an empty part, . or ..", c.Key)
+	}
+	slash := strings.Contains(c.Key, "/")
+	if slash && strings.Contains(c.Organisation, "/") {
+		problems.Add("--organisation", "%q cannot be asked for with this key: both contain /", c.Organisation)
+	}
+	if err := badInput(&problems); err != nil {
+		return "", nil, err
+	}
+	if slash {
+		return PathOutcomes + url.PathEscape(c.Organisation) + "/" + url.PathEscape(c.Key), nil, nil
+	}
+	return PathOutcomes + url.PathEscape(c.Key), url.Values{"organisation": {c.Organisation}}, nil
 }
 
 type rolloutWatch struct {
@@ -261,6 +316,11 @@
 
 // Run implements the command.
 func (c *rolloutWatch) Run(s *session) error {
+	var problems settings.Problems
+	positive(&problems, "--poll", c.Poll)
+	if err := badInput(&problems); err != nil {
+		return err
+	}
 	for {
 		var rollout Rollout
 		err := s.get(PathRollout, nil, &rollout, func(w io.Writer) { rolloutTable(w, rollout) })
@@ -314,11 +374,11 @@
 		before = *status.Catalogue
 	}
 	if err := document.Check(before); err != nil {
-		return s.printInvalid(err)
+		return s.printMisfit(err)
 	}
 	after, _, err := release.Apply(document.Note, before)
 	if err != nil {
-		return s.printInvalid(err)
+		return s.printMisfit(err)
 	}
 	return s.printChanges(changes(before, after))
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -129,6 +129,7 @@
 		"invalid":               {replicas: []replica{{200, accepted}}, note: "note: 1\nmodles: {}\n", want: ExitBadInput},
 		"wrong token":           {replicas: []replica{{200, accepted}}, token: "another-token-altogether", want: ExitBadInput},
 		"short token":           {replicas: []replica{{200, accepted}}, token: "tiny-7", want: ExitBadInput},
+		"no operator port":      {replicas: []replica{{405, nil}}, want: ExitBadInput},
 		"no replica named":      {want: ExitBadInput},
 		"no leader":             {replicas: []replica{{503, NoteAnswer{Status: NoteNotRun}}}, want: ExitUnreachable},
 		"all down":              {down: true, want: ExitUnreachable},
@@ -158,6 +159,75 @@
 	}
 }
 
+// Guards against bad input that is taken for a refusal of the note, or for
+// control that cannot be reached, and against errors that do not name the flag.
+func TestBadInput(t *testing.T) {
+	note := writeNote(t, testNote)
+	misfit := startReplica(t, 422, NoteAnswer{Status: NoteInvalid, Problems: []release.Problem{{Field: "note", Detail: "number must be 2"}}})
+	page := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(page.Close)
+	noKey := startReplica(t, 404, Outcome{Organisation: "o", Key: "k"})
+	cases := map[string]struct {
+		replica string
+		args    []string
+		code    int
+		want    string
+	}{
+		"zero timeout":       {misfit.address(), []string{"status", "--timeout", "0s"}, ExitBadInput, "--timeout: must be above 0s"},
+		"zero attempt":       {misfit.address(), []string{"status", "--attempt", "0s"}, ExitBadInput, "--attempt: must be above 0s"},
+		"zero poll":          {misfit.address(), []string{"apply", "--poll", "0s", note}, ExitBadInput, "--poll: must be above 0s"},
+		"zero wait":          {misfit.address(), []string{"apply", "--wait-timeout", "0s", note}, ExitBadInput, "--wait-timeout: must be above 0s"},
+		"zero watch":         {misfit.address(), []string{"rollout", "watch", "--poll", "0s"}, ExitBadInput, "--poll: must be above 0s"},
+		"note does not fit":  {misfit.address(), []string{"note", "check", note}, ExitRefused, "does not fit the catalogue"},
+		"another port":       {page.Listener.Addr().String(), []string{"status"}, ExitBadInput, "not the operator port"},
+		"apply another port": {page.Listener.Addr().String(), []string{"apply", note}, ExitBadInput, "not the operator port"},
+		"unknown key":        {noKey.address(), []string{"outcome", "k", "--organisation", "o"}, ExitRefused, "no such key"},
+		"empty key":          {noKey.address(), []string{"outcome", "", "--organisation", "o"}, ExitBadInput, "key: is required"},
+		"unclean key":        {noKey.address(), []string{"outcome", "a/../b", "--organisation", "o"}, ExitBadInput, "key: "},
+		"two slashes":        {noKey.address(), []string{"outcome", "a/b", "--organisation", "o/p"}, ExitBadInput, "--organisation: "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errOut := ctl(t, testToken, []string{c.replica}, c.args...)
+			t.Log(out, errOut)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(errOut, c.want))
+		})
+	}
+}
+
+// Guards against an error about a file without a name.
+func TestNoTokenFile(t *testing.T) {
+	var out, errOut bytes.Buffer
+	code := Main(t.Context(), []string{"status", "--control", unreachable}, &out, &errOut)
+	is.New(t).Equal(code, ExitBadInput)
+	is.New(t).True(strings.Contains(errOut.String(), "--token-file: is required"))
+}
+
+// Guards against a key with a slash whose first part is read as organisation.
+func TestKeyWithSlash(t *testing.T) {
+	is := is.New(t)
+	for key, want := range map[string]string{"a/b": "/v1/outcomes/o/a%2Fb", "k 1": "/v1/outcomes/k%201?organisation=o"} {
+		asked := make(chan string, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.RequestURI
+			_, _ = w.Write([]byte("{}"))
+		}))
+		code, _, _ := ctl(t, testToken, []string{server.Listener.Addr().String()}, "outcome", key, "--organisation", "o")
+		server.Close()
+		is.Equal(code, ExitOK)
+		is.Equal(<-asked, want)
+	}
+}
+
+// Guards against a program that does not tell its version.
+func TestVersion(t *testing.T) {
+	code, out, _ := ctl(t, testToken, nil, "--version")
+	is.New(t).Equal(code, ExitOK)
+	is.New(t).True(strings.HasPrefix(out, "rhubarbctl "))
+}
+
 // Guards against a resend that changes the note, or one that goes on after a
 // final answer.
 func TestApplyResendsTheSameNote(t *testing.T) {
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -73,6 +73,12 @@
 	return err
 }
 
+// printMisfit prints why a note does not fit the catalogue.
+func (s *session) printMisfit(err error) error {
+	refused := NoteAnswer{Status: NoteInvalid, Problems: release.Problems(err)}
+	return s.printNote(refused, oops.In("operator").Wrapf(ErrRefused, "note does not fit the catalogue"))
+}
+
 // printInvalid prints the problems of a note that was not sent.
 func (s *session) printInvalid(err error) error {
 	invalid := NoteAnswer{Status: NoteInvalid, Problems: release.Problems(err)}
