rhubarbctl: a lost answer followed by bad input stays unknown

Cause: read while going through the exit codes, then tested. When the answer of one replica to "apply" was lost and the next one refused the call for its token, its version or its port, the exit code was 4, "nothing was changed", although the note may have been accepted. Ruled out: a conflict or a refusal after a lost answer. They come from the log, where a resend of an accepted note is answered "accepted", so they settle it. Change: after an answer that may have been lost, bad input at another replica is not final: the note goes to the next one, and in the end the outcome is unknown. Before/after: exit code 4, now 3. Guard: both new cases failed without the change.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -197,7 +197,7 @@
 				continue
 			}
 			result, err := noteAnswer(replica, a)
-			if !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnreachable) {
+			if final(err, mayBeAccepted) {
 				return result, err
 			}
 			mayBeAccepted = mayBeAccepted || errors.Is(err, ErrUnknown)
@@ -214,6 +214,16 @@
 	}
 }
 
+// final reports whether a replica's answer settles what became of the note.
+// That one replica does not take it, for its token or its version, says nothing
+// of an earlier answer that was lost.
+func final(err error, mayBeAccepted bool) bool {
+	if errors.Is(err, ErrBadInput) {
+		return !mayBeAccepted
+	}
+	return !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnreachable)
+}
+
 // noteAnswer translates a replica's answer about a note. Without a status that
 // is understood, a server error leaves the outcome unknown.
 func noteAnswer(replica string, a answer) (NoteAnswer, error) {
