manifest: refuse tensor names that are not valid UTF-8

Cause: encoding/json replaces invalid bytes and unpaired surrogates by U+FFFD, so CheckSafetensors accepted headers that engines refuse or read differently.

Change: the header has to be valid UTF-8, and a name may not hold U+FFFD, which the decoder gives for an unpaired surrogate. A name with a real U+FFFD is refused too.

Test first: without the change all 7 refused names of TestSafetensorsNamesAreUTF8 were accepted.

--- a/manifest/safetensors.go
+++ b/manifest/safetensors.go
@@ -10,6 +10,8 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
+	"unicode/utf8"
 )
 
 const (
@@ -61,6 +63,9 @@
 	if len(header) == 0 || header[0] != '{' {
 		return headerError("does not start with an object")
 	}
+	if !utf8.Valid(header) {
+		return headerError("is not valid UTF-8")
+	}
 	tensors, err := decodeTensors(header)
 	if err != nil {
 		return err
@@ -102,6 +107,10 @@
 		if !ok || seen[name] {
 			return nil, headerError("name %v is repeated or not text", token)
 		}
+		if strings.ContainsRune(name, utf8.RuneError) {
+			// The decoder puts this rune in place of an unpaired surrogate.
+			return nil, headerError("name %q is not valid text", name)
+		}
 		seen[name] = true
 		if name == metadataKey {
 			var metadata map[string]string
