agent: an order ends with the lease, and asks for it as it is written

Cause: engines that ignore fencing tokens obey an order whenever it arrives. The lease was checked before the request was made, and the connection was closed at the order timeout only, so an order stuck on its way could take effect long after the lease of its agent.

Change: an order has a connection of its own; the permission (lease, catalogue) is asked at its first write, after the dial, and the connection is closed when the lease ends, which discards what was not delivered.

Tried: the check as the body is read; net/http flushes the headers first, so the engine saw a request. Expect: 100-continue was ruled out: the report read before the order proves as much.

A load that is in progress when the lease ends is now cut and repeated once the lease is back; an engine that goes on with it is found out by its report.

--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -23,6 +23,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/agent/agenttest"
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/engine"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/transfer"
@@ -101,6 +102,9 @@
 	token    auth.Token
 	settings Settings
 
+	// wrap, when set, replaces the agent's view of the network.
+	wrap func(network.Network) network.Network
+
 	agent   *Agent
 	stopRun context.CancelFunc
 	stopped chan error
@@ -216,9 +220,13 @@
 	if r.settings.ProbeInterval == 0 {
 		r.settings.ProbeInterval = settings.Duration(time.Hour)
 	}
+	var view network.Network = r.net.Host(agentHost)
+	if r.wrap != nil {
+		view = r.wrap(view)
+	}
 	r.agent = New(Config{
 		Settings: r.settings, Token: r.token, Weights: r.weights, Registry: prometheus.NewRegistry(),
-		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Network: r.net.Host(agentHost),
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Network: view,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -254,12 +254,14 @@
 var (
 	errNoLease    = errors.New("no confirmation lease")
 	errNotWanted  = errors.New("catalogue has changed")
+	errLeaseEnded = errors.New("confirmation lease ended during the order")
 	errNotInForce = errors.New("engine does not report the ordered state")
 )
 
 // order sends one order. The lease and the catalogue are checked immediately
-// before it: an engine may ignore fencing tokens. Whatever the answer, the
-// report read afterwards says what the engine holds.
+// before it is written, and the order ends with the lease: an engine may ignore
+// fencing tokens. Whatever the answer, the report read afterwards says what the
+// engine holds.
 func (o *orders) order(ctx context.Context, order engine.Order, wanted func() bool) (engine.Sets, error) {
 	a := o.agent
 	if _, ok := a.mayStillServe(); !ok {
@@ -274,13 +276,11 @@
 	a.state.mu.Lock()
 	order.Fence = o.fences.Next(a.state.term, before.Fence)
 	a.state.mu.Unlock()
-	if _, ok := a.mayStillServe(); !ok {
-		return before, errNoLease
-	}
-	if !wanted() {
-		return before, errNotWanted
+	permit := func() error { return o.permit(wanted) }
+	orderErr := o.send(octx, order, permit)
+	if errors.Is(orderErr, errNoLease) || errors.Is(orderErr, errNotWanted) {
+		return before, orderErr
 	}
-	orderErr := a.engine.Order(octx, order)
 	rctx, cancelRead := context.WithTimeout(ctx, enginePollTimeout)
 	defer cancelRead()
 	after, err := a.engine.Sets(rctx)
@@ -291,6 +291,50 @@
 	return after, orderErr
 }
 
+func (o *orders) permit(wanted func() bool) error {
+	if _, ok := o.agent.mayStillServe(); !ok {
+		return errNoLease
+	}
+	if !wanted() {
+		return errNotWanted
+	}
+	return nil
+}
+
+// send closes the connection of an order when the lease ends. Bytes that the
+// engine has not received by then never reach it. An engine that goes on with
+// a load is found out by its next report.
+func (o *orders) send(ctx context.Context, order engine.Order, permit func() error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	defer cancel(nil)
+	watch.Go(func() { o.agent.cancelWithLease(ctx, cancel) })
+	err := o.agent.engine.Order(ctx, order, permit)
+	if errors.Is(context.Cause(ctx), errLeaseEnded) {
+		return errors.Join(errLeaseEnded, err)
+	}
+	return err
+}
+
+// cancelWithLease calls cancel when the lease ends, unless ctx ends first.
+func (a *Agent) cancelWithLease(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		a.state.mu.Lock()
+		left := time.Until(a.state.lease.Until())
+		a.state.mu.Unlock()
+		if left <= 0 {
+			cancel(errLeaseEnded)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(left):
+		}
+	}
+}
+
 func (o *orders) outcome(order engine.Order, err error) {
 	a := o.agent
 	id := order.Set.SetID
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -78,8 +78,8 @@
 	// ProbeTimeout ends a check without an answer. Default 3 s.
 	ProbeTimeout settings.Duration `yaml:"probe_timeout"`
 	// OrderTimeout ends an order to the engine without an answer. Default
-	// 1 min. Longer suits slow loads and widens the window in which an order
-	// delayed by the network can arrive late.
+	// 1 min. Longer suits slow loads, and finds out later that an order was lost.
+	// An order also ends with the confirmation lease.
 	OrderTimeout settings.Duration `yaml:"order_timeout"`
 	// TokenLatency is the 95th percentile of the time between tokens above
 	// which transfers slow down. Default 72 ms.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -75,22 +75,35 @@
 
 // Client talks to one engine.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	network network.Network
+	http    *http.Client
 }
 
 // New returns a client for the engine at the URL base.
 func New(base string, n network.Network) *Client {
+	return &Client{base: base, network: n, http: &http.Client{Transport: newTransport(n, nil)}}
+}
+
+// newTransport returns a transport whose connections discard undelivered bytes
+// when they are closed. With a permission it serves one order: a connection of
+// its own, whose first write asks.
+func newTransport(n network.Network, guard *permission) *http.Transport {
 	transport := network.HTTPTransport(n)
+	transport.DisableKeepAlives = guard != nil
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, kind, address string) (net.Conn, error) {
 		conn, err := dial(ctx, kind, address)
-		if err == nil {
-			discardOnClose(conn)
+		if err != nil {
+			return nil, err
 		}
-		return conn, err
+		discardOnClose(conn)
+		if guard != nil {
+			conn = &permittedConn{Conn: conn, guard: guard}
+		}
+		return conn, nil
 	}
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return transport
 }
 
 // discardOnClose drops bytes that were not delivered when the connection is
@@ -112,7 +125,7 @@
 		return Sets{}, oops.In("engine").Wrap(err)
 	}
 	var sets Sets
-	status, data, err := c.do(request)
+	status, data, err := do(c.http, request)
 	if err != nil {
 		return sets, err
 	}
@@ -122,9 +135,16 @@
 	return sets, nil
 }
 
-// Order sends a command and waits until the engine has carried it out.
-func (c *Client) Order(ctx context.Context, order Order) error {
-	status, data, err := c.post(ctx, pathOrders, order)
+// Order sends a command and waits until the engine has carried it out. permit
+// is called immediately before the command is written, once there is a
+// connection; its error keeps the command from being sent and is returned.
+func (c *Client) Order(ctx context.Context, order Order, permit func() error) error {
+	guard := &permission{ask: permit}
+	client := &http.Client{Transport: newTransport(c.network, guard)}
+	status, data, err := c.post(ctx, client, pathOrders, order)
+	if refused := guard.refusal(); refused != nil {
+		return refused
+	}
 	switch {
 	case err != nil:
 		return err
@@ -141,7 +161,7 @@
 // Probe generates one token with a loaded set, which shows that the engine
 // makes progress.
 func (c *Client) Probe(ctx context.Context, set wire.LoadedSet) error {
-	status, data, err := c.post(ctx, PathChat, map[string]any{
+	status, data, err := c.post(ctx, c.http, PathChat, map[string]any{
 		"model":      set.Model,
 		"messages":   []map[string]string{{"role": "user", "content": "."}},
 		"max_tokens": 1,
@@ -155,7 +175,7 @@
 	return nil
 }
 
-func (c *Client) post(ctx context.Context, path string, body any) (int, []byte, error) {
+func (c *Client) post(ctx context.Context, client *http.Client, path string, body any) (int, []byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return 0, nil, oops.In("engine").Wrap(err)
@@ -166,11 +186,11 @@
 	}
 	request.GetBody = nil // an order or probe is never resent by net/http
 	request.Header.Set("Content-Type", "application/json")
-	return c.do(request)
+	return do(client, request)
 }
 
-func (c *Client) do(request *http.Request) (int, []byte, error) {
-	response, err := c.http.Do(request)
+func do(client *http.Client, request *http.Request) (int, []byte, error) {
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
--- /dev/null
+++ b/internal/engine/permit_test.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+)
+
+func permitted() error { return nil }
+
+// dialNetwork tells when a connection was opened.
+type dialNetwork struct {
+	network.System
+	dialled atomic.Bool
+}
+
+func (n *dialNetwork) DialContext(ctx context.Context, kind, address string) (net.Conn, error) {
+	conn, err := n.System.DialContext(ctx, kind, address)
+	n.dialled.Store(true)
+	return conn, err
+}
+
+// Guards against an order that is sent on a permission from before a slow dial,
+// and against a refused order of which the engine sees anything.
+func TestPermissionIsAskedAfterTheDial(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer server.Close()
+	n := &dialNetwork{}
+	c := New(server.URL, n)
+	defer c.Close()
+	refusal := errors.New("refused")
+	err := c.Order(t.Context(), Order{}, func() error {
+		is.True(n.dialled.Load())
+		return refusal
+	})
+	is.True(errors.Is(err, refusal))
+	is.Equal(requests.Load(), int64(0))
+	is.NoErr(c.Order(t.Context(), Order{}, permitted))
+	is.Equal(requests.Load(), int64(1))
+}
