entry: place entries on one ring and divide a sample's part of the slots

Cause: above 9 entries each asks 8 others. Which ones followed the order in the settings, so with lists in different orders some entries were asked by none and no address answer named them; entries of one zone stood together, so an answer could name none in the caller's zone. Found on the way: each entry divided the slots of the whole fleet among the 9 of its sample, so all entries together gave out entries/9 times the slots there are.

Change: the ring depends on names and zones only, and zones alternate on it, so each entry is asked by 8 and asks entries of every zone. A sample divides its part of the slots, rounded up. Up to 9 entries nothing changes but the order.

Ruled out: addresses and loads from control. At 370 entries the loads of all would be another table for each, and a stopping entry would stay listed while control is away. The one-second rule of peers needs no control.

Pure rule: 12, 40 and 370 entries with shuffled settings, each asked by 8. Each guard was removed in turn and seen to fail its test.

Conclusion: addresses and shares hold above 9 entries.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -118,7 +118,7 @@
 		p.SetPeers(a.peers.reports(name, now))
 		a.pools[name] = p
 	}
-	p.SetSlots(a.fleet.slots(name))
+	p.SetSlots(a.peers.sampled(a.fleet.slots(name)))
 	return p
 }
 
@@ -145,7 +145,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, p := range a.pools {
-		p.SetSlots(a.fleet.slots(name))
+		p.SetSlots(a.peers.sampled(a.fleet.slots(name)))
 		p.SetPeers(a.peers.reports(name, now))
 		a.advance(name, now)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -21,7 +21,7 @@
 	exchangeInterval = 200 * time.Millisecond
 	exchangeTimeout  = 500 * time.Millisecond
 	// exchangePeers bounds the entries asked. With more entries each asks those
-	// that follow it in order of name, and takes them as a sample of all.
+	// that follow it on the ring, and takes them as a sample of all.
 	exchangePeers = 8
 	// peerExpiry is the time without contact after which another entry is left
 	// out of address answers. With the TTL of an answer it stays below the 3 s
@@ -72,6 +72,7 @@
 	if !self {
 		p.list = append(p.list, &peerState{Peer: Peer{Name: s.Instance, Address: s.Advertise, Zone: s.Zone}, self: true})
 	}
+	sortRing(p.list)
 	return p
 }
 
@@ -127,7 +128,14 @@
 		}
 	}
 	ring := append(after, before...)
-	return ring[:min(len(ring), exchangePeers)]
+	return ring[:sampleSize(len(ring))]
+}
+
+// sampled returns the part of a pool's slots that this entry and those it asks
+// divide among themselves.
+func (p *peers) sampled(slots int) int {
+	entries := p.count()
+	return sampledSlots(slots, sampleSize(entries-1)+1, entries)
 }
 
 // heard records a peer's report.
