make measure-confirm: what rules for unconfirmed instances cost

Cause: section 8 of the design argues for a lease from a read quorum of voters; its cost was not measured. Conclusion: rule, lease and period stay.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO_TOOL = go tool -modfile=tools/go.mod
 export CGO_ENABLED = 1
 
-.PHONY: build run test lint format matrix faults measure-weights measure-notes measure-requests measure-capacity
+.PHONY: build run test lint format matrix faults measure-weights measure-notes measure-confirm measure-requests measure-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -39,6 +39,10 @@
 measure-notes:
 	go run ./internal/control/measure
 
+# What rules for instances that cannot confirm their revision cost, by fault.
+measure-confirm:
+	go run ./confirm/measure
+
 # Goodput, latency, fairness and lost work of the entry by load, policy and fault.
 measure-requests:
 	go run ./internal/entry/measure
