measure: links between regions over sockets

The runs over sockets left out the links between regions, so region_links was checked in the simulation only.

--- a/internal/transfer/measure/deployment.go
+++ b/internal/transfer/measure/deployment.go
@@ -86,6 +86,14 @@
 	return list
 }
 
+// delay is the one-way delay between two instances.
+func (d deployment) delay(a, b swarm.Node) time.Duration {
+	if a.Region != b.Region {
+		return d.regionDelay
+	}
+	return d.zoneDelay
+}
+
 func originRate() float64  { return originCopiesPerWindow * copyBytes / window.Seconds() }
 func machineRate() float64 { return machineCopiesPerWindow * copyBytes / window.Seconds() }
 
