raft: decide with a read quorum once a voter's disk is lost

Cause: two disks lost at once leave 2 of 4 voters, and no majority ever returns, although every accepted note is on a survivor. Ruled out: terms split into epochs, so that an election after losses never shares a term with one before. An unfinished recovery campaign can carry the epoch to voters that are lost later and lead in a higher term of the same epoch; a leader of a recovery term that hears of further losses has the same fault; and agents' fencing numbers have 24 bits for the term. Ruled out: all voters that are not abandoned must agree. Change: Abandon names lost voters. For each voter set a quorum is a majority or, once one of its voters is abandoned, a read quorum of the others. Elections now need a quorum of the voters before a pending change as well, as commits always did, so that any two quorums have a voter set in common. A campaign fixes the lost voters when it starts, for its whole term. Vote replies carry the commit index: without it a removed replica with a longer log blocked the election.

--- a/raft/message.go
+++ b/raft/message.go
@@ -142,7 +142,8 @@
 
 // Message passes between replicas. The meaning of Index and LogTerm depends on
 // Kind: for votes the last entry, for appends the entry before Entries, for
-// replies the last matching or, with Reject, the refused position.
+// replies the last matching or, with Reject, the refused position. Replies to
+// votes carry a committed entry in Commit and LogTerm.
 type Message struct {
 	Kind     MessageKind    `cbor:"1,keyasint"`
 	From     string         `cbor:"2,keyasint"`
--- a/raft/node.go
+++ b/raft/node.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 )
@@ -100,6 +101,9 @@
 	checkAge int // leader: ticks since the last quorum check
 	votes    map[string]bool
 
+	abandoned map[string]bool // storage is lost for good; see Abandon
+	lost      map[string]bool // those of abandoned that this campaign and its term count without
+
 	progress    map[string]*progress
 	peers       []string // keys of progress, in order
 	uncommitted int      // bytes
@@ -165,7 +169,7 @@
 
 // NewNode returns a node with the state that its storage holds.
 func NewNode(cfg Config, hard HardState, snapshot Snapshot, entries []Entry) (*Node, error) {
-	n := &Node{cfg: cfg.withDefaults(), hard: hard, lastSaved: hard, snapshot: snapshot}
+	n := &Node{cfg: cfg.withDefaults(), hard: hard, lastSaved: hard, snapshot: snapshot, abandoned: map[string]bool{}}
 	n.log.reset(snapshot.Index, snapshot.Term)
 	if snapshot.Index > 0 {
 		n.memberships = []Membership{snapshot.Membership}
@@ -293,26 +297,6 @@
 	}
 }
 
-// quorum reports whether the replicas for which has returns true contain a
-// majority of the newest voters and, while a membership change is pending, of
-// the voters before it.
-func (n *Node) quorum(has func(id string) bool) bool {
-	if !majority(n.membership().Voters, has) {
-		return false
-	}
-	return !n.membershipPending() || majority(n.committedMembership().Voters, has)
-}
-
-func majority(voters []string, has func(id string) bool) bool {
-	count := 0
-	for _, id := range voters {
-		if has(id) {
-			count++
-		}
-	}
-	return count > len(voters)/2
-}
-
 // Tick advances time by one tick.
 func (n *Node) Tick() {
 	n.quiet++
@@ -364,7 +348,7 @@
 		n.incoming = nil
 	}
 	n.role, n.leader = Follower, leader
-	n.progress, n.peers, n.votes, n.reads, n.transferTo = nil, nil, nil, nil, ""
+	n.progress, n.peers, n.votes, n.lost, n.reads, n.transferTo = nil, nil, nil, nil, nil, ""
 	n.uncommitted = 0
 	n.resetTimeout()
 }
@@ -390,6 +374,7 @@
 func (n *Node) campaign(role Role, forced bool) {
 	n.role, n.leader, n.incoming = role, "", nil
 	n.votes = map[string]bool{n.cfg.ID: true}
+	n.lost = maps.Clone(n.abandoned)
 	n.resetTimeout()
 	term, kind := n.hard.Term+1, MsgPreVote
 	if role == Candidate {
@@ -399,19 +384,26 @@
 	if n.countVotes() {
 		return
 	}
-	for _, id := range n.membership().Voters {
+	for _, id := range n.electorate() {
 		if id != n.cfg.ID {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Forced: forced})
 		}
 	}
 }
 
-// countVotes proceeds when the election is won and reports whether it did. The
-// newest voters decide alone, also while their membership is pending: one voter
-// more or less keeps majorities intersecting, and a voter that was removed may
-// hold a longer log and vote for nobody.
+// electorate lists the voters whose votes countVotes needs.
+func (n *Node) electorate() []string {
+	voters := slices.Concat(n.membership().Voters, n.committedMembership().Voters)
+	slices.Sort(voters)
+	return slices.Compact(voters)
+}
+
+// countVotes proceeds when the election is won and reports whether it did. While
+// a membership change is pending, the voters before it must agree as well: they
+// may have decided without this change, and after lost disks a quorum of theirs
+// need not intersect one of the newest voters.
 func (n *Node) countVotes() bool {
-	if !majority(n.membership().Voters, func(id string) bool { return n.votes[id] }) {
+	if !n.quorum(func(id string) bool { return n.votes[id] }) {
 		return false
 	}
 	if n.role == PreCandidate {
@@ -448,7 +440,8 @@
 
 // ProposeConfChange appends a membership change if this node is the leader, no
 // other change is pending, and an entry of this leader's term is committed:
-// otherwise two leaders could commit with quorums that do not intersect.
+// otherwise two leaders could commit with quorums that do not intersect. A
+// change is refused if abandoned voters would leave its voters undecided.
 func (n *Node) ProposeConfChange(c Change) (index uint64, err error) {
 	switch {
 	case n.role != Leader:
@@ -462,6 +455,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !n.enough(next.Voters, func(id string) bool { return !n.abandoned[id] }) {
+		return 0, fmt.Errorf("%w: too few voters would be left", ErrChangeRefused)
+	}
 	next.Index = n.log.last() + 1
 	data, err := encMode.Marshal(next)
 	if err != nil {
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -241,8 +241,8 @@
 }
 
 // maybeCommit advances the commit index to the highest entry of this term that
-// a quorum holds. While a membership change is pending the quorum is a
-// majority of the voters before and of those after it.
+// a quorum holds. While a membership change is pending the quorum is one of the
+// voters before and of those after it.
 func (n *Node) maybeCommit() {
 	if n.role != Leader {
 		return
@@ -275,33 +275,6 @@
 	n.pruneMemberships()
 }
 
-func (n *Node) quorumMatch() uint64 {
-	index := n.majorityMatch(n.membership().Voters)
-	if n.membershipPending() {
-		index = min(index, n.majorityMatch(n.committedMembership().Voters))
-	}
-	return index
-}
-
-func (n *Node) majorityMatch(voters []string) uint64 {
-	matches := make([]uint64, 0, len(voters))
-	for _, id := range voters {
-		switch p := n.progress[id]; {
-		case id == n.cfg.ID:
-			matches = append(matches, n.log.stable)
-		case p != nil:
-			matches = append(matches, p.match)
-		default:
-			matches = append(matches, 0)
-		}
-	}
-	if len(matches) == 0 {
-		return 0
-	}
-	sortDescending(matches)
-	return matches[len(matches)/2]
-}
-
 func (n *Node) confirmReads() {
 	done := 0
 	for _, r := range n.reads {
--- /dev/null
+++ b/raft/quorum_test.go
@@ -0,0 +1,120 @@
+package raft
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an abandoned voter that lets too few others decide: some
+// committed entry could be on none of them.
+func TestVotersLeftDecide(t *testing.T) {
+	voters := []string{"a", "b", "c", "d"}
+	cases := map[string]struct {
+		abandoned []string
+		agree     string
+		want      bool
+	}{
+		"majority":                 {nil, "abc", true},
+		"half":                     {nil, "ab", false},
+		"two left, both":           {[]string{"c", "d"}, "ab", true},
+		"two left, one":            {[]string{"c", "d"}, "a", false},
+		"three left, two":          {[]string{"d"}, "ab", true},
+		"three left, one":          {[]string{"d"}, "a", false},
+		"half with the abandoned":  {[]string{"d"}, "ad", false},
+		"one left":                 {[]string{"b", "c", "d"}, "a", false},
+		"abandoned among majority": {[]string{"d"}, "abd", true},
+		"none left":                {[]string{"a", "b", "c", "d"}, "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{cfg: Config{ID: "x"}, lost: map[string]bool{}}
+			for _, id := range c.abandoned {
+				n.lost[id] = true
+			}
+			agrees := func(id string) bool { return strings.Contains(c.agree, id) }
+			is.New(t).Equal(n.enough(voters, agrees), c.want)
+		})
+	}
+}
+
+// quartet is a node of four voters that answers nobody; the test plays the
+// others.
+func quartet(t *testing.T) *Node {
+	t.Helper()
+	voters := []string{"a", "b", "c", "d"}
+	n, err := NewNode(Config{ID: "a"}, HardState{}, Snapshot{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Bootstrap(BootstrapSnapshot(voters, nil, nil), 1); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// elect starts an election in which the voters named grant everything.
+func elect(n *Node, voters ...string) {
+	n.Campaign()
+	for _, kind := range []MessageKind{MsgPreVoteReply, MsgVoteReply} {
+		term := n.hard.Term
+		if kind == MsgPreVoteReply {
+			term++
+		}
+		for _, id := range voters {
+			n.Step(Message{Kind: kind, From: id, To: n.cfg.ID, Term: term})
+		}
+	}
+}
+
+// acknowledge persists the node's log and lets voters acknowledge all of it.
+func acknowledge(n *Node, voters ...string) {
+	for n.HasReady() {
+		n.Ready()
+		n.Advance()
+	}
+	for _, id := range voters {
+		n.Step(Message{Kind: MsgAppendReply, From: id, To: n.cfg.ID, Term: n.hard.Term, Index: n.log.last()})
+	}
+}
+
+// Guards against a leader that commits without voters that were abandoned after
+// its election: they may have elected another leader before they were lost.
+func TestLeaderNeedsNewElectionAfterLosses(t *testing.T) {
+	is := is.New(t)
+	n := quartet(t)
+	elect(n, "b", "c")
+	is.Equal(n.role, Leader)
+	is.True(n.Abandon("c"))
+	is.True(n.Abandon("d"))
+	acknowledge(n, "b")
+	is.Equal(n.hard.Commit, uint64(1))
+	for range 2*n.cfg.ElectionTicks + 2 {
+		n.Step(Message{Kind: MsgHeartbeatReply, From: "b", To: "a", Term: n.hard.Term})
+		n.Tick()
+	}
+	is.True(n.role != Leader)
+	elect(n, "b")
+	is.Equal(n.role, Leader)
+	acknowledge(n, "b")
+	is.Equal(n.hard.Commit, n.log.last())
+}
+
+// Guards against messages of an abandoned voter that still count, and against a
+// change after which the voters left could not decide.
+func TestAbandonedVoterIsIgnored(t *testing.T) {
+	is := is.New(t)
+	n := quartet(t)
+	n.Abandon("c")
+	n.Abandon("d")
+	elect(n, "c", "d")
+	is.True(n.role != Leader)
+	elect(n, "b")
+	acknowledge(n, "b")
+	_, err := n.ProposeConfChange(Change{Kind: Remove, ID: "b"})
+	is.True(errors.Is(err, ErrChangeRefused))
+	_, err = n.ProposeConfChange(Change{Kind: Remove, ID: "c"})
+	is.NoErr(err)
+}
--- a/raft/step.go
+++ b/raft/step.go
@@ -1,16 +1,9 @@
 package raft
 
-import "slices"
-
-func sortDescending(v []uint64) {
-	slices.Sort(v)
-	slices.Reverse(v)
-}
-
 // Step handles a message from another replica. Messages that make no sense in
 // the node's state are dropped.
 func (n *Node) Step(m Message) {
-	if m.To != n.cfg.ID || m.check() != nil {
+	if m.To != n.cfg.ID || n.abandoned[m.From] || m.check() != nil {
 		return
 	}
 	switch {
@@ -92,7 +85,7 @@
 		if !grant {
 			reply.Term = max(n.hard.Term, 1)
 		}
-		n.send(reply)
+		n.sendVoteReply(reply)
 		return
 	}
 	grant = grant && (n.hard.Vote == m.From || (n.hard.Vote == "" && n.leader == ""))
@@ -100,16 +93,41 @@
 		n.hard.Vote = m.From
 		n.resetTimeout()
 	}
-	n.send(Message{Kind: MsgVoteReply, To: m.From, Term: n.hard.Term, Reject: !grant})
+	n.sendVoteReply(Message{Kind: MsgVoteReply, To: m.From, Term: n.hard.Term, Reject: !grant})
+}
+
+// sendVoteReply adds to a reply what this replica knows to be committed. Without
+// it, a candidate with a pending change that removed this replica could wait for
+// its vote for ever: this replica knows that the change is committed, stands for
+// no election, and may hold a longer log than the candidate.
+func (n *Node) sendVoteReply(m Message) {
+	if term, ok := n.log.term(n.hard.Commit); ok {
+		m.Commit, m.LogTerm = n.hard.Commit, term
+	}
+	n.send(m)
+}
+
+// learnCommit takes over the commit index of a vote reply if this log holds the
+// same entry there.
+func (n *Node) learnCommit(m Message) {
+	if n.role == Leader || m.LogTerm == 0 {
+		return
+	}
+	if term, ok := n.log.term(m.Commit); ok && term == m.LogTerm {
+		n.setCommit(m.Commit)
+	}
 }
 
 func (n *Node) onVoteReply(m Message) {
+	n.learnCommit(m)
 	expected := map[MessageKind]Role{MsgPreVoteReply: PreCandidate, MsgVoteReply: Candidate}[m.Kind]
-	if n.role != expected || m.Reject {
+	if n.role != expected {
 		return
 	}
-	n.votes[m.From] = true
-	n.countVotes()
+	if !m.Reject {
+		n.votes[m.From] = true
+	}
+	n.countVotes() // also after a refusal: its commit index may end a pending change
 }
 
 func (n *Node) onLeaderMessage(m Message) {
