control: abandon voters that return with an empty disk

Ruled out: telling raft of any other identity under a voter's name. A folder that was exchanged, or late hellos of an earlier storage, would abandon a voter that lives. Change: a voter is abandoned when another identity of its name was heard of for 3 s that had no log at first. Hellos pass the lost identifiers on, so that a survivor that restarts learns of them. With several voters lost, the repair policy removes first while more than 3 are left; no step waits for a lost voter.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -131,6 +131,7 @@
 		token: d.processToken.Secret(), network: d.opts.Network, bytes: d.opts.Bytes, log: d.log,
 		self: d.hello, own: d.settings.advertised(),
 		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
+		empty: map[string]bool{}, lost: map[string]bool{},
 	}
 	replica, err := NewReplica(ReplicaConfig{
 		Tick: d.opts.Tick, TurnLimit: d.opts.TurnLimit, SnapshotBytes: d.opts.SnapshotBytes, SnapshotEvery: d.settings.SnapshotEvery, Send: d.peers.Send,
@@ -188,6 +189,7 @@
 
 // manage makes the membership change that is due. It runs in the loop.
 func (d *Daemon) manage(n *raft.Node) {
+	d.abandonLost(n)
 	if role, _ := n.Role(); role != raft.Leader {
 		return
 	}
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -318,6 +318,82 @@
 	}
 }
 
+// Guards against two disks lost at once that stop acceptance for good, whichever
+// replicas lose them, and when a survivor restarts meanwhile.
+func TestTwoLostDisks(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		lost     []string
+		restarts string
+	}{
+		{"first two", []string{"c1", "c2"}, ""},
+		{"last two", []string{"c3", "c4"}, ""},
+		{"survivor restarts", []string{"c2", "c4"}, "c1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { loseTwoDisks(t, c.lost, c.restarts) })
+		})
+	}
+}
+
+func loseTwoDisks(t *testing.T, lost []string, restarts string) {
+	is := is.New(t)
+	c := startedCluster(t, nil)
+	is.Equal(c.submit(1).Status, "accepted")
+	c.converged(1)
+	for _, name := range lost {
+		c.daemons[name].kill()
+		is.NoErr(os.RemoveAll(filepath.Join(c.dir, name)))
+	}
+	for _, name := range lost {
+		c.start(name)
+	}
+	if restarts != "" {
+		time.Sleep(3500 * time.Millisecond) // the other survivor knows of the losses
+		c.daemons[restarts].kill()
+		c.start(restarts)
+	}
+	c.eventually("four voters with disks", func() bool {
+		l := c.leader()
+		if l == nil || len(l.Status().Voters) != 4 {
+			return false
+		}
+		return !slices.ContainsFunc(c.names, func(name string) bool {
+			return !slices.Contains(l.Status().Voters, c.daemons[name].Status().ID)
+		})
+	})
+	is.Equal(c.submit(2).Status, "accepted")
+	c.converged(2)
+}
+
+// Guards against a voter that is taken for lost because another data folder was
+// put in its place, a late hello arrived, or a replica was only heard of once.
+func TestFindLost(t *testing.T) {
+	is := is.New(t)
+	p := &peers{
+		dialers: map[string]*dialer{}, byID: map[string]string{}, seen: map[string]peer{},
+		empty: map[string]bool{}, lost: map[string]bool{},
+	}
+	start := time.Now()
+	hear := func(id string, empty bool, after time.Duration) []string {
+		p.Heard(hello{ID: id, Name: "b", Address: "x", Empty: empty}, start.Add(after))
+		return p.FindLost([]string{"a.1", "b.1"})
+	}
+	is.Equal(len(hear("b.1", true, 0)), 0)
+	is.Equal(len(hear("b.3", false, time.Second)), 0)
+	is.Equal(len(hear("b.3", false, 9*time.Second)), 0) // it had a log at first
+	is.Equal(len(hear("b.2", true, 10*time.Second)), 0)
+	is.Equal(len(hear("b.1", false, 11*time.Second)), 0)
+	is.Equal(len(hear("b.2", true, 12*time.Second)), 0)
+	is.Equal(len(hear("b.2", false, 14*time.Second)), 0)
+	is.Equal(hear("b.2", false, 15*time.Second), []string{"b.1"})
+	is.Equal(hear("b.1", false, 16*time.Second), []string{"b.1"})
+	is.Equal(p.Present(start.Add(16 * time.Second))["b"].ID, "b.2")
+	is.Equal(p.Lost(), []string{"b.1"})
+	p.Heard(hello{ID: "c.1", Name: "c", Address: "x", Lost: []string{"a.1"}}, start)
+	is.Equal(p.FindLost([]string{"a.1", "b.1"}), []string{"a.1", "b.1"}) // passed on by another replica
+}
+
 // Guards against a repair that leaves the system unable to accept after one
 // more loss.
 func TestSecondLossRightAfterRepair(t *testing.T) {
@@ -489,6 +565,10 @@
 		"then the lost one goes":     {status(five, nil, map[string]int{"c.1": 200}), nil, "remove c.1"},
 		"silent standby":             {status(three, []string{"e.1"}, map[string]int{"c.1": 200, "e.1": 90}), nil, "none"},
 		"lost disk":                  {status(four, nil, nil), present("d.2"), "remove d.1"},
+		"two lost disks":             {status(four, []string{"c.2", "d.2"}, nil), present("c.2", "d.2"), "remove c.1"},
+		"one of them removed":        {status([]string{"a.1", "b.1", "d.1"}, []string{"c.2", "d.2"}, nil), present("c.2", "d.2"), "promote c.2"},
+		"then the other replaced":    {status([]string{"a.1", "b.1", "c.2", "d.1"}, []string{"d.2"}, nil), present("c.2", "d.2"), "promote d.2"},
+		"and removed":                {status([]string{"a.1", "b.1", "c.2", "d.1", "d.2"}, nil, nil), present("c.2", "d.2"), "remove d.1"},
 		"joins as learner":           {status(three, nil, nil), present("b.1", "d.2"), "add-learner d.2"},
 		"behind":                     {behind, nil, "none"},
 		"caught up":                  {status(three, []string{"d.2"}, nil), nil, "promote d.2"},
--- a/internal/control/manage.go
+++ b/internal/control/manage.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -13,6 +14,17 @@
 // caughtUpEntries is how far a learner may be behind to become a voter.
 const caughtUpEntries = 16
 
+// abandonLost tells the node of the voters whose storage is lost. It runs in the
+// replica's loop.
+func (d *Daemon) abandonLost(n *raft.Node) {
+	s := n.Status()
+	for _, id := range d.peers.FindLost(slices.Concat(s.Membership.Voters, s.Committed.Voters)) {
+		if n.Abandon(id) {
+			d.log.WithField("replica", id).Info("voter_abandoned")
+		}
+	}
+}
+
 // repairPolicy decides membership changes of the leader, one at a time.
 type repairPolicy struct {
 	self         string
@@ -28,9 +40,13 @@
 		return raft.Change{}, false
 	}
 	m := s.Membership
-	lost := p.lostVoter(s, present)
+	lost, losses := p.lostVoters(s, present)
 	learner := p.readyLearner(s, present)
 	switch {
+	// With several lost, no further voter may fail. A removal lowers the number of
+	// voters that have to agree; a promotion adds one that must not fail.
+	case losses > 1 && len(m.Voters) > minVoters:
+		return raft.Change{Kind: raft.Remove, ID: lost}, true
 	case lost != "" && len(m.Voters) > p.targetVoters && len(m.Voters) > minVoters:
 		return raft.Change{Kind: raft.Remove, ID: lost}, true
 	case lost != "" && learner != "":
@@ -46,15 +62,17 @@
 	return p.join(m, present)
 }
 
-// lostVoter returns a voter that was silent for too long, or whose name is in
-// use by another storage: its log is gone for good.
-func (p repairPolicy) lostVoter(s raft.Status, present map[string]hello) string {
+// lostVoters counts the voters that were silent for too long, or whose name is in
+// use by another storage, so that their log is gone for good. It returns the
+// first of them.
+func (p repairPolicy) lostVoters(s raft.Status, present map[string]hello) (first string, count int) {
 	for _, id := range s.Membership.Voters {
 		if id != p.self && (replaced(id, present) || p.silent(s, id)) {
-			return id
+			first = cmp.Or(first, id)
+			count++
 		}
 	}
-	return ""
+	return first, count
 }
 
 func (p repairPolicy) silent(s raft.Status, id string) bool {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +35,15 @@
 	Address string `cbor:"3,keyasint"`
 	// Empty is true while the replica has no log.
 	Empty bool `cbor:"4,keyasint"`
+	// Lost lists the identifiers whose storage this replica knows to be lost, so
+	// that a replica that restarted since learns of them.
+	Lost []string `cbor:"5,keyasint,omitempty"`
 }
 
 type peer struct {
 	hello
-	seen time.Time
+	since time.Time // heard without a hello of another identifier in between
+	seen  time.Time
 }
 
 // peers keeps a session to every other replica.
@@ -56,6 +61,8 @@
 	dialers map[string]*dialer // by address
 	byID    map[string]string  // identifier to address
 	seen    map[string]peer    // by name, the newest hello
+	empty   map[string]bool    // identifiers that had no log when first heard of
+	lost    map[string]bool    // identifiers whose storage is lost
 }
 
 type dialer struct {
@@ -105,6 +112,7 @@
 
 func (p *peers) greet(s *transport.Session) {
 	h := p.self()
+	h.Lost = p.Lost()
 	if frame, err := wire.Marshal(peerFrame{Hello: &h}); err == nil {
 		_ = s.Send(wire.Raft{Message: frame})
 	}
@@ -162,15 +170,63 @@
 }
 
 // Heard records a hello. Its address replaces an older one of the same replica.
+// A late hello of an identifier that is lost is ignored.
 func (p *peers) Heard(h hello, now time.Time) {
 	if h.ID == "" || h.Name == "" || h.Address == "" {
 		return
 	}
+	if p.record(h, now) {
+		p.connect(h.Address)
+	}
+}
+
+func (p *peers) record(h hello, now time.Time) bool {
 	p.mu.Lock()
-	p.seen[h.Name] = peer{hello: h, seen: now}
+	defer p.mu.Unlock()
+	for _, id := range h.Lost {
+		p.lost[id] = true
+	}
+	if p.lost[h.ID] {
+		return false
+	}
+	if h.Empty {
+		p.empty[h.ID] = true
+	}
+	since := now
+	if last := p.seen[h.Name]; last.ID == h.ID {
+		since = last.since
+	}
+	p.seen[h.Name] = peer{hello: h, since: since, seen: now}
 	p.byID[h.ID] = h.Address
-	p.mu.Unlock()
-	p.connect(h.Address)
+	return true
+}
+
+// FindLost returns the voters that are known to have lost their storage: another
+// identifier of the same name was heard of that had no log at first. One that
+// had a log proves nothing, since a data folder may have been exchanged. It must
+// have been heard of for a while, so that late hellos of an earlier storage,
+// which was empty once as well, are not taken for a newer one.
+func (p *peers) FindLost(voters []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []string
+	for _, id := range voters {
+		h, ok := p.seen[nameOf(id)]
+		if ok && h.ID != id && p.empty[h.ID] && h.seen.Sub(h.since) >= helloFresh {
+			p.lost[id] = true
+		}
+		if p.lost[id] {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// Lost lists the identifiers whose storage is known to be lost.
+func (p *peers) Lost() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.lost))
 }
 
 // Present lists the replicas heard of lately, by name.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -80,7 +80,7 @@
 	Published func(old, next *View)
 	// Committed is called for each command applied, with its result.
 	Applied func(ledger.Command, ledger.Result)
-	// Manage is called once a second in the loop while this replica leads.
+	// Manage is called once a second in the loop.
 	Manage func(n *raft.Node)
 	Log    log.Interface
 }
