entry: end copies of a suspect at once, and run it alone at one entry only

A crash-inducing request cost more than two endpoints in two ways. Copies that already ran on other endpoints when the first one crashed ran on, and crashed theirs. And each entry reserved the single run of a suspect for itself, so that several entries ran it alone at once.

Now an answer that breaks off makes the request a suspect at once, before the gate has told a crash from a cut answer; the entry tells the others, and each cancels its running copies of the request, which reaches the engine. The run alone is reserved with all entries, in the order of their names, so that of two that ask at once one wins; an entry that restarts forgets its grants, but not the others theirs. Each grant names the endpoints known to be lost. Not chosen: a claim in the replicated log, which would stop suspects while it has no leader. A copy that is cancelled has the new reason suspect-copy.

Three entries with the same suspect now cost one more endpoint. The check for suspects between the start of an attempt and its sending has no test of its own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -22,6 +22,8 @@
 var (
 	errStalled  = errors.New("no progress on the endpoint")
 	errFinished = errors.New("attempt finished")
+	// errSuspectCopy ends the copies of a request that has become a suspect.
+	errSuspectCopy = errors.New("the request is suspected of crashing endpoints")
 )
 
 const maxHeaderBytes = 64 << 10
@@ -66,6 +68,7 @@
 	engine       bool
 	fingerprint  string
 	alone        bool     // suspected: runs with no neighbour
+	reservation  string   // of the single run of a suspect, over all entries
 	avoid        []string // endpoints lost to this request
 	affinity     uint64
 	priority     string
@@ -150,14 +153,24 @@
 func (e *Entry) open(c *call, id string, client *http.Client) (*attempt, *attemptFailure) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	a := &attempt{id: id, ctx: ctx, cancel: cancel}
+	running := &runningAttempt{cancel: cancel}
+	if !c.alone {
+		running.fingerprint = c.fingerprint
+	}
 	choice, gate, ok := e.fleet.start(balancer.Request{
 		Pool: c.pool, Set: c.set, Affinity: c.affinity, Exclude: c.exclude, Low: c.low(),
-	}, a.id, c.stream, cancel, time.Now())
+	}, a.id, c.stream, running, time.Now())
 	if !ok {
 		cancel(errFinished)
 		return nil, &attemptFailure{reason: outcome.NoEndpoint, result: balancer.Refused}
 	}
 	a.endpoint, a.set, a.gate = choice.ID, choice.Set, gate
+	if c.engine && !c.alone && e.suspects.suspected(c.fingerprint, time.Now()) {
+		// After the start was recorded, so that no copy slips between the check
+		// and the cancelling of copies.
+		e.end(a, balancer.Cancelled)
+		return nil, &attemptFailure{reason: outcome.SuspectCopy, result: balancer.Cancelled, endpoint: a.endpoint}
+	}
 	if !c.stream { // its progress is invisible
 		a.timer = time.AfterFunc(e.settings.PlainTimeout.Std(), func() { cancel(errStalled) })
 	}
@@ -244,6 +257,8 @@
 	switch {
 	case errors.Is(cause, errStalled):
 		f.reason, f.lost = outcome.Stalled, false
+	case errors.Is(cause, errSuspectCopy):
+		f.reason, f.result, f.lost = outcome.SuspectCopy, balancer.Cancelled, false
 	case errors.Is(cause, context.DeadlineExceeded):
 		f.reason, f.result, f.lost = outcome.Deadline, balancer.Cancelled, false
 	case cause != nil:
@@ -275,7 +290,7 @@
 // its refusal is proof.
 func (a *attempt) gateRefusal(h http.Header) *attemptFailure {
 	why := h.Get(wire.HeaderReason)
-	if h.Get(wire.HeaderOutcome) != string(outcome.NotRun) && why != gateRestarted {
+	if h.Get(wire.HeaderOutcome) != string(outcome.NotRun) {
 		return nil
 	}
 	f := &attemptFailure{
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -119,7 +119,7 @@
 // is allowed.
 func (e *Entry) runChat(w http.ResponseWriter, c *call) {
 	relay := &streamRelay{w: w, metrics: e.metrics, arrived: c.arrived}
-	final := e.suspects.apply(c, time.Now())
+	final := e.applySuspicion(c)
 	var s *slot
 	if final == nil {
 		s, final = e.admitter.acquire(c.ctx, c)
@@ -168,17 +168,10 @@
 // afterFailure prepares the next attempt, or returns the final answer.
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
 	if f.lost && c.engine {
-		e.reportLost(c, f)
-		lost := loss{c.fingerprint, f.endpoint, e.endpointCrashed(c, f)}
-		final := e.suspects.broke(c, lost, time.Now())
-		e.tellLoss(lost)
-		if final != nil {
-			return final
-		}
-		if lost.Crashed {
-			c.pause(copiesCrashWait)
-		}
-		if final := e.suspects.apply(c, time.Now()); final != nil {
+		e.recordLoss(c, f)
+	}
+	if f.lost && c.engine || f.reason == outcome.SuspectCopy {
+		if final := e.applySuspicion(c); final != nil {
 			return final
 		}
 	}
--- /dev/null
+++ b/internal/entry/copies_test.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+const crashing = "crashes at its fourth token"
+
+// crashingGates crash 320 ms after they begin the crash-inducing request. Each
+// runs one request at a time, so that copies of it take several endpoints.
+func crashingGates(n int) []*entrytest.Gate {
+	var gates []*entrytest.Gate
+	for i := range n {
+		g := engineGate(fmt.Sprintf("g%d", i))
+		g.Capacity, g.PerToken = 1, 80*time.Millisecond
+		g.Fault = func(_ *http.Request, body string) fault {
+			if !strings.Contains(body, crashing) {
+				return fault{}
+			}
+			return fault{Step: entrytest.StepToken, Kind: entrytest.Kill, Token: 4}
+		}
+		gates = append(gates, g)
+	}
+	return gates
+}
+
+// lostEndpoints returns the endpoints that crashed.
+func lostEndpoints(gates []*entrytest.Gate) (lost []string) {
+	for _, g := range gates {
+		if g.Killed() > 0 {
+			lost = append(lost, g.ID)
+		}
+	}
+	return lost
+}
+
+func (c *cluster) awaitEntries(entries []*testEntry) {
+	c.eventually("entries know each other", func() bool {
+		for _, e := range entries {
+			if !e.peers.allHeardSince(time.Now().Add(-peerExpiry)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against copies of a crash-inducing request that go on running on other
+// endpoints after the first of them has crashed, through one entry and several.
+func TestCopiesInProgressCostTwoEndpoints(t *testing.T) {
+	for _, entryCount := range []int{1, 3} {
+		t.Run(fmt.Sprint(entryCount), func(t *testing.T) {
+			t.Parallel()
+			gates := crashingGates(7)
+			c := newCluster(t, gates...)
+			entries := c.addEntries(entryCount)
+			c.awaitEntries(entries)
+			var wg sync.WaitGroup
+			for i := range 5 {
+				wg.Go(func() { entries[i%entryCount].chat(i%2 == 0, crashing, wire.HeaderOrganisation, fmt.Sprint(i)) })
+				time.Sleep(60 * time.Millisecond) // the last one begins before the first crash
+			}
+			wg.Wait()
+			for i := range 2 * entryCount {
+				entries[i%entryCount].chat(true, crashing)
+			}
+			lost := lostEndpoints(gates)
+			t.Logf("lost %v", lost)
+			c.is.True(len(lost) <= 2)
+			c.is.True(len(lost) > 0)
+			c.is.True(entries[0].chat(true, "another request").done)
+		})
+	}
+}
+
+// Guards against a suspect that runs alone at several entries at once, each on
+// an endpoint of its own.
+func TestSuspectRunsAloneAtOneEntry(t *testing.T) {
+	gates := crashingGates(6)
+	c := newCluster(t, gates...)
+	entries := c.addEntries(3)
+	c.awaitEntries(entries)
+	fingerprint := quarantine.Fingerprint(pathChat, []byte(chatText(true, crashing)))
+	c.control.SetCatalogue(testCatalogue(), wire.QuarantinedRequest{
+		Fingerprint: fingerprint, Until: time.Now().Add(time.Hour).UnixMilli(), Crashed: []string{"elsewhere"},
+	})
+	for _, e := range entries {
+		c.eventually("entry knows the suspect", func() bool {
+			e.suspects.mu.Lock()
+			defer e.suspects.mu.Unlock()
+			return e.suspects.list.Check(fingerprint, time.Now()).Alone
+		})
+	}
+	var wg sync.WaitGroup
+	for _, e := range entries {
+		wg.Go(func() { e.chat(true, crashing) })
+	}
+	wg.Wait()
+	for _, e := range entries {
+		c.is.Equal(e.chat(true, crashing).reason(), "quarantined")
+	}
+	c.is.Equal(len(lostEndpoints(gates)), 1) // the second one in all
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,6 +133,7 @@
 	others.HandleFunc(strings.TrimPrefix(pathUsage, "/entry"), e.serveUsage).Methods(http.MethodGet)
 	others.HandleFunc(strings.TrimPrefix(pathOwners, "/entry")+"{id}", e.serveOwner).Methods(http.MethodGet)
 	others.HandleFunc(strings.TrimPrefix(pathLosses, "/entry"), e.serveLoss).Methods(http.MethodPost)
+	others.HandleFunc(strings.TrimPrefix(pathReservations, "/entry"), e.serveReservation).Methods(http.MethodPost)
 	callers := router.NewRoute().Subrouter()
 	callers.Use(e.requireCaller, e.count)
 	callers.HandleFunc("/v1/addresses", e.serveAddresses).Methods(http.MethodGet)
@@ -298,6 +299,9 @@
 				return
 			}
 			e.suspects.setControl(replica, c.Quarantined)
+			for _, q := range c.Quarantined {
+				e.fleet.cancelCopies(q.Fingerprint)
+			}
 		},
 		OnMembers: func(replica string, m wire.Members) {
 			if !e.directory.applyMembers(replica, m, time.Now()) {
@@ -305,7 +309,7 @@
 				return
 			}
 			for _, a := range m.Updated {
-				e.suspects.announced(a, time.Now())
+				e.suspectAnnounced(a)
 			}
 			e.fleet.update(e.directory.endpoints(), time.Now())
 		},
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -75,6 +75,7 @@
 	alone      int
 	probes     int
 	generated  int
+	killed     int
 	stopped    chan struct{}
 }
 
@@ -242,8 +243,20 @@
 	g.serveChat(w, r, id, data, fault)
 }
 
+// Killed returns the number of attempts whose connection a fault closed.
+func (g *Gate) Killed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.killed
+}
+
 // strike carries out a kill or a stall.
 func (g *Gate) strike(w http.ResponseWriter, r *http.Request, fault Fault) {
+	if fault.Kind == Kill {
+		g.mu.Lock()
+		g.killed++
+		g.mu.Unlock()
+	}
 	if fault.Kind == Stall {
 		if fault.Step != StepReceived && fault.Step != StepStarted {
 			_ = http.NewResponseController(w).Flush()
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -27,7 +27,9 @@
 
 type runningAttempt struct {
 	endpoint string
-	cancel   context.CancelCauseFunc
+	// fingerprint of a request that does not run alone.
+	fingerprint string
+	cancel      context.CancelCauseFunc
 }
 
 func newFleet(cfg balancer.Config, subset subsetRule) *fleet {
@@ -73,7 +75,7 @@
 
 // start picks an endpoint and records the attempt on it in one step, so that
 // concurrent requests see each other.
-func (f *fleet) start(r balancer.Request, attempt string, stream bool, cancel context.CancelCauseFunc, now time.Time) (balancer.Choice, gateAddress, bool) {
+func (f *fleet) start(r balancer.Request, attempt string, stream bool, running *runningAttempt, now time.Time) (balancer.Choice, gateAddress, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	choice, ok := f.balancer.Pick(r, now)
@@ -81,10 +83,23 @@
 		return choice, gateAddress{}, false
 	}
 	f.balancer.Started(choice.ID, attempt, stream, now)
-	f.running[attempt] = &runningAttempt{endpoint: choice.ID, cancel: cancel}
+	running.endpoint = choice.ID
+	f.running[attempt] = running
 	return choice, f.gate(choice.ID), true
 }
 
+// cancelCopies ends the attempts of a request that has become a suspect, the
+// one that runs alone aside.
+func (f *fleet) cancelCopies(fingerprint string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.running {
+		if a.fingerprint == fingerprint {
+			a.cancel(errSuspectCopy)
+		}
+	}
+}
+
 // gate returns where an endpoint is reached. The caller holds mu.
 func (f *fleet) gate(id string) gateAddress {
 	a := f.gates[id]
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -138,6 +138,15 @@
 	})
 }
 
+// silent reports whether a peer was not heard of for usageExpiry.
+func (p *peers) silent(name string, now time.Time) bool {
+	silent := false
+	p.change(name, func(s *peerState) {
+		silent = now.Sub(s.heard) >= usageExpiry && now.Sub(p.started) >= usageExpiry
+	})
+	return silent
+}
+
 // gone records that a peer's connection was refused: nothing runs there.
 func (p *peers) gone(name string) {
 	p.change(name, func(s *peerState) { s.refused = true })
@@ -273,7 +282,11 @@
 
 // spread gives equally ranked entries an order that differs between callers.
 func spread(name string, r *http.Request) uint64 {
+	return textHash(r.RemoteAddr + "/" + name)
+}
+
+func textHash(text string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(r.RemoteAddr + "/" + name))
+	_, _ = h.Write([]byte(text))
 	return h.Sum64()
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -65,6 +65,37 @@
 	wg.Wait()
 }
 
+// suspect takes in a loss and ends the copies of the request that still run
+// here. Without that each of them could cost an endpoint.
+func (e *Entry) suspect(l loss) {
+	e.suspects.record(l, time.Now())
+	e.fleet.cancelCopies(l.Fingerprint)
+}
+
+// suspectAnnounced takes in the crash that an endpoint announces.
+func (e *Entry) suspectAnnounced(a wire.Announce) {
+	for _, fingerprint := range e.suspects.announced(a, time.Now()) {
+		e.fleet.cancelCopies(fingerprint)
+	}
+}
+
+// recordLoss tells all entries that an endpoint's answer broke off, so that
+// they end copies of the request, then finds out whether the endpoint crashed,
+// and waits until the crashes of copies that ran at the same time are known.
+func (e *Entry) recordLoss(c *call, f *attemptFailure) {
+	e.reportLost(c, f)
+	l := loss{Fingerprint: c.fingerprint, Endpoint: f.endpoint}
+	e.suspect(l)
+	e.tellLoss(l)
+	if !e.endpointCrashed(c, f) {
+		return
+	}
+	l.Crashed = true
+	e.suspect(l)
+	e.tellLoss(l)
+	c.pause(copiesCrashWait)
+}
+
 func (e *Entry) serveLoss(w http.ResponseWriter, r *http.Request) {
 	var l loss
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeaderBytes)).Decode(&l)
@@ -72,7 +103,7 @@
 		http.Error(w, "not a loss", http.StatusBadRequest)
 		return
 	}
-	e.suspects.told(l, time.Now())
+	e.suspect(l)
 	writeJSON(w, http.StatusOK, l)
 }
 
@@ -87,10 +118,11 @@
 	list      *quarantine.List
 	byReplica map[string][]quarantine.Record
 	incidents map[string]string // last crash taken in, by endpoint
+	reserved  map[string]reservation
 }
 
 func newSuspects() *suspects {
-	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}}
+	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}, reserved: map[string]reservation{}}
 }
 
 func (s *suspects) setControl(replica string, listed []wire.QuarantinedRequest) {
@@ -108,17 +140,19 @@
 
 // announced takes in the crash that an endpoint's announcement names. It comes
 // without a commit, so it counts also while the log has no leader. Each crash
-// counts once: its neighbours may be cleared while it is still announced.
-func (s *suspects) announced(a wire.Announce, now time.Time) {
+// counts once: its neighbours may be cleared while it is still announced. It
+// returns the new suspects.
+func (s *suspects) announced(a wire.Announce, now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.Crash == nil || s.incidents[a.Endpoint] == a.Crash.Incident {
-		return
+		return nil
 	}
 	s.incidents[a.Endpoint] = a.Crash.Incident
 	for _, fingerprint := range a.Crash.Fingerprints {
 		s.list.Lost(fingerprint, a.Endpoint, now)
 	}
+	return a.Crash.Fingerprints
 }
 
 // forget drops the list of a lost replica while another one is left.
@@ -139,51 +173,48 @@
 	s.list.SetControl(all)
 }
 
-// apply marks the call as a suspect where it is one, or refuses it.
-func (s *suspects) apply(c *call, now time.Time) *answerError {
+// record takes in an endpoint's loss or broken answer. Only a crash counts as a
+// lost endpoint: otherwise an engine that cuts answers short would quarantine
+// requests.
+func (s *suspects) record(l loss, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.takeVerdict(c, s.list.Check(c.fingerprint, now), now)
-}
-
-// broke records that an endpoint's answer to the call broke off, and applies
-// what follows. The call runs alone from now on. Only a crash counts as a lost
-// endpoint: otherwise an engine that cuts answers short would quarantine them.
-func (s *suspects) broke(c *call, l loss, now time.Time) *answerError {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.takeVerdict(c, s.record(l, now), now)
-}
-
-// record needs mu.
-func (s *suspects) record(l loss, now time.Time) quarantine.Verdict {
 	if l.Crashed {
-		return s.list.Lost(l.Fingerprint, l.Endpoint, now)
+		s.list.Lost(l.Fingerprint, l.Endpoint, now)
+		return
 	}
-	return s.list.Broke(l.Fingerprint, l.Endpoint, now)
+	s.list.Broke(l.Fingerprint, l.Endpoint, now)
 }
 
-// told records a loss that another entry saw.
-func (s *suspects) told(l loss, now time.Time) {
+func (s *suspects) verdict(fingerprint string, now time.Time) quarantine.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record(l, now)
+	return s.list.Check(fingerprint, now)
 }
 
-// takeVerdict marks the call and reserves the single run of a suspect. The
-// caller holds mu.
-func (s *suspects) takeVerdict(c *call, v quarantine.Verdict, now time.Time) *answerError {
-	switch {
-	case v.Quarantined:
+// suspected reports whether a request may run only alone, or not at all.
+func (s *suspects) suspected(fingerprint string, now time.Time) bool {
+	v := s.verdict(fingerprint, now)
+	return v.Alone || v.Quarantined
+}
+
+// applySuspicion marks the call as a suspect where it is one and reserves its
+// single run, or refuses it.
+func (e *Entry) applySuspicion(c *call) *answerError {
+	v := e.suspects.verdict(c.fingerprint, time.Now())
+	if v.Alone && c.reservation == "" {
+		if !e.reserve(c) {
+			return c.failed(http.StatusServiceUnavailable, outcome.SuspectBusy,
+				"this request is suspected of crashing endpoints and a copy of it may be running").withRetryAfter(suspectBusyRetry)
+		}
+		// Other entries may have told of losses meanwhile.
+		v = e.suspects.verdict(c.fingerprint, time.Now())
+	}
+	if v.Quarantined {
 		message := "this request is quarantined until " + v.Until.UTC().Format(time.RFC3339) + ", because endpoints crashed while they ran it"
-		return c.failed(http.StatusUnprocessableEntity, outcome.Quarantined, message).withRetryAfter(v.Until.Sub(now))
-	case !v.Alone:
-		return nil
-	case !c.alone && !s.list.Begin(c.fingerprint):
-		return c.failed(http.StatusServiceUnavailable, outcome.SuspectBusy,
-			"this request is suspected of crashing endpoints and a copy of it is running").withRetryAfter(suspectBusyRetry)
+		return c.failed(http.StatusUnprocessableEntity, outcome.Quarantined, message).withRetryAfter(time.Until(v.Until))
 	}
-	c.alone = true
+	c.alone = c.reservation != ""
 	c.avoid = v.Avoid
 	for _, endpoint := range v.Avoid {
 		c.exclude[endpoint] = true
@@ -191,22 +222,22 @@
 	return nil
 }
 
-// end gives back the reservation of a suspect. It returns true when the
-// request is cleared.
-func (s *suspects) end(c *call, whole bool) bool {
-	if !c.alone {
-		return false
-	}
+// cleared forgets the suspicion of a request that finished while running alone.
+func (s *suspects) cleared(fingerprint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.End(c.fingerprint, whole)
-	return whole
+	s.list.End(fingerprint, true)
 }
 
 func (s *suspects) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.Expire(now)
+	for fingerprint, held := range s.reserved {
+		if !now.Before(held.until) {
+			delete(s.reserved, fingerprint)
+		}
+	}
 }
 
 // reportTimeout bounds reports to control that no caller waits for.
@@ -224,10 +255,14 @@
 // settleSuspect gives back a suspect's reservation and tells control when it
 // is cleared.
 func (e *Entry) settleSuspect(c *call, whole bool) {
-	if !e.suspects.end(c, whole) {
+	if c.reservation == "" {
 		return
 	}
-	e.report(ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
+	if whole {
+		e.suspects.cleared(c.fingerprint)
+		e.report(ledger.Command{Clear: &ledger.ClearSuspect{Fingerprint: c.fingerprint}})
+	}
+	e.releaseReservation(c)
 }
 
 // reportLost tells control that an endpoint was lost with its agent: an agent
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -46,6 +46,7 @@
 	WrongAttempt  Reason = "wrong-attempt"
 	WrongSet      Reason = "wrong-set"
 	RepeatedToken Reason = "repeated-token"
+	SuspectCopy   Reason = "suspect-copy"
 )
 
 // RefusalReasons lists the reasons for refusing a request.
@@ -93,5 +94,6 @@
 		WrongAttempt,
 		WrongSet,
 		RepeatedToken,
+		SuspectCopy,
 	}
 }
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -105,6 +105,12 @@
 	return Verdict{Alone: true, Avoid: slices.Concat(record.Crashed, record.Broken), Until: record.Until, Busy: l.running[fingerprint]}
 }
 
+// Crashed returns the endpoints lost to a request.
+func (l *List) Crashed(fingerprint string, now time.Time) []string {
+	record, _ := l.lookup(fingerprint, now)
+	return slices.Clone(record.Crashed)
+}
+
 // lookup merges what control and this entry know.
 func (l *List) lookup(fingerprint string, now time.Time) (merged Record, found bool) {
 	for _, source := range []map[string]Record{l.control, l.own} {
