entry: an order that a restarted gate refused is not run

A restarted gate refuses attempts meant for its predecessor, and says unknown when asked about them, because it cannot know what the predecessor ran. The entry asked it and told the caller "unknown". But an order is sent once, on a connection of its own, and the refusal is the answer on that connection: the predecessor cannot have got it, and it cannot start later. The entry now takes a gate's refusal of the attempt itself as proof, without asking again. Such a refusal no longer has the reason set-not-loaded, which its status 409 gave it.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -142,7 +142,10 @@
 	// withdrawn is true when the gate refused because a note withdrew the model.
 	withdrawn bool
 	// full is true when the gate refused for lack of capacity only.
-	full     bool
+	full bool
+	// refused is true when the failure is a gate's refusal, the answer to the
+	// attempt itself.
+	refused  bool
 	endpoint string
 	gate     gateAddress
 	id       string
@@ -290,14 +293,14 @@
 // its refusal is proof.
 func (a *attempt) gateRefusal(h http.Header) *attemptFailure {
 	why := h.Get(wire.HeaderReason)
-	if h.Get(wire.HeaderOutcome) != string(outcome.NotRun) {
+	if h.Get(wire.HeaderOutcome) != string(outcome.NotRun) && why != gateRestarted {
 		return nil
 	}
 	f := &attemptFailure{
 		reason: outcome.GateRefused, result: balancer.Refused, endpoint: a.endpoint, gate: a.gate, id: a.id,
-		withdrawn: why == gateModelWithdrawn, full: why == gateAtCapacity,
+		refused: true, withdrawn: why == gateModelWithdrawn, full: why == gateAtCapacity,
 	}
-	if a.response.StatusCode == http.StatusConflict {
+	if a.response.StatusCode == http.StatusConflict && why != gateRestarted {
 		f.reason = outcome.SetNotLoaded
 	}
 	return f
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// Guards against "unknown" for an order that a restarted gate refused: the order
+// was sent once, on a connection of its own, and the refusal is its answer.
+func TestRefusalOfRestartedGateIsNotRun(t *testing.T) {
+	g := serviceGate("s1")
+	var seen atomic.Int32
+	g.Fault = func(*http.Request, string) fault {
+		if seen.Add(1) == 1 {
+			return fault{Kind: entrytest.Restarted}
+		}
+		return fault{}
+	}
+	c := newCluster(t, g)
+	e := c.addEntry()
+	refused := e.order("k1", "two loads")
+	c.is.Equal(refused.outcome(), "not-run")
+	c.is.Equal(refused.reason(), "gate-refused")
+	c.is.True(refused.header.Get("Retry-After") != "")
+	c.is.Equal(g.Executions("k1"), 0)
+	c.eventually("the key is free again", func() bool { return e.order("k1", "two loads").outcome() == "done" })
+	c.is.Equal(g.Executions("k1"), 1)
+}
+
 // addEntries starts entries that know each other.
 func (c *cluster) addEntries(n int, change ...func(*Settings)) []*testEntry {
 	var entries []*testEntry
--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -42,6 +42,7 @@
 	EngineError = "engine-error" // status 500
 	Refuse      = "refuse"       // status 503, not run
 	SetMissing  = "set-missing"  // status 409, not run
+	Restarted   = "restarted"    // status 409 of a process that is not the one meant
 	Crossed     = "crossed"      // the answer of another attempt
 	WrongSet    = "wrong-set"    // the answer of another weights set
 	ErrorEvent  = "error-event"  // an error in the stream, then a clean end
@@ -229,6 +230,10 @@
 	if fault.Step == StepReceived && fault.Kind != Refuse && fault.Kind != SetMissing {
 		g.strike(w, r, fault)
 	}
+	if fault.Kind == Restarted {
+		g.refuseRestarted(w, id)
+		return
+	}
 	if status := g.admit(id, r.Header.Get(wire.HeaderAlone) != "", fault); status != 0 {
 		w.Header().Set(wire.HeaderOutcome, "not-run")
 		w.Header().Set(wire.HeaderReason, "at-capacity")
@@ -243,6 +248,17 @@
 	g.serveChat(w, r, id, data, fault)
 }
 
+// refuseRestarted answers as a gate that restarted after it was announced: it
+// has not run the attempt, and cannot speak for its predecessor.
+func (g *Gate) refuseRestarted(w http.ResponseWriter, id string) {
+	g.mu.Lock()
+	g.states[id] = "unknown"
+	g.mu.Unlock()
+	w.Header().Set(wire.HeaderOutcome, "unknown")
+	w.Header().Set(wire.HeaderReason, "gate-restarted")
+	w.WriteHeader(http.StatusConflict)
+}
+
 // Killed returns the number of attempts whose connection a fault closed.
 func (g *Gate) Killed() int {
 	g.mu.Lock()
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -296,13 +296,19 @@
 }
 
 // settleOnce finds out whether a failed attempt can have run. Only a gate's
-// word that it never will counts as "not run".
+// word that it never will counts as "not run". A refusal is that word, also from
+// a restarted gate, which cannot say what its predecessor did: onceClient sends
+// the attempt once, on a connection of its own, so that the process which
+// answered is the only one that got it.
 func (e *Entry) settleOnce(f *attemptFailure) *answerError {
+	if f.refused {
+		return neverStarted(f.reason)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
 	defer cancel()
 	state, err := e.attemptState(ctx, http.MethodPost, f.gate, f.id)
 	if err == nil && (state == stateFenced || state == stateRefused) {
-		return refusal(http.StatusServiceUnavailable, f.reason, "the endpoint did not start the call and never will").withRetryAfter(time.Second)
+		return neverStarted(f.reason)
 	}
 	return &answerError{
 		status: http.StatusBadGateway, outcome: outcome.Unknown, reason: f.reason,
@@ -310,6 +316,10 @@
 	}
 }
 
+func neverStarted(reason outcome.Reason) *answerError {
+	return refusal(http.StatusServiceUnavailable, reason, "the endpoint did not start the call and never will").withRetryAfter(time.Second)
+}
+
 // recordResult commits the result. The caller's answer waits for it only
 // briefly; the commit goes on in the background.
 func (e *Entry) recordResult(ctx context.Context, c *claimedCall, r callResult) {
