entry: notice a token that an engine repeats or skips

A token repeated or skipped within one connection reached the caller as part of a whole answer. The OpenAI protocol numbers no tokens, so there it cannot be seen; the doc comment says so. Engines that resume at a token index can send it: an event with one token may carry token_index. The stand-in and the fake gate do, and the entry compares it with the tokens that the caller has. A token out of its order is not passed on; the attempt is broken and the stream resumes elsewhere. Counted as repeated-token or skipped-token in dropped_answers_total and retries_total.

The two faults are part of every fault test of the entry.

--- a/internal/entry/entrytest/gate.go
+++ b/internal/entry/entrytest/gate.go
@@ -46,6 +46,8 @@
 	Restarted   = "restarted"    // status 409 of a process that is not the one meant
 	Crossed     = "crossed"      // the answer of another attempt
 	WrongSet    = "wrong-set"    // the answer of another weights set
+	Repeat      = "repeat"       // a token comes twice
+	Skip        = "skip"         // a token is left out
 	ErrorEvent  = "error-event"  // an error in the stream, then a clean end
 	Duplicate   = "duplicate"    // the last token and the end marker come again after the end
 )
@@ -421,7 +423,7 @@
 		if set != g.Set {
 			word = "x" // other weights give other text
 		}
-		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"%s%d \"},\"finish_reason\":null}]}\n\n", id, set, word, i)
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"chat-%s\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":\"%s%d \"},\"finish_reason\":null}],\"token_index\":%d}\n\n", id, set, word, i, i)
 		_ = flush()
 	}
 	set := g.Set
@@ -436,7 +438,13 @@
 		if i > from && !g.sleep(r, g.PerToken) {
 			return
 		}
-		if fault.Step == StepToken && i >= fault.Token {
+		if i == fault.Token && fault.Kind == Skip {
+			continue
+		}
+		if i == fault.Token && fault.Kind == Repeat {
+			event(i-1, set)
+		}
+		if fault.Step == StepToken && i >= fault.Token && fault.Kind != Skip && fault.Kind != Repeat {
 			if g.tokenFault(w, r, fault, i, event) {
 				return
 			}
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/outcome"
 )
 
 type fault = entrytest.Fault
@@ -36,6 +37,8 @@
 	{Step: entrytest.StepToken, Kind: entrytest.EndEarly, Token: 2},
 	{Step: entrytest.StepToken, Kind: entrytest.WrongSet, Token: 4},
 	{Step: entrytest.StepToken, Kind: entrytest.ErrorEvent, Token: 2},
+	{Step: entrytest.StepToken, Kind: entrytest.Repeat, Token: 3},
+	{Step: entrytest.StepToken, Kind: entrytest.Skip, Token: 3},
 	{Step: entrytest.StepLast, Kind: entrytest.Kill},
 	{Step: entrytest.StepLast, Kind: entrytest.EndEarly},
 	{Step: entrytest.StepLast, Kind: entrytest.Stall},
@@ -191,6 +194,40 @@
 	c.is.Equal(a.outcome(), "unknown")
 }
 
+// Guards against a token that an endpoint repeats or skips within one
+// connection and that nobody counts.
+func TestTokenOutOfOrderIsCounted(t *testing.T) {
+	for kind, reason := range map[string]outcome.Reason{
+		entrytest.Repeat: outcome.RepeatedToken, entrytest.Skip: outcome.SkippedToken,
+	} {
+		gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
+		failFirst(fault{Step: entrytest.StepToken, Kind: kind, Token: 3}, 1, gates...)
+		c := newCluster(t, gates...)
+		e := c.addEntry()
+		a := e.chat(true, "hello")
+		c.is.Equal(a.text, entrytest.Text(6))
+		c.is.True(a.done)
+		c.is.Equal(e.counted("dropped_answers_total", reason), 1.0)
+		c.is.Equal(e.counted("retries_total", reason), 1.0)
+	}
+}
+
+// counted returns a counter of the entry for a reason.
+func (e *testEntry) counted(name string, reason outcome.Reason) float64 {
+	families, _ := e.registry.Gather()
+	for _, f := range families {
+		if f.GetName() != "rhubarb_entry_"+name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			if m.GetLabel()[0].GetValue() == string(reason) {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
 // Guards against a resume from another token index: tokens lost or repeated.
 func TestResumeSendsTokenIndex(t *testing.T) { synctest.Test(t, testResumeSendsTokenIndex) }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -39,7 +39,7 @@
 		refusals: reasons("refusals_total", "Requests answered as not run, by reason.", all),
 		retries:  reasons("retries_total", "Attempts repeated on another endpoint, by reason.", outcome.AttemptReasons()),
 		dropped: reasons("dropped_answers_total", "Answers of endpoints dropped as not belonging to the attempt, by reason.",
-			[]outcome.Reason{outcome.WrongAttempt, outcome.WrongSet}),
+			[]outcome.Reason{outcome.WrongAttempt, outcome.WrongSet, outcome.RepeatedToken, outcome.SkippedToken}),
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: "entry", Name: "streams_resumed_total",
 			Help: "Streams continued on another endpoint after their first token.",
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -79,8 +79,14 @@
 }
 
 // chatChunk holds the fields of an event that the entry looks at.
+//
+// The OpenAI protocol numbers no tokens, so a token that an engine repeats or
+// skips within one connection cannot be seen there. Engines that send
+// token_index, the counterpart of resume_from_token, are checked: each event
+// with text then carries one token and its index in the whole answer.
 type chatChunk struct {
 	ID          string `json:"id"`
+	TokenIndex  *int   `json:"token_index"`
 	Fingerprint string `json:"system_fingerprint"`
 	Choices     []struct {
 		Delta        json.RawMessage `json:"delta"`
@@ -210,6 +216,9 @@
 	} else if relay.id == "" {
 		relay.id = chunk.ID
 	}
+	if f := e.checkIndex(c, a, chunk); f != nil {
+		return f
+	}
 	relay.begin(a)
 	if err := relay.write(raw); err != nil {
 		return &attemptFailure{reason: outcome.CallerGone, result: balancer.Cancelled, started: true, endpoint: a.endpoint}
@@ -221,6 +230,19 @@
 	return nil
 }
 
+// checkIndex rejects a token out of its order, before the caller gets it.
+func (e *Entry) checkIndex(c *call, a *attempt, chunk chatChunk) *attemptFailure {
+	if chunk.TokenIndex == nil || !chunk.token() || *chunk.TokenIndex == c.tokens {
+		return nil
+	}
+	reason := outcome.SkippedToken
+	if *chunk.TokenIndex < c.tokens {
+		reason = outcome.RepeatedToken
+	}
+	e.metrics.drop(reason)
+	return a.rejected(reason)
+}
+
 // withID gives an event of a resumed stream the identifier of the first part.
 func withID(raw, data []byte, id string) []byte {
 	var fields map[string]json.RawMessage
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -87,6 +87,8 @@
 	Fingerprint string       `json:"system_fingerprint"`
 	Choices     []chatChoice `json:"choices"`
 	Usage       *chatUsage   `json:"usage,omitempty"`
+	// TokenIndex is the index of the token in a chunk that carries one.
+	TokenIndex *int `json:"token_index,omitempty"`
 }
 
 // generation is one request in the batch.
@@ -219,10 +221,12 @@
 		if i == from {
 			delta.Role = "assistant"
 		}
+		g.answer.TokenIndex = &i
 		if !g.send(w, chatChoice{Delta: &delta}, nil) {
 			return
 		}
 	}
+	g.answer.TokenIndex = nil
 	stop := finishStop
 	if !g.send(w, chatChoice{Delta: &chatDelta{}, FinishReason: &stop}, nil) {
 		return
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -46,6 +46,7 @@
 	WrongAttempt  Reason = "wrong-attempt"
 	WrongSet      Reason = "wrong-set"
 	RepeatedToken Reason = "repeated-token"
+	SkippedToken  Reason = "skipped-token"
 	SuspectCopy   Reason = "suspect-copy"
 )
 
@@ -94,6 +95,7 @@
 		WrongAttempt,
 		WrongSet,
 		RepeatedToken,
+		SkippedToken,
 		SuspectCopy,
 	}
 }
