agent: notice the hang of a full batch without streams

A failed probe says nothing while the batch is full of requests whose tokens are not seen: it has to wait for a slot. So a hang there was noticed only when a slot freed. Now the gate compares with what it saw: when nothing has ended for 2 s and for twice the longest of the last 32 answers without stream, the endpoint is not ready until something ends or a probe succeeds. No request in progress is ended: a batch of answers that take more than twice as long as those before is closed to new work, which it has no slot for, until its first one ends.

Ruled out: the engine's load report (it lags and shows no progress), a probe with a deadline (waits for a slot in a healthy full batch too), the entry's view (it sees its own attempts only, and an endpoint full of others' work makes none of them progress).

Test in virtual time: with answers of 1 s the endpoint is announced as not ready within 4 s of the hang, and as ready after it; without the rule it stays ready. What remains: until an engine has given one whole answer there is nothing to compare with, and requests already on the endpoint move only at plain_timeout.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -109,6 +109,7 @@
 		if !a.isEngine() {
 			continue
 		}
+		a.judgeFullBatch()
 		a.probe(ctx)
 		a.adjustPressure()
 	}
@@ -145,6 +146,18 @@
 	return s.health.probed(ok, start, time.Now())
 }
 
+// judgeFullBatch notices a hang that a probe cannot.
+func (a *Agent) judgeFullBatch() {
+	s := a.state
+	s.mu.Lock()
+	hung := s.gate.InFlight() >= s.gate.Capacity() && s.health.overdue(time.Now())
+	s.mu.Unlock()
+	if hung {
+		a.log.WithField("progress", false).Warn("engine_progress_changed")
+		s.notify()
+	}
+}
+
 func (a *Agent) probeTarget() (wire.LoadedSet, bool) {
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -161,6 +161,55 @@
 	})
 }
 
+// Guards against a hang that nobody notices until a slot frees, because the
+// batch is full of requests whose tokens are not seen and a probe has to wait.
+func TestHangOfAFullBatchWithoutStreamsIsNoticed(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request, set string) {
+		time.Sleep(time.Second)
+		w.Header().Set(engine.HeaderWeightsSet, set)
+		_, _ = fmt.Fprintf(w, `{"system_fingerprint":%q}`, set)
+	}
+	run(t, func(r *rig) { r.engine.Chat = answer }, func(r *rig) {
+		is := is.New(r.t)
+		var wg sync.WaitGroup
+		batch := func() {
+			for range r.settings.Capacity {
+				id := r.nextID()
+				wg.Go(func() { r.askWhole(id, setID("1")) })
+			}
+		}
+		for range 3 {
+			batch()
+			wg.Wait()
+		}
+		is.True(r.last().Ready)
+		resume := make(chan struct{})
+		end := sync.OnceFunc(func() { close(resume) })
+		defer end()
+		r.engine.Change(func(e *agenttest.Engine) {
+			e.Chat = func(w http.ResponseWriter, r *http.Request, set string) {
+				<-resume
+				answer(w, r, set)
+			}
+			e.Probe = func(r *http.Request) {
+				select {
+				case <-resume:
+				case <-r.Context().Done():
+				}
+			}
+		})
+		batch()
+		time.Sleep(4 * time.Second)
+		is.True(!r.last().Ready)
+		is.Equal(r.ask(setID("1")).reason, "endpoint-not-ready")
+		end()
+		wg.Wait()
+		time.Sleep(3 * time.Second)
+		is.True(r.last().Ready)
+		is.Equal(r.askWhole(r.nextID(), setID("1")).outcome, "done")
+	})
+}
+
 // Guards against an engine whose quick errors count as progress.
 func TestEngineThatOnlyFailsIsNotReady(t *testing.T) {
 	run(t, func(r *rig) {
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -19,6 +19,8 @@
 	failed   bool      // the last judgement
 
 	gaps latencies
+	// whole holds the durations of the last answers without stream.
+	whole durations
 }
 
 // flight is an attempt in progress on the backend.
@@ -47,6 +49,9 @@
 	if !ok {
 		return
 	}
+	if !f.stream {
+		h.whole.add(now.Sub(f.started))
+	}
 	if f.tokens > 0 {
 		h.gaps.add(now.Sub(f.last))
 	}
@@ -116,6 +121,47 @@
 	return n
 }
 
+const (
+	wholeSamples = 32
+	// overdueFactor is how much longer than the longest of the last answers a
+	// full batch without streams may take until its next answer. A batch of
+	// longer answers than before is only closed to new work until one ends.
+	overdueFactor = 2
+	// minOverdue keeps short answers from making a pause of the engine a hang.
+	minOverdue = 2 * time.Second
+)
+
+// durations holds the last samples.
+type durations struct {
+	samples [wholeSamples]time.Duration
+	next    int
+}
+
+func (d *durations) add(sample time.Duration) {
+	d.samples[d.next%wholeSamples] = sample
+	d.next++
+}
+
+// longest returns zero without samples.
+func (d *durations) longest() time.Duration { return slices.Max(d.samples[:]) }
+
+// overdue judges a full batch of requests whose tokens are not seen. A probe
+// would have to wait for a slot there, so it says nothing. It reports whether
+// the engine newly counts as failed: nothing has ended for far longer than the
+// last answers took. Without an answer to compare with it judges nothing.
+func (h *health) overdue(now time.Time) bool {
+	longest := h.whole.longest()
+	if h.failed || longest == 0 || len(h.running) == 0 || h.visible() {
+		return false
+	}
+	since := h.progress
+	if oldest := h.oldest(); oldest.After(since) {
+		since = oldest
+	}
+	h.failed = now.Sub(since) >= max(minOverdue, overdueFactor*longest)
+	return h.failed
+}
+
 const (
 	latencySamples   = 256
 	pressureIncrease = 0.25
