--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -32,8 +32,6 @@
 	reservationMargin = time.Second
 )
 
-var errReserved = errors.New("another run of the suspect is reserved")
-
 // reservation is the right to run a suspect alone.
 type reservation struct {
 	holder string
