--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -76,6 +76,10 @@
 // Guards against "unknown" for an order that a restarted gate refused: the order
 // was sent once, on a connection of its own, and the refusal is its answer.
 func TestRefusalOfRestartedGateIsNotRun(t *testing.T) {
+	synctest.Test(t, testRefusalOfRestartedGateIsNotRun)
+}
+
+func testRefusalOfRestartedGateIsNotRun(t *testing.T) {
 	g := serviceGate("s1")
 	var seen atomic.Int32
 	g.Fault = func(*http.Request, string) fault {
--- a/internal/entry/copies_test.go
+++ b/internal/entry/copies_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/entry/entrytest"
@@ -58,8 +59,7 @@
 // endpoints after the first of them has crashed, through one entry and several.
 func TestCopiesInProgressCostTwoEndpoints(t *testing.T) {
 	for _, entryCount := range []int{1, 3} {
-		t.Run(fmt.Sprint(entryCount), func(t *testing.T) {
-			t.Parallel()
+		runVirtual(t, fmt.Sprint(entryCount), func(t *testing.T) {
 			gates := crashingGates(7)
 			c := newCluster(t, gates...)
 			entries := c.addEntries(entryCount)
@@ -85,6 +85,10 @@
 // Guards against a suspect that runs alone at several entries at once, each on
 // an endpoint of its own.
 func TestSuspectRunsAloneAtOneEntry(t *testing.T) {
+	synctest.Test(t, testSuspectRunsAloneAtOneEntry)
+}
+
+func testSuspectRunsAloneAtOneEntry(t *testing.T) {
 	gates := crashingGates(6)
 	c := newCluster(t, gates...)
 	entries := c.addEntries(3)
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -200,15 +200,17 @@
 	for kind, reason := range map[string]outcome.Reason{
 		entrytest.Repeat: outcome.RepeatedToken, entrytest.Skip: outcome.SkippedToken,
 	} {
-		gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
-		failFirst(fault{Step: entrytest.StepToken, Kind: kind, Token: 3}, 1, gates...)
-		c := newCluster(t, gates...)
-		e := c.addEntry()
-		a := e.chat(true, "hello")
-		c.is.Equal(a.text, entrytest.Text(6))
-		c.is.True(a.done)
-		c.is.Equal(e.counted("dropped_answers_total", reason), 1.0)
-		c.is.Equal(e.counted("retries_total", reason), 1.0)
+		runVirtual(t, kind, func(t *testing.T) {
+			gates := []*entrytest.Gate{engineGate("g1"), engineGate("g2")}
+			failFirst(fault{Step: entrytest.StepToken, Kind: kind, Token: 3}, 1, gates...)
+			c := newCluster(t, gates...)
+			e := c.addEntry()
+			a := e.chat(true, "hello")
+			c.is.Equal(a.text, entrytest.Text(6))
+			c.is.True(a.done)
+			c.is.Equal(e.counted("dropped_answers_total", reason), 1.0)
+			c.is.Equal(e.counted("retries_total", reason), 1.0)
+		})
 	}
 }
 
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/rhubarbhill/rhubarbhill/balancer"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
@@ -77,13 +78,19 @@
 func FuzzEntryMessages(f *testing.F) {
 	f.Add([]byte(`{"fingerprint":"f","endpoint":"e","crashed":true}`))
 	f.Add([]byte(`{"name":"entry-b","pools":{"m":{}}}`))
+	f.Add([]byte(`{"fingerprint":"f","holder":"a.1.1","for_ms":1000}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		e := &Entry{suspects: newSuspects()}
+		e := &Entry{suspects: newSuspects(), fleet: newFleet(balancer.Config{}, subsetRule{})}
 		w := httptest.NewRecorder()
 		e.serveLoss(w, httptest.NewRequest(http.MethodPost, pathLosses, bytes.NewReader(data)))
 		if w.Code != http.StatusOK && w.Code != http.StatusBadRequest {
 			t.Fatalf("status %d", w.Code)
 		}
+		w = httptest.NewRecorder()
+		e.serveReservation(w, httptest.NewRequest(http.MethodPost, pathReservations, bytes.NewReader(data)))
+		if w.Code != http.StatusOK && w.Code != http.StatusBadRequest {
+			t.Fatalf("status %d", w.Code)
+		}
 		var u usage
 		_ = json.Unmarshal(data, &u)
 	})
