controlclient: keep a late use of an ended session from the next one's state

Cause, found by review: an announcement that took the session of a replica just before it was replaced looked its state up afterwards, which started a new state for the ended session and discarded the next one's. The replica had named its voters on the next session already, so every short confirmation on it was dropped until the session ended.

Change: state begins when a session opens, before anything is read from it. A session that is not the newest has none: announcements on it go whole.

--- a/internal/controlclient/announce.go
+++ b/internal/controlclient/announce.go
@@ -59,7 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := l.of(address, s)
-	if state.full == nil || !state.full.KeepAlives {
+	if state == nil || state.full == nil || !state.full.KeepAlives {
 		return nil
 	}
 	return state.announced
@@ -68,5 +68,7 @@
 func (l *sessionStates) setAnnounced(address string, s *transport.Session, a *announced) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of(address, s).announced = a
+	if state := l.of(address, s); state != nil {
+		state.announced = a
+	}
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -161,6 +161,7 @@
 }
 
 func (c *Client) opened(address string, s *transport.Session) {
+	c.sessions.opened(address, s)
 	subscribe := wire.Subscribe{Name: c.cfg.Name, Members: c.cfg.Members, Peers: c.cfg.Peers}
 	if c.cfg.Revision != nil {
 		subscribe.Revision = c.cfg.Revision()
--- a/internal/controlclient/sessions.go
+++ b/internal/controlclient/sessions.go
@@ -20,17 +20,24 @@
 	announced *announced         // the last whole announcement
 }
 
-// of returns the state of a session. The caller holds mu.
-func (l *sessionStates) of(address string, s *transport.Session) *sessionState {
+// opened starts the state of a new session.
+func (l *sessionStates) opened(address string, s *transport.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.states == nil {
 		l.states = map[string]*sessionState{}
 	}
-	state := l.states[address]
-	if state == nil || state.session != s {
-		state = &sessionState{session: s}
-		l.states[address] = state
+	l.states[address] = &sessionState{session: s}
+}
+
+// of returns the state of a session, or nil when it is not the newest: a late
+// use of an ended session must not replace the state of the next. The caller
+// holds mu.
+func (l *sessionStates) of(address string, s *transport.Session) *sessionState {
+	if state := l.states[address]; state != nil && state.session == s {
+		return state
 	}
-	return state
+	return nil
 }
 
 // expand completes a short reply. It reports false for one that does not follow
@@ -40,11 +47,13 @@
 	defer l.mu.Unlock()
 	state := l.of(address, s)
 	if !r.Short {
-		full := *r
-		state.full = &full
+		if state != nil {
+			full := *r
+			state.full = &full
+		}
 		return true
 	}
-	if state.full == nil || state.full.VoterIndex != r.VoterIndex {
+	if state == nil || state.full == nil || state.full.VoterIndex != r.VoterIndex {
 		return false
 	}
 	r.Replica, r.Voters = state.full.Replica, state.full.Voters
--- a/internal/controlclient/sessions_test.go
+++ b/internal/controlclient/sessions_test.go
@@ -19,6 +19,8 @@
 		ok := states.expand(address, s, &r)
 		return r, ok
 	}
+	states.opened("x", first)
+	states.opened("y", second)
 	short := wire.ConfirmReply{Mark: 2, Revision: 7, VoterIndex: 5, Short: true}
 	_, ok := expanded("x", first, short)
 	is.True(!ok)
@@ -31,6 +33,7 @@
 	is.Equal(r.Revision, uint64(7))
 	_, ok = expanded("y", second, short)
 	is.True(!ok)
+	states.opened("x", second)
 	_, ok = expanded("x", second, short)
 	is.True(!ok)
 	_, ok = expanded("x", second, wire.ConfirmReply{Replica: "rx", Voters: []string{"rx"}, VoterIndex: 6})
@@ -38,3 +41,20 @@
 	_, ok = expanded("x", second, short)
 	is.True(!ok)
 }
+
+// Guards against a late announcement on an ended session that discards what the
+// next session was told: every short answer on it would be dropped.
+func TestLateUseOfAnEndedSessionKeepsTheNext(t *testing.T) {
+	is := is.New(t)
+	var states sessionStates
+	ended, next := &transport.Session{}, &transport.Session{}
+	states.opened("x", ended)
+	states.opened("x", next)
+	is.True(states.expand("x", next, &wire.ConfirmReply{Replica: "rx", Voters: []string{"rx"}, VoterIndex: 5, KeepAlives: true}))
+	is.True(states.announced("x", ended) == nil)
+	states.setAnnounced("x", ended, &announced{sequence: 1})
+	is.True(states.announced("x", next) == nil)
+	short := wire.ConfirmReply{VoterIndex: 5, Short: true}
+	is.True(states.expand("x", next, &short))
+	is.Equal(short.Replica, "rx")
+}
