--- a/admission/controller.go
+++ b/admission/controller.go
@@ -233,7 +233,7 @@
 	if !found || c.inFlight >= usable(division) {
 		return place{}, false
 	}
-	if float64(c.held(name)) >= precedence*c.share(name, division) {
+	if !c.precedes(name, division) {
 		if line := c.line(); c.slack(line, division, now) < c.guard() {
 			return line[0], true
 		}
@@ -241,6 +241,14 @@
 	return place{organisation: c.organisations[name]}, true
 }
 
+// precedes reports whether an organisation holds less here than a part of this
+// entry's part of its share. Reports of other entries do not count: one that is
+// 200 ms old names requests that have ended.
+func (c *Controller) precedes(name string, division Division) bool {
+	entries := float64(len(c.peers) + 1)
+	return float64(c.organisations[name].inFlight)*entries < precedence*c.share(name, division)
+}
+
 // turn returns the organisation that is served next by fair shares: of those
 // with waiting requests and room below their limit, the one that holds the
 // fewest slots for its weight, and among equals the one served longest ago.
--- a/admission/line.go
+++ b/admission/line.go
@@ -131,7 +131,9 @@
 		return nil
 	}
 	var refused []Refusal
-	for line := c.line(); ; line = c.line() {
+	for {
+		// An organisation that precedes others gets the next slot in any case.
+		line := slices.DeleteFunc(c.line(), func(p place) bool { return c.precedes(p.name, division) })
 		late := c.firstLate(line, division, now)
 		if late < 0 {
 			return refused
