entry: a suspect runs alone only after the last loss has settled

Cause: a request that loses its endpoint waits 500 ms before it runs again, so that endpoints lost to copies at the same time are known. A copy that was ended because of that loss did not wait, and ran alone on a third endpoint at once (trace: engines 1, 0 and 2 at one moment). Ruled out: a reservation that two entries hold; both copies went through entry-0. Change: whoever is about to run a suspect alone waits until no loss to it was heard of for 500 ms. A request whose own endpoint turned out to be alive does not wait.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -27,9 +28,10 @@
 
 const crashWordPoll = 20 * time.Millisecond
 
-// copiesCrashWait is how long a request that crashed an endpoint waits before it
-// runs again, so that endpoints lost to copies of it that ran at the same time
-// are known. Without it two callers' copies cost a third endpoint.
+// copiesCrashWait is how long a suspect waits after the last loss before it runs
+// alone, so that endpoints lost to copies of it that ran at the same time are
+// known. Without it, or if a copy that was cancelled does not wait, two callers'
+// copies cost a third endpoint.
 const copiesCrashWait = 500 * time.Millisecond
 
 // tellTimeout bounds how long a lost request waits until the other entries know
@@ -80,20 +82,33 @@
 }
 
 // recordLoss tells all entries that an endpoint's answer broke off, so that
-// they end copies of the request, then finds out whether the endpoint crashed,
-// and waits until the crashes of copies that ran at the same time are known.
+// they end copies of the request, and then finds out whether the endpoint
+// crashed.
 func (e *Entry) recordLoss(c *call, f *attemptFailure) {
 	e.reportLost(c, f)
 	l := loss{Fingerprint: c.fingerprint, Endpoint: f.endpoint}
 	e.suspect(l)
 	e.tellLoss(l)
 	if !e.endpointCrashed(c, f) {
+		c.unharmed = true
 		return
 	}
 	l.Crashed = true
 	e.suspect(l)
 	e.tellLoss(l)
-	c.pause(copiesCrashWait)
+}
+
+// awaitLosses waits until no loss to the request was heard of for
+// copiesCrashWait. Its own broken answer needs no wait once its endpoint is
+// known to be alive.
+func (e *Entry) awaitLosses(c *call) {
+	for !c.unharmed && c.ctx.Err() == nil {
+		rest := copiesCrashWait - time.Since(e.suspects.lastLoss(c.fingerprint))
+		if rest <= 0 {
+			return
+		}
+		c.pause(rest)
+	}
 }
 
 func (e *Entry) serveLoss(w http.ResponseWriter, r *http.Request) {
@@ -119,10 +134,11 @@
 	byReplica map[string][]quarantine.Record
 	incidents map[string]string // last crash taken in, by endpoint
 	reserved  map[string]reservation
+	losses    map[string]time.Time // last loss heard of, by fingerprint
 }
 
 func newSuspects() *suspects {
-	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}, reserved: map[string]reservation{}}
+	return &suspects{list: quarantine.New(quarantine.Config{Period: ownSuspicion}), byReplica: map[string][]quarantine.Record{}, incidents: map[string]string{}, reserved: map[string]reservation{}, losses: map[string]time.Time{}}
 }
 
 func (s *suspects) setControl(replica string, listed []wire.QuarantinedRequest) {
@@ -151,6 +167,7 @@
 	s.incidents[a.Endpoint] = a.Crash.Incident
 	for _, fingerprint := range a.Crash.Fingerprints {
 		s.list.Lost(fingerprint, a.Endpoint, now)
+		s.losses[fingerprint] = now
 	}
 	return a.Crash.Fingerprints
 }
@@ -179,6 +196,7 @@
 func (s *suspects) record(l loss, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.losses[l.Fingerprint] = now
 	if l.Crashed {
 		s.list.Lost(l.Fingerprint, l.Endpoint, now)
 		return
@@ -186,6 +204,13 @@
 	s.list.Broke(l.Fingerprint, l.Endpoint, now)
 }
 
+// lastLoss is when a loss to the request was last heard of, or the zero time.
+func (s *suspects) lastLoss(fingerprint string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses[fingerprint]
+}
+
 func (s *suspects) verdict(fingerprint string, now time.Time) quarantine.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,6 +228,7 @@
 func (e *Entry) applySuspicion(c *call) *answerError {
 	v := e.suspects.verdict(c.fingerprint, time.Now())
 	if v.Alone && c.reservation == "" {
+		e.awaitLosses(c)
 		if !e.reserve(c) {
 			return c.failed(http.StatusServiceUnavailable, outcome.SuspectBusy,
 				"this request is suspected of crashing endpoints and a copy of it may be running").withRetryAfter(suspectBusyRetry)
@@ -233,6 +259,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.Expire(now)
+	maps.DeleteFunc(s.losses, func(_ string, at time.Time) bool { return now.Sub(at) > copiesCrashWait })
 	for fingerprint, held := range s.reserved {
 		if !now.Before(held.until) {
 			delete(s.reserved, fingerprint)
