agent: a request ended just before a crash may have caused it

Cause: the entry ends the copies of a suspect, so the gate records them as caller-gone and not as cut short. A crash that such a copy caused a moment earlier was reported without its fingerprint, the request counted for one endpoint only, and it ran alone on a third (trace: attempt ended with context canceled, crashes of endpoints 1 and 0 in the same moment, engine-2 1.2 s later). Ruled out: a late announcement; both crashes were announced after 20 ms. Conclusion: suspects that did nothing wrong are cleared by running alone.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -195,12 +195,14 @@
 }
 
 // failed records an attempt without a whole answer. A connection that the
-// backend broke may mean that it crashed.
+// backend broke may mean that it crashed, and so may one that was ended first:
+// the entry ends the copies of a request that crashed another endpoint.
 func (a *Agent) failed(ctx context.Context, t *attempt, err error) {
 	reason := failureReason(ctx, err)
 	a.metrics.failures.Inc(reason)
 	a.log.WithFields(log.Fields{"attempt": t.id, "reason": reason}).WithError(err).Info("attempt_failed")
-	if reason == "cut-short" {
+	switch reason {
+	case "cut-short", "cancelled", "caller-gone", "deadline":
 		a.crashes.broken(gate.Attempt{ID: t.request.ID, Fingerprint: t.request.Fingerprint, Alone: t.request.Alone})
 	}
 	a.state.finish(t.request.ID, false)
