--- a/internal/matrix/system_test.go
+++ b/internal/matrix/system_test.go
@@ -326,7 +326,7 @@
 	return func(ctx context.Context, host network.Network, logger log.Interface) error {
 		cfg := standin.DefaultEngineConfig()
 		cfg.CheckFence = i%2 == 0 // the others ignore fencing tokens
-		var once sync.Once // two requests may crash one process at the same time
+		var once sync.Once        // two requests may crash one process at the same time
 		cfg.Exit = func() { once.Do(func() { s.crash(name) }) }
 		cfg.Faults.CrashMarker = crashMarker
 		handler := s.observeStarts(name, standin.NewEngine(cfg).Handler())
