--- a/internal/control/loads_test.go
+++ b/internal/control/loads_test.go
@@ -126,7 +126,7 @@
 		f := c.loadFollower("entry")
 		defer f.stop()
 		f.client.FollowLoads([]string{"a"})
-		// Off the announcers' beat: a late announcement must not come before the
+		// Between the announcers' ticks: a late announcement must not come before the
 		// one that it repeats.
 		time.Sleep(time.Second + membersInterval/2)
 		loads, members, _ := f.counts()
--- a/internal/entry/gateattempts.go
+++ b/internal/entry/gateattempts.go
@@ -54,7 +54,7 @@
 // answer broke off. The gate says whether its backend is still the same
 // process; a gate that is gone, restarted, or silent counts as lost.
 func (e *Entry) endpointCrashed(c *call, f *attemptFailure) bool {
-	ctx, cancel := context.WithTimeout(c.ctx, crashWordWait)
+	ctx, cancel := context.WithTimeout(c.ctx, crashVerdictWait)
 	defer cancel()
 	for {
 		answer, err := e.askGate(ctx, http.MethodGet, f.gate, f.id)
@@ -67,7 +67,7 @@
 		select {
 		case <-ctx.Done():
 			return true
-		case <-time.After(crashWordPoll):
+		case <-time.After(crashVerdictPoll):
 		}
 	}
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -21,12 +21,12 @@
 // broken connection alone is weak evidence, so it is shorter than a quarantine.
 const ownSuspicion = 5 * time.Minute
 
-// crashWordWait is how long the next run of a request whose answer broke off
+// crashVerdictWait is how long the next run of a request whose answer broke off
 // waits for the gate to tell a crash from an answer cut short, which takes it a
 // look at its backend. A link with 250 ms delay takes it 1 s.
-const crashWordWait = 1500 * time.Millisecond
+const crashVerdictWait = 1500 * time.Millisecond
 
-const crashWordPoll = 20 * time.Millisecond
+const crashVerdictPoll = 20 * time.Millisecond
 
 // copiesCrashWait is how long a suspect waits after the last loss before it runs
 // alone, so that endpoints lost to copies of it that ran at the same time are
