balancer: a finished attempt frees a slot of an endpoint that refused as full

A gate's refusal for lack of capacity leaves its endpoint out for 50 ms. When both endpoints had refused, an admitted request did not see the slots that its own entry's requests freed, and others took them. Ruled out: a line of admitted requests alone. Change: the end of an attempt of this entry ends that pause.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -401,6 +401,9 @@
 		return
 	}
 	delete(s.attempts, attemptID)
+	if result != Refused {
+		s.fullUntil = time.Time{} // the attempt's slot has come free
+	}
 	switch result {
 	case Completed:
 		s.lastProgress = now
