entry: queue admitted requests that find every gate full

An admitted request that finds all gates full looks again every 20 ms, and requests admitted later take the slots that come free between. Change: such requests wait in one line for each pool; later ones wait behind them, and the first is woken when an attempt of this entry ends. Requests pinned to a weights set, or with endpoints to avoid, take no part: they could hold back others that have a choice.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -161,6 +161,10 @@
 	if !c.alone {
 		running.fingerprint = c.fingerprint
 	}
+	if !e.gateQueue.mayStart(c) {
+		cancel(errFinished)
+		return nil, &attemptFailure{reason: outcome.NoEndpoint, result: balancer.Refused}
+	}
 	choice, gate, ok := e.fleet.start(balancer.Request{
 		Pool: c.pool, Set: c.set, Affinity: c.affinity, Exclude: c.exclude, Low: c.low(),
 	}, a.id, c.stream, running, time.Now())
@@ -168,6 +172,7 @@
 		cancel(errFinished)
 		return nil, &attemptFailure{reason: outcome.NoEndpoint, result: balancer.Refused}
 	}
+	e.gateQueue.leave(c)
 	a.endpoint, a.set, a.gate = choice.ID, choice.Set, gate
 	if c.engine && !c.alone && e.suspects.suspected(c.fingerprint, time.Now()) {
 		// After the start was recorded, so that no copy slips between the check
@@ -201,6 +206,7 @@
 	a.cancel(errFinished)
 	a.closeBody()
 	e.fleet.finish(a.endpoint, a.id, result, time.Now())
+	e.gateQueue.wakeFirst()
 }
 
 func (a *attempt) closeBody() {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -136,6 +136,7 @@
 
 // tryChat makes attempts and returns nil after a whole answer.
 func (e *Entry) tryChat(w http.ResponseWriter, c *call, relay *streamRelay) *answerError {
+	defer e.gateQueue.leave(c)
 	for tries := 1; ; {
 		a, failure := e.nextAttempt(c)
 		if failure == nil {
@@ -227,6 +228,7 @@
 		c.exclude[endpoint] = true
 	}
 	select {
+	case <-e.gateQueue.join(c):
 	case <-time.After(fullRetryInterval):
 	case <-c.ctx.Done():
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 	fleet     *fleet
 	peers     *peers
 	admitter  *admitter
+	gateQueue *gateQueue
 	suspects  *suspects
 	flights   *flights
 	attempts  *outcome.Source
@@ -109,6 +110,7 @@
 		}, newSubsetRule(s)),
 		peers:      newPeers(s, now),
 		suspects:   newSuspects(),
+		gateQueue:  newGateQueue(),
 		flights:    newFlights(),
 		attempts:   outcome.NewSource(s.Instance, uint64(now.UnixNano())),
 		client:     newGateClient(o.Network, true),
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -273,6 +273,7 @@
 	waiting := c.ctx
 	run := *c.call
 	run.ctx = ctx
+	defer e.gateQueue.leave(&run)
 	for {
 		if waiting.Err() != nil { // still before dispatch
 			return callResult{failure: refusal(http.StatusServiceUnavailable, outcome.CallerGone,
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -184,6 +184,7 @@
 	}
 	served := false
 	defer func() { s.release(served) }()
+	defer e.gateQueue.leave(c)
 	for tries := 1; ; {
 		answer, failure := e.tryService(c, e.attempts.Next().String(), e.client)
 		if failure == nil {
