Fill defaults with cmp.Or

The comment of swarm.Config.PeerFetches named 4 as the default, which is 8. Behaviour is unchanged; the tests of the six packages that use the settings pass.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -107,12 +108,8 @@
 
 // New returns a controller without slots.
 func New(cfg Config) *Controller {
-	if cfg.QueueWait == 0 {
-		cfg.QueueWait = DefaultQueueWait
-	}
-	if cfg.MaxQueue == 0 {
-		cfg.MaxQueue = DefaultMaxQueue
-	}
+	cfg.QueueWait = cmp.Or(cfg.QueueWait, DefaultQueueWait)
+	cfg.MaxQueue = cmp.Or(cfg.MaxQueue, DefaultMaxQueue)
 	return &Controller{cfg: cfg, organisations: map[string]*organisation{}, peers: map[string]Report{}, allowances: map[string]float64{}, credits: map[string]credit{}}
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -170,26 +171,19 @@
 
 // New returns a balancer without endpoints.
 func New(cfg Config) *Balancer {
-	setDefault(&cfg.StallAfter, DefaultStallAfter)
-	setDefault(&cfg.ProbeInterval, DefaultProbeInterval)
-	setDefault(&cfg.EjectFor, DefaultEjectFor)
-	setDefault(&cfg.EjectMax, DefaultEjectMax)
-	setDefault(&cfg.SlowStart, DefaultSlowStart)
-	setDefault(&cfg.FullFor, DefaultFullFor)
-	setDefault(&cfg.EjectedShare, DefaultEjectedShare)
-	setDefault(&cfg.Failures, DefaultFailures)
-	setDefault(&cfg.AffinityLoad, DefaultAffinityLoad)
-	setDefault(&cfg.SpillLoad, DefaultSpillLoad)
+	cfg.StallAfter = cmp.Or(cfg.StallAfter, DefaultStallAfter)
+	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, DefaultProbeInterval)
+	cfg.EjectFor = cmp.Or(cfg.EjectFor, DefaultEjectFor)
+	cfg.EjectMax = cmp.Or(cfg.EjectMax, DefaultEjectMax)
+	cfg.SlowStart = cmp.Or(cfg.SlowStart, DefaultSlowStart)
+	cfg.FullFor = cmp.Or(cfg.FullFor, DefaultFullFor)
+	cfg.EjectedShare = cmp.Or(cfg.EjectedShare, DefaultEjectedShare)
+	cfg.Failures = cmp.Or(cfg.Failures, DefaultFailures)
+	cfg.AffinityLoad = cmp.Or(cfg.AffinityLoad, DefaultAffinityLoad)
+	cfg.SpillLoad = cmp.Or(cfg.SpillLoad, DefaultSpillLoad)
 	return &Balancer{cfg: cfg, endpoints: map[string]*state{}}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Update replaces the endpoint table. Endpoints that are missing from it are
 // forgotten; attempts on them may still be reported and are ignored.
 func (b *Balancer) Update(table []Endpoint, now time.Time) {
--- a/internal/transfer/config.go
+++ b/internal/transfer/config.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -81,30 +82,14 @@
 	if c.CacheDir == "" || c.Endpoint == "" || c.Region == "" {
 		return errors.Join(ErrConfig, errors.New("cache folder, endpoint and region are required"))
 	}
-	if c.DownloadRate == 0 {
-		c.DownloadRate = defaultRate
-	}
-	if c.UploadRate == 0 {
-		c.UploadRate = defaultRate
-	}
-	if c.MinimumRate == 0 {
-		c.MinimumRate = defaultMinimumRate
-	}
-	if c.HaveInterval == 0 {
-		c.HaveInterval = defaultHaveInterval
-	}
-	if c.ReadTimeout == 0 {
-		c.ReadTimeout = defaultReadTimeout
-	}
-	if c.ChunkTimeout == 0 {
-		c.ChunkTimeout = defaultChunkTimeout
-	}
-	if c.ManifestFetches == 0 {
-		c.ManifestFetches = defaultManifestFetches
-	}
-	if c.ChunkFetches == 0 {
-		c.ChunkFetches = defaultChunkFetches
-	}
+	c.DownloadRate = cmp.Or(c.DownloadRate, defaultRate)
+	c.UploadRate = cmp.Or(c.UploadRate, defaultRate)
+	c.MinimumRate = cmp.Or(c.MinimumRate, defaultMinimumRate)
+	c.HaveInterval = cmp.Or(c.HaveInterval, defaultHaveInterval)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, defaultReadTimeout)
+	c.ChunkTimeout = cmp.Or(c.ChunkTimeout, defaultChunkTimeout)
+	c.ManifestFetches = cmp.Or(c.ManifestFetches, defaultManifestFetches)
+	c.ChunkFetches = cmp.Or(c.ChunkFetches, defaultChunkFetches)
 	if c.Objective == "" {
 		c.Objective = swarm.ObjectiveTime
 	}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -57,12 +58,8 @@
 
 // New returns an empty list.
 func New(cfg Config) *List {
-	if cfg.Period == 0 {
-		cfg.Period = DefaultPeriod
-	}
-	if cfg.MaxLosses == 0 {
-		cfg.MaxLosses = DefaultMaxLosses
-	}
+	cfg.Period = cmp.Or(cfg.Period, DefaultPeriod)
+	cfg.MaxLosses = cmp.Or(cfg.MaxLosses, DefaultMaxLosses)
 	return &List{cfg: cfg, control: map[string]Record{}, own: map[string]Record{}, running: map[string]bool{}}
 }
 
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -1,6 +1,9 @@
 package swarm
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Objective is the quantity to minimise.
 type Objective string
@@ -36,7 +39,7 @@
 	// MaxPeers bounds the peers that this instance exchanges state with
 	// (default 8). More peers spread chunks faster and cost more messages.
 	MaxPeers int
-	// PeerFetches bounds concurrent fetches from peers (default 4). More hide
+	// PeerFetches bounds concurrent fetches from peers (default 8). More hide
 	// round trips, and delay the moment at which each chunk can be passed on.
 	PeerFetches int
 	// FetchesPerPeer bounds concurrent fetches from one peer (default 2).
@@ -88,22 +91,15 @@
 )
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Objective, ObjectiveTime)
-	setDefault(&c.RegionLinks, RegionLinksNever)
-	setDefault(&c.MaxPeers, defaultMaxPeers)
-	setDefault(&c.PeerFetches, defaultPeerFetches)
-	setDefault(&c.FetchesPerPeer, defaultFetchesPerPeer)
-	setDefault(&c.HearTimeout, defaultHearTimeout)
+	c.Objective = cmp.Or(c.Objective, ObjectiveTime)
+	c.RegionLinks = cmp.Or(c.RegionLinks, RegionLinksNever)
+	c.MaxPeers = cmp.Or(c.MaxPeers, defaultMaxPeers)
+	c.PeerFetches = cmp.Or(c.PeerFetches, defaultPeerFetches)
+	c.FetchesPerPeer = cmp.Or(c.FetchesPerPeer, defaultFetchesPerPeer)
+	c.HearTimeout = cmp.Or(c.HearTimeout, defaultHearTimeout)
 	stall := stallTimeoutTime
 	if c.Objective == ObjectiveOriginBytes {
 		stall = stallTimeoutBytes
 	}
-	setDefault(&c.StallTimeout, stall)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.StallTimeout = cmp.Or(c.StallTimeout, stall)
 }
