network: open and close a daemon's ports in one place

OpenServers, Server.Serve and CloseServers now serve both. The agent's error for a port that cannot be opened names the address, as control's did. The time-outs are unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,8 +23,7 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	shutdownTimeout   = 2 * time.Second
+	shutdownTimeout = 2 * time.Second
 	// goneFlush lets the last announcement leave before the sessions close.
 	goneFlush = 200 * time.Millisecond
 )
@@ -111,7 +109,7 @@
 	var wg sync.WaitGroup
 	for _, v := range servers {
 		wg.Go(func() {
-			if err := v.server.Serve(v.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := v.Serve(); err != nil {
 				failed <- oops.In("agent").Wrap(err)
 			}
 		})
@@ -134,32 +132,15 @@
 	return err
 }
 
-type server struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (a *Agent) listen() ([]server, error) {
+func (a *Agent) listen() ([]network.Server, error) {
 	s := a.cfg.Settings
-	handlers := map[string]http.Handler{s.GateListen: a.cfg.Token.Require(http.HandlerFunc(a.serveGate))}
+	ports := []network.Port{{Address: s.GateListen, Handler: a.cfg.Token.Require(http.HandlerFunc(a.serveGate))}}
 	if a.isEngine() {
-		handlers[s.PeerListen] = a.cfg.Weights.PeerHandler()
+		ports = append(ports, network.Port{Address: s.PeerListen, Handler: a.cfg.Weights.PeerHandler()})
 	}
-	if s.AdminListen != "" {
-		handlers[s.AdminListen] = metrics.AdminHandler(a.cfg.Registry, a.readyError)
-	}
-	var servers []server
-	for address, handler := range handlers {
-		listener, err := network.Or(a.cfg.Network).Listen(address)
-		if err != nil {
-			for _, v := range servers {
-				_ = v.listener.Close()
-			}
-			return nil, oops.In("agent").Wrap(err)
-		}
-		servers = append(servers, server{&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener})
-	}
-	return servers, nil
+	ports = append(ports, network.Port{Address: s.AdminListen, Handler: metrics.AdminHandler(a.cfg.Registry, a.readyError)})
+	servers, err := network.OpenServers(a.cfg.Network, ports...)
+	return servers, oops.In("agent").Wrap(err)
 }
 
 // serveGate routes by prefix: a caller's path may hold anything.
@@ -206,14 +187,8 @@
 	return a.state.gate.Drained(time.Now())
 }
 
-func (a *Agent) close(servers []server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, v := range servers {
-		if v.server.Shutdown(ctx) != nil {
-			_ = v.server.Close()
-		}
-	}
+func (a *Agent) close(servers []network.Server) {
+	network.CloseServers(servers, shutdownTimeout)
 	a.backend.CloseIdleConnections()
 	a.engine.Close()
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
-	stdnet "net"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -31,7 +31,6 @@
 	shutdownTimeout   = 3 * time.Second
 	bootstrapInterval = 100 * time.Millisecond
 	transferTimeout   = time.Second
-	headerTimeout     = 5 * time.Second
 )
 
 // Options replace parts of the daemon, for tests and measurements.
@@ -238,7 +237,7 @@
 	failures := make(chan error, len(servers))
 	for _, s := range servers {
 		wg.Go(func() {
-			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(); err != nil {
 				failures <- oops.In("control").Wrap(err)
 			}
 		})
@@ -257,50 +256,28 @@
 	cancel()
 	d.handOver(loop)
 	stopLoop()
-	closeAll(servers)
+	network.CloseServers(servers, shutdownTimeout)
 	wg.Wait()
 	d.log.Info("stopped")
 	return err
 }
 
-// server is an HTTP server with its listener.
-type server struct {
-	*http.Server
-	listener stdnet.Listener
-}
-
 // listen opens the daemon's ports. Requests get the context of the replica's
 // loop, and those of the session port are counted in wg.
-func (d *Daemon) listen(loop context.Context, wg *sync.WaitGroup) ([]server, error) {
+func (d *Daemon) listen(loop context.Context, wg *sync.WaitGroup) ([]network.Server, error) {
 	session := mux.NewRouter()
 	session.Handle(wire.PathSession, tracked(wg, &transport.Server{
 		Handler: d.receive, Authorize: d.processToken.Allows, Closed: d.sessionClosed, Bytes: d.opts.Bytes,
 	}))
-	var servers []server
-	for _, port := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{d.settings.SessionListen, session},
-		{d.settings.OperatorListen, d.operatorHandler()},
-		{d.settings.AdminListen, metrics.AdminHandler(d.registry, d.ready)},
-	} {
-		if port.address == "" {
-			continue
-		}
-		listener, err := network.Or(d.opts.Network).Listen(port.address)
-		if err != nil {
-			for _, s := range servers {
-				_ = s.listener.Close()
-			}
-			return nil, oops.In("control").Wrapf(err, "listening on %s", port.address)
-		}
-		servers = append(servers, server{&http.Server{
-			Handler: port.handler, ReadHeaderTimeout: headerTimeout,
-			BaseContext: func(stdnet.Listener) context.Context { return loop },
-		}, listener})
+	servers, err := network.OpenServers(d.opts.Network,
+		network.Port{Address: d.settings.SessionListen, Handler: session},
+		network.Port{Address: d.settings.OperatorListen, Handler: d.operatorHandler()},
+		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
+	)
+	for _, s := range servers {
+		s.BaseContext = func(net.Listener) context.Context { return loop }
 	}
-	return servers, nil
+	return servers, oops.In("control").Wrap(err)
 }
 
 // tracked counts requests in wg, since a server does not wait for sessions.
@@ -329,17 +306,6 @@
 	}
 }
 
-func closeAll(servers []server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, s := range servers {
-		// Sessions are hijacked connections, which Shutdown does not wait for.
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close()
-		}
-	}
-}
-
 // ready returns why this replica does not serve, or nil.
 func (d *Daemon) ready() error {
 	v := d.replica.View()
