entry: derive the wait of a suspect from what was just found

The call kept a flag, unharmed, that was set by a broken answer of a living endpoint and never cleared, so that a later loss to a copy would not have been waited for. recordLoss now returns whether the endpoint crashed, and the caller waits on that. A suspect that is quarantined meanwhile ends its wait. Telling other entries of a loss, and giving a reservation back, each had the loop that posts to all within tellTimeout; tell serves both.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -69,7 +69,6 @@
 	fingerprint  string
 	alone        bool     // suspected: runs with no neighbour
 	reservation  string   // of the single run of a suspect, over all entries
-	unharmed     bool     // an answer broke off and the endpoint is alive
 	avoid        []string // endpoints lost to this request
 	affinity     uint64
 	priority     string
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -119,6 +119,7 @@
 // is allowed.
 func (e *Entry) runChat(w http.ResponseWriter, c *call) {
 	relay := &streamRelay{w: w, metrics: e.metrics, arrived: c.arrived}
+	e.awaitLosses(c)
 	final := e.applySuspicion(c)
 	var s *slot
 	if final == nil {
@@ -168,8 +169,10 @@
 
 // afterFailure prepares the next attempt, or returns the final answer.
 func (e *Entry) afterFailure(c *call, f *attemptFailure, tries int) *answerError {
-	if f.lost && c.engine {
-		e.recordLoss(c, f)
+	// An answer cut short by an endpoint that is alive costs no wait.
+	crashed := f.lost && c.engine && e.recordLoss(c, f)
+	if crashed || f.reason == outcome.SuspectCopy {
+		e.awaitLosses(c)
 	}
 	if f.lost && c.engine || f.reason == outcome.SuspectCopy {
 		if final := e.applySuspicion(c); final != nil {
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -137,17 +136,15 @@
 func (e *Entry) releaseReservation(c *call) {
 	request := reservationRequest{Fingerprint: c.fingerprint, Holder: c.reservation, Release: true}
 	c.reservation, c.alone = "", false
-	ctx, cancel := context.WithTimeout(e.background, tellTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
+	var others []Peer
 	for _, p := range e.peers.reservers(c.fingerprint) {
 		if p.self {
 			e.suspects.reserve(request, time.Now())
 			continue
 		}
-		wg.Go(func() { _ = e.postToPeer(ctx, p.Peer, pathReservations, request, nil) })
+		others = append(others, p.Peer)
 	}
-	wg.Wait()
+	e.tell(others, pathReservations, request)
 }
 
 func (e *Entry) postToPeer(ctx context.Context, peer Peer, path string, message, answer any) error {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -54,15 +54,17 @@
 // that a copy of the request which its caller sends them, now or after the
 // answer, costs no further endpoint. Control's list reaches them later.
 func (e *Entry) tellLoss(l loss) {
-	body, err := json.Marshal(l)
-	if err != nil {
-		return
-	}
+	e.tell(e.peers.others(), pathLosses, l)
+}
+
+// tell sends a message to other entries and waits for their answers, for
+// tellTimeout at most.
+func (e *Entry) tell(others []Peer, path string, message any) {
 	ctx, cancel := context.WithTimeout(e.background, tellTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, peer := range e.peers.others() {
-		wg.Go(func() { _ = e.askOther(ctx, http.MethodPost, peer, pathLosses, body, nil) })
+	for _, peer := range others {
+		wg.Go(func() { _ = e.postToPeer(ctx, peer, path, message, nil) })
 	}
 	wg.Wait()
 }
@@ -82,27 +84,26 @@
 }
 
 // recordLoss tells all entries that an endpoint's answer broke off, so that
-// they end copies of the request, and then finds out whether the endpoint
-// crashed.
-func (e *Entry) recordLoss(c *call, f *attemptFailure) {
+// they end copies of the request, and then finds out and returns whether the
+// endpoint crashed.
+func (e *Entry) recordLoss(c *call, f *attemptFailure) bool {
 	e.reportLost(c, f)
 	l := loss{Fingerprint: c.fingerprint, Endpoint: f.endpoint}
 	e.suspect(l)
 	e.tellLoss(l)
 	if !e.endpointCrashed(c, f) {
-		c.unharmed = true
-		return
+		return false
 	}
 	l.Crashed = true
 	e.suspect(l)
 	e.tellLoss(l)
+	return true
 }
 
-// awaitLosses waits until no loss to the request was heard of for
-// copiesCrashWait. Its own broken answer needs no wait once its endpoint is
-// known to be alive.
+// awaitLosses has a suspect that is to run alone wait until no loss to it was
+// heard of for copiesCrashWait.
 func (e *Entry) awaitLosses(c *call) {
-	for !c.unharmed && c.ctx.Err() == nil {
+	for c.reservation == "" && c.ctx.Err() == nil && e.suspects.verdict(c.fingerprint, time.Now()).Alone {
 		rest := copiesCrashWait - time.Since(e.suspects.lastLoss(c.fingerprint))
 		if rest <= 0 {
 			return
@@ -228,7 +229,6 @@
 func (e *Entry) applySuspicion(c *call) *answerError {
 	v := e.suspects.verdict(c.fingerprint, time.Now())
 	if v.Alone && c.reservation == "" {
-		e.awaitLosses(c)
 		if !e.reserve(c) {
 			return c.failed(http.StatusServiceUnavailable, outcome.SuspectBusy,
 				"this request is suspected of crashing endpoints and a copy of it may be running").withRetryAfter(suspectBusyRetry)
