rhubarbctl: read and check a note in one place

note check, note diff and apply each read the file, parsed it and printed what is wrong with it. validNote serves all three. Tests of the package pass.

--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -190,19 +190,27 @@
 	return data, nil
 }
 
+// validNote reads a note and prints what is wrong with it.
+func (s *session) validNote(path string) (data []byte, document *release.Document, err error) {
+	if data, err = readNote(path); err != nil {
+		return nil, nil, err
+	}
+	if document, err = release.Parse(data); err != nil {
+		return nil, nil, s.printInvalid(err)
+	}
+	return data, document, nil
+}
+
 type noteCheck struct {
 	File string `arg:"" help:"Release note, YAML."`
 }
 
 // Run implements the command.
 func (c *noteCheck) Run(s *session) error {
-	note, err := readNote(c.File)
+	note, _, err := s.validNote(c.File)
 	if err != nil {
 		return err
 	}
-	if _, err := release.Parse(note); err != nil {
-		return s.printInvalid(err)
-	}
 	ctx, cancel := s.limited()
 	defer cancel()
 	answer, err := s.client.Check(ctx, note)
@@ -224,13 +232,10 @@
 	if err := badInput(&problems); err != nil {
 		return err
 	}
-	note, err := readNote(c.File)
+	note, _, err := s.validNote(c.File)
 	if err != nil {
 		return err
 	}
-	if _, err := release.Parse(note); err != nil {
-		return s.printInvalid(err)
-	}
 	ctx, cancel := s.limited()
 	defer cancel()
 	answer, err := s.client.Submit(ctx, note)
@@ -355,14 +360,10 @@
 // Run implements the command. It shows changes against the catalogue of the
 // replica that answers.
 func (c *noteDiff) Run(s *session) error {
-	data, err := readNote(c.File)
+	_, document, err := s.validNote(c.File)
 	if err != nil {
 		return err
 	}
-	document, err := release.Parse(data)
-	if err != nil {
-		return s.printInvalid(err)
-	}
 	ctx, cancel := s.limited()
 	defer cancel()
 	var status Status
