--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -297,9 +297,9 @@
 }
 
 // settleOnce finds out whether a failed attempt can have run. Only a gate's
-// word that it never will counts as "not run". A refusal is that word, also from
-// a restarted gate, which cannot say what its predecessor did: onceClient sends
-// the attempt once, on a connection of its own, so that the process which
+// statement that it never will counts as "not run". A refusal states that, also
+// from a restarted gate, which cannot say what its predecessor did: onceClient
+// sends the attempt once, on a connection of its own, so that the process which
 // answered is the only one that got it.
 func (e *Entry) settleOnce(f *attemptFailure) *answerError {
 	if f.refused {
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -44,8 +44,6 @@
 	// on the endpoints in Avoid.
 	Alone bool
 	Avoid []string
-	// Busy is true while another copy of the suspect runs.
-	Busy bool
 }
 
 // List holds suspects and quarantined fingerprints.
@@ -99,7 +97,7 @@
 	if record.Quarantined {
 		return Verdict{Quarantined: true, Until: record.Until}
 	}
-	return Verdict{Alone: true, Avoid: slices.Concat(record.Crashed, record.Broken), Until: record.Until, Busy: l.running[fingerprint]}
+	return Verdict{Alone: true, Avoid: slices.Concat(record.Crashed, record.Broken), Until: record.Until}
 }
 
 // Crashed returns the endpoints lost to a request.
