--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/platform"
 )
 
 const program = "rhubarb-control"
@@ -29,11 +31,16 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.Setup(program, config.Instance, config.LogLevel, processToken, operatorToken)
+	logger, lines, err := logging.SetupBounded(program, config.Instance, config.LogLevel, processToken, operatorToken)
 	if err != nil {
 		return err
 	}
-	d, err := control.New(config, control.Options{ProcessToken: &processToken, OperatorToken: &operatorToken}, logger)
+	defer lines.Close()
+	d, err := control.New(config, control.Options{
+		ProcessToken: &processToken, OperatorToken: &operatorToken,
+		Registry:  func(d *control.Daemon) http.Handler { return platform.RegistryHandler(d) },
+		Directory: func(d *control.Daemon) http.Handler { return platform.DirectoryHandler(d) },
+	}, logger)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/rhubarb-relay/main.go
@@ -0,0 +1,37 @@
+// Command rhubarb-relay is the entry to endpoints that are reached without an
+// agent: it takes callers' requests and sends them straight to an endpoint.
+package main
+
+import (
+	"context"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
+	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/relay"
+	"github.com/rhubarbhill/rhubarbhill/platform"
+)
+
+const program = "rhubarb-relay"
+
+func main() {
+	config := relay.DefaultSettings()
+	daemon.Main(program, "Entry to endpoints without an agent.", &config, func(ctx context.Context) error {
+		return run(ctx, config)
+	})
+}
+
+func run(ctx context.Context, config relay.Settings) error {
+	token, err := auth.ReadToken(config.ProcessTokenFile)
+	if err != nil {
+		return err
+	}
+	logger, lines, err := logging.SetupBounded(program, config.Instance, config.LogLevel, token)
+	if err != nil {
+		return err
+	}
+	defer lines.Close()
+	return relay.New(config, relay.Options{
+		Token: token, Protocol: platform.Headers{}, Decode: platform.DecodeRouting, Ready: platform.ReadyHandler,
+	}, logger).Run(ctx)
+}
--- /dev/null
+++ b/cmd/rhubarb-stager/main.go
@@ -0,0 +1,39 @@
+// Command rhubarb-stager brings the named weights to the engine on its instance.
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
+	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/stager"
+	"github.com/rhubarbhill/rhubarbhill/platform"
+)
+
+const program = "rhubarb-stager"
+
+func main() {
+	config := stager.DefaultSettings()
+	daemon.Main(program, "Brings weights to the engine on its instance.", &config, func(ctx context.Context) error {
+		return run(ctx, config)
+	})
+}
+
+func run(ctx context.Context, config stager.Settings) error {
+	token, err := auth.ReadToken(config.ProcessTokenFile)
+	if err != nil {
+		return err
+	}
+	logger, lines, err := logging.SetupBounded(program, config.Instance, config.LogLevel, token)
+	if err != nil {
+		return err
+	}
+	defer lines.Close()
+	return stager.New(config, stager.Options{
+		Token: token, Decode: platform.DecodeRouting,
+		Engine: platform.Client{HTTP: &http.Client{Transport: network.HTTPTransport(nil)}},
+	}, logger).Run(ctx)
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -46,6 +46,9 @@
 	// ProcessToken and OperatorToken replace the token files.
 	ProcessToken, OperatorToken *auth.Token
 	Bytes                       *transport.ByteCounts
+	// Registry and Directory build what is served on the registry and directory
+	// addresses, in the format of the platform.
+	Registry, Directory func(*Daemon) http.Handler
 }
 
 // Daemon is a control replica with its ports.
@@ -56,6 +59,7 @@
 	replica       *Replica
 	folder        *storage.Folder
 	hub           *hub
+	fleet         *fleet
 	peers         *peers
 	inForce       *inForce
 	policy        repairPolicy
@@ -142,6 +146,7 @@
 	d.replica = replica
 	d.hub = newHub(replica.View)
 	d.hub.announced = d.inForce.Announced
+	d.fleet = newFleet(replica.View, d.settings.Heartbeat.Std(), d.log)
 	d.peers.Learn(replica.View().Raft.Membership.Addresses)
 	d.metrics.follow(d.registry, d)
 	return nil
@@ -175,6 +180,10 @@
 	if old.Catalogue.Revision != next.Catalogue.Revision || old.Quarantine != next.Quarantine {
 		d.hub.Changed()
 	}
+	if old.Routing.Version != next.Routing.Version || old.Raft.Membership.Index != next.Raft.Membership.Index ||
+		!maps.Equal(old.Weights, next.Weights) {
+		d.fleet.Changed()
+	}
 }
 
 // applied follows newly accepted notes. It runs in the replica's loop.
@@ -206,10 +215,13 @@
 // bootstrap forms a new cluster once all configured voters are present and
 // empty. It ends when this replica has a log.
 func (d *Daemon) bootstrap(ctx context.Context) {
+	if d.settings.JoinOnly {
+		return
+	}
 	ticker := time.NewTicker(bootstrapInterval)
 	defer ticker.Stop()
 	for len(d.replica.View().Raft.Membership.Voters) == 0 {
-		members, ok := firstMembership(d.hello(), d.settings.Voters, d.peers.Present(time.Now()))
+		members, ok := firstMembership(d.hello(), d.settings.firstVoters(), d.peers.Present(time.Now()))
 		if ok {
 			d.replica.Bootstrap(bootstrapSnapshot(members))
 		}
@@ -243,9 +255,10 @@
 		})
 	}
 	wg.Go(func() { d.replica.Run(loop) })
-	wg.Go(func() { d.peers.Run(loop, d.settings.Voters) })
+	wg.Go(func() { d.peers.Run(loop, d.settings.firstVoters()) })
 	wg.Go(func() { d.hub.Run(ctx.Done()) })
 	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
+	wg.Go(func() { d.fleet.Run(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	select {
@@ -272,6 +285,8 @@
 	servers, err := network.OpenServers(d.opts.Network,
 		network.Port{Address: d.settings.SessionListen, Handler: session},
 		network.Port{Address: d.settings.OperatorListen, Handler: d.operatorHandler()},
+		network.Port{Address: d.settings.RegistryListen, Handler: handlerOr404(d.opts.Registry, d)},
+		network.Port{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d)},
 		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
 	for _, s := range servers {
@@ -280,6 +295,14 @@
 	return servers, oops.In("control").Wrap(err)
 }
 
+// handlerOr404 builds a handler of the daemon, if there is one.
+func handlerOr404(build func(*Daemon) http.Handler, d *Daemon) http.Handler {
+	if build == nil {
+		return http.NotFoundHandler()
+	}
+	return build(d)
+}
+
 // tracked counts requests in wg, since a server does not wait for sessions.
 func tracked(wg *sync.WaitGroup, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -313,7 +336,7 @@
 	case v.DiskError != nil:
 		return v.DiskError
 	case len(v.Raft.Membership.Voters) == 0:
-		return fmt.Errorf("not a member yet: waiting for the voters %v", slices.Sorted(maps.Keys(d.settings.Voters)))
+		return fmt.Errorf("not a member yet: waiting for the voters %v", slices.Sorted(maps.Keys(d.settings.firstVoters())))
 	case v.Raft.Leader == "":
 		return errors.New("no leader")
 	}
--- /dev/null
+++ b/internal/control/fleet.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/membership"
+)
+
+const (
+	// serverIntervals without a check-in take a server out: one may be delayed by
+	// seconds, and one is lost when the replica that it went to stops.
+	serverIntervals = 4
+	// fleetInterval bounds how long a change waits to be sent with others.
+	fleetInterval = 25 * time.Millisecond
+)
+
+// fleet holds the servers that check in and the processes that follow the
+// fleet's state. Both are soft state: they are rebuilt from check-ins and
+// sessions after a restart.
+type fleet struct {
+	log  log.Interface
+	view func() *View
+
+	mu        sync.Mutex
+	epoch     uint64
+	servers   *membership.Table[wire.Server]
+	followers map[*transport.Session]*follower
+	// changed counts changes of the processes of a role.
+	changed map[wire.Role]uint64
+	named   map[string]named
+	wake    chan struct{}
+}
+
+// named is when this replica learned of a version of weights.
+type named struct {
+	version uint64
+	at      time.Time
+}
+
+// follower is a process with an open session.
+type follower struct {
+	process wire.Process
+	servers uint64 // version of the table sent; 0 for none
+	state   sentState
+}
+
+// sentState identifies what a follower was told last.
+type sentState struct {
+	routing    uint64
+	membership uint64
+	processes  uint64
+	weights    int64
+}
+
+func newFleet(view func() *View, heartbeat time.Duration, logger log.Interface) *fleet {
+	epoch := uint64(time.Now().UnixNano())
+	return &fleet{
+		log: logger, view: view, epoch: epoch,
+		servers: membership.New(membership.Config[wire.Server]{
+			Epoch: epoch, Expiry: serverIntervals * heartbeat, Significant: serverChanged,
+		}),
+		followers: map[*transport.Session]*follower{}, changed: map[wire.Role]uint64{},
+		named: map[string]named{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// serverChanged tells whether entries need a check-in.
+func serverChanged(previous, next membership.Record[wire.Server]) bool {
+	a, b := previous.Report, next.Report
+	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone ||
+		!slices.EqualFunc(a.Models, b.Models, func(x, y wire.ServerModel) bool {
+			return x.Name == y.Name && slices.Equal(x.Layers, y.Layers)
+		})
+}
+
+// CheckIn takes in the check-in of a server.
+func (f *fleet) CheckIn(s wire.Server, now time.Time) {
+	f.mu.Lock()
+	before := f.servers.Version()
+	previous, known := f.servers.Get(s.ID)
+	fresh := f.servers.Apply(s.Record(), now)
+	changed := f.servers.Version() != before
+	f.mu.Unlock()
+	if !fresh {
+		f.log.WithFields(log.Fields{"server": s.ID, "started": s.Started, "sequence": s.Sequence}).Debug("check_in_late")
+		return
+	}
+	if !changed {
+		return
+	}
+	signal(f.wake)
+	f.log.WithFields(log.Fields{
+		"server": s.ID, "service": s.Service, "address": s.Address, "draining": s.Draining, "known": known,
+		"started": s.Started, "sequence": s.Sequence, "was_draining": previous.Draining,
+	}).Info("server_changed")
+}
+
+// Depart takes in the last call of a server. Without its start the call counts
+// for every incarnation that started before now.
+func (f *fleet) Depart(id string, started uint64, now time.Time) {
+	f.mu.Lock()
+	held, known := f.servers.Get(id)
+	gone := held.Report
+	gone.ID, gone.Gone = id, true
+	gone.Started = cmp.Or(started, held.Incarnation, uint64(now.UnixMilli()))
+	gone.Sequence = ^uint64(0)
+	f.servers.Apply(gone.Record(), now)
+	f.mu.Unlock()
+	signal(f.wake)
+	f.log.WithFields(log.Fields{"server": id, "started": gone.Started, "known": known}).Info("server_departed")
+}
+
+// Introduced takes in a process's introduction and tells it the fleet's state.
+func (f *fleet) Introduced(s *transport.Session, p wire.Process) {
+	f.mu.Lock()
+	previous, known := f.followers[s]
+	if !known {
+		f.followers[s] = &follower{process: p}
+	} else {
+		previous.process = p
+	}
+	if !known || previous.process != p {
+		f.changed[p.Role]++
+	}
+	f.mu.Unlock()
+	signal(f.wake)
+	f.log.WithFields(log.Fields{
+		"process": p.Name, "role": string(p.Role), "ready": p.Ready, "draining": p.Draining, "new_session": !known,
+	}).Info("process_introduced")
+}
+
+// Forget ends a process's presence.
+func (f *fleet) Forget(s *transport.Session) {
+	f.mu.Lock()
+	follower, known := f.followers[s]
+	delete(f.followers, s)
+	if known {
+		f.changed[follower.process.Role]++
+	}
+	f.mu.Unlock()
+	if known {
+		signal(f.wake)
+		f.log.WithFields(log.Fields{"process": follower.process.Name, "role": string(follower.process.Role)}).Info("process_lost")
+	}
+}
+
+// Changed tells that the replica's view has news for followers.
+func (f *fleet) Changed() { signal(f.wake) }
+
+// processes lists the present processes of a role, by name. A process with two
+// sessions, of which one is not yet known to be dead, is listed once.
+func (f *fleet) processes(role wire.Role) []wire.Process {
+	byName := map[string]wire.Process{}
+	for _, follower := range f.followers {
+		if p := follower.process; p.Role == role {
+			byName[p.Name] = p
+		}
+	}
+	list := make([]wire.Process, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, byName[name])
+	}
+	return list
+}
+
+// Entries lists the present entries.
+func (f *fleet) Entries() []wire.Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes(wire.RoleEntry)
+}
+
+// weights lists the named versions with their age.
+func (f *fleet) weights(v *View, now time.Time) (list []wire.NamedWeights, sum int64) {
+	for _, model := range slices.Sorted(maps.Keys(v.Weights)) {
+		version := v.Weights[model]
+		if f.named[model].version != version {
+			f.named[model] = named{version, now}
+		}
+		list = append(list, wire.NamedWeights{Model: model, Version: version, AgeMs: now.Sub(f.named[model].at).Milliseconds()})
+		sum += int64(version)
+	}
+	return list, sum
+}
+
+// Run sends changes until done closes.
+func (f *fleet) Run(done <-chan struct{}) {
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-expire.C:
+			f.mu.Lock()
+			expired := f.servers.Expire(now)
+			f.mu.Unlock()
+			if len(expired) == 0 {
+				continue
+			}
+			f.log.WithField("servers", expired).Info("servers_expired")
+		case <-f.wake:
+		}
+		f.flush(time.Now())
+		if !pause(done, fleetInterval) {
+			return
+		}
+	}
+}
+
+// flush tells every follower what it does not know yet. A failed send ends the
+// session: the process then introduces itself again and is told everything.
+func (f *fleet) flush(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.view()
+	weights, sum := f.weights(v, now)
+	frames := map[wire.Role][]byte{}
+	updates := map[uint64][]byte{}
+	for session, follower := range f.followers {
+		role := follower.process.Role
+		state := sentState{v.Routing.Version, v.Raft.Membership.Index, f.changed[role], sum}
+		if follower.state != state {
+			if frames[role] == nil {
+				frames[role] = encoded(wire.Fleet{
+					RoutingVersion: v.Routing.Version, Weights: weights,
+					Replicas: v.Raft.Membership.Addresses, Processes: f.processes(role),
+				})
+			}
+			follower.state = state
+			sendFrame(session, frames[role])
+		}
+		if role != wire.RoleEntry || follower.servers == f.servers.Version() && follower.servers != 0 {
+			continue
+		}
+		frame, ok := updates[follower.servers]
+		if !ok {
+			frame = encoded(wire.ServersFrom(f.servers.Since(f.epoch, follower.servers)))
+			updates[follower.servers] = frame
+		}
+		follower.servers = f.servers.Version()
+		sendFrame(session, frame)
+	}
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -134,13 +134,7 @@
 
 // Send sends a raft message, or drops it.
 func (p *peers) Send(m raft.Message) {
-	p.mu.Lock()
-	d := p.dialers[p.byID[m.To]]
-	p.mu.Unlock()
-	if d == nil {
-		return
-	}
-	s := d.Session()
+	s := p.Session(m.To)
 	if s == nil {
 		return
 	}
@@ -153,6 +147,17 @@
 	}
 }
 
+// Session returns the open session to a replica, or nil.
+func (p *peers) Session(id string) *transport.Session {
+	p.mu.Lock()
+	d := p.dialers[p.byID[id]]
+	p.mu.Unlock()
+	if d == nil {
+		return nil
+	}
+	return d.Session()
+}
+
 // Learn records the addresses of a membership and connects to them.
 func (p *peers) Learn(addresses map[string]string) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/control/registry.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/transport"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/ledger"
+	"github.com/rhubarbhill/rhubarbhill/raft"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+var (
+	// ErrNotAccepted means that a command is not and will not be accepted.
+	ErrNotAccepted = errors.New("not accepted")
+	// ErrNotKnown means that it is not known whether a command was accepted.
+	ErrNotKnown = errors.New("not known whether it was accepted; send it again")
+	// ErrNotCurrent means that this replica cannot be sure which state is newest.
+	ErrNotCurrent = errors.New("the newest state cannot be confirmed")
+)
+
+const (
+	// acceptTimeout bounds how long an operator's call waits for a quorum. Operators
+	// go to another replica after a second without an answer.
+	acceptTimeout = 900 * time.Millisecond
+	// acceptPause is the time between two tries while there is no leader.
+	acceptPause = 30 * time.Millisecond
+	// entryTTL is how long callers may keep the addresses of entries. Longer costs
+	// callers more failed connections after the loss of an entry, shorter costs
+	// replicas more questions.
+	entryTTL = 2 * time.Second
+)
+
+// ReplaceRouting makes a valid routing document the accepted one, unless one of
+// the same or a higher version is.
+func (d *Daemon) ReplaceRouting(ctx context.Context, doc *routing.Document) error {
+	packed, err := routing.Pack(doc.Source)
+	if err != nil {
+		return oops.In("control").Wrap(err)
+	}
+	result, err := d.accept(ctx, ledger.Command{Routing: &ledger.SetRouting{Version: doc.Version, Document: packed}})
+	d.log.WithFields(log.Fields{
+		"version": doc.Version, "routes": len(doc.Routes), "bytes": len(doc.Source), "repeated": result.Repeated, "error": errorText(err),
+	}).Info("routing_submitted")
+	return err
+}
+
+// NameWeights names the version of a model's weights that must be in place.
+func (d *Daemon) NameWeights(ctx context.Context, model string, version uint64) error {
+	result, err := d.accept(ctx, ledger.Command{Weights: &ledger.NameWeights{Model: model, Version: version}})
+	d.log.WithFields(log.Fields{
+		"model": model, "version": version, "repeated": result.Repeated, "error": errorText(err),
+	}).Info("weights_named")
+	return err
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// accept has a command committed, by this replica or by the leader that it knows.
+func (d *Daemon) accept(ctx context.Context, c ledger.Command) (ledger.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	data, err := wire.Marshal(c)
+	if err != nil {
+		return ledger.Result{}, oops.In("control").Wrap(err)
+	}
+	for {
+		reply := d.proposeAnywhere(ctx, c, data)
+		switch reply.Status {
+		case wire.ProposeCommitted:
+			var result ledger.Result
+			if err := wire.Unmarshal(reply.Result, &result); err != nil {
+				return result, errors.Join(ErrNotKnown, err)
+			}
+			if result.Status != ledger.StatusAccepted {
+				return result, oops.In("control").Wrapf(ErrNotAccepted, "%s", result.Reason)
+			}
+			return result, nil
+		case wire.ProposeUnknown:
+			return ledger.Result{}, oops.In("control").Wrapf(ErrNotKnown, "%s", reply.Detail)
+		}
+		if !pause(ctx.Done(), acceptPause) {
+			return ledger.Result{}, oops.In("control").Wrapf(ErrNotAccepted, "no leader reached: %s", reply.Detail)
+		}
+	}
+}
+
+func (d *Daemon) proposeAnywhere(ctx context.Context, c ledger.Command, data []byte) wire.ProposeReply {
+	session := d.leaderSession()
+	if session == nil {
+		return d.proposeReply(d.replica.Propose(ctx, c))
+	}
+	var reply wire.ProposeReply
+	if err := session.Request(ctx, wire.Propose{Command: data}, &reply); err != nil {
+		return wire.ProposeReply{Status: wire.ProposeUnknown, Detail: err.Error()}
+	}
+	return reply
+}
+
+// leaderSession returns the session to the leader, or nil while this replica
+// leads or knows no leader that it reaches.
+func (d *Daemon) leaderSession() *transport.Session {
+	v := d.replica.View()
+	if v.Raft.Role == raft.Leader || v.Raft.Leader == "" {
+		return nil
+	}
+	return d.peers.Session(v.Raft.Leader)
+}
+
+// CurrentRouting returns the newest accepted document, as a quorum confirms.
+func (d *Daemon) CurrentRouting(ctx context.Context) (*routing.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	reply, err := d.currentRouting(ctx)
+	if err != nil {
+		d.log.WithError(err).Info("routing_read_refused")
+		return nil, err
+	}
+	source, err := routing.Unpack(reply.Document)
+	if err != nil {
+		return nil, oops.In("control").Wrap(err)
+	}
+	return &routing.Document{Version: reply.Version, Source: source}, nil
+}
+
+func (d *Daemon) currentRouting(ctx context.Context) (wire.Routing, error) {
+	var reply wire.Routing
+	if session := d.leaderSession(); session != nil {
+		if err := session.Request(ctx, wire.RoutingRequest{Confirm: true}, &reply); err != nil {
+			return reply, oops.In("control").Wrapf(ErrNotCurrent, "%s", err.Error())
+		}
+	} else if !d.replica.Read(ctx, func(l *ledger.Ledger) { reply = routingOf(l.Routing()) }) {
+		return reply, oops.In("control").Wrapf(ErrNotCurrent, "no quorum confirms this replica")
+	}
+	if reply.Version == 0 {
+		return reply, oops.In("control").Wrapf(ErrNotCurrent, "no routing document was accepted yet")
+	}
+	return reply, nil
+}
+
+func routingOf(r ledger.SetRouting) wire.Routing {
+	return wire.Routing{Version: r.Version, Document: r.Document}
+}
+
+// receiveRoutingRequest answers a replica, entry or stager. A confirmed answer
+// takes a round trip to a quorum, so it runs apart from the session's reads.
+func (d *Daemon) receiveRoutingRequest(ctx context.Context, s *transport.Session, env wire.Envelope, m wire.RoutingRequest) {
+	if !m.Confirm {
+		_ = s.Reply(env, routingOf(d.replica.View().Routing)) // a failed send ends the session
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+		defer cancel()
+		var reply wire.Routing
+		if !d.replica.Read(ctx, func(l *ledger.Ledger) { reply = routingOf(l.Routing()) }) {
+			_ = s.Reply(env, wire.Error{Code: "not-current", Detail: "no quorum confirms this replica"})
+			return
+		}
+		_ = s.Reply(env, reply)
+	}()
+}
+
+// CheckIn takes in the check-in of a server.
+func (d *Daemon) CheckIn(s wire.Server) { d.fleet.CheckIn(s, time.Now()) }
+
+// Depart takes in the last call of a server.
+func (d *Daemon) Depart(id string, started uint64) { d.fleet.Depart(id, started, time.Now()) }
+
+// Addresses returns the entries that a caller may connect to and how long it may
+// keep them.
+func (d *Daemon) Addresses(_, _ string) ([]string, time.Duration) {
+	var addresses []string
+	for _, p := range d.fleet.Entries() {
+		if p.Ready && !p.Draining {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses, entryTTL
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -62,6 +62,8 @@
 	Unresolved bool
 	Sizes      ledger.Sizes
 	DiskError  error
+	Routing    ledger.SetRouting
+	Weights    map[string]uint64 // named versions, by model
 }
 
 // ReplicaConfig configures a Replica.
@@ -538,7 +540,7 @@
 	next := &View{
 		Raft: status, Catalogue: r.ledger.Catalogue(), Delta: r.ledger.LastDelta(),
 		Quarantine: r.ledger.QuarantineVersion(), Sizes: r.ledger.Sizes(), DiskError: r.diskErr,
-		Unresolved: r.unresolved(status),
+		Unresolved: r.unresolved(status), Routing: r.ledger.Routing(), Weights: r.ledger.Weights(),
 	}
 	if old != nil && old.Catalogue.Revision == next.Catalogue.Revision {
 		next.Digest = old.Digest
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -43,6 +43,10 @@
 		handle(d, s, env, func(m wire.Subscribe) { d.hub.Subscribe(s, m) })
 	case wire.TypeFollowLoads:
 		handle(d, s, env, func(m wire.FollowLoads) { d.hub.FollowLoads(s, m.Endpoints) })
+	case wire.TypeProcess:
+		handle(d, s, env, func(m wire.Process) { d.fleet.Introduced(s, m) })
+	case wire.TypeRoutingRequest:
+		handle(d, s, env, func(m wire.RoutingRequest) { d.receiveRoutingRequest(ctx, s, env, m) })
 	case wire.TypePropose:
 		handle(d, s, env, func(m wire.Propose) { d.receiveProposal(ctx, s, env, m) })
 	default:
@@ -141,6 +145,7 @@
 // sessionClosed forgets what is kept for a session.
 func (d *Daemon) sessionClosed(s *transport.Session) {
 	d.hub.Forget(s)
+	d.fleet.Forget(s)
 	d.told.Delete(s)
 	d.announced.Delete(s)
 }
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"net"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -11,6 +13,7 @@
 	defaultTick          = 50 * time.Millisecond
 	defaultVoterLoss     = 15 * time.Second
 	minVoterLoss         = time.Second
+	defaultHeartbeat     = time.Second
 	defaultLease         = 2 * time.Second
 	defaultSnapshotEvery = 2000
 	defaultMaxReplicas   = 8
@@ -31,6 +34,23 @@
 	// replica that is not listed joins as a learner.
 	Voters map[string]string `yaml:"voters"`
 
+	// Seeds are addresses of replicas, in place of Voters where names and session
+	// ports are not known: a replica's name is its IP address, and its session
+	// port is that of session_listen.
+	Seeds []string `yaml:"seeds"`
+	// JoinOnly keeps this replica from forming a new cluster: it joins the one of
+	// the seeds.
+	JoinOnly bool `yaml:"join_only"`
+
+	// RegistryListen serves servers that check in and operators in the format of
+	// the platform. Default empty, which serves neither.
+	RegistryListen string `yaml:"registry_listen"`
+	// DirectoryListen tells callers which entries to use. Default empty.
+	DirectoryListen string `yaml:"directory_listen"`
+	// Heartbeat is the time between two check-ins of a server. A server that
+	// misses several is taken out. Default 1 s.
+	Heartbeat settings.Duration `yaml:"heartbeat"`
+
 	// VoterLoss is the silence after which a voter is replaced or removed.
 	// Shorter repairs sooner; longer keeps a voter through a restart. Default
 	// 15 s.
@@ -51,6 +71,7 @@
 	return Settings{
 		Common:        settings.DefaultCommon(),
 		VoterLoss:     settings.Duration(defaultVoterLoss),
+		Heartbeat:     settings.Duration(defaultHeartbeat),
 		SnapshotEvery: defaultSnapshotEvery,
 	}
 }
@@ -67,7 +88,21 @@
 	if s.Advertise != "" {
 		p.Address("advertise", s.Advertise)
 	}
-	if len(s.Voters) == 0 {
+	for i, seed := range s.Seeds {
+		p.Address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	for name, address := range map[string]string{"registry_listen": s.RegistryListen, "directory_listen": s.DirectoryListen} {
+		if address != "" {
+			p.Address(name, address)
+		}
+	}
+	if s.Heartbeat.Std() <= 0 {
+		p.Add("heartbeat", "must be above 0, got %s", s.Heartbeat.Std())
+	}
+	if len(s.Voters) > 0 && len(s.Seeds) > 0 {
+		p.Add("seeds", "must be empty where voters are given")
+	}
+	if len(s.Voters) == 0 && len(s.Seeds) == 0 {
 		p.Add("voters", "needs the names and session addresses of the first voters")
 	}
 	for name, address := range s.Voters {
@@ -96,5 +131,19 @@
 	if s.TargetVoters > 0 {
 		return s.TargetVoters
 	}
-	return len(s.Voters)
+	return len(s.firstVoters())
+}
+
+// firstVoters maps the names of the first voters to their session addresses.
+func (s *Settings) firstVoters() map[string]string {
+	if len(s.Seeds) == 0 {
+		return s.Voters
+	}
+	_, port, _ := net.SplitHostPort(s.SessionListen) // checked by Check
+	voters := map[string]string{}
+	for _, seed := range s.Seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		voters[host] = net.JoinHostPort(host, port)
+	}
+	return voters
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -26,11 +26,15 @@
 }
 
 func setup(out io.Writer, program, instance, level string, tokens []auth.Token) (*log.Entry, error) {
+	return setupHandler(json.New(out), program, instance, level, tokens)
+}
+
+func setupHandler(next log.Handler, program, instance, level string, tokens []auth.Token) (*log.Entry, error) {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	handler := &redactor{next: json.New(out)}
+	handler := &redactor{next: next}
 	for _, token := range tokens {
 		for _, secret := range token.Secrets() {
 			if secret != "" {
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+)
+
+var (
+	// errNotSent means that no byte of the request left this process.
+	errNotSent = errors.New("request was not sent")
+	// errBroken means that the connection ended or carried bytes that are no
+	// answer. The request may have run.
+	errBroken = errors.New("answer broke off")
+	// errSilent means that no byte came within the time in which one should.
+	errSilent = errors.New("endpoint is silent")
+	// errEnded means that the caller left or its time is over.
+	errEnded = errors.New("request ended")
+)
+
+const (
+	// inlineBody is the longest body that is written before the answer is read.
+	// Socket buffers take it whole, so an endpoint that answers before it has read
+	// the body does not block the write.
+	inlineBody = 16 << 10
+	// strayAnswers bounds the answers to other requests that are skipped while
+	// waiting for the own one.
+	strayAnswers = 3
+)
+
+// attempt is one send of a request to one endpoint.
+type attempt struct {
+	key      string // of the endpoint in the connection pool
+	conn     *backendConn
+	pool     *connPool
+	stop     func() bool // ends the close on the end of the request
+	written  chan error  // of a long body; nil when it is written
+	response *http.Response
+	answer   protocol.Answer
+	// whole is true once the body was read to its end.
+	whole bool
+}
+
+// open sends a request and reads the head of the answer.
+func (h *handler) open(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding, silence time.Duration) (*attempt, error) {
+	a := &attempt{key: connKey(c.Endpoint), pool: h.conns}
+	conn, err := h.conns.get(ctx, a.key, c.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, errEnded
+		}
+		return nil, errors.Join(errNotSent, err)
+	}
+	a.conn = conn
+	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = a.exchange(h, q, f, silence)
+	if err == nil {
+		return a, nil
+	}
+	a.close()
+	if ctx.Err() != nil {
+		return nil, errEnded
+	}
+	return nil, err
+}
+
+func connKey(e placement.Endpoint) string { return fmt.Sprintf("%s/%d", e.ID, e.Started) }
+
+func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding, silence time.Duration) error {
+	head := q.head(h.protocol, f)
+	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
+		return errors.Join(errNotSent, err)
+	}
+	first := head
+	if len(q.body) <= inlineBody {
+		first = append(head, q.body...)
+	}
+	if n, err := a.conn.Write(first); err != nil {
+		if n == 0 {
+			return errors.Join(errNotSent, err)
+		}
+		return errors.Join(errBroken, err)
+	}
+	if len(q.body) > inlineBody {
+		a.written = make(chan error, 1)
+		go func() {
+			_, err := a.conn.Write(q.body)
+			a.written <- err
+		}()
+	}
+	if err := a.conn.SetReadDeadline(q.readDeadline(silence)); err != nil {
+		return errors.Join(errBroken, err)
+	}
+	return a.readHead(h, q)
+}
+
+// readHead reads answers until the one to this request. An answer that names
+// another request arrived late; one without a name is taken only as a refusal.
+func (a *attempt) readHead(h *handler, q *request) error {
+	for range strayAnswers {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.method})
+		if err != nil {
+			return readError(err)
+		}
+		if response.StatusCode/100 == 1 {
+			continue
+		}
+		answer := h.protocol.Answer(response.StatusCode, response.Header)
+		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun {
+			a.response, a.answer = response, answer
+			return nil
+		}
+		h.metrics.stray.Inc()
+		if answer.RequestID == "" || response.Close {
+			return fmt.Errorf("%w: answer to request %q", errBroken, answer.RequestID)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return readError(err)
+		}
+	}
+	return fmt.Errorf("%w: only answers to other requests", errBroken)
+}
+
+func readError(err error) error {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return errors.Join(errSilent, err)
+	}
+	return errors.Join(errBroken, err)
+}
+
+// body reads the answer's body to its end, or up to limit bytes.
+func (a *attempt) body(limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(a.response.Body, limit))
+	if err != nil {
+		return data, readError(err)
+	}
+	a.whole = int64(len(data)) < limit
+	return data, nil
+}
+
+// finish returns the connection to the pool if nothing is outstanding on it.
+func (a *attempt) finish() {
+	reusable := a.whole && !a.response.Close && a.answer.RequestID != "" && a.conn.reader.Buffered() == 0
+	if a.written != nil {
+		select {
+		case err := <-a.written:
+			reusable = reusable && err == nil
+		default:
+			reusable = false // the endpoint still waits for the rest of the body
+		}
+	}
+	if !a.stop() || !reusable {
+		_ = a.conn.Close()
+		return
+	}
+	a.pool.put(a.key, a.conn, a.answer.KeepIdle)
+}
+
+// close gives the connection up.
+func (a *attempt) close() {
+	a.stop()
+	_ = a.conn.Close()
+}
+
+// head is the request line and headers as they are sent. The path and query are
+// the caller's bytes.
+func (q *request) head(p protocol.Caller, f protocol.Forwarding) []byte {
+	header := q.header.Clone()
+	p.Forward(header, f)
+	header.Del("Content-Length")
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.method, q.target, q.host)
+	if len(q.body) > 0 || q.method == http.MethodPost || q.method == http.MethodPut || q.method == http.MethodPatch {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
+	}
+	_ = header.Write(&b) // a buffer takes every write
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/relay/daemon.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const (
+	// callerIdle keeps idle connections of callers. It is longer than any limit
+	// that a routing document is expected to state, so that no request crosses a
+	// close.
+	callerIdle         = 3 * time.Minute
+	callerHeader       = 10 * time.Second
+	callerHeaderBytes  = 64 << 10
+	refreshInterval    = 250 * time.Millisecond
+	stopMargin         = 600 * time.Millisecond
+	weightsMargin      = 2 * time.Second
+	weightsBoundMinium = time.Second
+)
+
+// Options are what the daemon gets from its surroundings.
+type Options struct {
+	Token    auth.Token // of the system's processes
+	Network  network.Network
+	Protocol protocol.Caller
+	Decode   func(source []byte) (*routing.Document, error)
+	// Ready builds what is served on the ready address.
+	Ready func(ready func() error) http.Handler
+}
+
+// Daemon is a relay with its ports.
+type Daemon struct {
+	settings Settings
+	opts     Options
+	log      log.Interface
+	registry *prometheus.Registry
+	fleet    *fleetclient.Client
+	handler  *handler
+	changed  chan struct{}
+	names    atomic.Pointer[map[uint32]string] // endpoints by hash
+	draining atomic.Bool
+	wasReady bool
+}
+
+// New builds the daemon.
+func New(s Settings, opts Options, logger log.Interface) *Daemon {
+	d := &Daemon{
+		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), changed: make(chan struct{}, 1),
+	}
+	d.names.Store(&map[uint32]string{})
+	d.fleet = fleetclient.New(fleetclient.Config{
+		Token: opts.Token.Secret(), Seeds: settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort),
+		Network: opts.Network, Log: logger, Confirmed: true, Decode: opts.Decode, Changed: d.signal,
+	}, d.self(false))
+	d.handler = &handler{
+		protocol: opts.Protocol, fleet: d.fleet, dispatch: newDispatcher(s.RetryRatio, s.RetrySlack),
+		conns: newConnPool(opts.Network), metrics: newRelayMetrics(d.registry), log: logger, zone: s.Zone,
+		weightsBound: max(weightsBoundMinium, s.WeightsBound.Std()-weightsMargin),
+	}
+	return d
+}
+
+func (d *Daemon) self(ready bool) wire.Process {
+	return wire.Process{
+		Name: d.settings.Instance, Role: wire.RoleEntry, Address: d.settings.advertised(), PeerAddress: d.settings.PeerListen,
+		Zone: d.settings.Zone, Region: d.settings.Region, Ready: ready, Draining: d.draining.Load(),
+	}
+}
+
+func (d *Daemon) signal() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+var (
+	errDraining  = errors.New("draining")
+	errNoRouting = errors.New("no routing document yet")
+)
+
+// ready returns why no new caller should come, or nil.
+func (d *Daemon) ready() error {
+	switch {
+	case d.draining.Load():
+		return errDraining
+	case d.fleet.Table() == nil:
+		return errNoRouting
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then until requests in progress are done or the
+// grace period is over.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	servers, err := network.OpenServers(d.opts.Network,
+		network.Port{Address: d.settings.Listen, Handler: d.handler},
+		network.Port{Address: d.settings.ReadyListen, Handler: d.opts.Ready(d.ready)},
+		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
+	)
+	if err != nil {
+		return oops.In("relay").Wrap(err)
+	}
+	callers := servers[0]
+	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.MaxHeaderBytes = callerHeader, callerIdle, callerHeaderBytes
+	callers.BaseContext = func(net.Listener) context.Context { return background }
+	var wg sync.WaitGroup
+	failures := make(chan error, len(servers))
+	for _, s := range servers {
+		wg.Go(func() {
+			if err := s.Serve(); err != nil {
+				failures <- oops.In("relay").Wrap(err)
+			}
+		})
+	}
+	wg.Go(func() { d.fleet.Run(background) })
+	wg.Go(func() { d.follow(background) })
+	wg.Go(func() { d.exchangeLoads(background) })
+	d.log.Info("started")
+	select {
+	case <-ctx.Done():
+		d.drain(callers)
+	case err = <-failures:
+	}
+	stopBackground()
+	for _, s := range servers {
+		_ = s.Close() // what is left is cut off: the grace period is over
+	}
+	wg.Wait()
+	d.log.Info("stopped")
+	return err
+}
+
+// drain sends new callers elsewhere, serves those that come all the same for as
+// long as they may hold the address, and then finishes what is in progress.
+func (d *Daemon) drain(callers network.Server) {
+	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
+	d.draining.Store(true)
+	d.fleet.Introduce(d.self(false))
+	d.log.Info("draining")
+	callers.SetKeepAlivesEnabled(false)
+	time.Sleep(min(defaultDrain, d.settings.Grace.Std()/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warn("requests_cut_by_stop")
+	}
+}
+
+// follow brings the pools in line with the fleet's state.
+func (d *Daemon) follow(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.changed:
+		case <-ticker.C:
+		}
+		d.refresh()
+	}
+}
+
+func (d *Daemon) refresh() {
+	table := d.fleet.Table()
+	if table == nil {
+		return
+	}
+	endpoints := map[string][]placement.Endpoint{}
+	names := map[uint32]string{}
+	keep := map[string]bool{}
+	for _, s := range d.fleet.ServerList() {
+		e := endpointOf(s, table.Service(s.Service))
+		endpoints[s.Service] = append(endpoints[s.Service], e)
+		names[endpointHash(s.ID)] = s.ID
+		keep[connKey(e)] = true
+	}
+	d.names.Store(&names)
+	d.handler.dispatch.update(table, endpoints, len(d.fleet.Processes()))
+	d.handler.conns.prune(keep)
+	ready := d.ready() == nil
+	if ready != d.wasReady {
+		d.wasReady = ready
+		d.log.WithField("ready", ready).Info("readiness_changed")
+	}
+	if !d.draining.Load() {
+		d.fleet.Introduce(d.self(ready))
+	}
+}
+
+// endpointOf is a server as the pools see it.
+func endpointOf(s wire.Server, service *routing.Service) placement.Endpoint {
+	e := placement.Endpoint{
+		ID: s.ID, Started: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining,
+	}
+	if service == nil || service.Engine == nil {
+		return e
+	}
+	for _, m := range s.Models {
+		if v := protocol.Complete(m.Layers, service.Engine.Layers); v > e.Version {
+			e.Version = v
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/relay/dispatch.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/admission"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const (
+	// waitShare is the share of a route's objective that a request may wait for a
+	// slot. Longer makes more answers late than it saves from refusal.
+	waitShare = 0.3
+	// retryMargin keeps the entries together below the retry budget: what they
+	// know of each other's number lags.
+	retryMargin = 0.75
+	// comeBackSpread spreads the return of refused callers over so much time.
+	comeBackSpread = 600 * time.Millisecond
+	// comeBackMinimum gives slots time to become free.
+	comeBackMinimum = 200 * time.Millisecond
+)
+
+// dispatcher holds the pools of all services and the requests that wait for a
+// slot. It adds a lock and waiting to package placement.
+type dispatcher struct {
+	ratio, slack float64
+
+	mu      sync.Mutex
+	pools   map[string]*poolState
+	entries int // that share the retry budget
+}
+
+type poolState struct {
+	*placement.Pool
+	line  placement.Line[chan struct{}]
+	retry *admission.RetryBudget
+}
+
+func newDispatcher(ratio, slack float64) *dispatcher {
+	return &dispatcher{ratio: ratio * retryMargin, slack: slack * retryMargin, pools: map[string]*poolState{}, entries: 1}
+}
+
+// pool returns a service's pool. The caller holds mu.
+func (d *dispatcher) pool(service string) *poolState {
+	p := d.pools[service]
+	if p == nil {
+		p = &poolState{Pool: placement.NewPool(placement.Config{}), retry: admission.NewRetryBudget(d.ratio)}
+		d.shareBudget(p)
+		d.pools[service] = p
+	}
+	return p
+}
+
+// shareBudget divides the burst of retries among the entries.
+func (d *dispatcher) shareBudget(p *poolState) {
+	p.retry.Burst = d.slack / float64(max(1, d.entries))
+	p.retry.PerSecond = 0
+}
+
+// update replaces the endpoints of every service.
+func (d *dispatcher) update(table *routing.Table, endpoints map[string][]placement.Endpoint, entries int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = entries
+	for name := range endpoints {
+		d.pool(name)
+	}
+	for name, p := range d.pools {
+		var engine *routing.Engine
+		if s := table.Service(name); s != nil {
+			engine = s.Engine
+		}
+		p.Update(engine, endpoints[name])
+		d.shareBudget(p)
+		d.wake(p)
+	}
+}
+
+// arrived counts a request of a service.
+func (d *dispatcher) arrived(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).retry.Earn()
+}
+
+// takeRetry spends one more send of a request, if the budget has one.
+func (d *dispatcher) takeRetry(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).retry.Take(time.Now())
+}
+
+// place finds an endpoint and counts the request as running there. A request that
+// finds every slot in use waits in line if a slot is due soon enough.
+func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
+	until := q.arrived.Add(time.Duration(waitShare * float64(q.route.Objective)))
+	var turn chan struct{}
+	for {
+		now := time.Now()
+		d.mu.Lock()
+		p := d.pool(q.service)
+		choice, verdict := p.Place(r, now)
+		if verdict == placement.Placed && (turn != nil || p.line.Len() == 0 || choice.Load.Running == 0) {
+			p.Begin(choice.ID, r.Prompt)
+			q.unread = r.Prompt
+			if turn != nil {
+				d.wake(p) // more than one slot may have become free
+			}
+			d.mu.Unlock()
+			return choice, nil
+		}
+		if verdict == placement.None || q.sends > 0 || !p.line.Worth(until.Sub(now), p.NextSlot(r, now)) {
+			pause := d.pauseOf(p, r, now)
+			d.mu.Unlock()
+			return choice, refusedPlacing(verdict, pause)
+		}
+		turn = make(chan struct{})
+		p.line.Join(until, turn)
+		d.mu.Unlock()
+		timer := time.NewTimer(until.Sub(now))
+		select {
+		case <-turn:
+		case <-timer.C:
+		case <-q.ctx.Done():
+		}
+		timer.Stop()
+		d.leave(q.service, turn)
+		if q.ctx.Err() != nil {
+			return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retry: comeBackMinimum}
+		}
+	}
+}
+
+func refusedPlacing(v placement.Verdict, pause time.Duration) *refusal {
+	reason := NoSlot
+	if v == placement.None {
+		reason = NoEndpoint
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retry: pause}
+}
+
+// leave takes a request out of the line, if it is still there.
+func (d *dispatcher) leave(service string, turn chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).line.Leave(turn)
+}
+
+// wake gives the first in line another try. The caller holds mu.
+func (d *dispatcher) wake(p *poolState) {
+	if turn, ok := p.line.First(); ok {
+		close(turn)
+	}
+}
+
+// pauseOf is when a refused request should come back: when the slots that are due
+// cover those that wait, spread so that callers do not return together.
+func (d *dispatcher) pauseOf(p *poolState, r placement.Request, now time.Time) time.Duration {
+	due := p.NextSlot(r, now) * time.Duration(p.line.Len()+1)
+	return comeBackMinimum + due + rand.N(comeBackSpread)
+}
+
+// comeBack is when a request that endpoints refused should come back.
+func (d *dispatcher) comeBack(q *request) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pauseOf(d.pool(q.service), placement.Request{}, time.Now())
+}
+
+func (d *dispatcher) firstEvent(service, id string, prompt int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service)
+	p.FirstEvent(id, prompt)
+	d.wake(p)
+}
+
+// end counts a send as ended and returns how long the endpoint is ejected for it.
+func (d *dispatcher) end(service string, c placement.Choice, unread int, r placement.Result) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service)
+	ejected := p.End(c.ID, c.Started, unread, r, time.Now())
+	d.wake(p)
+	return ejected
+}
+
+func (d *dispatcher) reported(service, id string, l protocol.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).Reported(id, l.Running, l.Waiting, time.Now())
+}
+
+// ownLoads returns the work of this entry at all endpoints.
+func (d *dispatcher) ownLoads() map[string]placement.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[string]placement.Load{}
+	for _, p := range d.pools {
+		for id, l := range p.OwnLoads() {
+			all[id] = l
+		}
+	}
+	return all
+}
+
+// peerLoads takes in the work of another entry.
+func (d *dispatcher) peerLoads(peer string, loads map[string]placement.Load, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.PeerLoads(peer, loads, now)
+		d.wake(p)
+	}
+}
--- /dev/null
+++ b/internal/relay/handler.go
@@ -0,0 +1,375 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const (
+	// retryWithoutState is when to come back to an entry that has no state yet.
+	retryWithoutState = 500 * time.Millisecond
+	// streamSilence is how long an endpoint may send nothing of a stream. A pass of
+	// a full engine takes up to about 0.5 s; callers give a stream up after 2 s or
+	// more.
+	streamSilence = 1500 * time.Millisecond
+	// notSentTries bounds connections that could not be opened for one request.
+	notSentTries = 4
+	// refusedTries bounds endpoints that refuse one request as not run.
+	refusedTries = 3
+	// answerBytes is the longest answer that is read whole before it is passed on,
+	// so that one that breaks off can be replaced.
+	answerBytes = 1 << 20
+)
+
+// handler serves callers.
+type handler struct {
+	protocol protocol.Caller
+	fleet    *fleetclient.Client
+	dispatch *dispatcher
+	conns    *connPool
+	metrics  *relayMetrics
+	log      log.Interface
+	zone     string
+	// weightsBound is the time after which a request may no longer begin on older
+	// weights than the named ones.
+	weightsBound time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q, refused := h.admit(w, r)
+	if refused == nil {
+		ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
+		defer cancel()
+		q.ctx = ctx
+		h.dispatch.arrived(q.service)
+		refused = h.serve(w, q)
+	}
+	if refused == nil {
+		h.finished(q, "done", "", http.StatusOK)
+		return
+	}
+	h.refuse(w, q, *refused)
+}
+
+// refuse sends the entry's own final answer.
+func (h *handler) refuse(w http.ResponseWriter, q *request, r refusal) {
+	h.metrics.refused.Inc(r.reason)
+	h.finished(q, "refused", r.reason, r.status)
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.retry > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.retry.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write([]byte(string(r.reason) + "\n")) // fails only when the caller has gone
+}
+
+// finished logs the end of a request.
+func (h *handler) finished(q *request, outcome string, reason Reason, status int) {
+	now := time.Now()
+	fields := log.Fields{
+		"request": q.call.ID, "outcome": outcome, "ms": now.Sub(q.arrived).Milliseconds(),
+		"endpoint": q.record.endpoint, "sends": q.sends, "not_run": q.refusals,
+		"predicted_ms": q.record.predicted.Milliseconds(), "running": q.record.load.Running, "unread": q.record.load.Unread,
+		"waited_ms": q.record.waited.Milliseconds(), "prompt": q.call.PromptTokens,
+	}
+	if q.route != nil {
+		fields["route"], fields["service"] = q.route.Name, q.service
+		h.metrics.observe(q.route.Kind, outcome, now.Sub(q.arrived), q.record.firstEvent)
+	}
+	if q.table != nil {
+		fields["routing"] = q.table.Document.Version
+	}
+	if q.record.firstEvent > 0 {
+		fields["first_ms"] = q.record.firstEvent.Milliseconds()
+	}
+	if len(q.record.retries) > 0 {
+		fields["retries"] = q.record.retries
+	}
+	if reason != "" {
+		fields["reason"], fields["status"] = string(reason), status
+		fields["left_ms"] = q.left().Milliseconds()
+	}
+	h.log.WithFields(fields).Info("request_ended")
+}
+
+// serve sends a request until it has a final answer. A nil refusal means that the
+// answer was passed on.
+func (h *handler) serve(w http.ResponseWriter, q *request) *refusal {
+	var held *heldAnswer // a failure status of an endpoint, in case no retry does better
+	for {
+		choice, refused := h.place(q, 0)
+		if refused != nil {
+			if held != nil {
+				return held.write(w)
+			}
+			if q.sends > 0 {
+				return &refusal{status: http.StatusBadGateway, reason: AnswerLost}
+			}
+			return refused
+		}
+		result, again := h.send(w, q, choice)
+		if result.held != nil {
+			held = result.held
+		}
+		if again == "" {
+			return result.refusal
+		}
+		if !h.mayRetry(q, again) {
+			if held != nil {
+				return held.write(w)
+			}
+			return result.refusal
+		}
+		q.record.retries = append(q.record.retries, string(again))
+		h.metrics.retried.Inc(again)
+	}
+}
+
+// result is the end of one send.
+type result struct {
+	refusal *refusal    // the final answer unless the request is sent once more
+	held    *heldAnswer // an endpoint's own failure
+}
+
+// mayRetry decides whether a request is sent to another endpoint. What may have
+// run is repeated only where the route allows it.
+func (h *handler) mayRetry(q *request, why Reason) bool {
+	if q.ctx.Err() != nil {
+		return false
+	}
+	switch why {
+	case RetryNotSent:
+		return q.refusals < notSentTries
+	case RetryNotRun:
+		return q.refusals < refusedTries && h.dispatch.takeRetry(q.service)
+	default:
+		return q.route.Repeatable() && q.sends < q.route.MaxAttempts && h.dispatch.takeRetry(q.service)
+	}
+}
+
+// place finds an endpoint, waiting briefly for a slot.
+func (h *handler) place(q *request, exact uint64) (placement.Choice, *refusal) {
+	version := h.requiredVersion(q)
+	before := time.Now()
+	choice, refused := h.dispatch.place(q, q.placing(h.zone, version, exact))
+	q.record.waited += time.Since(before)
+	if refused != nil {
+		return choice, refused
+	}
+	q.record.endpoint, q.record.predicted, q.record.load = choice.ID, choice.FirstToken, choice.Load
+	q.record.started = choice.Started
+	return choice, nil
+}
+
+// requiredVersion is the version of the weights before which a request may not
+// begin.
+func (h *handler) requiredVersion(q *request) uint64 {
+	if q.call.Model == "" {
+		return 0
+	}
+	return h.fleet.RequiredWeights(q.call.Model, h.weightsBound)
+}
+
+// forwarding is what the endpoint is told.
+func (h *handler) forwarding(q *request, c placement.Choice, lastEvent string) protocol.Forwarding {
+	f := protocol.Forwarding{
+		Endpoint: c.ID, Patience: q.left(), Organisation: q.organisation, LastEvent: lastEvent,
+	}
+	if required := h.requiredVersion(q); required != 0 {
+		f.Version = c.Version
+	}
+	return f
+}
+
+// send sends a request to one endpoint and passes its answer on. The reason is
+// empty when the request has its final answer.
+func (h *handler) send(w http.ResponseWriter, q *request, c placement.Choice) (result, Reason) {
+	silence := time.Duration(0)
+	if q.route.Kind == routing.Stream {
+		silence = streamSilence
+	}
+	q.tried = append(q.tried, c.ID)
+	a, err := h.open(q.ctx, q, c, h.forwarding(q, c, ""), silence)
+	if err != nil {
+		return h.failed(q, c, err)
+	}
+	if load := a.answer.Load; load != nil {
+		h.dispatch.reported(q.service, c.ID, *load)
+	}
+	if a.answer.NotRun {
+		return h.notRun(q, c, a)
+	}
+	q.sends++
+	if q.route.Kind == routing.Stream && a.response.StatusCode == http.StatusOK {
+		return h.stream(w, q, c, a)
+	}
+	return h.plain(w, q, c, a)
+}
+
+// failed judges a send without an answer.
+func (h *handler) failed(q *request, c placement.Choice, err error) (result, Reason) {
+	switch {
+	case errors.Is(err, errNotSent):
+		q.refusals++
+		h.end(q, c, placement.Failed, err)
+		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retry: h.dispatch.comeBack(q)}}, RetryNotSent
+	case errors.Is(err, errEnded) || q.ctx.Err() != nil:
+		q.sends++
+		return h.ended(q, c)
+	case errors.Is(err, errSilent):
+		q.sends++
+		h.end(q, c, placement.Silent, err)
+		return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: AnswerLost}}, RetrySilent
+	default:
+		q.sends++
+		h.end(q, c, placement.Broken, err)
+		return result{refusal: &refusal{status: http.StatusBadGateway, reason: AnswerLost}}, RetryBroken
+	}
+}
+
+// ended is the final answer of a request whose caller left or whose time is over.
+func (h *handler) ended(q *request, c placement.Choice) (result, Reason) {
+	if errors.Is(q.ctx.Err(), context.DeadlineExceeded) {
+		h.end(q, c, h.overdue(q), errEnded)
+		return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: TimeOver}}, ""
+	}
+	h.end(q, c, placement.Neutral, errEnded)
+	return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: CallerGone}}, ""
+}
+
+// overdue is what a request that got no answer in time says of its endpoint.
+func (h *handler) overdue(q *request) placement.Result {
+	if q.record.firstEvent > 0 {
+		return placement.Neutral
+	}
+	return placement.Silent
+}
+
+func (h *handler) notRun(q *request, c placement.Choice, a *attempt) (result, Reason) {
+	q.refusals++
+	status := a.response.StatusCode
+	_, err := a.body(answerBytes)
+	a.finish()
+	if err == nil {
+		err = errors.New("not run: status " + strconv.Itoa(status))
+	}
+	h.end(q, c, placement.Refused, err)
+	return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NotRunAnyhow, retry: h.dispatch.comeBack(q)}}, RetryNotRun
+}
+
+// end tells the pool of the end of a send, and logs what went wrong.
+func (h *handler) end(q *request, c placement.Choice, r placement.Result, err error) {
+	ejected := h.dispatch.end(q.service, c, q.unread, r)
+	q.unread = 0
+	if err == nil || r == placement.Neutral {
+		return
+	}
+	fields := log.Fields{
+		"request": q.call.ID, "endpoint": c.ID, "address": c.Address, "started": c.Started,
+		"predicted_ms": c.FirstToken.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
+	}
+	if ejected > 0 {
+		fields["ejected_ms"] = ejected.Milliseconds()
+		h.metrics.ejected.Inc()
+	}
+	h.log.WithFields(fields).WithError(err).Warn("send_failed")
+}
+
+// heldAnswer is a failure status that an endpoint gave.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *heldAnswer) write(w http.ResponseWriter) *refusal {
+	header := w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body) // fails only when the caller has gone
+	return nil
+}
+
+// plain passes on an answer that is no stream.
+func (h *handler) plain(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
+	status := a.response.StatusCode
+	body, err := a.body(answerBytes)
+	if err != nil {
+		a.close()
+		if q.ctx.Err() != nil {
+			return h.ended(q, c)
+		}
+		h.end(q, c, placement.Broken, err)
+		return result{refusal: &refusal{status: http.StatusBadGateway, reason: AnswerLost}}, RetryBroken
+	}
+	if !a.whole {
+		return h.long(w, q, c, a, body)
+	}
+	answer := &heldAnswer{status: status, header: a.response.Header, body: body}
+	a.finish()
+	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests {
+		h.end(q, c, placement.Erroring, errors.New("status "+strconv.Itoa(status)))
+		if promisesNotRun(status) {
+			// The endpoint does not say that it did not run the request, so the caller
+			// must not be told so.
+			return result{refusal: &refusal{status: http.StatusBadGateway, reason: EndpointError}}, RetryError
+		}
+		return result{held: answer, refusal: nil}, RetryError
+	}
+	h.end(q, c, placement.Success, nil)
+	q.record.firstEvent = time.Since(q.arrived)
+	return result{refusal: answer.write(w)}, ""
+}
+
+// promisesNotRun reports whether callers take a status as "has not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// long passes on an answer that is too long to hold.
+func (h *handler) long(w http.ResponseWriter, q *request, c placement.Choice, a *attempt, first []byte) (result, Reason) {
+	copyHeader(w.Header(), a.response.Header)
+	w.WriteHeader(a.response.StatusCode)
+	err := passOn(w, first, a.response.Body)
+	a.close()
+	if err != nil {
+		h.end(q, c, placement.Broken, err)
+		h.aborted(q, AnswerLost, err)
+	}
+	h.end(q, c, placement.Success, nil)
+	return result{}, ""
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// aborted ends a response that cannot be completed: the connection is closed, so
+// that what was sent does not look whole.
+func (h *handler) aborted(q *request, reason Reason, err error) {
+	h.metrics.refused.Inc(reason)
+	h.log.WithField("request", q.call.ID).WithError(err).Warn("answer_aborted")
+	h.finished(q, "aborted", reason, 0)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const subsystem = "relay"
+
+// latencyBuckets cover objectives of 150 to 500 ms and time-outs of up to 6 s.
+var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6}
+
+type relayMetrics struct {
+	refused, retried metrics.Reasons[Reason]
+	stray, ejected   prometheus.Counter
+	ended            *prometheus.CounterVec
+	first, total     *prometheus.HistogramVec
+}
+
+func newRelayMetrics(r prometheus.Registerer) *relayMetrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help})
+	}
+	latency := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: latencyBuckets,
+		}, []string{"kind"})
+	}
+	m := &relayMetrics{
+		refused: metrics.NewReasons(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
+		retried: metrics.NewReasons(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
+		stray:   counter("stray_answers_total", "Answers that belong to another request, or to none."),
+		ejected: counter("ejections_total", "Endpoints taken out for a time after failures."),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "ended_total", Help: "Requests by kind of route and outcome.",
+		}, []string{"kind", "outcome"}),
+		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
+		total: latency("request_seconds", "Time from a request's arrival to its end."),
+	}
+	r.MustRegister(m.stray, m.ejected, m.ended, m.first, m.total)
+	return m
+}
+
+func (m *relayMetrics) observe(kind routing.Kind, outcome string, total, first time.Duration) {
+	label := kind.String()
+	m.ended.WithLabelValues(label, outcome).Inc()
+	m.total.WithLabelValues(label).Observe(total.Seconds())
+	if first > 0 {
+		m.first.WithLabelValues(label).Observe(first.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/relay/reasons.go
@@ -0,0 +1,55 @@
+package relay
+
+import "time"
+
+// Reason says why a request was refused, sent once more, or ended without a whole
+// answer. Values appear in logs and metric labels and stay stable.
+type Reason string
+
+// Reasons for refusing or ending a request.
+const (
+	NoRouting     Reason = "no-routing"
+	NoRoute       Reason = "no-route"
+	UnknownKey    Reason = "unknown-key"
+	BodyTooLarge  Reason = "body-too-large"
+	BadBody       Reason = "bad-body"
+	NoEndpoint    Reason = "no-endpoint"
+	NoSlot        Reason = "no-slot"
+	NotRunAnyhow  Reason = "endpoints-refused"
+	CallerGone    Reason = "caller-gone"
+	TimeOver      Reason = "time-over"
+	AnswerLost    Reason = "answer-lost"
+	StreamBroken  Reason = "stream-broken"
+	CrashSuspect  Reason = "crash-suspect"
+	EndpointError Reason = "endpoint-error"
+)
+
+// Reasons for sending a request once more.
+const (
+	RetryNotSent Reason = "not-sent"
+	RetryNotRun  Reason = "not-run"
+	RetryBroken  Reason = "broken"
+	RetrySilent  Reason = "silent"
+	RetryError   Reason = "error-status"
+)
+
+// RefusalReasons lists the reasons for which a request ends without an endpoint's
+// answer.
+func RefusalReasons() []Reason {
+	return []Reason{
+		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, NotRunAnyhow,
+		CallerGone, TimeOver, AnswerLost, StreamBroken, CrashSuspect, EndpointError,
+	}
+}
+
+// RetryReasons lists the reasons for sending a request once more.
+func RetryReasons() []Reason {
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetrySilent, RetryError}
+}
+
+// refusal is a final answer of the entry's own.
+type refusal struct {
+	status int
+	reason Reason
+	retry  time.Duration // when to come back; zero says nothing
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/placement"
+)
+
+// passOn writes the start of a body and copies the rest.
+func passOn(w http.ResponseWriter, first []byte, rest io.Reader) error {
+	if _, err := w.Write(first); err != nil {
+		return err
+	}
+	_, err := io.Copy(w, rest)
+	return err
+}
+
+// streamState is a stream on its way to the caller.
+type streamState struct {
+	w       http.ResponseWriter
+	flusher http.Flusher
+	started bool
+	lastID  string
+	version uint64
+}
+
+// stream passes the events of a stream on. One that breaks off continues on
+// another endpoint where the route allows it, within the same answer.
+func (h *handler) stream(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
+	flusher, _ := w.(http.Flusher)
+	s := &streamState{w: w, flusher: flusher, lastID: q.call.LastEvent, version: a.answer.Version}
+	for {
+		err := h.relay(q, c, a, s)
+		if err == nil {
+			a.whole = true
+			a.finish()
+			h.end(q, c, placement.Success, nil)
+			return result{}, ""
+		}
+		a.close()
+		if q.ctx.Err() != nil || errors.Is(err, errEnded) {
+			return h.streamEnded(q, c, s)
+		}
+		why, verdict := RetryBroken, placement.Broken
+		if errors.Is(err, errSilent) {
+			why, verdict = RetrySilent, placement.Silent
+		}
+		h.end(q, c, verdict, err)
+		if !s.started {
+			return result{refusal: &refusal{status: http.StatusBadGateway, reason: AnswerLost}}, why
+		}
+		if c, a = h.resume(q, s, why); a == nil {
+			h.aborted(q, StreamBroken, err)
+		}
+	}
+}
+
+// streamEnded ends a stream whose caller left or whose time is over.
+func (h *handler) streamEnded(q *request, c placement.Choice, s *streamState) (result, Reason) {
+	r, _ := h.ended(q, c)
+	if s.started {
+		h.aborted(q, r.refusal.reason, errEnded)
+	}
+	return r, ""
+}
+
+// relay passes whole events on until the stream ends.
+func (h *handler) relay(q *request, c placement.Choice, a *attempt, s *streamState) error {
+	events := newEventReader(a.response.Body)
+	first := true
+	for {
+		if err := a.conn.SetReadDeadline(q.readDeadline(streamSilence)); err != nil {
+			return errors.Join(errBroken, err)
+		}
+		ev, err := events.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			s.start(a)
+			return nil
+		case err != nil:
+			return readError(err)
+		}
+		if first {
+			first = false
+			h.dispatch.firstEvent(q.service, c.ID, q.unread)
+			q.unread = 0
+			if q.record.firstEvent == 0 {
+				q.record.firstEvent = time.Since(q.arrived)
+			}
+		}
+		s.start(a)
+		if _, err := s.w.Write(ev.data); err != nil {
+			return errors.Join(errEnded, err)
+		}
+		if ev.id != "" {
+			s.lastID = ev.id
+		}
+		if !events.buffered() {
+			s.flush()
+		}
+	}
+}
+
+func (s *streamState) start(a *attempt) {
+	if s.started {
+		return
+	}
+	s.started = true
+	copyHeader(s.w.Header(), a.response.Header)
+	s.w.Header().Del("Content-Length")
+	s.w.WriteHeader(a.response.StatusCode)
+}
+
+func (s *streamState) flush() {
+	if s.flusher != nil {
+		s.flusher.Flush()
+	}
+}
+
+// resume continues a stream on another endpoint. It returns no attempt when the
+// stream cannot be continued.
+func (h *handler) resume(q *request, s *streamState, why Reason) (placement.Choice, *attempt) {
+	for {
+		if s.lastID == "" || !h.mayRetry(q, why) {
+			return placement.Choice{}, nil
+		}
+		q.record.retries = append(q.record.retries, string(why))
+		h.metrics.retried.Inc(why)
+		c, refused := h.place(q, s.version)
+		if refused != nil {
+			return c, nil
+		}
+		q.tried = append(q.tried, c.ID)
+		a, err := h.open(q.ctx, q, c, h.forwarding(q, c, s.lastID), streamSilence)
+		if err != nil {
+			var r result
+			if r, why = h.failed(q, c, err); why == "" || r.refusal == nil {
+				return c, nil
+			}
+			continue
+		}
+		if a.answer.NotRun {
+			_, why = h.notRun(q, c, a)
+			continue
+		}
+		q.sends++
+		if a.response.StatusCode == http.StatusOK {
+			return c, a
+		}
+		a.close()
+		h.end(q, c, placement.Erroring, errors.New("a resumed stream was refused: "+a.response.Status))
+		why = RetryError
+	}
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -1,5 +1,11 @@
 package settings
 
+import (
+	"net"
+	"slices"
+	"strconv"
+)
+
 // Common holds the settings that every daemon has. Daemons embed it inline.
 type Common struct {
 	// Instance names the machine.
@@ -32,3 +38,34 @@
 	}
 	p.Token("process_token_file", c.ProcessTokenFile)
 }
+
+// CheckSeeds records the problems of the ways to find control replicas: session
+// addresses, or addresses of replicas whose session port is given.
+func (p *Problems) CheckSeeds(controls, seeds []string, sessionPort int) {
+	switch {
+	case len(controls) > 0 && len(seeds) > 0:
+		p.Add("seeds", "must be empty where controls are given")
+	case len(controls) > 0:
+		p.Addresses("controls", controls)
+	case len(seeds) > 0:
+		p.Addresses("seeds", seeds)
+		if sessionPort <= 0 || sessionPort > maxPort {
+			p.Add("session_port", "must be from 1 to %d, got %d", maxPort, sessionPort)
+		}
+	default:
+		p.Add("controls", "needs addresses of control replicas, or seeds")
+	}
+}
+
+const maxPort = 65535
+
+// SessionAddresses returns the session addresses of control replicas for settings
+// that CheckSeeds accepted.
+func SessionAddresses(controls, seeds []string, sessionPort int) []string {
+	list := slices.Clone(controls)
+	for _, seed := range seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		list = append(list, net.JoinHostPort(host, strconv.Itoa(sessionPort)))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/stager/daemon.go
@@ -0,0 +1,291 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const (
+	// checkInterval is the time between two looks at the engine, which may have
+	// restarted without weights.
+	checkInterval = 400 * time.Millisecond
+	// loadingInterval is the time between two looks at an engine that loads.
+	loadingInterval = 100 * time.Millisecond
+	engineTimeout   = 2 * time.Second
+	// firstVersion is in force before any is named.
+	firstVersion = 1
+	stopTimeout  = time.Second
+)
+
+// Engine is the engine beside the stager, and the origin of weights.
+type Engine interface {
+	Report(ctx context.Context, address string) (protocol.Report, error)
+	Load(ctx context.Context, address, model string, version, expected uint64) error
+	Stage(ctx context.Context, address, model string, piece int, data []byte) error
+	Staged(ctx context.Context, address, model string, piece int, limit int64) ([]byte, error)
+	Pieces(ctx context.Context, origin, model string, version uint64) (protocol.PieceList, error)
+	Piece(ctx context.Context, origin, model string, version uint64, piece int, limit int64) ([]byte, error)
+}
+
+// Options are what the daemon gets from its surroundings.
+type Options struct {
+	Token   auth.Token // of the system's processes
+	Network network.Network
+	Decode  func(source []byte) (*routing.Document, error)
+	// Engine returns the client for engines and origins that uses an HTTP client.
+	Engine Engine
+}
+
+// Daemon is a stager.
+type Daemon struct {
+	settings Settings
+	opts     Options
+	log      log.Interface
+	registry *prometheus.Registry
+	fleet    *fleetclient.Client
+	store    *store
+	peers    *http.Client
+	changed  chan struct{}
+	// staged is the version whose pieces lie beside the engine, as far as known.
+	staged uint64
+}
+
+// target is what the engine must hold.
+type target struct {
+	model   string
+	version uint64
+	layers  int
+	pieces  int
+	origin  string
+}
+
+// New builds the daemon.
+func New(s Settings, opts Options, logger log.Interface) *Daemon {
+	d := &Daemon{
+		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
+		peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
+	}
+	d.fleet = fleetclient.New(fleetclient.Config{
+		Token: opts.Token.Secret(), Seeds: settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort),
+		Network: opts.Network, Log: logger, Decode: opts.Decode, Changed: d.signal,
+	}, wire.Process{
+		Name: s.Instance, Role: wire.RoleStager, Address: s.Engine, PeerAddress: s.PeerListen,
+		Zone: s.Zone, Region: s.Region, Service: s.Service,
+	})
+	return d
+}
+
+func (d *Daemon) signal() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run brings weights to the engine until ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	servers, err := network.OpenServers(d.opts.Network,
+		network.Port{Address: d.settings.PeerListen, Handler: d.peerHandler(d.opts.Token)},
+		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, func() error { return nil })},
+	)
+	if err != nil {
+		return oops.In("stager").Wrap(err)
+	}
+	var wg sync.WaitGroup
+	failures := make(chan error, len(servers))
+	for _, s := range servers {
+		wg.Go(func() {
+			if err := s.Serve(); err != nil {
+				failures <- oops.In("stager").Wrap(err)
+			}
+		})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { d.fleet.Run(ctx) })
+	wg.Go(func() { d.follow(ctx) })
+	d.log.Info("started")
+	select {
+	case <-ctx.Done():
+	case err = <-failures:
+	}
+	cancel()
+	network.CloseServers(servers, stopTimeout)
+	wg.Wait()
+	d.log.Info("stopped")
+	return err
+}
+
+// follow brings the engine to the target whenever it is not there.
+func (d *Daemon) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if t, ok := d.target(); ok {
+			if err := d.bring(ctx, t); err != nil && ctx.Err() == nil {
+				d.log.WithFields(log.Fields{"model": t.model, "version": t.version}).WithError(err).Warn("weights_not_in_place")
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.changed:
+		case <-time.After(checkInterval):
+		}
+	}
+}
+
+// target is what the engine must hold now.
+func (d *Daemon) target() (target, bool) {
+	table := d.fleet.Table()
+	if table == nil {
+		return target{}, false
+	}
+	service := table.Service(d.settings.Service)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return target{}, false
+	}
+	e := service.Engine
+	t := target{model: e.Models[0], layers: e.Layers, pieces: e.Chunks}
+	t.version = max(firstVersion, d.fleet.Weights(t.model))
+	for i := range table.Document.Services {
+		if origin := table.Document.Services[i].Origin; origin != "" {
+			t.origin = origin
+		}
+	}
+	return t, true
+}
+
+// superseded returns a context that ends when another version becomes the target.
+func (d *Daemon) superseded(ctx context.Context, t target) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for pause(ctx, loadingInterval) {
+			if now, ok := d.target(); ok && now.version != t.version {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+var errLoading = errors.New("engine is loading")
+
+// bring makes the engine hold the target.
+func (d *Daemon) bring(ctx context.Context, t target) error {
+	ctx, cancel := d.superseded(ctx, t)
+	defer cancel()
+	report, err := d.report(ctx)
+	if err != nil {
+		return err
+	}
+	inPlace := protocol.Holds(report.Layers[t.model], t.version, t.layers)
+	c, err := d.fetch(ctx, t)
+	if err != nil {
+		return err
+	}
+	d.hold(t.version)
+	if inPlace {
+		return nil
+	}
+	if report.Loading {
+		return d.await(ctx, t, report)
+	}
+	return d.load(ctx, t, c)
+}
+
+// hold tells other stagers that this one has a whole version.
+func (d *Daemon) hold(version uint64) {
+	self := d.fleet.Self()
+	self.Holds = version
+	d.fleet.Introduce(self)
+}
+
+func (d *Daemon) report(ctx context.Context) (protocol.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return d.opts.Engine.Report(ctx, d.settings.Engine)
+}
+
+// load stages what is not staged as it should be, and orders the load right after
+// the check: what lies beside an engine may turn bad.
+func (d *Daemon) load(ctx context.Context, t target, c *copyOf) error {
+	started := time.Now()
+	restaged, err := d.stage(ctx, t, c)
+	if err != nil {
+		return err
+	}
+	if again, err := d.stage(ctx, t, c); err != nil || again > 0 {
+		return errors.Join(err, errDigest)
+	}
+	report, err := d.report(ctx)
+	if err != nil {
+		return err
+	}
+	octx, cancel := context.WithTimeout(ctx, engineTimeout)
+	err = d.opts.Engine.Load(octx, d.settings.Engine, t.model, t.version, report.Orders)
+	cancel()
+	d.log.WithFields(log.Fields{
+		"model": t.model, "version": t.version, "restaged": restaged, "orders": report.Orders,
+		"running": report.Running, "ms": time.Since(started).Milliseconds(), "error": errorText(err),
+	}).Info("load_ordered")
+	if err != nil {
+		return err
+	}
+	return d.await(ctx, t, report)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// stage reads back every piece beside the engine and replaces those that do not
+// match. It returns how many it replaced.
+func (d *Daemon) stage(ctx context.Context, t target, c *copyOf) (replaced int, err error) {
+	for i := range c.pieces {
+		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		if err == nil && c.matches(i, data) {
+			continue
+		}
+		if err := d.opts.Engine.Stage(ctx, d.settings.Engine, t.model, i, c.get(i)); err != nil {
+			return replaced, err
+		}
+		replaced++
+	}
+	return replaced, nil
+}
+
+// await waits until an engine has loaded.
+func (d *Daemon) await(ctx context.Context, t target, before protocol.Report) error {
+	started := time.Now()
+	for pause(ctx, loadingInterval) {
+		report, err := d.report(ctx)
+		if err != nil {
+			return err
+		}
+		if protocol.Holds(report.Layers[t.model], t.version, t.layers) {
+			d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "ms": time.Since(started).Milliseconds()}).Info("weights_in_place")
+			return nil
+		}
+		if !report.Loading || report.Started != before.Started {
+			return errors.New("engine ended its load without the weights")
+		}
+	}
+	return errors.Join(errLoading, ctx.Err())
+}
--- /dev/null
+++ b/internal/stager/fetch.go
@@ -0,0 +1,257 @@
+package stager
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+)
+
+const (
+	// parallelPieces keeps the link busy while some questions wait at peers.
+	parallelPieces = 8
+	// peerTimeout bounds one question to a peer: its wait and the transfer of a
+	// piece over a link that several share.
+	peerTimeout = 2500 * time.Millisecond
+	// originTimeout bounds a piece from the origin, whose link of 9.9 Mbit/s all
+	// share.
+	originTimeout = 3 * time.Second
+	listTimeout   = time.Second
+	retryPause    = 100 * time.Millisecond
+	maxPieceBytes = 8 << 20
+	// maxMismatches of pieces from the origin make its list suspect: it may be
+	// the list that is wrong.
+	maxMismatches = 6
+	digestText    = 64 // hexadecimal digits of a digest
+)
+
+var (
+	errList     = errors.New("list of pieces is malformed")
+	errSuspect  = errors.New("pieces do not match the list")
+	errNoSource = errors.New("no origin is known")
+)
+
+// job is the transfer of one version.
+type job struct {
+	daemon *Daemon
+	target target
+	copy   *copyOf
+	plan   plan
+
+	mu         sync.Mutex
+	mismatches int
+	fromOrigin int
+	fromPeers  int
+	bad        map[string]bool // peers that sent wrong bytes
+}
+
+// fetch returns a whole copy of the version.
+func (d *Daemon) fetch(ctx context.Context, t target) (*copyOf, error) {
+	c := d.store.get(t.version)
+	if c != nil && c.whole() {
+		return c, nil
+	}
+	started := time.Now()
+	if c == nil {
+		list, err := d.list(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		c = newCopy(list)
+		d.adopt(ctx, t, c)
+		d.store.add(c)
+	}
+	j := &job{daemon: d, target: t, copy: c, plan: newPlan(d.fleet.Self(), d.fleet.Processes(), t.version), bad: map[string]bool{}}
+	err := j.run(ctx)
+	d.log.WithFields(log.Fields{
+		"version": t.version, "pieces": len(c.pieces), "from_peers": j.fromPeers, "from_origin": j.fromOrigin,
+		"mismatches": j.mismatches, "ms": time.Since(started).Milliseconds(), "whole": c.whole(),
+	}).Info("pieces_fetched")
+	if errors.Is(err, errSuspect) {
+		d.store.drop(t.version)
+	}
+	return c, err
+}
+
+// list gets the list of a version's pieces from a holder, or the origin.
+func (d *Daemon) list(ctx context.Context, t target) (protocol.PieceList, error) {
+	p := newPlan(d.fleet.Self(), d.fleet.Processes(), t.version)
+	for _, holder := range p.holders[:min(2, len(p.holders))] {
+		lctx, cancel := context.WithTimeout(ctx, listTimeout)
+		list, err := d.peerList(lctx, holder.PeerAddress, t.version)
+		cancel()
+		if err == nil && checkList(list, t) == nil {
+			return list, nil
+		}
+		d.log.WithField("peer", holder.Name).WithError(err).Info("peer_list_failed")
+	}
+	if t.origin == "" {
+		return protocol.PieceList{}, errNoSource
+	}
+	lctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	list, err := d.opts.Engine.Pieces(lctx, t.origin, t.model, t.version)
+	if err != nil {
+		return list, err
+	}
+	return list, checkList(list, t)
+}
+
+func checkList(list protocol.PieceList, t target) error {
+	if list.Model != t.model || list.Version != t.version || len(list.Digests) != t.pieces {
+		return fmt.Errorf("%w: model %q version %d with %d pieces", errList, list.Model, list.Version, len(list.Digests))
+	}
+	for _, digest := range list.Digests {
+		if _, err := hex.DecodeString(digest); err != nil || len(digest) != digestText {
+			return fmt.Errorf("%w: digest %q", errList, digest)
+		}
+	}
+	return nil
+}
+
+// adopt takes over the pieces that already lie beside the engine.
+func (d *Daemon) adopt(ctx context.Context, t target, c *copyOf) {
+	for i := range c.pieces {
+		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		if err != nil {
+			return // nothing is staged, which is usual for a new engine
+		}
+		if c.put(i, data) != nil && i == 0 {
+			return // another version is staged
+		}
+	}
+}
+
+func (j *job) run(ctx context.Context) error {
+	order := make([]int, 0, len(j.copy.pieces))
+	for i := range j.copy.pieces {
+		if j.copy.get(i) == nil {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		if ra, rb := j.plan.rank(a), j.plan.rank(b); ra != rb {
+			return ra - rb
+		}
+		wa, wb := weightOf(j.plan.self.Name, a), weightOf(j.plan.self.Name, b)
+		if wa < wb {
+			return -1
+		}
+		return 1
+	})
+	next := make(chan int, len(order))
+	for _, i := range order {
+		next <- i
+	}
+	close(next)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	for range parallelPieces {
+		wg.Go(func() {
+			for i := range next {
+				if err := j.piece(ctx, i); err != nil {
+					cancel(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return context.Cause(ctx)
+}
+
+// piece gets one piece, trying its sources until one has it.
+func (j *job) piece(ctx context.Context, i int) error {
+	for {
+		for _, s := range j.plan.sources(i) {
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
+			if j.isBad(s.peer) {
+				continue
+			}
+			err := j.from(ctx, s, i)
+			if err == nil || errors.Is(err, errSuspect) {
+				return err
+			}
+			if ctx.Err() == nil {
+				j.daemon.log.WithFields(log.Fields{"piece": i, "version": j.target.version, "peer": s.peer}).WithError(err).Debug("piece_failed")
+			}
+		}
+		if !pause(ctx, retryPause) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (j *job) isBad(peer string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return peer != "" && j.bad[peer]
+}
+
+func (j *job) from(ctx context.Context, s source, i int) error {
+	if s.peer == "" && j.target.origin == "" {
+		return errNoSource
+	}
+	limit := peerTimeout
+	if s.peer == "" {
+		limit = originTimeout
+	}
+	fctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var data []byte
+	var err error
+	if s.peer == "" {
+		data, err = j.daemon.opts.Engine.Piece(fctx, j.target.origin, j.target.model, j.target.version, i, maxPieceBytes)
+	} else {
+		data, err = j.daemon.peerPiece(fctx, s.peer, j.target.version, i)
+	}
+	if err != nil {
+		return err
+	}
+	return j.took(s, i, data)
+}
+
+func (j *job) took(s source, i int, data []byte) error {
+	err := j.copy.put(i, data)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case err == nil && s.peer == "":
+		j.fromOrigin++
+	case err == nil:
+		j.fromPeers++
+	case s.peer != "":
+		// The peer holds another list, or its bytes changed on the way.
+		j.bad[s.peer] = true
+		j.daemon.log.WithFields(log.Fields{"peer": s.peer, "piece": i, "version": j.target.version}).Warn("peer_sent_wrong_piece")
+	default:
+		j.mismatches++
+		j.daemon.log.WithFields(log.Fields{"piece": i, "version": j.target.version, "mismatches": j.mismatches}).Warn("origin_sent_wrong_piece")
+		if j.mismatches >= maxMismatches {
+			return errSuspect
+		}
+	}
+	return err
+}
+
+// pause waits and reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/stager/peers.go
@@ -0,0 +1,115 @@
+package stager
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+)
+
+const (
+	pathPieces = "/pieces/{version}"
+	pathPiece  = "/pieces/{version}/{piece}"
+
+	// pieceWait is how long a stager holds a question for a piece that it is about
+	// to have. Asking again costs a message each way.
+	pieceWait = 1200 * time.Millisecond
+	// maxListBytes bounds a list of pieces: 64 pieces take 5 KB.
+	maxListBytes = 1 << 20
+)
+
+var errNotHeld = errors.New("peer does not have the piece")
+
+// peerHandler serves lists and pieces to other stagers.
+func (d *Daemon) peerHandler(token auth.Token) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(pathPieces, func(w http.ResponseWriter, r *http.Request) {
+		c := d.copyFor(r)
+		if c == nil {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(c.list) // fails only when the peer has gone
+	}).Methods(http.MethodGet)
+	r.HandleFunc(pathPiece, d.servePiece).Methods(http.MethodGet)
+	return token.Require(r)
+}
+
+func (d *Daemon) copyFor(r *http.Request) *copyOf {
+	version, err := strconv.ParseUint(mux.Vars(r)["version"], 10, 64)
+	if err != nil {
+		return nil
+	}
+	return d.store.get(version)
+}
+
+func (d *Daemon) servePiece(w http.ResponseWriter, r *http.Request) {
+	deadline := time.NewTimer(pieceWait)
+	defer deadline.Stop()
+	c := d.copyFor(r)
+	for c == nil { // the version may have been named here a moment later than there
+		select {
+		case <-r.Context().Done():
+			return
+		case <-deadline.C:
+			http.NotFound(w, r)
+			return
+		case <-time.After(copyPoll):
+		}
+		c = d.copyFor(r)
+	}
+	piece, err := strconv.Atoi(mux.Vars(r)["piece"])
+	if err != nil || piece < 0 || piece >= len(c.pieces) {
+		http.NotFound(w, r)
+		return
+	}
+	select {
+	case <-c.waits[piece]:
+		_, _ = w.Write(c.get(piece)) // fails only when the peer has gone
+	case <-deadline.C:
+		http.NotFound(w, r)
+	case <-r.Context().Done():
+	}
+}
+
+const copyPoll = 50 * time.Millisecond
+
+func (d *Daemon) askPeer(ctx context.Context, address, path string, limit int64) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+d.opts.Token.Secret())
+	response, err := d.peers.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", errNotHeld, response.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, limit))
+}
+
+func (d *Daemon) peerList(ctx context.Context, address string, version uint64) (protocol.PieceList, error) {
+	data, err := d.askPeer(ctx, address, fmt.Sprintf("/pieces/%d", version), maxListBytes)
+	if err != nil {
+		return protocol.PieceList{}, err
+	}
+	var list protocol.PieceList
+	return list, json.Unmarshal(data, &list)
+}
+
+func (d *Daemon) peerPiece(ctx context.Context, address string, version uint64, piece int) ([]byte, error) {
+	return d.askPeer(ctx, address, fmt.Sprintf("/pieces/%d/%d", version, piece), maxPieceBytes)
+}
--- /dev/null
+++ b/internal/stager/plan.go
@@ -0,0 +1,121 @@
+package stager
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+)
+
+// source is where a piece may come from. An empty peer is the origin.
+type source struct{ peer string }
+
+// plan says where each piece of a version comes from. It is the same on every
+// stager that knows of the same others, so that no messages about who fetches
+// what are needed.
+type plan struct {
+	self    wire.Process
+	holders []wire.Process // of the whole version, those of this region first
+	region  []wire.Process // that fetch it too, this one included
+	all     []wire.Process
+}
+
+// newPlan divides the work among the stagers of this service.
+func newPlan(self wire.Process, processes []wire.Process, version uint64) plan {
+	p := plan{self: self}
+	known := false
+	for _, other := range processes {
+		if other.Service != self.Service || other.Draining {
+			continue
+		}
+		known = known || other.Name == self.Name
+		if other.Holds == version && other.Name != self.Name {
+			p.holders = append(p.holders, other)
+			continue
+		}
+		p.add(other)
+	}
+	if !known {
+		p.add(self)
+	}
+	slices.SortStableFunc(p.holders, func(a, b wire.Process) int {
+		return p.distance(a) - p.distance(b)
+	})
+	return p
+}
+
+func (p *plan) add(other wire.Process) {
+	p.all = append(p.all, other)
+	if other.Region == p.self.Region {
+		p.region = append(p.region, other)
+	}
+}
+
+func (p *plan) distance(other wire.Process) int {
+	if other.Region == p.self.Region {
+		return 0
+	}
+	return 1
+}
+
+// home is the stager of a list that a piece belongs to. Removing another stager
+// from the list moves no piece.
+func home(list []wire.Process, piece int) wire.Process {
+	var best wire.Process
+	var highest uint64
+	for _, p := range list {
+		if weight := weightOf(p.Name, piece); best.Name == "" || weight > highest {
+			best, highest = p, weight
+		}
+	}
+	return best
+}
+
+func weightOf(name string, piece int) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(append([]byte(name), byte(piece), byte(piece>>8))) // never fails
+	return h.Sum64() * 0x9e3779b97f4a7c15
+}
+
+// sources lists where to ask for a piece, in order. The origin is the last.
+func (p *plan) sources(piece int) []source {
+	var list []source
+	add := func(other wire.Process) {
+		s := source{other.PeerAddress}
+		if other.Name != p.self.Name && other.PeerAddress != "" && !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	near := slices.DeleteFunc(slices.Clone(p.holders), func(h wire.Process) bool { return p.distance(h) > 0 })
+	global, regional := home(p.all, piece), home(p.region, piece)
+	switch {
+	case len(near) > 0:
+		add(home(near, piece+rotation(p.self.Name)))
+		add(home(near, piece))
+	case len(p.holders) > 0:
+		if regional.Name != p.self.Name {
+			add(regional)
+		}
+		add(home(p.holders, piece+rotation(p.self.Name)))
+	case global.Name == p.self.Name:
+		return []source{{}}
+	default:
+		add(regional)
+		add(global)
+	}
+	return append(list, source{})
+}
+
+// rotation spreads stagers that fetch the same piece over its holders.
+func rotation(name string) int { return int(weightOf(name, 0) % 251) }
+
+// rank orders the pieces: first those that others wait for.
+func (p *plan) rank(piece int) int {
+	switch p.self.Name {
+	case home(p.all, piece).Name:
+		return 0
+	case home(p.region, piece).Name:
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/internal/stager/store.go
@@ -0,0 +1,103 @@
+package stager
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"strings"
+	"sync"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+)
+
+var errDigest = errors.New("piece does not match its digest")
+
+// copyOf holds the verified pieces of one version in memory: the instances have
+// no disk, and a version has 2 MiB.
+type copyOf struct {
+	list protocol.PieceList
+
+	mu     sync.Mutex
+	pieces [][]byte
+	held   int
+	waits  []chan struct{} // closed when the piece is held
+}
+
+func newCopy(list protocol.PieceList) *copyOf {
+	c := &copyOf{list: list, pieces: make([][]byte, len(list.Digests)), waits: make([]chan struct{}, len(list.Digests))}
+	for i := range c.waits {
+		c.waits[i] = make(chan struct{})
+	}
+	return c
+}
+
+// matches reports whether data is piece i.
+func (c *copyOf) matches(i int, data []byte) bool {
+	sum := sha256.Sum256(data)
+	return strings.EqualFold(hex.EncodeToString(sum[:]), c.list.Digests[i])
+}
+
+// put keeps a piece if it matches its digest.
+func (c *copyOf) put(i int, data []byte) error {
+	if !c.matches(i, data) {
+		return errDigest
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pieces[i] == nil {
+		c.pieces[i] = data
+		c.held++
+		close(c.waits[i])
+	}
+	return nil
+}
+
+func (c *copyOf) get(i int) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pieces[i]
+}
+
+func (c *copyOf) whole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held == len(c.pieces)
+}
+
+// store holds the copies of a model's newest versions.
+type store struct {
+	mu     sync.Mutex
+	copies map[uint64]*copyOf
+}
+
+// keepCopies bounds the versions in memory: the one in place and the one under
+// way, which others may still fetch.
+const keepCopies = 2
+
+func newStore() *store { return &store{copies: map[uint64]*copyOf{}} }
+
+func (s *store) get(version uint64) *copyOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copies[version]
+}
+
+// add keeps a copy and drops the oldest ones.
+func (s *store) add(c *copyOf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[c.list.Version] = c
+	for len(s.copies) > keepCopies {
+		oldest := c.list.Version
+		for v := range s.copies {
+			oldest = min(oldest, v)
+		}
+		delete(s.copies, oldest)
+	}
+}
+
+func (s *store) drop(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.copies, version)
+}
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -26,9 +26,14 @@
 	TypeFollowLoads    Type = 14
 	TypeLoads          Type = 15
 	TypeKeepAlive      Type = 16
+	TypeProcess        Type = 17
+	TypeFleet          Type = 18
+	TypeServers        Type = 19
+	TypeRoutingRequest Type = 20
+	TypeRouting        Type = 21
 
 	// TypeCount is one more than the highest type.
-	TypeCount = 17
+	TypeCount = 22
 )
 
 var typeNames = [TypeCount]string{
@@ -36,6 +41,7 @@
 	TypeConfirmReply: "confirm_reply", TypeCatalogue: "catalogue", TypeMembers: "members", TypeRaft: "raft",
 	TypePropose: "propose", TypeProposeReply: "propose_reply", TypeHaveRequest: "have_request", TypeHave: "have",
 	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads", TypeKeepAlive: "keep_alive",
+	TypeProcess: "process", TypeFleet: "fleet", TypeServers: "servers", TypeRoutingRequest: "routing_request", TypeRouting: "routing",
 }
 
 // String names a message type.
--- /dev/null
+++ b/internal/wire/fleet.go
@@ -0,0 +1,145 @@
+package wire
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/membership"
+)
+
+// Server is an endpoint without an agent in its request path: it checks in with
+// any control replica, and entries send requests to it directly.
+type Server struct {
+	ID string `cbor:"1,keyasint"`
+	// Started is the start of the server's process, Unix milliseconds. It tells
+	// incarnations with the same identifier apart.
+	Started  uint64        `cbor:"2,keyasint"`
+	Sequence uint64        `cbor:"3,keyasint"` // increases within an incarnation
+	Service  string        `cbor:"4,keyasint"`
+	Address  string        `cbor:"5,keyasint"`
+	Zone     string        `cbor:"6,keyasint"`
+	Slots    int           `cbor:"7,keyasint,omitempty"`
+	Draining bool          `cbor:"8,keyasint,omitempty"`
+	Gone     bool          `cbor:"9,keyasint,omitempty"`
+	Models   []ServerModel `cbor:"10,keyasint,omitempty"`
+}
+
+// ServerModel is a model of which a server holds layers.
+type ServerModel struct {
+	Name   string                  `cbor:"1,keyasint"`
+	Layers []protocol.ServedLayers `cbor:"2,keyasint,omitempty"`
+}
+
+// SortModels puts the models in order of name, so that equal states compare
+// equal.
+func (s *Server) SortModels() {
+	slices.SortFunc(s.Models, func(a, b ServerModel) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Record returns the check-in as a record of a member table.
+func (s Server) Record() membership.Record[Server] {
+	return membership.Record[Server]{
+		Endpoint: s.ID, Incarnation: s.Started, Sequence: s.Sequence, Draining: s.Draining, Gone: s.Gone, Report: s,
+	}
+}
+
+// Servers carries check-ins, whole or changed since version Base, like Members.
+type Servers struct {
+	Epoch   uint64   `cbor:"1,keyasint"`
+	Version uint64   `cbor:"2,keyasint"`
+	Base    uint64   `cbor:"3,keyasint,omitempty"`
+	Updated []Server `cbor:"4,keyasint,omitempty"`
+	Removed []string `cbor:"5,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (Servers) MessageType() Type { return TypeServers }
+
+// ServersFrom returns the message of a table's update.
+func ServersFrom(u membership.Update[Server]) Servers {
+	m := Servers{Epoch: u.Epoch, Version: u.Version, Base: u.Base, Removed: u.Removed}
+	for _, r := range u.Updated {
+		m.Updated = append(m.Updated, r.Report)
+	}
+	return m
+}
+
+// Update returns the table's update of a message.
+func (m Servers) Update() membership.Update[Server] {
+	u := membership.Update[Server]{Epoch: m.Epoch, Version: m.Version, Base: m.Base, Removed: m.Removed}
+	for _, s := range m.Updated {
+		u.Updated = append(u.Updated, s.Record())
+	}
+	return u
+}
+
+// Role is what a process of the system does.
+type Role string
+
+// Roles of processes that follow the fleet's state.
+const (
+	RoleEntry  Role = "entry"
+	RoleStager Role = "stager"
+)
+
+// Process introduces a process to a control replica, when a session opens and on
+// each change. It is present for as long as its session is open.
+type Process struct {
+	Name string `cbor:"1,keyasint"`
+	Role Role   `cbor:"2,keyasint"`
+	// Address is where callers of an entry connect, or where a stager serves
+	// pieces of weights.
+	Address string `cbor:"3,keyasint"`
+	// PeerAddress takes messages of other processes of the same role.
+	PeerAddress string `cbor:"4,keyasint,omitempty"`
+	Zone        string `cbor:"5,keyasint"`
+	Region      string `cbor:"6,keyasint"`
+	Ready       bool   `cbor:"7,keyasint,omitempty"`
+	Draining    bool   `cbor:"8,keyasint,omitempty"`
+	Service     string `cbor:"9,keyasint,omitempty"` // of the engine beside a stager
+	// Holds is the version of the weights that a stager has in whole.
+	Holds uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (Process) MessageType() Type { return TypeProcess }
+
+// NamedWeights is the version of a model's weights that must be in place.
+type NamedWeights struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	// AgeMs is the time since the sending replica learned of the version.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Fleet tells a process what changed: the accepted routing document, the named
+// weights, the control replicas, and the processes of its own role.
+type Fleet struct {
+	RoutingVersion uint64            `cbor:"1,keyasint"`
+	Weights        []NamedWeights    `cbor:"2,keyasint,omitempty"`
+	Replicas       map[string]string `cbor:"3,keyasint,omitempty"` // session addresses by identifier
+	Processes      []Process         `cbor:"4,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (Fleet) MessageType() Type { return TypeFleet }
+
+// RoutingRequest asks for the routing document. With Confirm only a replica that
+// has just confirmed with a quorum that it leads answers.
+type RoutingRequest struct {
+	Confirm bool `cbor:"1,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (RoutingRequest) MessageType() Type { return TypeRoutingRequest }
+
+// Routing is a routing document, compressed with DEFLATE. Version 0 means that
+// none was accepted yet.
+type Routing struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (Routing) MessageType() Type { return TypeRouting }
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -13,6 +13,21 @@
 	Crash    *ReportCrash  `cbor:"5,keyasint,omitempty"`
 	Clear    *ClearSuspect `cbor:"6,keyasint,omitempty"`
 	Lookup   *Lookup       `cbor:"7,keyasint,omitempty"`
+	Routing  *SetRouting   `cbor:"8,keyasint,omitempty"`
+	Weights  *NameWeights  `cbor:"9,keyasint,omitempty"`
+}
+
+// SetRouting submits a routing document that was validated. Document is stored
+// as it is.
+type SetRouting struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint"`
+}
+
+// NameWeights names the version of a model's weights that must be in place.
+type NameWeights struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
 }
 
 // SubmitNote submits a release note in canonical form.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -28,11 +28,13 @@
 	suspects   suspects
 	lastDelta  *release.Delta
 	quarantine uint64 // counts changes of the suspect list
+	routing    SetRouting
+	weights    map[string]uint64 // named version, by model
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{catalogue: release.NewCatalogue(), claims: newClaims(), suspects: newSuspects()}
+	return &Ledger{catalogue: release.NewCatalogue(), claims: newClaims(), suspects: newSuspects(), weights: map[string]uint64{}}
 }
 
 // Encode encodes a command for the log.
@@ -45,7 +47,7 @@
 		return c, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	operations := 0
-	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil, c.Lookup != nil} {
+	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil, c.Lookup != nil, c.Routing != nil, c.Weights != nil} {
 		if set {
 			operations++
 		}
@@ -78,10 +80,52 @@
 		return l.suspects.clear(*c.Clear)
 	case c.Lookup != nil:
 		return l.claims.lookup(*c.Lookup)
+	case c.Routing != nil:
+		return l.applyRouting(*c.Routing)
+	case c.Weights != nil:
+		return l.applyWeights(*c.Weights)
 	}
 	return refused("empty command")
 }
 
+// applyRouting keeps the document with the highest version. One that is not
+// higher than the held one changes nothing and is answered as accepted, so that
+// an operator may send a document again after a lost answer.
+func (l *Ledger) applyRouting(r SetRouting) Result {
+	if r.Version == 0 || len(r.Document) == 0 {
+		return refused("routing document without version or content")
+	}
+	result := Result{Status: StatusAccepted, Number: r.Version}
+	if r.Version <= l.routing.Version {
+		result.Repeated = true
+		return result
+	}
+	l.routing = r
+	return result
+}
+
+// applyWeights keeps the highest version that was named for a model.
+func (l *Ledger) applyWeights(n NameWeights) Result {
+	if n.Version == 0 || n.Model == "" {
+		return refused("weights without model or version")
+	}
+	result := Result{Status: StatusAccepted, Number: n.Version}
+	if n.Version <= l.weights[n.Model] {
+		result.Repeated = true
+		return result
+	}
+	l.weights = maps.Clone(l.weights)
+	l.weights[n.Model] = n.Version
+	return result
+}
+
+// Routing returns the accepted routing document; its version is 0 before the
+// first. It is not changed afterwards.
+func (l *Ledger) Routing() SetRouting { return l.routing }
+
+// Weights returns the named versions by model. The map is not changed afterwards.
+func (l *Ledger) Weights() map[string]uint64 { return l.weights }
+
 func refused(reason string) Result { return Result{Status: StatusRefused, Reason: reason} }
 
 // applyNote accepts the next note, repeats the answer for one that was
@@ -188,6 +232,8 @@
 	Filtered  uint64             `cbor:"7,keyasint,omitempty"`
 	Suspects  map[string]suspect `cbor:"8,keyasint,omitempty"`
 	Incidents map[string]int64   `cbor:"9,keyasint,omitempty"`
+	Routing   *SetRouting        `cbor:"10,keyasint,omitempty"`
+	Weights   map[string]uint64  `cbor:"11,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states give equal bytes.
@@ -196,7 +242,12 @@
 	for _, h := range l.claims.expired {
 		expired = appendHash(expired, h)
 	}
+	var routing *SetRouting
+	if l.routing.Version != 0 {
+		routing = &l.routing
+	}
 	return snapshotEncMode.Marshal(snapshotState{
+		Routing: routing, Weights: l.weights,
 		NowMs: l.nowMs, Catalogue: l.catalogue, Digests: l.digests,
 		Claims: l.claims.ordered(), Expired: expired, Filter: l.claims.filter, Filtered: l.claims.filtered,
 		Suspects: l.suspects.held, Incidents: l.suspects.incidents,
@@ -230,6 +281,12 @@
 	if s.Suspects != nil {
 		l.suspects.held = s.Suspects
 	}
+	if s.Routing != nil {
+		l.routing = *s.Routing
+	}
+	if s.Weights != nil {
+		l.weights = s.Weights
+	}
 	if s.Incidents != nil {
 		l.suspects.incidents = s.Incidents
 	}
--- /dev/null
+++ b/placement/pool.go
@@ -0,0 +1,319 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+// Endpoint is what is known of an endpoint apart from its load.
+type Endpoint struct {
+	ID       string
+	Started  uint64 // incarnation
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Version is the newest version of the weights that it holds in whole; zero
+	// for none, and for plain services.
+	Version uint64
+}
+
+// Load is work of one endpoint.
+type Load struct {
+	Running int
+	// Unread is the number of prompt tokens of requests without a first event.
+	Unread int
+}
+
+// Request is a request to place.
+type Request struct {
+	Prompt int // tokens
+	Zone   string
+	// Version excludes endpoints with older weights; zero excludes none.
+	Version uint64
+	// Exact prefers endpoints with this version of the weights; zero has no
+	// preference.
+	Exact uint64
+	// Exclude names endpoints that the request was sent to before.
+	Exclude []string
+}
+
+// Config configures a Pool. The zero value of a field takes its default.
+type Config struct {
+	// Slots of an endpoint that does not state them. Default 8.
+	Slots int
+	// RemoteMs is added to the predicted time of an endpoint in another zone, so
+	// that equals are chosen near: traffic between zones costs the users money.
+	// More saves bytes and costs time to the first token. Default 15.
+	RemoteMs float64
+	// JitterMs spreads choices between endpoints that look alike, since other
+	// entries see the same loads and choose at the same moment. Default 20.
+	JitterMs float64
+	// PeerExpiry is how long what another entry said of its work counts. Default
+	// 1 s, several times the interval at which entries tell each other.
+	PeerExpiry time.Duration
+	Rand       *rand.Rand
+}
+
+const (
+	defaultSlots      = 8
+	defaultRemoteMs   = 15
+	defaultJitterMs   = 20
+	defaultPeerExpiry = time.Second
+	// plainMs is the work of a request at a plain service, for their order only.
+	plainMs = 30
+	// reportedFor is how long a load that an endpoint reported with an answer
+	// counts. Passes of an engine take up to about this long.
+	reportedFor = 300 * time.Millisecond
+)
+
+// Pool is the endpoints of one service as one entry sees them.
+type Pool struct {
+	cfg       Config
+	engine    *routing.Engine
+	endpoints map[string]*state
+	peers     map[string]peerLoads
+}
+
+type peerLoads struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+type state struct {
+	Endpoint
+	own      Load
+	reported Load
+	heard    time.Time
+	health   health
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg Config) *Pool {
+	if cfg.Slots == 0 {
+		cfg.Slots = defaultSlots
+	}
+	if cfg.RemoteMs == 0 {
+		cfg.RemoteMs = defaultRemoteMs
+	}
+	if cfg.JitterMs == 0 {
+		cfg.JitterMs = defaultJitterMs
+	}
+	if cfg.PeerExpiry == 0 {
+		cfg.PeerExpiry = defaultPeerExpiry
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Pool{cfg: cfg, endpoints: map[string]*state{}, peers: map[string]peerLoads{}}
+}
+
+// Update replaces the endpoints and the description of their engines, which is
+// nil for plain services. A new incarnation of an endpoint starts without
+// history.
+func (p *Pool) Update(engine *routing.Engine, endpoints []Endpoint) {
+	p.engine = engine
+	kept := map[string]bool{}
+	for _, e := range endpoints {
+		kept[e.ID] = true
+		held := p.endpoints[e.ID]
+		if held == nil || held.Started != e.Started {
+			p.endpoints[e.ID] = &state{Endpoint: e}
+			continue
+		}
+		held.Endpoint = e
+	}
+	for id := range p.endpoints {
+		if !kept[id] {
+			delete(p.endpoints, id)
+		}
+	}
+}
+
+// PeerLoads takes in the work that another entry has at the endpoints.
+func (p *Pool) PeerLoads(peer string, loads map[string]Load, now time.Time) {
+	p.peers[peer] = peerLoads{loads, now}
+}
+
+// OwnLoads returns the work of this entry by endpoint, where there is any.
+func (p *Pool) OwnLoads() map[string]Load {
+	own := map[string]Load{}
+	for id, s := range p.endpoints {
+		if s.own != (Load{}) {
+			own[id] = s.own
+		}
+	}
+	return own
+}
+
+// Choice is the endpoint for a request.
+type Choice struct {
+	Endpoint
+	// FirstToken is the predicted time to the first event.
+	FirstToken time.Duration
+	Load       Load // of the endpoint, from all entries
+}
+
+// Verdict says why a request was not placed.
+type Verdict uint8
+
+// Verdicts of Place.
+const (
+	Placed Verdict = iota
+	// Full means that every suitable endpoint has all slots in use.
+	Full
+	// None means that no endpoint is suitable at all.
+	None
+)
+
+// Place chooses the endpoint with the earliest predicted first event among those
+// with a free slot.
+func (p *Pool) Place(r Request, now time.Time) (Choice, Verdict) {
+	verdict := None
+	var best Choice
+	bestScore := math.Inf(1)
+	for _, s := range p.endpoints {
+		if !p.suitable(s, r, now) {
+			continue
+		}
+		load := p.load(s, now)
+		if load.Running >= p.slots(s) {
+			verdict = min(verdict, Full)
+			continue
+		}
+		firstMs := p.firstTokenMs(load, r.Prompt)
+		score := firstMs + p.cfg.Rand.Float64()*p.cfg.JitterMs
+		if s.Zone != r.Zone {
+			score += p.cfg.RemoteMs
+		}
+		if r.Exact != 0 && s.Version != r.Exact {
+			score += otherVersionMs
+		}
+		if score < bestScore {
+			bestScore, verdict = score, Placed
+			best = Choice{Endpoint: s.Endpoint, FirstToken: time.Duration(firstMs * float64(time.Millisecond)), Load: load}
+		}
+	}
+	return best, verdict
+}
+
+// otherVersionMs makes a stream continue on the weights that it began with where
+// any endpoint has them.
+const otherVersionMs = 10_000
+
+func (p *Pool) suitable(s *state, r Request, now time.Time) bool {
+	if s.Draining || p.engine != nil && s.Version == 0 || s.Version < r.Version {
+		return false
+	}
+	for _, id := range r.Exclude {
+		if id == s.ID {
+			return false
+		}
+	}
+	return s.health.admits(s.own.Running, now)
+}
+
+func (p *Pool) slots(s *state) int {
+	switch {
+	case s.Slots > 0:
+		return s.Slots
+	case p.engine != nil && p.engine.Slots > 0:
+		return p.engine.Slots
+	}
+	return p.cfg.Slots
+}
+
+// load is the work of an endpoint from all entries. What the endpoint itself
+// reported counts where it is more: some work may be of an entry that is not
+// heard of.
+func (p *Pool) load(s *state, now time.Time) Load {
+	load := s.own
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) < p.cfg.PeerExpiry {
+			load.Running += peer.loads[s.ID].Running
+			load.Unread += peer.loads[s.ID].Unread
+		}
+	}
+	if now.Sub(s.heard) < reportedFor {
+		load.Running = max(load.Running, s.reported.Running)
+	}
+	return load
+}
+
+// firstTokenMs predicts the time to the first event on an engine: half of the
+// pass in progress, the prompts that wait, the own prompt, and the steps of the
+// pass that reads it.
+func (p *Pool) firstTokenMs(load Load, prompt int) float64 {
+	e := p.engine
+	if e == nil {
+		return plainMs * float64(load.Running)
+	}
+	const half = 0.5
+	return half*e.PassMs(load.Running) + e.ReadMs(load.Unread) + e.ReadMs(prompt) + e.PassMs(load.Running+1)
+}
+
+// Begin counts a request as running at an endpoint.
+func (p *Pool) Begin(id string, prompt int) {
+	if s := p.endpoints[id]; s != nil {
+		s.own.Running++
+		s.own.Unread += prompt
+	}
+}
+
+// FirstEvent counts a request's prompt as read.
+func (p *Pool) FirstEvent(id string, prompt int) {
+	if s := p.endpoints[id]; s != nil {
+		s.own.Unread = max(0, s.own.Unread-prompt)
+	}
+}
+
+// End counts a request as ended, with what it says about the endpoint. Unread is
+// the prompt if no event came.
+func (p *Pool) End(id string, started uint64, unread int, result Result, now time.Time) (ejected time.Duration) {
+	s := p.endpoints[id]
+	if s == nil || s.Started != started {
+		return 0
+	}
+	s.own.Running = max(0, s.own.Running-1)
+	s.own.Unread = max(0, s.own.Unread-unread)
+	return s.health.observe(result, now)
+}
+
+// Reported takes in the load that an endpoint told with an answer.
+func (p *Pool) Reported(id string, running, waiting int, now time.Time) {
+	if s := p.endpoints[id]; s != nil {
+		s.reported, s.heard = Load{Running: running + waiting}, now
+	}
+}
+
+// Count returns the endpoints, and those that are suitable for a request.
+func (p *Pool) Count(r Request, now time.Time) (all, suitable int) {
+	for _, s := range p.endpoints {
+		if p.suitable(s, r, now) {
+			suitable++
+		}
+	}
+	return len(p.endpoints), suitable
+}
+
+// NextSlot predicts when the next slot of a suitable endpoint becomes free, from
+// the usual length of an answer and the streams in progress.
+func (p *Pool) NextSlot(r Request, now time.Time) time.Duration {
+	_, suitable := p.Count(r, now)
+	if suitable == 0 {
+		return recoveryPause
+	}
+	slots, serviceMs := p.cfg.Slots, float64(plainMs)
+	if e := p.engine; e != nil {
+		slots = e.Slots
+		serviceMs = e.ServiceMs()
+	}
+	return time.Duration(serviceMs / float64(max(1, slots*suitable)) * float64(time.Millisecond))
+}
+
+// recoveryPause is the time to come back after a refusal for want of any
+// endpoint: about the time in which a server checks in again.
+const recoveryPause = time.Second
--- /dev/null
+++ b/routing/pack.go
@@ -0,0 +1,40 @@
+package routing
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// maxUnpackedBytes bounds a packed document that is read.
+const maxUnpackedBytes = 16 << 20
+
+// Pack compresses the source of a document: replicas and entries exchange it on
+// each change, and it shrinks to less than a fifth.
+func Pack(source []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(source); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack reverses Pack.
+func Unpack(packed []byte) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	case len(data) > maxUnpackedBytes:
+		return nil, fmt.Errorf("%w: longer than %d bytes", ErrInvalid, maxUnpackedBytes)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table answers lookups in a Document. It is never changed.
+type Table struct {
+	Document *Document
+	routes   map[string][]*Route // by host, longest prefix first
+	services map[string]*Service
+	keys     map[string]*Organisation
+}
+
+// Compile builds the table of a valid document.
+func Compile(d *Document) *Table {
+	t := &Table{
+		Document: d, routes: map[string][]*Route{},
+		services: map[string]*Service{}, keys: map[string]*Organisation{},
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, list := range t.routes {
+		sort.SliceStable(list, func(i, k int) bool { return len(list[i].Prefix) > len(list[k].Prefix) })
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Organisations {
+		for _, key := range d.Organisations[i].Keys {
+			t.keys[key] = &d.Organisations[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route of a host with the longest prefix that begins path.
+// The port of the host does not count.
+func (t *Table) Route(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Organisation returns the holder of a key, or nil.
+func (t *Table) Organisation(key string) *Organisation { return t.keys[key] }
+
+// HasKeys reports whether requests need a key at all.
+func (t *Table) HasKeys() bool { return len(t.Document.Organisations) > 0 }
+
+// Pick returns the service of a target by a number drawn from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := int(draw * float64(total))
+	for _, t := range r.Targets {
+		if left < t.Weight {
+			return t.Service
+		}
+		left -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
