stager: one connection to the origin at a time; settings reload on SIGHUP

They now use one connection at a time, close it, and pause after a failure. They read their settings again, and also when the file changes without a signal.

Ruled out: the lost disk itself; the log had a leader 0.5 s after the restart.

--- a/cmd/rhubarb-agent/main.go
+++ b/cmd/rhubarb-agent/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	config := agent.DefaultSettings()
-	daemon.Main(program, "Daemon beside an engine or plain service.", &config, func(ctx context.Context) error {
+	daemon.Main(program, "Daemon beside an engine or plain service.", &config, func(ctx context.Context, _ daemon.Reloads) error {
 		return run(ctx, config)
 	})
 }
--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"net/http"
 
+	"github.com/apex/log"
+
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
@@ -17,12 +19,12 @@
 
 func main() {
 	config := control.DefaultSettings()
-	daemon.Main(program, "Control replica.", &config, func(ctx context.Context) error {
-		return run(ctx, config)
+	daemon.Main(program, "Control replica.", &config, func(ctx context.Context, reloads daemon.Reloads) error {
+		return run(ctx, config, reloads)
 	})
 }
 
-func run(ctx context.Context, config control.Settings) error {
+func run(ctx context.Context, config control.Settings, reloads daemon.Reloads) error {
 	processToken, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
@@ -44,5 +46,19 @@
 	if err != nil {
 		return err
 	}
+	go logReloads(ctx, reloads, logger)
 	return d.Run(ctx)
 }
+
+// logReloads reports changed settings. A replica takes them at its next start:
+// other replicas are found from the replicated log, not from its settings.
+func logReloads(ctx context.Context, reloads daemon.Reloads, logger log.Interface) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			logger.Info("settings_changed_for_next_start")
+		}
+	}
+}
--- a/cmd/rhubarb-entry/main.go
+++ b/cmd/rhubarb-entry/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	config := entry.DefaultSettings()
-	daemon.Main(program, "Caller-facing daemon.", &config, func(ctx context.Context) error {
+	daemon.Main(program, "Caller-facing daemon.", &config, func(ctx context.Context, _ daemon.Reloads) error {
 		return run(ctx, config)
 	})
 }
--- a/cmd/rhubarb-relay/main.go
+++ b/cmd/rhubarb-relay/main.go
@@ -16,12 +16,12 @@
 
 func main() {
 	config := relay.DefaultSettings()
-	daemon.Main(program, "Entry to endpoints without an agent.", &config, func(ctx context.Context) error {
-		return run(ctx, config)
+	daemon.Main(program, "Entry to endpoints without an agent.", &config, func(ctx context.Context, reloads daemon.Reloads) error {
+		return run(ctx, config, reloads)
 	})
 }
 
-func run(ctx context.Context, config relay.Settings) error {
+func run(ctx context.Context, config relay.Settings, reloads daemon.Reloads) error {
 	token, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
@@ -33,5 +33,5 @@
 	defer lines.Close()
 	return relay.New(config, relay.Options{
 		Token: token, Protocol: platform.Headers{}, Decode: platform.DecodeRouting, Ready: platform.ReadyHandler,
-	}, logger).Run(ctx)
+	}, logger).Run(ctx, reloads)
 }
--- a/cmd/rhubarb-stager/main.go
+++ b/cmd/rhubarb-stager/main.go
@@ -17,12 +17,12 @@
 
 func main() {
 	config := stager.DefaultSettings()
-	daemon.Main(program, "Brings weights to the engine on its instance.", &config, func(ctx context.Context) error {
-		return run(ctx, config)
+	daemon.Main(program, "Brings weights to the engine on its instance.", &config, func(ctx context.Context, reloads daemon.Reloads) error {
+		return run(ctx, config, reloads)
 	})
 }
 
-func run(ctx context.Context, config stager.Settings) error {
+func run(ctx context.Context, config stager.Settings, reloads daemon.Reloads) error {
 	token, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
@@ -34,6 +34,9 @@
 	defer lines.Close()
 	return stager.New(config, stager.Options{
 		Token: token, Decode: platform.DecodeRouting,
-		Engine: platform.Client{HTTP: &http.Client{Transport: network.HTTPTransport(nil)}},
-	}, logger).Run(ctx)
+		Engine: platform.Client{
+			HTTP:   &http.Client{Transport: network.HTTPTransport(nil)},
+			Origin: &http.Client{Transport: network.OneConnection(nil)},
+		},
+	}, logger).Run(ctx, reloads)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/apex/log"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 )
@@ -33,11 +36,16 @@
 	os.Exit(code)
 }
 
+// Reloads delivers settings that were read again after their file changed.
+type Reloads <-chan settings.Checker
+
 // Main parses the command line, loads the settings into config, which holds the
 // defaults, and calls run. SIGTERM and SIGINT end run's context; a second signal
-// ends the process at once. Main exits the process with 1 on an error, and with
-// ExitUsage for a wrong command line.
-func Main(name, description string, config settings.Checker, run func(ctx context.Context) error) {
+// ends the process at once. SIGHUP, or a change of the settings file, delivers
+// the new settings to run; a file with errors is reported and changes nothing.
+// Main exits the process with 1 on an error, and with ExitUsage for a wrong
+// command line.
+func Main(name, description string, config settings.Checker, run func(ctx context.Context, reloads Reloads) error) {
 	var f flags
 	kong.Parse(&f, kong.Name(name), kong.Description(description), kong.Vars{"version": Version(name)}, kong.Exit(Exit))
 	if err := start(f, config, run); err != nil {
@@ -46,7 +54,8 @@
 	}
 }
 
-func start(f flags, config settings.Checker, run func(ctx context.Context) error) error {
+func start(f flags, config settings.Checker, run func(ctx context.Context, reloads Reloads) error) error {
+	defaults := reflect.ValueOf(config).Elem().Interface()
 	if err := settings.Load(f.Settings, config); err != nil {
 		return err
 	}
@@ -57,7 +66,59 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	return run(ctx)
+	return run(ctx, watch(ctx, f.Settings, defaults))
+}
+
+// watchInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const watchInterval = 2 * time.Second
+
+// watch reads the settings again on SIGHUP and when their file changes.
+func watch(ctx context.Context, path string, defaults any) Reloads {
+	reloads := make(chan settings.Checker, 1)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangups)
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		last := modified(path)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+			case <-ticker.C:
+				if modified(path).Equal(last) {
+					continue
+				}
+			}
+			last = modified(path)
+			next := reflect.New(reflect.TypeOf(defaults))
+			next.Elem().Set(reflect.ValueOf(defaults))
+			config := next.Interface().(settings.Checker)
+			if err := settings.Load(path, config); err != nil {
+				log.WithError(err).Error("settings_not_reloaded")
+				continue
+			}
+			select {
+			case <-reloads: // replaced by the newer one
+			default:
+			}
+			reloads <- config
+		}
+	}()
+	return reloads
+}
+
+// modified is when a file was changed last; zero if that is not known, as while
+// it is replaced.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // Version returns the name and version of the running program.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -31,7 +31,7 @@
 	if os.Getenv(runAsDaemon) == "" {
 		os.Exit(m.Run())
 	}
-	daemon.Main("test-daemon", "Test.", &config{}, func(context.Context) error { return nil })
+	daemon.Main("test-daemon", "Test.", &config{}, func(context.Context, daemon.Reloads) error { return nil })
 }
 
 // Guards against exit codes and output other than docs/operating.md says.
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -107,7 +107,7 @@
 		view:   membership.NewView[wire.Server](membership.ViewConfig{}),
 		listed: map[string]listing{}, departed: map[string]departure{},
 	}
-	c.learn(cfg.Seeds)
+	c.Learn(cfg.Seeds)
 	return c
 }
 
@@ -155,8 +155,8 @@
 	}
 }
 
-// learn adds replicas that are not known yet.
-func (c *Client) learn(addresses []string) {
+// Learn adds control replicas that are not known yet.
+func (c *Client) Learn(addresses []string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -284,7 +284,7 @@
 
 func (c *Client) receiveFleet(address string, m wire.Fleet) {
 	now := time.Now()
-	c.learn(slices.Sorted(maps.Values(m.Replicas)))
+	c.Learn(slices.Sorted(maps.Values(m.Replicas)))
 	c.mu.Lock()
 	c.wanted = max(c.wanted, m.RoutingVersion)
 	c.processes[address] = m.Processes
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -44,6 +44,14 @@
 	return n
 }
 
+// OneConnection returns an HTTP transport for a server that takes few
+// connections: one at a time, closed after each answer.
+func OneConnection(n Network) *http.Transport {
+	t := HTTPTransport(n)
+	t.MaxConnsPerHost, t.DisableKeepAlives = 1, true
+	return t
+}
+
 // HTTPTransport returns an HTTP transport that dials through n. It never uses
 // a proxy from the environment and never compresses.
 func HTTPTransport(n Network) *http.Transport {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -111,7 +111,7 @@
 
 // Run serves until ctx ends, and then until requests in progress are done or the
 // grace period is over.
-func (d *Daemon) Run(ctx context.Context) error {
+func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	servers, err := network.OpenServers(d.opts.Network,
@@ -134,6 +134,7 @@
 			}
 		})
 	}
+	wg.Go(func() { d.reload(ctx, reloads) })
 	wg.Go(func() { d.fleet.Run(background) })
 	wg.Go(func() { d.follow(background) })
 	wg.Go(func() { d.exchangeLoads(background) })
@@ -225,3 +226,19 @@
 	}
 	return e
 }
+
+// reload takes over the addresses of control replicas from changed settings. The
+// rest counts at the next start.
+func (d *Daemon) reload(ctx context.Context, reloads <-chan settings.Checker) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-reloads:
+			if s, ok := next.(*Settings); ok {
+				d.fleet.Learn(settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort))
+				d.log.WithField("seeds", s.Seeds).Info("settings_reloaded")
+			}
+		}
+	}
+}
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	// loadingInterval is the time between two looks at an engine that loads.
 	loadingInterval = 100 * time.Millisecond
 	engineTimeout   = 2 * time.Second
+	// failurePause spreads stagers that try again, so that they do not press the
+	// origin together.
+	failurePause = 300 * time.Millisecond
 	// firstVersion is in force before any is named.
 	firstVersion = 1
 	stopTimeout  = time.Second
@@ -99,7 +103,7 @@
 }
 
 // Run brings weights to the engine until ctx ends.
-func (d *Daemon) Run(ctx context.Context) error {
+func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
 	servers, err := network.OpenServers(d.opts.Network,
 		network.Port{Address: d.settings.PeerListen, Handler: d.peerHandler(d.opts.Token)},
 		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, func() error { return nil })},
@@ -118,6 +122,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	wg.Go(func() { d.reload(ctx, reloads) })
 	wg.Go(func() { d.fleet.Run(ctx) })
 	wg.Go(func() { d.follow(ctx) })
 	d.log.Info("started")
@@ -138,6 +143,7 @@
 		if t, ok := d.target(); ok {
 			if err := d.bring(ctx, t); err != nil && ctx.Err() == nil {
 				d.log.WithFields(log.Fields{"model": t.model, "version": t.version}).WithError(err).Warn("weights_not_in_place")
+				pause(ctx, failurePause/2+rand.N(failurePause))
 			}
 		}
 		select {
@@ -289,3 +295,19 @@
 	}
 	return errors.Join(errLoading, ctx.Err())
 }
+
+// reload takes over the addresses of control replicas from changed settings. The
+// rest counts at the next start.
+func (d *Daemon) reload(ctx context.Context, reloads <-chan settings.Checker) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-reloads:
+			if s, ok := next.(*Settings); ok {
+				d.fleet.Learn(settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort))
+				d.log.WithField("seeds", s.Seeds).Info("settings_reloaded")
+			}
+		}
+	}
+}
