relay: fresh requests before late ones; a stopping entry takes callers for 1.3 s

It now takes them for 1.3 s, or 2.8 s while no other entry takes any; callers keep addresses for 1 s instead of 2 s; the directory names stopping entries only while none is ready and they still take callers. Cause 2: under overload a third of the capacity served callers that came back after a refusal and were late in any case, while fresh ones were refused. Entries remember what they refused, tell each other, and fill only 0.7 of an endpoint's slots with requests that come back; those come back after 0.8 s to 1.8 s.

Ruled out: a longer line at the entry, since slots were full throughout.

--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -33,7 +33,7 @@
 	// entryTTL is how long callers may keep the addresses of entries. Longer costs
 	// callers more failed connections after the loss of an entry, shorter costs
 	// replicas more questions.
-	entryTTL = 2 * time.Second
+	entryTTL = time.Second
 )
 
 // ReplaceRouting makes a valid routing document the accepted one, unless one of
@@ -179,12 +179,20 @@
 
 // Addresses returns the entries that a caller may connect to and how long it may
 // keep them.
+// While every entry is stopping, those are named that may still take callers.
 func (d *Daemon) Addresses(_, _ string) ([]string, time.Duration) {
-	var addresses []string
+	var ready, stopping []string
 	for _, p := range d.fleet.Entries() {
-		if p.Ready && !p.Draining {
-			addresses = append(addresses, p.Address)
+		switch {
+		case !p.Ready:
+		case p.Draining:
+			stopping = append(stopping, p.Address)
+		default:
+			ready = append(ready, p.Address)
 		}
 	}
-	return addresses, entryTTL
+	if len(ready) == 0 {
+		ready = stopping
+	}
+	return ready, entryTTL
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -13,8 +13,10 @@
 	Key string // empty without one
 	// Patience is how long the caller waits from the request's arrival on; zero
 	// when it does not say.
-	Patience     time.Duration
-	Model        string
+	Patience time.Duration
+	Model    string
+	// Prompt names the parts of the prompt.
+	Prompt       string
 	PromptTokens int
 	AnswerTokens int // the most that may be written
 	LengthHint   int // the caller's guess of the tokens written; zero without one
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -28,11 +28,18 @@
 	// callerIdle keeps idle connections of callers. It is longer than any limit
 	// that a routing document is expected to state, so that no request crosses a
 	// close.
-	callerIdle         = 3 * time.Minute
-	callerHeader       = 10 * time.Second
-	callerHeaderBytes  = 64 << 10
-	refreshInterval    = 250 * time.Millisecond
-	stopMargin         = 600 * time.Millisecond
+	callerIdle        = 3 * time.Minute
+	callerHeader      = 10 * time.Second
+	callerHeaderBytes = 64 << 10
+	refreshInterval   = 250 * time.Millisecond
+	stopMargin        = 600 * time.Millisecond
+	// acceptWithOthers is the time for which most callers keep addresses, and some
+	// more for their questions.
+	acceptWithOthers = 1300 * time.Millisecond
+	// acceptAlone leaves a stream of usual length the time to end within the grace
+	// period.
+	acceptAlone        = 2800 * time.Millisecond
+	drainPoll          = 50 * time.Millisecond
 	weightsMargin      = 2 * time.Second
 	weightsBoundMinium = time.Second
 )
@@ -73,7 +80,7 @@
 	}, d.self(false))
 	d.handler = &handler{
 		protocol: opts.Protocol, fleet: d.fleet, dispatch: newDispatcher(s.RetryRatio, s.RetrySlack),
-		conns: newConnPool(opts.Network), metrics: newRelayMetrics(d.registry), log: logger, zone: s.Zone,
+		conns: newConnPool(opts.Network), refused: newRefusedSet(), metrics: newRelayMetrics(d.registry), log: logger, zone: s.Zone,
 		weightsBound: max(weightsBoundMinium, s.WeightsBound.Std()-weightsMargin),
 	}
 	return d
@@ -158,10 +165,14 @@
 func (d *Daemon) drain(callers network.Server) {
 	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
 	d.draining.Store(true)
-	d.fleet.Introduce(d.self(false))
+	d.fleet.Introduce(d.self(d.fleet.Table() != nil))
 	d.log.Info("draining")
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(min(defaultDrain, d.settings.Grace.Std()/2))
+	for begun := time.Now(); time.Since(begun) < d.acceptFor(); {
+		time.Sleep(drainPoll)
+	}
+	d.fleet.Introduce(d.self(false))
+	d.log.Info("no_more_callers")
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
@@ -169,6 +180,17 @@
 	}
 }
 
+// acceptFor is how long callers are taken after a stop signal: while they may
+// hold the address, and longer while no other entry takes any.
+func (d *Daemon) acceptFor() time.Duration {
+	for _, p := range d.fleet.Processes() {
+		if p.Name != d.settings.Instance && p.Ready && !p.Draining {
+			return min(acceptWithOthers, d.settings.Grace.Std()/4)
+		}
+	}
+	return min(acceptAlone, d.settings.Grace.Std()/3)
+}
+
 // follow brings the pools in line with the fleet's state.
 func (d *Daemon) follow(ctx context.Context) {
 	ticker := time.NewTicker(refreshInterval)
@@ -201,6 +223,7 @@
 	d.names.Store(&names)
 	d.handler.dispatch.update(table, endpoints, len(d.fleet.Processes()))
 	d.handler.conns.prune(keep)
+	d.handler.refused.expire(time.Now())
 	ready := d.ready() == nil
 	if ready != d.wasReady {
 		d.wasReady = ready
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -20,9 +20,11 @@
 	// know of each other's number lags.
 	retryMargin = 0.75
 	// comeBackSpread spreads the return of refused callers over so much time.
-	comeBackSpread = 600 * time.Millisecond
-	// comeBackMinimum gives slots time to become free.
-	comeBackMinimum = 200 * time.Millisecond
+	comeBackSpread = time.Second
+	// comeBackMinimum lets a burst pass. A request that comes back is late in any
+	// case, so it loses nothing by coming later; callers wait up to a third of the
+	// time that they have left, which is 2 s at most.
+	comeBackMinimum = 800 * time.Millisecond
 )
 
 // dispatcher holds the pools of all services and the requests that wait for a
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -45,6 +45,7 @@
 	fleet    fleetState
 	dispatch *dispatcher
 	conns    *connPool
+	refused  *refusedSet
 	metrics  *relayMetrics
 	log      log.Interface
 	zone     string
@@ -73,6 +74,9 @@
 // refuse sends the entry's own final answer.
 func (h *handler) refuse(w http.ResponseWriter, q *request, r refusal) {
 	h.metrics.refused.Inc(r.reason)
+	if r.status == http.StatusServiceUnavailable && q.print != 0 {
+		h.refused.add(q.print, time.Now())
+	}
 	h.finished(q, "refused", r.reason, r.status)
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -90,7 +94,7 @@
 		"request": q.call.ID, "outcome": outcome, "ms": now.Sub(q.arrived).Milliseconds(),
 		"endpoint": q.record.endpoint, "sends": q.sends, "not_run": q.refusals,
 		"predicted_ms": q.record.predicted.Milliseconds(), "running": q.record.load.Running, "unread": q.record.load.Unread,
-		"waited_ms": q.record.waited.Milliseconds(), "prompt": q.call.PromptTokens,
+		"late": q.late, "waited_ms": q.record.waited.Milliseconds(), "prompt": q.call.PromptTokens,
 	}
 	if q.route != nil {
 		fields["route"], fields["service"] = q.route.Name, q.service
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -31,6 +31,8 @@
 	Endpoints []uint32 `cbor:"2,keyasint,omitempty"`
 	Running   []uint16 `cbor:"3,keyasint,omitempty"`
 	Unread    []uint32 `cbor:"4,keyasint,omitempty"`
+	// Refused lists requests that this entry refused since the last report.
+	Refused []fingerprint `cbor:"5,keyasint,omitempty"`
 }
 
 func endpointHash(id string) uint32 {
@@ -74,7 +76,7 @@
 }
 
 func (d *Daemon) loadReport() loadReport {
-	r := loadReport{From: d.settings.Instance}
+	r := loadReport{From: d.settings.Instance, Refused: d.handler.refused.report()}
 	for id, l := range d.handler.dispatch.ownLoads() {
 		if len(r.Endpoints) == loadsPerEntry {
 			break
@@ -116,6 +118,7 @@
 			d.log.WithFields(log.Fields{"bytes": n}).Warn("peer_report_malformed")
 			continue
 		}
+		d.handler.refused.learn(r.Refused, time.Now())
 		d.handler.dispatch.peerLoads(r.From, d.named(r), time.Now())
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -152,7 +152,7 @@
 	d.pools["dispatch"].Pool = placement.NewPool(placement.Config{JitterMs: 0.001, RemoteMs: 1000})
 	d.pools["dispatch"].Update(nil, endpoints)
 	h := &handler{
-		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatch: d, conns: newConnPool(nil),
+		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatch: d, conns: newConnPool(nil), refused: newRefusedSet(),
 		metrics: newRelayMetrics(prometheus.NewRegistry()), log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, zone: "near",
 		weightsBound: time.Second,
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -37,7 +37,9 @@
 	tried    []string // endpoints that were sent the request
 	sends    int      // that may have run
 	refusals int      // sends that provably did not run
-	unread   int      // prompt tokens that count as unread at the endpoint
+	late     bool     // was refused before, so that it cannot be on time
+	print    fingerprint
+	unread   int // prompt tokens that count as unread at the endpoint
 	record   record
 }
 
@@ -77,6 +79,10 @@
 		return q, refused
 	}
 	q.service = q.route.Pick(draw(q.call.ID))
+	if q.route.Kind == routing.Stream {
+		q.print = q.fingerprint()
+		q.late = h.refused.has(q.print, q.arrived)
+	}
 	return q, nil
 }
 
@@ -142,5 +148,5 @@
 
 // placing is the request as the pools see it.
 func (q *request) placing(zone string, version, exact uint64) placement.Request {
-	return placement.Request{Prompt: q.call.PromptTokens, Zone: zone, Version: version, Exact: exact, Exclude: q.tried}
+	return placement.Request{Prompt: q.call.PromptTokens, Zone: zone, Version: version, Exact: exact, Late: q.late, Exclude: q.tried}
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -9,7 +9,6 @@
 // Defaults of Settings.
 const (
 	defaultGrace        = 8 * time.Second
-	defaultDrain        = 3500 * time.Millisecond
 	defaultWeightsBound = 8 * time.Second
 	defaultRetryRatio   = 0.1
 	defaultRetrySlack   = 20
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -95,9 +95,11 @@
 	PeerAddress string `cbor:"4,keyasint,omitempty"`
 	Zone        string `cbor:"5,keyasint"`
 	Region      string `cbor:"6,keyasint"`
-	Ready       bool   `cbor:"7,keyasint,omitempty"`
-	Draining    bool   `cbor:"8,keyasint,omitempty"`
-	Service     string `cbor:"9,keyasint,omitempty"` // of the engine beside a stager
+	// Ready is true while the process takes callers; Draining from a stop signal
+	// on. An entry that stops takes callers for a little longer.
+	Ready    bool   `cbor:"7,keyasint,omitempty"`
+	Draining bool   `cbor:"8,keyasint,omitempty"`
+	Service  string `cbor:"9,keyasint,omitempty"` // of the engine beside a stager
 	// Holds is the version of the weights that a stager has in whole.
 	Holds uint64 `cbor:"10,keyasint,omitempty"`
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -37,6 +37,9 @@
 	// Exact prefers endpoints with this version of the weights; zero has no
 	// preference.
 	Exact uint64
+	// Late marks a request that cannot be on time any more, as one that comes back
+	// after a refusal.
+	Late bool
 	// Exclude names endpoints that the request was sent to before.
 	Exclude []string
 }
@@ -180,7 +183,7 @@
 			continue
 		}
 		load := p.load(s, now)
-		if load.Running >= p.slots(s) {
+		if load.Running >= p.open(s, r) {
 			verdict = min(verdict, Full)
 			continue
 		}
@@ -216,6 +219,21 @@
 	return s.health.admits(s.own.Running, now)
 }
 
+// open is the number of an endpoint's slots that a request may fill. Under
+// overload the last ones go to requests that can still be on time: one that is
+// late already is served from what they leave.
+func (p *Pool) open(s *state, r Request) int {
+	slots := p.slots(s)
+	if r.Late {
+		return int(lateShare * float64(slots))
+	}
+	return slots
+}
+
+// lateShare is below the load at which fresh requests find every slot in use, and
+// far above a usual one.
+const lateShare = 0.7
+
 func (p *Pool) slots(s *state) int {
 	switch {
 	case s.Slots > 0:
