--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,208 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+// engine is the one of the users' sheets.
+var engine = &routing.Engine{
+	Slots: 16, Stride: 5, StepMs: 8.87, PerRequestMs: 0.0388, PerThousandMs: 0.0227, ReadPerSecond: 19100,
+	PairsMs: 1.47, ChunkTokens: 2048, UsualPrompt: 977, UsualAnswer: 94,
+}
+
+var start = time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
+
+func pool(endpoints ...placement.Endpoint) *placement.Pool {
+	p := placement.NewPool(placement.Config{Rand: rand.New(rand.NewPCG(1, 2))})
+	p.Update(engine, endpoints)
+	return p
+}
+
+func endpoint(id string) placement.Endpoint {
+	return placement.Endpoint{ID: id, Started: 1, Address: id, Zone: "a", Version: 1}
+}
+
+// Guards against a request behind a long prompt while another endpoint, with as
+// many requests, has read all of its prompts.
+func TestUnreadPromptsCount(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("reading"), endpoint("writing"))
+	p.Begin("reading", 4000)
+	p.Begin("writing", 4000)
+	p.FirstEvent("writing", 4000)
+	for range 20 {
+		choice, verdict := p.Place(placement.Request{Prompt: 100, Zone: "a"}, start)
+		is.Equal(verdict, placement.Placed)
+		is.Equal(choice.ID, "writing")
+	}
+}
+
+// Guards against endpoints that must not get a request: draining ones, those
+// without whole weights or with older ones, and those it was sent to before.
+func TestUnsuitableEndpoints(t *testing.T) {
+	draining, empty, old, tried, good := endpoint("draining"), endpoint("empty"), endpoint("old"), endpoint("tried"), endpoint("good")
+	draining.Draining, empty.Version, good.Version, tried.Version = true, 0, 2, 2
+	is := is.New(t)
+	p := pool(draining, empty, old, tried, good)
+	r := placement.Request{Zone: "a", Version: 2, Exclude: []string{"tried"}}
+	choice, verdict := p.Place(r, start)
+	is.Equal(verdict, placement.Placed)
+	is.Equal(choice.ID, "good")
+	p.Update(engine, []placement.Endpoint{draining, empty, old, tried})
+	_, verdict = p.Place(r, start)
+	is.Equal(verdict, placement.None)
+}
+
+// Guards against more requests at an endpoint than it has slots, when other
+// entries send to it too.
+func TestSlotsAreSharedWithOtherEntries(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("a"))
+	p.PeerLoads("other", map[string]placement.Load{"a": {Running: 10}}, start)
+	for range 6 {
+		choice, verdict := p.Place(placement.Request{Zone: "a"}, start)
+		is.Equal(verdict, placement.Placed)
+		p.Begin(choice.ID, 0)
+	}
+	_, verdict := p.Place(placement.Request{Zone: "a"}, start)
+	is.Equal(verdict, placement.Full)
+	_, verdict = p.Place(placement.Request{Zone: "a"}, start.Add(2*time.Second)) // the report is too old
+	is.Equal(verdict, placement.Placed)
+}
+
+// Guards against endpoints that fail on and on: they are ejected, come back with
+// one request at a time, and count as sound after a success.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("a"))
+	now := start
+	place := func() placement.Verdict {
+		_, verdict := p.Place(placement.Request{Zone: "a"}, now)
+		return verdict
+	}
+	p.Begin("a", 0)
+	first := p.End("a", 1, 0, placement.Failed, now)
+	is.True(first > 0)
+	is.Equal(place(), placement.None)
+	now = now.Add(first)
+	is.Equal(place(), placement.Placed)
+	p.Begin("a", 0)
+	is.Equal(place(), placement.None) // one at a time
+	second := p.End("a", 1, 0, placement.Silent, now)
+	is.True(second > first)
+	now = now.Add(second)
+	p.Begin("a", 0)
+	p.End("a", 1, 0, placement.Success, now)
+	p.Begin("a", 0)
+	is.Equal(place(), placement.Placed)
+}
+
+// Guards against ejecting a service whose requests fail now and then by
+// themselves: one in six is usual for one of the users' kinds of request.
+func TestOwnFailuresDoNotEject(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("a"))
+	for i := range 600 {
+		result := placement.Success
+		if i%6 == 0 {
+			result = placement.Erroring
+		}
+		p.Begin("a", 0)
+		is.Equal(p.End("a", 1, 0, result, start), time.Duration(0))
+	}
+}
+
+// Guards against history of an incarnation that is gone.
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("a"))
+	p.Begin("a", 500)
+	p.End("a", 1, 500, placement.Failed, start)
+	next := endpoint("a")
+	next.Started = 2
+	p.Update(engine, []placement.Endpoint{next})
+	_, verdict := p.Place(placement.Request{Zone: "a"}, start)
+	is.Equal(verdict, placement.Placed)
+	p.Begin("a", 10)
+	is.Equal(p.End("a", 1, 10, placement.Failed, start), time.Duration(0)) // of the old one
+	is.Equal(p.OwnLoads()["a"].Running, 1)
+}
+
+// Guards against loads that drift: whatever the order of events, nothing runs
+// once everything has ended, and nothing is ever negative.
+func TestLoadsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := pool(endpoint("a"), endpoint("b"))
+		type running struct {
+			id     string
+			prompt int
+		}
+		var open []running
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "begin") || len(open) == 0 {
+				choice, verdict := p.Place(placement.Request{Prompt: 10, Zone: "a"}, start)
+				if verdict != placement.Placed {
+					continue
+				}
+				prompt := rapid.IntRange(0, 4000).Draw(t, "prompt")
+				p.Begin(choice.ID, prompt)
+				open = append(open, running{choice.ID, prompt})
+				continue
+			}
+			last := open[len(open)-1]
+			open = open[:len(open)-1]
+			if rapid.Bool().Draw(t, "first") {
+				p.FirstEvent(last.id, last.prompt)
+				last.prompt = 0
+			}
+			p.End(last.id, 1, last.prompt, placement.Success, start)
+		}
+		for _, r := range open {
+			p.End(r.id, 1, r.prompt, placement.Neutral, start)
+		}
+		if left := p.OwnLoads(); len(left) != 0 {
+			t.Fatalf("left: %v", left)
+		}
+	})
+}
+
+// Guards against a line in which a request waits longer than it can, or behind
+// one that can wait longer.
+func TestLine(t *testing.T) {
+	is := is.New(t)
+	var l placement.Line[int]
+	l.Join(start.Add(3*time.Second), 3)
+	l.Join(start.Add(time.Second), 1)
+	l.Join(start.Add(2*time.Second), 2)
+	l.Join(start.Add(4*time.Second), 4)
+	l.Leave(2)
+	is.Equal(l.Len(), 3)
+	is.True(l.Worth(400*time.Millisecond, 100*time.Millisecond))
+	is.True(!l.Worth(399*time.Millisecond, 100*time.Millisecond))
+	for _, want := range []int{1, 3, 4} {
+		got, ok := l.First()
+		is.True(ok)
+		is.Equal(got, want)
+	}
+	_, ok := l.First()
+	is.True(!ok)
+}
+
+func ExamplePool() {
+	p := placement.NewPool(placement.Config{})
+	p.Update(nil, []placement.Endpoint{{ID: "dispatch-1", Started: 1, Zone: "bne-a", Slots: 6}})
+	choice, verdict := p.Place(placement.Request{Zone: "bne-a"}, time.Now())
+	fmt.Println(choice.ID, verdict == placement.Placed)
+	p.Begin(choice.ID, 0)
+	p.End(choice.ID, choice.Started, 0, placement.Success, time.Now())
+	// Output: dispatch-1 true
+}
