stager: uploads one after another, below the link's rate; deputies for the origin

While 62 new engines were filled, answers waited 0.4 to 1 s behind pieces, and 295 sends were given up as silent within 3.5 s. And where a stager that should bring a piece was frozen, all others turned to the origin after 1.2 s, which then served 14 copies and none in time: version 2 was not in place after 16 s. Now a stager sends two pieces at a time at three quarters of the link, and the stagers that may go to the origin for a piece grow by one each 1.5 s.

--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/oops"
+	"golang.org/x/time/rate"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
@@ -68,7 +69,10 @@
 	fleet    *fleetclient.Client
 	store    *store
 	peers    *http.Client
-	changed  chan struct{}
+	uploads  chan struct{}
+	// uploadRate bounds the bytes per second that go to other stagers.
+	uploadRate *rate.Limiter
+	changed    chan struct{}
 	// staged is the version whose pieces lie beside the engine, as far as known.
 	staged uint64
 }
@@ -87,6 +91,8 @@
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
 		peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
+		uploads:    make(chan struct{}, uploadsAtOnce),
+		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
 	}
 	d.fleet = fleetclient.New(fleetclient.Config{
 		Token: opts.Token.Secret(), Seeds: settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort),
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -16,7 +16,11 @@
 
 const (
 	// parallelPieces keeps the link busy while some questions wait at peers.
-	parallelPieces = 8
+	parallelPieces = 6
+	// replanInterval is how long a plan is used: others come, go and get whole.
+	replanInterval = 500 * time.Millisecond
+	// avoidFor is how long a peer that did not answer is not asked again.
+	avoidFor = 2 * time.Second
 	// peerTimeout bounds one question to a peer: its wait and the transfer of a
 	// piece over a link that several share.
 	peerTimeout = 2500 * time.Millisecond
@@ -43,9 +47,12 @@
 	daemon *Daemon
 	target target
 	copy   *copyOf
-	plan   plan
+	start  time.Time
 
 	mu         sync.Mutex
+	current    plan
+	planned    time.Time
+	avoid      map[string]time.Time // peers that did not answer
 	mismatches int
 	fromOrigin int
 	fromPeers  int
@@ -68,7 +75,7 @@
 		d.adopt(ctx, t, c)
 		d.store.add(c)
 	}
-	j := &job{daemon: d, target: t, copy: c, plan: newPlan(d.fleet.Self(), d.fleet.Processes(), t.version), bad: map[string]bool{}}
+	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}}
 	err := j.run(ctx)
 	d.log.WithFields(log.Fields{
 		"version": t.version, "pieces": len(c.pieces), "from_peers": j.fromPeers, "from_origin": j.fromOrigin,
@@ -129,6 +136,18 @@
 	}
 }
 
+// plan is the division of the work as it stands now.
+func (j *job) plan() *plan {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if now := time.Now(); now.Sub(j.planned) >= replanInterval {
+		j.current = newPlan(j.daemon.fleet.Self(), j.daemon.fleet.Processes(), j.target.version)
+		j.planned = now
+	}
+	copied := j.current
+	return &copied
+}
+
 func (j *job) run(ctx context.Context) error {
 	order := make([]int, 0, len(j.copy.pieces))
 	for i := range j.copy.pieces {
@@ -136,11 +155,12 @@
 			order = append(order, i)
 		}
 	}
+	p := j.plan()
 	slices.SortStableFunc(order, func(a, b int) int {
-		if ra, rb := j.plan.rank(a), j.plan.rank(b); ra != rb {
+		if ra, rb := p.rank(a), p.rank(b); ra != rb {
 			return ra - rb
 		}
-		wa, wb := weightOf(j.plan.self.Name, a), weightOf(j.plan.self.Name, b)
+		wa, wb := weightOf(p.self.Name, a), weightOf(p.self.Name, b)
 		if wa < wb {
 			return -1
 		}
@@ -171,7 +191,7 @@
 // piece gets one piece, trying its sources until one has it.
 func (j *job) piece(ctx context.Context, i int) error {
 	for {
-		for _, s := range j.plan.sources(i) {
+		for _, s := range j.plan().sources(i, time.Since(j.start)) {
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
@@ -195,7 +215,7 @@
 func (j *job) isBad(peer string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return peer != "" && j.bad[peer]
+	return peer != "" && (j.bad[peer] || time.Since(j.avoid[peer]) < avoidFor)
 }
 
 func (j *job) from(ctx context.Context, s source, i int) error {
@@ -216,6 +236,11 @@
 		data, err = j.daemon.peerPiece(fctx, s.peer, j.target.version, i)
 	}
 	if err != nil {
+		if s.peer != "" && !errors.Is(err, errNotHeld) && ctx.Err() == nil {
+			j.mu.Lock()
+			j.avoid[s.peer] = time.Now()
+			j.mu.Unlock()
+		}
 		return err
 	}
 	return j.took(s, i, data)
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +24,12 @@
 	// pieceWait is how long a stager holds a question for a piece that it is about
 	// to have. Asking again costs a message each way.
 	pieceWait = 1200 * time.Millisecond
+	// uploadPart is written at once; it takes 9 ms on a link of 7.6 Mbit/s.
+	uploadPart = 8 << 10
+	// uploadShare of the link is used by pieces; the rest is for answers.
+	uploadShare = 0.75
+	// uploadsAtOnce keeps the link busy between two pieces.
+	uploadsAtOnce = 2
 	// maxListBytes bounds a list of pieces: 64 pieces take 5 KB.
 	maxListBytes = 1 << 20
 )
@@ -75,13 +82,33 @@
 	}
 	select {
 	case <-c.waits[piece]:
-		_, _ = w.Write(c.get(piece)) // fails only when the peer has gone
+		d.upload(r.Context(), w, c.get(piece))
 	case <-deadline.C:
 		http.NotFound(w, r)
 	case <-r.Context().Done():
 	}
 }
 
+// upload sends a piece. Uploads go one after another and below the rate of the
+// link, since answers of the engine on this instance share it: many at once would
+// keep an answer waiting for seconds.
+func (d *Daemon) upload(ctx context.Context, w http.ResponseWriter, data []byte) {
+	select {
+	case d.uploads <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-d.uploads }()
+	for part := range slices.Chunk(data, uploadPart) {
+		if d.uploadRate.WaitN(ctx, len(part)) != nil {
+			return
+		}
+		if _, err := w.Write(part); err != nil {
+			return // the peer has gone
+		}
+	}
+}
+
 const copyPoll = 50 * time.Millisecond
 
 func (d *Daemon) askPeer(ctx context.Context, address, path string, limit int64) ([]byte, error) {
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -1,8 +1,10 @@
 package stager
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
@@ -77,8 +79,15 @@
 	return h.Sum64() * 0x9e3779b97f4a7c15
 }
 
-// sources lists where to ask for a piece, in order. The origin is the last.
-func (p *plan) sources(piece int) []source {
+// deputyAfter is the time after which the next stager in order takes a piece from
+// the origin, when those before it did not bring it: about what a piece takes from
+// an origin that all use.
+const deputyAfter = 1500 * time.Millisecond
+
+// sources lists where to ask for a piece, in order, after a transfer has lasted so
+// long. Only one stager goes to the origin for a piece at first, and one more each
+// deputyAfter: an origin that all turn to together serves none of them in time.
+func (p *plan) sources(piece int, age time.Duration) []source {
 	var list []source
 	add := func(other wire.Process) {
 		s := source{other.PeerAddress}
@@ -87,23 +96,36 @@
 		}
 	}
 	near := slices.DeleteFunc(slices.Clone(p.holders), func(h wire.Process) bool { return p.distance(h) > 0 })
-	global, regional := home(p.all, piece), home(p.region, piece)
-	switch {
-	case len(near) > 0:
+	regional := home(p.region, piece)
+	if len(near) > 0 {
 		add(home(near, piece+rotation(p.self.Name)))
 		add(home(near, piece))
-	case len(p.holders) > 0:
-		if regional.Name != p.self.Name {
-			add(regional)
-		}
 		add(home(p.holders, piece+rotation(p.self.Name)))
-	case global.Name == p.self.Name:
-		return []source{{}}
-	default:
+		return append(list, source{})
+	}
+	if regional.Name != p.self.Name {
 		add(regional)
-		add(global)
 	}
-	return append(list, source{})
+	if len(p.holders) > 0 {
+		add(home(p.holders, piece+rotation(p.self.Name)))
+	}
+	for _, deputy := range deputies(p.all, piece, 1+int(age/deputyAfter)) {
+		if deputy.Name == p.self.Name {
+			return append(list, source{})
+		}
+		add(deputy)
+	}
+	return list
+}
+
+// deputies lists the first stagers of a list in the order in which they take a
+// piece from the origin.
+func deputies(list []wire.Process, piece, count int) []wire.Process {
+	ordered := slices.Clone(list)
+	slices.SortFunc(ordered, func(a, b wire.Process) int {
+		return cmp.Compare(weightOf(b.Name, piece), weightOf(a.Name, piece))
+	})
+	return ordered[:min(count, len(ordered))]
 }
 
 // rotation spreads stagers that fetch the same piece over its holders.
--- a/internal/stager/settings.go
+++ b/internal/stager/settings.go
@@ -12,6 +12,10 @@
 	Service string `yaml:"service"`
 	// PeerListen serves pieces to other stagers.
 	PeerListen string `yaml:"peer_listen"`
+	// Link is the rate of this instance's network link. Pieces of weights take at
+	// most three quarters of it, since the engine's answers share it. Default
+	// 1 Gbit/s.
+	Link settings.Rate `yaml:"link"`
 	// Controls are session addresses of control replicas. Seeds are addresses of
 	// replicas whose session port is that of SessionPort, where the session
 	// addresses are not known.
@@ -21,7 +25,11 @@
 }
 
 // DefaultSettings returns settings with defaults filled in.
-func DefaultSettings() Settings { return Settings{Common: settings.DefaultCommon()} }
+func DefaultSettings() Settings {
+	return Settings{Common: settings.DefaultCommon(), Link: defaultLink}
+}
+
+const defaultLink = settings.Rate(1_000_000_000 / 8) // bytes per second
 
 // Check implements settings.Checker.
 func (s *Settings) Check() error {
@@ -30,6 +38,7 @@
 	p.Address("engine", s.Engine)
 	p.Required("service", s.Service)
 	p.Address("peer_listen", s.PeerListen)
+	p.Positive("link", int64(s.Link))
 	p.CheckSeeds(s.Controls, s.Seeds, s.SessionPort)
 	return p.Err()
 }
