placement: bound the requests of one entry that wait at an engine; stager: fetch first

One entry may now have 1 + slots/entries requests there without a first event. It fetches first, unless no other holds the version, since the pieces may then lie beside the engine.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -77,7 +77,7 @@
 		if s := table.Service(name); s != nil {
 			engine = s.Engine
 		}
-		p.Update(engine, endpoints[name])
+		p.Update(engine, endpoints[name], entries)
 		d.shareBudget(p)
 		d.wake(p)
 	}
@@ -109,7 +109,7 @@
 		choice, verdict := p.Place(r, now)
 		if verdict == placement.Placed && (turn != nil || p.line.Len() == 0 || choice.Load.Running == 0) {
 			p.Begin(choice.ID, r.Prompt)
-			q.unread = r.Prompt
+			q.waiting = true
 			if turn != nil {
 				d.wake(p) // more than one slot may have become free
 			}
@@ -183,11 +183,11 @@
 }
 
 // end counts a send as ended and returns how long the endpoint is ejected for it.
-func (d *dispatcher) end(service string, c placement.Choice, unread int, r placement.Result) time.Duration {
+func (d *dispatcher) end(service string, c placement.Choice, left placement.Unstarted, r placement.Result) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pool(service)
-	ejected := p.End(c.ID, c.Started, unread, r, time.Now())
+	ejected := p.End(c.ID, c.Started, left, r, time.Now())
 	d.wake(p)
 	return ejected
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -283,8 +283,8 @@
 
 // end tells the pool of the end of a send, and logs what went wrong.
 func (h *handler) end(q *request, c placement.Choice, r placement.Result, err error) {
-	ejected := h.dispatch.end(q.service, c, q.unread, r)
-	q.unread = 0
+	ejected := h.dispatch.end(q.service, c, placement.Unstarted{Waiting: q.waiting, Prompt: q.call.PromptTokens}, r)
+	q.waiting = false
 	if err == nil || r == placement.Neutral {
 		return
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -39,7 +39,7 @@
 	refusals int      // sends that provably did not run
 	late     bool     // was refused before, so that it cannot be on time
 	print    fingerprint
-	unread   int // prompt tokens that count as unread at the endpoint
+	waiting  bool // counts as waiting for its first event at the endpoint
 	record   record
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,8 +85,8 @@
 		}
 		if first {
 			first = false
-			h.dispatch.firstEvent(q.service, c.ID, q.unread)
-			q.unread = 0
+			h.dispatch.firstEvent(q.service, c.ID, q.call.PromptTokens)
+			q.waiting = false
 			if q.record.firstEvent == 0 {
 				q.record.firstEvent = time.Since(q.arrived)
 			}
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -69,6 +69,7 @@
 	fleet    *fleetclient.Client
 	store    *store
 	peers    *http.Client
+	started  time.Time
 	uploads  chan struct{}
 	// uploadRate bounds the bytes per second that go to other stagers.
 	uploadRate *rate.Limiter
@@ -90,7 +91,7 @@
 func New(s Settings, opts Options, logger log.Interface) *Daemon {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
-		peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
+		started: time.Now(), peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
 		uploads:    make(chan struct{}, uploadsAtOnce),
 		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
 	}
@@ -203,17 +204,17 @@
 func (d *Daemon) bring(ctx context.Context, t target) error {
 	ctx, cancel := d.superseded(ctx, t)
 	defer cancel()
-	report, err := d.report(ctx)
+	// The engine may start after this process, so it is asked last.
+	c, err := d.fetch(ctx, t)
 	if err != nil {
 		return err
 	}
-	inPlace := protocol.Holds(report.Layers[t.model], t.version, t.layers)
-	c, err := d.fetch(ctx, t)
+	d.hold(t.version)
+	report, err := d.report(ctx)
 	if err != nil {
 		return err
 	}
-	d.hold(t.version)
-	if inPlace {
+	if protocol.Holds(report.Layers[t.model], t.version, t.layers) {
 		return nil
 	}
 	if report.Loading {
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -72,7 +72,9 @@
 			return nil, err
 		}
 		c = newCopy(list)
-		d.adopt(ctx, t, c)
+		if err := d.adopt(ctx, t, c); err != nil {
+			return nil, err
+		}
 		d.store.add(c)
 	}
 	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}}
@@ -123,17 +125,29 @@
 	return nil
 }
 
+// engineStart is how much later than this process the engine may start. Without a
+// holder of the version it is waited for, since the pieces may lie beside it.
+const engineStart = 2 * time.Second
+
 // adopt takes over the pieces that already lie beside the engine.
-func (d *Daemon) adopt(ctx context.Context, t target, c *copyOf) {
+func (d *Daemon) adopt(ctx context.Context, t target, c *copyOf) error {
+	if _, err := d.report(ctx); err != nil {
+		p := newPlan(d.fleet.Self(), d.fleet.Processes(), t.version)
+		if len(p.holders) == 0 && time.Since(d.started) < engineStart {
+			return err
+		}
+		return nil // the pieces come from elsewhere
+	}
 	for i := range c.pieces {
 		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
 		if err != nil {
-			return // nothing is staged, which is usual for a new engine
+			return nil // nothing is staged, which is usual for a new engine
 		}
 		if c.put(i, data) != nil && i == 0 {
-			return // another version is staged
+			return nil // another version is staged
 		}
 	}
+	return nil
 }
 
 // plan is the division of the work as it stands now.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -23,10 +23,14 @@
 
 func pool(endpoints ...placement.Endpoint) *placement.Pool {
 	p := placement.NewPool(placement.Config{Rand: rand.New(rand.NewPCG(1, 2))})
-	p.Update(engine, endpoints)
+	p.Update(engine, endpoints, 1)
 	return p
 }
 
+func waited(prompt int) placement.Unstarted {
+	return placement.Unstarted{Waiting: true, Prompt: prompt}
+}
+
 func endpoint(id string) placement.Endpoint {
 	return placement.Endpoint{ID: id, Started: 1, Address: id, Zone: "a", Version: 1}
 }
@@ -57,7 +61,7 @@
 	choice, verdict := p.Place(r, start)
 	is.Equal(verdict, placement.Placed)
 	is.Equal(choice.ID, "good")
-	p.Update(engine, []placement.Endpoint{draining, empty, old, tried})
+	p.Update(engine, []placement.Endpoint{draining, empty, old, tried}, 1)
 	_, verdict = p.Place(r, start)
 	is.Equal(verdict, placement.None)
 }
@@ -72,6 +76,7 @@
 		choice, verdict := p.Place(placement.Request{Zone: "a"}, start)
 		is.Equal(verdict, placement.Placed)
 		p.Begin(choice.ID, 0)
+		p.FirstEvent(choice.ID, 0)
 	}
 	_, verdict := p.Place(placement.Request{Zone: "a"}, start)
 	is.Equal(verdict, placement.Full)
@@ -90,18 +95,18 @@
 		return verdict
 	}
 	p.Begin("a", 0)
-	first := p.End("a", 1, 0, placement.Failed, now)
+	first := p.End("a", 1, waited(0), placement.Failed, now)
 	is.True(first > 0)
 	is.Equal(place(), placement.None)
 	now = now.Add(first)
 	is.Equal(place(), placement.Placed)
 	p.Begin("a", 0)
 	is.Equal(place(), placement.None) // one at a time
-	second := p.End("a", 1, 0, placement.Silent, now)
+	second := p.End("a", 1, waited(0), placement.Silent, now)
 	is.True(second > first)
 	now = now.Add(second)
 	p.Begin("a", 0)
-	p.End("a", 1, 0, placement.Success, now)
+	p.End("a", 1, waited(0), placement.Success, now)
 	p.Begin("a", 0)
 	is.Equal(place(), placement.Placed)
 }
@@ -117,7 +122,7 @@
 			result = placement.Erroring
 		}
 		p.Begin("a", 0)
-		is.Equal(p.End("a", 1, 0, result, start), time.Duration(0))
+		is.Equal(p.End("a", 1, waited(0), result, start), time.Duration(0))
 	}
 }
 
@@ -126,14 +131,14 @@
 	is := is.New(t)
 	p := pool(endpoint("a"))
 	p.Begin("a", 500)
-	p.End("a", 1, 500, placement.Failed, start)
+	p.End("a", 1, waited(500), placement.Failed, start)
 	next := endpoint("a")
 	next.Started = 2
-	p.Update(engine, []placement.Endpoint{next})
+	p.Update(engine, []placement.Endpoint{next}, 1)
 	_, verdict := p.Place(placement.Request{Zone: "a"}, start)
 	is.Equal(verdict, placement.Placed)
 	p.Begin("a", 10)
-	is.Equal(p.End("a", 1, 10, placement.Failed, start), time.Duration(0)) // of the old one
+	is.Equal(p.End("a", 1, waited(10), placement.Failed, start), time.Duration(0)) // of the old one
 	is.Equal(p.OwnLoads()["a"].Running, 1)
 }
 
@@ -145,6 +150,7 @@
 		type running struct {
 			id     string
 			prompt int
+			first  bool
 		}
 		var open []running
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
@@ -155,19 +161,19 @@
 				}
 				prompt := rapid.IntRange(0, 4000).Draw(t, "prompt")
 				p.Begin(choice.ID, prompt)
-				open = append(open, running{choice.ID, prompt})
+				open = append(open, running{id: choice.ID, prompt: prompt})
 				continue
 			}
 			last := open[len(open)-1]
 			open = open[:len(open)-1]
 			if rapid.Bool().Draw(t, "first") {
 				p.FirstEvent(last.id, last.prompt)
-				last.prompt = 0
+				last.first = true
 			}
-			p.End(last.id, 1, last.prompt, placement.Success, start)
+			p.End(last.id, 1, placement.Unstarted{Waiting: !last.first, Prompt: last.prompt}, placement.Success, start)
 		}
 		for _, r := range open {
-			p.End(r.id, 1, r.prompt, placement.Neutral, start)
+			p.End(r.id, 1, waited(r.prompt), placement.Neutral, start)
 		}
 		if left := p.OwnLoads(); len(left) != 0 {
 			t.Fatalf("left: %v", left)
@@ -199,10 +205,44 @@
 
 func ExamplePool() {
 	p := placement.NewPool(placement.Config{})
-	p.Update(nil, []placement.Endpoint{{ID: "dispatch-1", Started: 1, Zone: "bne-a", Slots: 6}})
+	p.Update(nil, []placement.Endpoint{{ID: "dispatch-1", Started: 1, Zone: "bne-a", Slots: 6}}, 1)
 	choice, verdict := p.Place(placement.Request{Zone: "bne-a"}, time.Now())
 	fmt.Println(choice.ID, verdict == placement.Placed)
 	p.Begin(choice.ID, 0)
-	p.End(choice.ID, choice.Started, 0, placement.Success, time.Now())
+	p.End(choice.ID, choice.Started, placement.Unstarted{Waiting: true}, placement.Success, time.Now())
 	// Output: dispatch-1 true
 }
+
+// Guards against entries that all fill the one engine with a free slot, before
+// they hear of each other: 14 entries, 45 engines of 12 slots, of which all but
+// one are full. What goes to it must fit in its slots and its queue of 32; without
+// a bound 168 requests went there.
+func TestEntriesShareAnEngineThatHasJustCome(t *testing.T) {
+	const entries, engines, slots, queue = 14, 45, 12, 32
+	var endpoints []placement.Endpoint
+	full := map[string]placement.Load{}
+	for i := range engines {
+		e := endpoint(fmt.Sprint("e", i))
+		e.Slots = slots
+		endpoints = append(endpoints, e)
+		if i > 0 {
+			full[e.ID] = placement.Load{Running: slots}
+		}
+	}
+	placed := 0
+	for i := range entries {
+		p := placement.NewPool(placement.Config{Rand: rand.New(rand.NewPCG(uint64(i), 7))})
+		p.Update(engine, endpoints, entries)
+		p.PeerLoads("others", full, start)
+		for range 20 {
+			choice, verdict := p.Place(placement.Request{Prompt: 977, Zone: "a"}, start)
+			if verdict == placement.Placed {
+				p.Begin(choice.ID, 977)
+				placed++
+			}
+		}
+	}
+	if placed < slots || placed > slots+queue {
+		t.Errorf("%d requests went to the engine, want %d to %d", placed, slots, slots+queue)
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -78,6 +78,7 @@
 type Pool struct {
 	cfg       Config
 	engine    *routing.Engine
+	entries   int // that share the endpoints
 	endpoints map[string]*state
 	peers     map[string]peerLoads
 }
@@ -90,6 +91,7 @@
 type state struct {
 	Endpoint
 	own      Load
+	waiting  int // own requests without a first event
 	reported Load
 	heard    time.Time
 	health   health
@@ -115,11 +117,11 @@
 	return &Pool{cfg: cfg, endpoints: map[string]*state{}, peers: map[string]peerLoads{}}
 }
 
-// Update replaces the endpoints and the description of their engines, which is
-// nil for plain services. A new incarnation of an endpoint starts without
-// history.
-func (p *Pool) Update(engine *routing.Engine, endpoints []Endpoint) {
-	p.engine = engine
+// Update replaces the endpoints, the description of their engines, which is nil
+// for plain services, and the number of entries that share them. A new incarnation
+// of an endpoint starts without history.
+func (p *Pool) Update(engine *routing.Engine, endpoints []Endpoint, entries int) {
+	p.engine, p.entries = engine, max(1, entries)
 	kept := map[string]bool{}
 	for _, e := range endpoints {
 		kept[e.ID] = true
@@ -184,7 +186,7 @@
 			continue
 		}
 		load := p.load(s, now)
-		if load.Running >= p.open(s, r) {
+		if load.Running >= p.open(s, r) || s.waiting >= p.mayWait(s) {
 			verdict = min(verdict, Full)
 			continue
 		}
@@ -231,6 +233,16 @@
 	return slots
 }
 
+// mayWait bounds the requests of one entry that wait for their first event at an
+// engine. Entries hear of each other's requests only after a while: where every
+// other engine is full, all of them would fill the one that has just come.
+func (p *Pool) mayWait(s *state) int {
+	if p.engine == nil {
+		return math.MaxInt
+	}
+	return 1 + (p.slots(s)+p.entries-1)/p.entries
+}
+
 // lateShare is below the load at which fresh requests find every slot in use, and
 // far above a usual one.
 const lateShare = 0.7
@@ -279,6 +291,7 @@
 	if s := p.endpoints[id]; s != nil {
 		s.own.Running++
 		s.own.Unread += prompt
+		s.waiting++
 	}
 }
 
@@ -286,18 +299,27 @@
 func (p *Pool) FirstEvent(id string, prompt int) {
 	if s := p.endpoints[id]; s != nil {
 		s.own.Unread = max(0, s.own.Unread-prompt)
+		s.waiting = max(0, s.waiting-1)
 	}
 }
 
-// End counts a request as ended, with what it says about the endpoint. Unread is
-// the prompt if no event came.
-func (p *Pool) End(id string, started uint64, unread int, result Result, now time.Time) (ejected time.Duration) {
+// Unstarted is what a request leaves behind that ends without a first event.
+type Unstarted struct {
+	Waiting bool // no event came
+	Prompt  int  // tokens that count as unread
+}
+
+// End counts a request as ended, with what it says about the endpoint.
+func (p *Pool) End(id string, started uint64, left Unstarted, result Result, now time.Time) (ejected time.Duration) {
 	s := p.endpoints[id]
 	if s == nil || s.Started != started {
 		return 0
 	}
 	s.own.Running = max(0, s.own.Running-1)
-	s.own.Unread = max(0, s.own.Unread-unread)
+	if left.Waiting {
+		s.own.Unread = max(0, s.own.Unread-left.Prompt)
+		s.waiting = max(0, s.waiting-1)
+	}
 	return s.health.observe(result, now)
 }
 
