--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -15,15 +15,19 @@
 )
 
 const (
-	// parallelPieces keeps the link busy while some questions wait at peers.
-	parallelPieces = 6
+	// parallelPieces are asked for at the same time. Most questions wait at peers
+	// that are about to have the piece.
+	parallelPieces = 32
+	// parallelDownloads keeps the link busy. More would keep requests to the engine,
+	// which shares the link, waiting behind pieces.
+	parallelDownloads = 3
 	// replanInterval is how long a plan is used: others come, go and get whole.
 	replanInterval = 500 * time.Millisecond
 	// avoidFor is how long a peer that did not answer is not asked again.
 	avoidFor = 2 * time.Second
-	// peerTimeout bounds one question to a peer: its wait and the transfer of a
-	// piece over a link that several share.
-	peerTimeout = 2500 * time.Millisecond
+	// peerTimeout bounds one question to a peer: its wait, the turn for a download,
+	// and the transfer of a piece over a link that several share.
+	peerTimeout = 4000 * time.Millisecond
 	// originTimeout bounds a piece from the origin, whose link of 9.9 Mbit/s all
 	// share.
 	originTimeout = 3 * time.Second
@@ -48,6 +52,7 @@
 	target target
 	copy   *copyOf
 	start  time.Time
+	slots  chan struct{} // of downloads
 
 	mu         sync.Mutex
 	current    plan
@@ -77,7 +82,7 @@
 		}
 		d.store.add(c)
 	}
-	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}}
+	j := &job{daemon: d, target: t, copy: c, start: started, slots: make(chan struct{}, parallelDownloads), bad: map[string]bool{}, avoid: map[string]time.Time{}}
 	err := j.run(ctx)
 	d.log.WithFields(log.Fields{
 		"version": t.version, "pieces": len(c.pieces), "from_peers": j.fromPeers, "from_origin": j.fromOrigin,
@@ -247,7 +252,7 @@
 	if s.peer == "" {
 		data, err = j.daemon.opts.Engine.Piece(fctx, j.target.origin, j.target.model, j.target.version, i, maxPieceBytes)
 	} else {
-		data, err = j.daemon.peerPiece(fctx, s.peer, j.target.version, i)
+		data, err = j.fromPeer(fctx, s.peer, i)
 	}
 	if err != nil {
 		if s.peer != "" && !errors.Is(err, errNotHeld) && ctx.Err() == nil {
@@ -260,6 +265,20 @@
 	return j.took(s, i, data)
 }
 
+// fromPeer waits until a peer has a piece, and then fetches it in turn.
+func (j *job) fromPeer(ctx context.Context, peer string, i int) ([]byte, error) {
+	if err := j.daemon.awaitPiece(ctx, peer, j.target.version, i); err != nil {
+		return nil, err
+	}
+	select {
+	case j.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-j.slots }()
+	return j.daemon.peerPiece(ctx, peer, j.target.version, i)
+}
+
 func (j *job) took(s source, i int, data []byte) error {
 	err := j.copy.put(i, data)
 	j.mu.Lock()
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -48,7 +48,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(c.list) // fails only when the peer has gone
 	}).Methods(http.MethodGet)
-	r.HandleFunc(pathPiece, d.servePiece).Methods(http.MethodGet)
+	r.HandleFunc(pathPiece, d.servePiece).Methods(http.MethodGet, http.MethodHead)
 	return token.Require(r)
 }
 
@@ -60,6 +60,7 @@
 	return d.store.get(version)
 }
 
+// servePiece answers once the piece is here. HEAD waits without its bytes.
 func (d *Daemon) servePiece(w http.ResponseWriter, r *http.Request) {
 	deadline := time.NewTimer(pieceWait)
 	defer deadline.Stop()
@@ -82,7 +83,9 @@
 	}
 	select {
 	case <-c.waits[piece]:
-		d.upload(r.Context(), w, c.get(piece))
+		if r.Method == http.MethodGet {
+			d.upload(r.Context(), w, c.get(piece))
+		}
 	case <-deadline.C:
 		http.NotFound(w, r)
 	case <-r.Context().Done():
@@ -111,8 +114,8 @@
 
 const copyPoll = 50 * time.Millisecond
 
-func (d *Daemon) askPeer(ctx context.Context, address, path string, limit int64) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+func (d *Daemon) askPeer(ctx context.Context, method, address, path string, limit int64) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +132,7 @@
 }
 
 func (d *Daemon) peerList(ctx context.Context, address string, version uint64) (protocol.PieceList, error) {
-	data, err := d.askPeer(ctx, address, fmt.Sprintf("/pieces/%d", version), maxListBytes)
+	data, err := d.askPeer(ctx, http.MethodGet, address, fmt.Sprintf("/pieces/%d", version), maxListBytes)
 	if err != nil {
 		return protocol.PieceList{}, err
 	}
@@ -138,5 +141,11 @@
 }
 
 func (d *Daemon) peerPiece(ctx context.Context, address string, version uint64, piece int) ([]byte, error) {
-	return d.askPeer(ctx, address, fmt.Sprintf("/pieces/%d/%d", version, piece), maxPieceBytes)
+	return d.askPeer(ctx, http.MethodGet, address, fmt.Sprintf("/pieces/%d/%d", version, piece), maxPieceBytes)
+}
+
+// awaitPiece returns once a peer has a piece.
+func (d *Daemon) awaitPiece(ctx context.Context, address string, version uint64, piece int) error {
+	_, err := d.askPeer(ctx, http.MethodHead, address, fmt.Sprintf("/pieces/%d/%d", version, piece), 0)
+	return err
 }
