stager: a tree for each piece

Each piece now goes down a binary tree of the region's stagers in an order of its own, so that all send about as much.

--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"errors"
@@ -175,15 +176,12 @@
 		}
 	}
 	p := j.plan()
+	ranks := map[int]int{}
+	for _, i := range order {
+		ranks[i] = p.rank(i)
+	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		if ra, rb := p.rank(a), p.rank(b); ra != rb {
-			return ra - rb
-		}
-		wa, wb := weightOf(p.self.Name, a), weightOf(p.self.Name, b)
-		if wa < wb {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(weightOf(p.self.Name, a), weightOf(p.self.Name, b)))
 	})
 	next := make(chan int, len(order))
 	for _, i := range order {
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -24,6 +24,8 @@
 	// pieceWait is how long a stager holds a question for a piece that it is about
 	// to have. Asking again costs a message each way.
 	pieceWait = 1200 * time.Millisecond
+	// awaitMargin is given to a question beside the time for which it waits there.
+	awaitMargin = 500 * time.Millisecond
 	// uploadPart is written at once; it takes 9 ms on a link of 7.6 Mbit/s.
 	uploadPart = 8 << 10
 	// uploadShare of the link is used by pieces; the rest is for answers.
@@ -146,6 +148,8 @@
 
 // awaitPiece returns once a peer has a piece.
 func (d *Daemon) awaitPiece(ctx context.Context, address string, version uint64, piece int) error {
+	ctx, cancel := context.WithTimeout(ctx, pieceWait+awaitMargin)
+	defer cancel()
 	_, err := d.askPeer(ctx, http.MethodHead, address, fmt.Sprintf("/pieces/%d/%d", version, piece), 0)
 	return err
 }
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -96,20 +96,25 @@
 		}
 	}
 	near := slices.DeleteFunc(slices.Clone(p.holders), func(h wire.Process) bool { return p.distance(h) > 0 })
-	regional := home(p.region, piece)
 	if len(near) > 0 {
 		add(home(near, piece+rotation(p.self.Name)))
 		add(home(near, piece))
 		add(home(p.holders, piece+rotation(p.self.Name)))
 		return append(list, source{})
 	}
-	if regional.Name != p.self.Name {
-		add(regional)
+	order := inOrder(p.region, piece)
+	at := slices.IndexFunc(order, func(other wire.Process) bool { return other.Name == p.self.Name })
+	for range ancestors {
+		if at <= 0 {
+			break
+		}
+		at = parent(at)
+		add(order[at])
 	}
 	if len(p.holders) > 0 {
 		add(home(p.holders, piece+rotation(p.self.Name)))
 	}
-	for _, deputy := range deputies(p.all, piece, 1+int(age/deputyAfter)) {
+	for _, deputy := range inOrder(p.all, piece)[:min(len(p.all), 1+int(age/deputyAfter))] {
 		if deputy.Name == p.self.Name {
 			return append(list, source{})
 		}
@@ -118,26 +123,31 @@
 	return list
 }
 
-// deputies lists the first stagers of a list in the order in which they take a
-// piece from the origin.
-func deputies(list []wire.Process, piece, count int) []wire.Process {
+// inOrder lists stagers in a piece's own random order. The first takes the piece
+// from outside; within a region each of the others takes it from its parent in a
+// binary tree of this order. So every stager sends about as much as every other:
+// with one sender for a piece, the one that most pieces fall to sends for longest.
+func inOrder(list []wire.Process, piece int) []wire.Process {
 	ordered := slices.Clone(list)
 	slices.SortFunc(ordered, func(a, b wire.Process) int {
 		return cmp.Compare(weightOf(b.Name, piece), weightOf(a.Name, piece))
 	})
-	return ordered[:min(count, len(ordered))]
+	return ordered
 }
 
+// parent is the position from which the one at a position above 0 takes a piece.
+func parent(at int) int { return (at - 1) / 2 }
+
+// ancestors are asked one after another when the nearest does not answer.
+const ancestors = 2
+
 // rotation spreads stagers that fetch the same piece over its holders.
 func rotation(name string) int { return int(weightOf(name, 0) % 251) }
 
-// rank orders the pieces: first those that others wait for.
+// rank orders the pieces: first those that most others wait for.
 func (p *plan) rank(piece int) int {
-	switch p.self.Name {
-	case home(p.all, piece).Name:
-		return 0
-	case home(p.region, piece).Name:
-		return 1
+	if inOrder(p.all, piece)[0].Name == p.self.Name {
+		return -1
 	}
-	return 2
+	return slices.IndexFunc(inOrder(p.region, piece), func(other wire.Process) bool { return other.Name == p.self.Name })
 }
