--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -38,9 +38,11 @@
 	acceptWithOthers = 1300 * time.Millisecond
 	// acceptAlone leaves a stream of usual length the time to end within the grace
 	// period.
-	acceptAlone        = 2800 * time.Millisecond
-	drainPoll          = 50 * time.Millisecond
-	weightsMargin      = 2 * time.Second
+	acceptAlone = 2800 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+	// weightsMargin is kept from the time after which no request may begin on older
+	// weights: a request may wait at the engine before it begins.
+	weightsMargin      = 1500 * time.Millisecond
 	weightsBoundMinium = time.Second
 )
 
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -32,7 +32,7 @@
 	// originTimeout bounds a piece from the origin, whose link of 9.9 Mbit/s all
 	// share.
 	originTimeout = 3 * time.Second
-	listTimeout   = time.Second
+	listTimeout   = 800 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	maxPieceBytes = 8 << 20
 	// maxMismatches of pieces from the origin make its list suspect: it may be
@@ -95,10 +95,10 @@
 	return c, err
 }
 
-// list gets the list of a version's pieces from a holder, or the origin.
+// list gets the list of a version's pieces from another stager, or the origin.
 func (d *Daemon) list(ctx context.Context, t target) (protocol.PieceList, error) {
 	p := newPlan(d.fleet.Self(), d.fleet.Processes(), t.version)
-	for _, holder := range p.holders[:min(2, len(p.holders))] {
+	for _, holder := range p.listSources() {
 		lctx, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := d.peerList(lctx, holder.PeerAddress, t.version)
 		cancel()
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -42,7 +42,7 @@
 func (d *Daemon) peerHandler(token auth.Token) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(pathPieces, func(w http.ResponseWriter, r *http.Request) {
-		c := d.copyFor(r)
+		c := d.awaitCopy(r)
 		if c == nil {
 			http.NotFound(w, r)
 			return
@@ -62,21 +62,25 @@
 	return d.store.get(version)
 }
 
+// awaitCopy returns the version that a request names, or nil when its list is not
+// here in time: the version may have been named here a moment later than there.
+func (d *Daemon) awaitCopy(r *http.Request) *copyOf {
+	for end := time.Now().Add(pieceWait); ; {
+		c := d.copyFor(r)
+		if c != nil || time.Now().After(end) || !pause(r.Context(), copyPoll) {
+			return c
+		}
+	}
+}
+
 // servePiece answers once the piece is here. HEAD waits without its bytes.
 func (d *Daemon) servePiece(w http.ResponseWriter, r *http.Request) {
 	deadline := time.NewTimer(pieceWait)
 	defer deadline.Stop()
-	c := d.copyFor(r)
-	for c == nil { // the version may have been named here a moment later than there
-		select {
-		case <-r.Context().Done():
-			return
-		case <-deadline.C:
-			http.NotFound(w, r)
-			return
-		case <-time.After(copyPoll):
-		}
-		c = d.copyFor(r)
+	c := d.awaitCopy(r)
+	if c == nil {
+		http.NotFound(w, r)
+		return
 	}
 	piece, err := strconv.Atoi(mux.Vars(r)["piece"])
 	if err != nil || piece < 0 || piece >= len(c.pieces) {
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -80,9 +80,10 @@
 }
 
 // deputyAfter is the time after which the next stager in order takes a piece from
-// the origin, when those before it did not bring it: about what a piece takes from
-// an origin that all use.
-const deputyAfter = 1500 * time.Millisecond
+// the origin, when those before it did not bring it. An origin that is there now
+// may be gone soon: with 1.5 s the pieces of frozen stagers were not asked for
+// within the 2.5 s for which it answered.
+const deputyAfter = 700 * time.Millisecond
 
 // sources lists where to ask for a piece, in order, after a transfer has lasted so
 // long. Only one stager goes to the origin for a piece at first, and one more each
@@ -123,6 +124,21 @@
 	return list
 }
 
+// listSources are the stagers to ask for a version's list: holders, or the one that
+// takes it from the origin for all.
+func (p *plan) listSources() []wire.Process {
+	if len(p.holders) > 0 {
+		return p.holders[:min(ancestors, len(p.holders))]
+	}
+	if first := inOrder(p.all, listPiece)[0]; first.Name != p.self.Name {
+		return []wire.Process{first}
+	}
+	return nil
+}
+
+// listPiece stands for the list in the order of stagers.
+const listPiece = -1
+
 // inOrder lists stagers in a piece's own random order. The first takes the piece
 // from outside; within a region each of the others takes it from its parent in a
 // binary tree of this order. So every stager sends about as much as every other:
