ledger: keep when a version of weights was named

The last four versions of a model are now kept with the time of their naming, and a replica tells the longer of the ages by its steady clock and by the time of day.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -181,7 +181,7 @@
 		d.hub.Changed()
 	}
 	if old.Routing.Version != next.Routing.Version || old.Raft.Membership.Index != next.Raft.Membership.Index ||
-		!maps.Equal(old.Weights, next.Weights) {
+		!maps.EqualFunc(old.Weights, next.Weights, slices.Equal) {
 		d.fleet.Changed()
 	}
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -33,14 +33,14 @@
 	epoch     uint64
 	servers   *membership.Table[wire.Server]
 	followers map[*transport.Session]*follower
-	named     map[string]named
+	learned   map[namedKey]time.Time
 	wake      chan struct{}
 }
 
-// named is when this replica learned of a version of weights.
-type named struct {
+// namedKey is a version of a model's weights.
+type namedKey struct {
+	model   string
 	version uint64
-	at      time.Time
 }
 
 // follower is a process with an open session.
@@ -72,7 +72,7 @@
 			Epoch: epoch, Expiry: serverIntervals * heartbeat, Significant: serverChanged,
 		}),
 		followers: map[*transport.Session]*follower{},
-		named:     map[string]named{}, wake: make(chan struct{}, 1),
+		learned:   map[namedKey]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -199,16 +199,29 @@
 // weights lists the named versions with their age.
 func (f *fleet) weights(v *View, now time.Time) (list []wire.NamedWeights, sum int64) {
 	for _, model := range slices.Sorted(maps.Keys(v.Weights)) {
-		version := v.Weights[model]
-		if f.named[model].version != version {
-			f.named[model] = named{version, now}
+		for _, named := range v.Weights[model] {
+			list = append(list, wire.NamedWeights{
+				Model: model, Version: named.Version, AgeMs: f.age(namedKey{model, named.Version}, named.AtMs, now).Milliseconds(),
+			})
+			sum += int64(named.Version)
 		}
-		list = append(list, wire.NamedWeights{Model: model, Version: version, AgeMs: now.Sub(f.named[model].at).Milliseconds()})
-		sum += int64(version)
 	}
 	return list, sum
 }
 
+// age is the time since a version was named: by this replica's steady clock since
+// it learned of it, or by the time of day, which also counts across a restart and
+// may be off by seconds. The longer one is taken: a request must not begin on old
+// weights because a replica has forgotten how long it knows the new ones.
+func (f *fleet) age(key namedKey, namedMs int64, now time.Time) time.Duration {
+	at, known := f.learned[key]
+	if !known {
+		at = now
+		f.learned[key] = now
+	}
+	return max(now.Sub(at), now.Sub(time.UnixMilli(namedMs)))
+}
+
 // Run sends changes until done closes.
 func (f *fleet) Run(done <-chan struct{}) {
 	expire := time.NewTicker(expireInterval)
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -473,15 +473,16 @@
 // restarted knows a shorter age than others, so the longest counts.
 func (c *Client) learnWeights(w wire.NamedWeights, since time.Time, replica string) {
 	held := c.weights[w.Model]
-	if n := len(held); n == 0 || w.Version > held[n-1].Version {
-		c.weights[w.Model] = append(held[max(0, n-maxNamed):], Weights{w.Version, since})
-		c.cfg.Log.WithFields(log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}).Info("weights_learned")
+	at, known := slices.BinarySearchFunc(held, w.Version, func(h Weights, v uint64) int { return cmp.Compare(h.Version, v) })
+	if known {
+		if since.Before(held[at].Since) {
+			held[at].Since = since
+		}
 		return
 	}
-	for i := range held {
-		if held[i].Version == w.Version && since.Before(held[i].Since) {
-			held[i].Since = since
-		}
+	if at == len(held) {
+		c.weights[w.Model] = append(held[max(0, at-maxNamed):], Weights{w.Version, since})
+		c.cfg.Log.WithFields(log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}).Info("weights_learned")
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -29,12 +29,12 @@
 	lastDelta  *release.Delta
 	quarantine uint64 // counts changes of the suspect list
 	routing    SetRouting
-	weights    map[string]uint64 // named version, by model
+	weights    map[string][]NamedVersion // by model, oldest first
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{catalogue: release.NewCatalogue(), claims: newClaims(), suspects: newSuspects(), weights: map[string]uint64{}}
+	return &Ledger{catalogue: release.NewCatalogue(), claims: newClaims(), suspects: newSuspects(), weights: map[string][]NamedVersion{}}
 }
 
 // Encode encodes a command for the log.
@@ -110,21 +110,35 @@
 		return refused("weights without model or version")
 	}
 	result := Result{Status: StatusAccepted, Number: n.Version}
-	if n.Version <= l.weights[n.Model] {
+	held := l.weights[n.Model]
+	if len(held) > 0 && n.Version <= held[len(held)-1].Version {
 		result.Repeated = true
 		return result
 	}
+	next := append(slices.Clone(held[max(0, len(held)-maxNamedVersions+1):]), NamedVersion{n.Version, l.nowMs})
 	l.weights = maps.Clone(l.weights)
-	l.weights[n.Model] = n.Version
+	l.weights[n.Model] = next
 	return result
 }
 
+// maxNamedVersions are kept per model. An earlier version counts while the newest
+// has not been named for long enough to be required.
+const maxNamedVersions = 4
+
+// NamedVersion is a version of weights with the ledger's time of its naming, in
+// Unix milliseconds.
+type NamedVersion struct {
+	Version uint64 `cbor:"1,keyasint"`
+	AtMs    int64  `cbor:"2,keyasint"`
+}
+
 // Routing returns the accepted routing document; its version is 0 before the
 // first. It is not changed afterwards.
 func (l *Ledger) Routing() SetRouting { return l.routing }
 
-// Weights returns the named versions by model. The map is not changed afterwards.
-func (l *Ledger) Weights() map[string]uint64 { return l.weights }
+// Weights returns the last named versions by model, oldest first. The map is not
+// changed afterwards.
+func (l *Ledger) Weights() map[string][]NamedVersion { return l.weights }
 
 func refused(reason string) Result { return Result{Status: StatusRefused, Reason: reason} }
 
@@ -223,17 +237,17 @@
 
 // snapshotState is the encoded form of a Ledger.
 type snapshotState struct {
-	NowMs     int64              `cbor:"1,keyasint"`
-	Catalogue release.Catalogue  `cbor:"2,keyasint"`
-	Digests   []byte             `cbor:"3,keyasint"`
-	Claims    []claimRecord      `cbor:"4,keyasint"`
-	Expired   []byte             `cbor:"5,keyasint"` // 8 bytes each
-	Filter    []byte             `cbor:"6,keyasint,omitempty"`
-	Filtered  uint64             `cbor:"7,keyasint,omitempty"`
-	Suspects  map[string]suspect `cbor:"8,keyasint,omitempty"`
-	Incidents map[string]int64   `cbor:"9,keyasint,omitempty"`
-	Routing   *SetRouting        `cbor:"10,keyasint,omitempty"`
-	Weights   map[string]uint64  `cbor:"11,keyasint,omitempty"`
+	NowMs     int64                     `cbor:"1,keyasint"`
+	Catalogue release.Catalogue         `cbor:"2,keyasint"`
+	Digests   []byte                    `cbor:"3,keyasint"`
+	Claims    []claimRecord             `cbor:"4,keyasint"`
+	Expired   []byte                    `cbor:"5,keyasint"` // 8 bytes each
+	Filter    []byte                    `cbor:"6,keyasint,omitempty"`
+	Filtered  uint64                    `cbor:"7,keyasint,omitempty"`
+	Suspects  map[string]suspect        `cbor:"8,keyasint,omitempty"`
+	Incidents map[string]int64          `cbor:"9,keyasint,omitempty"`
+	Routing   *SetRouting               `cbor:"10,keyasint,omitempty"`
+	Weights   map[string][]NamedVersion `cbor:"11,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states give equal bytes.
