--- /dev/null
+++ b/internal/stager/daemon_test.go
@@ -0,0 +1,240 @@
+package stager
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+)
+
+const testPieces = 8
+
+func pieceOf(version uint64, i int) []byte { return fmt.Appendf(nil, "piece %d of version %d", i, version) }
+
+func listOf(version uint64) protocol.PieceList {
+	list := protocol.PieceList{Model: "m", Version: version}
+	for i := range testPieces {
+		sum := sha256.Sum256(pieceOf(version, i))
+		list.Digests = append(list.Digests, hex.EncodeToString(sum[:]))
+	}
+	return list
+}
+
+// fakeEngine is an engine with its staged pieces, and the origin.
+type fakeEngine struct {
+	mu     sync.Mutex
+	staged map[int][]byte
+	loaded uint64
+	orders uint64
+	// orderedWith is what lay staged as the load was ordered.
+	orderedWith []bool
+	expected    uint64
+	// spoil changes what the origin sends; rot what lies staged after a write.
+	spoil func(piece int, data []byte) []byte
+	rot   func(piece int)
+	list  func(version uint64) protocol.PieceList
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		staged: map[int][]byte{}, list: listOf,
+		spoil: func(_ int, data []byte) []byte { return data }, rot: func(int) {},
+	}
+}
+
+func (e *fakeEngine) Report(context.Context, string) (protocol.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := protocol.Report{Layers: map[string][]protocol.ServedLayers{}, Orders: e.orders, Started: 1}
+	if e.loaded > 0 {
+		r.Layers["m"] = []protocol.ServedLayers{{From: 0, To: 4, Version: e.loaded}}
+	}
+	return r, nil
+}
+
+func (e *fakeEngine) Load(_ context.Context, _, _ string, version, expected uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expected = expected
+	if expected != e.orders {
+		return errors.New("another order came first")
+	}
+	e.orders++
+	e.loaded = version
+	e.orderedWith = nil
+	for i := range testPieces {
+		e.orderedWith = append(e.orderedWith, string(e.staged[i]) == string(pieceOf(version, i)))
+	}
+	return nil
+}
+
+func (e *fakeEngine) Stage(_ context.Context, _, _ string, piece int, data []byte) error {
+	e.mu.Lock()
+	e.staged[piece] = append([]byte{}, data...)
+	e.mu.Unlock()
+	e.rot(piece)
+	return nil
+}
+
+func (e *fakeEngine) Staged(_ context.Context, _, _ string, piece int, _ int64) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, ok := e.staged[piece]
+	if !ok {
+		return nil, errors.New("404")
+	}
+	return data, nil
+}
+
+func (e *fakeEngine) Pieces(_ context.Context, _, _ string, version uint64) (protocol.PieceList, error) {
+	return e.list(version), nil
+}
+
+func (e *fakeEngine) Piece(_ context.Context, _, _ string, version uint64, piece int, _ int64) ([]byte, error) {
+	return e.spoil(piece, pieceOf(version, piece)), nil
+}
+
+func testDaemon(e *fakeEngine) *Daemon {
+	s := DefaultSettings()
+	s.Instance, s.Service, s.Region, s.Engine, s.PeerListen = "side-1", "quote", "r", "127.0.0.1:1", "127.0.0.1:2"
+	return New(s, Options{Token: auth.NewToken("a-token-of-processes"), Engine: e}, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+}
+
+var version2 = target{model: "m", version: 2, layers: 4, pieces: testPieces, origin: "origin:1"}
+
+// bringTo calls the steps of bring for a target, without the fleet's news.
+func bringTo(ctx context.Context, d *Daemon, t target) error {
+	c, err := d.fetch(ctx, t)
+	if err != nil {
+		return err
+	}
+	return d.load(ctx, t, c)
+}
+
+func allTrue(list []bool) bool {
+	for _, ok := range list {
+		if !ok {
+			return false
+		}
+	}
+	return len(list) == testPieces
+}
+
+// Guards against a load of pieces that are spoilt: those that the origin sends
+// wrong are fetched again, and what lies staged is read back.
+func TestOnlyWholeVersionsAreLoaded(t *testing.T) {
+	for name, setup := range map[string]func(e *fakeEngine){
+		"sound": func(*fakeEngine) {},
+		"origin sends a wrong piece now and then": func(e *fakeEngine) {
+			wrong := 0
+			e.spoil = func(piece int, data []byte) []byte {
+				if piece == 3 && wrong < 3 {
+					wrong++
+					return []byte("other bytes")
+				}
+				return data
+			}
+		},
+		"older pieces are staged": func(e *fakeEngine) {
+			for i := range testPieces {
+				e.staged[i] = pieceOf(1, i)
+			}
+		},
+		"one piece is staged already, another turned bad": func(e *fakeEngine) {
+			e.staged[0], e.staged[1] = pieceOf(2, 0), []byte("bad")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newFakeEngine()
+			setup(e)
+			is.NoErr(bringTo(t.Context(), testDaemon(e), version2))
+			is.Equal(e.loaded, uint64(2))
+			is.True(allTrue(e.orderedWith))
+		})
+	}
+}
+
+// Guards against a load order while a piece has turned bad since it was staged:
+// the order is not given, and the next try stages it again.
+func TestRotBeforeTheOrder(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine()
+	bad := true
+	e.rot = func(piece int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if piece == 5 && bad {
+			e.staged[5] = []byte("turned bad")
+			bad = false
+		}
+	}
+	d := testDaemon(e)
+	is.True(errors.Is(bringTo(t.Context(), d, version2), errDigest))
+	is.Equal(e.orders, uint64(0))
+	is.NoErr(bringTo(t.Context(), d, version2))
+	is.True(allTrue(e.orderedWith))
+}
+
+// Guards against a wrong list from the origin that no piece ever matches: it is
+// fetched again.
+func TestWrongListIsFetchedAgain(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine()
+	calls := 0
+	e.list = func(version uint64) protocol.PieceList {
+		calls++
+		if calls == 1 {
+			list := listOf(9)
+			list.Version = version
+			return list
+		}
+		return listOf(version)
+	}
+	d := testDaemon(e)
+	is.True(errors.Is(bringTo(t.Context(), d, version2), errSuspect))
+	is.Equal(e.orders, uint64(0))
+	is.NoErr(bringTo(t.Context(), d, version2))
+	is.True(allTrue(e.orderedWith))
+}
+
+// Guards against lists that are taken though they are of another version or size.
+func TestCheckList(t *testing.T) {
+	for name, change := range map[string]func(l *protocol.PieceList){
+		"other model":   func(l *protocol.PieceList) { l.Model = "x" },
+		"other version": func(l *protocol.PieceList) { l.Version = 3 },
+		"too short":     func(l *protocol.PieceList) { l.Digests = l.Digests[1:] },
+		"no digest":     func(l *protocol.PieceList) { l.Digests[2] = "zz" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			list := listOf(2)
+			is.NoErr(checkList(list, version2))
+			change(&list)
+			is.True(errors.Is(checkList(list, version2), errList))
+		})
+	}
+}
+
+// Guards against a fetch that goes on after the version was replaced.
+func TestFetchEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine()
+	e.spoil = func(int, []byte) []byte { return nil }
+	d := testDaemon(e)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := d.fetch(ctx, version2)
+	is.True(err != nil)
+}
