--- a/internal/stager/daemon_test.go
+++ b/internal/stager/daemon_test.go
@@ -20,7 +20,9 @@
 
 const testPieces = 8
 
-func pieceOf(version uint64, i int) []byte { return fmt.Appendf(nil, "piece %d of version %d", i, version) }
+func pieceOf(version uint64, i int) []byte {
+	return fmt.Appendf(nil, "piece %d of version %d", i, version)
+}
 
 func listOf(version uint64) protocol.PieceList {
 	list := protocol.PieceList{Model: "m", Version: version}
--- /dev/null
+++ b/ledger/routing_test.go
@@ -0,0 +1,60 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func setRouting(version uint64, text string) Command {
+	return Command{AtMs: int64(version), Routing: &SetRouting{Version: version, Document: []byte(text)}}
+}
+
+// Guards against a routing document that goes back, or that changes under its
+// version, and against refusing an operator who sends a document again.
+func TestHighestRoutingWins(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	for _, c := range []struct {
+		command  Command
+		repeated bool
+		held     string
+	}{
+		{setRouting(5, "five"), false, "five"},
+		{setRouting(5, "five"), true, "five"},
+		{setRouting(5, "other"), true, "five"},
+		{setRouting(3, "three"), true, "five"},
+		{setRouting(9, "nine"), false, "nine"},
+		{setRouting(5, "five"), true, "nine"},
+	} {
+		r := l.Apply(c.command)
+		is.Equal(r.Status, StatusAccepted)
+		is.Equal(r.Repeated, c.repeated)
+		is.Equal(string(l.Routing().Document), c.held)
+	}
+	is.Equal(l.Apply(setRouting(0, "x")).Status, StatusRefused)
+	is.Equal(l.Apply(setRouting(10, "")).Status, StatusRefused)
+}
+
+// Guards against a named version that is lost, or whose time of naming is, across
+// a snapshot: requests would begin on old weights after a restart of all replicas.
+func TestNamedWeightsSurviveSnapshots(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	for version := range uint64(6) {
+		l.Apply(Command{AtMs: int64(1000 * version), Weights: &NameWeights{Model: "m", Version: version + 1}})
+	}
+	is.True(l.Apply(Command{AtMs: 9000, Weights: &NameWeights{Model: "m", Version: 2}}).Repeated)
+	want := []NamedVersion{{3, 2000}, {4, 3000}, {5, 4000}, {6, 5000}}
+	is.Equal(l.Weights()["m"], want)
+	l.Apply(setRouting(7, "document"))
+	data, err := l.Snapshot()
+	is.NoErr(err)
+	back, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(back.Weights()["m"], want)
+	is.Equal(back.Routing(), l.Routing())
+	again, err := back.Snapshot()
+	is.NoErr(err)
+	is.Equal(string(again), string(data))
+}
