--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -50,7 +50,6 @@
 	predicted  time.Duration
 	load       placement.Load
 	firstEvent time.Duration
-	version    uint64
 	waited     time.Duration
 	retries    []string // reasons
 }
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -74,8 +74,6 @@
 	// uploadRate bounds the bytes per second that go to other stagers.
 	uploadRate *rate.Limiter
 	changed    chan struct{}
-	// staged is the version whose pieces lie beside the engine, as far as known.
-	staged uint64
 }
 
 // target is what the engine must hold.
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -12,14 +12,13 @@
 // A play of overload: one entry, some engines, callers that come back once after
 // a refusal. An engine's stream holds its slot for the usual service time.
 type play struct {
-	pool     *placement.Pool
-	late     bool // tell returning requests apart
-	engines  int
-	demand   float64 // times capacity
-	random   *rand.Rand
-	events   queue
-	now      time.Time
-	serviced time.Duration
+	pool    *placement.Pool
+	late    bool // tell returning requests apart
+	engines int
+	demand  float64 // times capacity
+	random  *rand.Rand
+	events  queue
+	now     time.Time
 }
 
 type happening struct {
