--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+)
+
+type reloaded struct {
+	Instance string `yaml:"instance"`
+	Extra    string `yaml:"extra"`
+}
+
+func (c *reloaded) Check() error {
+	var p settings.Problems
+	p.Required("instance", c.Instance)
+	return p.Err()
+}
+
+// Guards against a process that ends on SIGHUP, that takes over settings with
+// errors, or that keeps values which the new file leaves out.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	write("instance: one\nextra: x\n")
+	reloads := watch(t.Context(), path, reloaded{Extra: "default"})
+	hangUp := func() { is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
+	next := func() *reloaded {
+		select {
+		case c := <-reloads:
+			return c.(*reloaded)
+		case <-time.After(10 * time.Second):
+			t.Fatal("settings were not read again")
+			return nil
+		}
+	}
+	write("instance: [\n")
+	hangUp()
+	write("instance: two\n")
+	hangUp()
+	is.Equal(*next(), reloaded{Instance: "two", Extra: "default"})
+	// Also without a signal.
+	write("instance: three\n")
+	is.NoErr(os.Chtimes(path, time.Now().Add(time.Minute), time.Now().Add(time.Minute)))
+	for c := next(); c.Instance != "three"; c = next() {
+		is.Equal(c.Instance, "two") // read by the poll as well
+	}
+}
