--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -41,8 +41,8 @@
 	acceptAlone = 2800 * time.Millisecond
 	drainPoll   = 50 * time.Millisecond
 	// weightsMargin is kept from the time after which no request may begin on older
-	// weights: a request may wait at the engine before it begins.
-	weightsMargin      = 1500 * time.Millisecond
+	// weights: a request may wait at the engine until it is given up as silent.
+	weightsMargin      = streamSilence + 400*time.Millisecond
 	weightsBoundMinium = time.Second
 )
 
