stager: keep on fetching the version before the newest; deputies in turn

The last two named versions are now fetched side by side; the older one is loaded 3.5 s after its naming if the newest is not whole by then. At most two stagers go to the origin for a piece.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -500,6 +500,14 @@
 	return held[len(held)-1].Version
 }
 
+// NamedWeights lists the named versions of a model that are remembered, oldest
+// first.
+func (c *Client) NamedWeights(model string) []Weights {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.weights[model])
+}
+
 // RequiredWeights returns the newest version that was named at least so long ago;
 // zero for none.
 func (c *Client) RequiredWeights(model string, age time.Duration) uint64 {
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +71,10 @@
 	store    *store
 	peers    *http.Client
 	started  time.Time
+	loaded   uint64 // whole version that the engine holds, as reported last
+
+	mu       sync.Mutex
+	fetching map[uint64]context.CancelFunc // by version
 	uploads  chan struct{}
 	// uploadRate bounds the bytes per second that go to other stagers.
 	uploadRate *rate.Limiter
@@ -89,7 +94,7 @@
 func New(s Settings, opts Options, logger log.Interface) *Daemon {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
-		started: time.Now(), peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
+		started: time.Now(), fetching: map[uint64]context.CancelFunc{}, peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
 		uploads:    make(chan struct{}, uploadsAtOnce),
 		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
 	}
@@ -145,11 +150,15 @@
 	return err
 }
 
-// follow brings the engine to the target whenever it is not there.
+// follow brings the engine to the newest version that can be had, and keeps on
+// fetching what is newer.
 func (d *Daemon) follow(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for ctx.Err() == nil {
 		if t, ok := d.target(); ok {
-			if err := d.bring(ctx, t); err != nil && ctx.Err() == nil {
+			d.fetchAll(ctx, &wg, t)
+			if err := d.settle(ctx, t); err != nil && ctx.Err() == nil {
 				d.log.WithFields(log.Fields{"model": t.model, "version": t.version}).WithError(err).Warn("weights_not_in_place")
 				pause(ctx, failurePause/2+rand.N(failurePause))
 			}
@@ -162,6 +171,57 @@
 	}
 }
 
+// fetchAll starts the transfers that are due and ends those that are not.
+func (d *Daemon) fetchAll(ctx context.Context, wg *sync.WaitGroup, t target) {
+	due := wanted(d.loaded, d.named(t.model))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for version, cancel := range d.fetching {
+		if !slices.Contains(due, version) {
+			cancel()
+		}
+	}
+	for _, version := range due {
+		if c := d.store.get(version); d.fetching[version] != nil || c != nil && c.whole() {
+			continue
+		}
+		fctx, cancel := context.WithCancel(ctx)
+		d.fetching[version] = cancel
+		next := t
+		next.version = version
+		wg.Go(func() {
+			defer cancel()
+			d.fetchUntilWhole(fctx, next)
+			d.mu.Lock()
+			delete(d.fetching, version)
+			d.mu.Unlock()
+			d.signal()
+		})
+	}
+}
+
+func (d *Daemon) fetchUntilWhole(ctx context.Context, t target) {
+	for ctx.Err() == nil {
+		_, err := d.fetch(ctx, t)
+		if err == nil {
+			return
+		}
+		if ctx.Err() == nil {
+			d.log.WithFields(log.Fields{"model": t.model, "version": t.version}).WithError(err).Info("fetch_failed")
+			pause(ctx, failurePause/2+rand.N(failurePause))
+		}
+	}
+}
+
+// named lists the named versions of a model, oldest first. The first version is in
+// force before any is named.
+func (d *Daemon) named(model string) []fleetclient.Weights {
+	if list := d.fleet.NamedWeights(model); len(list) > 0 {
+		return list
+	}
+	return []fleetclient.Weights{{Version: firstVersion}}
+}
+
 // target is what the engine must hold now.
 func (d *Daemon) target() (target, bool) {
 	table := d.fleet.Table()
@@ -183,42 +243,33 @@
 	return t, true
 }
 
-// superseded returns a context that ends when another version becomes the target.
-func (d *Daemon) superseded(ctx context.Context, t target) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		for pause(ctx, loadingInterval) {
-			if now, ok := d.target(); ok && now.version != t.version {
-				cancel()
-			}
+// settle makes the engine hold the version that is due.
+func (d *Daemon) settle(ctx context.Context, t target) error {
+	whole := func(version uint64) bool {
+		c := d.store.get(version)
+		return c != nil && c.whole()
+	}
+	named := d.named(t.model)
+	for _, n := range slices.Backward(named) {
+		if whole(n.Version) {
+			d.hold(n.Version)
+			break
 		}
-	}()
-	return ctx, cancel
-}
-
-var errLoading = errors.New("engine is loading")
-
-// bring makes the engine hold the target.
-func (d *Daemon) bring(ctx context.Context, t target) error {
-	ctx, cancel := d.superseded(ctx, t)
-	defer cancel()
-	// The engine may start after this process, so it is asked last.
-	c, err := d.fetch(ctx, t)
-	if err != nil {
-		return err
 	}
-	d.hold(t.version)
 	report, err := d.report(ctx)
 	if err != nil {
 		return err
 	}
-	if protocol.Holds(report.Layers[t.model], t.version, t.layers) {
+	d.loaded = protocol.Complete(report.Layers[t.model], t.layers)
+	version, ok := due(d.loaded, named, whole, time.Now())
+	if !ok {
 		return nil
 	}
+	t.version = version
 	if report.Loading {
 		return d.await(ctx, t, report)
 	}
-	return d.load(ctx, t, c)
+	return d.load(ctx, t, d.store.get(version))
 }
 
 // hold tells other stagers that this one has a whole version.
@@ -304,6 +355,8 @@
 	return errors.Join(errLoading, ctx.Err())
 }
 
+var errLoading = errors.New("engine is loading")
+
 // reload takes over the addresses of control replicas from changed settings. The
 // rest counts at the next start.
 func (d *Daemon) reload(ctx context.Context, reloads <-chan settings.Checker) {
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -29,7 +29,7 @@
 	// uploadPart is written at once; it takes 9 ms on a link of 7.6 Mbit/s.
 	uploadPart = 8 << 10
 	// uploadShare of the link is used by pieces; the rest is for answers.
-	uploadShare = 0.75
+	uploadShare = 0.9
 	// uploadsAtOnce keeps the link busy between two pieces.
 	uploadsAtOnce = 2
 	// maxListBytes bounds a list of pieces: 64 pieces take 5 KB.
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -86,8 +86,8 @@
 const deputyAfter = 700 * time.Millisecond
 
 // sources lists where to ask for a piece, in order, after a transfer has lasted so
-// long. Only one stager goes to the origin for a piece at first, and one more each
-// deputyAfter: an origin that all turn to together serves none of them in time.
+// long. At most two stagers go to the origin for a piece: an origin that all turn to
+// together serves none of them in time.
 func (p *plan) sources(piece int, age time.Duration) []source {
 	var list []source
 	add := func(other wire.Process) {
@@ -115,7 +115,7 @@
 	if len(p.holders) > 0 {
 		add(home(p.holders, piece+rotation(p.self.Name)))
 	}
-	for _, deputy := range inOrder(p.all, piece)[:min(len(p.all), 1+int(age/deputyAfter))] {
+	for _, deputy := range deputies(inOrder(p.all, piece), age) {
 		if deputy.Name == p.self.Name {
 			return append(list, source{})
 		}
@@ -124,6 +124,17 @@
 	return list
 }
 
+// deputies are the stagers that may take a piece from the origin after a transfer
+// has lasted so long: the first in order, and one more, which changes each
+// deputyAfter.
+func deputies(order []wire.Process, age time.Duration) []wire.Process {
+	list := order[:1:1]
+	if at := int(age/deputyAfter) % len(order); at > 0 {
+		list = append(list, order[at])
+	}
+	return list
+}
+
 // listSources are the stagers to ask for a version's list: holders, or the one that
 // takes it from the origin for all.
 func (p *plan) listSources() []wire.Process {
--- /dev/null
+++ b/internal/stager/versions_test.go
@@ -0,0 +1,48 @@
+package stager
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
+)
+
+// Guards against engines without any version that may be used: where the newest
+// cannot be had, because the origin is down, the one named before it is loaded in
+// time; where it can, an engine does not load twice.
+func TestDue(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	named := []fleetclient.Weights{
+		{Version: 1, Since: now.Add(-time.Hour)}, {Version: 2, Since: now.Add(-3 * time.Second)}, {Version: 3, Since: now},
+	}
+	for _, c := range []struct {
+		name   string
+		loaded uint64
+		whole  []uint64
+		after  time.Duration
+		want   uint64
+	}{
+		{"nothing is whole", 1, nil, 0, 0},
+		{"newest at once", 1, []uint64{2, 3}, 0, 3},
+		{"older one waits for the newest", 1, []uint64{2}, 0, 0},
+		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 2},
+		{"engine without weights", 0, []uint64{2}, 0, 2},
+		{"engine without weights, oldest", 0, []uint64{1}, 0, 1},
+		{"in place", 3, []uint64{2, 3}, time.Minute, 0},
+		{"never back", 2, []uint64{1, 2}, time.Minute, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got, ok := due(c.loaded, named, func(v uint64) bool { return slices.Contains(c.whole, v) }, now.Add(c.after))
+			is.Equal(got, c.want)
+			is.Equal(ok, c.want != 0)
+		})
+	}
+	is := is.New(t)
+	is.Equal(wanted(1, named), []uint64{2, 3})
+	is.Equal(wanted(3, named), []uint64{3})
+	is.Equal(wanted(0, named[:1]), []uint64{1})
+}
