relay: near entries hear of loads each 0.1 s; slots left to entries of other zones

Entries of the same region are now told each 0.1 s, those of others in turn, and an endpoint of another zone keeps 1 slot and one more for each 8 entries for those near it.

Ruled out: waiting in line at the entry (0 ms at the median), the engines' own pace (first events after 110 ms where slots were free).

--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -16,10 +16,12 @@
 	// loadInterval is the time between two reports to other entries. Shorter keeps
 	// entries from choosing the same endpoint and costs a message per entry.
 	loadInterval = 100 * time.Millisecond
-	// loadEntries is the number of other entries up to which they are told at each
-	// interval. More are told less often, so that the messages of all entries grow
-	// with their number and not with its square.
-	loadEntries = 6
+	// farEntries is the number of entries of other regions that are told at each
+	// interval. More are told in turn, so that what crosses between regions grows
+	// with the number of entries and not with its square. Entries of the own region
+	// are told each time: near endpoints are chosen first, so it is their requests
+	// that meet at an endpoint.
+	farEntries = 4
 	// loadRepeat is how often a report without change is sent all the same, well
 	// within the time that reports count.
 	loadRepeat    = 400 * time.Millisecond
@@ -59,14 +61,12 @@
 	defer ticker.Stop()
 	var last string
 	var sent time.Time
+	turn := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if others := len(d.fleet.Processes()) - 1; now.Sub(sent) < loadInterval*time.Duration(others)/loadEntries {
-				continue
-			}
 			report := d.loadReport()
 			data, err := wire.Marshal(report)
 			if err != nil {
@@ -77,7 +77,8 @@
 				continue
 			}
 			last, sent = string(data), now
-			d.sendLoads(conn, data)
+			turn++
+			d.sendLoads(conn, data, turn)
 		}
 	}
 }
@@ -95,11 +96,26 @@
 	return r
 }
 
-func (d *Daemon) sendLoads(conn net.PacketConn, data []byte) {
-	for _, p := range d.fleet.Processes() {
+func (d *Daemon) sendLoads(conn net.PacketConn, data []byte, turn int) {
+	far := 0
+	processes := d.fleet.Processes()
+	for _, p := range processes {
+		if p.Region != d.settings.Region {
+			far++
+		}
+	}
+	rounds := max(1, (far+farEntries-1)/farEntries)
+	at := 0
+	for _, p := range processes {
 		if p.Name == d.settings.Instance || p.PeerAddress == "" {
 			continue
 		}
+		if p.Region != d.settings.Region {
+			at++
+			if at%rounds != turn%rounds {
+				continue
+			}
+		}
 		address, err := net.ResolveUDPAddr("udp", p.PeerAddress)
 		if err != nil {
 			d.log.WithError(err).WithField("entry", p.Name).Warn("peer_address_malformed")
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		load := p.load(s, now)
-		if load.Running >= p.open(s, r) || s.waiting >= p.mayWait(s) {
+		if load.Running >= p.open(s, r)-p.reserve(s, r) || s.waiting >= p.mayWait(s) {
 			verdict = min(verdict, Full)
 			continue
 		}
@@ -233,6 +233,20 @@
 	return slots
 }
 
+// reserve is the number of slots of an endpoint in another zone that are left to
+// the entries there: what they sent to it is known later than what near entries
+// sent, and the later the more entries there are.
+func (p *Pool) reserve(s *state, r Request) int {
+	if s.Zone == r.Zone || p.entries == 1 {
+		return 0
+	}
+	return 1 + p.entries/entriesPerReserve
+}
+
+// entriesPerReserve entries send about one request more to an endpoint before they
+// hear of each other.
+const entriesPerReserve = 8
+
 // mayWait bounds the requests of one entry that wait for their first event at an
 // engine. Entries hear of each other's requests only after a while: where every
 // other engine is full, all of them would fill the one that has just come.
