stager: tell entries of a load before it is ordered, and switch in turn

Stagers now tell the replicas, which amend the server's record until its next start. Engines switch at times spread over the first 4.5 s of the 8 s that a version may take.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -79,7 +79,7 @@
 // serverChanged tells whether entries need a check-in.
 func serverChanged(previous, next membership.Record[wire.Server]) bool {
 	a, b := previous.Report, next.Report
-	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone ||
+	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone || a.Loading != b.Loading ||
 		!slices.EqualFunc(a.Models, b.Models, func(x, y wire.ServerModel) bool {
 			return x.Name == y.Name && slices.Equal(x.Layers, y.Layers)
 		})
@@ -90,6 +90,7 @@
 	f.mu.Lock()
 	before := f.servers.Version()
 	previous, known := f.servers.Get(s.ID)
+	s = s.With(f.engineAt(s.Address))
 	fresh := f.servers.Apply(s.Record(), now)
 	changed := f.servers.Version() != before
 	f.mu.Unlock()
@@ -131,6 +132,9 @@
 	} else {
 		previous.process = p
 	}
+	if p.Role == wire.RoleStager {
+		f.amend(p)
+	}
 	f.mu.Unlock()
 	signal(f.wake)
 	f.log.WithFields(log.Fields{
@@ -138,6 +142,25 @@
 	}).Info("process_introduced")
 }
 
+// amend applies what a stager knows to the server beside it. The caller holds mu.
+func (f *fleet) amend(p wire.Process) {
+	for _, r := range f.servers.Live() {
+		if r.Report.Address == p.Address {
+			f.servers.Amend(r.Endpoint, func(s wire.Server) wire.Server { return s.With(p.Engine) })
+		}
+	}
+}
+
+// engineAt is what a stager knows of the server at an address. The caller holds mu.
+func (f *fleet) engineAt(address string) wire.EngineState {
+	for _, follower := range f.followers {
+		if p := follower.process; p.Role == wire.RoleStager && p.Address == address {
+			return p.Engine
+		}
+	}
+	return wire.EngineState{}
+}
+
 // Forget ends a process's presence.
 func (f *fleet) Forget(s *transport.Session) {
 	f.mu.Lock()
@@ -159,7 +182,7 @@
 	list := &processList{byName: map[string]wire.Process{}}
 	for _, follower := range f.followers {
 		if p := follower.process; p.Role == role {
-			p.Peers = false
+			p.Peers, p.Engine = false, wire.EngineState{} // of no use to others, and changes often
 			list.byName[p.Name] = p
 		}
 	}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -62,6 +62,36 @@
 	is.True(!ok)
 }
 
+// Guards against requests to an engine that loads, or to one whose new weights are
+// known only at its next check-in; and against news of an engine that has started
+// again since.
+func TestStagersTellOfTheirEngines(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := testFleet()
+	f.CheckIn(server("i-1", 100, 1), now)
+	session := new(transport.Session)
+	tell := func(e wire.EngineState) {
+		f.Introduced(session, wire.Process{Name: "side-1", Role: wire.RoleStager, Address: "10.0.0.1:1", Engine: e})
+	}
+	held := func() wire.Server {
+		r, ok := f.servers.Get("i-1")
+		is.True(ok)
+		return r.Report
+	}
+	before := f.servers.Version()
+	tell(wire.EngineState{Started: 100, Loading: true})
+	is.True(held().Loading)
+	is.True(f.servers.Version() > before) // entries are told
+	f.CheckIn(server("i-1", 100, 2), now)
+	is.True(held().Loading) // a check-in does not know of it
+	tell(wire.EngineState{Started: 100, Model: "m", Version: 2, Layers: 16})
+	is.True(!held().Loading)
+	is.Equal(held().Models[0].Layers[0].Version, uint64(2))
+	f.CheckIn(server("i-1", 200, 1), now)
+	is.Equal(len(held().Models), 0)
+}
+
 // Guards against whole lists on each change: at 107 stagers and 9 replicas they
 // filled the links between regions.
 func TestFleetSendsChangesOnly(t *testing.T) {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -239,7 +239,7 @@
 // endpointOf is a server as the pools see it.
 func endpointOf(s wire.Server, service *routing.Service) placement.Endpoint {
 	e := placement.Endpoint{
-		ID: s.ID, Started: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining,
+		ID: s.ID, Started: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining || s.Loading,
 	}
 	if service == nil || service.Engine == nil {
 		return e
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -37,6 +37,12 @@
 	// failurePause spreads stagers that try again, so that they do not press the
 	// origin together.
 	failurePause = 300 * time.Millisecond
+	// switchTime is kept of the bound for a switch: the requests in progress end, and
+	// the engine loads.
+	switchTime = 3500 * time.Millisecond
+	// tellAhead is the time from telling entries of a load to its order: the way over
+	// a replica, and what entries have sent meanwhile.
+	tellAhead = 60 * time.Millisecond
 	// firstVersion is in force before any is named.
 	firstVersion = 1
 	stopTimeout  = time.Second
@@ -261,7 +267,8 @@
 		return err
 	}
 	d.loaded = protocol.Complete(report.Layers[t.model], t.layers)
-	version, ok := due(d.loaded, named, whole, time.Now())
+	d.tell(t, report, report.Loading)
+	version, ok := due(d.loaded, named, whole, d.turn(named[len(named)-1].Version), time.Now())
 	if !ok {
 		return nil
 	}
@@ -272,6 +279,26 @@
 	return d.load(ctx, t, d.store.get(version))
 }
 
+// turn is the time after a version's naming at which this stager's engine switches.
+// The engines of a fleet switch at times spread over the bound, so that most of
+// them take requests at any time.
+func (d *Daemon) turn(version uint64) time.Duration {
+	spread := max(0, d.settings.WeightsBound.Std()-switchTime)
+	const whole = float64(1 << 63)
+	return time.Duration(float64(weightOf(d.settings.Instance, int(version))>>1) / whole * float64(spread))
+}
+
+// tell passes on what is known of the engine, so that entries hear of it before
+// the engine checks in again.
+func (d *Daemon) tell(t target, report protocol.Report, loading bool) {
+	self := d.fleet.Self()
+	self.Engine = wire.EngineState{
+		Started: report.Started, Loading: loading, Model: t.model, Layers: t.layers,
+		Version: protocol.Complete(report.Layers[t.model], t.layers),
+	}
+	d.fleet.Introduce(self)
+}
+
 // hold tells other stagers that this one has a whole version.
 func (d *Daemon) hold(version uint64) {
 	self := d.fleet.Self()
@@ -300,6 +327,16 @@
 	if err != nil {
 		return err
 	}
+	// Entries hear that the engine takes nothing new before it does so.
+	d.tell(t, report, true)
+	defer func() {
+		if after, err := d.report(ctx); err == nil {
+			d.tell(t, after, after.Loading)
+		}
+	}()
+	if d.loaded != 0 && !pause(ctx, tellAhead) {
+		return ctx.Err()
+	}
 	octx, cancel := context.WithTimeout(ctx, engineTimeout)
 	err = d.opts.Engine.Load(octx, d.settings.Engine, t.model, t.version, report.Orders)
 	cancel()
--- a/internal/stager/settings.go
+++ b/internal/stager/settings.go
@@ -1,6 +1,10 @@
 package stager
 
-import "github.com/rhubarbhill/rhubarbhill/internal/settings"
+import (
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+)
 
 // Settings of the stager.
 type Settings struct {
@@ -16,6 +20,9 @@
 	// most three quarters of it, since the engine's answers share it. Default
 	// 1 Gbit/s.
 	Link settings.Rate `yaml:"link"`
+	// WeightsBound is the time after which no request may begin on older weights than
+	// the named ones. Engines switch at times spread over it. Default 8 s.
+	WeightsBound settings.Duration `yaml:"weights_bound"`
 	// Controls are session addresses of control replicas. Seeds are addresses of
 	// replicas whose session port is that of SessionPort, where the session
 	// addresses are not known.
@@ -26,9 +33,11 @@
 
 // DefaultSettings returns settings with defaults filled in.
 func DefaultSettings() Settings {
-	return Settings{Common: settings.DefaultCommon(), Link: defaultLink}
+	return Settings{Common: settings.DefaultCommon(), Link: defaultLink, WeightsBound: settings.Duration(defaultWeightsBound)}
 }
 
+const defaultWeightsBound = 8 * time.Second
+
 const defaultLink = settings.Rate(1_000_000_000 / 8) // bytes per second
 
 // Check implements settings.Checker.
@@ -39,6 +48,7 @@
 	p.Required("service", s.Service)
 	p.Address("peer_listen", s.PeerListen)
 	p.Positive("link", int64(s.Link))
+	p.Positive("weights_bound", int64(s.WeightsBound))
 	p.CheckSeeds(s.Controls, s.Seeds, s.SessionPort)
 	return p.Err()
 }
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -24,18 +24,26 @@
 }
 
 // due returns the version that an engine is to load now, if any. Named is not
-// empty and in order of version.
-func due(loaded uint64, named []fleetclient.Weights, whole func(uint64) bool, now time.Time) (uint64, bool) {
+// empty and in order of version. The newest is loaded once turn has passed since it
+// was named.
+func due(loaded uint64, named []fleetclient.Weights, whole func(uint64) bool, turn time.Duration, now time.Time) (uint64, bool) {
 	newest := named[len(named)-1].Version
 	for i := len(named) - 1; i >= 0; i-- {
 		n := named[i]
 		if n.Version <= loaded {
 			return 0, false
 		}
+		if !whole(n.Version) {
+			continue
+		}
+		age := now.Sub(n.Since)
 		// An engine without weights takes what can be had.
-		if whole(n.Version) && (n.Version == newest || loaded == 0 || now.Sub(n.Since) >= olderAfter) {
+		if loaded == 0 || n.Version == newest && age >= turn || n.Version != newest && age >= olderAfter {
 			return n.Version, true
 		}
+		if n.Version == newest {
+			return 0, false // its turn comes
+		}
 	}
 	return 0, false
 }
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -23,20 +23,23 @@
 		loaded uint64
 		whole  []uint64
 		after  time.Duration
+		turn   time.Duration
 		want   uint64
 	}{
-		{"nothing is whole", 1, nil, 0, 0},
-		{"newest at once", 1, []uint64{2, 3}, 0, 3},
-		{"older one waits for the newest", 1, []uint64{2}, 0, 0},
-		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 2},
-		{"engine without weights", 0, []uint64{2}, 0, 2},
-		{"engine without weights, oldest", 0, []uint64{1}, 0, 1},
-		{"in place", 3, []uint64{2, 3}, time.Minute, 0},
-		{"never back", 2, []uint64{1, 2}, time.Minute, 0},
+		{"nothing is whole", 1, nil, 0, 0, 0},
+		{"newest at once", 1, []uint64{2, 3}, 0, 0, 3},
+		{"older one waits for the newest", 1, []uint64{2}, 0, 0, 0},
+		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 0, 2},
+		{"engine without weights", 0, []uint64{2}, 0, 0, 2},
+		{"engine without weights, oldest", 0, []uint64{1}, 0, 0, 1},
+		{"newest in its turn", 1, []uint64{2, 3}, 2 * time.Second, 3 * time.Second, 0},
+		{"newest after its turn", 1, []uint64{2, 3}, 4 * time.Second, 3 * time.Second, 3},
+		{"in place", 3, []uint64{2, 3}, time.Minute, 0, 0},
+		{"never back", 2, []uint64{1, 2}, time.Minute, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			got, ok := due(c.loaded, named, func(v uint64) bool { return slices.Contains(c.whole, v) }, now.Add(c.after))
+			got, ok := due(c.loaded, named, func(v uint64) bool { return slices.Contains(c.whole, v) }, c.turn, now.Add(c.after))
 			is.Equal(got, c.want)
 			is.Equal(ok, c.want != 0)
 		})
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -23,6 +23,20 @@
 	Draining bool          `cbor:"8,keyasint,omitempty"`
 	Gone     bool          `cbor:"9,keyasint,omitempty"`
 	Models   []ServerModel `cbor:"10,keyasint,omitempty"`
+	// Loading is true while the server takes no new requests because it loads.
+	Loading bool `cbor:"11,keyasint,omitempty"`
+}
+
+// With returns the check-in with what the stager beside the server knows of it.
+func (s Server) With(e EngineState) Server {
+	if e.Started == 0 || e.Started != s.Started {
+		return s
+	}
+	s.Loading = e.Loading
+	if e.Version != 0 {
+		s.Models = []ServerModel{{Name: e.Model, Layers: []protocol.ServedLayers{{From: 0, To: e.Layers, Version: e.Version}}}}
+	}
+	return s
 }
 
 // ServerModel is a model of which a server holds layers.
@@ -105,6 +119,22 @@
 	Peers bool `cbor:"11,keyasint,omitempty"`
 	// Holds is the version of the weights that a stager has in whole.
 	Holds uint64 `cbor:"10,keyasint,omitempty"`
+	// Engine is what a stager knows of its engine, sooner than the engine checks in.
+	Engine EngineState `cbor:"12,keyasint,omitempty"`
+}
+
+// EngineState is the state of the engine at a stager's Address.
+type EngineState struct {
+	// Started is the start of the engine's process that this is known of, Unix
+	// milliseconds; zero while nothing is known.
+	Started uint64 `cbor:"1,keyasint,omitempty"`
+	// Loading is true from shortly before a load is ordered until it is done: the
+	// engine takes no new requests meanwhile.
+	Loading bool   `cbor:"2,keyasint,omitempty"`
+	Model   string `cbor:"3,keyasint,omitempty"`
+	// Version is the whole version that the engine holds; zero for none.
+	Version uint64 `cbor:"4,keyasint,omitempty"`
+	Layers  int    `cbor:"5,keyasint,omitempty"` // of the model
 }
 
 // MessageType implements Message.
--- a/membership/table.go
+++ b/membership/table.go
@@ -71,6 +71,24 @@
 	return true
 }
 
+// Amend changes the report of a present endpoint between two announcements, as when
+// something else is known of it sooner. It reports whether followers need it.
+func (t *Table[T]) Amend(endpoint string, change func(T) T) bool {
+	e, ok := t.entries[endpoint]
+	if !ok || e.removed {
+		return false
+	}
+	next := e.record
+	next.Report = change(next.Report)
+	changed := t.changed(e, next)
+	e.record = next
+	if changed {
+		t.version++
+		e.version = t.version
+	}
+	return changed
+}
+
 func (t *Table[T]) changed(e *entry[T], next Record[T]) bool {
 	previous := e.record
 	if e.removed != next.Gone || previous.Incarnation != next.Incarnation || previous.Draining != next.Draining {
--- a/membership/view.go
+++ b/membership/view.go
@@ -89,7 +89,8 @@
 		e = &viewEntry[T]{holders: map[string]struct{}{}}
 		v.entries[r.Endpoint] = e
 	}
-	if !known || r.position().after(e.record.position()) {
+	// The same announcement may come again with an amended report.
+	if !known || !e.record.position().after(r.position()) {
 		e.record = r
 	}
 	if e.record.Gone {
