--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -81,9 +81,9 @@
 
 // deputyAfter is the time after which the next stager in order takes a piece from
 // the origin, when those before it did not bring it. An origin that is there now
-// may be gone soon: with 1.5 s the pieces of frozen stagers were not asked for
-// within the 2.5 s for which it answered.
-const deputyAfter = 700 * time.Millisecond
+// may be gone soon, so it is short; but an origin that all use takes about 1.7 s for
+// all pieces, and with 0.7 s each piece was fetched from it twice.
+const deputyAfter = 1200 * time.Millisecond
 
 // sources lists where to ask for a piece, in order, after a transfer has lasted so
 // long. At most two stagers go to the origin for a piece: an origin that all turn to
