--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -41,7 +41,7 @@
 		shown[parts[1]+" "+parts[2]] = true
 		return "<!-- example " + parts[1] + " " + parts[2] + " -->\n```go\n" + functionSource(t, filepath.Join(root, parts[1]), parts[2]) + "\n```"
 	})
-	is.Equal(len(shown), 13) // one for each public package
+	is.Equal(len(shown), 15) // one for each public package
 	if os.Getenv(updatePages) != "" {
 		is.NoErr(os.WriteFile(page, []byte(text), 0o644))
 		return
--- a/internal/metrics/page_test.go
+++ b/internal/metrics/page_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/entry"
 	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/internal/relay"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
@@ -45,7 +46,12 @@
 	stopped, stop := context.WithCancel(t.Context())
 	stop()
 	t.Cleanup(func() { _ = daemon.Run(stopped) }) // closes the data folder
-	return map[string]*prometheus.Registry{"entry": entryRegistry, "agent": agentRegistry, "control": daemon.Registry()}
+	relaySettings := relay.DefaultSettings()
+	relaySettings.Seeds, relaySettings.SessionPort = []string{"127.0.0.1:1"}, 2
+	return map[string]*prometheus.Registry{
+		"entry": entryRegistry, "agent": agentRegistry, "control": daemon.Registry(),
+		"relay": relay.New(relaySettings, relay.Options{}, logger).Registry(),
+	}
 }
 
 // Guards against a page that lists other metrics than the daemons have.
@@ -56,7 +62,7 @@
 	data, err := os.ReadFile(page)
 	is.NoErr(err)
 	text := string(data)
-	for _, daemon := range []string{"entry", "control", "agent"} {
+	for _, daemon := range []string{"entry", "control", "agent", "relay"} {
 		own := []metrics.Described{}
 		for _, d := range metrics.Describe(all[daemon]) {
 			if strings.HasPrefix(d.Name, metrics.Namespace+"_") {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -88,6 +88,9 @@
 	return d
 }
 
+// Registry returns the daemon's metrics.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
 func (d *Daemon) self(ready bool) wire.Process {
 	return wire.Process{
 		Name: d.settings.Instance, Role: wire.RoleEntry, Address: d.settings.advertised(), PeerAddress: d.settings.PeerListen,
--- /dev/null
+++ b/placement/example_test.go
@@ -0,0 +1,18 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/placement"
+)
+
+func Example() {
+	p := placement.NewPool(placement.Config{})
+	p.Update(nil, []placement.Endpoint{{ID: "dispatch-1", Started: 1, Zone: "bne-a", Slots: 6}}, 1)
+	choice, verdict := p.Place(placement.Request{Zone: "bne-a"}, time.Now())
+	fmt.Println(choice.ID, verdict == placement.Placed)
+	p.Begin(choice.ID, 0)
+	p.End(choice.ID, choice.Started, placement.Unstarted{Waiting: true}, placement.Success, time.Now())
+	// Output: dispatch-1 true
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -203,16 +203,6 @@
 	is.True(!ok)
 }
 
-func ExamplePool() {
-	p := placement.NewPool(placement.Config{})
-	p.Update(nil, []placement.Endpoint{{ID: "dispatch-1", Started: 1, Zone: "bne-a", Slots: 6}}, 1)
-	choice, verdict := p.Place(placement.Request{Zone: "bne-a"}, time.Now())
-	fmt.Println(choice.ID, verdict == placement.Placed)
-	p.Begin(choice.ID, 0)
-	p.End(choice.ID, choice.Started, placement.Unstarted{Waiting: true}, placement.Success, time.Now())
-	// Output: dispatch-1 true
-}
-
 // Guards against entries that all fill the one engine with a free slot, before
 // they hear of each other: 14 entries, 45 engines of 12 slots, of which all but
 // one are full. What goes to it must fit in its slots and its queue of 32; without
