--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -111,6 +111,38 @@
 	is.Equal(place(), placement.Placed)
 }
 
+// Guards against requests that keep going to an endpoint that fails four in ten of
+// them while its health is good: it must get less than a quarter of its share.
+func TestGreyEndpoint(t *testing.T) {
+	is := is.New(t)
+	const endpoints = 12
+	var list []placement.Endpoint
+	for i := range endpoints {
+		list = append(list, endpoint(fmt.Sprint("e", i)))
+	}
+	p := pool(list...)
+	random := rand.New(rand.NewPCG(9, 9))
+	now := start
+	grey, asked := 0, 0
+	for range 12000 { // 60 s at 200 requests a second
+		now = now.Add(5 * time.Millisecond)
+		choice, verdict := p.Place(placement.Request{Prompt: 900, Zone: "a"}, now)
+		is.Equal(verdict, placement.Placed)
+		asked++
+		p.Begin(choice.ID, 900)
+		result := placement.Success
+		if choice.ID == "e0" {
+			grey++
+			if random.Float64() < 0.4 {
+				result = placement.Silent
+			}
+		}
+		p.End(choice.ID, 1, waited(900), result, now)
+	}
+	t.Logf("%d of %d requests went to the failing endpoint", grey, asked)
+	is.True(grey*endpoints*4 < asked)
+}
+
 // Guards against ejecting a service whose requests fail now and then by
 // themselves: one in six is usual for one of the users' kinds of request.
 func TestOwnFailuresDoNotEject(t *testing.T) {
