relay: a last refusal does not hide an earlier run; one reload for relay and stager

Cause (reading the diff): a safe request that one endpoint may have run and another refused was answered 503, which promises that it has not run. TestLastRefusalDoesNotHideARun failed with 503 before.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/membership"
@@ -205,6 +206,24 @@
 	}
 }
 
+// Reload takes over the addresses of control replicas from changed settings until
+// ctx ends. The rest of the settings counts at the next start.
+func (c *Client) Reload(ctx context.Context, reloads <-chan settings.Checker) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-reloads:
+			s, ok := next.(interface{ SessionAddresses() []string })
+			if !ok {
+				continue
+			}
+			c.Learn(s.SessionAddresses())
+			c.cfg.Log.WithField("seeds", s.SessionAddresses()).Info("settings_reloaded")
+		}
+	}
+}
+
 // forget stops dialling replicas that no other one names any more.
 func (c *Client) forget(now time.Time) {
 	c.mu.Lock()
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -42,8 +42,8 @@
 	drainPoll   = 50 * time.Millisecond
 	// weightsMargin is kept from the time after which no request may begin on older
 	// weights: a request may wait at the engine until it is given up as silent.
-	weightsMargin      = streamSilence + 400*time.Millisecond
-	weightsBoundMinium = time.Second
+	weightsMargin       = streamSilence + 400*time.Millisecond
+	weightsBoundMinimum = time.Second
 )
 
 // Options are what the daemon gets from its surroundings.
@@ -77,13 +77,13 @@
 	}
 	d.names.Store(&map[uint32]string{})
 	d.fleet = fleetclient.New(fleetclient.Config{
-		Token: opts.Token.Secret(), Seeds: settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort),
+		Token: opts.Token.Secret(), Seeds: s.SessionAddresses(),
 		Network: opts.Network, Log: logger, Confirmed: true, Decode: opts.Decode, Changed: d.signal,
 	}, d.self(false))
 	d.handler = &handler{
 		protocol: opts.Protocol, fleet: d.fleet, dispatch: newDispatcher(s.RetryRatio, s.RetrySlack),
 		conns: newConnPool(opts.Network), refused: newRefusedSet(), metrics: newRelayMetrics(d.registry), log: logger, zone: s.Zone,
-		weightsBound: max(weightsBoundMinium, s.WeightsBound.Std()-weightsMargin),
+		weightsBound: max(weightsBoundMinimum, s.WeightsBound.Std()-weightsMargin),
 	}
 	return d
 }
@@ -146,7 +146,7 @@
 			}
 		})
 	}
-	wg.Go(func() { d.reload(ctx, reloads) })
+	wg.Go(func() { d.fleet.Reload(ctx, reloads) })
 	wg.Go(func() { d.fleet.Run(background) })
 	wg.Go(func() { d.follow(background) })
 	wg.Go(func() { d.exchangeLoads(background) })
@@ -254,19 +254,3 @@
 	}
 	return e
 }
-
-// reload takes over the addresses of control replicas from changed settings. The
-// rest counts at the next start.
-func (d *Daemon) reload(ctx context.Context, reloads <-chan settings.Checker) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case next := <-reloads:
-			if s, ok := next.(*Settings); ok {
-				d.fleet.Learn(settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort))
-				d.log.WithField("seeds", s.Seeds).Info("settings_reloaded")
-			}
-		}
-	}
-}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -63,6 +63,9 @@
 		q.ctx = ctx
 		h.dispatch.arrived(q.service)
 		refused = h.serve(w, q)
+		if refused != nil && q.sends > 0 && promisesNotRun(refused.status) {
+			refused = &refusal{status: http.StatusBadGateway, reason: AnswerLost}
+		}
 	}
 	if refused == nil {
 		h.finished(q, "done", "", http.StatusOK)
@@ -74,8 +77,8 @@
 // refuse sends the entry's own final answer.
 func (h *handler) refuse(w http.ResponseWriter, q *request, r refusal) {
 	h.metrics.refused.Inc(r.reason)
-	if r.status == http.StatusServiceUnavailable && q.print != 0 {
-		h.refused.add(q.print, time.Now())
+	if r.status == http.StatusServiceUnavailable && q.mark != 0 {
+		h.refused.add(q.mark, time.Now())
 	}
 	h.finished(q, "refused", r.reason, r.status)
 	header := w.Header()
@@ -126,9 +129,6 @@
 			if held != nil {
 				return held.write(w)
 			}
-			if q.sends > 0 {
-				return &refusal{status: http.StatusBadGateway, reason: AnswerLost}
-			}
 			return refused
 		}
 		result, again := h.send(w, q, choice)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -281,6 +281,20 @@
 	}
 }
 
+// Guards against telling a caller that a request has not run, because its last
+// endpoint refused it, though an earlier one may have run it.
+func TestLastRefusalDoesNotHideARun(t *testing.T) {
+	is := is.New(t)
+	first, second := newServer(t, cut), newServer(t, notRun)
+	h, url := entry(t, first, second)
+	h.dispatch.pools["dispatch"].retry.Burst = 1 // one more send, and no third
+	response, _, err := send(t, url, "/safe/look", http.MethodGet, "", nil)
+	is.NoErr(err)
+	is.Equal(first.count(), 1)
+	is.Equal(second.count(), 1)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+}
+
 // Guards against giving up what can be repeated.
 func TestSafeIsRepeated(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,12 +34,12 @@
 	organisation string
 	table        *routing.Table
 
-	tried    []string // endpoints that were sent the request
-	sends    int      // that may have run
-	refusals int      // sends that provably did not run
-	late     bool     // was refused before, so that it cannot be on time
-	print    fingerprint
-	waiting  bool // counts as waiting for its first event at the endpoint
+	tried    []string    // endpoints that were sent the request
+	sends    int         // that may have run
+	refusals int         // sends that provably did not run
+	late     bool        // was refused before, so that it cannot be on time
+	mark     fingerprint // identifies it when it comes back; zero for other kinds than streams
+	waiting  bool        // counts as waiting for its first event at the endpoint
 	record   record
 }
 
@@ -79,8 +79,8 @@
 	}
 	q.service = q.route.Pick(draw(q.call.ID))
 	if q.route.Kind == routing.Stream {
-		q.print = q.fingerprint()
-		q.late = h.refused.has(q.print, q.arrived)
+		q.mark = q.fingerprint()
+		q.late = h.refused.has(q.mark, q.arrived)
 	}
 	return q, nil
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -84,3 +84,8 @@
 	}
 	return s.Listen
 }
+
+// SessionAddresses returns the session addresses of the control replicas.
+func (s *Settings) SessionAddresses() []string {
+	return settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort)
+}
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -105,7 +105,7 @@
 		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
 	}
 	d.fleet = fleetclient.New(fleetclient.Config{
-		Token: opts.Token.Secret(), Seeds: settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort),
+		Token: opts.Token.Secret(), Seeds: s.SessionAddresses(),
 		Network: opts.Network, Log: logger, Decode: opts.Decode, Changed: d.signal, Refresh: routingRefresh,
 	}, wire.Process{
 		Name: s.Instance, Role: wire.RoleStager, Address: s.Engine, PeerAddress: s.PeerListen,
@@ -141,7 +141,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wg.Go(func() { d.reload(ctx, reloads) })
+	wg.Go(func() { d.fleet.Reload(ctx, reloads) })
 	wg.Go(func() { d.fleet.Run(ctx) })
 	wg.Go(func() { d.follow(ctx) })
 	d.log.Info("started")
@@ -393,19 +393,3 @@
 }
 
 var errLoading = errors.New("engine is loading")
-
-// reload takes over the addresses of control replicas from changed settings. The
-// rest counts at the next start.
-func (d *Daemon) reload(ctx context.Context, reloads <-chan settings.Checker) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case next := <-reloads:
-			if s, ok := next.(*Settings); ok {
-				d.fleet.Learn(settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort))
-				d.log.WithField("seeds", s.Seeds).Info("settings_reloaded")
-			}
-		}
-	}
-}
--- a/internal/stager/settings.go
+++ b/internal/stager/settings.go
@@ -52,3 +52,8 @@
 	p.CheckSeeds(s.Controls, s.Seeds, s.SessionPort)
 	return p.Err()
 }
+
+// SessionAddresses returns the session addresses of the control replicas.
+func (s *Settings) SessionAddresses() []string {
+	return settings.SessionAddresses(s.Controls, s.Seeds, s.SessionPort)
+}
