--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -138,7 +138,8 @@
 	if a.isEngine() {
 		ports = append(ports, network.Port{Address: s.PeerListen, Handler: a.cfg.Weights.PeerHandler()})
 	}
-	ports = append(ports, network.Port{Address: s.AdminListen, Handler: metrics.AdminHandler(a.cfg.Registry, a.readyError)})
+	admin := metrics.AdminHandler(a.cfg.Registry, a.readyError)
+	ports = append(ports, network.Port{Address: s.AdminListen, Handler: admin}, network.Port{Address: s.MetricsListen, Handler: admin})
 	servers, err := network.OpenServers(a.cfg.Network, ports...)
 	return servers, oops.In("agent").Wrap(err)
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -288,6 +288,7 @@
 		network.Port{Address: d.settings.RegistryListen, Handler: handlerOr404(d.opts.Registry, d)},
 		network.Port{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d)},
 		network.Port{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
+		network.Port{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
 	for _, s := range servers {
 		s.BaseContext = func(net.Listener) context.Context { return loop }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -262,14 +262,17 @@
 		Handler:           metrics.AdminHandler(e.registry, e.ready),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	if e.settings.AdminListen == "" {
-		return server, nil
-	}
-	listener, err := e.network.Listen(e.settings.AdminListen)
-	if err != nil {
-		return nil, oops.In("entry").Wrap(err)
+	for _, address := range []string{e.settings.AdminListen, e.settings.MetricsListen} {
+		if address == "" {
+			continue
+		}
+		listener, err := e.network.Listen(address)
+		if err != nil {
+			_ = server.Close()
+			return nil, oops.In("entry").Wrap(err)
+		}
+		go func() { _ = server.Serve(listener) }()
 	}
-	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
 
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -17,6 +17,9 @@
 	// AdminListen serves metrics and health checks without a token. It must be
 	// a loopback address. Default empty, which serves neither.
 	AdminListen string `yaml:"admin_listen"`
+	// MetricsListen serves the same without a token on an address that a collector
+	// of the platform reaches. Default empty, which serves nothing.
+	MetricsListen string `yaml:"metrics_listen"`
 	// ProcessTokenFile holds the token by which the system's processes know
 	// each other.
 	ProcessTokenFile string `yaml:"process_token_file"`
@@ -36,6 +39,9 @@
 	if c.AdminListen != "" {
 		p.Loopback("admin_listen", c.AdminListen)
 	}
+	if c.MetricsListen != "" {
+		p.Address("metrics_listen", c.MetricsListen)
+	}
 	p.Token("process_token_file", c.ProcessTokenFile)
 }
 
