relay: a wider margin before the weights bound; downloads of all versions share slots

Old weights are now used for 5.1 s, and three downloads run at a time for all versions.

Ruled out: the age of the version at the entry, which was right to 10 ms.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -41,8 +41,9 @@
 	acceptAlone = 2800 * time.Millisecond
 	drainPoll   = 50 * time.Millisecond
 	// weightsMargin is kept from the time after which no request may begin on older
-	// weights: a request may wait at the engine until it is given up as silent.
-	weightsMargin       = streamSilence + 400*time.Millisecond
+	// weights. A request may wait until it is given up as silent, and one whose bytes
+	// are held up on a narrow link begins even later: 0.8 s later was seen.
+	weightsMargin       = streamSilence + 1400*time.Millisecond
 	weightsBoundMinimum = time.Second
 )
 
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -79,9 +79,10 @@
 	started  time.Time
 	loaded   uint64 // whole version that the engine holds, as reported last
 
-	mu       sync.Mutex
-	fetching map[uint64]context.CancelFunc // by version
-	uploads  chan struct{}
+	mu        sync.Mutex
+	fetching  map[uint64]context.CancelFunc // by version
+	uploads   chan struct{}
+	downloads chan struct{}
 	// uploadRate bounds the bytes per second that go to other stagers.
 	uploadRate *rate.Limiter
 	changed    chan struct{}
@@ -102,6 +103,7 @@
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
 		started: time.Now(), fetching: map[uint64]context.CancelFunc{}, peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
 		uploads:    make(chan struct{}, uploadsAtOnce),
+		downloads:  make(chan struct{}, parallelDownloads),
 		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
 	}
 	d.fleet = fleetclient.New(fleetclient.Config{
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -19,8 +19,8 @@
 	// parallelPieces are asked for at the same time. Most questions wait at peers
 	// that are about to have the piece.
 	parallelPieces = 32
-	// parallelDownloads keeps the link busy. More would keep requests to the engine,
-	// which shares the link, waiting behind pieces.
+	// parallelDownloads of all versions together keep the link busy. More would keep
+	// requests to the engine, which shares the link, waiting behind pieces.
 	parallelDownloads = 3
 	// replanInterval is how long a plan is used: others come, go and get whole.
 	replanInterval = 500 * time.Millisecond
@@ -53,7 +53,6 @@
 	target target
 	copy   *copyOf
 	start  time.Time
-	slots  chan struct{} // of downloads
 
 	mu         sync.Mutex
 	current    plan
@@ -83,7 +82,7 @@
 		}
 		d.store.add(c)
 	}
-	j := &job{daemon: d, target: t, copy: c, start: started, slots: make(chan struct{}, parallelDownloads), bad: map[string]bool{}, avoid: map[string]time.Time{}}
+	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}}
 	err := j.run(ctx)
 	d.log.WithFields(log.Fields{
 		"version": t.version, "pieces": len(c.pieces), "from_peers": j.fromPeers, "from_origin": j.fromOrigin,
@@ -269,11 +268,11 @@
 		return nil, err
 	}
 	select {
-	case j.slots <- struct{}{}:
+	case j.daemon.downloads <- struct{}{}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	defer func() { <-j.slots }()
+	defer func() { <-j.daemon.downloads }()
 	return j.daemon.peerPiece(ctx, peer, j.target.version, i)
 }
 
