--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -27,8 +27,8 @@
 	// PeerListen takes messages of other entries, over UDP.
 	PeerListen string `yaml:"peer_listen"`
 	// Controls are session addresses of control replicas. Seeds are addresses of
-	// replicas whose session port is that of SessionPort, where the session
-	// addresses are not known.
+	// replicas whose session port is SessionPort, where the session addresses are
+	// not known.
 	Controls    []string `yaml:"controls"`
 	Seeds       []string `yaml:"seeds"`
 	SessionPort int      `yaml:"session_port"`
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -63,7 +63,7 @@
 	Token   auth.Token // of the system's processes
 	Network network.Network
 	Decode  func(source []byte) (*routing.Document, error)
-	// Engine returns the client for engines and origins that uses an HTTP client.
+	// Engine calls the engine beside the stager, and the origin.
 	Engine Engine
 }
 
