--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -21,7 +21,7 @@
 	parallelPieces = 32
 	// parallelDownloads of all versions together keep the link busy. More would keep
 	// requests to the engine, which shares the link, waiting behind pieces.
-	parallelDownloads = 3
+	parallelDownloads = 5
 	// replanInterval is how long a plan is used: others come, go and get whole.
 	replanInterval = 500 * time.Millisecond
 	// avoidFor is how long a peer that did not answer is not asked again.
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -33,7 +33,7 @@
 
 // due returns the version that an engine is to load now, if any. Named is not
 // empty and in order of version. Whole returns since when a version is whole here;
-// the zero time if it is not. The newest is loaded in its turn.
+// the zero time if it is not. A version is loaded in its turn.
 func due(loaded uint64, named []fleetclient.Weights, whole func(uint64) time.Time, turn func(fleetclient.Weights, time.Time) time.Time, now time.Time) (uint64, bool) {
 	newest := named[len(named)-1].Version
 	for i := len(named) - 1; i >= 0; i-- {
@@ -45,8 +45,9 @@
 		if since.IsZero() {
 			continue
 		}
+		inTurn := !now.Before(turn(n, since)) && (n.Version == newest || now.Sub(n.Since) >= olderAfter)
 		// An engine without weights takes what can be had.
-		if loaded == 0 || n.Version == newest && !now.Before(turn(n, since)) || n.Version != newest && now.Sub(n.Since) >= olderAfter {
+		if loaded == 0 || inTurn {
 			return n.Version, true
 		}
 		if n.Version == newest {
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -30,6 +30,7 @@
 		{"newest at once", 1, []uint64{2, 3}, 0, 0, 3},
 		{"older one waits for the newest", 1, []uint64{2}, 0, 0, 0},
 		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 0, 2},
+		{"older one in its turn", 1, []uint64{2}, olderAfter - 3*time.Second, 2 * time.Second, 0},
 		{"engine without weights", 0, []uint64{2}, 0, 0, 2},
 		{"engine without weights, oldest", 0, []uint64{1}, 0, 0, 1},
 		{"newest in its turn", 1, []uint64{2, 3}, 2 * time.Second, 3 * time.Second, 0},
