--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -81,9 +81,9 @@
 
 // deputyAfter is the time after which the next stager in order takes a piece from
 // the origin, when those before it did not bring it. An origin that is there now
-// may be gone soon, so it is short; but the readers take about 1.7 s for all pieces,
-// and with 0.7 s each piece was fetched twice.
-const deputyAfter = 1800 * time.Millisecond
+// may be gone soon, so it is short; but an origin that all use takes about 1.7 s for
+// all pieces, and with 0.7 s each piece was fetched from it twice.
+const deputyAfter = 1200 * time.Millisecond
 
 // sources lists where to ask for a piece, in order, after a transfer has lasted so
 // long. At most two stagers go to the origin for a piece: an origin that all turn to
@@ -103,10 +103,8 @@
 		add(home(p.holders, piece+rotation(p.self.Name)))
 		return append(list, source{})
 	}
-	readers := outside(p.all, piece)
-	order := tree(p.region, piece, readers[0].Name)
-	at := position(order, p.self.Name)
-	root := at == 0
+	order := inOrder(p.region, piece)
+	at := slices.IndexFunc(order, func(other wire.Process) bool { return other.Name == p.self.Name })
 	for range ancestors {
 		if at <= 0 {
 			break
@@ -114,26 +112,18 @@
 		at = parent(at)
 		add(order[at])
 	}
-	add(order[0])
 	if len(p.holders) > 0 {
 		add(home(p.holders, piece+rotation(p.self.Name)))
 	}
-	for _, deputy := range deputies(readers, age) {
+	for _, deputy := range deputies(inOrder(p.all, piece), age) {
 		if deputy.Name == p.self.Name {
 			return append(list, source{})
 		}
-		// The readers are few: all others would wait for their uploads.
-		if root || age >= ownWay {
-			add(deputy)
-		}
+		add(deputy)
 	}
 	return list
 }
 
-// ownWay is the time after which every stager asks the readers itself: those
-// between them and it did not bring the piece in about twice the usual time.
-const ownWay = 6 * time.Second
-
 // deputies are the stagers that may take a piece from the origin after a transfer
 // has lasted so long: the first in order, and one more, which changes each
 // deputyAfter.
@@ -151,56 +141,27 @@
 	if len(p.holders) > 0 {
 		return p.holders[:min(ancestors, len(p.holders))]
 	}
-	if first := outside(p.all, listPiece)[0]; first.Name != p.self.Name {
+	if first := inOrder(p.all, listPiece)[0]; first.Name != p.self.Name {
 		return []wire.Process{first}
 	}
 	return nil
 }
 
-// listPiece stands for the list of pieces: the first reader takes it.
-const listPiece = 0
-
-// originReaders is the number of stagers that take pieces from the origin, each
-// its share of them one after another. If every piece had a reader of its own, all
-// of them would share the origin's link and come at the end of the transfer,
-// instead of one after another.
-const originReaders = 8
+// listPiece stands for the list in the order of stagers.
+const listPiece = -1
 
-// outside lists the stagers that may take a piece from the origin, in order.
-func outside(list []wire.Process, piece int) []wire.Process {
-	ordered := inOrder(list)
-	first := piece % min(originReaders, len(ordered))
-	return slices.Concat(ordered[first:], ordered[:first])
-}
-
-// tree lists a region's stagers in the order of a piece's tree: each but the first
-// takes the piece from its parent. The reader of the piece, if it is in the
-// region, is the first. The order turns by one stager with each piece, so that
-// each has children for as many pieces as every other: the transfer lasts as long
-// as the busiest sender takes.
-func tree(region []wire.Process, piece int, reader string) []wire.Process {
-	ordered := inOrder(region)
-	turn := piece % len(ordered)
-	ordered = slices.Concat(ordered[turn:], ordered[:turn])
-	if at := position(ordered, reader); at > 0 {
-		ordered[0], ordered[at] = ordered[at], ordered[0]
-	}
-	return ordered
-}
-
-// inOrder lists stagers in a random order that is the same everywhere.
-func inOrder(list []wire.Process) []wire.Process {
+// inOrder lists stagers in a piece's own random order. The first takes the piece
+// from outside; within a region each of the others takes it from its parent in a
+// binary tree of this order. So every stager sends about as much as every other:
+// with one sender for a piece, the one that most pieces fall to sends for longest.
+func inOrder(list []wire.Process, piece int) []wire.Process {
 	ordered := slices.Clone(list)
 	slices.SortFunc(ordered, func(a, b wire.Process) int {
-		return cmp.Compare(weightOf(b.Name, 0), weightOf(a.Name, 0))
+		return cmp.Compare(weightOf(b.Name, piece), weightOf(a.Name, piece))
 	})
 	return ordered
 }
 
-func position(list []wire.Process, name string) int {
-	return slices.IndexFunc(list, func(p wire.Process) bool { return p.Name == name })
-}
-
 // parent is the position from which the one at a position above 0 takes a piece.
 func parent(at int) int { return (at - 1) / 2 }
 
@@ -212,9 +173,8 @@
 
 // rank orders the pieces: first those that most others wait for.
 func (p *plan) rank(piece int) int {
-	reader := outside(p.all, piece)[0].Name
-	if reader == p.self.Name {
+	if inOrder(p.all, piece)[0].Name == p.self.Name {
 		return -1
 	}
-	return position(tree(p.region, piece, reader), p.self.Name)
+	return slices.IndexFunc(inOrder(p.region, piece), func(other wire.Process) bool { return other.Name == p.self.Name })
 }
