relay: a request whose endpoint crashed waits for a slot; two broken answers at once eject

And an entry sent on to an endpoint until three answers had broken off, one after another. Two that break off within 50 ms now eject it.

TestRequestOfACrashedEndpointWaitsForASlot was seen to fail with the old rule.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -98,9 +98,15 @@
 }
 
 // place finds an endpoint and counts the request as running there. A request that
-// finds every slot in use waits in line if a slot is due soon enough.
+// finds every slot in use waits in line if a slot is due soon enough, also when an
+// endpoint failed it before: the slots of the others are in use when one crashes
+// under load.
 func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
-	until := q.arrived.Add(time.Duration(waitShare * float64(q.route.Objective)))
+	patience := time.Duration(waitShare * float64(q.route.Objective))
+	until := q.arrived.Add(patience)
+	if q.sends+q.refusals > 0 {
+		until = time.Now().Add(patience) // it has lost its slot with its endpoint
+	}
 	var turn chan struct{}
 	for {
 		now := time.Now()
@@ -116,7 +122,7 @@
 			d.mu.Unlock()
 			return choice, nil
 		}
-		if verdict == placement.None || q.sends > 0 || !p.line.Worth(until.Sub(now), p.NextSlot(r, now)) {
+		if verdict == placement.None || !p.line.Worth(until.Sub(now), p.NextSlot(r, now)) {
 			pause := d.pauseOf(p, r, now)
 			d.mu.Unlock()
 			return choice, refusedPlacing(verdict, pause)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -502,3 +502,35 @@
 	_, suitable := h.dispatch.pools["dispatch"].Count(placement.Request{Zone: "near"}, time.Now())
 	is.Equal(suitable, 2)
 }
+
+// Guards against a request that is given up as lost because, when its endpoint
+// crashes, the slots of the others are in use for a moment: it waits for one.
+func TestRequestOfACrashedEndpointWaitsForASlot(t *testing.T) {
+	is := is.New(t)
+	taken, release := make(chan struct{}), make(chan struct{})
+	crashing := newServer(t, func(net.Conn, *http.Request) bool {
+		<-taken
+		return false
+	})
+	busy := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		<-release
+		return ok(conn, r)
+	})
+	h, url := entry(t, crashing, busy)
+	const slots = 4
+	var wg sync.WaitGroup
+	for range slots { // fill the endpoint that does not crash
+		h.dispatch.pools["dispatch"].Begin("i-1", 0)
+	}
+	wg.Go(func() {
+		response, _, err := send(t, url, "/safe/look", http.MethodGet, "", nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+	})
+	close(taken)
+	time.Sleep(50 * time.Millisecond) // below the 150 ms for which a request waits
+	close(release)
+	h.dispatch.end("dispatch", placement.Choice{Endpoint: placement.Endpoint{ID: "i-1", Started: 1}}, placement.Unstarted{Waiting: true}, placement.Success)
+	wg.Wait()
+	is.Equal(busy.count(), 1)
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -31,6 +31,9 @@
 	// refusedPause keeps requests from an endpoint that has just refused one:
 	// about the length of a pass, after which it may have a free slot.
 	refusedPause = 100 * time.Millisecond
+	// crashWithin is the time in which two answers that break off are taken for an
+	// endpoint that has crashed: all its connections end in the same moment.
+	crashWithin = 50 * time.Millisecond
 )
 
 // health judges an endpoint by the results of requests.
@@ -41,6 +44,7 @@
 	// probation admits one request at a time after an ejection, until one
 	// succeeds.
 	probation bool
+	broken    time.Time // when an answer broke off last
 }
 
 func (h *health) admits(running int, now time.Time) bool {
@@ -66,8 +70,13 @@
 	case Failed, Broken, Silent:
 		value = 1
 	}
+	crashed := false
+	if r == Broken {
+		crashed = now.Sub(h.broken) < crashWithin
+		h.broken = now
+	}
 	h.failures += failureWeight * (value - h.failures)
-	if r != Failed && r != Silent && h.failures < ejectAbove && !(value == 1 && h.probation) {
+	if r != Failed && r != Silent && !crashed && h.failures < ejectAbove && !(value == 1 && h.probation) {
 		return 0
 	}
 	if value == 0 || now.Before(h.until) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -143,6 +143,30 @@
 	is.True(grey*endpoints*4 < asked)
 }
 
+// Guards against requests that go on to an endpoint whose streams have all broken
+// off in the same moment, and against taking single broken answers for a crash.
+func TestCrashUnderLoadEjects(t *testing.T) {
+	is := is.New(t)
+	p := pool(endpoint("a"))
+	for range 3 {
+		p.Begin("a", 0)
+	}
+	is.Equal(p.End("a", 1, waited(0), placement.Broken, start), time.Duration(0))
+	is.True(p.End("a", 1, waited(0), placement.Broken, start.Add(10*time.Millisecond)) > 0)
+	_, verdict := p.Place(placement.Request{Zone: "a"}, start.Add(20*time.Millisecond))
+	is.Equal(verdict, placement.None)
+
+	p = pool(endpoint("a"))
+	for i := range 20 {
+		p.Begin("a", 0)
+		result := placement.Success
+		if i%5 == 0 {
+			result = placement.Broken
+		}
+		is.Equal(p.End("a", 1, waited(0), result, start.Add(time.Duration(i)*time.Second)), time.Duration(0))
+	}
+}
+
 // Guards against ejecting a service whose requests fail now and then by
 // themselves: one in six is usual for one of the users' kinds of request.
 func TestOwnFailuresDoNotEject(t *testing.T) {
