stager: the newest version first

Pieces of an older version now wait while pieces of the newest arrive, and an engine does not load the older one before 5.5 s if the newest is on its way: a load costs it the time in which its requests end.

--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -44,6 +44,10 @@
 	// tellAhead is the time from telling entries of a load to its order: the way over
 	// a replica, and what entries have sent meanwhile.
 	tellAhead = 60 * time.Millisecond
+	// arrivingFor is the pause between two pieces after which a transfer counts as
+	// stuck. A piece takes 35 to 150 ms.
+	arrivingFor = 500 * time.Millisecond
+	yieldPoll   = 50 * time.Millisecond
 	// firstVersion is in force before any is named.
 	firstVersion = 1
 	stopTimeout  = time.Second
@@ -82,6 +86,7 @@
 
 	mu        sync.Mutex
 	fetching  map[uint64]context.CancelFunc // by version
+	progress  map[uint64]time.Time          // when the last piece or list of a version came
 	uploads   chan struct{}
 	downloads chan struct{}
 	// uploadRate bounds the bytes per second that go to other stagers.
@@ -102,7 +107,7 @@
 func New(s Settings, opts Options, logger log.Interface) *Daemon {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(), store: newStore(),
-		started: time.Now(), fetching: map[uint64]context.CancelFunc{}, peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
+		started: time.Now(), fetching: map[uint64]context.CancelFunc{}, progress: map[uint64]time.Time{}, peers: &http.Client{Transport: network.HTTPTransport(opts.Network)}, changed: make(chan struct{}, 1),
 		uploads:    make(chan struct{}, uploadsAtOnce),
 		downloads:  make(chan struct{}, parallelDownloads),
 		uploadRate: rate.NewLimiter(rate.Limit(uploadShare*float64(s.Link)), uploadPart),
@@ -210,6 +215,41 @@
 	}
 }
 
+// progressed records that a piece or the list of a version came.
+func (d *Daemon) progressed(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.progress[version] = time.Now()
+	for v := range d.progress {
+		if v+keepCopies <= version {
+			delete(d.progress, v)
+		}
+	}
+}
+
+// arriving reports whether pieces of a newer version came lately.
+func (d *Daemon) arriving(version uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for v, at := range d.progress {
+		if v > version && time.Since(at) < arrivingFor {
+			return true
+		}
+	}
+	return false
+}
+
+// yield waits while a newer version arrives: both over one link would both come
+// too late, and an engine that gets the newer one in time needs no other.
+func (d *Daemon) yield(ctx context.Context, version uint64) error {
+	for d.arriving(version) {
+		if !pause(ctx, yieldPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 func (d *Daemon) fetchUntilWhole(ctx context.Context, t target) {
 	for ctx.Err() == nil {
 		_, err := d.fetch(ctx, t)
@@ -274,7 +314,7 @@
 	}
 	d.loaded = protocol.Complete(report.Layers[t.model], t.layers)
 	d.tell(t, report, report.Loading)
-	version, ok := due(d.loaded, named, whole, d.turn, time.Now())
+	version, ok := due(d.loaded, named, whole, d.turn, d.arriving, time.Now())
 	if !ok {
 		return nil
 	}
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -45,6 +45,7 @@
 	errList     = errors.New("list of pieces is malformed")
 	errSuspect  = errors.New("pieces do not match the list")
 	errNoSource = errors.New("no origin is known")
+	errYielded  = errors.New("a newer version arrives")
 )
 
 // job is the transfer of one version.
@@ -76,6 +77,7 @@
 		if err != nil {
 			return nil, err
 		}
+		d.progressed(t.version)
 		c = newCopy(list)
 		if err := d.adopt(ctx, t, c); err != nil {
 			return nil, err
@@ -242,6 +244,9 @@
 	if s.peer == "" {
 		limit = originTimeout
 	}
+	if err := j.daemon.yield(ctx, j.target.version); err != nil {
+		return err
+	}
 	fctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var data []byte
@@ -252,7 +257,7 @@
 		data, err = j.fromPeer(fctx, s.peer, i)
 	}
 	if err != nil {
-		if s.peer != "" && !errors.Is(err, errNotHeld) && ctx.Err() == nil {
+		if s.peer != "" && !errors.Is(err, errNotHeld) && !errors.Is(err, errYielded) && ctx.Err() == nil {
 			j.mu.Lock()
 			j.avoid[s.peer] = time.Now()
 			j.mu.Unlock()
@@ -273,6 +278,9 @@
 		return nil, ctx.Err()
 	}
 	defer func() { <-j.daemon.downloads }()
+	if j.daemon.arriving(j.target.version) {
+		return nil, errYielded
+	}
 	return j.daemon.peerPiece(ctx, peer, j.target.version, i)
 }
 
@@ -283,8 +291,10 @@
 	switch {
 	case err == nil && s.peer == "":
 		j.fromOrigin++
+		j.daemon.progressed(j.target.version)
 	case err == nil:
 		j.fromPeers++
+		j.daemon.progressed(j.target.version)
 	case s.peer != "":
 		// The peer holds another list, or its bytes changed on the way.
 		j.bad[s.peer] = true
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -11,6 +11,11 @@
 // later, and a load takes as long as the requests in progress.
 const olderAfter = 3500 * time.Millisecond
 
+// olderAnyhow is the age at which an older version is loaded though the newest is
+// arriving. Each load costs an engine the time in which its requests end; a newest
+// version named 3 s later is whole about when this one is required.
+const olderAnyhow = 5500 * time.Millisecond
+
 // wanted lists the versions to fetch for an engine that holds a version: the newest
 // that was named and the one named before it, in case the newest cannot be had.
 func wanted(loaded uint64, named []fleetclient.Weights) []uint64 {
@@ -33,8 +38,9 @@
 
 // due returns the version that an engine is to load now, if any. Named is not
 // empty and in order of version. Whole returns since when a version is whole here;
-// the zero time if it is not. A version is loaded in its turn.
-func due(loaded uint64, named []fleetclient.Weights, whole func(uint64) time.Time, turn func(fleetclient.Weights, time.Time) time.Time, now time.Time) (uint64, bool) {
+// the zero time if it is not; arriving whether a newer one than a version is on its
+// way. A version is loaded in its turn.
+func due(loaded uint64, named []fleetclient.Weights, whole func(uint64) time.Time, turn func(fleetclient.Weights, time.Time) time.Time, arriving func(uint64) bool, now time.Time) (uint64, bool) {
 	newest := named[len(named)-1].Version
 	for i := len(named) - 1; i >= 0; i-- {
 		n := named[i]
@@ -45,7 +51,14 @@
 		if since.IsZero() {
 			continue
 		}
-		inTurn := !now.Before(turn(n, since)) && (n.Version == newest || now.Sub(n.Since) >= olderAfter)
+		inTurn := !now.Before(turn(n, since))
+		if n.Version != newest {
+			after := olderAfter
+			if arriving(n.Version) {
+				after = olderAnyhow
+			}
+			inTurn = inTurn && now.Sub(n.Since) >= after
+		}
 		// An engine without weights takes what can be had.
 		if loaded == 0 || inTurn {
 			return n.Version, true
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -25,18 +25,21 @@
 		after  time.Duration
 		turn   time.Duration
 		want   uint64
+		newer  bool // arrives
 	}{
-		{"nothing is whole", 1, nil, 0, 0, 0},
-		{"newest at once", 1, []uint64{2, 3}, 0, 0, 3},
-		{"older one waits for the newest", 1, []uint64{2}, 0, 0, 0},
-		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 0, 2},
-		{"older one in its turn", 1, []uint64{2}, olderAfter - 3*time.Second, 2 * time.Second, 0},
-		{"engine without weights", 0, []uint64{2}, 0, 0, 2},
-		{"engine without weights, oldest", 0, []uint64{1}, 0, 0, 1},
-		{"newest in its turn", 1, []uint64{2, 3}, 2 * time.Second, 3 * time.Second, 0},
-		{"newest after its turn", 1, []uint64{2, 3}, 4 * time.Second, 3 * time.Second, 3},
-		{"in place", 3, []uint64{2, 3}, time.Minute, 0, 0},
-		{"never back", 2, []uint64{1, 2}, time.Minute, 0, 0},
+		{"nothing is whole", 1, nil, 0, 0, 0, false},
+		{"newest at once", 1, []uint64{2, 3}, 0, 0, 3, false},
+		{"older one waits for the newest", 1, []uint64{2}, 0, 0, 0, false},
+		{"older one before it is required", 1, []uint64{2}, olderAfter - 3*time.Second, 0, 2, false},
+		{"older one in its turn", 1, []uint64{2}, olderAfter - 3*time.Second, 2 * time.Second, 0, false},
+		{"older one while the newest arrives", 1, []uint64{2}, olderAfter - 3*time.Second, 0, 0, true},
+		{"older one as the newest comes too late", 1, []uint64{2}, olderAnyhow - 3*time.Second, 0, 2, true},
+		{"engine without weights", 0, []uint64{2}, 0, 0, 2, false},
+		{"engine without weights, oldest", 0, []uint64{1}, 0, 0, 1, false},
+		{"newest in its turn", 1, []uint64{2, 3}, 2 * time.Second, 3 * time.Second, 0, false},
+		{"newest after its turn", 1, []uint64{2, 3}, 4 * time.Second, 3 * time.Second, 3, false},
+		{"in place", 3, []uint64{2, 3}, time.Minute, 0, 0, false},
+		{"never back", 2, []uint64{1, 2}, time.Minute, 0, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -47,7 +50,7 @@
 				return time.Time{}
 			}
 			turn := func(fleetclient.Weights, time.Time) time.Time { return now.Add(c.turn) }
-			got, ok := due(c.loaded, named, whole, turn, now.Add(c.after))
+			got, ok := due(c.loaded, named, whole, turn, func(uint64) bool { return c.newer }, now.Add(c.after))
 			is.Equal(got, c.want)
 			is.Equal(ok, c.want != 0)
 		})
