--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -30,18 +29,10 @@
 	// peerTimeout bounds one question to a peer: its wait, the turn for a download,
 	// and the transfer of a piece over a link that several share.
 	peerTimeout = 4000 * time.Millisecond
-	// probeTimeout is the time in which a peer says whether it has a piece. Its link
-	// may have pieces of up to 0.4 s in line: with 250 ms peers that were only busy
-	// counted as silent, and the origin sent twice as much.
-	probeTimeout = 700 * time.Millisecond
 	// originTimeout bounds a piece from the origin, whose link of 9.9 Mbit/s all
 	// share.
 	originTimeout = 3 * time.Second
 	listTimeout   = 800 * time.Millisecond
-	// stuckAfter is the time without a piece after which a transfer is reported as
-	// stuck, and stuckPieces how many of the missing pieces are named.
-	stuckAfter    = time.Second
-	stuckPieces   = 8
 	retryPause    = 100 * time.Millisecond
 	maxPieceBytes = 8 << 20
 	// maxMismatches of pieces from the origin make its list suspect: it may be
@@ -68,7 +59,6 @@
 	current    plan
 	planned    time.Time
 	avoid      map[string]time.Time // peers that did not answer
-	probed     map[string]probe     // peers that were asked whether they answer
 	mismatches int
 	fromOrigin int
 	fromPeers  int
@@ -94,7 +84,7 @@
 		}
 		d.store.add(c)
 	}
-	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}, probed: map[string]probe{}}
+	j := &job{daemon: d, target: t, copy: c, start: started, bad: map[string]bool{}, avoid: map[string]time.Time{}}
 	err := j.run(ctx)
 	d.log.WithFields(log.Fields{
 		"version": t.version, "pieces": len(c.pieces), "from_peers": j.fromPeers, "from_origin": j.fromOrigin,
@@ -201,7 +191,6 @@
 	close(next)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go j.watch(ctx)
 	var wg sync.WaitGroup
 	for range parallelPieces {
 		wg.Go(func() {
@@ -217,28 +206,10 @@
 	return context.Cause(ctx)
 }
 
-// watch logs what a transfer lacks while no piece comes.
-func (j *job) watch(ctx context.Context) {
-	for before := -1; pause(ctx, stuckAfter); {
-		missing := j.copy.missing()
-		if len(missing) == before && before > 0 {
-			waits := map[string]int{} // by the stager that is to bring the pieces
-			for _, i := range missing {
-				waits[inOrder(j.plan().all, i)[0].Name]++
-			}
-			j.daemon.log.WithFields(log.Fields{
-				"version": j.target.version, "missing": missing[:min(len(missing), stuckPieces)], "pieces": len(missing), "readers": waits,
-				"ms": time.Since(j.start).Milliseconds(),
-			}).Warn("transfer_stuck")
-		}
-		before = len(missing)
-	}
-}
-
 // piece gets one piece, trying its sources until one has it.
 func (j *job) piece(ctx context.Context, i int) error {
 	for {
-		for _, s := range j.plan().sources(i, time.Since(j.start), j.silent) {
+		for _, s := range j.plan().sources(i, time.Since(j.start)) {
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
@@ -259,39 +230,6 @@
 	}
 }
 
-// probe is what a peer said when it was asked whether it answers.
-type probe struct {
-	at     time.Time
-	silent bool
-}
-
-// silent reports whether a peer does not answer. It remembers for a while what it
-// found, and what the peer has sent otherwise.
-func (j *job) silent(address string) bool {
-	j.mu.Lock()
-	held, known := j.probed[address]
-	j.mu.Unlock()
-	if known && time.Since(held.at) < probeTimeout {
-		return held.silent
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	_, err := j.daemon.askPeer(ctx, http.MethodHead, address, fmt.Sprintf("/pieces/%d/0?%s", j.target.version, withoutWait), 0)
-	silent := err != nil && !errors.Is(err, errNotHeld)
-	if silent {
-		j.daemon.log.WithFields(log.Fields{"peer": address, "version": j.target.version}).WithError(err).Info("peer_silent")
-	}
-	j.heard(address, silent)
-	return silent
-}
-
-// heard records whether a peer answered.
-func (j *job) heard(address string, silent bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.probed[address] = probe{time.Now(), silent}
-}
-
 func (j *job) isBad(peer string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -302,11 +240,9 @@
 	if s.peer == "" && j.target.origin == "" {
 		return errNoSource
 	}
-	limit, own := peerTimeout, false
+	limit := peerTimeout
 	if s.peer == "" {
 		limit = originTimeout
-	} else if in, next := j.plan().deputyIn(i, time.Since(j.start)); next && in < limit {
-		limit, own = in, true // the others wait for this stager then
 	}
 	if err := j.daemon.yield(ctx, j.target.version); err != nil {
 		return err
@@ -321,7 +257,7 @@
 		data, err = j.fromPeer(fctx, s.peer, i)
 	}
 	if err != nil {
-		if s.peer != "" && !errors.Is(err, errNotHeld) && !errors.Is(err, errYielded) && !own && ctx.Err() == nil {
+		if s.peer != "" && !errors.Is(err, errNotHeld) && !errors.Is(err, errYielded) && ctx.Err() == nil {
 			j.mu.Lock()
 			j.avoid[s.peer] = time.Now()
 			j.mu.Unlock()
@@ -334,12 +270,8 @@
 // fromPeer waits until a peer has a piece, and then fetches it in turn.
 func (j *job) fromPeer(ctx context.Context, peer string, i int) ([]byte, error) {
 	if err := j.daemon.awaitPiece(ctx, peer, j.target.version, i); err != nil {
-		if errors.Is(err, errNotHeld) {
-			j.heard(peer, false)
-		}
 		return nil, err
 	}
-	j.heard(peer, false)
 	select {
 	case j.daemon.downloads <- struct{}{}:
 	case <-ctx.Done():
--- a/internal/stager/peers.go
+++ b/internal/stager/peers.go
@@ -21,9 +21,6 @@
 	pathPieces = "/pieces/{version}"
 	pathPiece  = "/pieces/{version}/{piece}"
 
-	// withoutWait is the query of a question that is answered at once.
-	withoutWait = "wait=0"
-
 	// pieceWait is how long a stager holds a question for a piece that it is about
 	// to have. Asking again costs a message each way.
 	pieceWait = 1200 * time.Millisecond
@@ -78,10 +75,6 @@
 
 // servePiece answers once the piece is here. HEAD waits without its bytes.
 func (d *Daemon) servePiece(w http.ResponseWriter, r *http.Request) {
-	if r.URL.RawQuery == withoutWait {
-		http.NotFound(w, r) // whoever asks so wants to know whether this process answers
-		return
-	}
 	deadline := time.NewTimer(pieceWait)
 	defer deadline.Stop()
 	c := d.awaitCopy(r)
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -79,25 +79,16 @@
 	return h.Sum64() * 0x9e3779b97f4a7c15
 }
 
-const (
-	// deputies of the first stager in a piece's order look whether those before them
-	// answer, the first after probeAfter and each next as much later, and again each
-	// probeAgain. Of 13 stagers of 88 that stood still, some were first and second
-	// for the same piece.
-	deputies   = 3
-	probeAfter = 400 * time.Millisecond
-	probeAgain = 800 * time.Millisecond
-	// overdueAfter is the time after which one more goes to the origin though the
-	// first answers: its way there may be cut. An origin that all use takes about
-	// 1.7 s for all pieces; after 1.2 s each piece was fetched from it twice.
-	overdueAfter = 3 * time.Second
-	overdueStep  = 1200 * time.Millisecond
-)
+// deputyAfter is the time after which the next stager in order takes a piece from
+// the origin, when those before it did not bring it. An origin that is there now
+// may be gone soon, so it is short; but an origin that all use takes about 1.7 s for
+// all pieces, and with 0.7 s each piece was fetched from it twice.
+const deputyAfter = 1200 * time.Millisecond
 
 // sources lists where to ask for a piece, in order, after a transfer has lasted so
-// long. Silent tells which stagers do not answer. Few stagers go to the origin for a
-// piece: an origin that all turn to together serves none of them in time.
-func (p *plan) sources(piece int, age time.Duration, silent func(address string) bool) []source {
+// long. At most two stagers go to the origin for a piece: an origin that all turn to
+// together serves none of them in time.
+func (p *plan) sources(piece int, age time.Duration) []source {
 	var list []source
 	add := func(other wire.Process) {
 		s := source{other.PeerAddress}
@@ -124,51 +115,24 @@
 	if len(p.holders) > 0 {
 		add(home(p.holders, piece+rotation(p.self.Name)))
 	}
-	order = inOrder(p.all, piece)
-	at = slices.IndexFunc(order, func(other wire.Process) bool { return other.Name == p.self.Name })
-	if at == 0 || p.standsIn(order, at, age, silent) {
-		return append([]source{{}}, list...) // in charge now
-	}
-	add(order[0])
-	if at := overdue(order, age); at > 0 {
-		add(order[at])
-	}
-	return list
-}
-
-// standsIn reports whether the stager at a position in a piece's order takes the
-// piece from the origin in place of the first: those before it do not answer, or
-// have had long enough.
-func (p *plan) standsIn(order []wire.Process, at int, age time.Duration, silent func(address string) bool) bool {
-	if at == overdue(order, age) {
-		return true
-	}
-	if at > deputies || age < time.Duration(at)*probeAfter {
-		return false
-	}
-	return !slices.ContainsFunc(order[:at], func(before wire.Process) bool { return !silent(before.PeerAddress) })
-}
-
-// deputyIn is the time until this stager is to look whether it stands in for a
-// piece; false if it is none of its deputies.
-func (p *plan) deputyIn(piece int, age time.Duration) (time.Duration, bool) {
-	order := inOrder(p.all, piece)
-	for at := 1; at <= deputies && at < len(order); at++ {
-		if order[at].Name == p.self.Name {
-			return max(time.Duration(at)*probeAfter-age, probeAgain), true
+	for _, deputy := range deputies(inOrder(p.all, piece), age) {
+		if deputy.Name == p.self.Name {
+			return append(list, source{})
 		}
+		add(deputy)
 	}
-	return 0, false
+	return list
 }
 
-// overdue is the position of the stager that takes a piece from the origin beside
-// the first, after a transfer has lasted so long: it changes each overdueStep. Zero
-// for none.
-func overdue(order []wire.Process, age time.Duration) int {
-	if age < overdueAfter {
-		return 0
+// deputies are the stagers that may take a piece from the origin after a transfer
+// has lasted so long: the first in order, and one more, which changes each
+// deputyAfter.
+func deputies(order []wire.Process, age time.Duration) []wire.Process {
+	list := order[:1:1]
+	if at := int(age/deputyAfter) % len(order); at > 0 {
+		list = append(list, order[at])
 	}
-	return int((age-overdueAfter)/overdueStep+1) % len(order)
+	return list
 }
 
 // listSources are the stagers to ask for a version's list: holders, or the one that
--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +33,7 @@
 	for _, self := range list {
 		p := newPlan(self, list, 2)
 		for piece := range pieces {
-			first := p.sources(piece, 0, answers)[0]
+			first := p.sources(piece, 0)[0]
 			if first.peer == "" {
 				origin++
 				continue
@@ -51,77 +50,23 @@
 	is.True(most*10 <= mean*16)
 }
 
-func answers(string) bool { return false }
-
-// atOrigin lists the stagers that go to the origin for a piece.
-func atOrigin(list []wire.Process, piece int, age time.Duration, silent func(string) bool) []string {
-	var names []string
-	for _, self := range list {
-		p := newPlan(self, list, 2)
-		for _, s := range p.sources(piece, age, silent) {
-			if s.peer == "" {
-				names = append(names, self.Name)
-			}
-		}
-	}
-	return names
-}
-
-// Guards against stagers that wait for one that never brings the piece though it
-// answers: after a while another goes to the origin as well, in turn, and never
-// more than two.
-func TestOverduePieces(t *testing.T) {
-	is := is.New(t)
-	list := stagers(30)
-	for age, want := range map[time.Duration]int{
-		0: 1, 2 * time.Second: 1, overdueAfter: 2, 2 * overdueAfter: 2, overdueAfter + 29*overdueStep: 1,
-	} {
-		is.Equal(len(atOrigin(list, 7, age, answers)), want)
-	}
-}
-
-// Guards against a transfer that lacks pieces for as long as the first ones in
-// their order stand still, while the origin that is there goes down: with three of
-// them silent the fourth has taken its turn within 2 s, and with none of them
-// silent nobody goes to the origin twice.
-func TestDeputiesOfSilentStagers(t *testing.T) {
+// Guards against stagers that wait for one that never brings the piece: after a
+// while another goes to the origin as well, in turn, and never more than two.
+func TestDeputies(t *testing.T) {
 	is := is.New(t)
 	list := stagers(30)
-	order := inOrder(list, 7)
-	for n := range deputies + 1 {
-		silent := func(address string) bool {
-			for _, p := range order[:n] {
-				if p.PeerAddress == address {
-					return true
+	for age, want := range map[time.Duration]int{0: 1, deputyAfter: 2, 3 * deputyAfter: 2, 30 * deputyAfter: 1} {
+		count := 0
+		for _, self := range list {
+			p := newPlan(self, list, 2)
+			for _, s := range p.sources(7, age) {
+				if s.peer == "" {
+					count++
 				}
 			}
-			return false
-		}
-		is.Equal(len(atOrigin(list, 7, 0, silent)), 1)
-		got := atOrigin(list, 7, 2*time.Second, silent)
-		is.Equal(len(got), n+1) // those that are silent do not know it
-		for _, p := range order[:n+1] {
-			is.True(slices.Contains(got, p.Name))
-		}
-	}
-}
-
-// Guards against a deputy that learns of its turn only after it has waited at each
-// of its peers.
-func TestDeputyLooksInTime(t *testing.T) {
-	is := is.New(t)
-	list := stagers(30)
-	looking := 0
-	for _, self := range list {
-		p := newPlan(self, list, 2)
-		in, ok := p.deputyIn(7, probeAfter/2)
-		if !ok {
-			continue
 		}
-		looking++
-		is.True(in <= deputies*probeAfter)
+		is.Equal(count, want)
 	}
-	is.Equal(looking, deputies)
 }
 
 // Guards against pieces that cross between regions though they are near.
@@ -133,7 +78,7 @@
 	}
 	p := newPlan(list[8], list, 2)
 	for piece := range 64 {
-		first := p.sources(piece, 0, answers)[0].peer
+		first := p.sources(piece, 0)[0].peer
 		is.True(first == list[2].PeerAddress || first == list[5].PeerAddress)
 	}
 }
@@ -142,6 +87,6 @@
 func TestPlanOfOne(t *testing.T) {
 	is := is.New(t)
 	p := newPlan(stagers(1)[0], nil, 1)
-	is.Equal(p.sources(0, 0, answers), []source{{}})
+	is.Equal(p.sources(0, 0), []source{{}})
 	is.Equal(p.rank(0), -1)
 }
--- a/internal/stager/store.go
+++ b/internal/stager/store.go
@@ -66,19 +66,6 @@
 	return c.pieces[i]
 }
 
-// missing lists the pieces that are not held.
-func (c *copyOf) missing() []int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var list []int
-	for i, data := range c.pieces {
-		if data == nil {
-			list = append(list, i)
-		}
-	}
-	return list
-}
-
 func (c *copyOf) whole() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
