--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO_TOOL = go tool -modfile=tools/go.mod
 export CGO_ENABLED = 1
 
-.PHONY: build run test lint format matrix faults measure-weights measure-notes measure-confirm measure-requests measure-capacity
+.PHONY: build run test lint format matrix faults soak measure-weights measure-notes measure-confirm measure-requests measure-capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,6 +35,12 @@
 faults: build
 	./scripts/faults.sh
 
+# Random faults between real processes of the users' machines. Fresh seeds: FIRST=n
+SEEDS ?= 10
+FIRST ?= 1
+soak:
+	go test -count=1 -v -timeout 60m ./platform/soak -soak.seeds $(SEEDS) -soak.first $(FIRST)
+
 run: build
 	./scripts/run.sh
 
