--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -298,7 +298,7 @@
 func (h *handler) end(q *request, c placement.Choice, r placement.Result, err error) {
 	ejected := h.dispatch.end(q.service, c, placement.Unstarted{Waiting: q.waiting, Prompt: q.call.PromptTokens}, r)
 	q.waiting = false
-	if err == nil || errors.Is(err, errEnded) {
+	if err == nil || r == placement.Neutral && errors.Is(err, errEnded) {
 		return
 	}
 	fields := log.Fields{
