relay: log and count the rate limits that endpoints name

An entry now decodes Server-Limit, remembers it by endpoint, logs rate_limit_named and rate_limit_ended, adds rate_limit to request_ended and counts the answers. A malformed value is logged and counted and leaves the limit in force. No request is placed differently.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -51,6 +51,11 @@
 	Signed      bool // carries the endpoint's signature
 	Version     uint64
 	Load        *Load
+	// RateLimit is the number of requests per second that the endpoint accepts from all
+	// entries together until it names another; nil if it names none.
+	RateLimit *float64
+	// RateLimitErr is set if the endpoint names a limit that cannot be decoded.
+	RateLimitErr error
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// given.
 	IdleTimeout time.Duration
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -303,6 +303,14 @@
 	return ejected
 }
 
+// recordRateLimit records the request rate that an endpoint named in an answer, nil for
+// none, and reports whether its limit changed.
+func (d *dispatcher) recordRateLimit(q *request, c placement.Choice, perSecond *float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(q.service).RecordRateLimit(c.ID, c.Incarnation, perSecond, q.placedAt, time.Now())
+}
+
 // recordLoad records the load that an endpoint reported with an answer.
 func (d *dispatcher) recordLoad(service, id string, l protocol.Load) {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -131,6 +131,9 @@
 			fields["pause_ms"] = q.record.maxEventGap.Milliseconds()
 		}
 	}
+	if q.record.rateLimit != nil {
+		fields["rate_limit"] = *q.record.rateLimit
+	}
 	if len(q.record.retries) > 0 {
 		fields["retries"] = q.record.retries
 	}
@@ -273,9 +276,7 @@
 	if err != nil {
 		return h.handleSendError(q, c, err)
 	}
-	if load := a.answer.Load; load != nil {
-		h.dispatcher.recordLoad(q.service, c.ID, *load)
-	}
+	h.recordAnswer(q, c, a)
 	if a.answer.NotRun {
 		return h.handleNotRun(q, c, a)
 	}
@@ -286,6 +287,37 @@
 	return h.relayBuffered(w, q, c, a)
 }
 
+// recordAnswer records what an endpoint states about itself in the head of an answer.
+func (h *handler) recordAnswer(q *request, c placement.Choice, a *attempt) {
+	if load := a.answer.Load; load != nil {
+		h.dispatcher.recordLoad(q.service, c.ID, *load)
+	}
+	limit, err := a.answer.RateLimit, a.answer.RateLimitErr
+	if err != nil { // the limit known so far stays in force
+		h.metrics.malformedRateLimit.Inc()
+		h.log.WithError(err).WithFields(log.Fields{"request": q.call.ID, "endpoint": c.ID}).Warn("rate_limit_malformed")
+		return
+	}
+	q.record.rateLimit = limit
+	if limit != nil {
+		h.metrics.rateLimited.Inc()
+	}
+	if h.dispatcher.recordRateLimit(q, c, limit) {
+		logRateLimit(h.log, c.ID, limit, log.Fields{"request": q.call.ID, "service": q.service, "started": c.Incarnation})
+	}
+}
+
+// logRateLimit logs that the rate limit of an endpoint has changed; perSecond is nil if
+// it has ended.
+func logRateLimit(logger log.Interface, endpoint string, perSecond *float64, fields log.Fields) {
+	entry := logger.WithFields(fields).WithField("endpoint", endpoint)
+	if perSecond == nil {
+		entry.Info("rate_limit_ended")
+		return
+	}
+	entry.WithField("per_second", *perSecond).Info("rate_limit_named")
+}
+
 // handleSendError handles an attempt without an answer.
 func (h *handler) handleSendError(q *request, c placement.Choice, err error) (result, Reason) {
 	switch {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -64,6 +64,7 @@
 	slotInterval  time.Duration // predicted time between two free slots, for a request refused a slot
 	ahead         int           // requests queued ahead, for a request refused a slot
 	retries       []string      // reasons for retries
+	rateLimit     *float64      // requests per second that the last endpoint accepts; nil if it named none
 }
 
 // admit reads and checks a request. The refusal is nil if the request may be placed.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -156,6 +156,7 @@
 			}
 			continue
 		}
+		h.recordAnswer(q, c, a)
 		if a.answer.NotRun {
 			_, reason = h.handleNotRun(q, c, a)
 			continue
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -118,6 +118,8 @@
 	engine    *routing.Engine
 	sharers   int // number of pools that place requests on the same endpoints, including this one
 	endpoints map[string]*endpointState
+	// rateLimits holds the limits that endpoints have named, by ID.
+	rateLimits map[string]*rateLimit
 }
 
 type endpointState struct {
@@ -142,7 +144,7 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Pool{cfg: cfg, sharers: 1, endpoints: map[string]*endpointState{}}
+	return &Pool{cfg: cfg, sharers: 1, endpoints: map[string]*endpointState{}, rateLimits: map[string]*rateLimit{}}
 }
 
 // Update replaces the endpoints and the description of their engines, which is nil
@@ -171,6 +173,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.forgetRateLimits(now)
 }
 
 // SetSharers sets the number of pools that place requests on the same endpoints without
--- /dev/null
+++ b/placement/rate_limit.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minRequestRate is the lowest rate, in requests per second, to which an endpoint is
+	// limited. A limit ends only with an answer that names none, so an endpoint that
+	// accepts no requests still gets one every ten seconds.
+	minRequestRate = 0.1
+	// rateLimitMemory is how long the limit of an endpoint that is not listed any more
+	// is remembered. Endpoints are unlisted while control replicas are lost.
+	rateLimitMemory = time.Minute
+)
+
+// rateLimit is the request rate that an endpoint accepts from all entries together.
+type rateLimit struct {
+	incarnation uint64 // of the endpoint
+	perSecond   float64
+	interval    time.Duration // between two requests; zero without a limit
+	namedAt     time.Time     // when the newest answer that named the rate arrived
+}
+
+func (l *rateLimit) limited() bool { return l != nil && l.interval > 0 }
+
+// requestInterval returns the time between two requests at a rate, or zero if perSecond
+// is nil.
+func requestInterval(perSecond *float64) time.Duration {
+	if perSecond == nil {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / max(*perSecond, minRequestRate))
+}
+
+// observe applies the rate that an answer names, or the end of the limit if perSecond is
+// nil. It reports whether the rate changed. Answers overtake each other, so the endpoint
+// may have named the rate at any time between sentAt and answeredAt: a lower rate applies
+// unless a newer one is known, a higher one only if it is newer for certain.
+func (l *rateLimit) observe(perSecond *float64, sentAt, answeredAt time.Time) bool {
+	interval := requestInterval(perSecond)
+	switch {
+	case interval == l.interval:
+		if l.limited() {
+			l.namedAt = later(l.namedAt, answeredAt)
+		}
+		return false
+	case interval > l.interval && !answeredAt.After(l.namedAt), interval < l.interval && sentAt.Before(l.namedAt):
+		return false
+	}
+	l.interval, l.namedAt, l.perSecond = interval, answeredAt, math.Inf(1)
+	if perSecond != nil {
+		l.perSecond = *perSecond
+	}
+	return true
+}
+
+// RecordRateLimit records the request rate that an endpoint names in an answer, nil for
+// none, and reports whether its limit changed. The request was sent at sentAt.
+func (p *Pool) RecordRateLimit(id string, incarnation uint64, perSecond *float64, sentAt, answeredAt time.Time) bool {
+	s := p.endpoints[id]
+	if s == nil || s.Incarnation != incarnation {
+		return false
+	}
+	l := p.rateLimits[id]
+	if l == nil {
+		if perSecond == nil {
+			return false
+		}
+		l = &rateLimit{incarnation: incarnation}
+		p.rateLimits[id] = l
+	}
+	return l.observe(perSecond, sentAt, answeredAt)
+}
+
+// NamedRateLimit is the request rate that an endpoint has named.
+type NamedRateLimit struct {
+	Endpoint    string
+	Incarnation uint64
+	PerSecond   float64
+	NamedAt     time.Time
+}
+
+// RateLimits lists the limits of the endpoints, sorted by ID.
+func (p *Pool) RateLimits() []NamedRateLimit {
+	var list []NamedRateLimit
+	for id, l := range p.rateLimits {
+		if l.limited() && p.endpoints[id] != nil {
+			list = append(list, NamedRateLimit{Endpoint: id, Incarnation: l.incarnation, PerSecond: l.perSecond, NamedAt: l.namedAt})
+		}
+	}
+	slices.SortFunc(list, func(a, b NamedRateLimit) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
+
+// forgetRateLimits drops the limits of earlier incarnations, and of endpoints that have
+// not been listed for long.
+func (p *Pool) forgetRateLimits(now time.Time) {
+	for id, l := range p.rateLimits {
+		s := p.endpoints[id]
+		if s != nil && s.Incarnation != l.incarnation || s == nil && now.Sub(l.namedAt) > rateLimitMemory {
+			delete(p.rateLimits, id)
+		}
+	}
+}
