--- /dev/null
+++ b/internal/relay/rate_limit_test.go
@@ -0,0 +1,258 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/platform"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+// Bounds of the requests that an endpoint with a rate limit may receive.
+const (
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitSlack     = 5
+	limitKnownFrom = 3 * time.Second // after the endpoint has named its limit first
+)
+
+// limitedEndpoint is an endpoint that may name a rate limit in its answers.
+type limitedEndpoint struct {
+	mu       sync.Mutex
+	limit    string // value of Server-Limit; empty for none
+	arrivals []time.Time
+}
+
+func (e *limitedEndpoint) name(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+func (e *limitedEndpoint) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, time.Now())
+		limit := e.limit
+		e.mu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+		head := "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
+		if limit != "" {
+			head += "Server-Limit: " + limit + "\r\n"
+		}
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			err = writeStream(conn, head)
+		} else {
+			_, err = io.WriteString(conn, head+"Content-Length: 4\r\n\r\ndone")
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// writeStream writes an answer with four events in 0.6 s.
+func writeStream(conn net.Conn, head string) error {
+	_, err := io.WriteString(conn, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for id := 1; id <= 4 && err == nil; id++ {
+		event := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		time.Sleep(150 * time.Millisecond)
+	}
+	if err == nil {
+		_, err = io.WriteString(conn, "0\r\n\r\n")
+	}
+	return err
+}
+
+// mostArrivals returns the largest number of requests that arrived within a window and
+// not before from.
+func (e *limitedEndpoint) mostArrivals(from time.Time, window time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for i, first := range e.arrivals {
+		if first.Before(from) {
+			continue
+		}
+		n := 0
+		for _, at := range e.arrivals[i:] {
+			if at.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// pipeNetwork connects to endpoints in this process, so that they run in virtual time.
+type pipeNetwork struct {
+	network.System
+	endpoints map[string]*limitedEndpoint // by address
+}
+
+func (n pipeNetwork) DialContext(_ context.Context, _, address string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go n.endpoints[address].serve(server)
+	return client, nil
+}
+
+// entryFleet is several entries in front of the same endpoints, in virtual time.
+type entryFleet struct {
+	*peerNetwork
+	endpoints map[string]*limitedEndpoint
+	handlers  []*handler
+
+	mu      sync.Mutex
+	answers map[int]int   // number of answers by status
+	delays  []string      // Retry-After of refusals
+	slowest time.Duration // longest time until a refusal
+}
+
+const (
+	engineService = "quotes"
+	plainService  = "dispatch"
+)
+
+// newEntryFleet starts entries in front of endpoints of an engine service and of a plain
+// service.
+func newEntryFleet(t *testing.T, entries, endpoints int) (f *entryFleet, stop func()) {
+	n, cancel := newPeerNetwork(t, entries, 0, "a")
+	f = &entryFleet{peerNetwork: n, endpoints: map[string]*limitedEndpoint{}, answers: map[int]int{}}
+	document := testDocument()
+	document.Routes[2].Targets = []routing.Target{{Service: engineService, Weight: 1}}
+	document.Services = append(document.Services, routing.Service{Name: engineService, Engine: &routing.Engine{
+		Slots: 16, Stride: 5, StepMs: 8.87, PrefillPerSecond: 19100, PrefillChunkTokens: 2048, MeanPromptTokens: 300, MeanAnswerTokens: 60,
+	}})
+	table := routing.Compile(document)
+	list := map[string][]placement.Endpoint{}
+	for _, service := range []string{engineService, plainService} {
+		for i := range endpoints {
+			id := fmt.Sprint(service, "-", i)
+			f.endpoints[id] = &limitedEndpoint{}
+			list[service] = append(list[service], placement.Endpoint{ID: id, Incarnation: 1, Address: id, Zone: "a", Slots: 16, WeightsVersion: 1})
+		}
+	}
+	var known []placement.Entry
+	for i := range entries {
+		known = append(known, placement.Entry{Name: fmt.Sprint("entry-", i), Zone: "a"})
+	}
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	for _, e := range known {
+		slots := n.slots[e.Name]
+		slots.update(table, list, known, time.Now())
+		d := newDispatcher(0.2, 100, slots)
+		d.update(table, list, entries)
+		f.handlers = append(f.handlers, &handler{
+			protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, conns: newConnPool(pipeNetwork{endpoints: f.endpoints}),
+			metrics: newRelayMetrics(prometheus.NewRegistry()), log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second,
+		})
+	}
+	return f, func() {
+		cancel()
+		for _, h := range f.handlers {
+			h.conns.prune(nil)
+		}
+		synctest.Wait()
+	}
+}
+
+// load sends requests to the entries in turn, at a rate per second in all.
+func (f *entryFleet) load(path string, perSecond int, length time.Duration) {
+	var wg sync.WaitGroup
+	interval := time.Second / time.Duration(perSecond)
+	for i := range int(length / interval) {
+		wg.Go(func() { f.request(i%len(f.handlers), path, fmt.Sprint("request-", time.Now().UnixNano(), "-", i)) })
+		time.Sleep(interval)
+	}
+	wg.Wait()
+}
+
+func (f *entryFleet) request(entry int, path, id string) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("order"))
+	r.Host = "orders.example"
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Deadline-Ms": "2500", "Authorization": "Bearer " + testKey, "X-Token-Count": "300,60",
+	} {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	begun := time.Now()
+	f.handlers[entry].ServeHTTP(w, r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers[w.Code]++
+	if w.Code != http.StatusOK {
+		f.delays = append(f.delays, w.Header().Get("Retry-After"))
+		f.slowest = max(f.slowest, time.Since(begun))
+	}
+}
+
+// allowed returns the largest number of requests that an endpoint with a limit may
+// receive within limitWindow.
+func allowed(perSecond float64) int {
+	return int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
+}
+
+// Guards against endpoints that receive more requests than the rate that they name for
+// all entries together.
+func TestEntriesShareRateLimit(t *testing.T) {
+	for _, c := range []struct {
+		path, limited string
+		entries       int
+		limit         string
+		perSecond     float64
+	}{
+		{"/stream/quote", engineService + "-0", 4, "1", 1},
+		{"/stream/quote", engineService + "-0", 30, "8.5", 8.5},
+		{"/safe/look", plainService + "-0", 4, "1", 1},
+		{"/safe/look", plainService + "-0", 30, "1", 1},
+		{"/safe/look", plainService + "-0", 30, "8.5", 8.5},
+		{"/safe/look", plainService + "-0", 4, "0", 0},
+	} {
+		t.Run(fmt.Sprintf("%s/%d entries/limit %s", c.limited, c.entries, c.limit), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, stop := newEntryFleet(t, c.entries, 3)
+				defer stop()
+				limited := f.endpoints[c.limited]
+				f.load(c.path, 60, time.Second)
+				limited.name(c.limit)
+				named := time.Now()
+				f.load(c.path, 60, 15*time.Second)
+				most := limited.mostArrivals(named.Add(limitKnownFrom), limitWindow)
+				if most > allowed(c.perSecond) {
+					t.Errorf("%d requests within %v, allowed %d", most, limitWindow, allowed(c.perSecond))
+				}
+				is.Equal(f.answers, map[int]int{http.StatusOK: 16 * 60}) // the others have room for all requests
+			})
+		})
+	}
+}
