placement, relay: keep the request rate that an endpoint names for all entries

The same class as the slots before brokers: a bound of an endpoint for all entries together, which no entry can keep alone.

Change: the broker of a group counts the requests to its limited endpoints and grants no slot beyond the rate. Plain services, which entries place by themselves, need the broker's permit for a limited endpoint. Brokers learn limits from answers, reports and permit requests, and tell all entries. Only the first broker of a group grants permits, so entries that lose each other do not each use the whole rate. A limit ends with an answer, to a request sent after it was named, that names none. Requests beyond all limits are refused at once (rate-limited) with the time until a permit.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -33,6 +33,9 @@
 	// localJitterMs spreads the choices of entries that place requests without a
 	// broker.
 	localJitterMs = 60
+	// permitJitter spreads the requests of entries for permits of an endpoint with a rate
+	// limit. A higher value leaves permits unused if few entries want them.
+	permitJitter = 250 * time.Millisecond
 )
 
 // dispatcher holds the pools of all services and the requests that wait for a slot. It
@@ -41,6 +44,8 @@
 	ratio, slack float64
 	slots        *slotCoordinator
 
+	// mu must not be held during calls of slots, which calls this dispatcher as its
+	// rateLimitStore while it holds its own lock.
 	mu      sync.Mutex
 	pools   map[string]*poolState
 	entries int // number of entries that share the retry budget
@@ -55,7 +60,23 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	return &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	s.setRateLimitStore(d)
+	return d
+}
+
+// rateLimits implements rateLimitStore.
+func (d *dispatcher) rateLimits(service string) []placement.NamedRateLimit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).RateLimits()
+}
+
+// addRateLimit implements rateLimitStore.
+func (d *dispatcher) addRateLimit(service string, n placement.NamedRateLimit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).AddRateLimit(n, time.Now())
 }
 
 // pool returns the pool of a service and creates it if needed. The caller holds mu.
@@ -127,12 +148,17 @@
 
 // place selects an endpoint and counts the request as running there. Slots of engines
 // are granted by brokers. For plain services, and if no broker answers, this entry
-// selects the endpoint from its local state.
+// selects the endpoint from its local state. An endpoint with a rate limit is used only
+// with the permission of a broker, because the limit applies to all entries together.
 func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
 	if d.slots.brokered(q.service) {
 		if choice, refused, ok := d.placeByBroker(q, r); ok {
 			return choice, refused
 		}
+		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
+		for _, l := range d.rateLimits(q.service) {
+			r.Exclude = append(r.Exclude, l.Endpoint)
+		}
 	}
 	return d.placeLocally(q, r)
 }
@@ -170,7 +196,7 @@
 	ejected := d.pool(q.service).Ejected(now)
 	d.mu.Unlock()
 	a.Exclude = slices.Concat(r.Exclude, ejected[:min(len(ejected), maxExcluded)])
-	p, ok := d.slots.requestSlot(q.ctx, q.service, a)
+	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
 		return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}, true
@@ -203,6 +229,16 @@
 		d.mu.Lock()
 		p := d.pool(q.service)
 		choice, verdict := p.Place(r, now)
+		if verdict == placement.Placed && choice.RateLimited {
+			d.mu.Unlock()
+			if d.takePermit(q, r, choice) {
+				return choice, nil
+			}
+			if q.ctx.Err() != nil {
+				return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+			}
+			continue
+		}
 		if verdict == placement.Placed && (ready != nil || p.queue.Len() == 0 || choice.Load.Running == 0) {
 			p.Begin(choice.ID, r.Prefill())
 			q.inPrefill = true
@@ -234,10 +270,38 @@
 	}
 }
 
+// takePermit requests a slot of an endpoint with a rate limit from the broker that counts
+// the requests of all entries, and counts the request as running there. If the broker
+// refuses or does not respond, the endpoint is not selected for a while.
+func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
+	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, placement.SlotRequest{
+		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID}, Redirected: true,
+	})
+	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pool := d.pool(q.service)
+	switch {
+	case ok && p.response.Verdict == placement.Placed:
+		q.slot, q.inPrefill = p.sequence, true
+		pool.Begin(c.ID, r.Prefill())
+		return true
+	case ok:
+		pool.DeferPermits(c.ID, now.Add(p.response.SlotInterval+rand.N(permitJitter)))
+	default:
+		pool.DeferPermits(c.ID, now.Add(brokerSuspension))
+	}
+	return false
+}
+
 func placementRefusal(v placement.Verdict, delay time.Duration) *refusal {
 	reason := NoSlot
-	if v == placement.NoEndpoint {
+	switch v {
+	case placement.NoEndpoint:
 		reason = NoEndpoint
+	case placement.RateLimited:
+		reason = RateLimited
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: delay}
 }
@@ -306,6 +370,7 @@
 // recordRateLimit records the request rate that an endpoint named in an answer, nil for
 // none, and reports whether its limit changed.
 func (d *dispatcher) recordRateLimit(q *request, c placement.Choice, perSecond *float64) bool {
+	d.slots.recordRateLimit(q.slot, perSecond)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.pool(q.service).RecordRateLimit(c.ID, c.Incarnation, perSecond, q.placedAt, time.Now())
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -21,6 +21,8 @@
 	Events       []eventMessage       `cbor:"6,keyasint,omitempty"`
 	HeldSlots    *heldSlotsMessage    `cbor:"7,keyasint,omitempty"`
 	Summary      *summaryMessage      `cbor:"8,keyasint,omitempty"`
+	// RateLimits lists the limits of endpoints of the group that the sender knows of.
+	RateLimits []rateLimitMessage `cbor:"9,keyasint,omitempty"`
 }
 
 // slotRequestMessage encodes a placement.SlotRequest. Durations are in milliseconds.
@@ -41,6 +43,7 @@
 	// Bounds state the time left to begin on weights older than a version.
 	Bounds       []weightsBoundMessage `cbor:"15,keyasint,omitempty"`
 	AnswerTokens int                   `cbor:"16,keyasint,omitempty"`
+	Only         uint32                `cbor:"17,keyasint,omitempty"` // hash of an endpoint ID
 }
 
 // weightsBoundMessage encodes a placement.WeightsBound, with the time relative to the
@@ -68,10 +71,11 @@
 	SlotIntervalUs int64             `cbor:"13,keyasint,omitempty"`
 	Ahead          int               `cbor:"14,keyasint,omitempty"`
 	Late           bool              `cbor:"15,keyasint,omitempty"`
+	RateLimited    bool              `cbor:"16,keyasint,omitempty"`
 }
 
-// eventMessage reports the first event or the end of an attempt to the broker that
-// granted its slot.
+// eventMessage reports the answer, the first event or the end of an attempt to the broker
+// that granted its slot.
 type eventMessage struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	// Ended is true at the end of the attempt, with its result. Otherwise the first
@@ -79,6 +83,10 @@
 	Ended  bool             `cbor:"2,keyasint,omitempty"`
 	Result placement.Result `cbor:"3,keyasint,omitempty"`
 	LateMs int64            `cbor:"4,keyasint,omitempty"`
+	// Answered is true if the head of the answer arrived, which names RateLimit requests
+	// per second, or no limit if it is nil.
+	Answered  bool     `cbor:"5,keyasint,omitempty"`
+	RateLimit *float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // heldSlotsMessage lists the slots of a group that an entry holds.
@@ -89,13 +97,47 @@
 	PrefillTokens []int32  `cbor:"4,keyasint,omitempty"` // prefillDone after the first event
 }
 
+// rateLimitMessage encodes a placement.NamedRateLimit, with the time relative to the
+// sending of the message.
+type rateLimitMessage struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    uint32   // hash of the endpoint ID
+	Incarnation uint64
+	PerSecond   float64
+	AgeMs       int64
+}
+
+func newRateLimitMessages(limits []placement.NamedRateLimit, now time.Time) []rateLimitMessage {
+	var list []rateLimitMessage
+	for _, l := range limits {
+		list = append(list, rateLimitMessage{
+			Endpoint: endpointHash(l.Endpoint), Incarnation: l.Incarnation, PerSecond: l.PerSecond, AgeMs: now.Sub(l.NamedAt).Milliseconds(),
+		})
+	}
+	return list
+}
+
+// namedRateLimit decodes a limit. The result ok is false if the endpoint is unknown here
+// or the rate is not valid.
+func (m rateLimitMessage) namedRateLimit(endpointIDs map[uint32]string, now time.Time) (n placement.NamedRateLimit, ok bool) {
+	id, known := endpointIDs[m.Endpoint]
+	return placement.NamedRateLimit{
+		Endpoint: id, Incarnation: m.Incarnation, PerSecond: m.PerSecond, NamedAt: now.Add(-fromMs(m.AgeMs)),
+	}, known && m.PerSecond >= 0
+}
+
 // summaryMessage encodes a placement.Summary and the number of groups.
 type summaryMessage struct {
 	FreeSlots int `cbor:"1,keyasint,omitempty"`
 	Groups    int `cbor:"3,keyasint,omitempty"`
 }
 
-const prefillDone = -1 // in heldSlotsMessage.PrefillTokens
+const (
+	prefillDone = -1 // in heldSlotsMessage.PrefillTokens
+	// unknownEndpoint is the ID of no endpoint. It keeps a slot request for an endpoint
+	// that is unknown here from being granted elsewhere.
+	unknownEndpoint = "-"
+)
 
 func (m *slotRequestMessage) slotRequest(from string, endpointIDs map[uint32]string, now time.Time) placement.SlotRequest {
 	a := placement.SlotRequest{
@@ -113,6 +155,11 @@
 			a.Exclude = append(a.Exclude, id)
 		}
 	}
+	if m.Only != 0 {
+		if a.Only = endpointIDs[m.Only]; a.Only == "" {
+			a.Only = unknownEndpoint
+		}
+	}
 	return a
 }
 
@@ -127,6 +174,9 @@
 	for _, id := range a.Exclude {
 		m.Exclude = append(m.Exclude, endpointHash(id))
 	}
+	if a.Only != "" {
+		m.Only = endpointHash(a.Only)
+	}
 	return m
 }
 
@@ -135,6 +185,7 @@
 		Sequence: a.RequestID.Sequence, Verdict: a.Verdict, Endpoint: a.Choice.ID, Incarnation: a.Choice.Incarnation, Address: a.Choice.Address, Zone: a.Choice.Zone,
 		WeightsVersion: a.Choice.WeightsVersion, TTFTMs: a.Choice.TTFT.Milliseconds(), ModelTTFTMs: a.Choice.ModelTTFT.Milliseconds(),
 		Running: a.Choice.Load.Running, PrefillTokens: a.Choice.Load.PrefillTokens, Group: a.Group, SlotIntervalUs: a.SlotInterval.Microseconds(), Ahead: a.Ahead, Late: a.Late,
+		RateLimited: a.Choice.RateLimited,
 	}
 }
 
@@ -143,7 +194,7 @@
 		RequestID: placement.SlotRequestID{Entry: to, Sequence: m.Sequence}, Verdict: m.Verdict,
 		Choice: placement.Choice{
 			Endpoint: placement.Endpoint{ID: m.Endpoint, Incarnation: m.Incarnation, Address: m.Address, Zone: m.Zone, WeightsVersion: m.WeightsVersion},
-			TTFT:     fromMs(m.TTFTMs), ModelTTFT: fromMs(m.ModelTTFTMs), Load: placement.Load{Running: m.Running, PrefillTokens: m.PrefillTokens},
+			TTFT:     fromMs(m.TTFTMs), ModelTTFT: fromMs(m.ModelTTFTMs), Load: placement.Load{Running: m.Running, PrefillTokens: m.PrefillTokens}, RateLimited: m.RateLimited,
 		},
 		Group: m.Group, SlotInterval: time.Duration(m.SlotIntervalUs) * time.Microsecond, Ahead: m.Ahead, Late: m.Late,
 	}
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -16,6 +16,9 @@
 	NoEndpoint       Reason = "no-endpoint"
 	NoSlot           Reason = "no-slot"
 	EndpointsRefused Reason = "endpoints-refused"
+	// RateLimited means that the endpoints with room have reached the request rate that
+	// they accept.
+	RateLimited      Reason = "rate-limited"
 	CallerGone       Reason = "caller-gone"
 	DeadlineExceeded Reason = "time-over"
 	AnswerLost       Reason = "answer-lost"
@@ -40,7 +43,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused,
+		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, EndpointError,
 	}
 }
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -44,6 +44,9 @@
 	reportInterval = 250 * time.Millisecond
 	// summaryInterval is the interval between two summaries to other groups.
 	summaryInterval = 100 * time.Millisecond
+	// rateLimitInterval is the interval at which brokers tell all entries which endpoints
+	// of plain services have a rate limit.
+	rateLimitInterval = time.Second
 	// maxReportTargets is the number of brokers of each group that get reports and
 	// summaries: the active one, and the next one, which takes over from it.
 	maxReportTargets = 2
@@ -72,7 +75,10 @@
 	// send sends a message to another entry. Messages may be lost.
 	send func(to string, m peerMessage)
 
-	mu       sync.Mutex
+	mu     sync.Mutex
+	limits rateLimitStore // called while mu is held
+	// entries lists the names of all entries.
+	entries  []string
 	services map[string]*serviceGroups
 	brokers  map[groupKey]*placement.Broker
 	// lastCandidate is when this entry was last a candidate of a group.
@@ -88,8 +94,23 @@
 	wake           chan struct{}
 }
 
+// rateLimitStore holds the rate limits of endpoints that this entry knows of.
+type rateLimitStore interface {
+	rateLimits(service string) []placement.NamedRateLimit
+	addRateLimit(service string, n placement.NamedRateLimit)
+}
+
+// noRateLimits is the rateLimitStore of an entry that forwards no requests.
+type noRateLimits struct{}
+
+func (noRateLimits) rateLimits(string) []placement.NamedRateLimit  { return nil }
+func (noRateLimits) addRateLimit(string, placement.NamedRateLimit) {}
+
 // serviceGroups is the division of the endpoints of a service into groups.
 type serviceGroups struct {
+	// engines is true if brokers place all requests of the service. For plain services
+	// they only count the requests to endpoints with a rate limit.
+	engines     bool
 	groups      []placement.Group
 	groupOfZone map[string]string
 }
@@ -100,11 +121,12 @@
 	endpoint      string
 	prefillTokens int
 	inPrefill     bool
+	rateLimited   bool // the endpoint had a rate limit when the slot was granted
 }
 
 func newSlotCoordinator(self, zone string, logger log.Interface, send func(string, peerMessage)) *slotCoordinator {
 	return &slotCoordinator{
-		self: self, zone: zone, log: logger, send: send,
+		self: self, zone: zone, log: logger, send: send, limits: noRateLimits{},
 		services: map[string]*serviceGroups{}, brokers: map[groupKey]*placement.Broker{}, lastCandidate: map[groupKey]time.Time{},
 		endpointIDs: map[uint32]string{}, suspendedUntil: map[string]time.Time{}, activeBroker: map[groupKey]string{},
 		// Higher than any sequence number of an earlier process of this entry.
@@ -114,6 +136,12 @@
 	}
 }
 
+func (s *slotCoordinator) setRateLimitStore(store rateLimitStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = store
+}
+
 func endpointHash(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never fails
@@ -124,7 +152,8 @@
 func (s *slotCoordinator) brokered(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.services[service] != nil
+	g := s.services[service]
+	return g != nil && g.engines
 }
 
 // update replaces the known entries and endpoints.
@@ -134,10 +163,10 @@
 	services := map[string]*serviceGroups{}
 	for service, list := range endpoints {
 		description := table.Service(service)
-		if description == nil || description.Engine == nil {
+		if description == nil {
 			continue
 		}
-		g := &serviceGroups{}
+		g := &serviceGroups{engines: description.Engine != nil}
 		g.groups, g.groupOfZone = placement.Groups(entries, len(list), zonesOf(list))
 		services[service] = g
 		byGroup := map[string][]placement.Endpoint{}
@@ -154,6 +183,7 @@
 				}
 			}
 			if b := s.brokers[key]; b != nil {
+				b.SetPrimary(group.Brokers[0] == s.self)
 				b.Update(description.Engine, byGroup[group.Name], now)
 			}
 		}
@@ -164,7 +194,10 @@
 			delete(s.lastCandidate, key)
 		}
 	}
-	s.endpointIDs, s.services = endpointIDs, services
+	s.endpointIDs, s.services, s.entries = endpointIDs, services, s.entries[:0]
+	for _, e := range entries {
+		s.entries = append(s.entries, e.Name)
+	}
 	s.updateActiveBrokers(now)
 	out := s.takeResponses()
 	s.mu.Unlock()
@@ -214,28 +247,33 @@
 	return group.Brokers[0]
 }
 
-// findGroup returns a group of a service by name, or the group of this entry's zone if
-// ownZone is true. The caller holds mu.
-func (s *slotCoordinator) findGroup(service, name string, ownZone bool) (placement.Group, bool) {
+// findGroup returns a group of a service by name. The caller holds mu.
+func (s *slotCoordinator) findGroup(service, name string) (placement.Group, bool) {
+	if g := s.services[service]; g != nil {
+		for _, group := range g.groups {
+			if group.Name == name {
+				return group, true
+			}
+		}
+	}
+	return placement.Group{}, false
+}
+
+// groupOfZone returns the group of a service that is responsible for a zone. The caller
+// holds mu.
+func (s *slotCoordinator) groupOfZone(service, zone string) (placement.Group, bool) {
 	g := s.services[service]
 	if g == nil || len(g.groups) == 0 {
 		return placement.Group{}, false
 	}
-	if ownZone {
-		name = s.zone
-		if zone, ok := g.groupOfZone[s.zone]; ok {
-			name = zone
-		}
-		if !slices.ContainsFunc(g.groups, func(group placement.Group) bool { return group.Name == name }) {
-			name = g.groups[0].Name
-		}
+	name, ok := g.groupOfZone[zone]
+	if !ok {
+		name = zone
 	}
-	for _, group := range g.groups {
-		if group.Name == name {
-			return group, true
-		}
+	if group, ok := s.findGroup(service, name); ok {
+		return group, true
 	}
-	return placement.Group{}, false
+	return g.groups[0], true
 }
 
 // slotResult is the result of a slot request.
@@ -249,15 +287,15 @@
 	response placement.SlotResponse
 }
 
-// requestSlot requests a slot from one broker after the other until one responds. The
-// result ok is false if none does.
-func (s *slotCoordinator) requestSlot(ctx context.Context, service string, a placement.SlotRequest) (p slotResult, ok bool) {
+// requestSlot requests a slot from one broker of a zone's group after the other until one
+// responds. The result ok is false if none does.
+func (s *slotCoordinator) requestSlot(ctx context.Context, service, zone string, a placement.SlotRequest) (p slotResult, ok bool) {
 	s.mu.Lock()
 	s.sequence++
 	a.SlotRequestID = placement.SlotRequestID{Entry: s.self, Sequence: s.sequence}
 	responses := make(chan placement.SlotResponse, 4) // room for repeated responses
 	s.waiters[a.Sequence] = responses
-	group, found := s.findGroup(service, "", true)
+	group, found := s.groupOfZone(service, zone)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -283,7 +321,7 @@
 		}
 		// Redirected: another group has free slots.
 		s.mu.Lock()
-		other, known := s.findGroup(service, next, false)
+		other, known := s.findGroup(service, next)
 		s.mu.Unlock()
 		a.Redirected = true
 		if known {
@@ -296,9 +334,19 @@
 // requestFrom requests a slot from one broker. The result next is the group to ask next
 // after a redirect.
 func (s *slotCoordinator) requestFrom(ctx context.Context, p *slotResult, a placement.SlotRequest, responses chan placement.SlotResponse) (next string, responded bool) {
+	var limits []placement.NamedRateLimit
+	if a.Only != "" { // the broker may not know of the limit yet
+		s.mu.Lock()
+		limits = s.groupRateLimits(p.key)
+		s.mu.Unlock()
+	}
 	for range triesPerBroker {
 		p.requests++
-		s.sendToBroker(p.broker, p.key, func(b *placement.Broker, now time.Time) { b.RequestSlot(a, now) }, peerMessage{SlotRequest: newSlotRequestMessage(a, time.Now())})
+		now := time.Now()
+		s.sendToBroker(p.broker, p.key, func(b *placement.Broker, now time.Time) {
+			s.addRateLimits(b, p.key, s.self, limits, now)
+			b.RequestSlot(a, now)
+		}, peerMessage{SlotRequest: newSlotRequestMessage(a, now), RateLimits: newRateLimitMessages(limits, now)})
 		wait := slotRequestTimeout
 		for {
 			timer := time.NewTimer(wait)
@@ -346,7 +394,7 @@
 func (s *slotCoordinator) recordHeld(p *slotResult, prompt int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[p.sequence] = heldSlot{key: p.key, endpoint: p.choice.ID, prefillTokens: prompt, inPrefill: true}
+	s.held[p.sequence] = heldSlot{key: p.key, endpoint: p.choice.ID, prefillTokens: prompt, inPrefill: true, rateLimited: p.choice.RateLimited}
 }
 
 // firstEvent reports the first event of an attempt to the broker. The lag is by how
@@ -365,6 +413,27 @@
 	s.reportEvent(h.key, eventMessage{Sequence: sequence, LateMs: excess.Milliseconds()})
 }
 
+// recordRateLimit reports to the broker the request rate that the endpoint of a slot
+// names in its answer, nil for none. An answer without one matters only if the broker
+// knows of a limit.
+func (s *slotCoordinator) recordRateLimit(sequence uint64, perSecond *float64) {
+	s.mu.Lock()
+	h, ok := s.held[sequence]
+	s.mu.Unlock()
+	if ok && (perSecond != nil || h.rateLimited) {
+		s.reportEvent(h.key, eventMessage{Sequence: sequence, Answered: true, RateLimit: perSecond})
+	}
+}
+
+// addRateLimits tells a broker of limits that an entry knows of. The caller holds mu.
+func (s *slotCoordinator) addRateLimits(b *placement.Broker, key groupKey, entry string, limits []placement.NamedRateLimit, now time.Time) {
+	for _, l := range limits {
+		if b.AddRateLimit(l, now) {
+			logRateLimit(s.log, l.Endpoint, &l.PerSecond, log.Fields{"service": key.service, "group": key.group, "entry": entry})
+		}
+	}
+}
+
 // excessLag returns by how much the lag of a first event exceeds the mean lag at this
 // entry. A lag that all endpoints share is caused by a slow link or CPU of this entry,
 // not by an endpoint. The caller holds mu.
@@ -418,6 +487,12 @@
 func (s *slotCoordinator) applyEvents(b *placement.Broker, entry string, key groupKey, events []eventMessage, now time.Time) {
 	for _, e := range events {
 		id := placement.SlotRequestID{Entry: entry, Sequence: e.Sequence}
+		if e.Answered {
+			if endpoint, changed := b.RecordRateLimit(id, e.RateLimit, now); changed {
+				logRateLimit(s.log, endpoint, e.RateLimit, log.Fields{"service": key.service, "group": key.group, "entry": entry})
+			}
+			continue
+		}
 		if !e.Ended {
 			b.FirstEvent(id, fromMs(e.LateMs), now)
 			continue
@@ -515,8 +590,16 @@
 			}
 		}
 	}
+	var limits []placement.NamedRateLimit
+	for _, l := range m.RateLimits {
+		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
+			limits = append(limits, n)
+			s.limits.addRateLimit(m.Service, n)
+		}
+	}
 	if b := s.brokers[key]; b != nil {
 		s.applyEvents(b, m.From, key, m.Events, now)
+		s.addRateLimits(b, key, m.From, limits, now)
 		if m.HeldSlots != nil {
 			b.Reconcile(m.From, m.HeldSlots.heldSlots(s.endpointIDs), now)
 		}
@@ -529,8 +612,8 @@
 	s.deliver(out)
 }
 
-// sendReport reports the slots of a group that this entry holds to brokers. The caller
-// holds mu.
+// sendReport reports the slots of a group that this entry holds, and the rate limits that
+// it knows of, to brokers. The caller holds mu.
 func (s *slotCoordinator) sendReport(key groupKey, to []string) {
 	r := &heldSlotsMessage{}
 	var held []placement.HeldSlot
@@ -557,21 +640,32 @@
 		r.Endpoints = append(r.Endpoints, endpointHash(h.Endpoint))
 		r.PrefillTokens = append(r.PrefillTokens, tokens)
 	}
+	limits, now := s.groupRateLimits(key), time.Now()
 	for _, name := range to {
 		switch {
 		case name == s.self:
 			if b := s.brokers[key]; b != nil {
-				b.Reconcile(s.self, held, time.Now())
+				s.addRateLimits(b, key, s.self, limits, now)
+				b.Reconcile(s.self, held, now)
 			}
 		case name != "":
-			s.send(name, peerMessage{Service: key.service, Group: key.group, HeldSlots: r})
+			s.send(name, peerMessage{Service: key.service, Group: key.group, HeldSlots: r, RateLimits: newRateLimitMessages(limits, now)})
 		}
 	}
 }
 
+// groupRateLimits returns the limits that endpoints of a group have named to this entry.
+// The caller holds mu.
+func (s *slotCoordinator) groupRateLimits(key groupKey) []placement.NamedRateLimit {
+	return slices.DeleteFunc(s.limits.rateLimits(key.service), func(l placement.NamedRateLimit) bool {
+		group, ok := s.groupOfZone(key.service, l.Zone)
+		return !ok || group.Name != key.group
+	})
+}
+
 // sendReports reports the held slots of each group to its first brokers. The brokers of
-// this entry's own group get a report even if no slot is held, so that they know that
-// the entry is alive.
+// engines in this entry's own group get a report even if no slot is held, so that they
+// know that the entry is alive.
 func (s *slotCoordinator) sendReports(now time.Time) {
 	s.mu.Lock()
 	active := map[groupKey]bool{}
@@ -579,10 +673,10 @@
 		active[h.key] = true
 	}
 	for service, g := range s.services {
-		own, _ := s.findGroup(service, "", true)
+		own, _ := s.groupOfZone(service, s.zone)
 		for _, group := range g.groups {
 			key := groupKey{service, group.Name}
-			if active[key] || group.Name == own.Name {
+			if active[key] || g.engines && group.Name == own.Name {
 				s.sendReport(key, s.reportTargets(group, now))
 			}
 		}
@@ -613,7 +707,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, g := range s.services {
-		if len(g.groups) < 2 {
+		if len(g.groups) < 2 || !g.engines {
 			continue
 		}
 		for _, group := range g.groups {
@@ -640,12 +734,35 @@
 	}
 }
 
+// sendRateLimits tells all entries which endpoints of plain services have a rate limit,
+// for the groups whose active broker is this entry. Requests to engines need no such
+// message, because the broker places all of them.
+func (s *slotCoordinator) sendRateLimits(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, b := range s.brokers {
+		group, ok := s.findGroup(key.service, key.group)
+		if !ok || s.services[key.service].engines || s.selectBroker(group, now) != s.self {
+			continue
+		}
+		limits := newRateLimitMessages(b.RateLimits(), now)
+		if len(limits) == 0 {
+			continue
+		}
+		for _, name := range s.entries {
+			if name != s.self {
+				s.send(name, peerMessage{Service: key.service, Group: key.group, RateLimits: limits})
+			}
+		}
+	}
+}
+
 // flushEvents sends the pending events.
 func (s *slotCoordinator) flushEvents(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, events := range s.pendingEvents {
-		group, ok := s.findGroup(key.service, key.group, false)
+		group, ok := s.findGroup(key.service, key.group)
 		if !ok {
 			delete(s.pendingEvents, key)
 			continue
@@ -696,7 +813,7 @@
 
 // run does the periodic work until ctx ends.
 func (s *slotCoordinator) run(ctx context.Context) {
-	var reported, summarized time.Time
+	var reported, summarized, limitsSent time.Time
 	for {
 		wait := idleInterval
 		if s.hasPending() {
@@ -725,6 +842,10 @@
 			summarized = now
 			s.sendSummaries(now)
 		}
+		if now.Sub(limitsSent) >= rateLimitInterval {
+			limitsSent = now
+			s.sendRateLimits(now)
+		}
 	}
 }
 
--- a/internal/relay/slots_test.go
+++ b/internal/relay/slots_test.go
@@ -94,7 +94,7 @@
 
 func (n *peerNetwork) place(entry string, maxWait time.Duration) (slotResult, bool) {
 	a := placement.SlotRequest{Request: placement.Request{PromptTokens: 500, Zone: "a"}, MaxWait: maxWait}
-	return n.slots[entry].requestSlot(n.t.Context(), "quotes", a)
+	return n.slots[entry].requestSlot(n.t.Context(), "quotes", n.slots[entry].zone, a)
 }
 
 // Guards against entries that together send an engine more requests than it has slots,
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -105,6 +105,8 @@
 	prefill     Prefill
 	inPrefill   bool // no first event yet
 	grantedAt   time.Time
+	// sentAfter is a time before the request was sent; zero if unknown.
+	sentAfter time.Time
 }
 
 type queuedRequest struct {
@@ -203,7 +205,8 @@
 
 func (b *Broker) grant(a SlotRequest, c Choice, now time.Time) {
 	b.pool.Begin(c.ID, a.Prefill())
-	b.grants[a.SlotRequestID] = grant{endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, grantedAt: now}
+	b.pool.TakePermit(c.ID, now)
+	b.grants[a.SlotRequestID] = grant{endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, grantedAt: now, sentAfter: now}
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Late: a.Late})
 }
 
@@ -309,6 +312,35 @@
 	b.serveQueue(now)
 }
 
+// RecordRateLimit records the request rate that the endpoint of a granted request names
+// in its answer, nil for none. It returns the endpoint and whether its limit changed.
+func (b *Broker) RecordRateLimit(id SlotRequestID, perSecond *float64, now time.Time) (endpoint string, changed bool) {
+	b.lastSeen[id.Entry] = now
+	g, ok := b.grants[id]
+	if !ok {
+		return "", false
+	}
+	changed = b.pool.RecordRateLimit(g.endpoint, g.incarnation, perSecond, g.sentAfter, now)
+	if changed {
+		b.serveQueue(now)
+	}
+	return g.endpoint, changed
+}
+
+// AddRateLimit records a limit that an entry knows of and reports whether the limit of
+// the endpoint changed. A new broker learns the limits from the entries.
+func (b *Broker) AddRateLimit(n NamedRateLimit, now time.Time) bool {
+	return b.pool.AddRateLimit(n, now)
+}
+
+// SetPrimary sets whether this broker is the first of its group. Only that one grants
+// slots of endpoints with a rate limit: while entries cannot reach each other, several
+// brokers of a group would each grant the whole rate. Default true.
+func (b *Broker) SetPrimary(primary bool) { b.pool.noPermits = !primary }
+
+// RateLimits lists the limits of the endpoints, sorted by ID.
+func (b *Broker) RateLimits() []NamedRateLimit { return b.pool.RateLimits() }
+
 // End releases the slot of a request, or removes the request from the queue. It returns
 // the endpoint and how long that is ejected for the result.
 func (b *Broker) End(id SlotRequestID, result Result, now time.Time) (endpoint string, ejected time.Duration) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -63,6 +63,8 @@
 	Late bool
 	// Exclude lists endpoints that the request was already sent to.
 	Exclude []string
+	// Only is the ID of the only endpoint to consider; empty means all.
+	Only string
 }
 
 // WeightsBound is the time by which a request must have begun if it runs on weights older
@@ -120,6 +122,7 @@
 	endpoints map[string]*endpointState
 	// rateLimits holds the limits that endpoints have named, by ID.
 	rateLimits map[string]*rateLimit
+	noPermits  bool // endpoints with a rate limit may not be used
 }
 
 type endpointState struct {
@@ -199,6 +202,8 @@
 	// observed at the endpoint; ModelTTFT excludes the lag.
 	TTFT, ModelTTFT time.Duration
 	Load            Load // of the endpoint, from all entries
+	// RateLimited reports that the endpoint limits the requests of all entries together.
+	RateLimited bool
 }
 
 // Verdict is the result of an attempt to place a request.
@@ -216,13 +221,16 @@
 	// Redirected means that the request should go to the broker of a group with free
 	// slots.
 	Redirected
+	// RateLimited means that endpoints have room, but a request would exceed the rate
+	// that they accept.
+	RateLimited
 )
 
 // Place selects the endpoint with the earliest predicted first event, after penalties for
 // the zone and the version of the weights, among those that can take the request now. It
 // does not count the request; see Begin.
 func (p *Pool) Place(r Request, now time.Time) (Choice, Verdict) {
-	verdict := NoEndpoint
+	verdict, rateLimited := NoEndpoint, false
 	var best *endpointState
 	bestScore := math.Inf(1)
 	for _, s := range p.endpoints {
@@ -237,6 +245,10 @@
 			verdict = min(verdict, Full)
 			continue
 		}
+		if p.rateLimited(s, now) {
+			rateLimited = true
+			continue
+		}
 		score := p.ttftMs(load, r.PromptTokens) + s.lag.ms(now)
 		if p.cfg.JitterMs > 0 {
 			score += p.cfg.Rand.Float64() * p.cfg.JitterMs
@@ -252,6 +264,9 @@
 		}
 	}
 	if best == nil {
+		if verdict == NoEndpoint && rateLimited {
+			verdict = RateLimited
+		}
 		return Choice{}, verdict
 	}
 	return p.choice(best, r.PromptTokens, now), Placed
@@ -262,17 +277,24 @@
 	load := p.load(s, now)
 	modelledMs := p.ttftMs(load, prompt)
 	return Choice{
-		Endpoint: s.Endpoint, Load: load,
+		Endpoint: s.Endpoint, Load: load, RateLimited: p.rateLimits[s.ID].limited(),
 		TTFT: milliseconds(modelledMs + s.lag.ms(now)), ModelTTFT: milliseconds(modelledMs),
 	}
 }
 
-// freeSlots returns the number of free slots at suitable endpoints.
+// freeSlots returns the number of free slots at suitable endpoints. An endpoint with a
+// rate limit has at most one.
 func (p *Pool) freeSlots(r Request, now time.Time) int {
 	n := 0
 	for _, s := range p.endpoints {
 		if p.suitable(s, r, now) {
-			n += max(0, p.usableSlots(s, r)-p.load(s, now).Running)
+			free := max(0, p.usableSlots(s, r)-p.load(s, now).Running)
+			if p.rateLimited(s, now) {
+				free = 0
+			} else if p.rateLimits[s.ID].limited() {
+				free = min(free, 1)
+			}
+			n += free
 		}
 	}
 	return n
@@ -293,10 +315,8 @@
 	if s.WeightsVersion < r.SoftMinVersion && !s.lag.timely(now) {
 		return false
 	}
-	for _, id := range r.Exclude {
-		if id == s.ID {
-			return false
-		}
+	if slices.Contains(r.Exclude, s.ID) || r.Only != "" && r.Only != s.ID {
+		return false
 	}
 	return s.health.admits(s.placed.Running, now)
 }
@@ -524,19 +544,43 @@
 	return len(p.endpoints), suitable
 }
 
-// NextSlot predicts the time until a slot of a suitable endpoint becomes free: the mean
-// service time divided by the number of slots.
+// NextSlot predicts the time until a suitable endpoint can take another request: the
+// mean service time divided by the number of slots. An endpoint with a rate limit
+// contributes at most that rate, which all sharers divide among themselves.
 func (p *Pool) NextSlot(r Request, now time.Time) time.Duration {
-	_, suitable := p.Count(r, now)
-	if suitable == 0 {
-		return noEndpointPause
-	}
 	slots, serviceMs := p.cfg.Slots, float64(plainServiceMs)
 	if e := p.engine; e != nil {
 		slots = e.Slots
 		serviceMs = e.ServiceMs()
 	}
-	return time.Duration(serviceMs / float64(max(1, slots*suitable)) * float64(time.Millisecond))
+	slotsPerMs := float64(max(1, slots)) / serviceMs
+	var perMs float64
+	wait := time.Duration(math.MaxInt64) // until the first permit of an endpoint with a rate limit
+	unlimited := false
+	for _, s := range p.endpoints {
+		if !p.suitable(s, r, now) {
+			continue
+		}
+		l := p.rateLimits[s.ID]
+		if !l.limited() {
+			unlimited = true
+			perMs += slotsPerMs
+			continue
+		}
+		if p.noPermits {
+			continue
+		}
+		wait = min(wait, l.permitAt().Sub(now))
+		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.interval)/float64(p.sharers))
+	}
+	if perMs == 0 {
+		return noEndpointPause
+	}
+	interval := milliseconds(1 / perMs)
+	if unlimited {
+		return interval
+	}
+	return max(interval, wait)
 }
 
 // noEndpointPause is the retry delay when no endpoint is suitable: about the time that a
--- a/placement/rate_limit.go
+++ b/placement/rate_limit.go
@@ -15,14 +15,19 @@
 	// rateLimitMemory is how long the limit of an endpoint that is not listed any more
 	// is remembered. Endpoints are unlisted while control replicas are lost.
 	rateLimitMemory = time.Minute
+	// rateLimitBurst is the period whose requests may be sent at once. It makes up for
+	// requests that do not arrive evenly.
+	rateLimitBurst = 250 * time.Millisecond
 )
 
-// rateLimit is the request rate that an endpoint accepts from all entries together.
+// rateLimit limits the requests to an endpoint to the rate that it accepts from all
+// entries together. It has the form of a virtual schedule (generic cell rate algorithm).
 type rateLimit struct {
 	incarnation uint64 // of the endpoint
 	perSecond   float64
 	interval    time.Duration // between two requests; zero without a limit
 	namedAt     time.Time     // when the newest answer that named the rate arrived
+	next        time.Time     // when the next request is due
 }
 
 func (l *rateLimit) limited() bool { return l != nil && l.interval > 0 }
@@ -37,10 +42,11 @@
 }
 
 // observe applies the rate that an answer names, or the end of the limit if perSecond is
-// nil. It reports whether the rate changed. Answers overtake each other, so the endpoint
+// nil. A limit begins without a burst, because another broker may have granted one. It
+// reports whether the rate changed. Answers overtake each other, so the endpoint
 // may have named the rate at any time between sentAt and answeredAt: a lower rate applies
 // unless a newer one is known, a higher one only if it is newer for certain.
-func (l *rateLimit) observe(perSecond *float64, sentAt, answeredAt time.Time) bool {
+func (l *rateLimit) observe(perSecond *float64, sentAt, answeredAt, now time.Time) bool {
 	interval := requestInterval(perSecond)
 	switch {
 	case interval == l.interval:
@@ -51,16 +57,42 @@
 	case interval > l.interval && !answeredAt.After(l.namedAt), interval < l.interval && sentAt.Before(l.namedAt):
 		return false
 	}
+	begins := !l.limited()
 	l.interval, l.namedAt, l.perSecond = interval, answeredAt, math.Inf(1)
 	if perSecond != nil {
 		l.perSecond = *perSecond
 	}
+	if due := now.Add(interval); begins || l.next.After(due) {
+		l.next = due
+	}
 	return true
 }
 
+// permitAt returns the earliest time for the next request.
+func (l *rateLimit) permitAt() time.Time {
+	return l.next.Add(-max(0, rateLimitBurst-l.interval))
+}
+
+// take counts a request.
+func (l *rateLimit) take(now time.Time) {
+	if l.limited() {
+		l.next = later(l.next, now).Add(l.interval)
+	}
+}
+
 // RecordRateLimit records the request rate that an endpoint names in an answer, nil for
-// none, and reports whether its limit changed. The request was sent at sentAt.
-func (p *Pool) RecordRateLimit(id string, incarnation uint64, perSecond *float64, sentAt, answeredAt time.Time) bool {
+// none, and reports whether its limit changed. The request was sent at sentAt or later.
+func (p *Pool) RecordRateLimit(id string, incarnation uint64, perSecond *float64, sentAt, now time.Time) bool {
+	return p.recordRateLimit(id, incarnation, perSecond, sentAt, now, now)
+}
+
+// AddRateLimit records the limit that another process knows of and reports whether the
+// limit of the endpoint changed.
+func (p *Pool) AddRateLimit(n NamedRateLimit, now time.Time) bool {
+	return p.recordRateLimit(n.Endpoint, n.Incarnation, &n.PerSecond, n.NamedAt, n.NamedAt, now)
+}
+
+func (p *Pool) recordRateLimit(id string, incarnation uint64, perSecond *float64, sentAt, answeredAt, now time.Time) bool {
 	s := p.endpoints[id]
 	if s == nil || s.Incarnation != incarnation {
 		return false
@@ -73,12 +105,13 @@
 		l = &rateLimit{incarnation: incarnation}
 		p.rateLimits[id] = l
 	}
-	return l.observe(perSecond, sentAt, answeredAt)
+	return l.observe(perSecond, sentAt, answeredAt, now)
 }
 
 // NamedRateLimit is the request rate that an endpoint has named.
 type NamedRateLimit struct {
 	Endpoint    string
+	Zone        string // of the endpoint
 	Incarnation uint64
 	PerSecond   float64
 	NamedAt     time.Time
@@ -88,14 +121,31 @@
 func (p *Pool) RateLimits() []NamedRateLimit {
 	var list []NamedRateLimit
 	for id, l := range p.rateLimits {
-		if l.limited() && p.endpoints[id] != nil {
-			list = append(list, NamedRateLimit{Endpoint: id, Incarnation: l.incarnation, PerSecond: l.perSecond, NamedAt: l.namedAt})
+		if s := p.endpoints[id]; s != nil && l.limited() {
+			list = append(list, NamedRateLimit{Endpoint: id, Zone: s.Zone, Incarnation: l.incarnation, PerSecond: l.perSecond, NamedAt: l.namedAt})
 		}
 	}
 	slices.SortFunc(list, func(a, b NamedRateLimit) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return list
 }
 
+// rateLimited reports whether a request sent to an endpoint now would exceed its limit.
+func (p *Pool) rateLimited(s *endpointState, now time.Time) bool {
+	l := p.rateLimits[s.ID]
+	return l.limited() && (p.noPermits || now.Before(l.permitAt()))
+}
+
+// TakePermit counts a request against the rate limit of an endpoint, if it has one.
+func (p *Pool) TakePermit(id string, now time.Time) { p.rateLimits[id].take(now) }
+
+// DeferPermits selects an endpoint with a rate limit no earlier than at a time, because
+// the broker that counts its requests has refused one.
+func (p *Pool) DeferPermits(id string, until time.Time) {
+	if l := p.rateLimits[id]; l.limited() {
+		l.next = later(l.next, until.Add(max(0, rateLimitBurst-l.interval)))
+	}
+}
+
 // forgetRateLimits drops the limits of earlier incarnations, and of endpoints that have
 // not been listed for long.
 func (p *Pool) forgetRateLimits(now time.Time) {
