placement: keep the unused permits of a rate limit for a second

With permits of the last 250 ms only, part of a limit is lost whenever an endpoint has nothing to do for that long. TestRateLimitBoundsEveryWindow holds: at most the rate over 5 s and one request more within 4 s.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -570,7 +570,7 @@
 		if p.noPermits {
 			continue
 		}
-		wait = min(wait, l.permitAt().Sub(now))
+		wait = min(wait, l.permitAt.Sub(now))
 		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.interval)/float64(p.sharers))
 	}
 	if perMs == 0 {
--- a/placement/rate_limit.go
+++ b/placement/rate_limit.go
@@ -15,9 +15,9 @@
 	// rateLimitMemory is how long the limit of an endpoint that is not listed any more
 	// is remembered. Endpoints are unlisted while control replicas are lost.
 	rateLimitMemory = time.Minute
-	// rateLimitBurst is the period whose requests may be sent at once. It makes up for
-	// requests that do not arrive evenly.
-	rateLimitBurst = 250 * time.Millisecond
+	// rateLimitBurst is the period for which unused permits are kept, since requests do
+	// not arrive evenly. Limits are stated in requests per second.
+	rateLimitBurst = time.Second
 )
 
 // rateLimit limits the requests to an endpoint to the rate that it accepts from all
@@ -27,7 +27,7 @@
 	perSecond   float64
 	interval    time.Duration // between two requests; zero without a limit
 	namedAt     time.Time     // when the newest answer that named the rate arrived
-	next        time.Time     // when the next request is due
+	permitAt    time.Time     // when the next request may be sent
 }
 
 func (l *rateLimit) limited() bool { return l != nil && l.interval > 0 }
@@ -62,21 +62,16 @@
 	if perSecond != nil {
 		l.perSecond = *perSecond
 	}
-	if due := now.Add(interval); begins || l.next.After(due) {
-		l.next = due
+	if due := now.Add(interval); begins || l.permitAt.After(due) {
+		l.permitAt = due
 	}
 	return true
 }
 
-// permitAt returns the earliest time for the next request.
-func (l *rateLimit) permitAt() time.Time {
-	return l.next.Add(-max(0, rateLimitBurst-l.interval))
-}
-
 // take counts a request.
 func (l *rateLimit) take(now time.Time) {
 	if l.limited() {
-		l.next = later(l.next, now).Add(l.interval)
+		l.permitAt = later(l.permitAt, now.Add(-rateLimitBurst)).Add(l.interval)
 	}
 }
 
@@ -132,7 +127,7 @@
 // rateLimited reports whether a request sent to an endpoint now would exceed its limit.
 func (p *Pool) rateLimited(s *endpointState, now time.Time) bool {
 	l := p.rateLimits[s.ID]
-	return l.limited() && (p.noPermits || now.Before(l.permitAt()))
+	return l.limited() && (p.noPermits || now.Before(l.permitAt))
 }
 
 // TakePermit counts a request against the rate limit of an endpoint, if it has one.
@@ -142,7 +137,7 @@
 // the broker that counts its requests has refused one.
 func (p *Pool) DeferPermits(id string, until time.Time) {
 	if l := p.rateLimits[id]; l.limited() {
-		l.next = later(l.next, until.Add(max(0, rateLimitBurst-l.interval)))
+		l.permitAt = later(l.permitAt, until)
 	}
 }
 
