relay: report rate limits once a second

Reports of held slots go out every 250 ms; a list of limits in each of them would cost an entry up to 19 KB/s where all engines of a zone name limits (24 entries of 20 bytes, two brokers). A new broker still gets them at once.

--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -44,8 +44,9 @@
 	reportInterval = 250 * time.Millisecond
 	// summaryInterval is the interval between two summaries to other groups.
 	summaryInterval = 100 * time.Millisecond
-	// rateLimitInterval is the interval at which brokers tell all entries which endpoints
-	// of plain services have a rate limit.
+	// rateLimitInterval is the interval at which entries report the rate limits that they
+	// know of, and at which brokers tell all entries which endpoints of plain services
+	// have one.
 	rateLimitInterval = time.Second
 	// maxReportTargets is the number of brokers of each group that get reports and
 	// summaries: the active one, and the next one, which takes over from it.
@@ -227,7 +228,7 @@
 			if previous := s.activeBroker[key]; previous != broker {
 				s.activeBroker[key] = broker
 				s.log.WithFields(log.Fields{"service": service, "group": group.Name, "broker": broker, "before": previous}).Info("broker_changed")
-				s.sendReport(key, []string{broker})
+				s.sendReport(key, []string{broker}, s.groupRateLimits(key))
 			}
 		}
 	}
@@ -612,9 +613,9 @@
 	s.deliver(out)
 }
 
-// sendReport reports the slots of a group that this entry holds, and the rate limits that
-// it knows of, to brokers. The caller holds mu.
-func (s *slotCoordinator) sendReport(key groupKey, to []string) {
+// sendReport reports the slots of a group that this entry holds, and rate limits, to
+// brokers. The caller holds mu.
+func (s *slotCoordinator) sendReport(key groupKey, to []string, limits []placement.NamedRateLimit) {
 	r := &heldSlotsMessage{}
 	var held []placement.HeldSlot
 	for sequence, h := range s.held {
@@ -640,7 +641,7 @@
 		r.Endpoints = append(r.Endpoints, endpointHash(h.Endpoint))
 		r.PrefillTokens = append(r.PrefillTokens, tokens)
 	}
-	limits, now := s.groupRateLimits(key), time.Now()
+	now := time.Now()
 	for _, name := range to {
 		switch {
 		case name == s.self:
@@ -665,8 +666,8 @@
 
 // sendReports reports the held slots of each group to its first brokers. The brokers of
 // engines in this entry's own group get a report even if no slot is held, so that they
-// know that the entry is alive.
-func (s *slotCoordinator) sendReports(now time.Time) {
+// know that the entry is alive. Known rate limits are reported if withLimits is true.
+func (s *slotCoordinator) sendReports(now time.Time, withLimits bool) {
 	s.mu.Lock()
 	active := map[groupKey]bool{}
 	for _, h := range s.held {
@@ -677,7 +678,11 @@
 		for _, group := range g.groups {
 			key := groupKey{service, group.Name}
 			if active[key] || g.engines && group.Name == own.Name {
-				s.sendReport(key, s.reportTargets(group, now))
+				var limits []placement.NamedRateLimit
+				if withLimits {
+					limits = s.groupRateLimits(key)
+				}
+				s.sendReport(key, s.reportTargets(group, now), limits)
 			}
 		}
 	}
@@ -836,16 +841,17 @@
 		s.tick(now)
 		if now.Sub(reported) >= reportInterval {
 			reported = now
-			s.sendReports(now)
+			withLimits := now.Sub(limitsSent) >= rateLimitInterval
+			s.sendReports(now, withLimits)
+			if withLimits {
+				limitsSent = now
+				s.sendRateLimits(now)
+			}
 		}
 		if now.Sub(summarized) >= summaryInterval {
 			summarized = now
 			s.sendSummaries(now)
 		}
-		if now.Sub(limitsSent) >= rateLimitInterval {
-			limitsSent = now
-			s.sendRateLimits(now)
-		}
 	}
 }
 
