placement, relay: pass on the end of a rate limit

Found in reading: a broker in reserve learns limits from reports, but not their end, which only the active broker is told. When it takes over, every endpoint that ever named a limit has one again until it has answered a permitted request. Reports also passed limits on from one entry to another with a time that each message made later, so an old limit could look newer than its end.

An end is remembered and reported for a minute like a limit, dated by when its request was sent. A report of a known rate changes nothing, and entries pass on limits of engines only as named to them. With either change removed its test fails: TestEndOfRateLimitReachesOtherBrokers and TestReportsDoNotRenewRateLimit.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -157,7 +157,9 @@
 		}
 		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
 		for _, l := range d.rateLimits(q.service) {
-			r.Exclude = append(r.Exclude, l.Endpoint)
+			if !l.Ended() {
+				r.Exclude = append(r.Exclude, l.Endpoint)
+			}
 		}
 	}
 	return d.placeLocally(q, r)
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -430,7 +430,7 @@
 func (s *slotCoordinator) addRateLimits(b *placement.Broker, key groupKey, entry string, limits []placement.NamedRateLimit, now time.Time) {
 	for _, l := range limits {
 		if b.AddRateLimit(l, now) {
-			logRateLimit(s.log, l.Endpoint, &l.PerSecond, log.Fields{"service": key.service, "group": key.group, "entry": entry})
+			logRateLimit(s.log, l.Endpoint, l.Rate(), log.Fields{"service": key.service, "group": key.group, "entry": entry})
 		}
 	}
 }
@@ -595,6 +595,10 @@
 	for _, l := range m.RateLimits {
 		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
 			limits = append(limits, n)
+		}
+	}
+	if g := s.services[m.Service]; g != nil && !g.engines {
+		for _, n := range limits {
 			s.limits.addRateLimit(m.Service, n)
 		}
 	}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -327,8 +327,8 @@
 	return g.endpoint, changed
 }
 
-// AddRateLimit records a limit that an entry knows of and reports whether the limit of
-// the endpoint changed. A new broker learns the limits from the entries.
+// AddRateLimit records what an entry knows of the limit of an endpoint and reports whether
+// the limit changed. A new broker learns the limits from the entries.
 func (b *Broker) AddRateLimit(n NamedRateLimit, now time.Time) bool {
 	return b.pool.AddRateLimit(n, now)
 }
@@ -338,7 +338,8 @@
 // brokers of a group would each grant the whole rate. Default true.
 func (b *Broker) SetPrimary(primary bool) { b.pool.noPermits = !primary }
 
-// RateLimits lists the limits of the endpoints, sorted by ID.
+// RateLimits lists the limits of the endpoints, and those that have ended recently,
+// sorted by ID.
 func (b *Broker) RateLimits() []NamedRateLimit { return b.pool.RateLimits() }
 
 // End releases the slot of a request, or removes the request from the queue. It returns
--- a/placement/rate_limit.go
+++ b/placement/rate_limit.go
@@ -12,8 +12,9 @@
 	// limited. A limit ends only with an answer that names none, so an endpoint that
 	// accepts no requests still gets one every ten seconds.
 	minRequestRate = 0.1
-	// rateLimitMemory is how long the limit of an endpoint that is not listed any more
-	// is remembered. Endpoints are unlisted while control replicas are lost.
+	// rateLimitMemory is how long the limit of an endpoint that is not listed any more,
+	// or the end of a limit, is remembered. Endpoints are unlisted while control replicas
+	// are lost; the end of a limit is passed on to brokers that know of the limit only.
 	rateLimitMemory = time.Minute
 	// rateLimitBurst is the period for which unused permits are kept, since requests do
 	// not arrive evenly. Limits are stated in requests per second.
@@ -23,11 +24,13 @@
 // rateLimit limits the requests to an endpoint to the rate that it accepts from all
 // entries together. It has the form of a virtual schedule (generic cell rate algorithm).
 type rateLimit struct {
-	incarnation uint64 // of the endpoint
-	perSecond   float64
-	interval    time.Duration // between two requests; zero without a limit
-	namedAt     time.Time     // when the newest answer that named the rate arrived
-	permitAt    time.Time     // when the next request may be sent
+	incarnation uint64        // of the endpoint
+	perSecond   float64       // infinite after the end of the limit
+	interval    time.Duration // between two requests; zero after the end of the limit
+	// namedAt is the time from which on newer answers count: when the newest answer that
+	// named the rate arrived, or if the rate was raised, when its request was sent.
+	namedAt  time.Time
+	permitAt time.Time // when the next request may be sent
 }
 
 func (l *rateLimit) limited() bool { return l != nil && l.interval > 0 }
@@ -42,10 +45,10 @@
 }
 
 // observe applies the rate that an answer names, or the end of the limit if perSecond is
-// nil. A limit begins without a burst, because another broker may have granted one. It
-// reports whether the rate changed. Answers overtake each other, so the endpoint
+// nil, and reports whether the rate changed. Answers overtake each other, so the endpoint
 // may have named the rate at any time between sentAt and answeredAt: a lower rate applies
-// unless a newer one is known, a higher one only if it is newer for certain.
+// unless a newer one is known, a higher one only if it is newer for certain. A limit
+// begins without a burst, because another broker may have granted one.
 func (l *rateLimit) observe(perSecond *float64, sentAt, answeredAt, now time.Time) bool {
 	interval := requestInterval(perSecond)
 	switch {
@@ -58,7 +61,11 @@
 		return false
 	}
 	begins := !l.limited()
-	l.interval, l.namedAt, l.perSecond = interval, answeredAt, math.Inf(1)
+	l.namedAt = answeredAt
+	if interval < l.interval {
+		l.namedAt = sentAt
+	}
+	l.interval, l.perSecond = interval, math.Inf(1)
 	if perSecond != nil {
 		l.perSecond = *perSecond
 	}
@@ -81,10 +88,13 @@
 	return p.recordRateLimit(id, incarnation, perSecond, sentAt, now, now)
 }
 
-// AddRateLimit records the limit that another process knows of and reports whether the
-// limit of the endpoint changed.
+// AddRateLimit records what another process knows of the limit of an endpoint and reports
+// whether its limit changed.
 func (p *Pool) AddRateLimit(n NamedRateLimit, now time.Time) bool {
-	return p.recordRateLimit(n.Endpoint, n.Incarnation, &n.PerSecond, n.NamedAt, n.NamedAt, now)
+	if l := p.rateLimits[n.Endpoint]; l != nil && l.perSecond == n.PerSecond {
+		return false // the time is not taken over: it is later by the delay of each message
+	}
+	return p.recordRateLimit(n.Endpoint, n.Incarnation, n.Rate(), n.NamedAt, n.NamedAt, now)
 }
 
 func (p *Pool) recordRateLimit(id string, incarnation uint64, perSecond *float64, sentAt, answeredAt, now time.Time) bool {
@@ -108,15 +118,27 @@
 	Endpoint    string
 	Zone        string // of the endpoint
 	Incarnation uint64
-	PerSecond   float64
-	NamedAt     time.Time
+	PerSecond   float64   // infinite if the limit has ended
+	NamedAt     time.Time // answers to requests sent later are newer
+}
+
+// Ended reports whether the endpoint names no limit any more.
+func (n NamedRateLimit) Ended() bool { return math.IsInf(n.PerSecond, 1) }
+
+// Rate returns the named rate, or nil if the endpoint names no limit any more.
+func (n NamedRateLimit) Rate() *float64 {
+	if n.Ended() {
+		return nil
+	}
+	return &n.PerSecond
 }
 
-// RateLimits lists the limits of the endpoints, sorted by ID.
+// RateLimits lists the limits of the endpoints, and those that have ended recently,
+// sorted by ID.
 func (p *Pool) RateLimits() []NamedRateLimit {
 	var list []NamedRateLimit
 	for id, l := range p.rateLimits {
-		if s := p.endpoints[id]; s != nil && l.limited() {
+		if s := p.endpoints[id]; s != nil {
 			list = append(list, NamedRateLimit{Endpoint: id, Zone: s.Zone, Incarnation: l.incarnation, PerSecond: l.perSecond, NamedAt: l.namedAt})
 		}
 	}
@@ -141,12 +163,13 @@
 	}
 }
 
-// forgetRateLimits drops the limits of earlier incarnations, and of endpoints that have
-// not been listed for long.
+// forgetRateLimits drops the limits of earlier incarnations, of endpoints that have not
+// been listed for long, and those that ended long ago.
 func (p *Pool) forgetRateLimits(now time.Time) {
 	for id, l := range p.rateLimits {
 		s := p.endpoints[id]
-		if s != nil && s.Incarnation != l.incarnation || s == nil && now.Sub(l.namedAt) > rateLimitMemory {
+		unused := s == nil || !l.limited()
+		if s != nil && s.Incarnation != l.incarnation || unused && now.Sub(l.namedAt) > rateLimitMemory {
 			delete(p.rateLimits, id)
 		}
 	}
--- a/placement/rate_limit_test.go
+++ b/placement/rate_limit_test.go
@@ -24,7 +24,9 @@
 // namedRate returns the rate of endpoint "a", or -1 for none.
 func namedRate(p *placement.Pool) float64 {
 	for _, l := range p.RateLimits() {
-		return l.PerSecond
+		if !l.Ended() {
+			return l.PerSecond
+		}
 	}
 	return -1
 }
@@ -75,6 +77,34 @@
 	is.Equal(namedRate(p), -1.0) // another process knows only of the limit that has ended
 }
 
+// Guards against a broker in reserve that learns of limits but not of their end, and
+// imposes them again when it takes over.
+func TestEndOfRateLimitReachesOtherBrokers(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	entry, reserve := limitedPool(1, at(10)), limitedPool(1, at(10))
+	is.True(entry.RecordRateLimit("a", 1, nil, at(12), at(13)))
+	for _, l := range entry.RateLimits() {
+		is.True(l.Ended())
+		is.True(reserve.AddRateLimit(l, at(14)))
+	}
+	is.Equal(namedRate(reserve), -1.0)
+	is.True(reserve.AddRateLimit(placement.NamedRateLimit{Endpoint: "a", Incarnation: 1, PerSecond: 1, NamedAt: at(13)}, at(14))) // it may be newer
+	entry.Update(nil, []placement.Endpoint{{ID: "a", Incarnation: 1}}, at(80))
+	is.Equal(len(entry.RateLimits()), 0)
+}
+
+// Guards against a limit that is kept up by reports that pass between processes: each
+// message makes the time of its naming look later.
+func TestReportsDoNotRenewRateLimit(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	p := limitedPool(1, start)
+	is.True(!p.AddRateLimit(placement.NamedRateLimit{Endpoint: "a", Incarnation: 1, PerSecond: 1, NamedAt: start.Add(time.Minute)}, start.Add(time.Minute)))
+	is.True(p.RecordRateLimit("a", 1, nil, start.Add(time.Second), start.Add(2*time.Second)))
+}
+
 // Guards against a limit that is forgotten while its endpoint is not listed for a while,
 // and against one that outlives the endpoint's restart.
 func TestRateLimitIsBoundToTheIncarnation(t *testing.T) {
