--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -261,64 +261,61 @@
 	}
 }
 
+// testServices runs a test in virtual time, with a path of each service.
+func testServices(t *testing.T, test func(t *testing.T, path, service string)) {
+	for service, path := range map[string]string{engineService: "/stream/quote", plainService: "/safe/look"} {
+		t.Run(service, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, path, service) })
+		})
+	}
+}
+
 // Guards against a limit that is exceeded when the broker that counts the requests is
 // replaced, or when messages between entries are lost.
 func TestRateLimitSurvivesBrokerChange(t *testing.T) {
-	for _, c := range []struct{ path, service string }{
-		{"/stream/quote", engineService}, {"/safe/look", plainService},
-	} {
-		t.Run(c.service, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, stop := newEntryFleet(t, 6, 4)
-				defer stop()
-				f.peerNetwork.mu.Lock()
-				f.loss = 0.1
-				f.peerNetwork.mu.Unlock()
-				limited := f.endpoints[c.service+"-0"]
-				limited.name("1")
-				named := time.Now()
-				for range 4 {
-					f.load(c.path, 60, 5*time.Second)
-					f.setDown(f.activeBroker(c.service).self)
-				}
-				most := limited.mostArrivals(named.Add(limitKnownFrom), limitWindow)
-				if most > allowed(1) {
-					t.Errorf("%d requests within %v, allowed %d", most, limitWindow, allowed(1))
-				}
-			})
-		})
-	}
+	testServices(t, func(t *testing.T, path, service string) {
+		f, stop := newEntryFleet(t, 6, 4)
+		defer stop()
+		f.peerNetwork.mu.Lock()
+		f.loss = 0.1
+		f.peerNetwork.mu.Unlock()
+		limited := f.endpoints[service+"-0"]
+		limited.name("1")
+		named := time.Now()
+		for range 4 {
+			f.load(path, 60, 5*time.Second)
+			f.setDown(f.activeBroker(service).self)
+		}
+		most := limited.mostArrivals(named.Add(limitKnownFrom), limitWindow)
+		if most > allowed(1) {
+			t.Errorf("%d requests within %v, allowed %d", most, limitWindow, allowed(1))
+		}
+	})
 }
 
 // Guards against requests that wait although no endpoint may take them in time, and
 // against callers who return before one may.
 func TestRequestsBeyondRateLimitsAreRefusedAtOnce(t *testing.T) {
-	for _, c := range []struct{ path, service string }{
-		{"/stream/quote", engineService}, {"/safe/look", plainService},
-	} {
-		t.Run(c.service, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f, stop := newEntryFleet(t, 4, 2)
-				defer stop()
-				for i := range 2 {
-					f.endpoints[fmt.Sprint(c.service, "-", i)].name("0.5")
-				}
-				f.load(c.path, 20, 5*time.Second)
-				clear(f.answers)
-				f.delays, f.slowest = nil, 0
-				f.load(c.path, 20, 10*time.Second)
-				is.True(f.answers[http.StatusOK] >= 5) // half of what the limits allow
-				is.Equal(f.answers[http.StatusOK]+f.answers[http.StatusServiceUnavailable], 200)
-				is.True(f.slowest < maxRefusalTime)
-				for _, delay := range f.delays {
-					seconds, err := strconv.ParseFloat(delay, 64)
-					is.NoErr(err)
-					is.True(seconds >= 1) // one request a second in all
-				}
-			})
-		})
-	}
+	testServices(t, func(t *testing.T, path, service string) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 2)
+		defer stop()
+		for i := range 2 {
+			f.endpoints[fmt.Sprint(service, "-", i)].name("0.5")
+		}
+		f.load(path, 20, 5*time.Second)
+		clear(f.answers)
+		f.delays, f.slowest = nil, 0
+		f.load(path, 20, 10*time.Second)
+		is.True(f.answers[http.StatusOK] >= 5) // half of what the limits allow
+		is.Equal(f.answers[http.StatusOK]+f.answers[http.StatusServiceUnavailable], 200)
+		is.True(f.slowest < maxRefusalTime)
+		for _, delay := range f.delays {
+			seconds, err := strconv.ParseFloat(delay, 64)
+			is.NoErr(err)
+			is.True(seconds >= 1) // one request a second in all
+		}
+	})
 }
 
 // maxRefusalTime is below the time for which a request may wait for a slot.
@@ -326,26 +323,20 @@
 
 // Guards against a limit that stays in force after the endpoint has ceased to name it.
 func TestRateLimitEnds(t *testing.T) {
-	for _, c := range []struct{ path, service string }{
-		{"/stream/quote", engineService}, {"/safe/look", plainService},
-	} {
-		t.Run(c.service, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, stop := newEntryFleet(t, 4, 2)
-				defer stop()
-				limited := f.endpoints[c.service+"-0"]
-				limited.name("1")
-				f.load(c.path, 20, 5*time.Second)
-				limited.name("")
-				f.load(c.path, 20, 5*time.Second)
-				ended := time.Now()
-				f.load(c.path, 20, 4*time.Second)
-				if n := limited.mostArrivals(ended, limitWindow); n < 20 {
-					t.Errorf("%d of 80 requests reach one of two endpoints 5 s after its limit has ended", n)
-				}
-			})
-		})
-	}
+	testServices(t, func(t *testing.T, path, service string) {
+		f, stop := newEntryFleet(t, 4, 2)
+		defer stop()
+		limited := f.endpoints[service+"-0"]
+		limited.name("1")
+		f.load(path, 20, 5*time.Second)
+		limited.name("")
+		f.load(path, 20, 5*time.Second)
+		ended := time.Now()
+		f.load(path, 20, 4*time.Second)
+		if n := limited.mostArrivals(ended, limitWindow); n < 20 {
+			t.Errorf("%d of 80 requests reach one of two endpoints 5 s after its limit has ended", n)
+		}
+	})
 }
 
 // activeBroker returns the entry that entry-0 considers the broker of a service.
@@ -377,34 +368,28 @@
 // Guards against a broker, or the entry that takes over from it, that does not know of a
 // limit because it has read no answer of the endpoint itself.
 func TestBrokersLearnRateLimits(t *testing.T) {
-	for _, c := range []struct{ path, service string }{
-		{"/stream/quote", engineService}, {"/safe/look", plainService},
-	} {
-		t.Run(c.service, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				const entries = 5
-				f, stop := newEntryFleet(t, entries, 2)
-				defer stop()
-				s := f.slots["entry-0"]
-				s.mu.Lock()
-				group, _ := s.findGroup(c.service, "")
-				s.mu.Unlock()
-				var requester int
-				_, err := fmt.Sscanf(group.Brokers[entries-1], "entry-%d", &requester)
-				is.NoErr(err)
-				f.endpoints[c.service+"-0"].name("1")
-				for i := range 60 { // the first choice of an endpoint is random
-					f.request(requester, c.path, fmt.Sprint("request-", i))
-					time.Sleep(100 * time.Millisecond)
-				}
-				time.Sleep(2 * rateLimitInterval) // the time until a broker has told all entries
-				for _, name := range group.Brokers[:2] {
-					is.Equal(len(f.slots[name].brokerRateLimits(c.service)), 1)
-				}
-			})
-		})
-	}
+	testServices(t, func(t *testing.T, path, service string) {
+		is := is.New(t)
+		const entries = 5
+		f, stop := newEntryFleet(t, entries, 2)
+		defer stop()
+		s := f.slots["entry-0"]
+		s.mu.Lock()
+		group, _ := s.findGroup(service, "")
+		s.mu.Unlock()
+		var requester int
+		_, err := fmt.Sscanf(group.Brokers[entries-1], "entry-%d", &requester)
+		is.NoErr(err)
+		f.endpoints[service+"-0"].name("1")
+		for i := range 60 { // the first choice of an endpoint is random
+			f.request(requester, path, fmt.Sprint("request-", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * rateLimitInterval) // the time until a broker has told all entries
+		for _, name := range group.Brokers[:2] {
+			is.Equal(len(f.slots[name].brokerRateLimits(service)), 1)
+		}
+	})
 }
 
 // Guards against entries that send a request to an endpoint of a plain service although
@@ -428,26 +413,20 @@
 
 // Guards against entries that lose contact with each other and each use the whole limit
 // of an endpoint.
-func TestDisconnectedEntriesSendNoLimitedRequests(t *testing.T) {
-	for _, c := range []struct{ path, service string }{
-		{"/stream/quote", engineService}, {"/safe/look", plainService},
-	} {
-		t.Run(c.service, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f, stop := newEntryFleet(t, 4, 2)
-				defer stop()
-				limited := f.endpoints[c.service+"-0"]
-				limited.name("1")
-				f.load(c.path, 20, 5*time.Second)
-				f.peerNetwork.mu.Lock()
-				f.loss = 1
-				f.peerNetwork.mu.Unlock()
-				time.Sleep(time.Second)
-				cut := time.Now()
-				f.load(c.path, 20, 10*time.Second)
-				is.True(limited.mostArrivals(cut, limitWindow) <= allowed(1))
-			})
-		})
-	}
+func TestDisconnectedEntriesShareRateLimit(t *testing.T) {
+	testServices(t, func(t *testing.T, path, service string) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 2)
+		defer stop()
+		limited := f.endpoints[service+"-0"]
+		limited.name("1")
+		f.load(path, 20, 5*time.Second)
+		f.peerNetwork.mu.Lock()
+		f.loss = 1
+		f.peerNetwork.mu.Unlock()
+		time.Sleep(time.Second)
+		cut := time.Now()
+		f.load(path, 20, 10*time.Second)
+		is.True(limited.mostArrivals(cut, limitWindow) <= allowed(1))
+	})
 }
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -76,10 +76,9 @@
 	// send sends a message to another entry. Messages may be lost.
 	send func(to string, m peerMessage)
 
-	mu     sync.Mutex
-	limits rateLimitStore // called while mu is held
-	// entries lists the names of all entries.
-	entries  []string
+	mu       sync.Mutex
+	limits   rateLimitStore // its methods are called while mu is held
+	entries  []string       // names of all entries
 	services map[string]*serviceGroups
 	brokers  map[groupKey]*placement.Broker
 	// lastCandidate is when this entry was last a candidate of a group.
@@ -101,7 +100,7 @@
 	addRateLimit(service string, n placement.NamedRateLimit)
 }
 
-// noRateLimits is the rateLimitStore of an entry that forwards no requests.
+// noRateLimits is the rateLimitStore until another one is set.
 type noRateLimits struct{}
 
 func (noRateLimits) rateLimits(string) []placement.NamedRateLimit  { return nil }
