--- a/placement/doc.go
+++ b/placement/doc.go
@@ -4,7 +4,8 @@
 // It is designed for token streams with prompts of hundreds to thousands of tokens, at
 // up to about twice the capacity of the engines, from many entries that share the
 // engines. A Broker places the requests of all entries on one group of endpoints and
-// counts the slots in use; it keeps its load model in a Pool. An entry whose brokers do
+// counts the slots in use, and the requests to endpoints that limit their rate for all
+// entries together; it keeps its load model in a Pool. An entry whose brokers do
 // not respond falls back to a Pool of its own, which counts only the requests of this
 // entry.
 //
