daemon: log stop and reload requests

The logs could not tell a process that was ended by a signal during its drain from one whose drain ended early, since neither signal was logged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	context.AfterFunc(ctx, stop)
+	context.AfterFunc(ctx, func() {
+		log.WithField("cause", context.Cause(ctx).Error()).Info("stop_requested")
+		stop()
+	})
 	return run(ctx, watchSettings(ctx, f.Settings, defaults))
 }
 
@@ -88,6 +91,7 @@
 			case <-ctx.Done():
 				return
 			case <-hangups:
+				log.Info("reload_requested")
 			case <-ticker.C:
 				if modTime(path).Equal(last) {
 					continue
