daemon: failing test for a reload signal during a drain

SIGTERM, then SIGHUP every 10 ms: the process ends with 'signal: hangup' in 10 of 10 runs, without completing its drain.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,12 +1,17 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -31,7 +36,83 @@
 	if os.Getenv(daemonEnv) == "" {
 		os.Exit(m.Run())
 	}
-	daemon.Main("test-daemon", "Test.", &config{}, func(context.Context, daemon.Reloads) error { return nil })
+	run := func(context.Context, daemon.Reloads) error { return nil }
+	if os.Getenv(daemonEnv) == drainingDaemon {
+		run = drainUntilInputEnds
+	}
+	daemon.Main("test-daemon", "Test.", &config{}, run)
+}
+
+// drainingDaemon is a value of daemonEnv for a daemon that runs drainUntilInputEnds.
+const drainingDaemon = "draining"
+
+// drainUntilInputEnds reports its state in lines of standard output. After a stop
+// request, it drains until its standard input ends.
+func drainUntilInputEnds(ctx context.Context, _ daemon.Reloads) error {
+	fmt.Println("started")
+	<-ctx.Done()
+	fmt.Println("draining")
+	_, err := io.Copy(io.Discard, os.Stdin)
+	return err
+}
+
+// drainTest is a daemon process that runs drainUntilInputEnds.
+type drainTest struct {
+	*testing.T
+	command *exec.Cmd
+	input   io.Closer
+	output  *bufio.Scanner
+}
+
+// startDraining starts a daemon, requests its stop and waits until it drains.
+func startDraining(t *testing.T) *drainTest {
+	t.Helper()
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	is.NoErr(os.WriteFile(path, []byte("instance: a\n"), 0o600))
+	d := &drainTest{T: t, command: exec.Command(os.Args[0], "--settings", path)}
+	d.command.Env = append(os.Environ(), daemonEnv+"="+drainingDaemon)
+	input, err := d.command.StdinPipe()
+	is.NoErr(err)
+	output, err := d.command.StdoutPipe()
+	is.NoErr(err)
+	d.input, d.output = input, bufio.NewScanner(output)
+	is.NoErr(d.command.Start())
+	d.expect("started")
+	d.signal(syscall.SIGTERM)
+	d.expect("draining")
+	return d
+}
+
+func (d *drainTest) expect(line string) {
+	d.Helper()
+	if !d.output.Scan() || d.output.Text() != line {
+		d.Fatalf("the daemon wrote %q, want %q", d.output.Text(), line)
+	}
+}
+
+func (d *drainTest) signal(s os.Signal) {
+	d.Helper()
+	is.New(d).NoErr(d.command.Process.Signal(s))
+}
+
+// endDrain lets the daemon complete its drain and checks that it did.
+func (d *drainTest) endDrain() {
+	d.Helper()
+	is := is.New(d)
+	is.NoErr(d.input.Close())
+	is.NoErr(d.command.Wait()) // the daemon was ended before its drain was complete
+}
+
+// Guards against a reload signal that ends a draining daemon, which cuts off the
+// requests in progress.
+func TestReloadSignalDuringDrain(t *testing.T) {
+	d := startDraining(t)
+	for range 20 {
+		d.signal(syscall.SIGHUP)
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.endDrain()
 }
 
 // Guards against exit codes that differ from docs/operating.md.
