daemon: keep handling SIGHUP until the process ends

Callers of an entry that drained lost their streams in the middle when its settings file changed: the connection was closed 1.8 s and 3.5 s after SIGTERM, with 8 s of grace.

Cause: SIGTERM cancelled the context of the settings watcher, which then called signal.Stop. That restores the default action of SIGHUP, and the next one ended the process. The class is a signal whose default action ends the process while it has accepted work.

Now one goroutine handles all signals from the first line of Main until run returns, and SIGHUP is never reset to its default. A reload during a drain is applied as before it: the relay needs new seeds to stay in touch until its last stream ends.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,10 +6,8 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -40,21 +38,22 @@
 type Reloads <-chan settings.Checker
 
 // Main parses the command line, loads the settings into config, which holds the
-// defaults, and calls run. SIGTERM and SIGINT cancel run's context; a second signal
-// ends the process at once. SIGHUP, or a change of the settings file, delivers
-// the new settings to run; an invalid file is logged and otherwise ignored.
+// defaults, and calls run. SIGTERM and SIGINT cancel run's context; a second one ends
+// the process at once. SIGHUP, or a change of the settings file, delivers the new
+// settings to run until it returns; an invalid file is logged and otherwise ignored.
 // Main exits the process with status 1 on an error, and with ExitUsage for a wrong
 // command line.
 func Main(name, description string, config settings.Checker, run func(ctx context.Context, reloads Reloads) error) {
+	signals := notifySignals()
 	var f flags
 	kong.Parse(&f, kong.Name(name), kong.Description(description), kong.Vars{"version": Version(name)}, kong.Exit(Exit))
-	if err := start(f, config, run); err != nil {
+	if err := start(f, config, signals, run); err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		os.Exit(1)
 	}
 }
 
-func start(f flags, config settings.Checker, run func(ctx context.Context, reloads Reloads) error) error {
+func start(f flags, config settings.Checker, signals <-chan os.Signal, run func(ctx context.Context, reloads Reloads) error) error {
 	defaults := reflect.ValueOf(config).Elem().Interface()
 	if err := settings.Load(f.Settings, config); err != nil {
 		return err
@@ -63,26 +62,23 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	context.AfterFunc(ctx, func() {
-		log.WithField("cause", context.Cause(ctx).Error()).Info("stop_requested")
-		stop()
-	})
-	return run(ctx, watchSettings(ctx, f.Settings, defaults))
+	running, stopRunning := context.WithCancel(context.Background())
+	defer stopRunning()
+	ctx, stop := context.WithCancel(running)
+	hangups := make(chan struct{}, 1)
+	go handleSignals(running, signals, stop, hangups)
+	return run(ctx, watchSettings(running, f.Settings, defaults, hangups))
 }
 
 // pollInterval is the time between checks of the settings file, which may change
 // without a signal.
 const pollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when their file changes.
-func watchSettings(ctx context.Context, path string, defaults any) Reloads {
+// watchSettings reloads the settings after each hangup and when their file changes,
+// until ctx ends.
+func watchSettings(ctx context.Context, path string, defaults any, hangups <-chan struct{}) Reloads {
 	reloads := make(chan settings.Checker, 1)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangups)
 		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
 		last := modTime(path)
@@ -91,7 +87,6 @@
 			case <-ctx.Done():
 				return
 			case <-hangups:
-				log.Info("reload_requested")
 			case <-ticker.C:
 				if modTime(path).Equal(last) {
 					continue
--- /dev/null
+++ b/internal/daemon/signals.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+)
+
+// maxPendingSignals is the number of signals that may wait to be handled. Further ones
+// are dropped.
+const maxPendingSignals = 16
+
+// notifySignals returns the signals that a daemon handles. SIGHUP is handled from here to
+// the end of the process: its default action would cut off the requests in progress.
+func notifySignals() <-chan os.Signal {
+	signals := make(chan os.Signal, maxPendingSignals)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	return signals
+}
+
+// handleSignals calls stop on SIGTERM and SIGINT, and reports SIGHUP to hangups, until ctx
+// ends.
+func handleSignals(ctx context.Context, signals <-chan os.Signal, stop func(), hangups chan<- struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				log.Info("reload_requested")
+				select {
+				case hangups <- struct{}{}:
+				default: // a reload is already pending
+				}
+				continue
+			}
+			log.WithField("cause", s.String()).Info("stop_requested")
+			signal.Reset(syscall.SIGTERM, os.Interrupt) // a second one ends the process
+			stop()
+		}
+	}
+}
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -175,7 +175,7 @@
 			}
 		})
 	}
-	wg.Go(func() { d.fleet.Reload(ctx, reloads) })
+	wg.Go(func() { d.fleet.Reload(background, reloads) })
 	wg.Go(func() { d.fleet.Run(background) })
 	wg.Go(func() { d.refreshLoop(background) })
 	wg.Go(func() { d.runPeers(background) })
