daemon: ignore a repeated SIGTERM

TestRepeatedStopSignalDuringDrain fails before with 'signal: terminated' in 3 of 3 runs. SIGTERM is now handled until the process ends. A supervisor that wants an immediate end sends SIGKILL; a second SIGINT still ends the process for a user at a terminal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,8 +38,8 @@
 type Reloads <-chan settings.Checker
 
 // Main parses the command line, loads the settings into config, which holds the
-// defaults, and calls run. SIGTERM and SIGINT cancel run's context; a second one ends
-// the process at once. SIGHUP, or a change of the settings file, delivers the new
+// defaults, and calls run. SIGTERM and SIGINT cancel run's context; a second SIGINT
+// ends the process at once. SIGHUP, or a change of the settings file, delivers the new
 // settings to run until it returns; an invalid file is logged and otherwise ignored.
 // Main exits the process with status 1 on an error, and with ExitUsage for a wrong
 // command line.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -115,6 +115,17 @@
 	d.endDrain()
 }
 
+// Guards against a repeated stop signal that ends a draining daemon, which cuts off the
+// requests in progress.
+func TestRepeatedStopSignalDuringDrain(t *testing.T) {
+	d := startDraining(t)
+	for range 20 {
+		d.signal(syscall.SIGTERM)
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.endDrain()
+}
+
 // Guards against exit codes that differ from docs/operating.md.
 func TestCommandLine(t *testing.T) {
 	good := filepath.Join(t.TempDir(), "good.yaml")
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -13,8 +13,9 @@
 // are dropped.
 const maxPendingSignals = 16
 
-// notifySignals returns the signals that a daemon handles. SIGHUP is handled from here to
-// the end of the process: its default action would cut off the requests in progress.
+// notifySignals returns the signals that a daemon handles. SIGHUP and SIGTERM are handled
+// from here to the end of the process: their default action would cut off the requests
+// in progress.
 func notifySignals() <-chan os.Signal {
 	signals := make(chan os.Signal, maxPendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -22,7 +23,8 @@
 }
 
 // handleSignals calls stop on SIGTERM and SIGINT, and reports SIGHUP to hangups, until ctx
-// ends.
+// ends. A second SIGINT ends the process, so that a user at a terminal need not wait for
+// the drain.
 func handleSignals(ctx context.Context, signals <-chan os.Signal, stop func(), hangups chan<- struct{}) {
 	for {
 		select {
@@ -38,7 +40,9 @@
 				continue
 			}
 			log.WithField("cause", s.String()).Info("stop_requested")
-			signal.Reset(syscall.SIGTERM, os.Interrupt) // a second one ends the process
+			if s == os.Interrupt {
+				signal.Reset(os.Interrupt)
+			}
 			stop()
 		}
 	}
