daemon: outlive the reader of the logs

TestLogReaderEndsDuringDrain fails before with 'signal: broken pipe' in 3 of 3 runs. SIGPIPE is now caught, so that the write returns an error, which the log handlers ignore.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -53,6 +53,7 @@
 	<-ctx.Done()
 	fmt.Println("draining")
 	_, err := io.Copy(io.Discard, os.Stdin)
+	fmt.Println("drained")
 	return err
 }
 
@@ -61,6 +62,7 @@
 	*testing.T
 	command *exec.Cmd
 	input   io.Closer
+	pipe    io.Closer // underlies output
 	output  *bufio.Scanner
 }
 
@@ -76,7 +78,7 @@
 	is.NoErr(err)
 	output, err := d.command.StdoutPipe()
 	is.NoErr(err)
-	d.input, d.output = input, bufio.NewScanner(output)
+	d.input, d.pipe, d.output = input, output, bufio.NewScanner(output)
 	is.NoErr(d.command.Start())
 	d.expect("started")
 	d.signal(syscall.SIGTERM)
@@ -126,6 +128,14 @@
 	d.endDrain()
 }
 
+// Guards against a daemon that ends when the reader of its logs has ended, which cuts off
+// the requests in progress.
+func TestLogReaderEndsDuringDrain(t *testing.T) {
+	d := startDraining(t)
+	is.New(t).NoErr(d.pipe.Close())
+	d.endDrain()
+}
+
 // Guards against exit codes that differ from docs/operating.md.
 func TestCommandLine(t *testing.T) {
 	good := filepath.Join(t.TempDir(), "good.yaml")
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -15,8 +15,10 @@
 
 // notifySignals returns the signals that a daemon handles. SIGHUP and SIGTERM are handled
 // from here to the end of the process: their default action would cut off the requests
-// in progress.
+// in progress. So would that of SIGPIPE, which a write to standard output raises once the
+// reader of the logs has ended; it is caught and ignored.
 func notifySignals() <-chan os.Signal {
+	signal.Notify(make(chan os.Signal), syscall.SIGPIPE) // the write then returns an error
 	signals := make(chan os.Signal, maxPendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	return signals
