relay: log which requests were without an event when their endpoint crashed

The logs could not tell a crash of an endpoint from the reset of one connection, nor which parts the requests of several crashes have in common. When an answer breaks off before its first event, the entry now opens a connection to the endpoint: if it is refused, the endpoint has crashed. send_failed says so and lists the parts of the prompt that other requests may share; crashes_total counts such requests.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -15,8 +15,9 @@
 	// not given.
 	Timeout time.Duration
 	Model   string
-	// Prompt lists the names of the parts of the prompt.
-	Prompt       string
+	// PromptParts lists the parts of the prompt in order, by identifier. The last part
+	// belongs to this request or its session alone.
+	PromptParts  []string
 	PromptTokens int
 	AnswerTokens int // maximum length of the answer
 	LengthHint   int // the caller's estimate of the answer's tokens; zero if not given
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -125,6 +125,23 @@
 	return &backendConn{Conn: conn, limited: allowed, reader: bufio.NewReaderSize(allowed, readBufferSize)}, nil
 }
 
+// crashCheckTimeout limits the check whether an endpoint has crashed. A round trip takes
+// up to 10 ms.
+const crashCheckTimeout = 100 * time.Millisecond
+
+// refusesConnections reports whether an endpoint refuses a new connection. After an answer
+// has broken off, this tells a crash of the endpoint from a reset of one connection.
+func (p *connPool) refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	conn, err := p.network.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT if conn is a TCP connection.
 func setUserTimeout(conn net.Conn) {
 	raw, ok := conn.(syscall.Conn)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -379,6 +379,8 @@
 
 // endSend records the end of an attempt and logs a failure.
 func (h *handler) endSend(q *request, c placement.Choice, r placement.Result, err error) {
+	inPrefill := q.inPrefill
+	crashed := r == placement.Broken && inPrefill && h.conns.refusesConnections(q.ctx, c.Address)
 	ejected := h.dispatcher.end(q, c, r)
 	if err == nil || r == placement.Neutral && errors.Is(err, errRequestEnded) {
 		return
@@ -387,6 +389,13 @@
 		"request": q.call.ID, "endpoint": c.ID, "address": c.Address, "started": c.Incarnation,
 		"predicted_ms": c.TTFT.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
 	}
+	if r == placement.Broken {
+		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
+	}
+	if crashed {
+		fields["parts"] = q.sharedParts()
+		h.metrics.crashes.Inc()
+	}
 	if ejected > 0 {
 		fields["ejected_ms"] = ejected.Milliseconds()
 		h.metrics.ejected.Inc()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,6 +17,7 @@
 type relayMetrics struct {
 	refused, retried metrics.ReasonCounter[Reason]
 	stray, ejected   prometheus.Counter
+	crashes          prometheus.Counter
 	// rateLimited and malformedRateLimit count answers.
 	rateLimited, malformedRateLimit prometheus.Counter
 	ended                           *prometheus.CounterVec
@@ -37,6 +38,7 @@
 		retried:            metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
 		stray:              counter("stray_answers_total", "Answers that belong to another request, or to none."),
 		ejected:            counter("ejections_total", "Endpoints taken out for a time after failures."),
+		crashes:            counter("crashes_total", "Requests without an event whose endpoint crashed."),
 		rateLimited:        counter("rate_limited_answers_total", "Answers in which an endpoint named a request rate limit."),
 		malformedRateLimit: counter("malformed_rate_limits_total", "Answers with a request rate limit that could not be decoded."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -45,7 +47,7 @@
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.stray, m.ejected, m.rateLimited, m.malformedRateLimit, m.ended, m.first, m.total)
+	r.MustRegister(m.stray, m.ejected, m.crashes, m.rateLimited, m.malformedRateLimit, m.ended, m.first, m.total)
 	return m
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -148,6 +148,12 @@
 	return float64(mixed>>(64-bits)) / (1 << bits)
 }
 
+// sharedParts returns the parts of the prompt that other requests may have as well: all but
+// the last.
+func (q *request) sharedParts() []string {
+	return q.call.PromptParts[:max(0, len(q.call.PromptParts)-1)]
+}
+
 // timeLeft returns the time until the deadline of the final answer.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
