--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,9 @@
 	mu       sync.Mutex
 	limit    string // value of Server-Limit; empty for none
 	arrivals []time.Time
+	crashes  *crashes // nil if no request crashes the endpoint
+	conns    map[net.Conn]bool
+	down     bool
 }
 
 func (e *limitedEndpoint) name(limit string) {
@@ -48,7 +52,7 @@
 }
 
 func (e *limitedEndpoint) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer e.disconnect(conn)
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -63,6 +67,9 @@
 		limit := e.limit
 		e.mu.Unlock()
 		time.Sleep(30 * time.Millisecond)
+		if e.crashes.observe(r, e) {
+			return
+		}
 		head := "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
 		if limit != "" {
 			head += "Server-Limit: " + limit + "\r\n"
@@ -121,6 +128,9 @@
 
 func (n pipeNetwork) DialContext(_ context.Context, _, address string) (net.Conn, error) {
 	client, server := net.Pipe()
+	if !n.endpoints[address].connect(server) {
+		return nil, syscall.ECONNREFUSED
+	}
 	go n.endpoints[address].serve(server)
 	return client, nil
 }
@@ -130,6 +140,9 @@
 	*peerNetwork
 	endpoints map[string]*limitedEndpoint
 	handlers  []*handler
+	table     *routing.Table
+	known     []placement.Entry
+	listed    map[string][]placement.Endpoint // by service
 
 	mu      sync.Mutex
 	answers map[int]int   // number of answers by status
@@ -154,28 +167,26 @@
 	}})
 	table := routing.Compile(document)
 	list := map[string][]placement.Endpoint{}
+	f.table, f.listed = table, list
 	for _, service := range []string{engineService, plainService} {
 		for i := range endpoints {
 			id := fmt.Sprint(service, "-", i)
-			f.endpoints[id] = &limitedEndpoint{}
+			f.endpoints[id] = &limitedEndpoint{conns: map[net.Conn]bool{}}
 			list[service] = append(list[service], placement.Endpoint{ID: id, Incarnation: 1, Address: id, Zone: "a", Slots: 16, WeightsVersion: 1})
 		}
 	}
-	var known []placement.Entry
 	for i := range entries {
-		known = append(known, placement.Entry{Name: fmt.Sprint("entry-", i), Zone: "a"})
+		f.known = append(f.known, placement.Entry{Name: fmt.Sprint("entry-", i), Zone: "a"})
 	}
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
-	for _, e := range known {
-		slots := n.slots[e.Name]
-		slots.update(table, list, known, time.Now())
-		d := newDispatcher(0.2, 100, slots)
-		d.update(table, list, entries)
+	for _, e := range f.known {
+		d := newDispatcher(0.2, 100, n.slots[e.Name])
 		f.handlers = append(f.handlers, &handler{
 			protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, conns: newConnPool(pipeNetwork{endpoints: f.endpoints}),
 			metrics: newRelayMetrics(prometheus.NewRegistry()), log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second,
 		})
 	}
+	f.update()
 	return f, func() {
 		cancel()
 		for _, h := range f.handlers {
@@ -185,6 +196,14 @@
 	}
 }
 
+// update tells the entries of the listed endpoints.
+func (f *entryFleet) update() {
+	for i, e := range f.known {
+		f.slots[e.Name].update(f.table, f.listed, f.known, time.Now())
+		f.handlers[i].dispatcher.update(f.table, f.listed, len(f.known))
+	}
+}
+
 // load sends requests to the entries in turn, at a rate per second in all.
 func (f *entryFleet) load(path string, perSecond int, length time.Duration) {
 	var wg sync.WaitGroup
