--- /dev/null
+++ b/internal/relay/admin.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+const pathQuarantine = "/quarantine"
+
+// suspectPart describes a suspect or quarantined part on the admin port.
+type suspectPart struct {
+	Part string `json:"part"`
+	// Quarantined is false for a part that is only suspect.
+	Quarantined bool          `json:"quarantined"`
+	Until       time.Time     `json:"until"`
+	Crashes     []suspectedIn `json:"crashes"`
+}
+
+// suspectedIn describes the crash of an endpoint under requests with a part.
+type suspectedIn struct {
+	Endpoint    string    `json:"endpoint"`
+	Incarnation uint64    `json:"started"` // Unix milliseconds
+	At          time.Time `json:"at"`
+	Others      []string  `json:"other_parts"`
+}
+
+// adminHandler returns the handler of the admin port: metrics, health, and the parts of
+// requests that crash endpoints.
+//
+//	GET    /quarantine         lists them, as JSON
+//	DELETE /quarantine/{part}  clears one at all entries; 404 if it is not listed
+func (d *Daemon) adminHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(pathQuarantine, d.listQuarantine).Methods(http.MethodGet)
+	r.HandleFunc(pathQuarantine+"/{part}", d.liftQuarantine).Methods(http.MethodDelete)
+	r.PathPrefix("/").Handler(metrics.AdminHandler(d.registry, d.ready))
+	return r
+}
+
+func (d *Daemon) listQuarantine(w http.ResponseWriter, _ *http.Request) {
+	list := []suspectPart{}
+	for _, r := range d.guard.records(time.Now()) {
+		p := suspectPart{Part: formatPart(r.Part), Quarantined: r.Quarantined, Until: r.Until}
+		for _, c := range r.Crashes {
+			p.Crashes = append(p.Crashes, suspectedIn{c.Endpoint, c.Incarnation, c.At, formatParts(c.Others)})
+		}
+		list = append(list, p)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // fails only if the client disconnected
+}
+
+func (d *Daemon) liftQuarantine(w http.ResponseWriter, r *http.Request) {
+	part, err := strconv.ParseUint(mux.Vars(r)["part"], 16, 64)
+	if err != nil {
+		http.Error(w, "the part is not a hexadecimal number of up to 16 digits", http.StatusBadRequest)
+		return
+	}
+	if !d.guard.lift(quarantine.PartID(part), time.Now()) {
+		http.Error(w, "the part is neither suspect nor quarantined", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,7 @@
 	bodyWritten chan error  // receives the result of writing a long body; nil for a short one
 	response    *http.Response
 	answer      protocol.Answer
+	began       time.Time // time of the first event of a stream
 	// complete is true once the body was read to its end.
 	complete bool
 }
--- /dev/null
+++ b/internal/relay/crash_guard.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
+)
+
+const (
+	// soundDelay is how long after its first event a stream counts as sound if its
+	// endpoint has not crashed. An engine that crashes under a request does so when it
+	// begins to write.
+	soundDelay = 250 * time.Millisecond
+	// maxSuspectParts limits the parts of one request that may become suspect, and so the
+	// size of messages.
+	maxSuspectParts = 32
+	// suspectExchangeInterval is the interval at which an entry sends its records to
+	// another one, drawn at random, in case a report was lost.
+	suspectExchangeInterval = time.Second
+	// suspectSyncTimeout is how long an entry that has started waits for the records of
+	// the others before it takes requests.
+	suspectSyncTimeout = 300 * time.Millisecond
+	// maxRecordsSent limits the records in one message, to 12 KB.
+	maxRecordsSent = 12
+)
+
+// crashGuard keeps requests that crash endpoints away from them. It adds locking, messages
+// and logs to quarantine.PartList.
+type crashGuard struct {
+	log log.Interface
+	// send sends a message to another entry. Messages may be lost.
+	send    func(to string, m peerMessage)
+	metrics *relayMetrics
+
+	mu     sync.Mutex
+	list   *quarantine.PartList
+	others []string // names of the other entries
+	// syncedBy is when this entry stops waiting for the records of others; zero before the
+	// first update.
+	syncedBy time.Time
+	synced   bool // has the records of another entry, or there is none
+}
+
+func newCrashGuard(logger log.Interface, m *relayMetrics, send func(string, peerMessage)) *crashGuard {
+	return &crashGuard{log: logger, send: send, metrics: m, list: quarantine.NewPartList(quarantine.PartConfig{})}
+}
+
+// partIDs returns the parts of a request that may crash endpoints: the parts of its prompt
+// that other requests may share, and last the request itself, which may be sent again.
+func partIDs(q *request) []quarantine.PartID {
+	shared := q.sharedParts()
+	ids := make([]quarantine.PartID, 0, min(len(shared), maxSuspectParts-1)+1)
+	for _, part := range shared[:min(len(shared), maxSuspectParts-1)] {
+		ids = append(ids, quarantine.NewPartID("part", []byte(part)))
+	}
+	prompt := strings.Join(q.call.PromptParts, ",")
+	return append(ids, quarantine.NewPartID("request", []byte(q.target), []byte(prompt), q.body))
+}
+
+// update replaces the other entries. The first time, it asks them for their records.
+func (g *crashGuard) update(others []string, now time.Time) {
+	g.mu.Lock()
+	g.others = others
+	first := g.syncedBy.IsZero()
+	if first {
+		g.syncedBy = now.Add(suspectSyncTimeout)
+		g.synced = len(others) == 0
+	}
+	g.mu.Unlock()
+	if first {
+		g.broadcast(peerMessage{Suspects: &suspectsMessage{Request: true}})
+	}
+}
+
+// ready reports whether this entry knows the records of the others, or none of them has
+// answered.
+func (g *crashGuard) ready(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.synced || !g.syncedBy.IsZero() && !now.Before(g.syncedBy)
+}
+
+// broadcast sends a message to all other entries.
+func (g *crashGuard) broadcast(m peerMessage) {
+	g.mu.Lock()
+	others := g.others
+	g.mu.Unlock()
+	for _, name := range others {
+		g.send(name, m)
+	}
+}
+
+// check returns whether and how a request may run now.
+func (g *crashGuard) check(q *request, now time.Time) quarantine.PartVerdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list.Check(q.parts, now)
+}
+
+// recordCrash records that an endpoint crashed while it ran a request that was not yet
+// proven sound, and reports it to the other entries.
+func (g *crashGuard) recordCrash(q *request, c placement.Choice, now time.Time) {
+	r := quarantine.CrashReport{Endpoint: c.ID, Incarnation: c.Incarnation, At: now, Parts: q.parts}
+	g.applyCrash(r, q.call.ID, "", now)
+	g.broadcast(peerMessage{Crash: newCrashMessage(r, q.call.ID, now)})
+}
+
+// applyCrash records a crash that this entry observed, or another one reported.
+func (g *crashGuard) applyCrash(r quarantine.CrashReport, request, reporter string, now time.Time) {
+	g.mu.Lock()
+	quarantined := g.list.RecordCrash(r, now)
+	g.mu.Unlock()
+	g.log.WithFields(log.Fields{
+		"request": request, "endpoint": r.Endpoint, "started": r.Incarnation, "part_ids": formatParts(r.Parts), "reporter": reporter,
+	}).Info("crash_recorded")
+	g.logQuarantined(quarantined)
+}
+
+func (g *crashGuard) logQuarantined(parts []quarantine.PartID) {
+	if len(parts) == 0 {
+		return
+	}
+	g.metrics.quarantined.Add(float64(len(parts)))
+	g.log.WithField("part_ids", formatParts(parts)).Warn("parts_quarantined")
+}
+
+// recordSound records that a request began and did not crash its endpoint. It tells the
+// other entries if that clears a suspect.
+func (g *crashGuard) recordSound(q *request, began, now time.Time) {
+	if cleared := g.applySound(q.parts, began); len(cleared) > 0 {
+		g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(cleared), AgeMs: now.Sub(began).Milliseconds()}})
+	}
+}
+
+func (g *crashGuard) applySound(parts []quarantine.PartID, began time.Time) []quarantine.PartID {
+	g.mu.Lock()
+	changed := g.list.RecordSound(parts, began)
+	g.mu.Unlock()
+	if len(changed) > 0 {
+		g.log.WithField("part_ids", formatParts(changed)).Info("parts_cleared")
+	}
+	return changed
+}
+
+// lift clears a part at all entries, as if a request with it had run soundly now.
+func (g *crashGuard) lift(part quarantine.PartID, now time.Time) bool {
+	parts := []quarantine.PartID{part}
+	g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(parts)}})
+	return len(g.applySound(parts, now)) > 0
+}
+
+// records lists the suspect and quarantined parts.
+func (g *crashGuard) records(now time.Time) []quarantine.PartRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list.Records(now)
+}
+
+// receive handles the reports of another entry. It returns false if the message holds
+// none.
+func (g *crashGuard) receive(m peerMessage, now time.Time) bool {
+	switch {
+	case m.Crash != nil:
+		g.applyCrash(m.Crash.crashReport(now), m.Crash.RequestID, m.From, now)
+	case m.Sound != nil:
+		g.applySound(toPartIDs(m.Sound.Parts), now.Add(-fromMs(m.Sound.AgeMs)))
+	case m.Suspects != nil && m.Suspects.Request:
+		if g.ready(now) {
+			g.sendRecords(m.From, now)
+		}
+	case m.Suspects != nil:
+		g.mu.Lock()
+		var quarantined []quarantine.PartID
+		for _, r := range m.Suspects.Records {
+			if record := r.partRecord(now); g.list.Merge(record, now) {
+				quarantined = append(quarantined, record.Part)
+			}
+		}
+		g.synced = true
+		g.mu.Unlock()
+		g.logQuarantined(quarantined)
+	default:
+		return false
+	}
+	return true
+}
+
+// sendRecords sends the records of this entry to another one, also if there are none.
+func (g *crashGuard) sendRecords(to string, now time.Time) {
+	records := g.records(now)
+	for first := true; first || len(records) > 0; first = false {
+		n := min(len(records), maxRecordsSent)
+		g.send(to, peerMessage{Suspects: newSuspectsMessage(records[:n], now)})
+		records = records[n:]
+	}
+}
+
+// run exchanges records with other entries until ctx ends.
+func (g *crashGuard) run(ctx context.Context) {
+	for sleep(ctx, suspectExchangeInterval) {
+		now := time.Now()
+		g.mu.Lock()
+		g.list.Expire(now)
+		quarantined, suspect := g.list.Counts(now)
+		others := g.others
+		g.mu.Unlock()
+		g.metrics.suspectParts.WithLabelValues("quarantined").Set(float64(quarantined))
+		g.metrics.suspectParts.WithLabelValues("suspect").Set(float64(suspect))
+		if quarantined+suspect > 0 && len(others) > 0 {
+			g.sendRecords(others[rand.IntN(len(others))], now)
+		}
+	}
+}
+
+// formatParts returns part IDs as they appear in logs and on the admin port.
+func formatParts(parts []quarantine.PartID) []string {
+	list := make([]string, len(parts))
+	for i, part := range parts {
+		list[i] = formatPart(part)
+	}
+	return list
+}
+
+func formatPart(part quarantine.PartID) string { return strconv.FormatUint(uint64(part), 16) }
+
+func toUint64(parts []quarantine.PartID) []uint64 {
+	list := make([]uint64, len(parts))
+	for i, part := range parts {
+		list[i] = uint64(part)
+	}
+	return list
+}
+
+func toPartIDs(list []uint64) []quarantine.PartID {
+	parts := make([]quarantine.PartID, len(list))
+	for i, id := range list {
+		parts[i] = quarantine.PartID(id)
+	}
+	return parts
+}
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
+	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +12,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
 
 const (
@@ -69,13 +74,11 @@
 	arrivals []time.Time // of requests with the part
 }
 
-// newCrashes lets requests crash all engines of a fleet.
+// newCrashes lets requests crash all endpoints of a fleet.
 func newCrashes(f *entryFleet) *crashes {
 	c := &crashes{fleet: f}
-	for id, e := range f.endpoints {
-		if strings.HasPrefix(id, engineService) {
-			e.crashes = c
-		}
+	for _, e := range f.endpoints {
+		e.crashes = c
 	}
 	return c
 }
@@ -95,16 +98,18 @@
 
 // restarted lists an endpoint with a new incarnation.
 func (f *entryFleet) restarted(e *limitedEndpoint) {
-	f.mu.Lock()
-	listed := maps.Clone(f.listed)
-	listed[engineService] = slices.Clone(listed[engineService])
-	for i, known := range listed[engineService] {
-		if f.endpoints[known.ID] == e {
-			listed[engineService][i].Incarnation++
+	f.listMu.Lock()
+	defer f.listMu.Unlock()
+	listed := map[string][]placement.Endpoint{}
+	for service, list := range f.listed {
+		for _, known := range list {
+			if f.endpoints[known.ID] == e {
+				known.Incarnation++
+			}
+			listed[service] = append(listed[service], known)
 		}
 	}
 	f.listed = listed
-	f.mu.Unlock()
 	f.update()
 }
 
@@ -155,9 +160,14 @@
 	return float64(served) / float64(sound)
 }
 
-// prompt sends one prompt and returns the status of the answer, or 0 if it broke off.
+// prompt sends one prompt to an engine and returns the status of the answer, or 0 if it
+// broke off.
 func (f *entryFleet) prompt(entry int, parts string) (status int) {
-	r := httptest.NewRequest(http.MethodPost, "/stream/quote", strings.NewReader("order"))
+	return f.promptTo(entry, "/stream/quote", parts)
+}
+
+func (f *entryFleet) promptTo(entry int, path, parts string) (status int) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("order"))
 	r.Host = "orders.example"
 	for name, value := range map[string]string{
 		"X-Request-Id": fmt.Sprint("request-", parts, "-", time.Now().UnixNano()), "X-Deadline-Ms": "2500", "Authorization": "Bearer " + testKey, "X-Token-Count": "540,60",
@@ -206,3 +216,79 @@
 		})
 	}
 }
+
+// Guards against a request that crashes each endpoint that runs it and comes again, through
+// any entry.
+func TestRepeatedCrashingRequestIsRefused(t *testing.T) {
+	testServices(t, func(t *testing.T, path, service string) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 12)
+		defer stop()
+		crashes := newCrashes(f)
+		for i := range 40 {
+			if f.promptTo(i%4, path, crashingPart+":1,own:1") == http.StatusOK {
+				t.Fatal("an endpoint answered the request")
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		is.True(len(crashes.times) <= maxCrashRequests)
+		is.Equal(f.promptTo(0, path, "other:1,own:2"), http.StatusOK)
+	})
+}
+
+// Guards against refusing requests that share parts with those whose endpoints crashed
+// without their fault.
+func TestCrashesWithoutCauseQuarantineNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 12)
+		defer stop()
+		newCrashes(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for i := 0; sleep(ctx, 4*time.Second); i++ {
+				e := f.endpoints[fmt.Sprint(engineService, "-", i*5%12)]
+				e.crash(func() { f.restarted(e) })
+			}
+		}()
+		f.crashLoad(60, 0, 2*time.Minute)
+		cancel()
+		time.Sleep(restartTime)
+		is.Equal(f.crashLoad(60, 0, 5*time.Second), 1.0) // all sessions
+	})
+}
+
+// Guards against an entry that has just started, or has missed reports, and sends requests
+// with a part that the others have quarantined.
+func TestEntriesExchangeQuarantinedParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 12)
+		defer stop()
+		f.setDown("entry-3")
+		crashes := newCrashes(f)
+		for i := range 6 {
+			f.prompt(i%3, fmt.Sprintf("first:1,%s:1,own-%d:1", crashingPart, i))
+			time.Sleep(time.Second)
+		}
+		before := len(crashes.times)
+		f.peerNetwork.mu.Lock()
+		f.down = map[string]bool{}
+		started := newCrashGuard(f.handlers[3].log, f.handlers[3].metrics, func(to string, m peerMessage) { f.peerNetwork.send("entry-3", to, m) })
+		f.guards["entry-3"] = started
+		f.peerNetwork.mu.Unlock()
+		is.True(!started.ready(time.Now()))
+		started.update([]string{"entry-0", "entry-1", "entry-2"}, time.Now())
+		is.True(!started.ready(time.Now()))
+		time.Sleep(2*peerDelay + time.Millisecond)
+		is.True(started.ready(time.Now()))
+		f.handlers[3].guard = started
+		is.Equal(f.prompt(3, "first:1,"+crashingPart+":1,own:1"), http.StatusServiceUnavailable)
+		is.Equal(len(crashes.times), before)
+		is.True(started.lift(quarantine.NewPartID("part", []byte(crashingPart)), time.Now()))
+		time.Sleep(2 * peerDelay)
+		for _, h := range f.handlers {
+			is.True(!h.guard.check(&request{parts: []quarantine.PartID{quarantine.NewPartID("part", []byte(crashingPart))}}, time.Now()).Quarantined)
+		}
+	})
+}
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -83,6 +83,7 @@
 	handler  *handler
 	changed  chan struct{}
 	slots    *slotCoordinator
+	guard    *crashGuard
 	peers    atomic.Pointer[peerPort]
 	draining atomic.Bool
 	wasReady bool
@@ -98,9 +99,11 @@
 		Network: opts.Network, Log: logger, ConfirmFirst: true, Decode: opts.Decode, OnChange: d.signal, MinFetchInterval: minRoutingInterval,
 	}, d.process(false))
 	d.slots = newSlotCoordinator(s.Instance, s.Zone, logger, d.sendPeer)
+	m := newRelayMetrics(d.registry)
+	d.guard = newCrashGuard(logger, m, d.sendPeer)
 	d.handler = &handler{
-		protocol: opts.Protocol, fleet: d.fleet, dispatcher: newDispatcher(s.RetryRatio, s.RetrySlack, d.slots),
-		conns: newConnPool(opts.Network), metrics: newRelayMetrics(d.registry), log: logger, zone: s.Zone,
+		protocol: opts.Protocol, fleet: d.fleet, dispatcher: newDispatcher(s.RetryRatio, s.RetrySlack, d.slots), guard: d.guard,
+		conns: newConnPool(opts.Network), metrics: m, log: logger, zone: s.Zone,
 		softWeightsBound: max(minWeightsBound, s.WeightsBound.Std()-softWeightsMargin),
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
@@ -136,6 +139,7 @@
 var (
 	errDraining  = errors.New("draining")
 	errNoRouting = errors.New("no routing document yet")
+	errNotSynced = errors.New("waiting for the quarantined parts that other entries know of")
 )
 
 // ready returns why the relay should get no new callers, or nil.
@@ -145,6 +149,8 @@
 		return errDraining
 	case d.fleet.Table() == nil:
 		return errNoRouting
+	case !d.guard.ready(time.Now()):
+		return errNotSynced
 	}
 	return nil
 }
@@ -157,7 +163,7 @@
 	servers, err := network.OpenServers(d.opts.Network,
 		network.ServerConfig{Address: d.settings.Listen, Handler: d.handler},
 		network.ServerConfig{Address: d.settings.ReadyListen, Handler: d.opts.ReadyHandler(d.ready)},
-		network.ServerConfig{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
+		network.ServerConfig{Address: d.settings.AdminListen, Handler: d.adminHandler()},
 		network.ServerConfig{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
 	if err != nil {
@@ -179,6 +185,7 @@
 	wg.Go(func() { d.fleet.Run(background) })
 	wg.Go(func() { d.refreshLoop(background) })
 	wg.Go(func() { d.runPeers(background) })
+	wg.Go(func() { d.guard.run(background) })
 	d.log.Info("started")
 	select {
 	case <-ctx.Done():
@@ -257,6 +264,7 @@
 	if p := d.peers.Load(); p != nil {
 		p.setAddresses(processes)
 	}
+	d.guard.update(d.otherEntries(processes), time.Now())
 	entries := d.entries(processes)
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
@@ -271,6 +279,17 @@
 	}
 }
 
+// otherEntries lists the names of all other entries.
+func (d *Daemon) otherEntries(processes []wire.Process) []string {
+	var names []string
+	for _, p := range processes {
+		if p.Name != d.settings.Instance {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
 // entries lists the entries that accept callers. If there is none, this entry is the
 // only one listed and places its requests by itself.
 func (d *Daemon) entries(processes []wire.Process) []placement.Entry {
@@ -297,7 +316,11 @@
 		p.setAddresses(d.fleet.Processes())
 		d.peers.Store(p)
 		go port.Receive(ctx, func(m peerMessage) {
-			if m.From != "" {
+			switch {
+			case m.From == "":
+			case d.guard.receive(m, time.Now()):
+				d.signal() // this entry may be ready now
+			default:
 				d.slots.receive(m)
 			}
 		})
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -155,6 +155,9 @@
 		if choice, refused, ok := d.placeByBroker(q, r); ok {
 			return choice, refused
 		}
+		if len(r.Suspects) > 0 { // without a broker, several entries would send the same suspect
+			return placement.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: CrashSuspect, retryAfter: minRetryAfter}
+		}
 		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
 		for _, l := range d.rateLimits(q.service) {
 			if !l.Ended() {
@@ -209,7 +212,11 @@
 	q.late = q.late || p.response.Late
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
-		return choice, placementRefusal(p.response.Verdict, retryAfter(p.response)), true
+		refused = placementRefusal(p.response.Verdict, retryAfter(p.response))
+		if refused.reason == NoSlot && len(r.Suspects) > 0 {
+			refused.reason = CrashSuspect
+		}
+		return choice, refused, true
 	}
 	q.slot = p.sequence
 	d.mu.Lock()
@@ -369,6 +376,13 @@
 	return ejected
 }
 
+// leaves reports whether an endpoint has announced that it stops, or is no longer listed.
+func (d *dispatcher) leaves(service string, c placement.Choice) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).Leaves(c.ID, c.Incarnation)
+}
+
 // recordRateLimit records the request rate that an endpoint named in an answer, nil for
 // none, and reports whether its limit changed.
 func (d *dispatcher) recordRateLimit(q *request, c placement.Choice, perSecond *float64) bool {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -53,6 +53,7 @@
 	protocol   protocol.HeaderCodec
 	fleet      fleetState
 	dispatcher *dispatcher
+	guard      *crashGuard
 	conns      *connPool
 	metrics    *relayMetrics
 	log        log.Interface
@@ -137,6 +138,9 @@
 	if len(q.record.retries) > 0 {
 		fields["retries"] = q.record.retries
 	}
+	if q.record.quarantined != "" {
+		fields["part_id"] = q.record.quarantined
+	}
 	if reason != "" {
 		fields["reason"], fields["status"] = string(reason), status
 		fields["left_ms"] = q.timeLeft().Milliseconds()
@@ -209,16 +213,25 @@
 // place selects an endpoint, waiting briefly for a slot. The preferred version of the
 // weights is zero for no preference.
 func (h *handler) place(q *request, preferred uint64) (placement.Choice, *refusal) {
+	suspicion := h.guard.check(q, time.Now())
+	if suspicion.Quarantined {
+		return placement.Choice{}, q.quarantineRefusal(suspicion)
+	}
 	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	before := time.Now()
 	r := q.placementRequest(h.zone, version, softVersion, preferred)
-	r.Bounds = h.bounds(q)
+	r.Bounds, r.Suspects = h.bounds(q), toUint64(suspicion.Suspects)
 	choice, refused := h.dispatcher.place(q, r)
 	q.placedAt = time.Now()
 	q.record.queueWait += q.placedAt.Sub(before)
 	if refused != nil {
 		return choice, refused
 	}
+	if suspicion = h.guard.check(q, q.placedAt); suspicion.Quarantined { // while it waited
+		h.dispatcher.end(q, choice, placement.Neutral)
+		return choice, q.quarantineRefusal(suspicion)
+	}
+	q.proven = false
 	q.record.endpoint, q.record.predictedTTFT, q.record.load = choice.ID, choice.TTFT, choice.Load
 	q.record.incarnation = choice.Incarnation
 	q.beginBy, q.sendBy = time.Time{}, time.Time{}
@@ -380,7 +393,7 @@
 // endSend records the end of an attempt and logs a failure.
 func (h *handler) endSend(q *request, c placement.Choice, r placement.Result, err error) {
 	inPrefill := q.inPrefill
-	crashed := r == placement.Broken && inPrefill && h.conns.refusesConnections(q.ctx, c.Address)
+	crashed := r == placement.Broken && !q.proven && !h.dispatcher.leaves(q.service, c) && h.conns.refusesConnections(q.ctx, c.Address)
 	ejected := h.dispatcher.end(q, c, r)
 	if err == nil || r == placement.Neutral && errors.Is(err, errRequestEnded) {
 		return
@@ -395,6 +408,7 @@
 	if crashed {
 		fields["parts"] = q.sharedParts()
 		h.metrics.crashes.Inc()
+		h.guard.recordCrash(q, c, time.Now())
 	}
 	if ejected > 0 {
 		fields["ejected_ms"] = ejected.Milliseconds()
@@ -403,6 +417,15 @@
 	h.log.WithFields(fields).WithError(err).Warn("send_failed")
 }
 
+// recordSound records once for each attempt that a request began and did not crash its
+// endpoint.
+func (h *handler) recordSound(q *request, began time.Time) {
+	if !q.proven {
+		q.proven = true
+		h.guard.recordSound(q, began, time.Now())
+	}
+}
+
 // bufferedAnswer is an answer of an endpoint that was read completely.
 type bufferedAnswer struct {
 	status int
@@ -449,6 +472,7 @@
 		return result{failure: answer, refusal: nil}, RetryErrorStatus
 	}
 	h.endSend(q, c, placement.Success, nil)
+	h.recordSound(q, q.placedAt)
 	q.record.firstEvent = time.Since(q.arrived)
 	return result{refusal: answer.write(w)}, ""
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -23,6 +23,11 @@
 	Summary      *summaryMessage      `cbor:"8,keyasint,omitempty"`
 	// RateLimits lists the limits of endpoints of the group that the sender knows of.
 	RateLimits []rateLimitMessage `cbor:"9,keyasint,omitempty"`
+	// Crash, Sound and Suspects report requests that may crash endpoints; they are about
+	// no group.
+	Crash    *crashMessage    `cbor:"10,keyasint,omitempty"`
+	Sound    *soundMessage    `cbor:"11,keyasint,omitempty"`
+	Suspects *suspectsMessage `cbor:"12,keyasint,omitempty"`
 }
 
 // slotRequestMessage encodes a placement.SlotRequest. Durations are in milliseconds.
@@ -44,6 +49,7 @@
 	Bounds       []weightsBoundMessage `cbor:"15,keyasint,omitempty"`
 	AnswerTokens int                   `cbor:"16,keyasint,omitempty"`
 	Only         uint32                `cbor:"17,keyasint,omitempty"` // hash of an endpoint ID
+	Suspects     []uint64              `cbor:"18,keyasint,omitempty"`
 }
 
 // weightsBoundMessage encodes a placement.WeightsBound, with the time relative to the
@@ -143,7 +149,7 @@
 	a := placement.SlotRequest{
 		SlotRequestID: placement.SlotRequestID{Entry: from, Sequence: m.Sequence},
 		Request: placement.Request{
-			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late,
+			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late, Suspects: m.Suspects,
 		},
 		MaxWait: fromMs(m.MaxWaitMs), TimeLeft: fromMs(m.TimeLeftMs), Resumed: m.Resumed, Redirected: m.Redirected,
 	}
@@ -166,7 +172,7 @@
 func newSlotRequestMessage(a placement.SlotRequest, now time.Time) *slotRequestMessage {
 	m := &slotRequestMessage{
 		Sequence: a.Sequence, PromptTokens: a.PromptTokens, AnswerTokens: a.AnswerTokens, Zone: a.Zone, MinVersion: a.MinVersion, SoftMinVersion: a.SoftMinVersion, PreferredVersion: a.PreferredVersion, GapObjectiveMs: a.GapObjective.Milliseconds(),
-		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected,
+		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects,
 	}
 	for _, b := range a.Bounds {
 		m.Bounds = append(m.Bounds, weightsBoundMessage{Version: b.Version, LeftMs: b.By.Sub(now).Milliseconds()})
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -18,6 +18,8 @@
 	refused, retried metrics.ReasonCounter[Reason]
 	stray, ejected   prometheus.Counter
 	crashes          prometheus.Counter
+	quarantined      prometheus.Counter   // parts
+	suspectParts     *prometheus.GaugeVec // by state
 	// rateLimited and malformedRateLimit count answers.
 	rateLimited, malformedRateLimit prometheus.Counter
 	ended                           *prometheus.CounterVec
@@ -34,11 +36,15 @@
 		}, []string{"kind"})
 	}
 	m := &relayMetrics{
-		refused:            metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
-		retried:            metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
-		stray:              counter("stray_answers_total", "Answers that belong to another request, or to none."),
-		ejected:            counter("ejections_total", "Endpoints taken out for a time after failures."),
-		crashes:            counter("crashes_total", "Requests without an event whose endpoint crashed."),
+		refused:     metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
+		retried:     metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
+		stray:       counter("stray_answers_total", "Answers that belong to another request, or to none."),
+		ejected:     counter("ejections_total", "Endpoints taken out for a time after failures."),
+		crashes:     counter("crashes_total", "Requests without an event whose endpoint crashed."),
+		quarantined: counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
+		suspectParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "suspect_parts", Help: "Parts of requests that are quarantined, or suspect of crashing endpoints.",
+		}, []string{"state"}),
 		rateLimited:        counter("rate_limited_answers_total", "Answers in which an endpoint named a request rate limit."),
 		malformedRateLimit: counter("malformed_rate_limits_total", "Answers with a request rate limit that could not be decoded."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -47,7 +53,7 @@
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.stray, m.ejected, m.crashes, m.rateLimited, m.malformedRateLimit, m.ended, m.first, m.total)
+	r.MustRegister(m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.ended, m.first, m.total)
 	return m
 }
 
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -142,6 +142,7 @@
 	handlers  []*handler
 	table     *routing.Table
 	known     []placement.Entry
+	listMu    sync.Mutex                      // serializes changes of listed
 	listed    map[string][]placement.Endpoint // by service
 
 	mu      sync.Mutex
@@ -181,9 +182,22 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	for _, e := range f.known {
 		d := newDispatcher(0.2, 100, n.slots[e.Name])
+		m := newRelayMetrics(prometheus.NewRegistry())
+		guard := newCrashGuard(logger, m, func(to string, message peerMessage) { n.send(e.Name, to, message) })
+		var others []string
+		for _, o := range f.known {
+			if o.Name != e.Name {
+				others = append(others, o.Name)
+			}
+		}
+		n.mu.Lock()
+		n.guards[e.Name] = guard
+		n.mu.Unlock()
+		guard.update(others, time.Now())
+		go guard.run(n.ctx)
 		f.handlers = append(f.handlers, &handler{
-			protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, conns: newConnPool(pipeNetwork{endpoints: f.endpoints}),
-			metrics: newRelayMetrics(prometheus.NewRegistry()), log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second,
+			protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: guard, conns: newConnPool(pipeNetwork{endpoints: f.endpoints}),
+			metrics: m, log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second,
 		})
 	}
 	f.update()
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -23,8 +23,12 @@
 	DeadlineExceeded Reason = "time-over"
 	AnswerLost       Reason = "answer-lost"
 	StreamBroken     Reason = "stream-broken"
-	CrashSuspect     Reason = "crash-suspect"
-	EndpointError    Reason = "endpoint-error"
+	// CrashSuspect means that a request that may crash its endpoint could not wait until
+	// another one of the kind had begun.
+	CrashSuspect Reason = "crash-suspect"
+	// Quarantined means that requests with a part of this one crash endpoints.
+	Quarantined   Reason = "quarantined"
+	EndpointError Reason = "endpoint-error"
 )
 
 // Reasons for a retry.
@@ -44,7 +48,7 @@
 func RefusalReasons() []Reason {
 	return []Reason{
 		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
-		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, EndpointError,
+		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -170,9 +170,10 @@
 	d.update(table, map[string][]placement.Endpoint{"dispatch": endpoints}, 1)
 	d.pools["dispatch"].Pool = placement.NewPool(placement.Config{JitterMs: 0.001, CrossZoneMs: 1000})
 	d.pools["dispatch"].Update(nil, endpoints, time.Now())
+	m := newRelayMetrics(prometheus.NewRegistry())
 	h := &handler{
-		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, conns: newConnPool(nil),
-		metrics: newRelayMetrics(prometheus.NewRegistry()), log: logger, zone: "near",
+		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: newCrashGuard(logger, m, func(string, peerMessage) {}), conns: newConnPool(nil),
+		metrics: m, log: logger, zone: "near",
 		softWeightsBound: time.Second, weightsBound: time.Second,
 	}
 	front := httptest.NewServer(h)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
@@ -43,8 +44,10 @@
 	slot      uint64        // sequence number of the slot granted by a broker; zero for none
 	inPrefill bool          // no first event from the current endpoint yet
 	placedAt  time.Time     // when the current endpoint was selected
-	beginBy   time.Time     // when it must have begun on the weights of the endpoint; zero for no limit
-	sendBy    time.Time     // when it must have been sent to the endpoint; zero for no limit
+	parts     []quarantine.PartID
+	proven    bool      // the current endpoint did not crash when the request began
+	beginBy   time.Time // when it must have begun on the weights of the endpoint; zero for no limit
+	sendBy    time.Time // when it must have been sent to the endpoint; zero for no limit
 	record    record
 }
 
@@ -64,6 +67,7 @@
 	slotInterval  time.Duration // predicted time between two free slots, for a request refused a slot
 	ahead         int           // requests queued ahead, for a request refused a slot
 	retries       []string      // reasons for retries
+	quarantined   string        // part for which the request was refused
 	rateLimit     *float64      // requests per second that the last endpoint accepts; nil if it named none
 }
 
@@ -92,6 +96,7 @@
 	}
 	q.service = q.route.Pick(hashFraction(q.call.ID))
 	q.spent = h.dispatcher.timeSpent(q)
+	q.parts = partIDs(q)
 	q.late = q.route.Objective > 0 && q.spent >= q.route.Objective
 	return q, nil
 }
@@ -154,6 +159,12 @@
 	return q.call.PromptParts[:max(0, len(q.call.PromptParts)-1)]
 }
 
+// quarantineRefusal refuses a request until its quarantine expires.
+func (q *request) quarantineRefusal(v quarantine.PartVerdict) *refusal {
+	q.record.quarantined = formatPart(v.Part)
+	return &refusal{status: http.StatusServiceUnavailable, reason: Quarantined, retryAfter: time.Until(v.Until)}
+}
+
 // timeLeft returns the time until the deadline of the final answer.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
--- a/internal/relay/slots_test.go
+++ b/internal/relay/slots_test.go
@@ -22,12 +22,15 @@
 // in virtual time.
 type peerNetwork struct {
 	t     *testing.T
+	ctx   context.Context // ends with the test
 	mu    sync.Mutex
 	slots map[string]*slotCoordinator
-	down  map[string]bool // entries that send and receive nothing
-	loss  float64
-	rand  *rand.Rand
-	sent  map[string]int
+	// guards receive the messages that are not for slots.
+	guards map[string]*crashGuard
+	down   map[string]bool // entries that send and receive nothing
+	loss   float64
+	rand   *rand.Rand
+	sent   map[string]int
 }
 
 const (
@@ -36,8 +39,9 @@
 )
 
 func newPeerNetwork(t *testing.T, entries, engines int, zones ...string) (*peerNetwork, context.CancelFunc) {
-	n := &peerNetwork{t: t, slots: map[string]*slotCoordinator{}, down: map[string]bool{}, rand: rand.New(rand.NewPCG(1, 2)), sent: map[string]int{}}
+	n := &peerNetwork{t: t, slots: map[string]*slotCoordinator{}, guards: map[string]*crashGuard{}, down: map[string]bool{}, rand: rand.New(rand.NewPCG(1, 2)), sent: map[string]int{}}
 	ctx, cancel := context.WithCancel(t.Context())
+	n.ctx = ctx
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	for i := range entries {
 		name := fmt.Sprint("entry-", i)
@@ -77,7 +81,7 @@
 	n.mu.Lock()
 	lost := n.down[from] || n.down[to] || n.rand.Float64() < n.loss
 	n.sent[to]++
-	s := n.slots[to]
+	s, g := n.slots[to], n.guards[to]
 	n.mu.Unlock()
 	if lost || s == nil {
 		return
@@ -88,7 +92,9 @@
 			n.t.Error(err)
 			return
 		}
-		s.receive(m)
+		if g == nil || !g.receive(m, time.Now()) {
+			s.receive(m)
+		}
 	})
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,6 +40,7 @@
 			a.complete = true
 			a.release()
 			h.endSend(q, c, placement.Success, nil)
+			h.recordSound(q, a.began)
 			return result{}, ""
 		}
 		a.close()
@@ -87,14 +88,18 @@
 			return readError(err)
 		}
 		if first {
-			first = false
+			first, a.began = false, time.Now()
 			h.dispatcher.firstEvent(q, c.ID, time.Since(q.placedAt)-c.ModelTTFT)
 			q.inPrefill = false
 			if q.record.firstEvent == 0 {
 				q.record.firstEvent = time.Since(q.arrived)
 			}
 		}
-		q.record.event(time.Now())
+		now := time.Now()
+		q.record.event(now)
+		if now.Sub(a.began) >= soundDelay {
+			h.recordSound(q, a.began)
+		}
 		s.start(a)
 		if _, err := s.w.Write(ev.data); err != nil {
 			return errors.Join(errRequestEnded, err)
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -94,6 +94,7 @@
 	grants     map[SlotRequestID]grant
 	lastSeen   map[string]time.Time // time of the last message, by entry
 	queue      []queuedRequest      // in order of service
+	suspects   []queuedRequest      // wait until a request with the same suspect has begun, in order of arrival
 	responses  []SlotResponse       // not yet returned to the caller
 	peerGroups map[string]peerGroup
 	minVersion uint64 // highest minimum version of the weights in any request so far
@@ -104,6 +105,7 @@
 	incarnation uint64
 	prefill     Prefill
 	inPrefill   bool // no first event yet
+	suspects    []uint64
 	grantedAt   time.Time
 	// sentAfter is a time before the request was sent; zero if unknown.
 	sentAfter time.Time
@@ -151,7 +153,8 @@
 		}
 		return
 	}
-	if slices.ContainsFunc(b.queue, func(w queuedRequest) bool { return w.SlotRequestID == a.SlotRequestID }) {
+	queued := func(w queuedRequest) bool { return w.SlotRequestID == a.SlotRequestID }
+	if slices.ContainsFunc(b.queue, queued) || slices.ContainsFunc(b.suspects, queued) {
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 		return
 	}
@@ -165,7 +168,11 @@
 // place grants a slot, or else redirects the request to another group, queues it or
 // refuses it.
 func (b *Broker) place(a SlotRequest, now time.Time) {
-	choice, verdict := b.pool.Place(a.Request, now)
+	if b.suspectBegins(a.Request) {
+		b.deferSuspect(a, now)
+		return
+	}
+	choice, verdict := b.placeRequest(a.Request, now)
 	onTime := a.Late || a.Resumed || a.TimeLeft <= 0 || choice.TTFT <= a.TimeLeft
 	if verdict == Placed && onTime && !b.mustQueue(a) {
 		b.grant(a, choice, now)
@@ -179,7 +186,7 @@
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
-		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed {
+		if choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
 			b.grant(a, choice, now)
 			return
 		}
@@ -201,12 +208,71 @@
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 }
 
+// placeRequest selects an endpoint. Two requests that may crash their endpoints begin at
+// different ones, so that a crash tells which of them is the cause.
+func (b *Broker) placeRequest(r Request, now time.Time) (Choice, Verdict) {
+	if len(r.Suspects) > 0 {
+		r.Exclude = slices.Clone(r.Exclude)
+		for _, g := range b.grants {
+			if g.inPrefill && len(g.suspects) > 0 {
+				r.Exclude = append(r.Exclude, g.endpoint)
+			}
+		}
+	}
+	return b.pool.Place(r, now)
+}
+
+// suspectBegins reports whether a request with one of the suspects of r was granted a slot
+// and has not begun yet.
+func (b *Broker) suspectBegins(r Request) bool {
+	if len(r.Suspects) == 0 {
+		return false
+	}
+	for _, g := range b.grants {
+		if g.inPrefill && slices.ContainsFunc(g.suspects, func(id uint64) bool { return slices.Contains(r.Suspects, id) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// deferSuspect queues a request until the one with the same suspect has begun, or refuses
+// it if it may not wait.
+func (b *Broker) deferSuspect(a SlotRequest, now time.Time) {
+	if a.MaxWait <= 0 {
+		b.refuse(a, Full, b.pool.NextSlot(a.Request, now), len(b.queue))
+		return
+	}
+	b.suspects = append(b.suspects, queuedRequest{a, now.Add(a.MaxWait)})
+	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
+}
+
+// placeSuspects places the deferred requests whose suspects are no longer about to begin,
+// and refuses those whose deadline has passed.
+func (b *Broker) placeSuspects(now time.Time) {
+	waiting := b.suspects
+	b.suspects = nil
+	for _, w := range waiting {
+		switch {
+		case !now.Before(w.deadline):
+			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), len(b.queue))
+		case b.suspectBegins(w.Request):
+			b.suspects = append(b.suspects, w)
+		default:
+			w.MaxWait = w.deadline.Sub(now)
+			b.place(w.SlotRequest, now)
+		}
+	}
+}
+
 func (b *Broker) respond(a SlotResponse) { b.responses = append(b.responses, a) }
 
 func (b *Broker) grant(a SlotRequest, c Choice, now time.Time) {
 	b.pool.Begin(c.ID, a.Prefill())
 	b.pool.TakePermit(c.ID, now)
-	b.grants[a.SlotRequestID] = grant{endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, grantedAt: now, sentAfter: now}
+	b.grants[a.SlotRequestID] = grant{
+		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, suspects: a.Suspects, grantedAt: now, sentAfter: now,
+	}
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Late: a.Late})
 }
 
@@ -259,8 +325,8 @@
 	remaining := b.queue[:0]
 	failedTries := 0
 	for _, w := range b.queue {
-		if failedTries < maxFailedTries {
-			if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
+		if failedTries < maxFailedTries && !b.suspectBegins(w.Request) {
+			if choice, verdict := b.placeRequest(w.Request, now); verdict == Placed {
 				b.grant(w.SlotRequest, choice, now)
 				continue
 			}
@@ -274,6 +340,7 @@
 	}
 	clear(b.queue[len(remaining):])
 	b.queue = remaining
+	b.placeSuspects(now)
 }
 
 // redirectGroup returns the group with the most free slots for a request that this group
@@ -346,13 +413,17 @@
 // the endpoint and how long that is ejected for the result.
 func (b *Broker) End(id SlotRequestID, result Result, now time.Time) (endpoint string, ejected time.Duration) {
 	b.lastSeen[id.Entry] = now
-	b.queue = slices.DeleteFunc(b.queue, func(w queuedRequest) bool { return w.SlotRequestID == id })
+	b.removeQueued(func(w queuedRequest) bool { return w.SlotRequestID == id })
 	endpoint = b.grants[id].endpoint
 	ejected = b.release(id, result, now)
 	b.serveQueue(now)
 	return endpoint, ejected
 }
 
+func (b *Broker) removeQueued(remove func(queuedRequest) bool) {
+	b.queue, b.suspects = slices.DeleteFunc(b.queue, remove), slices.DeleteFunc(b.suspects, remove)
+}
+
 func (b *Broker) release(id SlotRequestID, result Result, now time.Time) time.Duration {
 	g, ok := b.grants[id]
 	if !ok {
@@ -412,7 +483,7 @@
 				b.release(id, Neutral, now)
 			}
 		}
-		b.queue = slices.DeleteFunc(b.queue, func(w queuedRequest) bool { return w.Entry == entry })
+		b.removeQueued(func(w queuedRequest) bool { return w.Entry == entry })
 	}
 	b.serveQueue(now)
 }
@@ -435,7 +506,9 @@
 }
 
 // Counts returns the number of queued requests and of granted slots.
-func (b *Broker) Counts() (waiting, granted int) { return len(b.queue), len(b.grants) }
+func (b *Broker) Counts() (waiting, granted int) {
+	return len(b.queue) + len(b.suspects), len(b.grants)
+}
 
 // Entry is one of the entry processes that share the endpoints of a service.
 type Entry struct {
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -357,3 +357,50 @@
 		}
 	}
 }
+
+// suspectRequest is a slot request that may crash its endpoint.
+func suspectRequest(sequence uint64, suspects ...uint64) placement.SlotRequest {
+	a := slotRequest("entry", sequence)
+	a.Suspects = suspects
+	return a
+}
+
+// Guards against several requests with the same suspect that crash one endpoint each before
+// the first crash is known, and against requests behind them that wait as well.
+func TestSuspectsBeginOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"), endpoint("f"), endpoint("g"))
+	b.RequestSlot(suspectRequest(1, 7), start)
+	b.RequestSlot(suspectRequest(2, 6, 7), start)
+	b.RequestSlot(suspectRequest(3, 7), start)
+	b.RequestSlot(slotRequest("entry", 4), start)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{1: placement.Placed, 2: placement.Queued, 3: placement.Queued, 4: placement.Placed})
+	b.FirstEvent(placement.SlotRequestID{Entry: "entry", Sequence: 1}, 0, start)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{2: placement.Placed})
+	b.Tick(start.Add(200 * time.Millisecond)) // the end of the wait
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{3: placement.Full})
+}
+
+// Guards against two different suspects at one endpoint, whose crash would not tell which
+// of them is the cause, and against a suspect at a busy endpoint while another one is idle.
+func TestSuspectsBeginAtDifferentIdleEndpoints(t *testing.T) {
+	is := is.New(t)
+	far := endpoint("far")
+	far.Zone = "b"
+	b := broker(endpoint("busy"), far, endpoint("idle"))
+	for sequence := range uint64(2) {
+		a := slotRequest("other", sequence+1)
+		a.Only = "busy"
+		b.RequestSlot(a, start)
+	}
+	b.TakeResponses()
+	for sequence := range uint64(3) {
+		b.RequestSlot(suspectRequest(sequence+1, sequence+1), start)
+	}
+	var endpoints []string
+	for _, a := range b.TakeResponses() {
+		is.Equal(a.Verdict, placement.Placed)
+		endpoints = append(endpoints, a.Choice.ID)
+	}
+	is.Equal(endpoints, []string{"idle", "far", "busy"})
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -63,6 +63,9 @@
 	Late bool
 	// Exclude lists endpoints that the request was already sent to.
 	Exclude []string
+	// Suspects identifies what the request has in common with requests whose endpoint
+	// crashed. It prefers an endpoint with few requests, which a crash would end.
+	Suspects []uint64
 	// Only is the ID of the only endpoint to consider; empty means all.
 	Only string
 }
@@ -256,6 +259,9 @@
 		if s.Zone != r.Zone {
 			score += p.cfg.CrossZoneMs
 		}
+		if len(r.Suspects) > 0 {
+			score += suspectRunningMs * float64(load.Running)
+		}
 		if r.PreferredVersion != 0 && s.WeightsVersion != r.PreferredVersion {
 			score += otherVersionPenaltyMs
 		}
@@ -307,6 +313,10 @@
 // endpoint has them.
 const otherVersionPenaltyMs = 10_000
 
+// suspectRunningMs is added to the predicted time of an endpoint for each running request
+// if the new one may crash it. It outweighs the zone, but not the version of the weights.
+const suspectRunningMs = 100
+
 // suitable reports whether an endpoint may serve a request, regardless of its load.
 func (p *Pool) suitable(s *endpointState, r Request, now time.Time) bool {
 	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
@@ -522,6 +532,13 @@
 	}
 }
 
+// Leaves reports whether an incarnation of an endpoint drains or is no longer listed. It is
+// false if a newer incarnation is listed.
+func (p *Pool) Leaves(id string, incarnation uint64) bool {
+	s := p.endpoints[id]
+	return s == nil || s.Incarnation == incarnation && s.Draining
+}
+
 // Ejected returns the sorted IDs of the endpoints that are ejected for failures.
 func (p *Pool) Ejected(now time.Time) []string {
 	var list []string
