--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -18,7 +18,7 @@
 // in progress. So would that of SIGPIPE, which a write to standard output raises once the
 // reader of the logs has ended; it is caught and ignored.
 func notifySignals() <-chan os.Signal {
-	signal.Notify(make(chan os.Signal), syscall.SIGPIPE) // the write then returns an error
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // the write then returns an error
 	signals := make(chan os.Signal, maxPendingSignals)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	return signals
