--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -20,3 +20,21 @@
 	// true
 	// true
 }
+
+// A part of three requests that crash their endpoints is quarantined; the part that a sound
+// request has, too, is not.
+func ExamplePartList() {
+	now := time.Now()
+	list := quarantine.NewPartList(quarantine.PartConfig{})
+	shared := quarantine.NewPartID("part", []byte("instructions"))
+	deadly := quarantine.NewPartID("part", []byte("document"))
+	for _, endpoint := range []string{"endpoint-1", "endpoint-2", "endpoint-3"} {
+		list.RecordCrash(quarantine.CrashReport{Endpoint: endpoint, At: now, Parts: []quarantine.PartID{shared, deadly}}, now)
+	}
+	list.RecordSound([]quarantine.PartID{shared}, now.Add(time.Second))
+	fmt.Println(list.Check([]quarantine.PartID{shared, deadly}, now).Quarantined)
+	fmt.Println(list.Check([]quarantine.PartID{shared}, now).Quarantined)
+	// Output:
+	// true
+	// false
+}
