placement: suspects wait apart from the queue

Suspects now wait in a list of their own. TestSuspectWaitsForEndpointOfAnother and TestWaitingSuspectsDelayNoOthers fail before.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -94,7 +94,7 @@
 	grants     map[SlotRequestID]grant
 	lastSeen   map[string]time.Time // time of the last message, by entry
 	queue      []queuedRequest      // in order of service
-	suspects   []queuedRequest      // wait until a request with the same suspect has begun, in order of arrival
+	suspects   []queuedRequest      // requests that may crash their endpoints and wait, in order of arrival
 	responses  []SlotResponse       // not yet returned to the caller
 	peerGroups map[string]peerGroup
 	minVersion uint64 // highest minimum version of the weights in any request so far
@@ -168,11 +168,11 @@
 // place grants a slot, or else redirects the request to another group, queues it or
 // refuses it.
 func (b *Broker) place(a SlotRequest, now time.Time) {
-	if b.suspectBegins(a.Request) {
-		b.deferSuspect(a, now)
+	if len(a.Suspects) > 0 {
+		b.placeSuspect(a, now)
 		return
 	}
-	choice, verdict := b.placeRequest(a.Request, now)
+	choice, verdict := b.pool.Place(a.Request, now)
 	onTime := a.Late || a.Resumed || a.TimeLeft <= 0 || choice.TTFT <= a.TimeLeft
 	if verdict == Placed && onTime && !b.mustQueue(a) {
 		b.grant(a, choice, now)
@@ -186,7 +186,7 @@
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
-		if choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
+		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed {
 			b.grant(a, choice, now)
 			return
 		}
@@ -211,15 +211,23 @@
 // placeRequest selects an endpoint. Two requests that may crash their endpoints begin at
 // different ones, so that a crash tells which of them is the cause.
 func (b *Broker) placeRequest(r Request, now time.Time) (Choice, Verdict) {
-	if len(r.Suspects) > 0 {
-		r.Exclude = slices.Clone(r.Exclude)
-		for _, g := range b.grants {
-			if g.inPrefill && len(g.suspects) > 0 {
-				r.Exclude = append(r.Exclude, g.endpoint)
-			}
+	if len(r.Suspects) == 0 {
+		return b.pool.Place(r, now)
+	}
+	apart := r
+	apart.Exclude = slices.Clone(r.Exclude)
+	for _, g := range b.grants {
+		if g.inPrefill && len(g.suspects) > 0 {
+			apart.Exclude = append(apart.Exclude, g.endpoint)
 		}
 	}
-	return b.pool.Place(r, now)
+	choice, verdict := b.pool.Place(apart, now)
+	if verdict == NoEndpoint {
+		if _, other := b.pool.Place(r, now); other != NoEndpoint {
+			verdict = Full // until another suspect has begun
+		}
+	}
+	return choice, verdict
 }
 
 // suspectBegins reports whether a request with one of the suspects of r was granted a slot
@@ -236,32 +244,43 @@
 	return false
 }
 
-// deferSuspect queues a request until the one with the same suspect has begun, or refuses
-// it if it may not wait.
-func (b *Broker) deferSuspect(a SlotRequest, now time.Time) {
-	if a.MaxWait <= 0 {
-		b.refuse(a, Full, b.pool.NextSlot(a.Request, now), len(b.queue))
+// placeSuspect grants a slot to a request that may crash its endpoint. Otherwise the request
+// waits apart from the queue, so that it delays no other request, or is refused if it may
+// not wait or no endpoint is suitable.
+func (b *Broker) placeSuspect(a SlotRequest, now time.Time) {
+	verdict := Full
+	if !b.suspectBegins(a.Request) && !b.mustQueue(a) {
+		var choice Choice
+		if choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
+			b.grant(a, choice, now)
+			return
+		}
+	}
+	if verdict == NoEndpoint || a.MaxWait <= 0 {
+		b.refuse(a, verdict, b.pool.NextSlot(a.Request, now), len(b.queue))
 		return
 	}
 	b.suspects = append(b.suspects, queuedRequest{a, now.Add(a.MaxWait)})
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 }
 
-// placeSuspects places the deferred requests whose suspects are no longer about to begin,
-// and refuses those whose deadline has passed.
+// placeSuspects places the waiting requests that may crash their endpoints, and refuses
+// those whose deadline has passed.
 func (b *Broker) placeSuspects(now time.Time) {
 	waiting := b.suspects
 	b.suspects = nil
 	for _, w := range waiting {
-		switch {
-		case !now.Before(w.deadline):
+		if !b.suspectBegins(w.Request) && !b.mustQueue(w.SlotRequest) {
+			if choice, verdict := b.placeRequest(w.Request, now); verdict == Placed {
+				b.grant(w.SlotRequest, choice, now)
+				continue
+			}
+		}
+		if !now.Before(w.deadline) {
 			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), len(b.queue))
-		case b.suspectBegins(w.Request):
-			b.suspects = append(b.suspects, w)
-		default:
-			w.MaxWait = w.deadline.Sub(now)
-			b.place(w.SlotRequest, now)
+			continue
 		}
+		b.suspects = append(b.suspects, w)
 	}
 }
 
@@ -325,8 +344,8 @@
 	remaining := b.queue[:0]
 	failedTries := 0
 	for _, w := range b.queue {
-		if failedTries < maxFailedTries && !b.suspectBegins(w.Request) {
-			if choice, verdict := b.placeRequest(w.Request, now); verdict == Placed {
+		if failedTries < maxFailedTries {
+			if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
 				b.grant(w.SlotRequest, choice, now)
 				continue
 			}
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -404,3 +404,34 @@
 	}
 	is.Equal(endpoints, []string{"idle", "far", "busy"})
 }
+
+// Guards against refusing a suspect because all endpoints begin others at that moment.
+func TestSuspectWaitsForEndpointOfAnother(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"), endpoint("f"))
+	for sequence := range uint64(3) {
+		b.RequestSlot(suspectRequest(sequence+1, sequence+1), start)
+	}
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{1: placement.Placed, 2: placement.Placed, 3: placement.Queued})
+	b.End(placement.SlotRequestID{Entry: "entry", Sequence: 2}, placement.Success, start)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{3: placement.Placed})
+}
+
+// Guards against refusing a request that has no suspects while suspects wait although slots
+// are free.
+func TestWaitingSuspectsDelayNoOthers(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"), endpoint("f"))
+	for sequence := range uint64(16) {
+		a := slotRequest("other", sequence+1)
+		a.Only, a.PromptTokens = "f", 1
+		b.RequestSlot(a, start)
+		b.FirstEvent(a.SlotRequestID, 0, start)
+	}
+	for sequence := range uint64(4) {
+		b.RequestSlot(suspectRequest(sequence+1, sequence+1), start)
+	}
+	b.TakeResponses()
+	b.RequestSlot(slotRequest("entry", 50), start.Add(10*time.Millisecond))
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{50: placement.Placed})
+}
