quarantine, relay: independent crashes, their sources, and refutations

Crashes now count only if the request was sent after the crash before. - An entry that missed the report of a sound request refused its part for an hour and brought the record back elsewhere. An entry that is sent a refuted record now answers with the sound request, and refutations are remembered apart from the latest sound requests. - Three crashes with one part of another caller and three different reasons got that caller refused. Crashes now have a source, and those of one source refuse its requests only. - A part that is sound at another service, and an answer 4xx, cleared a part. Parts now belong to a service and model, and only a success clears them. - Parts behind the 31st of a prompt were not seen; now 255 are, and further ones count as one part of the organisation. - Lifting one of two parts had the other one refused alone; now both are lifted. - Messages could exceed what a receiver accepts; they are split by size. - A quarantine lasts 10 min first and twice as long each time, so that a wrong verdict ends soon.

The new tests of parts_test.go and crash_guard_test.go fail before, except TestCrashesOfOneSource..., whose parameter is new.

--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -20,22 +20,26 @@
 	// Quarantined is false for a part that is only suspect.
 	Quarantined bool          `json:"quarantined"`
 	Until       time.Time     `json:"until"`
+	Renewals    int           `json:"renewals"`
 	Crashes     []suspectedIn `json:"crashes"`
+	// Common lists the parts that the requests of all crashes have in common.
+	Common []string `json:"common_parts"`
 }
 
 // suspectedIn describes the crash of an endpoint under requests with a part.
 type suspectedIn struct {
 	Endpoint    string    `json:"endpoint"`
 	Incarnation uint64    `json:"started"` // Unix milliseconds
+	Source      string    `json:"organisation"`
 	At          time.Time `json:"at"`
-	Others      []string  `json:"other_parts"`
 }
 
 // adminHandler returns the handler of the admin port: metrics, health, and the parts of
 // requests that crash endpoints.
 //
 //	GET    /quarantine         lists them, as JSON
-//	DELETE /quarantine/{part}  clears one at all entries; 404 if it is not listed
+//	DELETE /quarantine/{part}  clears one, and those that are refused only together
+//	                           with it, at all entries; 404 if it is not listed
 func (d *Daemon) adminHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(pathQuarantine, d.listQuarantine).Methods(http.MethodGet)
@@ -47,9 +51,9 @@
 func (d *Daemon) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	list := []suspectPart{}
 	for _, r := range d.guard.records(time.Now()) {
-		p := suspectPart{Part: formatPart(r.Part), Quarantined: r.Quarantined, Until: r.Until}
+		p := suspectPart{Part: formatPart(r.Part), Quarantined: r.Quarantined, Until: r.Until, Renewals: r.Renewals, Common: formatParts(r.CommonParts())}
 		for _, c := range r.Crashes {
-			p.Crashes = append(p.Crashes, suspectedIn{c.Endpoint, c.Incarnation, c.At, formatParts(c.Others)})
+			p.Crashes = append(p.Crashes, suspectedIn{c.Endpoint, c.Incarnation, c.Source, c.At})
 		}
 		list = append(list, p)
 	}
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -19,17 +19,20 @@
 	// endpoint has not crashed. An engine that crashes under a request does so when it
 	// begins to write.
 	soundDelay = 250 * time.Millisecond
-	// maxSuspectParts limits the parts of one request that may become suspect, and so the
+	// maxSuspectParts limits the parts of one request that a crash makes suspect, and so the
 	// size of messages.
-	maxSuspectParts = 32
+	maxSuspectParts = 256
+	// maxCommonParts limits the parts in a message that crashes have in common.
+	maxCommonParts = 64
 	// suspectExchangeInterval is the interval at which an entry sends its records to
 	// another one, drawn at random, in case a report was lost.
 	suspectExchangeInterval = time.Second
 	// suspectSyncTimeout is how long an entry that has started waits for the records of
 	// the others before it takes requests.
 	suspectSyncTimeout = 300 * time.Millisecond
-	// maxRecordsSent limits the records in one message, to 12 KB.
-	maxRecordsSent = 12
+	// maxExchangeBytes limits the records in one message; a receiver rejects messages of
+	// over 16 KB.
+	maxExchangeBytes = 12 << 10
 )
 
 // crashGuard keeps requests that crash endpoints away from them. It adds locking, messages
@@ -46,46 +49,51 @@
 	// syncedBy is when this entry stops waiting for the records of others; zero before the
 	// first update.
 	syncedBy time.Time
-	synced   bool // has the records of another entry, or there is none
+	synced   bool // has the records of another entry
 }
 
 func newCrashGuard(logger log.Interface, m *relayMetrics, send func(string, peerMessage)) *crashGuard {
 	return &crashGuard{log: logger, send: send, metrics: m, list: quarantine.NewPartList(quarantine.PartConfig{})}
 }
 
-// partIDs returns the parts of a request that may crash endpoints: the parts of its prompt
-// that other requests may share, and last the request itself, which may be sent again.
+// partIDs returns the parts of a request that may crash endpoints: the request itself, which
+// may be sent again, and the parts of its prompt that other requests may share. A part may
+// crash the endpoints of one service or model and be sound at another one.
 func partIDs(q *request) []quarantine.PartID {
-	shared := q.sharedParts()
-	ids := make([]quarantine.PartID, 0, min(len(shared), maxSuspectParts-1)+1)
-	for _, part := range shared[:min(len(shared), maxSuspectParts-1)] {
-		ids = append(ids, quarantine.NewPartID("part", []byte(part)))
-	}
+	service, model := []byte(q.service), []byte(q.call.Model)
 	prompt := strings.Join(q.call.PromptParts, ",")
-	return append(ids, quarantine.NewPartID("request", []byte(q.target), []byte(prompt), q.body))
+	ids := []quarantine.PartID{quarantine.NewPartID("request", service, model, []byte(q.method), []byte(q.host), []byte(q.target), []byte(prompt), q.body)}
+	for _, part := range q.sharedParts() {
+		if len(ids) == maxSuspectParts-1 { // the other parts of long prompts count as one
+			return append(ids, quarantine.NewPartID("more", service, model, []byte(q.organisation)))
+		}
+		ids = append(ids, quarantine.NewPartID("part", service, model, []byte(part)))
+	}
+	return ids
 }
 
-// update replaces the other entries. The first time, it asks them for their records.
+// update replaces the other entries. It asks them for their records until one of them
+// has answered.
 func (g *crashGuard) update(others []string, now time.Time) {
 	g.mu.Lock()
+	known := len(g.others)
 	g.others = others
-	first := g.syncedBy.IsZero()
-	if first {
+	if g.syncedBy.IsZero() {
 		g.syncedBy = now.Add(suspectSyncTimeout)
-		g.synced = len(others) == 0
 	}
+	ask := !g.synced && (now.Before(g.syncedBy) || len(others) > known)
 	g.mu.Unlock()
-	if first {
+	if ask {
 		g.broadcast(peerMessage{Suspects: &suspectsMessage{Request: true}})
 	}
 }
 
-// ready reports whether this entry knows the records of the others, or none of them has
-// answered.
+// ready reports whether this entry knows the records of the others, or there is none to
+// ask, or none has answered in time.
 func (g *crashGuard) ready(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.synced || !g.syncedBy.IsZero() && !now.Before(g.syncedBy)
+	return g.synced || !g.syncedBy.IsZero() && (len(g.others) == 0 || !now.Before(g.syncedBy))
 }
 
 // broadcast sends a message to all other entries.
@@ -102,13 +110,15 @@
 func (g *crashGuard) check(q *request, now time.Time) quarantine.PartVerdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.list.Check(q.parts, now)
+	return g.list.Check(q.parts, q.organisation, now)
 }
 
 // recordCrash records that an endpoint crashed while it ran a request that was not yet
 // proven sound, and reports it to the other entries.
 func (g *crashGuard) recordCrash(q *request, c placement.Choice, now time.Time) {
-	r := quarantine.CrashReport{Endpoint: c.ID, Incarnation: c.Incarnation, At: now, Parts: q.parts}
+	r := quarantine.CrashReport{
+		Endpoint: c.ID, Incarnation: c.Incarnation, Source: q.organisation, PlacedAt: q.placedAt, At: now, Parts: q.parts,
+	}
 	g.applyCrash(r, q.call.ID, "", now)
 	g.broadcast(peerMessage{Crash: newCrashMessage(r, q.call.ID, now)})
 }
@@ -150,9 +160,12 @@
 	return changed
 }
 
-// lift clears a part at all entries, as if a request with it had run soundly now.
+// lift clears a part, and those that are refused only together with it, at all entries, as
+// if a request with them had run soundly now.
 func (g *crashGuard) lift(part quarantine.PartID, now time.Time) bool {
-	parts := []quarantine.PartID{part}
+	g.mu.Lock()
+	parts := g.list.Group(part, now)
+	g.mu.Unlock()
 	g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(parts)}})
 	return len(g.applySound(parts, now)) > 0
 }
@@ -177,30 +190,51 @@
 			g.sendRecords(m.From, now)
 		}
 	case m.Suspects != nil:
-		g.mu.Lock()
-		var quarantined []quarantine.PartID
-		for _, r := range m.Suspects.Records {
-			if record := r.partRecord(now); g.list.Merge(record, now) {
-				quarantined = append(quarantined, record.Part)
-			}
-		}
-		g.synced = true
-		g.mu.Unlock()
-		g.logQuarantined(quarantined)
+		g.mergeRecords(m.From, m.Suspects.Records, now)
 	default:
 		return false
 	}
 	return true
 }
 
+// mergeRecords adds the records of another entry. If a sound request has refuted some of
+// them, it tells that entry, which has missed it and may refuse sound requests.
+func (g *crashGuard) mergeRecords(from string, records []partRecordMessage, now time.Time) {
+	var quarantined []quarantine.PartID
+	var refuted []peerMessage
+	g.mu.Lock()
+	for _, r := range records {
+		record := r.partRecord(now)
+		changed, at := g.list.Merge(record, now)
+		if changed {
+			quarantined = append(quarantined, record.Part)
+		}
+		if !at.IsZero() {
+			refuted = append(refuted, peerMessage{Sound: &soundMessage{Parts: []uint64{r.Part}, AgeMs: now.Sub(at).Milliseconds()}})
+		}
+	}
+	g.synced = true
+	g.mu.Unlock()
+	g.logQuarantined(quarantined)
+	for _, m := range refuted {
+		g.send(from, m)
+	}
+}
+
 // sendRecords sends the records of this entry to another one, also if there are none.
 func (g *crashGuard) sendRecords(to string, now time.Time) {
 	records := g.records(now)
-	for first := true; first || len(records) > 0; first = false {
-		n := min(len(records), maxRecordsSent)
-		g.send(to, peerMessage{Suspects: newSuspectsMessage(records[:n], now)})
-		records = records[n:]
+	m := &suspectsMessage{}
+	bytes := 0
+	for _, r := range records {
+		encoded := newPartRecordMessage(r, now)
+		if bytes += encoded.maxBytes(); bytes > maxExchangeBytes && len(m.Records) > 0 {
+			g.send(to, peerMessage{Suspects: m})
+			m, bytes = &suspectsMessage{}, encoded.maxBytes()
+		}
+		m.Records = append(m.Records, encoded)
 	}
+	g.send(to, peerMessage{Suspects: m})
 }
 
 // run exchanges records with other entries until ctx ends.
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
@@ -285,10 +286,94 @@
 		f.handlers[3].guard = started
 		is.Equal(f.prompt(3, "first:1,"+crashingPart+":1,own:1"), http.StatusServiceUnavailable)
 		is.Equal(len(crashes.times), before)
-		is.True(started.lift(quarantine.NewPartID("part", []byte(crashingPart)), time.Now()))
+		part := started.records(time.Now())[0].Part
+		is.True(started.lift(part, time.Now()))
 		time.Sleep(2 * peerDelay)
 		for _, h := range f.handlers {
-			is.True(!h.guard.check(&request{parts: []quarantine.PartID{quarantine.NewPartID("part", []byte(crashingPart))}}, time.Now()).Quarantined)
+			is.Equal(h.guard.check(&request{parts: []quarantine.PartID{part}, organisation: "one"}, time.Now()), quarantine.PartVerdict{})
+		}
+		is.Equal(f.prompt(1, "first:1,own:1"), http.StatusOK) // was in the same crashes
+	})
+}
+
+// Guards against a quarantine of the parts that all requests of a caller have, after all
+// engines have failed together.
+func TestPowerLossQuarantinesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 12)
+		defer stop()
+		newCrashes(f)
+		f.crashLoad(60, 0, 3*time.Second)
+		for range 3 {
+			time.AfterFunc(2100*time.Millisecond, func() {
+				for _, e := range f.endpoints {
+					e.crash(func() { f.restarted(e) })
+				}
+			})
+			f.crashLoad(60, 0, 8*time.Second)
+		}
+		is.Equal(f.crashLoad(60, 0, 5*time.Second), 1.0)
+	})
+}
+
+// Guards against an entry that goes on to refuse a part after it has missed the report of
+// the sound request that cleared it.
+func TestEntryThatMissedSoundReportRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 4, 4)
+		defer stop()
+		q := &request{call: protocol.Call{PromptParts: []string{"first-0", "own"}}, service: engineService, organisation: "one"}
+		q.parts = partIDs(q)[1:]
+		for i := range 3 {
+			q.placedAt = time.Now()
+			time.Sleep(100 * time.Millisecond)
+			f.handlers[0].guard.recordCrash(q, placement.Choice{Endpoint: placement.Endpoint{ID: fmt.Sprint("x-", i)}}, time.Now())
+			time.Sleep(2 * peerDelay)
+		}
+		is.True(f.handlers[3].guard.check(q, time.Now()).Quarantined)
+		f.setDown("entry-3")
+		f.handlers[0].guard.recordSound(q, time.Now(), time.Now())
+		time.Sleep(2 * peerDelay)
+		f.peerNetwork.mu.Lock()
+		clear(f.down)
+		f.peerNetwork.mu.Unlock()
+		f.crashLoad(60, 0, 10*time.Second) // the entry sends its records to one of the others each second
+		is.Equal(f.prompt(3, "first-0:1,session-1:1,own:1"), http.StatusOK)
+	})
+}
+
+// Guards against a part that stays unknown because it is sound at another service, or
+// because it is far behind in a long prompt.
+func TestCrashingPartIsFound(t *testing.T) {
+	for _, before := range []int{0, 100, 400} {
+		t.Run(fmt.Sprint(before, " parts before it"), func(t *testing.T) { testCrashingPartIsFound(t, before) })
+	}
+}
+
+func testCrashingPartIsFound(t *testing.T, before int) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := newEntryFleet(t, 4, 12)
+		defer stop()
+		crashes := newCrashes(f)
+		for id, e := range f.endpoints {
+			if strings.HasPrefix(id, plainService) {
+				e.crashes = nil
+			}
+		}
+		for i := range 30 {
+			var prompt strings.Builder
+			for k := range before {
+				fmt.Fprintf(&prompt, "p-%d-%d:1,", i, k)
+			}
+			f.prompt(i%4, fmt.Sprintf("%s%s:1,own-%d:1", prompt.String(), crashingPart, i))
+			time.Sleep(300 * time.Millisecond)
+			f.promptTo(i%4, "/safe/x", fmt.Sprintf("first:1,%s:1,own-p-%d:1", crashingPart, i))
+			time.Sleep(300 * time.Millisecond)
+		}
+		if late := crashes.late(); late > maxCrashRequests {
+			t.Errorf("%d requests reached engines more than %v after the fifth crash, allowed %d", late, reactionTime, maxCrashRequests)
 		}
 	})
 }
--- a/internal/relay/crash_messages.go
+++ b/internal/relay/crash_messages.go
@@ -1,19 +1,22 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
 
-// crashMessage encodes a quarantine.CrashReport, with the time relative to the sending of
-// the message.
+// crashMessage encodes a quarantine.CrashReport, with times relative to the sending of the
+// message.
 type crashMessage struct {
 	Endpoint    string   `cbor:"1,keyasint"`
 	Incarnation uint64   `cbor:"2,keyasint"`
 	AgeMs       int64    `cbor:"3,keyasint,omitempty"`
 	Parts       []uint64 `cbor:"4,keyasint"`
 	RequestID   string   `cbor:"5,keyasint,omitempty"` // for logs
+	PlacedAgeMs int64    `cbor:"6,keyasint,omitempty"`
+	Source      string   `cbor:"7,keyasint,omitempty"`
 }
 
 // soundMessage reports that a request with some parts began AgeMs before the message was
@@ -31,9 +34,11 @@
 
 // partRecordMessage encodes a quarantine.PartRecord.
 type partRecordMessage struct {
-	_       struct{} `cbor:",toarray"`
-	Part    uint64
-	Crashes []partCrashMessage
+	_        struct{} `cbor:",toarray"`
+	Part     uint64
+	Renewals int
+	Crashes  []partCrashMessage
+	Common   []uint64 // parts that the requests of all crashes have in common
 }
 
 // partCrashMessage encodes a quarantine.Crash.
@@ -41,43 +46,58 @@
 	_           struct{} `cbor:",toarray"`
 	Endpoint    string
 	Incarnation uint64
+	Source      string
+	PlacedAgeMs int64
 	AgeMs       int64
-	Others      []uint64
+}
+
+// maxBytes returns an upper limit of the encoded size.
+func (m partRecordMessage) maxBytes() int {
+	const number = 9 // the longest encoding of a number or a length
+	bytes := number * (5 + len(m.Common))
+	for _, c := range m.Crashes {
+		bytes += 6*number + len(c.Endpoint) + len(c.Source)
+	}
+	return bytes
 }
 
 func newCrashMessage(r quarantine.CrashReport, request string, now time.Time) *crashMessage {
 	return &crashMessage{
-		Endpoint: r.Endpoint, Incarnation: r.Incarnation, AgeMs: now.Sub(r.At).Milliseconds(), Parts: toUint64(r.Parts), RequestID: request,
+		Endpoint: r.Endpoint, Incarnation: r.Incarnation, Source: r.Source, PlacedAgeMs: ageMs(r.PlacedAt, now), AgeMs: ageMs(r.At, now),
+		Parts: toUint64(r.Parts), RequestID: request,
 	}
 }
 
 func (m *crashMessage) crashReport(now time.Time) quarantine.CrashReport {
 	parts := toPartIDs(m.Parts)
 	return quarantine.CrashReport{
-		Endpoint: m.Endpoint, Incarnation: m.Incarnation, At: now.Add(-fromMs(m.AgeMs)), Parts: parts[:min(len(parts), maxSuspectParts)],
+		Endpoint: m.Endpoint, Incarnation: m.Incarnation, Source: m.Source, PlacedAt: now.Add(-fromMs(m.PlacedAgeMs)), At: now.Add(-fromMs(m.AgeMs)),
+		Parts: parts[:min(len(parts), maxSuspectParts)],
 	}
 }
 
-func newSuspectsMessage(records []quarantine.PartRecord, now time.Time) *suspectsMessage {
-	m := &suspectsMessage{}
-	for _, r := range records {
-		encoded := partRecordMessage{Part: uint64(r.Part)}
-		for _, c := range r.Crashes {
-			encoded.Crashes = append(encoded.Crashes, partCrashMessage{
-				Endpoint: c.Endpoint, Incarnation: c.Incarnation, AgeMs: now.Sub(c.At).Milliseconds(), Others: toUint64(c.Others),
-			})
-		}
-		m.Records = append(m.Records, encoded)
+func newPartRecordMessage(r quarantine.PartRecord, now time.Time) partRecordMessage {
+	common := r.CommonParts()
+	m := partRecordMessage{Part: uint64(r.Part), Renewals: r.Renewals, Common: toUint64(common[:min(len(common), maxCommonParts)])}
+	for _, c := range r.Crashes {
+		m.Crashes = append(m.Crashes, partCrashMessage{
+			Endpoint: c.Endpoint, Incarnation: c.Incarnation, Source: c.Source, PlacedAgeMs: ageMs(c.PlacedAt, now), AgeMs: ageMs(c.At, now),
+		})
 	}
 	return m
 }
 
 func (m partRecordMessage) partRecord(now time.Time) quarantine.PartRecord {
-	r := quarantine.PartRecord{Part: quarantine.PartID(m.Part)}
+	r := quarantine.PartRecord{Part: quarantine.PartID(m.Part), Renewals: m.Renewals}
+	common := toPartIDs(m.Common)
+	slices.Sort(common)
 	for _, c := range m.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Endpoint: c.Endpoint, Incarnation: c.Incarnation, At: now.Add(-fromMs(c.AgeMs)), Others: toPartIDs(c.Others),
+			Endpoint: c.Endpoint, Incarnation: c.Incarnation, Source: c.Source, PlacedAt: now.Add(-fromMs(c.PlacedAgeMs)), At: now.Add(-fromMs(c.AgeMs)),
+			Parts: common,
 		})
 	}
 	return r
 }
+
+func ageMs(at, now time.Time) int64 { return now.Sub(at).Milliseconds() }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -393,8 +393,8 @@
 // endSend records the end of an attempt and logs a failure.
 func (h *handler) endSend(q *request, c placement.Choice, r placement.Result, err error) {
 	inPrefill := q.inPrefill
-	crashed := r == placement.Broken && !q.proven && !h.dispatcher.leaves(q.service, c) && h.conns.refusesConnections(q.ctx, c.Address)
 	ejected := h.dispatcher.end(q, c, r)
+	crashed := r == placement.Broken && !q.proven && !h.dispatcher.leaves(q.service, c) && h.conns.refusesConnections(q.ctx, c.Address)
 	if err == nil || r == placement.Neutral && errors.Is(err, errRequestEnded) {
 		return
 	}
@@ -472,7 +472,9 @@
 		return result{failure: answer, refusal: nil}, RetryErrorStatus
 	}
 	h.endSend(q, c, placement.Success, nil)
-	h.recordSound(q, q.placedAt)
+	if status < http.StatusMultipleChoices { // an endpoint may reject a request before it begins
+		h.recordSound(q, q.placedAt)
+	}
 	q.record.firstEvent = time.Since(q.arrived)
 	return result{refusal: answer.write(w)}, ""
 }
@@ -499,6 +501,7 @@
 		h.abort(q, AnswerLost, err)
 	}
 	h.endSend(q, c, placement.Success, nil)
+	h.recordSound(q, q.placedAt)
 	return result{}, ""
 }
 
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -201,6 +201,7 @@
 		})
 	}
 	f.update()
+	time.Sleep(suspectSyncTimeout)
 	return f, func() {
 		cancel()
 		for _, h := range f.handlers {
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -8,6 +8,9 @@
 
 // Reasons for refusing or ending a request.
 const (
+	// Starting means that the entry has just started and waits for the quarantined parts
+	// that other entries know of.
+	Starting         Reason = "starting"
 	NoRouting        Reason = "no-routing"
 	NoRoute          Reason = "no-route"
 	UnknownKey       Reason = "unknown-key"
@@ -47,7 +50,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
+		Starting, NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -171,8 +171,10 @@
 	d.pools["dispatch"].Pool = placement.NewPool(placement.Config{JitterMs: 0.001, CrossZoneMs: 1000})
 	d.pools["dispatch"].Update(nil, endpoints, time.Now())
 	m := newRelayMetrics(prometheus.NewRegistry())
+	guard := newCrashGuard(logger, m, func(string, peerMessage) {})
+	guard.update(nil, time.Now())
 	h := &handler{
-		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: newCrashGuard(logger, m, func(string, peerMessage) {}), conns: newConnPool(nil),
+		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: guard, conns: newConnPool(nil),
 		metrics: m, log: logger, zone: "near",
 		softWeightsBound: time.Second, weightsBound: time.Second,
 	}
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -29,11 +29,15 @@
 	shared := quarantine.NewPartID("part", []byte("instructions"))
 	deadly := quarantine.NewPartID("part", []byte("document"))
 	for _, endpoint := range []string{"endpoint-1", "endpoint-2", "endpoint-3"} {
-		list.RecordCrash(quarantine.CrashReport{Endpoint: endpoint, At: now, Parts: []quarantine.PartID{shared, deadly}}, now)
+		placed := now
+		now = now.Add(time.Second)
+		list.RecordCrash(quarantine.CrashReport{
+			Endpoint: endpoint, Source: "organisation", PlacedAt: placed.Add(time.Millisecond), At: now, Parts: []quarantine.PartID{shared, deadly},
+		}, now)
 	}
 	list.RecordSound([]quarantine.PartID{shared}, now.Add(time.Second))
-	fmt.Println(list.Check([]quarantine.PartID{shared, deadly}, now).Quarantined)
-	fmt.Println(list.Check([]quarantine.PartID{shared}, now).Quarantined)
+	fmt.Println(list.Check([]quarantine.PartID{shared, deadly}, "organisation", now).Quarantined)
+	fmt.Println(list.Check([]quarantine.PartID{shared}, "organisation", now).Quarantined)
 	// Output:
 	// true
 	// false
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -32,57 +32,82 @@
 type Crash struct {
 	Endpoint    string
 	Incarnation uint64
-	At          time.Time
-	// Others lists the other parts of the requests with the part that the endpoint ran.
-	Others []PartID
+	// Source identifies who sent the request, for example its organisation.
+	Source string
+	// PlacedAt is when the request was sent to the endpoint, and At when the crash was
+	// observed.
+	PlacedAt, At time.Time
+	// Parts lists all parts of the requests with the part that the endpoint ran, sorted.
+	Parts []PartID
 }
 
 // CrashReport reports that an endpoint crashed while it ran a request that had not been
 // proven sound: the request, or another one that began at the same moment, is the cause.
 type CrashReport struct {
-	Endpoint    string
-	Incarnation uint64
-	At          time.Time
-	Parts       []PartID
+	Endpoint     string
+	Incarnation  uint64
+	Source       string
+	PlacedAt, At time.Time
+	Parts        []PartID
 }
 
 // PartRecord holds the crashes of requests with one part since the last sound one.
 type PartRecord struct {
-	Part        PartID
-	Quarantined bool    // set by Records
-	Crashes     []Crash // oldest first
-	// Until is when the suspicion or quarantine expires.
-	Until time.Time
+	Part    PartID
+	Crashes []Crash // oldest first
+	// Renewals counts the quarantines that have expired and were followed by a new crash.
+	Renewals int
+	// Quarantined and Until are set by Records: whether the part is quarantined or only
+	// suspect, and when that expires.
+	Quarantined bool
+	Until       time.Time
 }
 
 // PartConfig configures a PartList. Zero fields get their defaults.
 type PartConfig struct {
-	// Duration is how long a suspicion or quarantine lasts after the latest crash.
-	// Default 1 h. After it, a quarantined part may crash one more endpoint before it is
-	// quarantined again.
+	// Duration is how long the first quarantine of a part lasts after the latest crash.
+	// After it, requests with the part may crash one more endpoint, and each further
+	// quarantine lasts twice as long. A longer time costs fewer endpoints, but refuses
+	// the requests of a wrongly quarantined part for longer. Default 10 min.
 	Duration time.Duration
-	// MaxCrashes is the number of endpoints that requests with a part may crash before the
-	// part is quarantined. Default 3: a request that is sent again after the crash of its
-	// endpoint may meet a second, unrelated crash.
+	// MaxDuration limits the duration of a quarantine. Default 6 h.
+	MaxDuration time.Duration
+	// SuspicionDuration is how long a single crash makes the parts of its requests
+	// suspect. Default 2 min; Duration applies from the second one on.
+	SuspicionDuration time.Duration
+	// MaxCrashes is the number of independent crashes after which a part is quarantined:
+	// each request was sent after the crash before. Endpoints that fail together, for
+	// example because they lose power, count as one. Default 3: a request that is sent
+	// again after the crash of its endpoint may meet a second, unrelated crash.
 	MaxCrashes int
 	// MaxRecords limits the records. Beyond it, those with the fewest and oldest crashes
-	// are dropped. Default 1024, about 0.5 MB.
+	// are dropped. Default 1024.
 	MaxRecords int
-	// MaxSound limits the parts whose latest sound request is remembered. Default 8192,
-	// about 0.5 MB.
+	// MaxSound limits the parts whose latest sound request is remembered. Default 16384,
+	// about 1 MB.
 	MaxSound int
 }
 
 // Defaults of PartConfig.
 const (
-	DefaultMaxPartCrashes = 3
-	DefaultMaxRecords     = 1024
-	DefaultMaxSound       = 8192
+	DefaultPartDuration      = 10 * time.Minute
+	DefaultMaxPartDuration   = 6 * time.Hour
+	DefaultSuspicionDuration = 2 * time.Minute
+	DefaultMaxPartCrashes    = 3
+	DefaultMaxRecords        = 1024
+	DefaultMaxSound          = 16384
 )
 
-// soundMemory is how long a sound request protects its parts from being suspects. Parts
-// that many requests share are in the prompts of most crashes.
-const soundMemory = 5 * time.Second
+const (
+	// soundMemory is how long a sound request protects its parts from being suspects.
+	// Parts that many requests share are in the prompts of most crashes.
+	soundMemory = 5 * time.Second
+	// maxKeptCrashes limits the crashes in a record. Endpoints that crash together count
+	// as one, so there may be more than MaxCrashes.
+	maxKeptCrashes = 12
+	// recordsKept is the share of MaxRecords that is kept when there are more.
+	recordsKept = 0.9
+)
 
 // PartVerdict states whether and how a request may run.
 type PartVerdict struct {
@@ -98,12 +123,15 @@
 // PartList finds the parts of requests that crash every endpoint that runs them, among
 // parts that sound requests have as well. A crash makes all parts of the requests that
 // may have caused it suspect. A request that runs soundly afterwards clears its parts. A
-// part that is in the requests of several crashes, with no sound request since the
-// first of them, is quarantined.
+// part that is in the requests of several independent crashes, with no sound request
+// since the first of them, is quarantined.
 //
 // If several parts are in the requests of the same crashes, for example because a caller
 // always sends them together, a request is refused only if it has all of them. A request
-// with some of them runs as a suspect, and its end tells which part it is.
+// with some of them runs as a suspect, and its end tells which part it is. If all crashes
+// come from one source, only requests of that source are refused: nobody can get the
+// requests of others refused by sending their parts in a request that crashes endpoints
+// for another reason.
 //
 // Every entry keeps a list and exchanges reports of crashes and sound requests with the
 // others. Reports may be lost, repeated and reordered. A PartList does not read the clock
@@ -111,24 +139,35 @@
 type PartList struct {
 	cfg     PartConfig
 	records map[PartID]PartRecord
-	sound   map[PartID]time.Time // when the latest sound request began
+	// sound and olderSound hold when the latest sound request began, by part. olderSound
+	// is dropped when sound is full or its parts are no longer protected.
+	sound, olderSound map[PartID]time.Time
+	soundSince        time.Time // when sound was last emptied
+	// refuted holds when the latest sound request began, for parts that had a record, so
+	// that an entry that has missed it cannot bring the record back.
+	refuted map[PartID]time.Time
 }
 
 // NewPartList returns an empty list.
 func NewPartList(cfg PartConfig) *PartList {
-	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
+	cfg.Duration = cmp.Or(cfg.Duration, DefaultPartDuration)
+	cfg.MaxDuration = cmp.Or(cfg.MaxDuration, DefaultMaxPartDuration)
+	cfg.SuspicionDuration = cmp.Or(cfg.SuspicionDuration, DefaultSuspicionDuration)
 	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, DefaultMaxPartCrashes)
 	cfg.MaxRecords = cmp.Or(cfg.MaxRecords, DefaultMaxRecords)
 	cfg.MaxSound = cmp.Or(cfg.MaxSound, DefaultMaxSound)
-	return &PartList{cfg: cfg, records: map[PartID]PartRecord{}, sound: map[PartID]time.Time{}}
+	return &PartList{
+		cfg: cfg, records: map[PartID]PartRecord{}, sound: map[PartID]time.Time{}, olderSound: map[PartID]time.Time{},
+		refuted: map[PartID]time.Time{},
+	}
 }
 
 // RecordCrash records a crash and returns the parts that are quarantined because of it.
 func (l *PartList) RecordCrash(r CrashReport, now time.Time) (quarantined []PartID) {
-	for _, part := range r.Parts {
-		others := slices.DeleteFunc(slices.Clone(r.Parts), func(p PartID) bool { return p == part })
-		c := Crash{Endpoint: r.Endpoint, Incarnation: r.Incarnation, At: r.At, Others: others}
-		if l.Merge(PartRecord{Part: part, Crashes: []Crash{c}}, now) {
+	parts := union(r.Parts, nil)
+	for _, part := range parts {
+		c := Crash{Endpoint: r.Endpoint, Incarnation: r.Incarnation, Source: r.Source, PlacedAt: r.PlacedAt, At: r.At, Parts: parts}
+		if changed, _ := l.Merge(PartRecord{Part: part, Crashes: []Crash{c}}, now); changed {
 			quarantined = append(quarantined, part)
 		}
 	}
@@ -136,41 +175,66 @@
 }
 
 // Merge adds the crashes of a record from another list. It reports whether the part is
-// quarantined because of them.
-func (l *PartList) Merge(r PartRecord, now time.Time) (quarantined bool) {
+// quarantined because of them. If a sound request has refuted some of them, it returns
+// when that began, otherwise the zero time; the other list has missed that request.
+func (l *PartList) Merge(r PartRecord, now time.Time) (quarantined bool, refutedAt time.Time) {
 	record := l.current(r.Part, now)
 	before := l.full(record)
+	soundAt := l.soundAt(r.Part)
 	for _, c := range r.Crashes {
-		if !c.At.After(l.sound[r.Part]) {
-			continue // a request with the part has run soundly since
+		if c.At.After(soundAt) {
+			record.add(c)
+		} else {
+			refutedAt = soundAt
 		}
-		record.add(c, l.cfg.MaxCrashes)
-		record.Until = later(record.Until, c.At.Add(l.cfg.Duration))
 	}
-	if len(record.Crashes) == 0 || !now.Before(record.Until) {
-		return false
+	record.Renewals = max(record.Renewals, r.Renewals)
+	if len(record.Crashes) == 0 || !now.Before(l.until(record)) {
+		return false, refutedAt
 	}
 	l.records[r.Part] = record
 	l.limitRecords()
-	return !before && l.full(record)
+	return !before && l.full(record), refutedAt
 }
 
-// add adds a crash, or what another request of a known crash says about it. Of more than
-// limit crashes, it keeps the latest.
-func (r *PartRecord) add(c Crash, limit int) {
+// add adds a crash, or what another request of a known crash says about it.
+func (r *PartRecord) add(c Crash) {
 	crashes := slices.Clone(r.Crashes)
 	same := func(o Crash) bool { return o.Endpoint == c.Endpoint && o.Incarnation == c.Incarnation }
 	if i := slices.IndexFunc(crashes, same); i >= 0 {
-		c.Others = union(crashes[i].Others, c.Others)
-		if crashes[i].At.Before(c.At) {
-			c.At = crashes[i].At
+		known := crashes[i]
+		if !slices.Equal(known.Parts, c.Parts) {
+			c.Parts = union(known.Parts, c.Parts)
+		}
+		if known.At.Before(c.At) {
+			c.PlacedAt, c.At, c.Source = known.PlacedAt, known.At, known.Source
 		}
 		crashes[i] = c
 	} else {
 		crashes = append(crashes, c)
 	}
-	slices.SortStableFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	r.Crashes = crashes[max(0, len(crashes)-limit):]
+	slices.SortStableFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	if len(crashes) > maxKeptCrashes {
+		crashes = dropDependent(crashes)
+	}
+	r.Crashes = crashes
+}
+
+// dropDependent drops the latest crash that is not independent of those before it, or the
+// oldest crash if all are.
+func dropDependent(crashes []Crash) []Crash {
+	drop := 0
+	var last time.Time
+	for i, c := range crashes {
+		if i > 0 && c.PlacedAt.Before(last) {
+			drop = i
+			continue
+		}
+		last = c.At
+	}
+	return slices.Delete(crashes, drop, drop+1)
 }
 
 func union(a, b []PartID) []PartID {
@@ -186,33 +250,76 @@
 	return b
 }
 
+// independent counts the crashes whose request was sent after the crash counted before.
+func independent(crashes []Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || !c.PlacedAt.Before(last) {
+			n++
+			last = c.At
+		}
+	}
+	return n
+}
+
 // full reports whether requests with the part of a record have crashed as many endpoints
 // as they may.
-func (l *PartList) full(r PartRecord) bool { return len(r.Crashes) >= l.cfg.MaxCrashes }
+func (l *PartList) full(r PartRecord) bool { return independent(r.Crashes) >= l.cfg.MaxCrashes }
+
+// until returns when the suspicion or quarantine of a record expires.
+func (l *PartList) until(r PartRecord) time.Time {
+	last := r.Crashes[len(r.Crashes)-1].At
+	switch {
+	case l.full(r):
+		return last.Add(l.quarantineTime(r))
+	case r.Renewals > 0: // a quarantine has expired
+		return last.Add(2 * l.quarantineTime(r))
+	case independent(r.Crashes) > 1:
+		return last.Add(l.cfg.Duration)
+	}
+	return last.Add(l.cfg.SuspicionDuration)
+}
+
+func (l *PartList) quarantineTime(r PartRecord) time.Duration {
+	const maxShift = 16 // avoids an overflow
+	return min(l.cfg.MaxDuration, l.cfg.Duration<<min(r.Renewals, maxShift))
+}
 
 // current returns the record of a part, or a new one. An expired quarantine becomes a
 // suspicion that a single crash turns into a quarantine again.
 func (l *PartList) current(part PartID, now time.Time) PartRecord {
 	r, ok := l.records[part]
-	if !ok || now.Before(r.Until) {
-		r.Part = part
-		return r
-	}
-	if !l.full(r) {
+	if !ok {
 		return PartRecord{Part: part}
 	}
-	r.Crashes = r.Crashes[1:]
-	r.Until = r.Until.Add(l.cfg.Duration)
-	if !now.Before(r.Until) {
-		return PartRecord{Part: part}
+	if now.Before(l.until(r)) {
+		return r
+	}
+	if l.full(r) {
+		r.Renewals++
+		for l.full(r) {
+			r.Crashes = r.Crashes[1:]
+		}
+		if len(r.Crashes) > 0 && now.Before(l.until(r)) {
+			return r
+		}
 	}
-	return r
+	return PartRecord{Part: part}
+}
+
+// soundAt returns when the latest remembered sound request with a part began.
+func (l *PartList) soundAt(part PartID) time.Time {
+	return later(l.refuted[part], later(l.sound[part], l.olderSound[part]))
 }
 
 // RecordSound records that a request with the given parts began at a time and did not
 // crash its endpoint, which refutes all earlier crashes. It returns the parts whose
 // records changed.
 func (l *PartList) RecordSound(parts []PartID, began time.Time) (changed []PartID) {
+	if len(l.sound) >= l.cfg.MaxSound/2 || began.Sub(l.soundSince) > soundMemory {
+		l.sound, l.olderSound, l.soundSince = map[PartID]time.Time{}, l.sound, began
+	}
 	for _, part := range parts {
 		l.sound[part] = later(l.sound[part], began)
 		r, ok := l.records[part]
@@ -220,25 +327,18 @@
 			continue
 		}
 		changed = append(changed, part)
+		l.refuted[part] = later(l.refuted[part], began)
 		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return c.At.Before(began) })
 		l.records[part] = r
 		if len(r.Crashes) == 0 {
 			delete(l.records, part)
 		}
 	}
-	for part := range l.sound { // any others, the order of a map is random
-		if len(l.sound) <= l.cfg.MaxSound {
-			break
-		}
-		if !slices.Contains(parts, part) {
-			delete(l.sound, part)
-		}
-	}
 	return changed
 }
 
-// Check returns whether and how a request with the given parts may run now.
-func (l *PartList) Check(parts []PartID, now time.Time) PartVerdict {
+// Check returns whether and how a request of a source with the given parts may run now.
+func (l *PartList) Check(parts []PartID, source string, now time.Time) PartVerdict {
 	if len(l.records) == 0 {
 		return PartVerdict{}
 	}
@@ -251,27 +351,51 @@
 		if len(r.Crashes) == 0 {
 			continue
 		}
-		if l.full(r) && !slices.ContainsFunc(l.companions(r, now), func(p PartID) bool { return !slices.Contains(parts, p) }) {
-			return PartVerdict{Quarantined: true, Part: part, Until: r.Until}
+		missing := func(p PartID) bool { return !slices.Contains(parts, p) }
+		if l.full(r) && r.appliesTo(source) && !slices.ContainsFunc(l.companions(r, now), missing) {
+			return PartVerdict{Quarantined: true, Part: part, Until: l.until(r)}
 		}
-		if now.Sub(l.sound[part]) > soundMemory {
+		if now.Sub(l.soundAt(part)) > soundMemory {
 			v.Suspects = append(v.Suspects, part)
 		}
 	}
 	return v
 }
 
+// appliesTo reports whether the crashes of a record speak against the requests of a
+// source: some of them come from it, or they come from several.
+func (r PartRecord) appliesTo(source string) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Source == source || c.Source != r.Crashes[0].Source })
+}
+
 // companions returns the other parts that are in the requests of all crashes of a record
 // and could have caused all of them.
 func (l *PartList) companions(r PartRecord, now time.Time) []PartID {
-	return slices.DeleteFunc(slices.Clone(r.Crashes[0].Others), func(part PartID) bool {
-		if !l.full(l.current(part, now)) {
-			return true
-		}
-		return slices.ContainsFunc(r.Crashes[1:], func(c Crash) bool { return !slices.Contains(c.Others, part) })
+	return slices.DeleteFunc(r.CommonParts(), func(part PartID) bool {
+		return part == r.Part || !l.full(l.current(part, now))
+	})
+}
+
+// CommonParts returns the parts that the requests of all crashes have in common.
+func (r PartRecord) CommonParts() []PartID {
+	return slices.DeleteFunc(slices.Clone(r.Crashes[0].Parts), func(part PartID) bool {
+		return slices.ContainsFunc(r.Crashes[1:], func(c Crash) bool {
+			_, found := slices.BinarySearch(c.Parts, part)
+			return !found
+		})
 	})
 }
 
+// Group returns a part and those that are refused only together with it. They are to be
+// cleared together, since the crashes of one speak against the others as well.
+func (l *PartList) Group(part PartID, now time.Time) []PartID {
+	group := []PartID{part}
+	if r := l.current(part, now); len(r.Crashes) > 0 {
+		group = append(group, l.companions(r, now)...)
+	}
+	return group
+}
+
 // Counts returns the number of quarantined parts and of those only suspect.
 func (l *PartList) Counts(now time.Time) (quarantined, suspect int) {
 	for _, r := range l.Records(now) {
@@ -290,7 +414,7 @@
 	var list []PartRecord
 	for part := range l.records {
 		if r := l.current(part, now); len(r.Crashes) > 0 {
-			r.Quarantined = l.full(r)
+			r.Quarantined, r.Until = l.full(r), l.until(r)
 			list = append(list, r)
 		}
 	}
@@ -302,15 +426,22 @@
 // descending.
 func (r PartRecord) compare(o PartRecord) int {
 	return cmp.Or(
-		cmp.Compare(len(o.Crashes), len(r.Crashes)),
+		cmp.Compare(independent(o.Crashes), independent(r.Crashes)),
 		o.Crashes[len(o.Crashes)-1].At.Compare(r.Crashes[len(r.Crashes)-1].At),
 		cmp.Compare(r.Part, o.Part),
 	)
 }
 
-// Expire drops expired records.
+// Expire drops expired records, and refutations that no record can contradict any more.
 func (l *PartList) Expire(now time.Time) {
 	maps.DeleteFunc(l.records, func(part PartID, _ PartRecord) bool { return len(l.current(part, now).Crashes) == 0 })
+	maps.DeleteFunc(l.refuted, func(_ PartID, at time.Time) bool { return now.Sub(at) > 2*l.cfg.MaxDuration })
+	for part := range l.refuted {
+		if len(l.refuted) <= l.cfg.MaxSound {
+			break
+		}
+		delete(l.refuted, part)
+	}
 }
 
 func (l *PartList) limitRecords() {
@@ -318,7 +449,7 @@
 		return
 	}
 	list := slices.SortedFunc(maps.Values(l.records), func(a, b PartRecord) int { return a.compare(b) })
-	for _, r := range list[l.cfg.MaxRecords:] {
+	for _, r := range list[int(recordsKept*float64(l.cfg.MaxRecords)):] {
 		delete(l.records, r.Part)
 	}
 }
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -18,6 +18,8 @@
 	deadly   quarantine.PartID = 2
 	neighbor quarantine.PartID = 3 // always sent together with the deadly part
 	whole    quarantine.PartID = 100
+
+	source = "organisation"
 )
 
 // history applies crashes and sound requests, one per second.
@@ -34,7 +36,9 @@
 func (h *history) crash(parts ...quarantine.PartID) []quarantine.PartID {
 	h.n++
 	h.now = h.now.Add(time.Second)
-	return h.list.RecordCrash(quarantine.CrashReport{Endpoint: fmt.Sprint("e-", h.n), Incarnation: 1, At: h.now, Parts: parts}, h.now)
+	return h.list.RecordCrash(quarantine.CrashReport{
+		Endpoint: fmt.Sprint("e-", h.n), Incarnation: 1, Source: source, PlacedAt: h.now.Add(-200 * time.Millisecond), At: h.now, Parts: parts,
+	}, h.now)
 }
 
 func (h *history) sound(parts ...quarantine.PartID) {
@@ -43,7 +47,7 @@
 }
 
 func (h *history) check(parts ...quarantine.PartID) quarantine.PartVerdict {
-	return h.list.Check(parts, h.now)
+	return h.list.Check(parts, source, h.now)
 }
 
 // Guards against refusing requests that share a caller's first part with those that crash
@@ -59,7 +63,7 @@
 	v := h.check(first, deadly, whole+9)
 	is.True(v.Quarantined)
 	is.Equal(v.Part, deadly)
-	is.True(v.Until.After(h.now.Add(quarantine.DefaultDuration - time.Minute)))
+	is.True(v.Until.After(h.now.Add(quarantine.DefaultPartDuration - time.Minute)))
 	is.Equal(h.check(first, whole+9), quarantine.PartVerdict{})
 }
 
@@ -125,20 +129,82 @@
 func TestExpiry(t *testing.T) {
 	is := is.New(t)
 	h := newHistory()
+	h.crash(neighbor, whole)
+	h.now = h.now.Add(quarantine.DefaultSuspicionDuration)
+	is.Equal(h.check(neighbor), quarantine.PartVerdict{})
 	for i := range quarantine.PartID(quarantine.DefaultMaxPartCrashes) {
 		h.crash(deadly, whole+i)
 	}
-	h.now = h.now.Add(quarantine.DefaultDuration)
-	is.Equal(h.check(deadly).Suspects, []quarantine.PartID{deadly})
-	h.list.Expire(h.now)
-	h.crash(deadly, whole+8)
-	is.True(h.check(deadly).Quarantined)
-	h.now = h.now.Add(2*quarantine.DefaultDuration + time.Second)
+	duration := quarantine.DefaultPartDuration
+	for i := range quarantine.PartID(3) { // each quarantine lasts twice as long as the one before
+		h.now = h.now.Add(duration - time.Second)
+		is.True(h.check(deadly).Quarantined)
+		h.now = h.now.Add(time.Second)
+		is.Equal(h.check(deadly).Suspects, []quarantine.PartID{deadly})
+		h.list.Expire(h.now)
+		h.crash(deadly, whole+10+i)
+		duration *= 2
+	}
+	h.now = h.now.Add(8*duration + time.Second)
 	is.Equal(h.check(deadly), quarantine.PartVerdict{})
 	h.list.Expire(h.now)
 	is.Equal(h.list.Records(h.now), nil)
 }
 
+// Guards against a quarantine of the parts of requests whose endpoints fail together, for
+// example because they lose power.
+func TestEndpointsThatFailTogetherCountOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	h.sound(first)
+	at := h.now.Add(time.Second)
+	for i := range quarantine.PartID(40) {
+		h.list.RecordCrash(quarantine.CrashReport{
+			Endpoint: fmt.Sprint("e-", i), Source: source, PlacedAt: at.Add(-time.Duration(i) * 10 * time.Millisecond), At: at.Add(time.Duration(i%5) * time.Millisecond),
+			Parts: []quarantine.PartID{first, 10 + i, whole + i},
+		}, at)
+	}
+	h.now = at.Add(5 * time.Millisecond)
+	is.Equal(h.check(first), quarantine.PartVerdict{})
+	h.crash(first, whole+90) // one of the first volley, and two more
+	h.crash(first, whole+91)
+	is.True(h.check(first).Quarantined)
+}
+
+// Guards against callers who get the part of another one refused by sending it in requests
+// that crash endpoints for another reason.
+func TestCrashesOfOneSourceDoNotRefuseOthers(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	for i := range quarantine.PartID(quarantine.DefaultMaxPartCrashes) {
+		h.crash(neighbor, 10+i, whole+i)
+	}
+	is.True(h.check(neighbor).Quarantined)
+	is.Equal(h.list.Check([]quarantine.PartID{neighbor}, "victim", h.now), quarantine.PartVerdict{Suspects: []quarantine.PartID{neighbor}})
+	// A crash under a request of the other source speaks against the part for all.
+	h.list.RecordCrash(quarantine.CrashReport{Endpoint: "e", Source: "victim", PlacedAt: h.now, At: h.now.Add(time.Second), Parts: []quarantine.PartID{neighbor}}, h.now.Add(time.Second))
+	is.True(h.list.Check([]quarantine.PartID{neighbor}, "third", h.now.Add(time.Second)).Quarantined)
+}
+
+// Guards against a refuted record that an entry which has missed the sound request brings
+// back, after many requests with other parts.
+func TestRefutedRecordStaysRefuted(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	h.crash(deadly)
+	missed := h.list.Records(h.now)[0]
+	h.sound(deadly)
+	refutedAt := h.now
+	for i := range quarantine.PartID(4 * quarantine.DefaultMaxSound) {
+		h.list.RecordSound([]quarantine.PartID{whole + i}, h.now.Add(time.Duration(i)*time.Millisecond))
+	}
+	h.now = h.now.Add(time.Minute)
+	quarantined, at := h.list.Merge(missed, h.now)
+	is.True(!quarantined)
+	is.Equal(at, refutedAt)
+	is.Equal(h.check(deadly), quarantine.PartVerdict{})
+}
+
 // Guards against callers that fill the memory of an entry with new parts, or that make it
 // forget a quarantined one.
 func TestMemoryIsBounded(t *testing.T) {
@@ -148,9 +214,11 @@
 		h.crash(deadly, whole+i)
 	}
 	for i := range quarantine.PartID(2 * quarantine.DefaultMaxRecords) {
-		h.crash(1000+3*i, 1001+3*i, 1002+3*i)
+		h.n++
+		at := h.now.Add(time.Millisecond)
+		h.list.RecordCrash(quarantine.CrashReport{Endpoint: fmt.Sprint(h.n), PlacedAt: h.now, At: at, Parts: []quarantine.PartID{1000 + 2*i, 1001 + 2*i}}, at)
 	}
-	is.Equal(len(h.list.Records(h.now)), quarantine.DefaultMaxRecords)
+	is.True(len(h.list.Records(h.now)) <= quarantine.DefaultMaxRecords)
 	is.True(h.check(deadly).Quarantined)
 }
 
@@ -194,11 +262,12 @@
 				reports = append(reports, report{sound: parts, began: at})
 				continue
 			}
-			reports = append(reports, report{crash: quarantine.CrashReport{Endpoint: fmt.Sprint(rapid.IntRange(1, 8).Draw(t, "endpoint")), At: at, Parts: parts}})
+			reports = append(reports, report{crash: quarantine.CrashReport{Endpoint: fmt.Sprint("e-", i), PlacedAt: at.Add(-time.Duration(rapid.IntRange(0, 3).Draw(t, "placed")) * time.Second), At: at, Parts: parts}})
 		}
 		end := now.Add(time.Minute)
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
 		apply := func(list []report) *quarantine.PartList {
-			l := quarantine.NewPartList(quarantine.PartConfig{MaxCrashes: 20}) // of more crashes, the latest are kept
+			l := quarantine.NewPartList(quarantine.PartConfig{SuspicionDuration: time.Hour, MaxCrashes: limit})
 			for _, r := range list {
 				if r.sound != nil {
 					l.RecordSound(r.sound, r.began)
@@ -215,7 +284,7 @@
 			got.Merge(r, end)
 		}
 		for part := quarantine.PartID(1); part <= 5; part++ {
-			a, b := want.Check([]quarantine.PartID{part}, end), got.Check([]quarantine.PartID{part}, end)
+			a, b := want.Check([]quarantine.PartID{part}, "", end), got.Check([]quarantine.PartID{part}, "", end)
 			if fmt.Sprint(a) != fmt.Sprint(b) {
 				t.Fatalf("part %d: %v, in another order %v", part, a, b)
 			}
