relay: reject unidentified refusals on reused connections

A faulty endpoint may repeat an earlier refusal on a connection that is kept open. A repeat without a request ID was taken for the answer to the next request: its caller was told 'not run, try again', or the request ran on a second endpoint, while the first one ran it.

Cause: readHead accepted any answer without a request ID that states that the request did not run. On a new connection such an answer can only belong to the one request sent there; on a reused one it can belong to any.

Now only the first answer on a new connection may lack the ID. Otherwise the outcome is unknown: the connection is closed and the request is repeated only if its route allows it. Endpoints echo the ID, so sound ones lose nothing. The cases with an ID show that the check of the ID covers repeats that carry it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -115,9 +115,11 @@
 
 // readHead reads answers up to the one to this request and skips late answers to other
 // requests. An answer without a request ID is accepted only if it states that the
-// request did not run.
+// request did not run and is the first on its connection: later, it may repeat the
+// answer to an earlier request.
 func (a *attempt) readHead(h *handler, q *request) error {
 	a.conn.limitReads(maxHeadBytes)
+	first := !a.conn.reused
 	for range maxStrayAnswers {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.method})
 		if err != nil {
@@ -127,11 +129,12 @@
 			continue
 		}
 		answer := h.protocol.Answer(response.StatusCode, response.Header)
-		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun {
+		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun && first {
 			a.response, a.answer = response, answer
 			a.conn.limitReads(maxBufferedAnswer + maxHeadBytes) // maxHeadBytes allows for the chunk framing
 			return nil
 		}
+		first = false
 		h.metrics.stray.Inc()
 		if answer.RequestID == "" || response.Close {
 			return fmt.Errorf("%w: got an answer to request %q", errConnectionBroken, answer.RequestID)
--- /dev/null
+++ b/internal/relay/refusals_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pauseAfterRefusal is longer than an endpoint gets no requests after it refused one.
+const pauseAfterRefusal = 150 * time.Millisecond
+
+// formatRefusal returns a refusal that carries a request ID, or none if id is empty.
+func formatRefusal(id string) string {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+	if id == "" {
+		return refusal + "\r\n"
+	}
+	return refusal + "X-Request-Id: " + id + "\r\n\r\n"
+}
+
+// Guards against taking an earlier refusal that a faulty endpoint repeats on a reused
+// connection for the answer to the next request. The endpoint runs that request, which
+// must not run elsewhere or be reported as not run.
+func TestRepeatedRefusalIsNotTheNextAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, repeated string
+		status         int
+	}{
+		{"with the ID of its own request", formatRefusal("first"), http.StatusOK},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + formatRefusal("first"), http.StatusOK},
+		{"without an ID", formatRefusal(""), http.StatusBadGateway},
+		{"without an ID, after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + formatRefusal(""), http.StatusBadGateway},
+		{"without an ID, after another answer", formatRefusal("first") + formatRefusal(""), http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			faulty := newServer(t, func(conn net.Conn, r *http.Request) bool {
+				if r.Header.Get("X-Request-Id") == "first" {
+					_, err := io.WriteString(conn, formatRefusal("first"))
+					return err == nil
+				}
+				_, _ = io.WriteString(conn, c.repeated)
+				ran.Add(1)
+				return ok(conn, r)
+			})
+			_, url := newEntry(t, faulty)
+			response, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", "first") })
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			time.Sleep(pauseAfterRefusal)
+			response, _, err = send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", "second") })
+			is.NoErr(err)
+			is.Equal(ran.Load(), int64(1))
+			is.Equal(response.StatusCode, c.status)
+		})
+	}
+}
+
+// Guards against running a request a second time on another endpoint because the first,
+// which runs it, repeats an earlier refusal on a reused connection.
+func TestRepeatedRefusalDoesNotRunARequestTwice(t *testing.T) {
+	is := is.New(t)
+	faulty := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Request-Id") != "first" {
+			_, _ = io.WriteString(conn, formatRefusal(""))
+		}
+		return ok(conn, r)
+	})
+	other := newServer(t, ok)
+	_, url := newEntry(t, faulty, other)
+	for i, id := range []string{"first", "second"} {
+		_, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", id) })
+		is.NoErr(err)
+		is.Equal(faulty.count(), i+1)
+		is.Equal(other.count(), 0)
+	}
+}
