relay: tell repeated answers apart when request IDs repeat

An answer is matched to its request by the request ID, which callers choose. If two requests with the same ID, or a request without one, went over the same connection, a faulty endpoint that repeats the refusal of the first made the relay send the second to another endpoint as well, or report it as not run, while the endpoint ran it. A repeated success would have been passed on to the wrong caller in the same way.

Evidence: both cases of TestRepeatedRefusalOfTheSameIDIsNotTheNextAnswer fail without the check in connPool.pop, with a second run on the other endpoint (go test -count=1 -run TestRepeatedRefusalOfTheSameID ./internal/relay).

A connection now remembers the IDs of its latest requests, and a request with one of them, or without an ID, uses another connection. Requests with other IDs use the same connections as before (TestConnectionIsReusedForOtherIDs), so that new connections are opened only where the ID does not identify the answer.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,7 +59,7 @@
 // roundTrip sends a request and reads the head of the answer.
 func (h *handler) roundTrip(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding, readTimeout time.Duration) (*attempt, error) {
 	a := &attempt{key: connKey(c.Endpoint), pool: h.conns}
-	conn, err := h.conns.get(ctx, a.key, c.Address)
+	conn, err := h.conns.get(ctx, a.key, c.Address, q.call.ID)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, errRequestEnded
@@ -87,6 +87,7 @@
 
 func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding, readTimeout time.Duration) error {
 	head := q.encodeHead(h.protocol, f)
+	a.conn.recordID(q.call.ID)
 	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
 		return errors.Join(errNotSent, err)
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +32,10 @@
 	// maxIdleConns limits the idle connections to one endpoint.
 	maxIdleConns   = 32
 	readBufferSize = 4 << 10
+	// maxRecentIDs limits the request IDs that are remembered of a connection. A faulty
+	// endpoint may repeat an earlier answer, which a request with the same ID could not
+	// tell from its own.
+	maxRecentIDs = 32
 	// maxHeadBytes limits the bytes that an endpoint may send up to the end of the head
 	// of its answer, including skipped answers.
 	maxHeadBytes = 64 << 10
@@ -62,6 +68,23 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	reused      bool
+	recentIDs   []uint64 // hashes of the IDs of the latest requests
+}
+
+var idSeed = maphash.MakeSeed()
+
+// recordID records the ID of a request that is sent on the connection.
+func (c *backendConn) recordID(id string) {
+	if len(c.recentIDs) == maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, maphash.String(idSeed, id))
+}
+
+// identifies reports whether an answer with this request ID on an idle connection can
+// only belong to the next request. Answers without an ID belong to any request.
+func (c *backendConn) identifies(id string) bool {
+	return id != "" && !slices.Contains(c.recentIDs, maphash.String(idSeed, id))
 }
 
 // limitReads limits the bytes that are read from now on, besides those already
@@ -105,9 +128,10 @@
 	return &connPool{network: network.OrSystem(n), idle: map[string][]*backendConn{}}
 }
 
-// get returns an idle connection, or opens a new one.
-func (p *connPool) get(ctx context.Context, key, address string) (*backendConn, error) {
-	for c := p.pop(key); c != nil; c = p.pop(key) {
+// get returns an idle connection on which a request with this ID can be told from
+// earlier ones, or opens a new one.
+func (p *connPool) get(ctx context.Context, key, address, id string) (*backendConn, error) {
+	for c := p.pop(key, id); c != nil; c = p.pop(key, id) {
 		if time.Since(c.idleSince) < c.idleTimeout && c.isIdle() {
 			c.reused = true
 			return c, nil
@@ -141,16 +165,19 @@
 	})
 }
 
-func (p *connPool) pop(key string) *backendConn {
+// pop removes the idle connection that was used last and identifies answers to a request
+// with this ID.
+func (p *connPool) pop(key, id string) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.identifies(id) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put returns a connection on which nothing is outstanding to the pool. The parameter
--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -81,3 +82,53 @@
 		is.Equal(other.count(), 0)
 	}
 }
+
+// Guards against telling repeated answers from new ones by the request ID alone: callers
+// choose the ID, and several requests may have the same one or none.
+func TestRepeatedRefusalOfTheSameIDIsNotTheNextAnswer(t *testing.T) {
+	for name, ids := range map[string][]string{"same ID": {"same", "same", "same"}, "no ID": {"first", ""}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			faulty := newServerPerConn(t, func() reply {
+				sent := 0
+				return func(conn net.Conn, r *http.Request) bool {
+					if sent++; sent > 1 {
+						_, _ = io.WriteString(conn, formatRefusal(r.Header.Get("X-Request-Id")))
+					}
+					return ok(conn, r)
+				}
+			})
+			other := newServer(t, ok)
+			_, url := newEntry(t, faulty, other)
+			for i, id := range ids {
+				response, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", id) })
+				is.NoErr(err)
+				is.Equal(faulty.count(), i+1)
+				is.Equal(other.count(), 0)
+				is.Equal(response.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
+
+// Guards against new connections without need: only a request whose ID was used on all
+// idle connections gets one.
+func TestConnectionIsReusedForOtherIDs(t *testing.T) {
+	is := is.New(t)
+	var connections atomic.Int64
+	s := newServerPerConn(t, func() reply {
+		connections.Add(1)
+		return ok
+	})
+	_, url := newEntry(t, s)
+	for i := range 2 * maxRecentIDs {
+		_, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", fmt.Sprint("r", i)) })
+		is.NoErr(err)
+	}
+	is.Equal(connections.Load(), int64(1))
+	for range 2 {
+		_, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", "same") })
+		is.NoErr(err)
+	}
+	is.Equal(connections.Load(), int64(2))
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -87,6 +87,12 @@
 type reply func(conn net.Conn, r *http.Request) bool
 
 func newServer(t *testing.T, answer reply) *server {
+	t.Helper()
+	return newServerPerConn(t, func() reply { return answer })
+}
+
+// newServerPerConn starts an endpoint with a reply for each connection.
+func newServerPerConn(t *testing.T, newReply func() reply) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +106,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn, answer)
+			go s.serve(conn, newReply())
 		}
 	}()
 	return s
