relay: test an early refusal of a long body

An endpoint that refuses a request before it has read the body takes the next bytes on the connection for the rest of it. The relay closes the connection while the body is still being written, but no test showed it.

TestConnectionIsNotReusedDuringABody fails with that case removed from attempt.release (go test -count=1 -run TestConnectionIsNotReused ./internal/relay).

--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -1,15 +1,19 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
 // pauseAfterRefusal is longer than an endpoint gets no requests after it refused one.
@@ -132,3 +136,46 @@
 	}
 	is.Equal(connections.Load(), int64(2))
 }
+
+// Guards against reusing a connection on which the endpoint refused a request before it
+// read the body: the endpoint takes the next bytes for the rest of the body.
+func TestConnectionIsNotReusedDuringABody(t *testing.T) {
+	is := is.New(t)
+	const bodyBytes = 24 << 20 // does not fit into the socket buffers
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	received := make(chan int64, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, formatRefusal(r.Header.Get("X-Request-Id")))
+		time.Sleep(pauseAfterRefusal)
+		n, _ := io.Copy(io.Discard, reader) // until the relay closes the connection
+		received <- n
+	}()
+	other := newServer(t, ok)
+	h, url := newEntry(t, &server{listener: l}, other)
+	document := testDocument()
+	document.Limits.BodyBytes = 2 * bodyBytes
+	h.fleet = fixedState{table: routing.Compile(document)}
+	response, _, err := send(t, url, "/unsafe/book", http.MethodPost, strings.Repeat("x", bodyBytes), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count(), 1)
+	is.Equal(len(other.bodies[0]), bodyBytes)
+	select {
+	case n := <-received:
+		is.True(n < bodyBytes)
+	case <-time.After(5 * time.Second):
+		t.Error("connection is still open 5 s after the refusal")
+	}
+}
