relay: resume streams only with answers of the same type

A stream had begun and broke off; the next endpoint answered with status 200 and an error as JSON or text. Callers could get its text in the middle of their stream, which then ended as complete.

Cause: resume checked the status only, and relayEvents passes on any text up to a blank line as an event.

The media type must now be that of the answer which began the stream. Otherwise the stream resumes elsewhere, if its route allows it, or the connection to the caller is closed.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/placement"
@@ -27,13 +29,14 @@
 	started     bool
 	lastEventID string
 	version     uint64
+	contentType string // of the first answer
 }
 
 // relayStream passes on the events of a stream. If the stream breaks, it resumes on
 // another endpoint within the same answer, if the route allows it.
 func (h *handler) relayStream(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
 	flusher, _ := w.(http.Flusher)
-	s := &streamState{w: w, flusher: flusher, lastEventID: q.call.LastEvent, version: a.answer.Version}
+	s := &streamState{w: w, flusher: flusher, lastEventID: q.call.LastEvent, version: a.answer.Version, contentType: contentType(a)}
 	for {
 		err := h.relayEvents(q, c, a, s)
 		if err == nil {
@@ -117,6 +120,12 @@
 	r.lastEvent = now
 }
 
+// contentType returns the media type of an answer without its parameters.
+func contentType(a *attempt) string {
+	mediaType, _, _ := strings.Cut(a.response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
 func (s *streamState) start(a *attempt) {
 	if s.started {
 		return
@@ -162,11 +171,11 @@
 			continue
 		}
 		q.sends++
-		if a.response.StatusCode == http.StatusOK {
+		if a.response.StatusCode == http.StatusOK && contentType(a) == s.contentType {
 			return c, a
 		}
 		a.close()
-		h.endSend(q, c, placement.ErrorStatus, errors.New("endpoint refused to resume the stream: "+a.response.Status))
+		h.endSend(q, c, placement.ErrorStatus, fmt.Errorf("endpoint refused to resume the stream: status %s, content type %q", a.response.Status, contentType(a)))
 		reason = RetryErrorStatus
 	}
 }
