relay: resume streams only after their last event

An endpoint that resumes a broken stream and ignores Last-Event-Id made callers receive events twice, followed by a complete end. An error that it sent as an event without an ID was passed on in the middle of the stream.

Cause: relayEvents passed on whatever events the next endpoint sent.

Evidence: four cases of TestStreamResumesAfterTheLastEvent fail before (go test -count=1 -run TestStreamResumesAfter ./internal/relay).

The first event that an endpoint sends after a resume must now have an ID above that of the last event passed on; IDs increase within a stream. Otherwise the attempt counts as broken. A gap cannot be detected: an event may hold several tokens, so that the next ID is not known.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 )
 
@@ -22,8 +23,9 @@
 
 // event holds the bytes of one event, including the blank line at its end, and its ID.
 type event struct {
-	data []byte
-	id   string
+	data    []byte
+	id      string
+	hasData bool // has a data field; without one, it is a comment or a setting
 }
 
 // next returns the next complete event, or io.EOF at the end of the stream. It does not
@@ -51,6 +53,7 @@
 		if id, ok := strings.CutPrefix(text, "id:"); ok {
 			ev.id = strings.TrimSpace(id)
 		}
+		ev.hasData = ev.hasData || text == "data" || strings.HasPrefix(text, "data:")
 		if text == "" {
 			return ev, nil
 		}
@@ -60,3 +63,14 @@
 // buffered reports whether more bytes are buffered, so that the caller can postpone a
 // flush.
 func (e *eventReader) buffered() bool { return e.reader.Buffered() > 0 }
+
+// isAfter reports whether an event ID comes after another one. IDs that are numbers
+// increase; of others, it is only known that they differ.
+func isAfter(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	lastN, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != last
+	}
+	return n > lastN
+}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,3 +65,38 @@
 		})
 	}
 }
+
+// Guards against events that come twice or do not belong to the stream because the
+// endpoint that resumes it ignores the ID of the last event.
+func TestStreamResumesAfterTheLastEvent(t *testing.T) {
+	for name, events := range map[string]string{
+		"first event again":       eventText(1) + eventText(2) + eventText(3),
+		"last event again":        eventText(2) + eventText(3),
+		"last event after others": ": comment\n\n" + eventText(2) + eventText(3),
+		"event without an ID":     "data: {\"error\":\"full\"}\n\n" + eventText(3),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := resumeWith(t, resumedHead+encodeChunk(events)+lastChunk)
+			is.True(err != nil) // the answer is not complete
+			is.Equal(strings.TrimSuffix(body, ": comment\n\n"), eventText(1)+eventText(2))
+		})
+	}
+	for name, events := range map[string]string{
+		"next event":                eventText(3),
+		"next event, fewer of them": eventText(10),
+		"next event after others":   ": comment\n\n" + eventText(3),
+		"nothing left":              "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			chunks := lastChunk
+			if events != "" {
+				chunks = encodeChunk(events) + lastChunk
+			}
+			body, err := resumeWith(t, resumedHead+chunks)
+			is.NoErr(err)
+			is.Equal(body, eventText(1)+eventText(2)+events)
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,10 +72,14 @@
 	return r, ""
 }
 
-// relayEvents passes on complete events until the stream ends.
+// errNotResumed means that an endpoint did not resume a stream after its last event.
+var errNotResumed = errors.New("endpoint did not resume the stream after its last event")
+
+// relayEvents passes on complete events until the stream ends. An endpoint that resumes a
+// stream must begin after its last event.
 func (h *handler) relayEvents(q *request, c placement.Choice, a *attempt, s *streamState) error {
 	events := newEventReader(a.response.Body)
-	first := true
+	first, continued := true, !s.started
 	for {
 		if err := a.conn.SetReadDeadline(q.readDeadline(streamReadTimeout)); err != nil {
 			return errors.Join(errConnectionBroken, err)
@@ -89,6 +93,12 @@
 		case err != nil:
 			return readError(err)
 		}
+		if !continued && (ev.hasData || ev.id != "") {
+			if !isAfter(ev.id, s.lastEventID) {
+				return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, s.lastEventID)
+			}
+			continued = true
+		}
 		if first {
 			first = false
 			h.dispatcher.firstEvent(q, c.ID, time.Since(q.placedAt)-c.ModelTTFT)
