relay: reject encoded answers

Callers ask for bodies without an encoding, and an answer with a Content-Encoding is not the endpoint's body. It was passed on as a success with the endpoint's signature, at the start of an answer as well as in the middle of a stream that was resumed.

Evidence: all three cases of TestEncodedAnswersAreNotPassedOn fail before (go test -count=1 -run TestEncoded ./internal/relay).

Such an answer now counts as broken: the request may have run, and is repeated only if its route allows it. A refusal keeps its meaning, since only its head is used.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -131,6 +131,9 @@
 		}
 		answer := h.protocol.Answer(response.StatusCode, response.Header)
 		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun && first {
+			if _, encoded := response.Header["Content-Encoding"]; encoded && !answer.NotRun {
+				return fmt.Errorf("%w: the body is encoded, which callers do not ask for", errConnectionBroken)
+			}
 			a.response, a.answer = response, answer
 			a.conn.limitReads(maxBufferedAnswer + maxHeadBytes) // maxHeadBytes allows for the chunk framing
 			return nil
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -100,3 +100,32 @@
 		})
 	}
 }
+
+// Guards against passing on an encoded answer, which is not the endpoint's body: callers
+// ask for no encoding.
+func TestEncodedAnswersAreNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + signedHeaders + "Content-Encoding: br\r\n"
+	t.Run("resumed stream", func(t *testing.T) {
+		is := is.New(t)
+		body, err := resumeWith(t, head+eventsHeaders+encodeChunk(eventText(3))+lastChunk)
+		is.True(err != nil) // the answer is not complete
+		is.Equal(body, eventText(1)+eventText(2))
+	})
+	for path, answer := range map[string]string{
+		"/unsafe/book":  head + "Content-Length: 4\r\n\r\ndone",
+		"/stream/quote": head + eventsHeaders + encodeChunk(eventText(1)) + lastChunk,
+	} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, answer)
+				return err == nil
+			})
+			_, url := newEntry(t, s)
+			response, _, err := send(t, url, path, http.MethodPost, "order", nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(response.Header.Get("Content-Encoding"), "")
+		})
+	}
+}
