relay: flush each complete event of a stream

If the start of the next event arrived together with a complete one, callers received the complete one only when the next was complete as well: late by the pause between the two, and not at all if the stream broke off there.

Cause: relayEvents postponed the flush while any bytes were buffered, and then waited for the rest of the next event.

Evidence: TestCompleteEventIsNotHeldBack fails before in 2 of 2 runs (go test -race -run TestCompleteEvent ./internal/relay).

The flush is now postponed only while another complete event is buffered, which is passed on without waiting.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -60,9 +60,12 @@
 	}
 }
 
-// buffered reports whether more bytes are buffered, so that the caller can postpone a
-// flush.
-func (e *eventReader) buffered() bool { return e.reader.Buffered() > 0 }
+// buffered reports whether another complete event is buffered, so that the caller can
+// postpone a flush.
+func (e *eventReader) buffered() bool {
+	data, _ := e.reader.Peek(e.reader.Buffered()) // never fails for buffered bytes
+	return bytes.Contains(data, []byte("\n\n")) || bytes.Contains(data, []byte("\n\r\n"))
+}
 
 // isAfter reports whether an event ID comes after another one. IDs that are numbers
 // increase; of others, it is only known that they differ.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -602,3 +602,41 @@
 	_, suitable := h.dispatcher.pools["dispatch"].Count(placement.Request{Zone: "near"}, time.Now())
 	is.Equal(suitable, 2) // the endpoint is not ejected
 }
+
+// Guards against holding a complete event back until the next one, whose start arrived
+// together with it, is complete too.
+func TestCompleteEventIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{})
+	inTime := make(chan bool, 1)
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, streamHead, r.Header.Get("X-Request-Id"), "s")
+		chunk(conn, eventText(1)+"id: 2\nda")
+		select {
+		case <-received:
+			inTime <- true
+		case <-time.After(streamReadTimeout / 2):
+			inTime <- false
+		}
+		chunk(conn, "ta: piece 2\n\n")
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	_, url := newEntry(t, s)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/quote", strings.NewReader("plan"))
+	is.NoErr(err)
+	r.Host = "orders.example"
+	r.Header.Set("X-Request-Id", testID)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	first := make([]byte, len(eventText(1)))
+	_, err = io.ReadFull(response.Body, first)
+	is.NoErr(err)
+	close(received)
+	is.True(<-inTime)
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(first)+string(rest), eventText(1)+eventText(2))
+}
