relay: parse event lines longer than the read buffer

A line of an event that filled the read buffer of 4096 bytes was taken for the end of the event, and a longer one for two lines. If the stream broke off there, the caller had received an event without its blank line, which the first event after the resume then continued; text in the middle of a line could replace the ID to resume after.

Cause: next parsed what ReadSlice returned, which is only the last part of a line that does not fit into the buffer.

The line is now parsed from its start in the event.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -32,6 +32,7 @@
 // return a truncated event.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	lineStart := 0 // in ev.data
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
@@ -49,7 +50,8 @@
 		if len(ev.data) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
-		text := strings.TrimRight(string(line), "\r\n")
+		text := strings.TrimRight(string(ev.data[lineStart:]), "\r\n")
+		lineStart = len(ev.data)
 		if id, ok := strings.CutPrefix(text, "id:"); ok {
 			ev.id = strings.TrimSpace(id)
 		}
