relay: detect a reset that only the write of a body sees

An endpoint answered without a length before it had read a long body, and reset the connection. Callers received the part of the answer so far as a complete one.

Cause: Linux reports a reset to one system call only. If that is the write of the request's body, which runs beside the read of the answer, reads end without an error, as if the endpoint had closed the connection in order.

The end of the connection now completes such an answer only if the body was written.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -135,6 +135,9 @@
 				return fmt.Errorf("%w: the body is encoded, which callers do not ask for", errConnectionBroken)
 			}
 			a.response, a.answer = response, answer
+			if a.endsWithConnection() {
+				response.Body = &unboundedBody{response.Body, a}
+			}
 			a.conn.limitReads(maxBufferedAnswer + maxHeadBytes) // maxHeadBytes allows for the chunk framing
 			return nil
 		}
@@ -150,6 +153,32 @@
 	return fmt.Errorf("%w: no answer to this request among the first %d", errConnectionBroken, maxStrayAnswers)
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks, so that
+// its body ends with the connection.
+func (a *attempt) endsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
+// unboundedBody is a body that ends with the connection. The operating system reports a
+// reset to one call only, which may be the write of the request's body; reads then end
+// without an error.
+type unboundedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+func (b *unboundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) || b.attempt.bodyWritten == nil {
+		return n, err
+	}
+	if writeErr := <-b.attempt.bodyWritten; writeErr != nil {
+		err = errors.Join(errConnectionBroken, writeErr)
+	}
+	b.attempt.bodyWritten = nil
+	return n, err
+}
+
 func readError(err error) error {
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
