relay: pass on blanks after the last event of a stream

Spaces or a CR after the last event of a stream were dropped, so that callers did not receive the whole body although its end was certain.

Evidence: TestBlanksAfterLastEventArePassedOn fails before (go test -count=1 -run TestBlanks ./internal/relay).

The reader now returns these bytes with the end of the stream.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -28,8 +28,8 @@
 	hasData bool // has a data field; without one, it is a comment or a setting
 }
 
-// next returns the next complete event, or io.EOF at the end of the stream. It does not
-// return a truncated event.
+// next returns the next complete event, or io.EOF at the end of the stream, with any blanks
+// after the last event. It does not return a truncated event.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	lineStart := 0 // in ev.data
@@ -44,6 +44,8 @@
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.data)) > 0:
 			return event{}, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return ev, io.EOF
 		case err != nil:
 			return event{}, err
 		}
--- a/internal/relay/lengthless_test.go
+++ b/internal/relay/lengthless_test.go
@@ -93,3 +93,19 @@
 		is.True(err != nil || response.StatusCode == http.StatusBadGateway)
 	}
 }
+
+// Guards against dropping bytes after the last event of a stream with a length. Its end
+// is certain, so it is complete.
+func TestBlanksAfterLastEventArePassedOn(t *testing.T) {
+	for _, tail := range []string{" ", "\n", "\r", "\r\n \t"} {
+		is := is.New(t)
+		s := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, resumedHead+encodeChunk(eventText(1)+tail)+lastChunk)
+			return true
+		})
+		_, url := newEntry(t, s)
+		_, body, err := send(t, url, "/stream/quote", http.MethodPost, "plan", nil)
+		is.NoErr(err)
+		is.Equal(body, eventText(1)+tail)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -89,6 +89,9 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			s.start(a)
+			if _, err := s.w.Write(ev.data); err != nil {
+				return errors.Join(errRequestEnded, err)
+			}
 			return nil
 		case err != nil:
 			return readError(err)
