--- a/internal/relay/lengthless_test.go
+++ b/internal/relay/lengthless_test.go
@@ -109,3 +109,53 @@
 		is.Equal(body, eventText(1)+tail)
 	}
 }
+
+// Guards against taking a stream without a length for complete that ends inside an event
+// or is reset, as the first answer to a request and as one that resumes a stream.
+func TestBrokenStreamWithoutLengthIsNotComplete(t *testing.T) {
+	const crlfEvent = "id: 2\r\ndata: piece 2\r\n"
+	for name, c := range map[string]struct {
+		tail  string // sent after the last complete event
+		reset bool
+	}{
+		"inside a field":           {tail: "id: 2\nda"},
+		"after the ID":             {tail: "id: 2\n"},
+		"after the data":           {tail: "id: 2\ndata: piece 2\n"},
+		"inside the data":          {tail: "id: 2\ndata: pie"},
+		"after CR of the data":     {tail: "id: 2\r\ndata: piece 2\r"},
+		"after CR of a blank line": {tail: crlfEvent + "\r"},
+		"after a comment":          {tail: ": comment\n"},
+		"inside a comment":         {tail: ":"},
+		"after a space":            {tail: " "},
+		"after CR":                 {tail: "\r"},
+		"reset after an event":     {reset: true},
+		"reset inside an event":    {tail: "id: 2\nda", reset: true},
+	} {
+		first := func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, lengthlessStream+eventText(1)+c.tail)
+			if c.reset {
+				resetConn(conn)
+			}
+			return false
+		}
+		t.Run(name+", aborted", func(t *testing.T) {
+			is := is.New(t)
+			_, url := newEntry(t, newServer(t, first))
+			_, body, err := send(t, url, "/stream/quote", http.MethodPost, "plan", nil)
+			is.True(err != nil) // the answer is not complete
+			is.Equal(body, eventText(1))
+		})
+		t.Run(name+", resumed", func(t *testing.T) {
+			is := is.New(t)
+			second := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, lengthlessStream+eventText(2))
+				return false
+			})
+			_, url := newEntry(t, newServer(t, first), second)
+			_, body, err := send(t, url, "/stream/quote", http.MethodPost, "plan", nil)
+			is.NoErr(err)
+			is.Equal(body, eventText(1)+eventText(2))
+			is.Equal(second.last().Header.Get("Last-Event-Id"), "1")
+		})
+	}
+}
