relay: retry streams without a length that have no event

An endpoint that ends right after the head of a stream without a length made callers receive an empty stream, or the start of one that was resumed there, as complete.

Cause: the orderly close of the connection was taken for the end of the stream, although it carried nothing.

Evidence: both cases of TestStreamWithoutLengthAndEventsIsNotComplete fail before (go test -count=1 -run TestStreamWithoutLength ./internal/relay).

A sound stream has an event, so the attempt now counts as broken. An empty stream with a length or chunks is complete as before. Between two events an orderly close still means the end: nothing tells it from the end of a sound stream.

--- a/internal/relay/lengthless_test.go
+++ b/internal/relay/lengthless_test.go
@@ -159,3 +159,29 @@
 		})
 	}
 }
+
+// Guards against taking a stream without a length for complete that ended before its
+// first event: it is retried, or resumed elsewhere.
+func TestStreamWithoutLengthAndEventsIsNotComplete(t *testing.T) {
+	t.Run("retried", func(t *testing.T) {
+		is := is.New(t)
+		first := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, lengthlessStream)
+			return false
+		})
+		second := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, lengthlessStream+eventText(1))
+			return false
+		})
+		_, url := newEntry(t, first, second)
+		_, body, err := send(t, url, "/stream/quote", http.MethodPost, "plan", nil)
+		is.NoErr(err)
+		is.Equal(body, eventText(1))
+	})
+	t.Run("resumed", func(t *testing.T) {
+		is := is.New(t)
+		body, err := resumeWith(t, lengthlessStream)
+		is.True(err != nil) // the answer is not complete
+		is.Equal(body, eventText(1)+eventText(2))
+	})
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -87,7 +87,8 @@
 		a.conn.limitReads(maxEventBytes + maxHeadBytes)
 		ev, err := events.next()
 		switch {
-		case errors.Is(err, io.EOF) && a.endsWithConnection() && len(ev.data) > 0:
+		case errors.Is(err, io.EOF) && a.endsWithConnection() && (first || len(ev.data) > 0):
+			// The connection ended inside an event, or before the first one.
 			return errors.Join(errConnectionBroken, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			s.start(a)
