relay: count a run before its answer in a test

TestRepeatedRefusalIsNotTheNextAnswer failed once in a run of the package on a busy machine, with 0 runs instead of 1: its endpoint counted the run after it had written the answer, on which the caller's answer no longer waits. It now counts first, as an endpoint does; the check is the same.

--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -50,8 +50,8 @@
 					_, err := io.WriteString(conn, formatRefusal("first"))
 					return err == nil
 				}
-				_, _ = io.WriteString(conn, c.repeated)
 				ran.Add(1)
+				_, _ = io.WriteString(conn, c.repeated)
 				return ok(conn, r)
 			})
 			_, url := newEntry(t, faulty)
