relay: do not pass on 408 and long 503 answers without a promise

Callers take 408, 421, 429 and 503 to mean that the request did not run. An endpoint's 408 without that promise, and a 429 or 503 with more than 1 MiB of body, were passed on, although the request may have run.

Cause: only 429 and statuses from 500 on were checked, and answers that are too long to buffer were passed on before the check.

Evidence: four cases of TestRefusalWithoutPromiseIsNotPassedOn fail before (go test -count=1 -run TestRefusalWithoutPromise ./internal/relay).

All statuses of impliesNotRun are now checked first; the caller gets 502.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -425,12 +425,12 @@
 		h.endSend(q, c, placement.Broken, err)
 		return result{refusal: &refusal{status: http.StatusBadGateway, reason: AnswerLost}}, RetryBroken
 	}
-	if !a.complete {
+	if !a.complete && !impliesNotRun(status) {
 		return h.relayUnbuffered(w, q, c, a, body)
 	}
 	answer := &bufferedAnswer{status: status, header: a.response.Header, body: body}
 	a.release()
-	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests {
+	if status >= http.StatusInternalServerError || impliesNotRun(status) {
 		h.endSend(q, c, placement.ErrorStatus, errors.New("endpoint answered with status "+strconv.Itoa(status)))
 		if impliesNotRun(status) {
 			// Callers take the status to mean that the request did not run, but the
--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -179,3 +179,29 @@
 		t.Error("connection is still open 5 s after the refusal")
 	}
 }
+
+// Guards against passing on a status that tells callers that the request did not run,
+// from an endpoint that does not say so.
+func TestRefusalWithoutPromiseIsNotPassedOn(t *testing.T) {
+	for name, answer := range map[string]string{
+		"408":       "408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+		"429":       "429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+		"503":       "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"503, long": fmt.Sprintf("503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", 2*maxBufferedAnswer, strings.Repeat("x", 2*maxBufferedAnswer)),
+	} {
+		for _, path := range []string{"/unsafe/book", "/stream/quote"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				s := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+					_, err := io.WriteString(conn, strings.Replace("HTTP/1.1 "+answer, "\r\n", "\r\n"+signedHeaders, 1))
+					return err == nil
+				})
+				_, url := newEntry(t, s)
+				response, _, err := send(t, url, path, http.MethodPost, "order", nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				is.Equal(response.Header.Get("X-Server-Stamp"), "")
+			})
+		}
+	}
+}
