relay: tests that catch the removal of their guards

Removing a guard in a scratch copy left these tests passing: - TestUnsafeIsNotRetried without the check of Repeatable in mayRepeat, since its route allowed one attempt. It now allows two. - TestCallerDisconnects without closing the connection to the endpoint, since the read timeout closed it within the 5 s of the test. The bound is now the 0.5 s within which endpoints must stop. - No test failed without the check of idle connections before use. TestIdleConnectionIsCheckedBeforeUse does.

All three fail now with their guard removed.

--- a/internal/relay/endpoint_failures_test.go
+++ b/internal/relay/endpoint_failures_test.go
@@ -124,3 +124,35 @@
 	is.Equal(s.count(), 1)
 	is.Equal(other.count(), 0)
 }
+
+// Guards against sending a request on an idle connection that the endpoint closed, or on
+// which it sent bytes that belong to no request: the request would fail.
+func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) {
+	for name, extra := range map[string]string{"closed": "", "garbage": "garbage\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServerPerConn(t, func() reply {
+				answered := false
+				return func(conn net.Conn, r *http.Request) bool {
+					if answered { // the relay used the connection again
+						return false
+					}
+					answered = true
+					if !ok(conn, r) {
+						return false
+					}
+					time.Sleep(20 * time.Millisecond) // the connection is idle
+					_, err := io.WriteString(conn, extra)
+					return err == nil && extra != ""
+				}
+			})
+			_, url := newEntry(t, s)
+			for i := range 2 {
+				response, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", func(r *http.Request) { r.Header.Set("X-Request-Id", fmt.Sprint("r", i)) })
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusOK)
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -66,7 +66,7 @@
 	return &routing.Document{
 		Version: 7,
 		Routes: []routing.Route{
-			route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 1), route("stream", routing.Stream, 2),
+			route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 2), route("stream", routing.Stream, 2),
 		},
 		Services:      []routing.Service{{Name: "dispatch"}},
 		Organisations: []routing.Organisation{{Name: "one", Keys: []string{testKey}}},
@@ -444,8 +444,8 @@
 	cancel()
 	select {
 	case <-gone:
-	case <-time.After(5 * time.Second):
-		t.Fatal("connection to the endpoint is still open 5 s after the caller disconnected")
+	case <-time.After(500 * time.Millisecond): // less than streamReadTimeout, which would close it later
+		t.Fatal("connection to the endpoint is still open 0.5 s after the caller disconnected")
 	}
 }
 
