relay: do not wait for the body of a refusal

An endpoint sent the head of a refusal and then stalled. The request was held until its deadline, although the head says that it did not run and can be sent elsewhere.

Cause: handleNotRun read the body, with no limit but the deadline of the request, to reuse the connection.

Evidence: TestStalledBodyOfARefusalDoesNotHoldTheRequest fails before with status 503 after 2.5 s (go test -count=1 -run TestStalledBody ./internal/relay).

The wait is now 50 ms, after which the connection is closed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,6 +38,9 @@
 	// maxSendDelay is the longest time from the selection of an endpoint to the first
 	// byte sent. Opening a connection usually takes up to 10 ms.
 	maxSendDelay = 50 * time.Millisecond
+	// refusalBodyTimeout is the longest wait for the body of a refusal, whose head says all
+	// that matters. The body usually arrives with the head.
+	refusalBodyTimeout = 50 * time.Millisecond
 	// maxStrayAnswers limits how many answers, interim answers and answers to other
 	// requests included, are read before giving up on the answer to this request.
 	maxStrayAnswers = 3
@@ -197,6 +200,15 @@
 	return data, nil
 }
 
+// discardRefusal reads the body of a refusal, so that the connection can be reused.
+func (a *attempt) discardRefusal() error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+		return errors.Join(errConnectionBroken, err)
+	}
+	_, err := a.readBody(maxBufferedAnswer)
+	return err
+}
+
 // release returns the connection to the pool if nothing is outstanding on it, and
 // closes it otherwise.
 func (a *attempt) release() {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -368,7 +368,7 @@
 func (h *handler) handleNotRun(q *request, c placement.Choice, a *attempt) (result, Reason) {
 	q.notRun++
 	status := a.response.StatusCode
-	_, err := a.readBody(maxBufferedAnswer)
+	err := a.discardRefusal()
 	a.release()
 	if err == nil {
 		err = errors.New("endpoint did not run the request: status " + strconv.Itoa(status))
--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -205,3 +205,22 @@
 		}
 	}
 }
+
+// Guards against holding a request until its deadline because the body of a refusal does
+// not come, although its head already says that the request did not run.
+func TestStalledBodyOfARefusalDoesNotHoldTheRequest(t *testing.T) {
+	is := is.New(t)
+	stalling := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+signedHeaders+"Content-Length: 4\r\n\r\nbu")
+		_, _ = conn.Read(make([]byte, 1)) // returns when the relay closes the connection
+		return false
+	})
+	other := newServer(t, ok)
+	_, url := newEntry(t, stalling, other)
+	began := time.Now()
+	response, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(stalling.count(), 1)
+	is.True(time.Since(began) < time.Second) // long before the deadline of the request
+}
