--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,6 +38,9 @@
 	// maxSendDelay is the longest time from the selection of an endpoint to the first
 	// byte sent. Opening a connection usually takes up to 10 ms.
 	maxSendDelay = 50 * time.Millisecond
+	// refusalBodyTimeout is the longest wait for the body of a refusal, whose head says all
+	// that matters. The body usually arrives with the head.
+	refusalBodyTimeout = 50 * time.Millisecond
 	// maxStrayAnswers limits how many answers, interim answers and answers to other
 	// requests included, are read before giving up on the answer to this request.
 	maxStrayAnswers = 3
@@ -60,7 +63,7 @@
 // roundTrip sends a request and reads the head of the answer.
 func (h *handler) roundTrip(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding, readTimeout time.Duration) (*attempt, error) {
 	a := &attempt{key: connKey(c.Endpoint), pool: h.conns}
-	conn, err := h.conns.get(ctx, a.key, c.Address)
+	conn, err := h.conns.get(ctx, a.key, c.Address, q.call.ID)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, errRequestEnded
@@ -88,6 +91,7 @@
 
 func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding, readTimeout time.Duration) error {
 	head := q.encodeHead(h.protocol, f)
+	a.conn.recordID(q.call.ID)
 	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
 		return errors.Join(errNotSent, err)
 	}
@@ -116,9 +120,11 @@
 
 // readHead reads answers up to the one to this request and skips late answers to other
 // requests. An answer without a request ID is accepted only if it states that the
-// request did not run.
+// request did not run and is the first on its connection: later, it may repeat the
+// answer to an earlier request.
 func (a *attempt) readHead(h *handler, q *request) error {
 	a.conn.limitReads(maxHeadBytes)
+	first := !a.conn.reused
 	for range maxStrayAnswers {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.method})
 		if err != nil {
@@ -128,11 +134,18 @@
 			continue
 		}
 		answer := h.protocol.Answer(response.StatusCode, response.Header)
-		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun {
+		if answer.RequestID == q.call.ID || answer.RequestID == "" && answer.NotRun && first {
+			if _, encoded := response.Header["Content-Encoding"]; encoded && !answer.NotRun {
+				return fmt.Errorf("%w: the body is encoded, which callers do not ask for", errConnectionBroken)
+			}
 			a.response, a.answer = response, answer
+			if a.endsWithConnection() {
+				response.Body = &unboundedBody{response.Body, a}
+			}
 			a.conn.limitReads(maxBufferedAnswer + maxHeadBytes) // maxHeadBytes allows for the chunk framing
 			return nil
 		}
+		first = false
 		h.metrics.stray.Inc()
 		if answer.RequestID == "" || response.Close {
 			return fmt.Errorf("%w: got an answer to request %q", errConnectionBroken, answer.RequestID)
@@ -144,6 +157,32 @@
 	return fmt.Errorf("%w: no answer to this request among the first %d", errConnectionBroken, maxStrayAnswers)
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks, so that
+// its body ends with the connection.
+func (a *attempt) endsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
+// unboundedBody is a body that ends with the connection. The operating system reports a
+// reset to one call only, which may be the write of the request's body; reads then end
+// without an error.
+type unboundedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+func (b *unboundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) || b.attempt.bodyWritten == nil {
+		return n, err
+	}
+	if writeErr := <-b.attempt.bodyWritten; writeErr != nil {
+		err = errors.Join(errConnectionBroken, writeErr)
+	}
+	b.attempt.bodyWritten = nil
+	return n, err
+}
+
 func readError(err error) error {
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
@@ -162,6 +201,15 @@
 	return data, nil
 }
 
+// discardRefusal reads the body of a refusal, so that the connection can be reused.
+func (a *attempt) discardRefusal() error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+		return errors.Join(errConnectionBroken, err)
+	}
+	_, err := a.readBody(maxBufferedAnswer)
+	return err
+}
+
 // release returns the connection to the pool if nothing is outstanding on it, and
 // closes it otherwise.
 func (a *attempt) release() {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -381,7 +381,7 @@
 func (h *handler) handleNotRun(q *request, c placement.Choice, a *attempt) (result, Reason) {
 	q.notRun++
 	status := a.response.StatusCode
-	_, err := a.readBody(maxBufferedAnswer)
+	err := a.discardRefusal()
 	a.release()
 	if err == nil {
 		err = errors.New("endpoint did not run the request: status " + strconv.Itoa(status))
@@ -457,12 +457,12 @@
 		h.endSend(q, c, placement.Broken, err)
 		return result{refusal: &refusal{status: http.StatusBadGateway, reason: AnswerLost}}, RetryBroken
 	}
-	if !a.complete {
+	if !a.complete && !impliesNotRun(status) {
 		return h.relayUnbuffered(w, q, c, a, body)
 	}
 	answer := &bufferedAnswer{status: status, header: a.response.Header, body: body}
 	a.release()
-	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests {
+	if status >= http.StatusInternalServerError || impliesNotRun(status) {
 		h.endSend(q, c, placement.ErrorStatus, errors.New("endpoint answered with status "+strconv.Itoa(status)))
 		if impliesNotRun(status) {
 			// Callers take the status to mean that the request did not run, but the
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -66,7 +66,7 @@
 	return &routing.Document{
 		Version: 7,
 		Routes: []routing.Route{
-			route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 1), route("stream", routing.Stream, 2),
+			route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 2), route("stream", routing.Stream, 2),
 		},
 		Services:      []routing.Service{{Name: "dispatch"}},
 		Organisations: []routing.Organisation{{Name: "one", Keys: []string{testKey}}},
@@ -87,6 +87,12 @@
 type reply func(conn net.Conn, r *http.Request) bool
 
 func newServer(t *testing.T, answer reply) *server {
+	t.Helper()
+	return newServerPerConn(t, func() reply { return answer })
+}
+
+// newServerPerConn starts an endpoint with a reply for each connection.
+func newServerPerConn(t *testing.T, newReply func() reply) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +106,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn, answer)
+			go s.serve(conn, newReply())
 		}
 	}()
 	return s
@@ -441,8 +447,8 @@
 	cancel()
 	select {
 	case <-gone:
-	case <-time.After(5 * time.Second):
-		t.Fatal("connection to the endpoint is still open 5 s after the caller disconnected")
+	case <-time.After(500 * time.Millisecond): // less than streamReadTimeout, which would close it later
+		t.Fatal("connection to the endpoint is still open 0.5 s after the caller disconnected")
 	}
 }
 
@@ -599,3 +605,41 @@
 	_, suitable := h.dispatcher.pools["dispatch"].Count(placement.Request{Zone: "near"}, time.Now())
 	is.Equal(suitable, 2) // the endpoint is not ejected
 }
+
+// Guards against holding a complete event back until the next one, whose start arrived
+// together with it, is complete too.
+func TestCompleteEventIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{})
+	inTime := make(chan bool, 1)
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, streamHead, r.Header.Get("X-Request-Id"), "s")
+		chunk(conn, eventText(1)+"id: 2\nda")
+		select {
+		case <-received:
+			inTime <- true
+		case <-time.After(streamReadTimeout / 2):
+			inTime <- false
+		}
+		chunk(conn, "ta: piece 2\n\n")
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	_, url := newEntry(t, s)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/quote", strings.NewReader("plan"))
+	is.NoErr(err)
+	r.Host = "orders.example"
+	r.Header.Set("X-Request-Id", testID)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	first := make([]byte, len(eventText(1)))
+	_, err = io.ReadFull(response.Body, first)
+	is.NoErr(err)
+	close(received)
+	is.True(<-inTime)
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(first)+string(rest), eventText(1)+eventText(2))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/placement"
@@ -27,13 +29,14 @@
 	started     bool
 	lastEventID string
 	version     uint64
+	contentType string // of the first answer
 }
 
 // relayStream passes on the events of a stream. If the stream breaks, it resumes on
 // another endpoint within the same answer, if the route allows it.
 func (h *handler) relayStream(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
 	flusher, _ := w.(http.Flusher)
-	s := &streamState{w: w, flusher: flusher, lastEventID: q.call.LastEvent, version: a.answer.Version}
+	s := &streamState{w: w, flusher: flusher, lastEventID: q.call.LastEvent, version: a.answer.Version, contentType: contentType(a)}
 	for {
 		err := h.relayEvents(q, c, a, s)
 		if err == nil {
@@ -70,10 +73,14 @@
 	return r, ""
 }
 
-// relayEvents passes on complete events until the stream ends.
+// errNotResumed means that an endpoint did not resume a stream after its last event.
+var errNotResumed = errors.New("endpoint did not resume the stream after its last event")
+
+// relayEvents passes on complete events until the stream ends. An endpoint that resumes a
+// stream must begin after its last event.
 func (h *handler) relayEvents(q *request, c placement.Choice, a *attempt, s *streamState) error {
 	events := newEventReader(a.response.Body)
-	first := true
+	first, continued := true, !s.started
 	for {
 		if err := a.conn.SetReadDeadline(q.readDeadline(streamReadTimeout)); err != nil {
 			return errors.Join(errConnectionBroken, err)
@@ -81,12 +88,24 @@
 		a.conn.limitReads(maxEventBytes + maxHeadBytes)
 		ev, err := events.next()
 		switch {
+		case errors.Is(err, io.EOF) && a.endsWithConnection() && (first || len(ev.data) > 0):
+			// The connection ended inside an event, or before the first one.
+			return errors.Join(errConnectionBroken, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			s.start(a)
+			if _, err := s.w.Write(ev.data); err != nil {
+				return errors.Join(errRequestEnded, err)
+			}
 			return nil
 		case err != nil:
 			return readError(err)
 		}
+		if !continued && (ev.hasData || ev.id != "") {
+			if !isAfter(ev.id, s.lastEventID) {
+				return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, s.lastEventID)
+			}
+			continued = true
+		}
 		if first {
 			first, a.began = false, time.Now()
 			h.dispatcher.firstEvent(q, c.ID, time.Since(q.placedAt)-c.ModelTTFT)
@@ -122,6 +141,12 @@
 	r.lastEvent = now
 }
 
+// contentType returns the media type of an answer without its parameters.
+func contentType(a *attempt) string {
+	mediaType, _, _ := strings.Cut(a.response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
 func (s *streamState) start(a *attempt) {
 	if s.started {
 		return
@@ -167,11 +192,11 @@
 			continue
 		}
 		q.sends++
-		if a.response.StatusCode == http.StatusOK {
+		if a.response.StatusCode == http.StatusOK && contentType(a) == s.contentType {
 			return c, a
 		}
 		a.close()
-		h.endSend(q, c, placement.ErrorStatus, errors.New("endpoint refused to resume the stream: "+a.response.Status))
+		h.endSend(q, c, placement.ErrorStatus, fmt.Errorf("endpoint refused to resume the stream: status %s, content type %q", a.response.Status, contentType(a)))
 		reason = RetryErrorStatus
 	}
 }
