routing, protocol: bound the numbers that describe an engine

A routing document with "layers":-1 or a huge number was acknowledged, and every entry and stager that fetched it ended when a server of that service was listed: LOST, and none comes back as long as the document is in force.

Cause: HasAllLayers allocated one element for each layer of the document. The other engine numbers were not checked either; a negative stride or step makes predicted times negative.

HasAllLayers now merges the ranges, at a cost that depends on their number only, so a document that was accepted earlier ends no process.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -91,21 +91,21 @@
 	Started uint64
 }
 
-// HasAllLayers reports whether layers covers [0, total) in the given version.
+// HasAllLayers reports whether layers covers [0, total) in the given version. The numbers
+// come from other processes, so its cost depends on the number of ranges only.
 func HasAllLayers(layers []ServedLayers, version uint64, total int) bool {
-	have := make([]bool, total)
-	for _, l := range layers {
-		if l.Version != version {
-			continue
-		}
-		for i := max(0, l.From); i < min(total, l.To); i++ {
-			have[i] = true
+	covered := 0 // layers [0, covered) are present
+	for covered < total {
+		end := covered
+		for _, l := range layers {
+			if l.Version == version && l.From <= covered {
+				end = max(end, l.To)
+			}
 		}
-	}
-	for _, h := range have {
-		if !h {
+		if end == covered {
 			return false
 		}
+		covered = end
 	}
 	return total > 0
 }
--- a/routing/document.go
+++ b/routing/document.go
@@ -134,6 +134,9 @@
 			return fmt.Errorf("%w: a service has no name", ErrInvalid)
 		}
 		services[s.Name] = true
+		if err := s.Engine.validate(); err != nil {
+			return fmt.Errorf("%w: service %q: %w", ErrInvalid, s.Name, err)
+		}
 	}
 	routeNames := map[string]string{}
 	for i := range d.Routes {
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -1,5 +1,10 @@
 package routing
 
+import (
+	"fmt"
+	"math"
+)
+
 const (
 	// causalShare accounts for causal attention: each token attends only to the tokens
 	// before it.
@@ -10,6 +15,41 @@
 	defaultAnswerTokens = 100
 )
 
+// maxEngineNumber is far above any number that describes an engine. Products of two such
+// numbers, and their sums over all endpoints, do not overflow.
+const maxEngineNumber = math.MaxInt32
+
+// validate returns an error that describes the first number out of range. E may be nil.
+func (e *Engine) validate() error {
+	if e == nil {
+		return nil
+	}
+	for _, n := range []struct {
+		name  string
+		value float64
+	}{
+		{"slots", float64(e.Slots)},
+		{"KV cache capacity", float64(e.KVCapacityTokens)},
+		{"stride", float64(e.Stride)},
+		{"step duration", e.StepMs},
+		{"step duration per request", e.PerRequestMs},
+		{"step duration per context token", e.PerThousandTokensMs},
+		{"prefill rate", e.PrefillPerSecond},
+		{"attention time", e.AttentionMs},
+		{"prefill chunk", float64(e.PrefillChunkTokens)},
+		{"number of layers", float64(e.Layers)},
+		{"number of weight chunks", float64(e.WeightChunks)},
+		{"size of a weight chunk", float64(e.WeightChunkBytes)},
+		{"mean prompt length", float64(e.MeanPromptTokens)},
+		{"mean answer length", float64(e.MeanAnswerTokens)},
+	} {
+		if !(n.value >= 0 && n.value <= maxEngineNumber) { // also true for NaN
+			return fmt.Errorf("engine: %s %g is out of range", n.name, n.value)
+		}
+	}
+	return nil
+}
+
 // PrefillMs returns the time in milliseconds to prefill prompts with the given total
 // number of tokens.
 func (e *Engine) PrefillMs(tokens int) float64 {
