routing, platform: refuse durations, weights and limits that overflow

Two weights of 2^62 were acknowledged and sent every request to the first service.

Cause: milliseconds were multiplied and weights added without a bound.

--- a/routing/document.go
+++ b/routing/document.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -123,6 +124,14 @@
 	Source []byte
 }
 
+const (
+	// maxDuration is far above any duration that a deployment states. Sums of such
+	// durations do not overflow.
+	maxDuration = math.MaxInt32 * time.Millisecond
+	// maxWeight keeps the sum of the weights of a route from overflowing.
+	maxWeight = math.MaxInt32
+)
+
 // Validate returns an error that describes the first problem of the document.
 func (d *Document) Validate() error {
 	if d.Version == 0 {
@@ -137,6 +146,9 @@
 		if err := s.Engine.validate(); err != nil {
 			return fmt.Errorf("%w: service %q: %w", ErrInvalid, s.Name, err)
 		}
+		if s.MaxConnections < 0 {
+			return fmt.Errorf("%w: service %q: maximum of connections is negative", ErrInvalid, s.Name)
+		}
 	}
 	routeNames := map[string]string{}
 	for i := range d.Routes {
@@ -150,9 +162,22 @@
 		}
 		routeNames[key] = r.Name
 	}
+	if err := d.Limits.validate(); err != nil {
+		return err
+	}
 	return d.validateKeys()
 }
 
+func (l Limits) validate() error {
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || !validDuration(l.HeaderTimeout) || !validDuration(l.IdleTimeout) {
+		return fmt.Errorf("%w: a limit is out of range", ErrInvalid)
+	}
+	return nil
+}
+
+// validDuration reports whether a duration, which is 0 if it is not stated, is in range.
+func validDuration(d time.Duration) bool { return d >= 0 && d <= maxDuration }
+
 func (r *Route) validate(services map[string]bool) error {
 	fail := func(format string, args ...any) error {
 		return fmt.Errorf("%w: route %q: %s", ErrInvalid, r.Name, fmt.Sprintf(format, args...))
@@ -166,6 +191,9 @@
 	if r.Timeout <= 0 {
 		return fail("timeout must be above 0")
 	}
+	if !validDuration(r.Timeout) || !validDuration(r.Objective) || !validDuration(r.GapObjective) {
+		return fail("a duration is out of range")
+	}
 	total := 0
 	for _, t := range r.Targets {
 		if !services[t.Service] {
@@ -174,6 +202,9 @@
 		if t.Weight < 0 {
 			return fail("weight of service %q is negative", t.Service)
 		}
+		if t.Weight > maxWeight {
+			return fail("weight of service %q is above %d", t.Service, maxWeight)
+		}
 		total += t.Weight
 	}
 	if total == 0 {
--- a/routing/odd_numbers_test.go
+++ b/routing/odd_numbers_test.go
@@ -47,3 +47,29 @@
 		})
 	}
 }
+
+// Guards against accepting limits, durations and weights that no deployment means: sums
+// of weights that overflow send every request to one service, and durations above this
+// one overflow where they are added.
+func TestValidateRefusesOddRouteNumbers(t *testing.T) {
+	for name, change := range map[string]func(d *routing.Document){
+		"huge timeout":            func(d *routing.Document) { d.Routes[0].Timeout = math.MaxInt64 },
+		"negative objective":      func(d *routing.Document) { d.Routes[0].Objective = -1 },
+		"huge objective":          func(d *routing.Document) { d.Routes[0].Objective = math.MaxInt64 },
+		"negative gap":            func(d *routing.Document) { d.Routes[0].GapObjective = -1 },
+		"huge weight":             func(d *routing.Document) { d.Routes[0].Targets[0].Weight = math.MaxInt },
+		"weights that overflow":   func(d *routing.Document) { d.Routes[1].Targets[0].Weight, d.Routes[1].Targets[1].Weight = 1<<62, 1<<62 },
+		"negative connections":    func(d *routing.Document) { d.Services[0].MaxConnections = -1 },
+		"negative header bytes":   func(d *routing.Document) { d.Limits.HeaderBytes = -1 },
+		"negative body bytes":     func(d *routing.Document) { d.Limits.BodyBytes = -1 },
+		"negative header timeout": func(d *routing.Document) { d.Limits.HeaderTimeout = -1 },
+		"huge idle timeout":       func(d *routing.Document) { d.Limits.IdleTimeout = math.MaxInt64 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := valid()
+			change(d)
+			is.True(errors.Is(d.Validate(), routing.ErrInvalid))
+		})
+	}
+}
