platform: refuse heartbeats with numbers out of range

One heartbeat of another writer under the identifier of a server, with a sequence number or a start time far above any, was taken as its newest. All correct ones of that server then counted as late and were answered 200, and the server expired after four intervals while it checked in: its slots were lost for more than a minute.

Cause: the decoder checked the types only.

Such numbers are refused with 400 and reach no table.

--- /dev/null
+++ b/internal/control/odd_entries_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/platform"
+)
+
+// Tests of odd check-ins that other writers leave among those of the servers.
+
+// checkIn sends a check-in to a replica, with a change of its text, and returns the status.
+func checkIn(d *Daemon, id string, host, sequence int, from, to string) int {
+	body := fmt.Sprintf(`{"service":"quote","address":"10.1.0.%d:8080","zone":"a","slots":16,"state":"ready","sequence":%d,"born":1786525768071}`, host, sequence)
+	r := httptest.NewRequest("POST", "/instances/"+id+"/heartbeat", strings.NewReader(strings.Replace(body, from, to, 1)))
+	w := httptest.NewRecorder()
+	platform.RegistryHandler(d).ServeHTTP(w, r)
+	return w.Code
+}
+
+// Guards against an odd check-in under the identifier of a server after which the later
+// check-ins of that server count as late, so that it expires while it checks in.
+func TestServerStaysListedAfterOddCheckIn(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"highest sequence": {`"sequence":2`, `"sequence":18446744073709551615`},
+		"huge sequence":    {`"sequence":2`, `"sequence":9007199254740991`},
+		"highest start":    {`"born":1786525768071`, `"born":18446744073709551615`},
+		"start in ns":      {`"born":1786525768071`, `"born":1786525768071000000`},
+		"negative slots":   {`"slots":16`, `"slots":-16`},
+		"other type":       {`"slots":16`, `"slots":"16"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := &Daemon{fleet: newTestFleet()}
+				is.Equal(checkIn(d, "i-1", 1, 1, "", ""), 200)
+				is.Equal(checkIn(d, "i-2", 2, 1, "", ""), 200)
+				odd := checkIn(d, "i-1", 1, 2, change[0], change[1])
+				for sequence := range 3 * maxMissedHeartbeats {
+					time.Sleep(time.Second)
+					is.Equal(checkIn(d, "i-1", 1, sequence+2, "", ""), 200)
+					is.Equal(checkIn(d, "i-2", 2, sequence+2, "", ""), 200)
+					d.fleet.removeExpired(time.Now())
+					for _, id := range []string{"i-1", "i-2"} {
+						r, ok := mergedServers(d.fleet).Get(id)
+						is.True(ok) // still listed
+						is.Equal(r.Report.Slots, 16)
+						is.Equal(r.Incarnation, uint64(1786525768071))
+					}
+				}
+				is.Equal(odd, 400)
+			})
+		})
+	}
+}
