--- a/internal/control/odd_entries_test.go
+++ b/internal/control/odd_entries_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/platform"
 )
 
@@ -59,3 +60,20 @@
 		})
 	}
 }
+
+// Guards against odd check-ins that make the list of the servers longer than a frame, so that
+// no entry or replica can receive it any more.
+func TestServerListFitsFrameAfterHugeCheckIns(t *testing.T) {
+	is := is.New(t)
+	d := &Daemon{fleet: newTestFleet()}
+	is.Equal(checkIn(d, "good", 1, 1, "", ""), 200)
+	_ = checkIn(d, strings.Repeat("i", 512<<10), 3, 1, "", "")
+	for i := range 150 {
+		_ = checkIn(d, fmt.Sprint("odd-", i), 2, 1, `"zone":"a"`, `"zone":"`+strings.Repeat("a", 60<<10)+`"`)
+	}
+	frame := encodeFrame(wire.ServersFrom(mergedServers(d.fleet).Since(d.fleet.epoch, 0)))
+	is.True(len(frame) <= wire.MaxFrameBytes)
+	_, ok := mergedServers(d.fleet).Get("good")
+	is.True(ok)
+	is.Equal(len(mergedServers(d.fleet).Live()), 1)
+}
