fleetclient: let no check-in for an unknown service hide a server

A check-in of another writer with the address of a server, a later start and a service that the routing document does not name took the place of that server in the list of every entry, as if the address had been reused: its slots were lost for as long as the odd check-ins went on.

Cause: of two servers at one address the newest was listed, whatever its service.

Now a server whose service has endpoints in the document comes first, and the start decides among equals. A server of a service that a later document drops stays listed, so that requests in progress can still resume there. A check-in for a known service still replaces an older server at the address, since that is what a reused address looks like.

--- a/internal/fleetclient/lists.go
+++ b/internal/fleetclient/lists.go
@@ -30,7 +30,9 @@
 // ServerList returns the servers that a replica reports or reported recently. Recent ones
 // are included because a restarted replica knows no servers until they check in again,
 // and a sender of requests notices by itself that a server does not answer. Addresses are
-// reused, so only the most recently started server at each address is listed.
+// reused, so only the most recently started server at each address is listed. One whose
+// service has no endpoints in the routing document in force is listed only if it has the
+// address for itself: a check-in for an unknown service must not hide another server.
 func (c *Client) ServerList() []wire.Server {
 	now := time.Now()
 	c.mu.Lock()
@@ -44,7 +46,7 @@
 			delete(c.seenServers, id)
 			continue
 		}
-		if held, taken := newest[l.server.Address]; !taken || l.server.Started > held.Started {
+		if held, taken := newest[l.server.Address]; !taken || c.replaces(l.server, held) {
 			newest[l.server.Address] = l.server
 		}
 	}
@@ -60,6 +62,25 @@
 	return list
 }
 
+// replaces reports whether a server is listed instead of another one at the same address. The
+// caller holds mu.
+func (c *Client) replaces(s, held wire.Server) bool {
+	if known := c.hasEndpoints(s.Service); known != c.hasEndpoints(held.Service) {
+		return known
+	}
+	return s.Started > held.Started
+}
+
+// hasEndpoints reports whether the routing document in force names a service with endpoints.
+// Before the first document, every service counts. The caller holds mu.
+func (c *Client) hasEndpoints(service string) bool {
+	if c.table == nil {
+		return true
+	}
+	s := c.table.Service(service)
+	return s != nil && s.Origin == ""
+}
+
 // Processes returns the processes of this role that any replica reports, including this
 // one, sorted by name.
 func (c *Client) Processes() []wire.Process {
