relay: keep no pool for services that the document does not name

Each service name that a check-in of another writer stated left a pool in every entry that was never removed and was updated four times a second.

Evidence: TestUnknownServicesTakeNoMemory fails before with 201 pools instead of 1 (go test ./internal/relay -run TestUnknownServices).

Pools are now created for services of the routing document only. The pool of a service that a later document drops is kept for its requests in progress.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -102,7 +102,9 @@
 	defer d.mu.Unlock()
 	d.entries = entries
 	for name := range endpoints {
-		d.pool(name)
+		if table.Service(name) != nil { // pools are kept, and a check-in may state any name
+			d.pool(name)
+		}
 	}
 	for name, p := range d.pools {
 		var engine *routing.Engine
