control: refuse check-ins that contradict the same start of a server

A check-in of another writer under the identifier and start of a server, with another service or address and a higher sequence number, replaced the entry of that server, and its own check-ins then counted as late.

A restart has a later start and is taken. Without start times nothing tells the two apart, and an odd draining state or number of slots within the bounds is still believed.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/samber/oops"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
@@ -124,9 +125,20 @@
 		})
 }
 
-// CheckIn records a check-in of a server.
-func (f *fleet) CheckIn(s wire.Server, now time.Time) {
+// CheckIn records a check-in of a server. It refuses one that states another service or
+// address than the same incarnation did before, here or at another replica: a server cannot
+// change them without a restart, so it comes from another writer.
+func (f *fleet) CheckIn(s wire.Server, now time.Time) error {
 	f.mu.Lock()
+	local, _ := f.localServers.Get(s.ID)
+	remote, _ := f.remoteServers.Get(s.ID)
+	if contradicts(s, local.Report) || contradicts(s, remote.Report) {
+		f.mu.Unlock()
+		f.log.WithFields(log.Fields{
+			"server": s.ID, "started": s.Started, "service": s.Service, "address": s.Address,
+		}).Warn("check_in_contradicts")
+		return oops.In("control").With("server", s.ID).Wrap(ErrContradictory)
+	}
 	before := f.localServers.Version()
 	previous, known := f.localServers.Get(s.ID)
 	fresh := f.localServers.Apply(s.Record(), now)
@@ -135,16 +147,23 @@
 	f.mu.Unlock()
 	if !fresh {
 		f.log.WithFields(log.Fields{"server": s.ID, "started": s.Started, "sequence": s.Sequence}).Debug("check_in_late")
-		return
+		return nil
 	}
 	if !changed {
-		return
+		return nil
 	}
 	signal(f.wake)
 	f.log.WithFields(log.Fields{
 		"server": s.ID, "service": s.Service, "address": s.Address, "draining": s.Draining, "known": known,
 		"started": s.Started, "sequence": s.Sequence, "was_draining": previous.Draining,
 	}).Info("server_changed")
+	return nil
+}
+
+// contradicts reports whether a check-in and a held one of the same incarnation differ in what
+// a process cannot change. Without a start time, incarnations cannot be told apart.
+func contradicts(s, held wire.Server) bool {
+	return s.Started != 0 && s.Started == held.Started && (s.Service != held.Service || s.Address != held.Address)
 }
 
 // Depart records that a server deregisters. If started is 0, it applies to the
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -24,6 +24,9 @@
 	// ErrNotCurrent means that this replica cannot confirm which state is the
 	// newest.
 	ErrNotCurrent = errors.New("the newest state cannot be confirmed")
+	// ErrContradictory means that a check-in states another service or address than
+	// the same incarnation of the server did before.
+	ErrContradictory = errors.New("the same start of this server has another service or address")
 )
 
 const (
@@ -176,8 +179,8 @@
 	}()
 }
 
-// CheckIn records a check-in of a server.
-func (d *Daemon) CheckIn(s wire.Server) { d.fleet.CheckIn(s, time.Now()) }
+// CheckIn records a check-in of a server, or returns ErrContradictory.
+func (d *Daemon) CheckIn(s wire.Server) error { return d.fleet.CheckIn(s, time.Now()) }
 
 // Depart records that a server deregisters.
 func (d *Daemon) Depart(id string, started uint64) { d.fleet.Depart(id, started, time.Now()) }
