relay: ignore datagrams with numbers out of range

A datagram that states a prefill below 0 for a slot or a request made an engine look idle to its broker, which then sent all requests there until its slots were full. A rate limit dated to the future never ended, since no answer of the endpoint was newer.

Such a datagram is ignored as a whole, as a malformed one is, and the age of a limit is at least 0.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -42,6 +42,9 @@
 	return &Conn[M]{conn: conn, log: logger}, nil
 }
 
+// Address returns the local address.
+func (c *Conn[M]) Address() net.Addr { return c.conn.LocalAddr() }
+
 // Close closes the socket.
 func (c *Conn[M]) Close() { _ = c.conn.Close() }
 
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/placement"
@@ -117,13 +118,13 @@
 	return list
 }
 
-// namedRateLimit decodes a limit. The result ok is false if the endpoint is unknown here
-// or the rate is not valid.
+// namedRateLimit decodes a limit. The result ok is false if the endpoint is unknown here or a
+// number is out of range. A limit is never named in the future: no answer would be newer.
 func (m rateLimitMessage) namedRateLimit(endpointIDs map[uint32]string, now time.Time) (n placement.NamedRateLimit, ok bool) {
 	id, known := endpointIDs[m.Endpoint]
 	return placement.NamedRateLimit{
-		Endpoint: id, Incarnation: m.Incarnation, PerSecond: m.PerSecond, NamedAt: now.Add(-fromMs(m.AgeMs)),
-	}, known && m.PerSecond >= 0
+		Endpoint: id, Incarnation: m.Incarnation, PerSecond: m.PerSecond, NamedAt: now.Add(-fromMs(max(0, m.AgeMs))),
+	}, known && m.PerSecond >= 0 && m.AgeMs <= maxMs
 }
 
 // summaryMessage encodes a placement.Summary and the number of groups.
@@ -139,6 +140,32 @@
 	unknownEndpoint = "-"
 )
 
+const (
+	// maxTokens is the largest number of tokens that a caller can state.
+	maxTokens = 1 << 31
+	// maxMs is 139 years, which do not overflow a duration: weights may be named long ago.
+	maxMs = 1 << 42
+	// maxQueueMs is far above the time that a request waits for a slot.
+	maxQueueMs = 1 << 31
+)
+
+// valid reports whether the numbers of a message are in range. An endpoint with less than no
+// prefill pending would look idle, and a queued request with a wait of years would stay.
+func (m *peerMessage) valid() bool {
+	count := func(n int) bool { return n >= 0 && n <= maxTokens }
+	ms := func(n int64) bool { return n >= -maxMs && n <= maxMs }
+	if r := m.SlotRequest; r != nil && !(count(r.PromptTokens) && count(r.AnswerTokens) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
+		!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })) {
+		return false
+	}
+	if h := m.HeldSlots; h != nil && slices.ContainsFunc(h.PrefillTokens, func(n int32) bool { return n < 0 && n != prefillDone }) {
+		return false
+	}
+	return !slices.ContainsFunc(m.Events, func(e eventMessage) bool {
+		return !ms(e.LateMs) || e.RateLimit != nil && !(*e.RateLimit >= 0)
+	})
+}
+
 func (m *slotRequestMessage) slotRequest(from string, endpointIDs map[uint32]string, now time.Time) placement.SlotRequest {
 	a := placement.SlotRequest{
 		SlotRequestID: placement.SlotRequestID{Entry: from, Sequence: m.Sequence},
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -574,8 +574,11 @@
 	}
 }
 
-// receive handles a message from another entry.
+// receive handles a message from another entry. It ignores one with a number out of range.
 func (s *slotCoordinator) receive(m peerMessage) {
+	if !m.valid() {
+		return
+	}
 	now := time.Now()
 	key := groupKey{m.Service, m.Group}
 	if m.SlotResponse != nil {
