stager: ignore datagrams with another number of pieces

One datagram of another writer that stated another number of pieces for a version replaced its tracker by an empty one.

A stager that has the list of a version, or else the routing document, knows the number and ignores messages that state another one.

--- a/internal/stager/tracking.go
+++ b/internal/stager/tracking.go
@@ -167,6 +167,9 @@
 		d.handleReply(m)
 		return
 	}
+	if known := d.knownPieces(m.Version); known != 0 && known != m.Pieces {
+		return // it would replace the tracker of the version by an empty one
+	}
 	now := time.Now()
 	d.trackMu.Lock()
 	t := d.trackerFor(m.Version, m.Pieces, now)
@@ -184,6 +187,16 @@
 	d.reply(m.Version, m.Pieces, replies)
 }
 
+// knownPieces returns the number of pieces of a version according to its list or else to the
+// routing document, or 0 if this stager has neither.
+func (d *Daemon) knownPieces(version uint64) int {
+	if c := d.store.get(version); c != nil {
+		return len(c.pieces)
+	}
+	t, _ := d.target()
+	return t.pieces
+}
+
 func (d *Daemon) reply(version uint64, pieces int, replies []tracker.Reply) {
 	for _, r := range replies {
 		d.sendPeer(r.Address, peerMessage{Version: version, Pieces: pieces, Reply: &replyMessage{Number: r.Number, Fetches: fetchMessages(r.Fetches)}})
