stager: bound the free slots that a request states

A request of another writer with a huge number of free slots was assigned every piece that the region lacked, which no other stager then fetched until the fetches counted as slow.

--- a/internal/stager/messages.go
+++ b/internal/stager/messages.go
@@ -70,7 +70,7 @@
 
 func (m *requestMessage) request(from string, pieces int) tracker.Request {
 	return tracker.Request{
-		Address: from, Have: bitmapOf(m.Have, pieces), Fetching: fetches(m.Fetching, pieces), Failed: fetches(m.Failed, pieces), FreeSlots: m.FreeSlots, LastReply: m.LastReply,
+		Address: from, Have: bitmapOf(m.Have, pieces), Fetching: fetches(m.Fetching, pieces), Failed: fetches(m.Failed, pieces), FreeSlots: max(0, min(m.FreeSlots, parallelFetches)), LastReply: m.LastReply,
 	}
 }
 
--- a/internal/stager/odd_entries_test.go
+++ b/internal/stager/odd_entries_test.go
@@ -79,3 +79,13 @@
 		is.Equal(known, 1)
 	}
 }
+
+// Guards against a stager that is assigned more fetches than one ever starts, which no other
+// stager then gets.
+func TestFreeSlotsOfRequestAreBounded(t *testing.T) {
+	is := is.New(t)
+	for stated, want := range map[int]int{-1 << 63: 0, -1: 0, 0: 0, 1: 1, parallelFetches: parallelFetches, 1<<63 - 1: parallelFetches} {
+		m := requestMessage{FreeSlots: stated}
+		is.Equal(m.request("10.0.0.1:1", testPieces).FreeSlots, want)
+	}
+}
