relay: keep the broker of a request that waits

A request that was queued for over 0.3 s, as an interrupted stream may be, passed its broker over for a second although that responded: the repeated slot requests of a queued request counted as tries without a response. All requests then went to the next broker, and a suspect was granted by both.

Tries now count from the last response. TestLongWaitDoesNotSuspendBroker fails before.

--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -340,7 +340,7 @@
 		limits = s.groupRateLimits(p.key)
 		s.mu.Unlock()
 	}
-	for range triesPerBroker {
+	for tries := 0; tries < triesPerBroker; tries++ {
 		p.requests++
 		now := time.Now()
 		s.sendToBroker(p.broker, p.key, func(b *placement.Broker, now time.Time) {
@@ -354,7 +354,7 @@
 			case response := <-responses:
 				timer.Stop()
 				if response.Verdict == placement.Queued {
-					wait = queuedRepeatInterval
+					tries, wait = 0, queuedRepeatInterval
 					continue
 				}
 				p.response = response
--- a/internal/relay/slots_test.go
+++ b/internal/relay/slots_test.go
@@ -254,3 +254,26 @@
 		}
 	})
 }
+
+// Guards against passing over a broker that responds, because a queued request waits for
+// longer than a broker without a response may take.
+func TestLongWaitDoesNotSuspendBroker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, cancel := newPeerNetwork(t, 3, 2, "a")
+		defer cancel()
+		place := func(entry string) slotResult {
+			p, ok := n.slots[entry].requestSlot(t.Context(), "quotes", "a", placement.SlotRequest{
+				Request: placement.Request{PromptTokens: 500, Zone: "a", Suspects: []uint64{7}}, MaxWait: 1200 * time.Millisecond, Resumed: true,
+			})
+			is.True(ok)
+			return p
+		}
+		first := place("entry-0")
+		time.AfterFunc(600*time.Millisecond, func() { n.slots["entry-0"].firstEvent(first.sequence, 0) })
+		before := time.Now()
+		second := place("entry-1")
+		is.Equal(second.broker, first.broker)
+		is.True(time.Since(before) >= 600*time.Millisecond) // after the first has begun
+	})
+}
