relay: accept no numbers out of range in reports of crashes

A negative number of renewals ended the process, and an age below zero made a part suspect until a time in the future. Long prompts also filled the logs; lines now list up to 16 parts. TestOddCrashMessagesLeaveGuardUsable fails before.

--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -146,7 +146,7 @@
 // other entries if that clears a suspect.
 func (g *crashGuard) recordSound(q *request, began, now time.Time) {
 	if cleared := g.applySound(q.parts, began); len(cleared) > 0 {
-		g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(cleared), AgeMs: now.Sub(began).Milliseconds()}})
+		g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(cleared), AgeMs: ageMs(began, now)}})
 	}
 }
 
@@ -184,7 +184,7 @@
 	case m.Crash != nil:
 		g.applyCrash(m.Crash.crashReport(now), m.Crash.RequestID, m.From, now)
 	case m.Sound != nil:
-		g.applySound(toPartIDs(m.Sound.Parts), now.Add(-fromMs(m.Sound.AgeMs)))
+		g.applySound(toPartIDs(m.Sound.Parts), ago(m.Sound.AgeMs, now))
 	case m.Suspects != nil && m.Suspects.Request:
 		if g.ready(now) {
 			g.sendRecords(m.From, now)
@@ -210,7 +210,7 @@
 			quarantined = append(quarantined, record.Part)
 		}
 		if !at.IsZero() {
-			refuted = append(refuted, peerMessage{Sound: &soundMessage{Parts: []uint64{r.Part}, AgeMs: now.Sub(at).Milliseconds()}})
+			refuted = append(refuted, peerMessage{Sound: &soundMessage{Parts: []uint64{r.Part}, AgeMs: ageMs(at, now)}})
 		}
 	}
 	g.synced = true
@@ -254,11 +254,15 @@
 	}
 }
 
-// formatParts returns part IDs as they appear in logs and on the admin port.
+// maxLoggedParts limits the part IDs in a log line.
+const maxLoggedParts = 16
+
+// formatParts returns part IDs as they appear in logs and on the admin port, at most
+// maxLoggedParts.
 func formatParts(parts []quarantine.PartID) []string {
-	list := make([]string, len(parts))
-	for i, part := range parts {
-		list[i] = formatPart(part)
+	var list []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		list = append(list, formatPart(part))
 	}
 	return list
 }
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -377,3 +378,23 @@
 		}
 	})
 }
+
+// Guards against a datagram with numbers out of range that ends the process, or makes a part
+// suspect for good.
+func TestOddCrashMessagesLeaveGuardUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newEntryFleet(t, 2, 2)
+		defer stop()
+		g := f.handlers[0].guard
+		for _, n := range []int64{math.MinInt64, -1, math.MaxInt64} {
+			g.receive(peerMessage{From: "entry-1", Crash: &crashMessage{AgeMs: n, PlacedAgeMs: n, Parts: []uint64{1}}}, time.Now())
+			g.receive(peerMessage{From: "entry-1", Sound: &soundMessage{AgeMs: n, Parts: []uint64{2}}}, time.Now())
+			g.receive(peerMessage{From: "entry-1", Suspects: &suspectsMessage{Records: []partRecordMessage{
+				{Part: 3, Renewals: int(n), Crashes: []partCrashMessage{{AgeMs: n, PlacedAgeMs: n}}}, {Part: 4},
+			}}}, time.Now())
+		}
+		time.Sleep(time.Hour)
+		is.Equal(g.check(&request{parts: []quarantine.PartID{1, 2, 3, 4}}, time.Now()), quarantine.PartVerdict{})
+	})
+}
--- a/internal/relay/crash_messages.go
+++ b/internal/relay/crash_messages.go
@@ -71,7 +71,7 @@
 func (m *crashMessage) crashReport(now time.Time) quarantine.CrashReport {
 	parts := toPartIDs(m.Parts)
 	return quarantine.CrashReport{
-		Endpoint: m.Endpoint, Incarnation: m.Incarnation, Source: m.Source, PlacedAt: now.Add(-fromMs(m.PlacedAgeMs)), At: now.Add(-fromMs(m.AgeMs)),
+		Endpoint: m.Endpoint, Incarnation: m.Incarnation, Source: m.Source, PlacedAt: ago(m.PlacedAgeMs, now), At: ago(m.AgeMs, now),
 		Parts: parts[:min(len(parts), maxSuspectParts)],
 	}
 }
@@ -88,12 +88,12 @@
 }
 
 func (m partRecordMessage) partRecord(now time.Time) quarantine.PartRecord {
-	r := quarantine.PartRecord{Part: quarantine.PartID(m.Part), Renewals: m.Renewals}
+	r := quarantine.PartRecord{Part: quarantine.PartID(m.Part), Renewals: max(0, min(m.Renewals, maxRenewals))}
 	common := toPartIDs(m.Common)
 	slices.Sort(common)
 	for _, c := range m.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Endpoint: c.Endpoint, Incarnation: c.Incarnation, Source: c.Source, PlacedAt: now.Add(-fromMs(c.PlacedAgeMs)), At: now.Add(-fromMs(c.AgeMs)),
+			Endpoint: c.Endpoint, Incarnation: c.Incarnation, Source: c.Source, PlacedAt: ago(c.PlacedAgeMs, now), At: ago(c.AgeMs, now),
 			Parts: common,
 		})
 	}
@@ -101,3 +101,10 @@
 }
 
 func ageMs(at, now time.Time) int64 { return now.Sub(at).Milliseconds() }
+
+// ago returns the time with the given age. A message with an age out of range, which would
+// be a time in the future or overflow, counts as new or as old as possible.
+func ago(ageMs int64, now time.Time) time.Time { return now.Add(-fromMs(max(0, min(ageMs, maxMs)))) }
+
+// maxRenewals is above the renewals after which a quarantine lasts no longer.
+const maxRenewals = 16
