--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,11 +50,13 @@
 	// syncedBy is when this entry stops waiting for the records of others; zero before the
 	// first update.
 	syncedBy time.Time
-	synced   bool // has the records of another entry
+	synced   bool // has the records of another entry, or all of them are starting
+	// starting holds the entries that are starting, too.
+	starting map[string]bool
 }
 
 func newCrashGuard(logger log.Interface, m *relayMetrics, send func(string, peerMessage)) *crashGuard {
-	return &crashGuard{log: logger, send: send, metrics: m, list: quarantine.NewPartList(quarantine.PartConfig{})}
+	return &crashGuard{log: logger, send: send, metrics: m, list: quarantine.NewPartList(quarantine.PartConfig{}), starting: map[string]bool{}}
 }
 
 // partIDs returns the parts of a request that may crash endpoints: the request itself, which
@@ -78,7 +81,7 @@
 	g.mu.Lock()
 	known := len(g.others)
 	g.others = others
-	if g.syncedBy.IsZero() {
+	if g.syncedBy.IsZero() || known == 0 && len(others) > 0 {
 		g.syncedBy = now.Add(suspectSyncTimeout)
 	}
 	ask := !g.synced && (now.Before(g.syncedBy) || len(others) > known)
@@ -188,7 +191,11 @@
 	case m.Suspects != nil && m.Suspects.Request:
 		if g.ready(now) {
 			g.sendRecords(m.From, now)
+		} else {
+			g.send(m.From, peerMessage{Suspects: &suspectsMessage{Starting: true}})
 		}
+	case m.Suspects != nil && m.Suspects.Starting:
+		g.recordStarting(m.From)
 	case m.Suspects != nil:
 		g.mergeRecords(m.From, m.Suspects.Records, now)
 	default:
@@ -197,6 +204,14 @@
 	return true
 }
 
+// recordStarting records that another entry has just started and has no records to wait for.
+func (g *crashGuard) recordStarting(from string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.starting[from] = true
+	g.synced = g.synced || !slices.ContainsFunc(g.others, func(name string) bool { return !g.starting[name] })
+}
+
 // mergeRecords adds the records of another entry. If a sound request has refuted some of
 // them, it tells that entry, which has missed it and may refuse sound requests.
 func (g *crashGuard) mergeRecords(from string, records []partRecordMessage, now time.Time) {
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -398,3 +398,19 @@
 		is.Equal(g.check(&request{parts: []quarantine.PartID{1, 2, 3, 4}}, time.Now()), quarantine.PartVerdict{})
 	})
 }
+
+// Guards against entries that start together and wait for the records of each other in vain,
+// while no entry takes requests.
+func TestEntriesThatStartTogetherDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := newEntryFleet(t, 4, 1)
+		defer stop()
+		for _, h := range f.handlers {
+			h.guard.mu.Lock()
+			timeout := h.guard.syncedBy
+			h.guard.mu.Unlock()
+			is.New(t).True(time.Now().Before(timeout))
+			is.New(t).True(h.guard.ready(time.Now()))
+		}
+	})
+}
--- a/internal/relay/crash_messages.go
+++ b/internal/relay/crash_messages.go
@@ -28,8 +28,10 @@
 
 // suspectsMessage holds the records of an entry, or requests those of the receiver.
 type suspectsMessage struct {
-	Request bool                `cbor:"1,keyasint,omitempty"`
-	Records []partRecordMessage `cbor:"2,keyasint,omitempty"`
+	Request bool `cbor:"1,keyasint,omitempty"`
+	// Starting is true in the response of an entry that has just started, too.
+	Starting bool                `cbor:"3,keyasint,omitempty"`
+	Records  []partRecordMessage `cbor:"2,keyasint,omitempty"`
 }
 
 // partRecordMessage encodes a quarantine.PartRecord.
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -249,6 +249,11 @@
 }
 
 func (d *Daemon) refresh() {
+	processes := d.fleet.Processes()
+	if p := d.peers.Load(); p != nil {
+		p.setAddresses(processes)
+	}
+	d.guard.update(d.otherEntries(processes), time.Now())
 	table := d.fleet.Table()
 	if table == nil {
 		return
@@ -260,11 +265,6 @@
 		endpoints[s.Service] = append(endpoints[s.Service], e)
 		keep[connKey(e)] = true
 	}
-	processes := d.fleet.Processes()
-	if p := d.peers.Load(); p != nil {
-		p.setAddresses(processes)
-	}
-	d.guard.update(d.otherEntries(processes), time.Now())
 	entries := d.entries(processes)
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -79,12 +79,12 @@
 	}
 	q.deadline = q.arrived.Add(q.call.Timeout)
 	table := h.fleet.Table()
-	if !h.guard.ready(q.arrived) {
-		return q, &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: noRoutingRetryAfter}
-	}
 	if table == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: NoRouting, retryAfter: noRoutingRetryAfter}
 	}
+	if !h.guard.ready(q.arrived) {
+		return q, &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: noRoutingRetryAfter}
+	}
 	q.table = table
 	path, _, _ := strings.Cut(q.target, "?")
 	if q.route = table.Route(q.host, path); q.route == nil {
