daemon: handle SIGTERM before anything that may block

If the reader of the logs had stopped reading, the entry did not begin its drain and SIGKILL cut off its requests. SIGHUP and SIGTERM shared one channel, so a series of SIGHUP could also displace SIGTERM.

Now stops and hangups have a channel each, the settings watcher reads the latter itself, and the context is cancelled before the log line.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/apex/log"
-
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 )
 
@@ -44,16 +43,16 @@
 // Main exits the process with status 1 on an error, and with ExitUsage for a wrong
 // command line.
 func Main(name, description string, config settings.Checker, run func(ctx context.Context, reloads Reloads) error) {
-	signals := notifySignals()
+	received := notifySignals()
 	var f flags
 	kong.Parse(&f, kong.Name(name), kong.Description(description), kong.Vars{"version": Version(name)}, kong.Exit(Exit))
-	if err := start(f, config, signals, run); err != nil {
+	if err := start(f, config, received, run); err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		os.Exit(1)
 	}
 }
 
-func start(f flags, config settings.Checker, signals <-chan os.Signal, run func(ctx context.Context, reloads Reloads) error) error {
+func start(f flags, config settings.Checker, received signals, run func(ctx context.Context, reloads Reloads) error) error {
 	defaults := reflect.ValueOf(config).Elem().Interface()
 	if err := settings.Load(f.Settings, config); err != nil {
 		return err
@@ -65,9 +64,8 @@
 	running, stopRunning := context.WithCancel(context.Background())
 	defer stopRunning()
 	ctx, stop := context.WithCancel(running)
-	hangups := make(chan struct{}, 1)
-	go handleSignals(running, signals, stop, hangups)
-	return run(ctx, watchSettings(running, f.Settings, defaults, hangups))
+	go received.handleStops(running, stop)
+	return run(ctx, watchSettings(running, f.Settings, defaults, received.hangups))
 }
 
 // pollInterval is the time between checks of the settings file, which may change
@@ -76,7 +74,7 @@
 
 // watchSettings reloads the settings after each hangup and when their file changes,
 // until ctx ends.
-func watchSettings(ctx context.Context, path string, defaults any, hangups <-chan struct{}) Reloads {
+func watchSettings(ctx context.Context, path string, defaults any, hangups <-chan os.Signal) Reloads {
 	reloads := make(chan settings.Checker, 1)
 	go func() {
 		ticker := time.NewTicker(pollInterval)
@@ -87,6 +85,7 @@
 			case <-ctx.Done():
 				return
 			case <-hangups:
+				log.Info("reload_requested")
 			case <-ticker.C:
 				if modTime(path).Equal(last) {
 					continue
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -66,21 +66,34 @@
 	output  *bufio.Scanner
 }
 
-// startDraining starts a daemon, requests its stop and waits until it drains.
-func startDraining(t *testing.T) *drainTest {
+// newDrainTest starts a daemon that logs to stderr.
+func newDrainTest(t *testing.T, stderr io.Writer) *drainTest {
 	t.Helper()
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	is.NoErr(os.WriteFile(path, []byte("instance: a\n"), 0o600))
 	d := &drainTest{T: t, command: exec.Command(os.Args[0], "--settings", path)}
 	d.command.Env = append(os.Environ(), daemonEnv+"="+drainingDaemon)
+	d.command.Stderr = stderr
 	input, err := d.command.StdinPipe()
 	is.NoErr(err)
 	output, err := d.command.StdoutPipe()
 	is.NoErr(err)
 	d.input, d.pipe, d.output = input, output, bufio.NewScanner(output)
 	is.NoErr(d.command.Start())
+	// Ends a daemon that a failed test has left running.
+	timer := time.AfterFunc(drainTestTimeout, func() { _ = d.command.Process.Kill() })
+	t.Cleanup(func() { timer.Stop() })
 	d.expect("started")
+	return d
+}
+
+const drainTestTimeout = 5 * time.Second
+
+// startDraining starts a daemon, requests its stop and waits until it drains.
+func startDraining(t *testing.T) *drainTest {
+	t.Helper()
+	d := newDrainTest(t, nil)
 	d.signal(syscall.SIGTERM)
 	d.expect("draining")
 	return d
@@ -136,6 +149,29 @@
 	d.endDrain()
 }
 
+// Guards against a stop signal that is not handled, or is lost in a series of reload
+// signals, while the reader of the logs has stopped reading.
+func TestStopSignalWhileLogsBlock(t *testing.T) {
+	is := is.New(t)
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = reader.Close() }()
+	is.NoErr(writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+	for err == nil { // fill the pipe
+		_, err = writer.Write(make([]byte, 4096))
+	}
+	for _, series := range []int{0, 40} {
+		d := newDrainTest(t, writer)
+		for range series {
+			d.signal(syscall.SIGHUP)
+			time.Sleep(time.Millisecond)
+		}
+		d.signal(syscall.SIGTERM)
+		d.expect("draining")
+		d.endDrain()
+	}
+}
+
 // Guards against exit codes that differ from docs/operating.md.
 func TestCommandLine(t *testing.T) {
 	good := filepath.Join(t.TempDir(), "good.yaml")
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -30,9 +30,7 @@
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
 	write("instance: one\nextra: x\n")
-	hangups := make(chan struct{}, 1)
-	go handleSignals(t.Context(), notifySignals(), func() {}, hangups)
-	reloads := watchSettings(t.Context(), path, reloaded{Extra: "default"}, hangups)
+	reloads := watchSettings(t.Context(), path, reloaded{Extra: "default"}, notifySignals().hangups)
 	hangUp := func() { is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
 	next := func() *reloaded {
 		select {
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -9,43 +9,38 @@
 	"github.com/apex/log"
 )
 
-// maxPendingSignals is the number of signals that may wait to be handled. Further ones
-// are dropped.
-const maxPendingSignals = 16
+// signals holds the signals that a daemon handles, from the start to the end of the
+// process: the default action of SIGTERM and SIGHUP would cut off the requests in
+// progress.
+type signals struct {
+	// stops and hangups are separate, so that a series of SIGHUP does not displace
+	// SIGTERM.
+	stops, hangups chan os.Signal
+}
 
-// notifySignals returns the signals that a daemon handles. SIGHUP and SIGTERM are handled
-// from here to the end of the process: their default action would cut off the requests
-// in progress. So would that of SIGPIPE, which a write to standard output raises once the
-// reader of the logs has ended; it is caught and ignored.
-func notifySignals() <-chan os.Signal {
-	signal.Notify(make(chan os.Signal), syscall.SIGPIPE) // the write then returns an error
-	signals := make(chan os.Signal, maxPendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	return signals
+func notifySignals() signals {
+	s := signals{stops: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1)}
+	signal.Notify(s.stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.hangups, syscall.SIGHUP)
+	// A write to standard output raises SIGPIPE once the reader of the logs has ended. If
+	// the signal is caught, the write returns an error instead.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
+	return s
 }
 
-// handleSignals calls stop on SIGTERM and SIGINT, and reports SIGHUP to hangups, until ctx
-// ends. A second SIGINT ends the process, so that a user at a terminal need not wait for
-// the drain.
-func handleSignals(ctx context.Context, signals <-chan os.Signal, stop func(), hangups chan<- struct{}) {
+// handleStops calls stop on SIGTERM and SIGINT until ctx ends. A second SIGINT ends the
+// process, so that a user at a terminal need not wait for the drain.
+func (s signals) handleStops(ctx context.Context, stop func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				log.Info("reload_requested")
-				select {
-				case hangups <- struct{}{}:
-				default: // a reload is already pending
-				}
-				continue
-			}
-			log.WithField("cause", s.String()).Info("stop_requested")
-			if s == os.Interrupt {
+		case received := <-s.stops:
+			if received == os.Interrupt {
 				signal.Reset(os.Interrupt)
 			}
-			stop()
+			stop() // before the log line, which may block
+			log.WithField("cause", received.String()).Info("stop_requested")
 		}
 	}
 }
