daemon: log stop requests and reloads with the lines of the daemon

stop_requested, reload_requested and settings_not_reloaded were written as text to standard error, without the program and the instance, while the other lines of control, relay and stager are JSON on standard output. On-call engineers who follow docs/OPERATIONS.md did not find them there.

The daemons now pass their logger on. TestStopRequestIsLogged checks the fields.

--- a/cmd/rhubarb-agent/main.go
+++ b/cmd/rhubarb-agent/main.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.SetLogger(logger)
 	weights, err := agent.OpenTransfer(config, token, logger)
 	if err != nil {
 		return err
--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.SetLogger(logger)
 	defer lines.Close()
 	d, err := control.New(config, control.Options{
 		ProcessToken: &processToken, OperatorToken: &operatorToken,
--- a/cmd/rhubarb-entry/main.go
+++ b/cmd/rhubarb-entry/main.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.SetLogger(logger)
 	return entry.New(entry.Options{
 		Settings: config, ProcessToken: processToken, CallerToken: callerToken,
 		OrganisationTokens: organisationTokens, Log: logger,
--- a/cmd/rhubarb-relay/main.go
+++ b/cmd/rhubarb-relay/main.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.SetLogger(logger)
 	defer lines.Close()
 	return relay.New(config, relay.Options{
 		Token: token, Protocol: platform.Headers{}, Decode: platform.DecodeRouting, ReadyHandler: platform.ReadyHandler,
--- a/cmd/rhubarb-stager/main.go
+++ b/cmd/rhubarb-stager/main.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.SetLogger(logger)
 	defer lines.Close()
 	return stager.New(config, stager.Options{
 		Token: token, Decode: platform.DecodeRouting,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/apex/log"
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
 )
 
@@ -85,7 +84,7 @@
 			case <-ctx.Done():
 				return
 			case <-hangups:
-				log.Info("reload_requested")
+				logger().Info("reload_requested")
 			case <-ticker.C:
 				if modTime(path).Equal(last) {
 					continue
@@ -96,7 +95,7 @@
 			next.Elem().Set(reflect.ValueOf(defaults))
 			config := next.Interface().(settings.Checker)
 			if err := settings.Load(path, config); err != nil {
-				log.WithError(err).Error("settings_not_reloaded")
+				logger().WithError(err).Error("settings_not_reloaded")
 				continue
 			}
 			select {
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"context"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -53,3 +57,21 @@
 		is.Equal(c.Instance, "two") // the poll may reload it again
 	}
 }
+
+// Guards against stop requests that are missing in the logs of the daemon, or that are
+// logged there without the fields of its other lines.
+func TestStopRequestIsLogged(t *testing.T) {
+	is := is.New(t)
+	handler := memory.New()
+	SetLogger((&log.Logger{Handler: handler, Level: log.InfoLevel}).WithField("instance", "a"))
+	defer currentLogger.Store(nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := signals{stops: make(chan os.Signal, 1)}
+	s.stops <- syscall.SIGTERM
+	var done sync.WaitGroup
+	done.Go(func() { s.handleStops(ctx, cancel) })
+	done.Wait()
+	is.Equal(len(handler.Entries), 1)
+	is.Equal(handler.Entries[0].Message, "stop_requested")
+	is.Equal(handler.Entries[0].Fields, log.Fields{"instance": "a", "cause": "terminated"})
+}
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/apex/log"
@@ -40,7 +41,21 @@
 				signal.Reset(os.Interrupt)
 			}
 			stop() // before the log line, which may block
-			log.WithField("cause", received.String()).Info("stop_requested")
+			logger().WithField("cause", received.String()).Info("stop_requested")
 		}
 	}
 }
+
+// currentLogger is the logger that was set by SetLogger.
+var currentLogger atomic.Pointer[log.Interface]
+
+// SetLogger sets the logger for stop requests and reloads. Without it, they are logged as
+// text on standard error.
+func SetLogger(l log.Interface) { currentLogger.Store(&l) }
+
+func logger() log.Interface {
+	if l := currentLogger.Load(); l != nil {
+		return *l
+	}
+	return log.Log
+}
