relay: keep connections open when a drain starts

Callers that sent a request on a kept connection just as an entry began to drain got a closed connection instead of an answer, also for requests that had been passed on to an endpoint and may have run.

Cause: SetKeepAlivesEnabled(false) closes idle connections at once, and net/http counts a kept connection as idle until it has parsed the whole head of the next request. The goroutine that reads the request goes on and calls the handler.

Connections now stay open.

--- a/internal/network/servers.go
+++ b/internal/network/servers.go
@@ -33,6 +33,9 @@
 	return nil
 }
 
+// Drainable returns the server as a DrainServer, which then serves in its place.
+func (s Server) Drainable() *DrainServer { return NewDrainServer(s.Server, s.listener) }
+
 // OpenServers opens the listeners of all servers and returns them ready to serve.
 // If one fails, it closes those already open.
 func OpenServers(n Network, ports ...ServerConfig) ([]Server, error) {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -149,6 +149,12 @@
 	return nil
 }
 
+// port is a server of the daemon.
+type port interface {
+	Serve() error
+	Close() error
+}
+
 // Run serves until ctx ends, then drains: it returns when the requests in progress are
 // done or the grace period is over.
 func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
@@ -163,12 +169,17 @@
 	if err != nil {
 		return oops.In("relay").Wrap(err)
 	}
-	callers := servers[0]
-	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
-	callers.BaseContext = func(net.Listener) context.Context { return background }
+	server := servers[0]
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
+	server.BaseContext = func(net.Listener) context.Context { return background }
+	callers := server.Drainable()
+	ports := []port{callers}
+	for _, s := range servers[1:] {
+		ports = append(ports, s)
+	}
 	var wg sync.WaitGroup
-	failures := make(chan error, len(servers))
-	for _, s := range servers {
+	failures := make(chan error, len(ports))
+	for _, s := range ports {
 		wg.Go(func() {
 			if err := s.Serve(); err != nil {
 				failures <- oops.In("relay").Wrap(err)
@@ -186,7 +197,7 @@
 	case err = <-failures:
 	}
 	stopBackground()
-	for _, s := range servers {
+	for _, s := range ports {
 		_ = s.Close() // the grace period is over
 	}
 	wg.Wait()
@@ -196,12 +207,12 @@
 
 // drain announces that this entry is draining, still accepts requests from callers that
 // cached its address, and then waits for the requests in progress.
-func (d *Daemon) drain(callers network.Server) {
+func (d *Daemon) drain(callers *network.DrainServer) {
 	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
 	d.draining.Store(true)
 	d.fleet.Announce(d.process(d.fleet.Table() != nil))
 	d.log.Info("draining")
-	callers.SetKeepAlivesEnabled(false)
+	callers.StartDrain()
 	for begun := time.Now(); time.Since(begun) < d.acceptPeriod(); {
 		time.Sleep(drainPollInterval)
 	}
--- /dev/null
+++ b/internal/relay/drain_test.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/auth"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/settings"
+	"github.com/rhubarbhill/rhubarbhill/platform"
+)
+
+// drainingRelay is a running relay whose stop a test requests. No other entry is ready,
+// so it accepts callers for a third of its grace period.
+type drainingRelay struct {
+	*Daemon
+	address string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// startRelay starts a relay in front of the servers. Network is nil for TCP.
+func startRelay(t *testing.T, grace time.Duration, n network.Network, servers ...*server) *drainingRelay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	s := DefaultSettings()
+	s.Instance, s.Zone, s.Region, s.Grace = "entry-1", "near", "r", settings.Duration(grace)
+	s.Listen, s.PeerListen, s.MetricsListen = address, "127.0.0.1:0", "127.0.0.1:0"
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	d := New(s, Options{
+		Token: auth.NewToken("0123456789abcdef"), Network: n, Protocol: platform.Headers{},
+		Decode: platform.DecodeRouting, ReadyHandler: platform.ReadyHandler,
+	}, logger)
+	h, _ := newEntry(t, servers...)
+	d.handler.fleet, d.handler.dispatcher = h.fleet, h.dispatcher
+	ctx, stop := context.WithCancel(t.Context())
+	e := &drainingRelay{Daemon: d, address: address, stop: stop, ended: make(chan error, 1)}
+	go func() { e.ended <- d.Run(ctx, nil) }()
+	return e
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// dial opens a connection once the relay listens.
+func (e *drainingRelay) dial(t *testing.T) *callerConn {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		conn, err := net.Dial("tcp", e.address)
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			return &callerConn{conn, bufio.NewReader(conn)}
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
+
+// write sends bytes, ignoring errors: the test fails when it reads the answer.
+func (c *callerConn) write(data string) { _, _ = io.WriteString(c, data) }
+
+// answer is an answer as a caller receives it.
+type answer struct {
+	status     string // or how reading it failed
+	closes     bool   // it is announced as the last one on its connection
+	retryAfter string
+	body       string
+}
+
+// answer reads an answer.
+func (c *callerConn) answer() answer {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{status: "no answer: " + err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{status: "truncated answer: " + err.Error()}
+	}
+	return answer{response.Status, response.Close, response.Header.Get("Retry-After"), string(body)}
+}
+
+// exchange sends a request and reads its answer.
+func (c *callerConn) exchange(request string) answer {
+	c.write(request)
+	return c.answer()
+}
+
+// orderRequest returns a request whose caller waits for timeout.
+func orderRequest(timeout time.Duration) string {
+	return fmt.Sprintf("POST /unsafe/order HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: 5\r\n\r\norder", testID, timeout.Milliseconds(), testKey)
+}
+
+const okStatus = "200 OK"
+
+// Guards against a drain whose start closes kept connections without an answer, while a
+// request is read on them or was passed on just before.
+func TestDrainAnswersRequestsOnKeptConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		time.Sleep(100 * time.Millisecond)
+		return ok(conn, r)
+	})
+	e := startRelay(t, 3*time.Second, nil, s)
+	inProgress, reading, idle := e.dial(t), e.dial(t), e.dial(t)
+	request := orderRequest(time.Second)
+	for _, c := range []*callerConn{inProgress, reading, idle} {
+		is.Equal(c.exchange(request), answer{status: okStatus, body: "done"})
+	}
+	start, rest, _ := strings.Cut(request, "X-Deadline")
+	inProgress.write(request)
+	reading.write(start)
+	time.Sleep(50 * time.Millisecond) // until the relay has read them
+	e.stop()
+	time.Sleep(100 * time.Millisecond)
+	reading.write("X-Deadline" + rest)
+	idle.write(request)
+	for _, c := range []*callerConn{inProgress, reading, idle} {
+		is.Equal(c.answer(), answer{status: okStatus, body: "done", closes: true})
+	}
+	is.NoErr(<-e.ended)
+	is.Equal(s.count(), 6)
+}
