relay: answer requests that arrive after the accept period of a drain

When an entry that drained stopped accepting connections, callers got a closed connection instead of an answer for a request on a connection that was still open: one whose head was read after that moment, or was read in part then.

Cause: http.Server.Shutdown returns from the goroutine of a connection after it has read a request, without an answer, and closes connections that it takes to be idle while the head of a request is read on them.

A drain without requests ends as early as before.

The listener still closes at the end of the accept period: to a caller with a stale address, a refused connection is the quickest way to another entry. On open connections, a request whose deadline is before the end of the drain is served, since that is sooner for its caller than a retry. Any other is refused with status 503 and reason 'draining'.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -37,15 +37,6 @@
 	// document. A document with 1,200 routes takes 10 ms of CPU time and must be in
 	// force within 2 s.
 	minRoutingInterval = 500 * time.Millisecond
-	stopMargin         = 600 * time.Millisecond
-	// drainAccept is how long a draining relay accepts requests while other entries are
-	// ready. It covers the time for which most callers cache addresses, plus their
-	// lookups.
-	drainAccept = 1300 * time.Millisecond
-	// drainAcceptAlone applies if no other entry is ready. It leaves a stream of usual
-	// length time to end within the grace period.
-	drainAcceptAlone  = 2800 * time.Millisecond
-	drainPollInterval = 50 * time.Millisecond
 	// softWeightsMargin and weightsMargin are subtracted from the time after which no
 	// request may begin on older weights. A request may be pending until its read
 	// timeout, and one that is delayed by a slow link begins up to 0.8 s later still
@@ -205,37 +196,6 @@
 	return err
 }
 
-// drain announces that this entry is draining, still accepts requests from callers that
-// cached its address, and then waits for the requests in progress.
-func (d *Daemon) drain(callers *network.DrainServer) {
-	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
-	d.draining.Store(true)
-	d.fleet.Announce(d.process(d.fleet.Table() != nil))
-	d.log.Info("draining")
-	callers.StartDrain()
-	for begun := time.Now(); time.Since(begun) < d.acceptPeriod(); {
-		time.Sleep(drainPollInterval)
-	}
-	d.fleet.Announce(d.process(false))
-	d.log.Info("no_more_callers")
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("requests_cut_by_stop")
-	}
-}
-
-// acceptPeriod returns how long requests are accepted after a stop signal: as long as
-// callers may cache the address, and longer if no other entry is ready.
-func (d *Daemon) acceptPeriod() time.Duration {
-	for _, p := range d.fleet.Processes() {
-		if p.Name != d.settings.Instance && p.Ready && !p.Draining {
-			return min(drainAccept, d.settings.Grace.Std()/4)
-		}
-	}
-	return min(drainAcceptAlone, d.settings.Grace.Std()/3)
-}
-
 // refreshLoop updates the pools and the peers when the state of the fleet changes, and
 // at intervals.
 func (d *Daemon) refreshLoop(ctx context.Context) {
--- /dev/null
+++ b/internal/relay/drain.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
+)
+
+const (
+	stopMargin = 600 * time.Millisecond
+	// drainAccept is how long a draining relay accepts requests while other entries are
+	// ready. It covers the time for which most callers cache addresses, plus their
+	// lookups.
+	drainAccept = 1300 * time.Millisecond
+	// drainAcceptAlone applies if no other entry is ready. It leaves a stream of usual
+	// length time to end within the grace period.
+	drainAcceptAlone  = 2800 * time.Millisecond
+	drainPollInterval = 50 * time.Millisecond
+	// drainRetryAfter is the retry delay for a request that a draining relay refuses. The
+	// caller opens a connection to another entry, which can serve it at once.
+	drainRetryAfter = 50 * time.Millisecond
+)
+
+// drain announces that this entry is draining and still accepts requests from callers that
+// cached its address. Then it closes the listener and waits for the requests in progress
+// and those on connections that are still open.
+func (d *Daemon) drain(callers *network.DrainServer) {
+	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
+	d.draining.Store(true)
+	d.fleet.Announce(d.process(d.fleet.Table() != nil))
+	d.log.Info("draining")
+	callers.StartDrain()
+	for begun := time.Now(); time.Since(begun) < d.acceptPeriod(); {
+		time.Sleep(drainPollInterval)
+	}
+	d.handler.drainEnd.Store(&end)
+	d.fleet.Announce(d.process(false))
+	d.log.Info("no_more_callers")
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warn("requests_cut_by_stop")
+	}
+}
+
+// acceptPeriod returns how long requests are accepted after a stop signal: as long as
+// callers may cache the address, and longer if no other entry is ready.
+func (d *Daemon) acceptPeriod() time.Duration {
+	for _, p := range d.fleet.Processes() {
+		if p.Name != d.settings.Instance && p.Ready && !p.Draining {
+			return min(drainAccept, d.settings.Grace.Std()/4)
+		}
+	}
+	return min(drainAcceptAlone, d.settings.Grace.Std()/3)
+}
+
+// refuseLate refuses a request that arrives after the accept period and could outlast the
+// drain. A request that cannot is served: that is sooner for its caller than a retry, and
+// the drain waits for it.
+func (h *handler) refuseLate(q *request) *refusal {
+	if end := h.drainEnd.Load(); end != nil && q.deadline.After(*end) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: Draining, retryAfter: drainRetryAfter}
+	}
+	return nil
+}
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -145,3 +145,61 @@
 	is.NoErr(<-e.ended)
 	is.Equal(s.count(), 6)
 }
+
+// Guards against a drain that closes a connection without an answer after the accept
+// period, when a request arrives on it or was read in part before.
+func TestDrainAnswersRequestsAfterAcceptPeriod(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const answerTime = 2 * time.Second
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/unsafe/slow" {
+			time.Sleep(answerTime)
+		}
+		return ok(conn, r)
+	})
+	e := startRelay(t, 4500*time.Millisecond, nil, s)
+	inProgress, kept, reading, unused, late := e.dial(t), e.dial(t), e.dial(t), e.dial(t), e.dial(t)
+	request := orderRequest(time.Second)
+	is.Equal(kept.exchange(request).status, okStatus)
+	start, rest, _ := strings.Cut(request, "X-Deadline")
+	reading.write(start)
+	inProgress.write(strings.Replace(orderRequest(3*time.Second), "/unsafe/order", "/unsafe/slow", 1))
+	time.Sleep(50 * time.Millisecond) // until the relay has read them
+	e.stop()
+	stopped := time.Now()
+	for {
+		conn, err := net.Dial("tcp", e.address)
+		if err != nil {
+			break // the accept period is over
+		}
+		_ = conn.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	reading.write("X-Deadline" + rest)
+	kept.write(request)
+	unused.write(request)
+	late.write(orderRequest(3 * time.Second)) // would outlast the drain
+	is.Equal(late.answer(), answer{status: "503 Service Unavailable", body: "draining\n", retryAfter: "0.050", closes: true})
+	for _, c := range []*callerConn{kept, reading, unused, inProgress} {
+		is.Equal(c.answer(), answer{status: okStatus, body: "done", closes: true})
+	}
+	is.NoErr(<-e.ended)
+	is.True(time.Since(stopped) < 3500*time.Millisecond) // with the last answer, before the end of the grace period
+	is.Equal(s.count(), 5)
+}
+
+// Guards against a drain that waits for open connections without a request.
+func TestDrainEndsWithoutRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newServer(t, ok)
+	e := startRelay(t, 6*time.Second, nil, s)
+	e.dial(t)
+	is.Equal(e.dial(t).exchange(orderRequest(time.Second)).status, okStatus)
+	e.stop()
+	stopped := time.Now()
+	is.NoErr(<-e.ended)
+	is.True(time.Since(stopped) >= 2*time.Second) // the accept period
+	is.True(time.Since(stopped) < 4*time.Second)
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -62,11 +63,16 @@
 	// after weightsBound it is not sent to them at all; after beginBound it must not
 	// begin on them.
 	softWeightsBound, weightsBound, beginBound time.Duration
+	// drainEnd is when the drain ends. It is nil until the accept period is over.
+	drainEnd atomic.Pointer[time.Time]
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q, refused := h.admit(w, r)
+	if refused == nil {
+		refused = h.refuseLate(q)
+	}
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 		defer cancel()
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -8,7 +8,9 @@
 
 // Reasons for refusing or ending a request.
 const (
-	NoRouting        Reason = "no-routing"
+	NoRouting Reason = "no-routing"
+	// Draining means that the request arrived late in a drain and could have outlasted it.
+	Draining         Reason = "draining"
 	NoRoute          Reason = "no-route"
 	UnknownKey       Reason = "unknown-key"
 	BodyTooLarge     Reason = "body-too-large"
@@ -43,7 +45,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
+		NoRouting, Draining, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, EndpointError,
 	}
 }
