--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -37,15 +37,6 @@
 	// document. A document with 1,200 routes takes 10 ms of CPU time and must be in
 	// force within 2 s.
 	minRoutingInterval = 500 * time.Millisecond
-	stopMargin         = 600 * time.Millisecond
-	// drainAccept is how long a draining relay accepts requests while other entries are
-	// ready. It covers the time for which most callers cache addresses, plus their
-	// lookups.
-	drainAccept = 1300 * time.Millisecond
-	// drainAcceptAlone applies if no other entry is ready. It leaves a stream of usual
-	// length time to end within the grace period.
-	drainAcceptAlone  = 2800 * time.Millisecond
-	drainPollInterval = 50 * time.Millisecond
 	// softWeightsMargin and weightsMargin are subtracted from the time after which no
 	// request may begin on older weights. A request may be pending until its read
 	// timeout, and one that is delayed by a slow link begins up to 0.8 s later still
@@ -149,6 +140,12 @@
 	return nil
 }
 
+// port is a server of the daemon.
+type port interface {
+	Serve() error
+	Close() error
+}
+
 // Run serves until ctx ends, then drains: it returns when the requests in progress are
 // done or the grace period is over.
 func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
@@ -163,12 +160,17 @@
 	if err != nil {
 		return oops.In("relay").Wrap(err)
 	}
-	callers := servers[0]
-	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
-	callers.BaseContext = func(net.Listener) context.Context { return background }
+	server := servers[0]
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
+	server.BaseContext = func(net.Listener) context.Context { return background }
+	callers := server.Drainable()
+	ports := []port{callers}
+	for _, s := range servers[1:] {
+		ports = append(ports, s)
+	}
 	var wg sync.WaitGroup
-	failures := make(chan error, len(servers))
-	for _, s := range servers {
+	failures := make(chan error, len(ports))
+	for _, s := range ports {
 		wg.Go(func() {
 			if err := s.Serve(); err != nil {
 				failures <- oops.In("relay").Wrap(err)
@@ -186,7 +188,7 @@
 	case err = <-failures:
 	}
 	stopBackground()
-	for _, s := range servers {
+	for _, s := range ports {
 		_ = s.Close() // the grace period is over
 	}
 	wg.Wait()
@@ -194,37 +196,6 @@
 	return err
 }
 
-// drain announces that this entry is draining, still accepts requests from callers that
-// cached its address, and then waits for the requests in progress.
-func (d *Daemon) drain(callers network.Server) {
-	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
-	d.draining.Store(true)
-	d.fleet.Announce(d.process(d.fleet.Table() != nil))
-	d.log.Info("draining")
-	callers.SetKeepAlivesEnabled(false)
-	for begun := time.Now(); time.Since(begun) < d.acceptPeriod(); {
-		time.Sleep(drainPollInterval)
-	}
-	d.fleet.Announce(d.process(false))
-	d.log.Info("no_more_callers")
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("requests_cut_by_stop")
-	}
-}
-
-// acceptPeriod returns how long requests are accepted after a stop signal: as long as
-// callers may cache the address, and longer if no other entry is ready.
-func (d *Daemon) acceptPeriod() time.Duration {
-	for _, p := range d.fleet.Processes() {
-		if p.Name != d.settings.Instance && p.Ready && !p.Draining {
-			return min(drainAccept, d.settings.Grace.Std()/4)
-		}
-	}
-	return min(drainAcceptAlone, d.settings.Grace.Std()/3)
-}
-
 // refreshLoop updates the pools and the peers when the state of the fleet changes, and
 // at intervals.
 func (d *Daemon) refreshLoop(ctx context.Context) {
