--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -10,8 +10,10 @@
 const (
 	// Starting means that the entry has just started and waits for the quarantined parts
 	// that other entries know of.
-	Starting         Reason = "starting"
-	NoRouting        Reason = "no-routing"
+	Starting  Reason = "starting"
+	NoRouting Reason = "no-routing"
+	// Draining means that the request arrived late in a drain and could have outlasted it.
+	Draining         Reason = "draining"
 	NoRoute          Reason = "no-route"
 	UnknownKey       Reason = "unknown-key"
 	BodyTooLarge     Reason = "body-too-large"
@@ -50,7 +52,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		Starting, NoRouting, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
+		Starting, NoRouting, Draining, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
