quarantine, placement, relay: suspects neither starve nor get refused for one crash

Suspects now take their turn by deadline. After a single crash, suspects now begin together at the end of their wait; only repeated ones are refused. - Two lists that held the end of a quarantine 2 ms apart renewed it without a crash, and refuted crashes raised its duration. A renewal now takes a crash after the end, and a sound request resets it. - An entry that was ready became unready when a second one started, and gave it no records. The suspects that wait, those in a slot request and the records in an exchange are bounded. - A request that is always answered 3xx or 4xx was never cleared.

TestSuspectsDoNotStarve, TestSuspectAfterSingleCrashIsNotRefused and TestExchangeAtExpiryDoesNotRenew cover the first three.

--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -23,6 +23,8 @@
 	// maxSuspectParts limits the parts of one request that a crash makes suspect, and so the
 	// size of messages.
 	maxSuspectParts = 256
+	// maxSuspectsSent limits the suspects in a slot request.
+	maxSuspectsSent = 8
 	// maxCommonParts limits the parts in a message that crashes have in common.
 	maxCommonParts = 64
 	// suspectExchangeInterval is the interval at which an entry sends its records to
@@ -34,6 +36,9 @@
 	// maxExchangeBytes limits the records in one message; a receiver rejects messages of
 	// over 16 KB.
 	maxExchangeBytes = 12 << 10
+	// maxExchanged limits the records of one exchange. Half of them are those with the most
+	// crashes, the others are drawn at random.
+	maxExchanged = 64
 )
 
 // crashGuard keeps requests that crash endpoints away from them. It adds locking, messages
@@ -81,7 +86,7 @@
 	g.mu.Lock()
 	known := len(g.others)
 	g.others = others
-	if g.syncedBy.IsZero() || known == 0 && len(others) > 0 {
+	if g.syncedBy.IsZero() || !g.synced && known == 0 && len(others) > 0 {
 		g.syncedBy = now.Add(suspectSyncTimeout)
 	}
 	ask := !g.synced && (now.Before(g.syncedBy) || len(others) > known)
@@ -92,11 +97,12 @@
 }
 
 // ready reports whether this entry knows the records of the others, or there is none to
-// ask, or none has answered in time.
+// ask, or none has answered in time. From then on it is ready, also if others start.
 func (g *crashGuard) ready(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.synced || !g.syncedBy.IsZero() && (len(g.others) == 0 || !now.Before(g.syncedBy))
+	g.synced = g.synced || !g.syncedBy.IsZero() && (len(g.others) == 0 || !now.Before(g.syncedBy))
+	return g.synced
 }
 
 // broadcast sends a message to all other entries.
@@ -153,6 +159,15 @@
 	}
 }
 
+// recordRejected records that an endpoint answered a request with a redirect or an error of
+// the caller. That clears the request itself, but not its parts: the endpoint may have
+// rejected it before it began.
+func (g *crashGuard) recordRejected(q *request, at, now time.Time) {
+	if cleared := g.applySound(q.parts[:1], at); len(cleared) > 0 {
+		g.broadcast(peerMessage{Sound: &soundMessage{Parts: toUint64(cleared), AgeMs: ageMs(at, now)}})
+	}
+}
+
 func (g *crashGuard) applySound(parts []quarantine.PartID, began time.Time) []quarantine.PartID {
 	g.mu.Lock()
 	changed := g.list.RecordSound(parts, began)
@@ -189,11 +204,14 @@
 	case m.Sound != nil:
 		g.applySound(toPartIDs(m.Sound.Parts), ago(m.Sound.AgeMs, now))
 	case m.Suspects != nil && m.Suspects.Request:
-		if g.ready(now) {
-			g.sendRecords(m.From, now)
-		} else {
+		g.mu.Lock()
+		synced := g.synced
+		g.mu.Unlock()
+		if !synced {
 			g.send(m.From, peerMessage{Suspects: &suspectsMessage{Starting: true}})
+			break
 		}
+		g.sendRecords(m.From, g.records(now), now)
 	case m.Suspects != nil && m.Suspects.Starting:
 		g.recordStarting(m.From)
 	case m.Suspects != nil:
@@ -208,7 +226,9 @@
 func (g *crashGuard) recordStarting(from string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.starting[from] = true
+	if slices.Contains(g.others, from) {
+		g.starting[from] = true
+	}
 	g.synced = g.synced || !slices.ContainsFunc(g.others, func(name string) bool { return !g.starting[name] })
 }
 
@@ -236,9 +256,18 @@
 	}
 }
 
-// sendRecords sends the records of this entry to another one, also if there are none.
-func (g *crashGuard) sendRecords(to string, now time.Time) {
-	records := g.records(now)
+// sampleRecords returns the records for one exchange.
+func sampleRecords(records []quarantine.PartRecord) []quarantine.PartRecord {
+	if len(records) <= maxExchanged {
+		return records
+	}
+	rest := records[maxExchanged/2:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return records[:maxExchanged]
+}
+
+// sendRecords sends records to another entry, also if there are none.
+func (g *crashGuard) sendRecords(to string, records []quarantine.PartRecord, now time.Time) {
 	m := &suspectsMessage{}
 	bytes := 0
 	for _, r := range records {
@@ -264,7 +293,7 @@
 		g.metrics.suspectParts.WithLabelValues("quarantined").Set(float64(quarantined))
 		g.metrics.suspectParts.WithLabelValues("suspect").Set(float64(suspect))
 		if quarantined+suspect > 0 && len(others) > 0 {
-			g.sendRecords(others[rand.IntN(len(others))], now)
+			g.sendRecords(others[rand.IntN(len(others))], sampleRecords(g.records(now)), now)
 		}
 	}
 }
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -187,6 +187,11 @@
 		}
 	}()
 	f.handlers[entry].ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.reasons[Reason(strings.TrimSpace(w.Body.String()))]++
+	}
 	return w.Code
 }
 
@@ -255,6 +260,7 @@
 		}()
 		f.crashLoad(60, 0, 2*time.Minute)
 		cancel()
+		is.Equal(f.reasons[CrashSuspect]+f.reasons[Quarantined], 0)
 		time.Sleep(restartTime)
 		is.Equal(f.crashLoad(60, 0, 5*time.Second), 1.0) // all sessions
 	})
@@ -411,6 +417,8 @@
 			h.guard.mu.Unlock()
 			is.New(t).True(time.Now().Before(timeout))
 			is.New(t).True(h.guard.ready(time.Now()))
+			h.guard.update([]string{"entry-1", "entry-4"}, time.Now()) // another one starts
+			is.New(t).True(h.guard.ready(time.Now()))
 		}
 	})
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -157,7 +157,7 @@
 		if choice, refused, ok := d.placeByBroker(q, r); ok {
 			return choice, refused
 		}
-		if len(r.Suspects) > 0 { // without a broker, several entries would send the same suspect
+		if r.Serialized { // without a broker, several entries would send the same suspect
 			return placement.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: CrashSuspect, retryAfter: minRetryAfter}
 		}
 		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -226,7 +226,8 @@
 	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	before := time.Now()
 	r := q.placementRequest(h.zone, version, softVersion, preferred)
-	r.Bounds, r.Suspects = h.bounds(q), toUint64(suspicion.Suspects)
+	r.Bounds = h.bounds(q)
+	r.Suspects, r.Serialized = toUint64(suspicion.Suspects[:min(len(suspicion.Suspects), maxSuspectsSent)]), suspicion.Repeated
 	choice, refused := h.dispatcher.place(q, r)
 	q.placedAt = time.Now()
 	q.record.queueWait += q.placedAt.Sub(before)
@@ -478,8 +479,10 @@
 		return result{failure: answer, refusal: nil}, RetryErrorStatus
 	}
 	h.endSend(q, c, placement.Success, nil)
-	if status < http.StatusMultipleChoices { // an endpoint may reject a request before it begins
+	if status < http.StatusMultipleChoices {
 		h.recordSound(q, q.placedAt)
+	} else {
+		h.guard.recordRejected(q, q.placedAt, time.Now())
 	}
 	q.record.firstEvent = time.Since(q.arrived)
 	return result{refusal: answer.write(w)}, ""
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -51,6 +51,7 @@
 	AnswerTokens int                   `cbor:"16,keyasint,omitempty"`
 	Only         uint32                `cbor:"17,keyasint,omitempty"` // hash of an endpoint ID
 	Suspects     []uint64              `cbor:"18,keyasint,omitempty"`
+	Serialized   bool                  `cbor:"19,keyasint,omitempty"`
 }
 
 // weightsBoundMessage encodes a placement.WeightsBound, with the time relative to the
@@ -176,7 +177,7 @@
 	a := placement.SlotRequest{
 		SlotRequestID: placement.SlotRequestID{Entry: from, Sequence: m.Sequence},
 		Request: placement.Request{
-			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late, Suspects: m.Suspects,
+			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late, Suspects: m.Suspects, Serialized: m.Serialized,
 		},
 		MaxWait: fromMs(m.MaxWaitMs), TimeLeft: fromMs(m.TimeLeftMs), Resumed: m.Resumed, Redirected: m.Redirected,
 	}
@@ -199,7 +200,7 @@
 func newSlotRequestMessage(a placement.SlotRequest, now time.Time) *slotRequestMessage {
 	m := &slotRequestMessage{
 		Sequence: a.Sequence, PromptTokens: a.PromptTokens, AnswerTokens: a.AnswerTokens, Zone: a.Zone, MinVersion: a.MinVersion, SoftMinVersion: a.SoftMinVersion, PreferredVersion: a.PreferredVersion, GapObjectiveMs: a.GapObjective.Milliseconds(),
-		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects,
+		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects, Serialized: a.Serialized,
 	}
 	for _, b := range a.Bounds {
 		m.Bounds = append(m.Bounds, weightsBoundMessage{Version: b.Version, LeftMs: b.By.Sub(now).Milliseconds()})
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -146,9 +146,10 @@
 	listed    map[string][]placement.Endpoint // by service
 
 	mu      sync.Mutex
-	answers map[int]int   // number of answers by status
-	delays  []string      // Retry-After of refusals
-	slowest time.Duration // longest time until a refusal
+	answers map[int]int    // number of answers by status
+	reasons map[Reason]int // number of refused prompts
+	delays  []string       // Retry-After of refusals
+	slowest time.Duration  // longest time until a refusal
 }
 
 const (
@@ -160,7 +161,7 @@
 // service.
 func newEntryFleet(t *testing.T, entries, endpoints int) (f *entryFleet, stop func()) {
 	n, cancel := newPeerNetwork(t, entries, 0, "a")
-	f = &entryFleet{peerNetwork: n, endpoints: map[string]*limitedEndpoint{}, answers: map[int]int{}}
+	f = &entryFleet{peerNetwork: n, endpoints: map[string]*limitedEndpoint{}, answers: map[int]int{}, reasons: map[Reason]int{}}
 	document := testDocument()
 	document.Routes[2].Targets = []routing.Target{{Service: engineService, Weight: 1}}
 	document.Services = append(document.Services, routing.Service{Name: engineService, Engine: &routing.Engine{
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -73,6 +73,9 @@
 	// case and so loses nothing by waiting. Callers abandon a stream without events
 	// after 2 s or more.
 	lateMaxWait = 1200 * time.Millisecond
+	// maxWaitingSuspects limits the requests that may crash their endpoints and wait: each
+	// event of the group looks at all of them.
+	maxWaitingSuspects = 64
 	// maxFailedTries limits how many queued requests may fail to be placed in one pass
 	// over the queue. More than one is tried because the first may exclude the endpoint
 	// with the free slot.
@@ -248,35 +251,51 @@
 // waits apart from the queue, so that it delays no other request, or is refused if it may
 // not wait or no endpoint is suitable.
 func (b *Broker) placeSuspect(a SlotRequest, now time.Time) {
+	maxWait := a.MaxWait
+	if a.Late {
+		maxWait = max(maxWait, lateMaxWait)
+	}
+	w := queuedRequest{a, now.Add(maxWait)}
 	verdict := Full
-	if !b.suspectBegins(a.Request) && !b.mustQueue(a) {
+	if !b.suspectBegins(a.Request) && b.precedesQueue(w) {
 		var choice Choice
 		if choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
 			b.grant(a, choice, now)
 			return
 		}
 	}
-	if verdict == NoEndpoint || a.MaxWait <= 0 {
+	if verdict == NoEndpoint || maxWait <= 0 || len(b.suspects) >= maxWaitingSuspects {
 		b.refuse(a, verdict, b.pool.NextSlot(a.Request, now), len(b.queue))
 		return
 	}
-	b.suspects = append(b.suspects, queuedRequest{a, now.Add(a.MaxWait)})
+	b.suspects = append(b.suspects, w)
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 }
 
-// placeSuspects places the waiting requests that may crash their endpoints, and refuses
-// those whose deadline has passed.
+// precedesQueue reports whether a waiting suspect comes before all queued requests.
+func (b *Broker) precedesQueue(w queuedRequest) bool {
+	return len(b.queue) == 0 || compareQueued(w, b.queue[0]) < 0
+}
+
+// placeSuspects places the waiting requests that may crash their endpoints and whose turn it
+// is. At the end of their wait, it refuses them or lets them begin with others.
 func (b *Broker) placeSuspects(now time.Time) {
 	waiting := b.suspects
 	b.suspects = nil
 	for _, w := range waiting {
-		if !b.suspectBegins(w.Request) && !b.mustQueue(w.SlotRequest) {
-			if choice, verdict := b.placeRequest(w.Request, now); verdict == Placed {
+		ends := !now.Before(w.deadline)
+		alone := !b.suspectBegins(w.Request)
+		if (alone || ends && !w.Serialized) && (ends || b.precedesQueue(w)) {
+			place := b.placeRequest
+			if ends && !w.Serialized {
+				place = b.pool.Place
+			}
+			if choice, verdict := place(w.Request, now); verdict == Placed {
 				b.grant(w.SlotRequest, choice, now)
 				continue
 			}
 		}
-		if !now.Before(w.deadline) {
+		if ends {
 			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), len(b.queue))
 			continue
 		}
@@ -341,6 +360,9 @@
 // serveQueue grants free slots to queued requests and refuses those whose deadline has
 // passed.
 func (b *Broker) serveQueue(now time.Time) {
+	if len(b.suspects) > 0 && len(b.queue) > 0 {
+		b.placeSuspects(now) // those that come before the queue
+	}
 	remaining := b.queue[:0]
 	failedTries := 0
 	for _, w := range b.queue {
@@ -359,7 +381,9 @@
 	}
 	clear(b.queue[len(remaining):])
 	b.queue = remaining
-	b.placeSuspects(now)
+	if len(b.suspects) > 0 && len(b.queue) == 0 {
+		b.placeSuspects(now)
+	}
 }
 
 // redirectGroup returns the group with the most free slots for a request that this group
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -361,7 +361,7 @@
 // suspectRequest is a slot request that may crash its endpoint.
 func suspectRequest(sequence uint64, suspects ...uint64) placement.SlotRequest {
 	a := slotRequest("entry", sequence)
-	a.Suspects = suspects
+	a.Suspects, a.Serialized = suspects, true
 	return a
 }
 
@@ -435,3 +435,57 @@
 	b.RequestSlot(slotRequest("entry", 50), start.Add(10*time.Millisecond))
 	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{50: placement.Placed})
 }
+
+// Guards against suspects that get no slot while others are queued all the time, and remain
+// suspect because only a sound run clears them.
+func TestSuspectsDoNotStarve(t *testing.T) {
+	is := is.New(t)
+	e := endpoint("e")
+	e.Slots = 1
+	b := broker(e)
+	now := start
+	var running []placement.SlotRequestID
+	granted := map[uint64]bool{}
+	for i := range uint64(200) { // one request in five is a suspect; each runs for 20 ms, one comes every 15 ms
+		a := slotRequest("entry", i+1)
+		if i%5 == 0 {
+			a = suspectRequest(i+1, i+1)
+		}
+		b.RequestSlot(a, now)
+		now = now.Add(15 * time.Millisecond)
+		if i%4 != 3 && len(running) > 0 {
+			b.FirstEvent(running[0], 0, now)
+			b.End(running[0], placement.Success, now)
+			running = running[1:]
+		}
+		b.Tick(now)
+		for _, r := range b.TakeResponses() {
+			if r.Verdict == placement.Placed {
+				granted[r.RequestID.Sequence] = true
+				running = append(running, r.RequestID)
+			}
+		}
+	}
+	suspects := 0
+	for i := uint64(1); i <= 200; i += 5 {
+		if granted[i] {
+			suspects++
+		}
+	}
+	is.True(suspects >= 20) // half of them; of the others, three quarters are granted a slot
+}
+
+// Guards against refusing sound requests because others with the same part, whose endpoint
+// crashed once, begin at the same time.
+func TestSuspectAfterSingleCrashIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	for sequence := range uint64(3) {
+		a := suspectRequest(sequence+1, 7)
+		a.Serialized = false
+		b.RequestSlot(a, start)
+	}
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{1: placement.Placed, 2: placement.Queued, 3: placement.Queued})
+	b.Tick(start.Add(200 * time.Millisecond)) // the end of the wait
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{2: placement.Placed, 3: placement.Placed})
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -66,6 +66,9 @@
 	// Suspects identifies what the request has in common with requests whose endpoint
 	// crashed. It prefers an endpoint with few requests, which a crash would end.
 	Suspects []uint64
+	// Serialized is true if requests with the same suspect must not begin at the same time.
+	// Otherwise they only do so if none has begun by the end of their wait.
+	Serialized bool
 	// Only is the ID of the only endpoint to consider; empty means all.
 	Only string
 }
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -55,7 +55,7 @@
 type PartRecord struct {
 	Part    PartID
 	Crashes []Crash // oldest first
-	// Renewals counts the quarantines that have expired and were followed by a new crash.
+	// Renewals counts the quarantines after which a new crash was observed.
 	Renewals int
 	// Quarantined and Until are set by Records: whether the part is quarantined or only
 	// suspect, and when that expires.
@@ -66,7 +66,7 @@
 // PartConfig configures a PartList. Zero fields get their defaults.
 type PartConfig struct {
 	// Duration is how long the first quarantine of a part lasts after the latest crash.
-	// After it, requests with the part may crash one more endpoint, and each further
+	// After it, requests with the part may crash one more endpoint, and the next
 	// quarantine lasts twice as long. A longer time costs fewer endpoints, but refuses
 	// the requests of a wrongly quarantined part for longer. Default 10 min.
 	Duration time.Duration
@@ -118,6 +118,9 @@
 	// Suspects lists the parts of the request that may crash endpoints. No two requests
 	// with the same suspect should begin at the same time.
 	Suspects []PartID
+	// Repeated is true if a suspect was in several independent crashes. After a single one,
+	// nearly all suspects are sound.
+	Repeated bool
 }
 
 // PartList finds the parts of requests that crash every endpoint that runs them, among
@@ -179,22 +182,30 @@
 // when that began, otherwise the zero time; the other list has missed that request.
 func (l *PartList) Merge(r PartRecord, now time.Time) (quarantined bool, refutedAt time.Time) {
 	record := l.current(r.Part, now)
-	before := l.full(record)
+	before := l.quarantined(record, now)
 	soundAt := l.soundAt(r.Part)
+	accepted := false
 	for _, c := range r.Crashes {
-		if c.At.After(soundAt) {
-			record.add(c)
-		} else {
+		if !c.At.After(soundAt) {
 			refutedAt = soundAt
+			continue
 		}
+		if l.full(record) && !c.At.Before(l.quarantinedUntil(record)) {
+			record.Renewals++
+		}
+		record.add(c)
+		accepted = true
+	}
+	if !accepted {
+		return false, refutedAt
 	}
 	record.Renewals = max(record.Renewals, r.Renewals)
-	if len(record.Crashes) == 0 || !now.Before(l.until(record)) {
+	if l.expired(record, now) {
 		return false, refutedAt
 	}
 	l.records[r.Part] = record
 	l.limitRecords()
-	return !before && l.full(record), refutedAt
+	return !before && l.quarantined(record, now), refutedAt
 }
 
 // add adds a crash, or what another request of a known crash says about it.
@@ -267,13 +278,26 @@
 // as they may.
 func (l *PartList) full(r PartRecord) bool { return independent(r.Crashes) >= l.cfg.MaxCrashes }
 
-// until returns when the suspicion or quarantine of a record expires.
+func (l *PartList) quarantined(r PartRecord, now time.Time) bool {
+	return l.full(r) && now.Before(l.quarantinedUntil(r))
+}
+
+// quarantinedUntil returns when the quarantine of a full record expires.
+func (l *PartList) quarantinedUntil(r PartRecord) time.Time {
+	return r.Crashes[len(r.Crashes)-1].At.Add(l.quarantineTime(r))
+}
+
+func (l *PartList) quarantineTime(r PartRecord) time.Duration {
+	const maxShift = 16 // avoids an overflow
+	return min(l.cfg.MaxDuration, l.cfg.Duration<<min(r.Renewals, maxShift))
+}
+
+// until returns when the suspicion of a record expires. After a quarantine, the part stays
+// suspect for as long again, and a single crash quarantines it again.
 func (l *PartList) until(r PartRecord) time.Time {
 	last := r.Crashes[len(r.Crashes)-1].At
 	switch {
 	case l.full(r):
-		return last.Add(l.quarantineTime(r))
-	case r.Renewals > 0: // a quarantine has expired
 		return last.Add(2 * l.quarantineTime(r))
 	case independent(r.Crashes) > 1:
 		return last.Add(l.cfg.Duration)
@@ -281,30 +305,15 @@
 	return last.Add(l.cfg.SuspicionDuration)
 }
 
-func (l *PartList) quarantineTime(r PartRecord) time.Duration {
-	const maxShift = 16 // avoids an overflow
-	return min(l.cfg.MaxDuration, l.cfg.Duration<<min(r.Renewals, maxShift))
+func (l *PartList) expired(r PartRecord, now time.Time) bool {
+	return len(r.Crashes) == 0 || !now.Before(l.until(r))
 }
 
-// current returns the record of a part, or a new one. An expired quarantine becomes a
-// suspicion that a single crash turns into a quarantine again.
+// current returns the record of a part, or a new one.
 func (l *PartList) current(part PartID, now time.Time) PartRecord {
-	r, ok := l.records[part]
-	if !ok {
-		return PartRecord{Part: part}
-	}
-	if now.Before(l.until(r)) {
+	if r, ok := l.records[part]; ok && !l.expired(r, now) {
 		return r
 	}
-	if l.full(r) {
-		r.Renewals++
-		for l.full(r) {
-			r.Crashes = r.Crashes[1:]
-		}
-		if len(r.Crashes) > 0 && now.Before(l.until(r)) {
-			return r
-		}
-	}
 	return PartRecord{Part: part}
 }
 
@@ -323,12 +332,13 @@
 	for _, part := range parts {
 		l.sound[part] = later(l.sound[part], began)
 		r, ok := l.records[part]
-		if !ok || !r.Crashes[0].At.Before(began) {
+		if !ok || r.Crashes[0].At.After(began) {
 			continue
 		}
 		changed = append(changed, part)
 		l.refuted[part] = later(l.refuted[part], began)
-		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return c.At.Before(began) })
+		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return !c.At.After(began) })
+		r.Renewals = 0
 		l.records[part] = r
 		if len(r.Crashes) == 0 {
 			delete(l.records, part)
@@ -343,25 +353,31 @@
 		return PartVerdict{}
 	}
 	var v PartVerdict
+	sorted := union(parts, nil)
 	for _, part := range parts {
-		if _, ok := l.records[part]; !ok {
-			continue
-		}
-		r := l.current(part, now)
-		if len(r.Crashes) == 0 {
+		r, ok := l.records[part]
+		if !ok || l.expired(r, now) {
 			continue
 		}
-		missing := func(p PartID) bool { return !slices.Contains(parts, p) }
-		if l.full(r) && r.appliesTo(source) && !slices.ContainsFunc(l.companions(r, now), missing) {
-			return PartVerdict{Quarantined: true, Part: part, Until: l.until(r)}
+		if l.quarantined(r, now) && r.appliesTo(source) && l.hasCompanions(r, sorted, now) {
+			return PartVerdict{Quarantined: true, Part: part, Until: l.quarantinedUntil(r)}
 		}
 		if now.Sub(l.soundAt(part)) > soundMemory {
 			v.Suspects = append(v.Suspects, part)
+			v.Repeated = v.Repeated || independent(r.Crashes) > 1
 		}
 	}
 	return v
 }
 
+// hasCompanions reports whether sorted parts contain all companions of a record.
+func (l *PartList) hasCompanions(r PartRecord, parts []PartID, now time.Time) bool {
+	return !slices.ContainsFunc(r.CommonParts(), func(part PartID) bool {
+		_, found := slices.BinarySearch(parts, part)
+		return !found && l.full(l.current(part, now))
+	})
+}
+
 // appliesTo reports whether the crashes of a record speak against the requests of a
 // source: some of them come from it, or they come from several.
 func (r PartRecord) appliesTo(source string) bool {
@@ -414,7 +430,10 @@
 	var list []PartRecord
 	for part := range l.records {
 		if r := l.current(part, now); len(r.Crashes) > 0 {
-			r.Quarantined, r.Until = l.full(r), l.until(r)
+			r.Quarantined, r.Until = l.quarantined(r, now), l.until(r)
+			if r.Quarantined {
+				r.Until = l.quarantinedUntil(r)
+			}
 			list = append(list, r)
 		}
 	}
@@ -434,7 +453,7 @@
 
 // Expire drops expired records, and refutations that no record can contradict any more.
 func (l *PartList) Expire(now time.Time) {
-	maps.DeleteFunc(l.records, func(part PartID, _ PartRecord) bool { return len(l.current(part, now).Crashes) == 0 })
+	maps.DeleteFunc(l.records, func(_ PartID, r PartRecord) bool { return l.expired(r, now) })
 	maps.DeleteFunc(l.refuted, func(_ PartID, at time.Time) bool { return now.Sub(at) > 2*l.cfg.MaxDuration })
 	for part := range l.refuted {
 		if len(l.refuted) <= l.cfg.MaxSound {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -180,7 +180,7 @@
 		h.crash(neighbor, 10+i, whole+i)
 	}
 	is.True(h.check(neighbor).Quarantined)
-	is.Equal(h.list.Check([]quarantine.PartID{neighbor}, "victim", h.now), quarantine.PartVerdict{Suspects: []quarantine.PartID{neighbor}})
+	is.Equal(h.list.Check([]quarantine.PartID{neighbor}, "victim", h.now), quarantine.PartVerdict{Suspects: []quarantine.PartID{neighbor}, Repeated: true})
 	// A crash under a request of the other source speaks against the part for all.
 	h.list.RecordCrash(quarantine.CrashReport{Endpoint: "e", Source: "victim", PlacedAt: h.now, At: h.now.Add(time.Second), Parts: []quarantine.PartID{neighbor}}, h.now.Add(time.Second))
 	is.True(h.list.Check([]quarantine.PartID{neighbor}, "third", h.now.Add(time.Second)).Quarantined)
@@ -205,6 +205,38 @@
 	is.Equal(h.check(deadly), quarantine.PartVerdict{})
 }
 
+// Guards against a quarantine that is renewed without a new crash, because two lists hold
+// its end to be at different times and exchange their records in between.
+func TestExchangeAtExpiryDoesNotRenew(t *testing.T) {
+	is := is.New(t)
+	a, b := newHistory(), newHistory()
+	b.now = b.now.Add(2 * time.Millisecond)
+	for i := range quarantine.PartID(quarantine.DefaultMaxPartCrashes) {
+		a.crash(deadly, whole+i)
+		b.crash(deadly, whole+i)
+	}
+	now := a.now.Add(quarantine.DefaultPartDuration + time.Millisecond)
+	for range 3 {
+		for _, r := range a.list.Records(now) {
+			b.list.Merge(r, now)
+		}
+		for _, r := range b.list.Records(now) {
+			a.list.Merge(r, now)
+		}
+	}
+	now = now.Add(2 * time.Millisecond)
+	is.True(!a.list.Check([]quarantine.PartID{deadly}, source, now).Quarantined)
+	is.True(!b.list.Check([]quarantine.PartID{deadly}, source, now).Quarantined)
+	// A refuted record renews nothing either.
+	a.list.RecordSound([]quarantine.PartID{deadly}, now)
+	a.now = now
+	a.crash(deadly, whole+9)
+	stale := b.list.Records(now)[0]
+	stale.Renewals = 5
+	a.list.Merge(stale, a.now)
+	is.Equal(a.list.Records(a.now)[0].Renewals, 0)
+}
+
 // Guards against callers that fill the memory of an entry with new parts, or that make it
 // forget a quarantined one.
 func TestMemoryIsBounded(t *testing.T) {
