relay: answer the requests that outlast a drain

Callers whose request was still in progress at the end of an entry's grace period got a closed connection instead of an answer. The entry logged them as 'caller-gone', although the callers were waiting.

Cause: Run cancelled the contexts of the requests and closed their connections at once, so the handlers wrote their answers to closed connections. The cancellation looked like that of a caller that disconnects.

The contexts are now cancelled with a cause, and the drain waits up to 0.25 s of the 0.6 s before the end of the grace period for the answers before the connections are closed. Requests whose answer has not begun get status 504, 502 or 503, as after any other cancellation; an answer that has begun is still truncated. Both have the reason 'grace-period-over'.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -162,7 +162,9 @@
 	}
 	server := servers[0]
 	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
-	server.BaseContext = func(net.Listener) context.Context { return background }
+	serving, cut := context.WithCancelCause(background)
+	defer cut(nil)
+	server.BaseContext = func(net.Listener) context.Context { return serving }
 	callers := server.Drainable()
 	ports := []port{callers}
 	for _, s := range servers[1:] {
@@ -184,7 +186,7 @@
 	d.log.Info("started")
 	select {
 	case <-ctx.Done():
-		d.drain(callers)
+		d.drain(callers, cut)
 	case err = <-failures:
 	}
 	stopBackground()
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,7 +10,11 @@
 )
 
 const (
+	// stopMargin is the time between the end of the drain and that of the grace period.
 	stopMargin = 600 * time.Millisecond
+	// cutTimeout is how long requests that are cut may take to send an answer. They do so
+	// within milliseconds; the rest of stopMargin is for the end of the process.
+	cutTimeout = 250 * time.Millisecond
 	// drainAccept is how long a draining relay accepts requests while other entries are
 	// ready. It covers the time for which most callers cache addresses, plus their
 	// lookups.
@@ -23,10 +28,15 @@
 	drainRetryAfter = 50 * time.Millisecond
 )
 
+// errGracePeriodOver is the cause with which the contexts of requests are cancelled that
+// outlast the drain.
+var errGracePeriodOver = errors.New("grace period is over")
+
 // drain announces that this entry is draining and still accepts requests from callers that
 // cached its address. Then it closes the listener and waits for the requests in progress
-// and those on connections that are still open.
-func (d *Daemon) drain(callers *network.DrainServer) {
+// and those on connections that are still open. Those that outlast the drain are cancelled
+// and get an answer that says so, unless their answer has begun.
+func (d *Daemon) drain(callers *network.DrainServer, cut context.CancelCauseFunc) {
 	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
 	d.draining.Store(true)
 	d.fleet.Announce(d.process(d.fleet.Table() != nil))
@@ -38,11 +48,19 @@
 	d.handler.drainEnd.Store(&end)
 	d.fleet.Announce(d.process(false))
 	d.log.Info("no_more_callers")
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("requests_cut_by_stop")
+	err := shutdownBy(end, callers)
+	if err == nil {
+		return
 	}
+	d.log.WithError(err).Warn("requests_cut_by_stop")
+	cut(errGracePeriodOver)
+	_ = shutdownBy(end.Add(cutTimeout), callers) // Run closes what is left
+}
+
+func shutdownBy(deadline time.Time, s *network.DrainServer) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.Shutdown(ctx)
 }
 
 // acceptPeriod returns how long requests are accepted after a stop signal: as long as
@@ -65,3 +83,6 @@
 	}
 	return nil
 }
+
+// cutByStop reports whether a request was cancelled because it outlasted the drain.
+func (q *request) cutByStop() bool { return errors.Is(context.Cause(q.ctx), errGracePeriodOver) }
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -203,3 +203,53 @@
 	is.True(time.Since(stopped) >= 2*time.Second) // the accept period
 	is.True(time.Since(stopped) < 4*time.Second)
 }
+
+// refusedCounts returns the counters of refused requests that are not zero.
+func (e *drainingRelay) refusedCounts(t *testing.T) map[string]float64 {
+	t.Helper()
+	families, err := e.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]float64{}
+	for _, f := range families {
+		if f.GetName() != "rhubarb_relay_refused_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			if n := m.GetCounter().GetValue(); n > 0 {
+				counts[m.GetLabel()[0].GetValue()] = n
+			}
+		}
+	}
+	return counts
+}
+
+// Guards against a drain that closes a connection without an answer at the end of the
+// grace period, or that then logs that the caller disconnected.
+func TestEndOfGracePeriodIsAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const endless = 5 * time.Second
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			_, _ = fmt.Fprintf(conn, streamHead+encodeChunk("id: 1\ndata: x\n\n"), testID, "s")
+		}
+		time.Sleep(endless)
+		return false
+	})
+	e := startRelay(t, 1500*time.Millisecond, nil, s)
+	waiting, stream, unread := e.dial(t), e.dial(t), e.dial(t)
+	request := orderRequest(3 * time.Second)
+	waiting.write(request)
+	stream.write(strings.Replace(request, "/unsafe/", "/stream/", 1))
+	unread.write(request[:20])
+	time.Sleep(100 * time.Millisecond) // until the relay has passed them on
+	e.stop()
+	stopped := time.Now()
+	is.Equal(waiting.answer(), answer{status: "504 Gateway Timeout", body: "grace-period-over\n", closes: true})
+	is.Equal(stream.answer().status, "truncated answer: unexpected EOF")
+	is.NoErr(<-e.ended)
+	is.True(time.Since(stopped) < 1500*time.Millisecond)
+	is.Equal(e.refusedCounts(t), map[string]float64{string(GracePeriodOver): 2})
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -82,6 +82,9 @@
 		if refused != nil && q.sends > 0 && impliesNotRun(refused.status) {
 			refused = &refusal{status: http.StatusBadGateway, reason: AnswerLost}
 		}
+		if refused != nil && q.cutByStop() {
+			refused.reason = GracePeriodOver
+		}
 	}
 	if refused == nil {
 		h.recordEnd(q, "done", "", http.StatusOK)
@@ -484,6 +487,9 @@
 // abort ends an answer that cannot be completed. It closes the connection to the
 // caller, so that the truncated answer does not look complete.
 func (h *handler) abort(q *request, reason Reason, err error) {
+	if q.cutByStop() {
+		reason = GracePeriodOver
+	}
 	h.metrics.refused.Inc(reason)
 	h.log.WithField("request", q.call.ID).WithError(err).Warn("answer_aborted")
 	h.recordEnd(q, "aborted", reason, 0)
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -10,7 +10,9 @@
 const (
 	NoRouting Reason = "no-routing"
 	// Draining means that the request arrived late in a drain and could have outlasted it.
-	Draining         Reason = "draining"
+	Draining Reason = "draining"
+	// GracePeriodOver means that the request outlasted the drain.
+	GracePeriodOver  Reason = "grace-period-over"
 	NoRoute          Reason = "no-route"
 	UnknownKey       Reason = "unknown-key"
 	BodyTooLarge     Reason = "body-too-large"
@@ -45,7 +47,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		NoRouting, Draining, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
+		NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, EndpointError,
 	}
 }
