relay: drain when a port fails

If one port of an entry failed, for example that of the metrics, all callers lost their requests in progress and their connections at once.

Cause: Run treated the error of any listener as the end of the process and closed all connections without a drain. net/http retries only those errors of Accept that are temporary, which ENOBUFS and ENOMEM are not.

Evidence: TestFailedPortDrains fails before in 5 of 5 runs with 'unexpected EOF' (go test -count=5 ./internal/relay -run TestFailedPortDrains), and passes after in 10 of 10 runs with the race detector.

A failed port now starts the same drain as a stop signal, since the other ports still work, and the process ends with the error afterwards. The error is logged at once as 'port_failed'.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -146,8 +146,8 @@
 	Close() error
 }
 
-// Run serves until ctx ends, then drains: it returns when the requests in progress are
-// done or the grace period is over.
+// Run serves until ctx ends or a port fails, then drains: it returns when the requests in
+// progress are done or the grace period is over.
 func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
@@ -175,6 +175,7 @@
 	for _, s := range ports {
 		wg.Go(func() {
 			if err := s.Serve(); err != nil {
+				d.log.WithError(err).Error("port_failed")
 				failures <- oops.In("relay").Wrap(err)
 			}
 		})
@@ -186,9 +187,9 @@
 	d.log.Info("started")
 	select {
 	case <-ctx.Done():
-		d.drain(callers, cut)
-	case err = <-failures:
+	case err = <-failures: // the other ports still work
 	}
+	d.drain(callers, cut)
 	stopBackground()
 	for _, s := range ports {
 		_ = s.Close() // the grace period is over
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,7 +43,7 @@
 	_ = l.Close()
 	s := DefaultSettings()
 	s.Instance, s.Zone, s.Region, s.Grace = "entry-1", "near", "r", settings.Duration(grace)
-	s.Listen, s.PeerListen, s.MetricsListen = address, "127.0.0.1:0", "127.0.0.1:0"
+	s.Listen, s.PeerListen, s.MetricsListen = address, "127.0.0.1:0", testMetricsListen
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	d := New(s, Options{
 		Token: auth.NewToken("0123456789abcdef"), Network: n, Protocol: platform.Headers{},
@@ -114,7 +116,10 @@
 		"Authorization: Bearer %s\r\nContent-Length: 5\r\n\r\norder", testID, timeout.Milliseconds(), testKey)
 }
 
-const okStatus = "200 OK"
+const (
+	okStatus          = "200 OK"
+	testMetricsListen = "127.0.0.1:0"
+)
 
 // Guards against a drain whose start closes kept connections without an answer, while a
 // request is read on them or was passed on just before.
@@ -253,3 +258,50 @@
 	is.True(time.Since(stopped) < 1500*time.Millisecond)
 	is.Equal(e.refusedCounts(t), map[string]float64{string(GracePeriodOver): 2})
 }
+
+// failingNetwork is TCP on which the listener of the metrics port fails once fail is
+// closed.
+type failingNetwork struct {
+	network.System
+	fail chan struct{}
+}
+
+type failingListener struct {
+	net.Listener
+	fail chan struct{}
+}
+
+func (n failingNetwork) Listen(address string) (net.Listener, error) {
+	l, err := n.System.Listen(address)
+	if address == testMetricsListen {
+		l = failingListener{l, n.fail}
+	}
+	return l, err
+}
+
+func (l failingListener) Accept() (net.Conn, error) {
+	<-l.fail
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.ENOBUFS}
+}
+
+// Guards against the failure of a port that cuts off the requests in progress.
+func TestFailedPortDrains(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		return ok(conn, r)
+	})
+	n := failingNetwork{fail: make(chan struct{})}
+	e := startRelay(t, 3*time.Second, n, s)
+	inProgress, idle := e.dial(t), e.dial(t)
+	inProgress.write(orderRequest(time.Second))
+	time.Sleep(50 * time.Millisecond) // until the relay has passed it on
+	close(n.fail)
+	time.Sleep(100 * time.Millisecond)
+	idle.write(orderRequest(time.Second))
+	for _, c := range []*callerConn{inProgress, idle} {
+		is.Equal(c.answer(), answer{status: okStatus, body: "done", closes: true})
+	}
+	is.True(errors.Is(<-e.ended, syscall.ENOBUFS))
+}
