entry: answer requests on open connections during a drain

Callers that sent a request on a kept connection just as an entry began to drain, or as it stopped accepting work, got a closed connection instead of an answer.

Cause: as in the relay, SetKeepAlivesEnabled(false) and http.Server.Shutdown close connections on which a request is being read, and Shutdown drops requests that are read after its call.

The entry now serves with network.DrainServer. After the drain delay, a request on a connection that is still open gets the refusal of a stopping entry.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -202,7 +202,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := network.NewDrainServer(
+		&http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, listener,
+	)
 	admin, err := e.startAdmin()
 	if err != nil {
 		_ = listener.Close()
@@ -213,7 +215,7 @@
 	wg.Go(func() { e.checkHealth(e.background) })
 	wg.Go(func() { e.exchangeUsage(e.background) })
 	failed := make(chan error, 1)
-	wg.Go(func() { failed <- server.Serve(listener) })
+	wg.Go(func() { failed <- server.Serve() })
 	e.log.WithField("listen", listener.Addr().String()).Info("started")
 	select {
 	case <-ctx.Done():
@@ -226,9 +228,6 @@
 	wg.Wait()
 	e.client.CloseIdleConnections()
 	e.log.Info("stopped")
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return oops.In("entry").Wrap(err)
 }
 
@@ -244,9 +243,9 @@
 // that contains it has expired: other entries stop listing it after peerExpiry at
 // the latest, and their lists are valid for the TTL. Then it rejects new work,
 // which no caller should still send, and finishes the requests in flight.
-func (e *Entry) drain(server *http.Server) {
+func (e *Entry) drain(server *network.DrainServer) {
 	e.stopping.Store(true)
-	server.SetKeepAlivesEnabled(false)
+	server.StartDrain()
 	e.log.Info("draining")
 	drainDelay := time.Duration(e.settings.AddressTTL)
 	if len(e.peers.exchangeTargets()) > 0 {
