network: close idle connections of a drain one after another

A review of the drain by somebody who had not seen the work found that its end dropped whole requests that it had read: once nothing was in progress, one flag made all connections drop what they read, until each of them was closed, 4 ms later with 200 connections and 62 ms with 2,000. A new connection in that time could also get 400, which callers never retry.

The error is one that net/http does not answer. A caller that sends stray bytes during a drain holds it for 2 s instead of the idle timeout (TestDrainServerDoesNotWaitFor StrayBytes); one that has sent them shortly before still holds it to its end. Large answers are copied without a buffer of their own, as before the drain was wrapped.

--- a/internal/network/drain.go
+++ b/internal/network/drain.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // DrainServer is an HTTP/1 server that can stop without closing a connection on which a
@@ -22,17 +24,17 @@
 	draining atomic.Bool
 	// stopped is set before the listener is closed.
 	stopped atomic.Bool
+	active  atomic.Int64  // connections on which a request is being read or answered
 	idle    chan struct{} // signals that active has become zero
 
-	mu     sync.Mutex
-	active int  // connections on which a request is being read or answered
-	closed bool // no further request may be read
+	mu    sync.Mutex
+	conns map[*trackedConn]bool // open connections
 }
 
 // NewDrainServer returns a server for the connections of listener. It takes over server
 // and wraps its handler.
 func NewDrainServer(server *http.Server, listener net.Listener) *DrainServer {
-	s := &DrainServer{server: server, idle: make(chan struct{}, 1)}
+	s := &DrainServer{server: server, idle: make(chan struct{}, 1), conns: map[*trackedConn]bool{}}
 	s.listener = trackedListener{listener, s}
 	server.Handler = s.track(server.Handler)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -40,7 +42,7 @@
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if state == http.StateIdle { // the answer is sent
-			s.setIdle(c.(*trackedConn))
+			c.(*trackedConn).setIdle()
 		}
 	}
 	return s
@@ -66,7 +68,7 @@
 	s.StartDrain()
 	s.stopped.Store(true)
 	_ = s.listener.Close()
-	for !s.closeIfIdle() {
+	for s.active.Load() > 0 || !s.closeIdle() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -84,42 +86,20 @@
 	return s.server.Close()
 }
 
-// closeIfIdle prevents further requests from being read, unless one is being read or
-// answered.
-func (s *DrainServer) closeIfIdle() bool {
+// closeIdle closes the idle connections, one after another, and reports whether none is
+// left. A request that arrives on one of the others meanwhile is served.
+func (s *DrainServer) closeIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = s.closed || s.active == 0
-	return s.closed
-}
-
-// setActive counts a connection as active. It returns false if no further request may be
-// read.
-func (s *DrainServer) setActive(c *trackedConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.active {
-		return true
-	}
-	if s.closed {
-		return false
-	}
-	c.active = true
-	s.active++
-	return true
-}
-
-func (s *DrainServer) setIdle(c *trackedConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !c.active {
-		return
-	}
-	c.active = false
-	s.active--
-	if s.active == 0 {
-		s.signalIdle()
+	for c := range s.conns {
+		if c.state.CompareAndSwap(connIdle, connClosed) {
+			_ = c.Conn.Close()
+		}
+		if c.state.Load() == connClosed {
+			delete(s.conns, c)
+		}
 	}
+	return len(s.conns) == 0
 }
 
 func (s *DrainServer) signalIdle() {
@@ -136,30 +116,77 @@
 
 // Accept implements net.Listener.
 func (l trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: c, server: l.server}, nil
+	c := &trackedConn{Conn: accepted, server: l.server}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.conns[c] = true
+	return c, nil
 }
 
+// States of a trackedConn.
+const (
+	connIdle   int32 = iota
+	connActive       // a request is being read or answered
+	connClosed       // no further request is read
+)
+
 // trackedConn is a connection that is active from the first byte of a request until its
-// answer is sent.
+// answer is sent. Its state is its own, so that closing many idle connections does not
+// delay the reads of others.
 type trackedConn struct {
 	net.Conn
 	server *DrainServer
-	active bool // guarded by server.mu
+	state  atomic.Int32
+}
+
+// setActive reports whether a request may be read or handled.
+func (c *trackedConn) setActive() bool {
+	if c.state.CompareAndSwap(connIdle, connActive) {
+		c.server.active.Add(1)
+	}
+	return c.state.Load() == connActive
+}
+
+func (c *trackedConn) setIdle() {
+	if c.state.CompareAndSwap(connActive, connIdle) {
+		c.becameInactive()
+	}
+}
+
+func (c *trackedConn) becameInactive() {
+	if c.server.active.Add(-1) == 0 {
+		c.server.signalIdle()
+	}
 }
 
 // connKey is the key of the trackedConn in the context of a request.
 type connKey struct{}
 
-// Read implements net.Conn. Bytes that arrive after the last request that may be read are
-// dropped, so that no request is handled whose connection is about to be closed.
+// drainHeadTimeout limits the time from the first byte of a request to the end of its head
+// during a drain, which would otherwise wait for a caller that has sent stray bytes.
+const drainHeadTimeout = 2 * time.Second
+
+// Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.server.setActive(c) {
-		return 0, net.ErrClosed
+	if n == 0 || c.state.Load() == connActive {
+		return n, err
+	}
+	if !c.setActive() {
+		// net/http answers 400 to errors of other types.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+	}
+	// Until four bytes have arrived, net/http waits for the idle timeout. It sets the deadline
+	// again before it reads the body.
+	if timeout := c.server.server.ReadHeaderTimeout; timeout > 0 {
+		if c.server.draining.Load() {
+			timeout = min(timeout, drainHeadTimeout)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(timeout)) // fails only if the connection is closed
 	}
 	return n, err
 }
@@ -167,7 +194,12 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
-	c.server.setIdle(c)
+	if c.state.Swap(connClosed) == connActive {
+		defer c.becameInactive()
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	delete(c.server.conns, c)
 	return err
 }
 
@@ -184,7 +216,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The connection is active already, unless the request was read together with the
 		// one before it.
-		if c := r.Context().Value(connKey{}).(*trackedConn); !s.setActive(c) {
+		if c := r.Context().Value(connKey{}).(*trackedConn); !c.setActive() {
 			panic(http.ErrAbortHandler)
 		}
 		d := &drainWriter{ResponseWriter: w, draining: &s.draining}
@@ -225,6 +257,12 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// ReadFrom implements io.ReaderFrom, by which io.Copy needs no buffer of its own.
+func (w *drainWriter) ReadFrom(r io.Reader) (int64, error) {
+	w.announceClose(http.StatusOK)
+	return io.Copy(w.ResponseWriter, r)
+}
+
 // Flush implements http.Flusher.
 func (w *drainWriter) Flush() { _ = w.FlushError() }
 
--- a/internal/network/drain_test.go
+++ b/internal/network/drain_test.go
@@ -149,3 +149,20 @@
 	}
 	is.Equal(answered.Load(), handled.Load())
 }
+
+// Guards against a shutdown that waits for the idle timeout, because a caller has sent stray
+// bytes during the drain.
+func TestDrainServerDoesNotWaitForStrayBytes(t *testing.T) {
+	is := is.New(t)
+	s, address := startDrainServer(t, func(http.ResponseWriter, *http.Request) {})
+	s.server.ReadHeaderTimeout, s.server.IdleTimeout = 10*time.Second, time.Minute
+	s.StartDrain()
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "\r\n")
+	time.Sleep(50 * time.Millisecond) // until the server has read it
+	ctx, cancel := context.WithTimeout(t.Context(), drainHeadTimeout+time.Second)
+	defer cancel()
+	is.NoErr(s.Shutdown(ctx))
+}
