--- a/internal/network/drain_test.go
+++ b/internal/network/drain_test.go
@@ -23,6 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	servers[0].ReadHeaderTimeout, servers[0].IdleTimeout = 10*time.Second, time.Minute
 	s := servers[0].Drainable()
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
@@ -155,7 +156,6 @@
 func TestDrainServerDoesNotWaitForStrayBytes(t *testing.T) {
 	is := is.New(t)
 	s, address := startDrainServer(t, func(http.ResponseWriter, *http.Request) {})
-	s.server.ReadHeaderTimeout, s.server.IdleTimeout = 10*time.Second, time.Minute
 	s.StartDrain()
 	conn, err := net.Dial("tcp", address)
 	is.NoErr(err)
