--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -298,7 +298,7 @@
 	}
 }
 
-// maxLoggedParts limits the part IDs in a log line.
+// maxLoggedParts limits the parts in a log line: callers choose their number.
 const maxLoggedParts = 16
 
 // formatParts returns part IDs as they appear in logs and on the admin port, at most
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -416,7 +416,8 @@
 		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
 	}
 	if crashed {
-		fields["parts"] = q.sharedParts()
+		shared := q.sharedParts()
+		fields["parts"] = shared[:min(len(shared), maxLoggedParts)]
 		h.metrics.crashes.Inc()
 		h.guard.recordCrash(q, c, time.Now())
 	}
