--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,6 +15,7 @@
 	"departure": departure,
 	"silence":   silence,
 	"idle":      idle,
+	"spoilt":    spoilt,
 }
 
 // limit ends a case that hangs.
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -22,6 +22,8 @@
 	slots       int
 	model       string // of an engine; empty for a plain service
 	layers      int
+	// handler serves the port instead of serve, if set.
+	handler http.Handler
 	// handle runs a request and writes its answer.
 	handle func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -48,7 +50,10 @@
 	}
 	s.mu.Lock()
 	s.listener, s.born = l, time.Now().UnixMilli()
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	s.http = &http.Server{Handler: s.handler}
+	if s.handler == nil {
+		s.http.Handler = http.HandlerFunc(s.serve)
+	}
 	s.mu.Unlock()
 	go func() { _ = s.http.Serve(l) }()
 	go s.checkIns()
--- a/review/harness/silence.go
+++ b/review/harness/silence.go
@@ -39,7 +39,11 @@
 		s.model, s.layers, s.version = "daka510000", 16, 1
 		s.handle = func(w http.ResponseWriter, r *http.Request, _ []byte) {
 			id := r.Header.Get("X-Request-Id")
-			end := writeStream(c, w, r, s.id, id)
+			pause := time.Duration(0)
+			if c.trouble {
+				pause = preemptedFor
+			}
+			end := writeStream(c, w, r, s.id, id, pause)
 			c.note("runs     %s ends %s: %s", s.id, id, end)
 			mu.Lock()
 			ended[id] = end
@@ -93,8 +97,9 @@
 	return lost == 0, nil
 }
 
-// writeStream answers a request with events. It returns how the run ended.
-func writeStream(c *cluster, w http.ResponseWriter, r *http.Request, server, id string) string {
+// writeStream answers a request with events. A preempted request pauses once. It returns
+// how the run ended.
+func writeStream(c *cluster, w http.ResponseWriter, r *http.Request, server, id string, preempted time.Duration) string {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	w.WriteHeader(http.StatusOK)
@@ -104,9 +109,9 @@
 	}
 	for n := 1; n <= streamEvents; n++ {
 		pause := eventGap
-		if c.trouble && n == preemptedAt {
+		if preempted > 0 && n == preemptedAt {
 			c.note("runs     %s preempts %s and reads it again", server, id)
-			pause = preemptedFor
+			pause = preempted
 		}
 		select {
 		case <-r.Context().Done():
