--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -31,8 +31,6 @@
 	heartbeat       = 1200 * time.Millisecond
 	stabilityWindow = 3 * time.Second
 	drainTime       = 2 * time.Second
-	graceTime       = 8 * time.Second
-	configApply     = 2 * time.Second
 )
 
 // cluster starts the project's programs as processes and keeps the record of a case.
@@ -186,12 +184,6 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// kill ends the process and waits until it is gone.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.exited
-}
-
 // close ends all processes and removes the temporary folder, unless KEEP names another
 // place for it.
 func (c *cluster) close() {
--- a/review/harness/spoilt.go
+++ b/review/harness/spoilt.go
@@ -22,7 +22,9 @@
 	pieceBytes  = 32768
 	layerCount  = 16
 	stagerStill = 4 * time.Second // how long the side machine stands still
-	excused     = 3 * time.Second // a piece that turned bad later than that is excused
+	// checkedPieces is the number of pieces that were read back when the machine freezes.
+	checkedPieces = pieceCount / 2
+	excused       = 3 * time.Second // a piece that turned bad later than that is excused
 )
 
 // weightsPiece returns a piece of a version of the weights.
@@ -71,7 +73,8 @@
 	loading  bool
 	puts     int
 	verified int // pieces read back in order since the last one was staged
-	// checked is called once all pieces were read back after the last one was staged.
+	// checked is called once the first checkedPieces were read back after the last one was
+	// staged.
 	checked func()
 }
 
@@ -122,7 +125,7 @@
 		m.verified++
 	}
 	var checked func()
-	if m.verified == pieceCount && m.puts >= pieceCount && m.checked != nil {
+	if m.verified == checkedPieces && m.puts >= pieceCount && m.checked != nil {
 		checked, m.checked = m.checked, nil
 	}
 	m.mu.Unlock()
@@ -192,7 +195,7 @@
 	m.c.note("staged   piece %d turns bad", piece)
 }
 
-// spoilt freezes a side machine between the check of the staged pieces and the order to load
+// spoilt freezes a side machine while it checks the staged pieces before the order to load
 // them, while a piece turns bad, and checks rule WHOLE: no token is made with a layer that was
 // taken with a piece that had been bad for more than 3 s.
 func spoilt(c *cluster) (bool, error) {
@@ -246,8 +249,7 @@
 
 	m.mu.Lock()
 	m.checked = func() {
-		c.note("staged   all pieces were read back and match")
-		time.Sleep(30 * time.Millisecond) // the order comes 60 ms later
+		c.note("staged   the first %d pieces were read back and match", checkedPieces)
 		if c.trouble {
 			stager.signal(syscall.SIGSTOP)
 		}
