--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "build with the deploy file and review/build.sh first" >&2
   exit 2
 }
-exec review/bin/harness idle review/5/record.txt
+exec review/bin/harness departure review/4/record.txt
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -54,6 +54,7 @@
 	}
 	time.Sleep(5 * time.Second) // all machines are in touch
 	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	callers := startCallers(ctx, c)
 	time.Sleep(3 * time.Second)
 
@@ -62,7 +63,10 @@
 		frozen.signal(syscall.SIGSTOP)
 	}
 	time.Sleep(freezeTime - time.Second)
-	left := leaving.deregister()
+	left := leaving.deregisterAt(leaving.lastNode())
+	if left.IsZero() {
+		return false, errCannotRun
+	}
 	time.Sleep(time.Second)
 	if c.trouble {
 		frozen.signal(syscall.SIGCONT)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,7 +14,7 @@
 var cases = map[string]func(*cluster) (bool, error){
 	"departure": departure,
 	"silence":   silence,
-	"idle":      idle,
+	"forgotten": forgotten,
 	"spoilt":    spoilt,
 }
 
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -33,8 +33,11 @@
 	version  uint64 // of the loaded layers
 	born     int64
 	silent   bool // sends no further check-ins
-	listener net.Listener
-	http     *http.Server
+	// nodes are the nodes that it picks from for its check-ins, the seeds if empty.
+	nodes     []string
+	checkedIn string // node that acknowledged the last check-in
+	listener  net.Listener
+	http      *http.Server
 }
 
 // newServer prepares a server on machine n.
@@ -136,29 +139,63 @@
 	m["slots"], m["state"], m["cold_remaining_ms"], m["sequence"] = s.slots, s.state, 0, s.sequence
 	s.mu.Unlock()
 	body, _ := json.Marshal(m) // never fails
-	s.c.callControl(http.MethodPost, "/instances/"+s.id+"/heartbeat", body)
+	s.mu.Lock()
+	nodes := s.nodes
+	s.mu.Unlock()
+	node := s.c.callOneOf(nodes, http.MethodPost, "/instances/"+s.id+"/heartbeat", body)
+	s.mu.Lock()
+	s.checkedIn = node
+	s.mu.Unlock()
 }
 
-// deregister tells the system that the server leaves and returns when that was
-// acknowledged.
-func (s *server) deregister() time.Time {
+// deregisterAt tells one node that the server leaves, and returns when that was
+// acknowledged, or the zero time.
+func (s *server) deregisterAt(node string) time.Time {
 	s.mu.Lock()
 	s.silent = true
 	body, _ := json.Marshal(map[string]any{"born": s.born}) // never fails
 	s.mu.Unlock()
-	node := s.c.callControl(http.MethodPost, "/instances/"+s.id+"/deregister", body)
+	status, _ := call(http.MethodPost, "http://"+node+"/instances/"+s.id+"/deregister", body)
 	at := time.Now()
-	s.c.note("leaves   %s: deregister acknowledged by %s", s.id, node)
+	s.c.note("leaves   %s: deregister at %s: %d", s.id, node, status)
+	if status/100 != 2 {
+		return time.Time{}
+	}
 	return at
 }
 
+// node returns a node that serves control, drawn at random.
+func (c *cluster) node() string { return c.seeds[rand.IntN(len(c.seeds))] }
+
+// setNodes sets the nodes among which the server picks for its check-ins.
+func (s *server) setNodes(nodes []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = nodes
+}
+
+// lastNode returns the node that acknowledged the last check-in.
+func (s *server) lastNode() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkedIn
+}
+
 var controlClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // callControl calls nodes that serve control, in random order, until one answers 2xx. It
 // returns the node, or "" if none did in 20 tries.
 func (c *cluster) callControl(method, path string, body []byte) string {
+	return c.callOneOf(c.seeds, method, path, body)
+}
+
+// callOneOf is callControl with the nodes to pick from, the seeds if there are none.
+func (c *cluster) callOneOf(nodes []string, method, path string, body []byte) string {
+	if len(nodes) == 0 {
+		nodes = c.seeds
+	}
 	for range 20 {
-		node := c.seeds[rand.IntN(len(c.seeds))]
+		node := nodes[rand.IntN(len(nodes))]
 		if status, _ := call(method, "http://"+node+path, body); status/100 == 2 {
 			return node
 		}
@@ -216,7 +253,7 @@
 // resolve asks a directory for the front addresses.
 func (c *cluster) resolve() []string {
 	for range 3 {
-		node := strings.Replace(c.seeds[rand.IntN(len(c.seeds))], fmt.Sprint(portControl), fmt.Sprint(portDirectory), 1)
+		node := strings.Replace(c.node(), fmt.Sprint(portControl), fmt.Sprint(portDirectory), 1)
 		status, data := call(http.MethodGet, "http://"+node+"/resolve?name=quotes.example&region=brisbane&zone=bne-a", nil)
 		var answer struct {
 			Addresses []string `json:"addresses"`
