--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -26,7 +26,7 @@
 	if _, err := c.controls(5); err != nil {
 		return false, err
 	}
-	fronts, err := c.fronts(2)
+	fronts, err := c.fronts(4)
 	if err != nil {
 		return false, err
 	}
--- a/review/harness/silence.go
+++ b/review/harness/silence.go
@@ -28,7 +28,7 @@
 	if _, err := c.controls(3); err != nil {
 		return false, err
 	}
-	fronts, err := c.fronts(2)
+	fronts, err := c.fronts(4)
 	if err != nil {
 		return false, err
 	}
