--- a/review/harness/spoilt.go
+++ b/review/harness/spoilt.go
@@ -220,7 +220,7 @@
 			broken = wrong
 			c.note("WHOLE    %s is answered with a layer that was taken with %s", r.Header.Get("X-Request-Id"), wrong)
 		}
-		writeStream(c, w, r, m.id, r.Header.Get("X-Request-Id"), 0)
+		writeStream(c, w, r, m.id, r.Header.Get("X-Request-Id"), func() time.Duration { return 0 })
 	}
 	m.handler = m // for requests and for the calls from the server's own machine
 	if err := m.run(); err != nil {
