--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,15 +20,14 @@
 )
 
 // Ports are the same on all machines, as on the users' pages. Each machine has a loopback
-// address of its own.
-const (
-	controlPort   = 8000
-	directoryPort = 8001
-	readyPort     = 8002
-	frontPort     = 8005
-	serverPort    = 8080
-	internalPort  = 7700
-)
+// address of its own. newCluster chooses free ones.
+var controlPort, directoryPort, readyPort, frontPort, serverPort, internalPort, metricsPort int
+
+// setPorts assigns ports from base on.
+func setPorts(base int) {
+	controlPort, directoryPort, readyPort, frontPort, serverPort, metricsPort = base, base+1, base+2, base+3, base+4, base+5
+	internalPort = base + 6 // and the next one
+}
 
 // Bounds of the users' small sites.
 const (
@@ -60,12 +60,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, record: record, begun: time.Now(), subnet: 20 + os.Getpid()%200}
-	for tries := 0; !c.free(); tries++ {
-		if tries == 200 {
+	c := &cluster{dir: dir, record: record, begun: time.Now()}
+	for tries := 0; ; tries++ {
+		c.subnet = 20 + rand.IntN(200)
+		setPorts(12000 + 10*rand.IntN(1800)) // below the ports of outgoing connections
+		if c.free() {
+			break
+		}
+		if tries == 100 {
 			return nil, fmt.Errorf("no free loopback addresses")
 		}
-		c.subnet = 20 + (c.subnet-19)%200
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
@@ -79,7 +83,7 @@
 
 // free reports whether the ports are free in the subnet.
 func (c *cluster) free() bool {
-	for _, port := range []int{controlPort, directoryPort, readyPort, frontPort, serverPort, internalPort, internalPort + 1, 9464} {
+	for _, port := range []int{controlPort, directoryPort, readyPort, frontPort, serverPort, internalPort, internalPort + 1, metricsPort} {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", c.subnet, port))
 		if err != nil {
 			return false
@@ -165,7 +169,7 @@
 	for k, v := range extra {
 		values[k] = v
 	}
-	settings := string(text)
+	settings := strings.ReplaceAll(string(text), "{{ip}}:9464", at(ip, metricsPort))
 	for _, section := range []string{"#", "^"} {
 		keep := section == "#" == bootstrap
 		settings = regexp.MustCompile(`\{\{`+regexp.QuoteMeta(section)+`bootstrap\}\}(.*?)\{\{/bootstrap\}\}`).ReplaceAllStringFunc(settings, func(s string) string {
--- a/review/stand/departed.go
+++ b/review/stand/departed.go
@@ -20,6 +20,22 @@
 	return ips, nil
 }
 
+// dispatch starts seven plain servers, the first of which is alone in its zone.
+func (c *cluster) dispatch(zone string, nodes func() []string) (servers []*server, err error) {
+	for i := range 7 {
+		in := zone
+		if i > 0 {
+			in = fmt.Sprintf("z%d", i%2+2)
+		}
+		s, err := newServer(c, fmt.Sprintf("i-%d", i+1), c.ip(4, 10+i), "dispatch", in, nodes)
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
 // departedCase freezes one front machine for some seconds. Meanwhile a server deregisters,
 // which a machine in touch confirms, and goes on serving as the pages say.
 func departedCase(c *cluster) (int, error) {
@@ -34,8 +50,8 @@
 	}
 	nodes := func() []string { return ips }
 	var fronts []*process
-	for i := range 2 {
-		p, err := c.relay(fmt.Sprintf("front-%d", i+1), c.ip(2, 10+i), fmt.Sprintf("z%d", i+1), ips[:3])
+	for i := range 4 {
+		p, err := c.relay(fmt.Sprintf("front-%d", i+1), c.ip(2, 10+i), fmt.Sprintf("z%d", i%3+1), ips[:3])
 		if err != nil {
 			return failed, err
 		}
@@ -44,13 +60,9 @@
 	if _, ok := c.submit(nodes, "/config/replace", plainConfig(1), 15*time.Second); !ok {
 		return failed, errors.New("the first configuration was not acknowledged")
 	}
-	var servers []*server
-	for i := range 3 {
-		s, err := newServer(c, fmt.Sprintf("i-%d", i+1), c.ip(4, 10+i), "dispatch", fmt.Sprintf("z%d", i+1), nodes)
-		if err != nil {
-			return failed, err
-		}
-		servers = append(servers, s)
+	servers, err := c.dispatch("z1", nodes)
+	if err != nil {
+		return failed, err
 	}
 	served := waitFor(20*time.Second, func() bool {
 		_, _, _ = order(fronts[0].ip, "/book/warm", fmt.Sprintf("warm-%d", time.Now().UnixNano()), nil, 1500*time.Millisecond)
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -82,13 +82,16 @@
 	once     sync.Once
 	loading  bool
 	version  int
-	spoilt   []string // why layers of the loaded version are bad
-	tokens   int      // made in all
-	bad      []string // tokens made with a bad layer
+	spoilt   []string                                 // why layers of the loaded version are bad
+	tokens   int                                      // made in all
+	events   int                                      // of a stream
+	pauses   func(id string, event int) time.Duration // before an event
+	ends     map[string]string                        // how the streams ended, by request
+	bad      []string                                 // tokens made with a bad layer
 }
 
 func newEngine(c *cluster, id, ip, service, zone string, nodes func() []string) (*engine, error) {
-	e := &engine{version: 1, staged: make([][]byte, pieceCount), badSince: make([]time.Time, pieceCount), gets: make([]int, pieceCount), onVerified: func() {}}
+	e := &engine{version: 1, staged: make([][]byte, pieceCount), badSince: make([]time.Time, pieceCount), gets: make([]int, pieceCount), onVerified: func() {}, events: 3, pauses: func(string, int) time.Duration { return 0 }, ends: map[string]string{}}
 	for i := range pieceCount {
 		e.staged[i] = pieceOf(1, i)
 	}
@@ -268,13 +271,40 @@
 	w.Header().Set("X-Weight-Versions", strconv.Itoa(version))
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.emu.Lock()
-	e.tokens += 3
+	e.tokens += e.events
 	if len(spoilt) > 0 {
-		e.bad = append(e.bad, fmt.Sprintf("%s: 3 tokens on version %d: %s", id, version, strings.Join(spoilt, "; ")))
+		e.bad = append(e.bad, fmt.Sprintf("%s: %d tokens on version %d: %s", id, e.events, version, strings.Join(spoilt, "; ")))
 	}
 	e.emu.Unlock()
-	for i := range 3 {
-		fmt.Fprintf(w, "id: %d\ndata: token\n\n", i+1)
+	e.c.note("%s begins %s on version %d", e.id, id, version)
+	end := e.stream(w, r, id)
+	e.c.note("%s ends %s: %s", e.id, id, end)
+	e.emu.Lock()
+	e.ends[id] = end
+	e.emu.Unlock()
+}
+
+// allSent is the end of a stream whose events were all sent.
+const allSent = "all events sent"
+
+// stream sends the events of a stream and returns how it ended.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) string {
+	flusher, ok := w.(http.Flusher)
+	if !ok {
+		return "no flusher"
+	}
+	for i := range e.events {
+		if pause := e.pauses(id, i+1); pause > 0 {
+			select {
+			case <-time.After(pause):
+			case <-r.Context().Done():
+				return fmt.Sprintf("its connection was closed before event %d", i+1)
+			}
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token\n\n", i+1); err != nil {
+			return err.Error()
+		}
+		flusher.Flush()
 	}
-	e.c.note("%s makes 3 tokens for %s on version %d", e.id, id, version)
+	return allSent
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,7 +18,7 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 func main() {
-	cases := map[string]func(c *cluster) (int, error){"replace": replaceCase, "departed": departedCase, "spoilt": spoiltCase, "ninth": ninthCase}
+	cases := map[string]func(c *cluster) (int, error){"replace": replaceCase, "departed": departedCase, "spoilt": spoiltCase, "ninth": ninthCase, "silent": silentCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
 		os.Exit(failed)
--- a/review/stand/ninth.go
+++ b/review/stand/ninth.go
@@ -40,7 +40,7 @@
 // ninthCase runs the nine core machines of a grown site. A server deregisters at one of them.
 func ninthCase(c *cluster) (int, error) {
 	const lingers = 5 * time.Second // beyond drainBound
-	zones := []string{"z1", "z2", "z3", "z1", "z1", "z2", "z3", "z4", "z4"}
+	zones := []string{"z1", "z2", "z3", "z1", "z2", "z3", "z4", "z4", "z1"}
 	var controls []*process
 	var ips []string
 	for i := range zones {
@@ -71,31 +71,38 @@
 		return held, nil
 	}
 	c.note("%s (%s) is no member", outside.name, outside.ip)
-	var servers []*server
 	members := func() []string {
 		return slices.DeleteFunc(slices.Clone(ips), func(ip string) bool { return ip == outside.ip })
 	}
-	for i := range 3 {
-		s, err := newServer(c, fmt.Sprintf("i-%d", i+1), c.ip(4, 10+i), "dispatch", zones[7], members)
-		if err != nil {
-			return failed, err
-		}
-		servers = append(servers, s)
+	servers, err := c.dispatch("z4", members)
+	if err != nil {
+		return failed, err
 	}
 	var front *process
-	for i := range 10 {
-		p, err := c.relay(fmt.Sprintf("front-z4-%d", i+1), c.ip(2, 10+i), "z4", seeds)
-		if err != nil {
-			return failed, err
+	for round := range 3 { // four entries a zone, as on the sites; a name draws the replicas that it follows
+		var fronts []*process
+		for i := range 4 {
+			n := 4*round + i
+			p, err := c.relay(fmt.Sprintf("front-z4-%d", n+1), c.ip(2, 10+n), "z4", seeds)
+			if err != nil {
+				return failed, err
+			}
+			fronts = append(fronts, p)
 		}
 		time.Sleep(6 * time.Second)
-		follows := followedBy(p)
-		c.note("%s follows %v", p.name, follows)
-		if !slices.ContainsFunc(follows, func(ip string) bool { return slices.Contains(seeds, ip) || ip == outside.ip }) {
-			front = p
+		for _, p := range fronts {
+			follows := followedBy(p)
+			c.note("%s follows %v", p.name, follows)
+			if front == nil && !slices.ContainsFunc(follows, func(ip string) bool { return slices.Contains(seeds, ip) || ip == outside.ip }) {
+				front = p
+			}
+		}
+		if front != nil {
 			break
 		}
-		p.kill()
+		for _, p := range fronts {
+			p.kill()
+		}
 	}
 	if front == nil {
 		return failed, errors.New("each entry follows a seed")
--- a/review/stand/spoilt.go
+++ b/review/stand/spoilt.go
@@ -47,14 +47,21 @@
 	if err != nil {
 		return failed, err
 	}
-	e, err := newEngine(c, "i-1", c.ip(3, 10), "quotes", "z1", nodes)
-	if err != nil {
-		return failed, err
-	}
-	side, err := c.stager("side-1", c.ip(3, 10), "z1", ips, at(e.ip, serverPort), "quotes")
-	if err != nil {
-		return failed, err
+	var engines []*engine
+	var sides []*process
+	for i := range 9 {
+		ip, zone := c.ip(3, 10+i), fmt.Sprintf("z%d", i%3+1)
+		e, err := newEngine(c, fmt.Sprintf("i-%d", i+1), ip, "quotes", zone, nodes)
+		if err != nil {
+			return failed, err
+		}
+		p, err := c.stager(fmt.Sprintf("side-%d", i+1), ip, zone, ips, at(ip, serverPort), "quotes")
+		if err != nil {
+			return failed, err
+		}
+		engines, sides = append(engines, e), append(sides, p)
 	}
+	e, side := engines[0], sides[0]
 	done := make(chan struct{})
 	e.onVerified = func() {
 		defer close(done)
@@ -103,12 +110,12 @@
 	if !waitFor(20*time.Second, held2) {
 		return failed, errors.New("version 2 was not loaded")
 	}
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ask()
 	}
 	e.emu.Lock()
 	defer e.emu.Unlock()
-	c.note("%d tokens made in all", e.tokens)
+	c.note("%d tokens made by %s", e.tokens, e.id)
 	for _, line := range e.bad {
 		c.note("bad: %s", line)
 	}
