control: let replicas discover each other beyond their seeds

Cause: only the leader adds a replica, and only one whose hello it received itself. A replica sent its hello to its seeds only, and a hello named nobody else, so a successor without the leader among its seeds never became a member while lost voters went on being removed.

Change: hellos relay the addresses of members and present replicas, on a new session and every 2 s. Members of the stored log are dialled at the start, new seeds at a reload, and addresses that no longer answer are dropped after a minute. Silent learners are removed.

--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"net/http"
 
-	"github.com/apex/log"
-
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
@@ -47,19 +45,18 @@
 	if err != nil {
 		return err
 	}
-	go logReloads(ctx, reloads, logger)
+	go applyReloads(ctx, reloads, d)
 	return d.Run(ctx)
 }
 
-// logReloads logs that changed settings take effect at the next start. A running
-// replica finds the other replicas through the replicated log, not its settings.
-func logReloads(ctx context.Context, reloads daemon.Reloads, logger log.Interface) {
+// applyReloads puts changed settings in force until ctx ends.
+func applyReloads(ctx context.Context, reloads daemon.Reloads, d *control.Daemon) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-reloads:
-			logger.Info("settings_changed_for_next_start")
+		case config := <-reloads:
+			d.Reload(config.(*control.Settings))
 		}
 	}
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -154,11 +154,19 @@
 		}
 		return d.peers.Zone(replica)
 	}
-	d.peers.AddAddresses(replica.View().Raft.Membership.Addresses)
+	d.peers.SetSeeds(d.settings.seedAddresses())
+	d.peers.SetMembers(replica.View().Raft.Membership.Addresses)
 	d.metrics.registerGauges(d.registry, d)
 	return nil
 }
 
+// Reload puts the seeds of changed settings in force. All other settings take effect at the
+// next start.
+func (d *Daemon) Reload(s *Settings) {
+	d.peers.SetSeeds(s.seedAddresses())
+	d.log.WithField("seeds", s.seedAddresses()).Info("seeds_reloaded")
+}
+
 // Registry returns the registry of the daemon's metrics.
 func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
 
@@ -181,7 +189,7 @@
 		d.log.WithFields(log.Fields{"leader": next.Raft.Leader, "term": next.Raft.Term}).Info("leader_changed")
 	}
 	if old.Raft.Membership.Index != next.Raft.Membership.Index {
-		d.peers.AddAddresses(next.Raft.Membership.Addresses)
+		d.peers.SetMembers(next.Raft.Membership.Addresses)
 		d.log.WithFields(log.Fields{
 			"voters": next.Raft.Membership.Voters, "learners": next.Raft.Membership.Learners,
 		}).Info("membership_changed")
@@ -265,7 +273,7 @@
 		})
 	}
 	wg.Go(func() { d.replica.Run(loop) })
-	wg.Go(func() { d.peers.Run(loop, d.settings.initialVoters()) })
+	wg.Go(func() { d.peers.Run(loop) })
 	wg.Go(func() { d.hub.Run(ctx.Done()) })
 	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.fleet.Run(ctx.Done()) })
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -575,6 +575,7 @@
 		"learner has caught up":          {status(three, []string{"d.2"}, nil), nil, "promote d.2"},
 		"standby beyond the target":      {status(four, []string{"e.1"}, nil), nil, "none"},
 		"learner that lost its disk":     {status(four, []string{"e.1"}, nil), present("e.2"), "remove e.1"},
+		"lost learner":                   {status(four, []string{"e.1"}, map[string]int{"e.1": 100}), nil, "remove e.1"},
 		"too many replicas":              {status(four, []string{"e.1"}, nil), present("f.1"), "none"},
 		"another change is pending":      {pending, nil, "none"},
 		"not the leader":                 {raft.Status{}, nil, "none"},
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -19,6 +19,14 @@
 	helloInterval = 500 * time.Millisecond
 	// helloTTL is how long a replica counts as present after its last hello.
 	helloTTL = 3 * time.Second
+	// relayInterval is the time between two hellos that list the addresses of other
+	// replicas. In every hello they would make up most of the bytes between replicas.
+	relayInterval = 4 * helloInterval
+	// maxRelayed limits the addresses taken from one hello.
+	maxRelayed = 64
+	// unusedDialerTTL is how long a replica is dialled that is neither a member nor a
+	// seed and does not answer. One that returns later introduces itself again.
+	unusedDialerTTL = time.Minute
 )
 
 // peerFrame is the payload of a wire.Raft message: a Raft message or a hello.
@@ -28,7 +36,10 @@
 }
 
 // hello introduces a replica. Replicas send it to each other twice a second, so
-// that a new cluster can bootstrap and a replica that is not a member can join.
+// that a new cluster can bootstrap and a replica that is not a member can join. A
+// replica knows only its seeds at first, none of which may be the leader or even a
+// member. Hellos therefore relay the addresses of other replicas, so that all
+// replicas with a path of seeds between them connect to each other.
 type hello struct {
 	ID      string `cbor:"1,keyasint"`
 	Name    string `cbor:"2,keyasint"`
@@ -39,6 +50,9 @@
 	// a replica that has restarted since learns of them.
 	Lost []string `cbor:"5,keyasint,omitempty"`
 	Zone string   `cbor:"6,keyasint,omitempty"`
+	// Replicas lists the session addresses of the members and of the replicas that
+	// sent a hello recently. It is not in every hello.
+	Replicas []string `cbor:"7,keyasint,omitempty"`
 }
 
 type peer struct {
@@ -60,6 +74,8 @@
 	mu           sync.Mutex
 	ctx          context.Context
 	dialersDone  sync.WaitGroup
+	seeds        []string           // session addresses from the settings
+	members      []string           // session addresses of the members
 	dialers      map[string]*dialer // by address
 	byID         map[string]string  // replica ID to address
 	byName       map[string]peer    // newest hello by replica name
@@ -69,42 +85,77 @@
 
 type dialer struct {
 	*transport.Dialer
-	cancel context.CancelFunc
+	cancel   context.CancelFunc
+	lastUsed time.Time // when it last had a session or its address was in the settings or a membership
 }
 
-// Run keeps the sessions open and sends hellos until ctx ends.
-func (p *peers) Run(ctx context.Context, initialVoters map[string]string) {
+// Run keeps the sessions open and sends hellos until ctx ends. It dials the seeds and the
+// members of the log that the replica has stored: after a restart, the seeds may be gone.
+func (p *peers) Run(ctx context.Context) {
 	p.mu.Lock()
 	p.ctx = ctx
+	addresses := slices.Concat(p.seeds, p.members)
 	p.mu.Unlock()
-	for _, address := range initialVoters {
+	for _, address := range addresses {
 		p.connect(address)
 	}
 	ticker := time.NewTicker(helloInterval)
 	defer ticker.Stop()
+	relayed := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			p.dialersDone.Wait()
 			return
-		case <-ticker.C:
-			p.broadcastHello()
+		case now := <-ticker.C:
+			relay := now.Sub(relayed) >= relayInterval
+			if relay {
+				relayed = now
+				p.removeUnusedDialers(now)
+			}
+			p.broadcastHello(relay)
 		}
 	}
 }
 
-func (p *peers) connect(address string) {
+// SetSeeds replaces the session addresses from the settings and connects to the new ones.
+func (p *peers) SetSeeds(addresses []string) {
+	p.mu.Lock()
+	p.seeds = addresses
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.connect(address)
+	}
+}
+
+// removeUnusedDialers stops dialling replicas that were removed or never answered.
+func (p *peers) removeUnusedDialers(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, d := range p.dialers {
+		if d.Session() != nil || slices.Contains(p.seeds, address) || slices.Contains(p.members, address) {
+			d.lastUsed = now
+		}
+		if now.Sub(d.lastUsed) >= unusedDialerTTL {
+			d.cancel()
+			delete(p.dialers, address)
+		}
+	}
+}
+
+// connect starts dialling an address and reports whether it was not dialled before.
+func (p *peers) connect(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ctx == nil || p.ctx.Err() != nil || address == p.ownAddress || p.dialers[address] != nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
-	d := &dialer{cancel: cancel, Dialer: &transport.Dialer{
+	d := &dialer{cancel: cancel, lastUsed: time.Now(), Dialer: &transport.Dialer{
 		Address: address, Token: p.token, Network: p.network, Bytes: p.byteCounts,
 		Handler: func(context.Context, *transport.Session, wire.Envelope) {},
 		OnOpen: func(s *transport.Session) {
-			p.sendHello(s)
+			p.sendHello(s, p.replicas(time.Now()))
 			p.onConnect()
 		},
 		OnFailure: func(err error) {
@@ -113,17 +164,35 @@
 	}}
 	p.dialers[address] = d
 	p.dialersDone.Go(func() { d.Run(ctx) })
+	return true
 }
 
-func (p *peers) sendHello(s *transport.Session) {
+// replicas returns the session addresses of the members and of the present replicas.
+func (p *peers) replicas(now time.Time) []string {
+	addresses := []string{}
+	for _, h := range p.Present(now) {
+		addresses = append(addresses, h.Address)
+	}
+	p.mu.Lock()
+	addresses = append(addresses, p.members...)
+	p.mu.Unlock()
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+func (p *peers) sendHello(s *transport.Session, replicas []string) {
 	h := p.localHello()
-	h.Lost = p.LostStorage()
+	h.Lost, h.Replicas = p.LostStorage(), replicas
 	if frame, err := wire.Marshal(peerFrame{Hello: &h}); err == nil {
 		_ = s.Send(wire.Raft{Message: frame})
 	}
 }
 
-func (p *peers) broadcastHello() {
+func (p *peers) broadcastHello(relay bool) {
+	var replicas []string
+	if relay {
+		replicas = p.replicas(time.Now())
+	}
 	p.mu.Lock()
 	dialers := make([]*dialer, 0, len(p.dialers))
 	for _, d := range p.dialers {
@@ -132,7 +201,7 @@
 	p.mu.Unlock()
 	for _, d := range dialers {
 		if s := d.Session(); s != nil {
-			p.sendHello(s)
+			p.sendHello(s, replicas)
 		}
 	}
 }
@@ -185,10 +254,11 @@
 	return p.byName[replicaName(id)].Zone
 }
 
-// AddAddresses records the addresses of a membership and connects to the new
-// ones.
-func (p *peers) AddAddresses(addresses map[string]string) {
+// SetMembers records the addresses of a membership, by replica ID, and connects to the
+// new ones.
+func (p *peers) SetMembers(addresses map[string]string) {
 	p.mu.Lock()
+	p.members = slices.Sorted(maps.Values(addresses))
 	missing := map[string]string{}
 	for id, address := range addresses {
 		if p.byID[id] != address {
@@ -202,14 +272,25 @@
 	}
 }
 
-// RecordHello records a hello. Its address replaces the known address of the
-// replica. A late hello of a replica whose storage is lost is ignored.
+// RecordHello records a hello and connects to the replicas that it lists. Its address
+// replaces the known address of the replica. A late hello of a replica whose storage is
+// lost is ignored.
 func (p *peers) RecordHello(h hello, now time.Time) {
 	if h.ID == "" || h.Name == "" || h.Address == "" {
 		return
 	}
-	if p.storeHello(h, now) {
-		p.connect(h.Address)
+	relayed := h.Replicas[:min(len(h.Replicas), maxRelayed)]
+	h.Replicas = nil
+	if !p.storeHello(h, now) {
+		return
+	}
+	if p.connect(h.Address) {
+		p.log.WithFields(log.Fields{"replica": h.ID, "peer": h.Address, "source": "hello"}).Info("replica_discovered")
+	}
+	for _, address := range relayed {
+		if address != "" && p.connect(address) {
+			p.log.WithFields(log.Fields{"peer": address, "from": h.ID, "source": "relayed"}).Info("replica_discovered")
+		}
 	}
 }
 
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -57,7 +57,7 @@
 	case learner != "" && len(m.Voters) < p.targetVoters:
 		return raft.ConfChange{Kind: raft.PromoteLearner, ID: learner}, true
 	}
-	if old := p.replacedLearner(m, present); old != "" {
+	if old := p.lostLearner(s, present); old != "" {
 		return raft.ConfChange{Kind: raft.RemoveReplica, ID: old}, true
 	}
 	return p.nextJoin(m, present)
@@ -104,9 +104,12 @@
 	return ""
 }
 
-func (p repairPolicy) replacedLearner(m raft.Membership, present map[string]hello) string {
-	for _, id := range m.Learners {
-		if storageReplaced(id, present) {
+// lostLearner returns a learner that was silent for too long or has lost its storage. It
+// would otherwise count towards maxReplicas for ever and keep new replicas out. If it
+// returns, it joins again.
+func (p repairPolicy) lostLearner(s raft.Status, present map[string]hello) string {
+	for _, id := range s.Membership.Learners {
+		if storageReplaced(id, present) || p.isSilent(s, id) {
 			return id
 		}
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -37,7 +39,8 @@
 
 	// Seeds lists addresses of replicas. It is used instead of Voters where
 	// names and session ports are not known: a replica's name is its IP
-	// address, and its session port is that of session_listen.
+	// address, and its session port is that of session_listen. A reload puts changed
+	// seeds in force.
 	Seeds []string `yaml:"seeds"`
 	// JoinOnly prevents this replica from bootstrapping a new cluster: it joins
 	// the cluster of the seeds.
@@ -149,3 +152,8 @@
 	}
 	return voters
 }
+
+// seedAddresses returns the session addresses that a replica dials to find the others.
+func (s *Settings) seedAddresses() []string {
+	return slices.Sorted(maps.Values(s.initialVoters()))
+}
