stager, relay: use weights only once their load was verified after the order

Cause: the verification and the order that rests on it are separate steps, and the process can stand still between any two of them, also after a look at a clock; nothing looked at the pieces again. The same holds for orders that are accepted late or without a response, and for a stager killed in between.

Change: the stager reads all pieces back after the engine has accepted the order. A corrupted piece does not become correct by itself, so pieces that match then, with no write in between, matched when the engine took them. Replicas and entries remember what was verified, by incarnation and number of orders, and use no other weights above version 1; each request states the version, which the engine checks. Weights that cannot be verified are replaced by way of another version.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -63,6 +63,7 @@
 	processLists map[wire.Role]*processList        // present processes by role
 	dirty        bool                              // servers and processLists must be rebuilt
 	weightsSeen  map[weightsKey]time.Time
+	engines      map[string]wire.EngineState // last reported by a stager, by server address
 	wake         chan struct{}
 }
 
@@ -112,14 +113,14 @@
 		localServers: table(), servers: table(), remoteServers: membership.NewView[wire.Server](membership.ViewConfig{Expiry: lostReplicaTTL}),
 		remoteProcesses: map[string]map[string]wire.Process{}, lostAt: map[string]time.Time{}, shareSources: map[*transport.Session]string{},
 		followers: map[*transport.Session]*follower{}, sentShares: map[*transport.Session]*sentShare{}, processLists: map[wire.Role]*processList{},
-		dirty: true, weightsSeen: map[weightsKey]time.Time{}, wake: make(chan struct{}, 1),
+		dirty: true, weightsSeen: map[weightsKey]time.Time{}, engines: map[string]wire.EngineState{}, wake: make(chan struct{}, 1),
 	}
 }
 
 // serverChanged reports whether a check-in has changes that entries need.
 func serverChanged(previous, next membership.Record[wire.Server]) bool {
 	a, b := previous.Report, next.Report
-	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone || a.Loading != b.Loading || a.LoadPending != b.LoadPending ||
+	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone || a.Loading != b.Loading || a.LoadPending != b.LoadPending || a.Loads != b.Loads ||
 		!slices.EqualFunc(a.Models, b.Models, func(x, y wire.ServerModel) bool {
 			return x.Name == y.Name && slices.Equal(x.Layers, y.Layers)
 		})
@@ -245,13 +246,13 @@
 		addIfNewer(follower.process)
 	}
 	lists := map[wire.Role]*processList{}
-	engines := map[string]wire.EngineState{} // by server address
+	inTouch := map[string]bool{} // addresses of engines whose stager is present
 	for name, p := range newestByName {
 		if lists[p.Role] == nil {
 			lists[p.Role] = &processList{byName: map[string]wire.Process{}}
 		}
 		if p.Role == wire.RoleStager {
-			engines[p.Address] = p.Engine
+			inTouch[p.Address] = f.recordEngine(p.Address, p.Engine)
 		}
 		p.Engine, p.Revision = wire.EngineState{}, 0 // change often, and others do not need them
 		lists[p.Role].byName[name] = p
@@ -270,14 +271,37 @@
 		}
 	}
 	list := make([]membership.Record[wire.Server], 0, len(records))
+	used := map[string]bool{}
 	for _, id := range slices.Sorted(maps.Keys(records)) {
 		r := records[id]
-		r.Report = r.Report.WithEngineState(engines[r.Report.Address])
+		address := r.Report.Address
+		used[address] = true
+		if inTouch[address] {
+			r.Report = r.Report.WithEngineState(f.engines[address])
+		} else {
+			r.Report = r.Report.WithoutStager(f.engines[address])
+		}
 		list = append(list, r)
 	}
+	maps.DeleteFunc(f.engines, func(address string, _ wire.EngineState) bool { return !used[address] && !inTouch[address] })
 	f.servers.Replace(list, now)
 }
 
+// recordEngine records what a stager reports of its engine and reports whether it knows the
+// engine's state. What was verified once in an incarnation of the engine stays verified: a
+// stager that has restarted does not know what it verified before. The caller holds mu.
+func (f *fleet) recordEngine(address string, e wire.EngineState) bool {
+	held := f.engines[address]
+	if e.Started == 0 || e.Started < held.Started {
+		return false
+	}
+	if e.Started == held.Started {
+		e.Verified = max(e.Verified, held.Verified)
+	}
+	f.engines[address] = e
+	return true
+}
+
 // processesOf returns the present processes of a role. The caller holds mu.
 func (f *fleet) processesOf(role wire.Role) *processList {
 	if l := f.processLists[role]; l != nil {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
@@ -156,3 +158,70 @@
 	addresses, _ = d.Addresses("", "")
 	is.Equal(addresses, []string{"4"})
 }
+
+// Weights must be trusted only once their load was verified, also while the stager is
+// restarting, silent or unknown. What was verified must not be forgotten with it, which
+// would take the engine out of service.
+func TestOnlyVerifiedWeightsAreTrusted(t *testing.T) {
+	now := time.Now()
+	engine := func(version, orders, verified uint64) wire.EngineState {
+		return wire.EngineState{Started: 100, Model: "m", Layers: 16, Version: version, Orders: orders, Verified: verified}
+	}
+	other := engine(2, 1, 1)
+	other.Started = 90
+	for name, c := range map[string]struct {
+		version uint64 // that the engine's own check-in states
+		reports []wire.EngineState
+		gone    bool // the stager is not in touch any more
+		want    bool
+	}{
+		"first weights, no stager":                {1, nil, false, true},
+		"later weights, no stager":                {2, nil, false, false},
+		"first weights":                           {1, []wire.EngineState{engine(1, 0, 0)}, false, true},
+		"loaded and not verified":                 {2, []wire.EngineState{engine(2, 1, 0)}, false, false},
+		"loaded and verified":                     {2, []wire.EngineState{engine(2, 1, 0), engine(2, 1, 1)}, false, true},
+		"another order":                           {2, []wire.EngineState{engine(2, 1, 1), engine(2, 2, 1)}, false, false},
+		"stager has restarted":                    {2, []wire.EngineState{engine(2, 1, 1), {}, engine(2, 1, 0)}, false, true},
+		"stager has restarted, engine not polled": {2, []wire.EngineState{engine(2, 1, 1), {}}, false, true},
+		"stager is gone":                          {2, []wire.EngineState{engine(2, 1, 1)}, true, true},
+		"stager is gone, loaded since":            {3, []wire.EngineState{engine(2, 1, 1)}, true, false},
+		"stager is gone, not verified":            {2, []wire.EngineState{engine(2, 1, 0)}, true, false},
+		"engine has restarted":                    {2, []wire.EngineState{other}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet()
+			s := server("i-1", 100, 1)
+			s.Models = []wire.ServerModel{{Name: "m", Layers: []protocol.ServedLayers{{From: 0, To: 16, Version: c.version}}}}
+			is.NoErr(f.CheckIn(s, now))
+			session := new(transport.Session)
+			for _, e := range c.reports {
+				f.RegisterProcess(session, wire.Process{Name: "side-1", Role: wire.RoleStager, Address: s.Address, Engine: e})
+				mergedServers(f)
+			}
+			if c.gone {
+				f.CloseSession(session)
+			}
+			r, ok := mergedServers(f).Get("i-1")
+			is.True(ok)
+			is.Equal(r.Report.TrustedWeights(), c.want)
+		})
+	}
+}
+
+// The states of engines must not fill the memory when servers are replaced all day.
+func TestEngineStatesOfGoneServersAreDropped(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet()
+	session := new(transport.Session)
+	now := time.Now()
+	for i := range 100 {
+		now = now.Add(time.Minute)
+		s := server("i-1", uint64(100+i), 1)
+		s.Address = fmt.Sprintf("10.0.1.%d:1", i)
+		is.NoErr(f.CheckIn(s, now))
+		f.RegisterProcess(session, wire.Process{Name: "side-1", Role: wire.RoleStager, Address: s.Address, Engine: wire.EngineState{Started: s.Started, Orders: 1}})
+		mergedServers(f)
+	}
+	is.Equal(len(f.engines), 1)
+}
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
@@ -29,3 +30,36 @@
 	is.Equal(c.RequiredWeights("m", 3*time.Second), uint64(2))
 	is.Equal(c.RequiredWeights("m", 5*time.Second), uint64(0))
 }
+
+// Guards against an engine that goes out of service, or whose unverified weights are used,
+// because a replica has restarted and its stager has not reported to it yet.
+func TestKnownLoadsOutliveReplica(t *testing.T) {
+	is := is.New(t)
+	c := testClient()
+	engine := func(version uint64) []wire.ServerModel {
+		return []wire.ServerModel{{Name: "m", Layers: []protocol.ServedLayers{{From: 0, To: 16, Version: version}}}}
+	}
+	list := func(epoch uint64, servers ...wire.Server) []wire.Server {
+		c.receiveServers("replica-1", wire.Servers{Epoch: epoch, Version: 1, Updated: servers})
+		return c.ServerList()
+	}
+	verified := wire.Server{ID: "i-1", Started: 1, Sequence: 1, Service: "quote", Address: "10.0.0.1:1", Models: engine(2), Loads: wire.EngineLoads{Reported: true, Accepted: 1, Verified: 1}}
+	loading := wire.Server{ID: "i-2", Started: 1, Sequence: 1, Service: "quote", Address: "10.0.0.2:1", Models: engine(2), Loads: wire.EngineLoads{Reported: true, Accepted: 1}}
+	for range 2 {
+		listed := list(1, verified, loading)
+		is.True(listed[0].TrustedWeights())
+		is.True(!listed[1].TrustedWeights())
+	}
+	unknown := func(s wire.Server) wire.Server {
+		s.Loads, s.Sequence = wire.EngineLoads{}, 2
+		return s
+	}
+	for range 2 {
+		listed := list(2, unknown(verified), unknown(loading))
+		is.True(listed[0].TrustedWeights())
+		is.True(!listed[1].TrustedWeights())
+	}
+	restarted := unknown(verified)
+	restarted.Started = 2
+	is.True(!list(3, restarted)[0].TrustedWeights()) // another incarnation
+}
--- a/internal/fleetclient/lists.go
+++ b/internal/fleetclient/lists.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.serverView.Live() {
-		c.seenServers[r.Endpoint] = seenServer{r.Report, now}
+		c.seenServers[r.Endpoint] = seenServer{withKnownLoads(r.Report, c.seenServers[r.Endpoint].server), now}
 	}
 	newest := map[string]wire.Server{} // by address
 	for id, l := range c.seenServers {
@@ -62,6 +62,16 @@
 	return list
 }
 
+// withKnownLoads returns a server with what was known of its engine before, if no stager has
+// reported it to the replicas since they started.
+func withKnownLoads(s, held wire.Server) wire.Server {
+	if s.Loads.Reported || !held.Loads.Reported || s.Started != held.Started {
+		return s
+	}
+	s.Loads, s.Loading, s.Models = held.Loads, held.Loading, held.Models
+	return s
+}
+
 // replaces reports whether a server is listed instead of another one at the same address. The
 // caller holds mu.
 func (c *Client) replaces(s, held wire.Server) bool {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -81,6 +81,10 @@
 	Version uint64 `cbor:"3,keyasint"`
 }
 
+// FirstVersion is the version of the weights that is in force until another is named.
+// Engines may hold it when they start.
+const FirstVersion = 1
+
 // Report is the state that an engine reports.
 type Report struct {
 	Layers  map[string][]ServedLayers // by model
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -313,6 +313,7 @@
 	if service == nil || service.Engine == nil {
 		return e
 	}
+	e.Draining = e.Draining || !s.TrustedWeights()
 	for _, m := range s.Models {
 		if v := protocol.NewestCompleteVersion(m.Layers, service.Engine.Layers); v > e.WeightsVersion {
 			e.WeightsVersion = v
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -278,13 +278,12 @@
 
 // forwarding returns what the endpoint is told in headers.
 func (h *handler) forwarding(q *request, c placement.Choice, lastEvent string) protocol.Forwarding {
-	f := protocol.Forwarding{
-		Endpoint: c.ID, Timeout: q.timeLeft(), Organisation: q.organisation, LastEvent: lastEvent,
+	// An engine refuses a request for another version than it holds. Without the version, an
+	// engine that has loaded others since this entry last heard of it would answer with weights
+	// that nobody may have verified yet.
+	return protocol.Forwarding{
+		Endpoint: c.ID, Timeout: q.timeLeft(), Organisation: q.organisation, LastEvent: lastEvent, Version: c.WeightsVersion,
 	}
-	if required := h.requiredVersion(q, h.weightsBound); required != 0 {
-		f.Version = c.WeightsVersion
-	}
-	return f
 }
 
 // send sends a request to one endpoint and passes its answer on. The reason is that for
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,8 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 	"github.com/rhubarbhill/rhubarbhill/platform"
 	"github.com/rhubarbhill/rhubarbhill/routing"
@@ -485,6 +487,33 @@
 	is.Equal(current.last().Header.Get("X-Expect-Version"), "2")
 }
 
+// Guards against answers of an engine that has loaded other weights since this entry last
+// heard of it: each request states the version that the entry knows to be verified, also
+// while older versions may still be used.
+func TestRequestsStateWeights(t *testing.T) {
+	is := is.New(t)
+	engine := newServer(t, ok)
+	h, url := newEntry(t, engine)
+	h.dispatcher.update(h.fleet.Table(), map[string][]placement.Endpoint{"dispatch": {
+		{ID: "i-1", Incarnation: 1, Address: engine.listener.Addr().String(), Zone: "near", WeightsVersion: 1},
+	}}, 1)
+	_, _, err := send(t, url, "/safe/look", http.MethodGet, "", func(r *http.Request) { r.Header.Set("X-Model", "m") })
+	is.NoErr(err)
+	is.Equal(engine.last().Header.Get("X-Expect-Version"), "1")
+}
+
+// Guards against requests to an engine whose weights were not verified after their load.
+func TestUnverifiedEngineGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	s := wire.Server{ID: "i-1", Service: "quotes", Models: []wire.ServerModel{{Name: "m", Layers: []protocol.ServedLayers{{From: 0, To: 16, Version: 2}}}}}
+	service := &routing.Service{Name: "quotes", Engine: &routing.Engine{Layers: 16}}
+	for accepted, draining := range map[uint64]bool{1: false, 2: true} {
+		s.Loads = wire.EngineLoads{Reported: true, Accepted: accepted, Verified: 1}
+		is.Equal(endpointOf(s, service).Draining, draining)
+		is.True(!endpointOf(s, &routing.Service{Name: "quotes"}).Draining) // not an engine
+	}
+}
+
 // Guards against a request that is pending at an engine with old weights and begins
 // there after the bound. It must be cancelled in time and sent to an engine with the
 // named weights, and the first engine must not be ejected.
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -51,9 +51,7 @@
 	// arrivalTimeout is the time without a new piece after which a transfer counts as
 	// stalled. A piece takes 35 to 150 ms.
 	arrivalTimeout = 500 * time.Millisecond
-	// firstVersion is in force until a version is named.
-	firstVersion = 1
-	stopTimeout  = time.Second
+	stopTimeout    = time.Second
 )
 
 // Engine calls the engine beside the stager, and the origin of weights.
@@ -91,6 +89,13 @@
 	peers    *http.Client
 	started  time.Time
 	loaded   atomic.Uint64 // complete version that the engine last reported; zero for none
+	// replacement is an older version to fetch, with which weights that cannot be verified are
+	// replaced; zero for none.
+	replacement atomic.Uint64
+	// verified and rejected are the loads that could and could not be verified. Only the
+	// reconcile loop uses them.
+	verified, rejected verifiedLoads
+	writes             stagingWrites // likewise
 
 	mu           sync.Mutex
 	fetching     map[uint64]context.CancelFunc // by version
@@ -106,6 +111,8 @@
 	send func(to string, m peerMessage)
 	// processes lists the stagers known to the control replicas.
 	processes func() []wire.Process
+	// named lists the named versions of a model, oldest first.
+	named func(model string) []fleetclient.NamedVersion
 
 	trackMu   sync.Mutex
 	tracking  map[uint64]*tracking // by version
@@ -140,6 +147,7 @@
 		Zone: s.Zone, Region: s.Region, Service: s.Service,
 	})
 	d.processes = d.fleet.Processes
+	d.named = d.fleet.NamedWeights
 	return d
 }
 
@@ -248,6 +256,9 @@
 // those that no longer are.
 func (d *Daemon) updateFetches(ctx context.Context, wg *sync.WaitGroup, t target) {
 	due := versionsToFetch(d.loaded.Load(), d.namedVersions(t.model))
+	if older := d.replacement.Load(); older != 0 && !slices.Contains(due, older) {
+		due = append(due, older)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for version, cancel := range d.fetching {
@@ -325,10 +336,10 @@
 // namedVersions returns the named versions of a model, oldest first; firstVersion if none
 // has been named.
 func (d *Daemon) namedVersions(model string) []fleetclient.NamedVersion {
-	if list := d.fleet.NamedWeights(model); len(list) > 0 {
+	if list := d.named(model); len(list) > 0 {
 		return list
 	}
-	return []fleetclient.NamedVersion{{Version: firstVersion}}
+	return []fleetclient.NamedVersion{{Version: protocol.FirstVersion}}
 }
 
 // target returns the newest named version of the engine's model. It returns false until
@@ -344,7 +355,7 @@
 	}
 	e := service.Engine
 	t := target{model: e.Models[0], layers: e.Layers, pieces: e.WeightChunks}
-	t.version = max(firstVersion, d.fleet.NewestWeights(t.model))
+	t.version = max(protocol.FirstVersion, d.fleet.NewestWeights(t.model))
 	for i := range table.Document.Services {
 		if origin := table.Document.Services[i].Origin; origin != "" {
 			t.origin = origin
@@ -369,7 +380,7 @@
 			break
 		}
 	}
-	report, err := d.report(ctx)
+	report, err := d.observe(ctx)
 	if err != nil {
 		return checkInterval, err
 	}
@@ -378,7 +389,13 @@
 	due, ok := nextLoad(d.loaded.Load(), named, completedAt, d.loadTime, d.newerArriving, now)
 	until := due.at.Sub(now)
 	d.announceEngine(t, report, report.Loading, ok && until <= wire.LoadNotice)
+	trusted := d.trusts(report)
+	if trusted {
+		d.replacement.Store(0)
+	}
 	switch {
+	case !trusted && !report.Loading && d.loaded.Load() != 0 && (!ok || until > 0):
+		return d.verifyLoaded(ctx, t, report)
 	case !ok:
 		return checkInterval, nil
 	case until > wire.LoadNotice:
@@ -423,6 +440,7 @@
 	self.Engine = wire.EngineState{
 		Started: report.Started, Loading: loading, LoadPending: loadPending && !loading, Model: t.model, Layers: t.layers,
 		Version: protocol.NewestCompleteVersion(report.Layers[t.model], t.layers),
+		Orders:  report.Orders, Verified: d.verified.ordersOf(report.Started),
 	}
 	d.fleet.Announce(self)
 }
@@ -440,18 +458,22 @@
 	return d.opts.Engine.Report(ctx, d.settings.Engine)
 }
 
-// load stages the missing or corrupted pieces, verifies all staged pieces and orders the
-// load right afterwards, since staged pieces may get corrupted.
+// load stages the missing or corrupted pieces and orders the load. The engine takes the staged
+// pieces as they are when it accepts the order, and they may get corrupted at any time before,
+// in particular while this process stands still. They are therefore verified after the order,
+// and the weights are not announced as verified before that.
 func (d *Daemon) load(ctx context.Context, t target, c *versionCopy) error {
 	started := time.Now()
 	restaged, err := d.stage(ctx, t, c)
 	if err != nil {
 		return err
 	}
-	if again, err := d.stage(ctx, t, c); err != nil || again > 0 {
-		return errors.Join(err, errDigest)
+	if restaged > 0 {
+		if again, err := d.stage(ctx, t, c); err != nil || again > 0 {
+			return errors.Join(err, errDigest)
+		}
 	}
-	report, err := d.report(ctx)
+	report, err := d.observe(ctx)
 	if err != nil {
 		return err
 	}
@@ -476,6 +498,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.verifyStaged(ctx, t, c, report.Started, report.Orders+1); err != nil {
+		return errors.Join(err, d.awaitLoad(ctx, t, report))
+	}
 	return d.awaitLoad(ctx, t, report)
 }
 
@@ -494,6 +519,7 @@
 		if err == nil && c.matches(i, data) {
 			continue
 		}
+		d.writes.pending = true
 		if err := d.opts.Engine.Stage(ctx, d.settings.Engine, t.model, i, c.get(i)); err != nil {
 			return replaced, err
 		}
--- a/internal/stager/store.go
+++ b/internal/stager/store.go
@@ -98,6 +98,19 @@
 	return s.copies[version]
 }
 
+// newestComplete returns the newest version other than the given one that is complete, or zero.
+func (s *store) newestComplete(except uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var newest uint64
+	for v, c := range s.copies {
+		if v != except && c.complete() {
+			newest = max(newest, v)
+		}
+	}
+	return newest
+}
+
 // add stores a copy and evicts the oldest ones beyond maxCopies.
 func (s *store) add(c *versionCopy) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/stager/verification.go
@@ -0,0 +1,109 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
+)
+
+// Staged pieces may get corrupted, but a corrupted piece never becomes correct by itself. If
+// all of them match after the engine has accepted an order, and none was staged in between,
+// then they matched when the engine took them. This needs no clock, so it holds however long
+// this process stood still before or after the order.
+
+var errLoadNotVerified = errors.New("staged pieces do not match after the load was ordered")
+
+// verifiedLoads identifies the loads of an engine up to an order.
+type verifiedLoads struct {
+	started uint64 // start of the engine's process
+	orders  uint64
+}
+
+// stagingWrites tells which loads may have been ordered before the last write to the staging
+// area. For these, matching pieces prove nothing: a corrupted piece may have been replaced after
+// the engine had taken it.
+type stagingWrites struct {
+	pending bool // no report has followed the last write yet
+	last    verifiedLoads
+}
+
+// precede reports whether the engine is known to have accepted an order after the last write.
+func (w stagingWrites) precede(started, orders uint64) bool {
+	return !w.pending && (w.last.started != started || orders > w.last.orders)
+}
+
+// observe polls the engine, and records how many orders it had accepted by the last write.
+func (d *Daemon) observe(ctx context.Context) (protocol.Report, error) {
+	r, err := d.report(ctx)
+	if err == nil && d.writes.pending {
+		d.writes = stagingWrites{last: verifiedLoads{r.Started, r.Orders}}
+	}
+	return r, err
+}
+
+// ordersOf returns the number of orders of an incarnation of the engine up to which the loads
+// were verified.
+func (v verifiedLoads) ordersOf(started uint64) uint64 {
+	if v.started != started {
+		return 0
+	}
+	return v.orders
+}
+
+// trusts reports whether the weights that the engine reports were verified. An engine that has
+// accepted no order holds the weights with which it started.
+func (d *Daemon) trusts(r protocol.Report) bool {
+	return d.verified.ordersOf(r.Started) == r.Orders
+}
+
+// verifyStaged checks all staged pieces and records the load of an order as verified if they
+// match.
+func (d *Daemon) verifyStaged(ctx context.Context, t target, c *versionCopy, started, orders uint64) error {
+	for i := range c.pieces {
+		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		if err == nil && !(c.matches(i, data) && d.writes.precede(started, orders)) {
+			err = errLoadNotVerified
+		}
+		if errors.Is(err, errLoadNotVerified) {
+			d.rejected = verifiedLoads{started, orders}
+		}
+		if err != nil {
+			d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "orders": orders, "piece": i}).WithError(err).Warn("load_not_verified")
+			return err
+		}
+	}
+	d.verified = verifiedLoads{started, orders}
+	d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "orders": orders}).Info("load_verified")
+	return nil
+}
+
+// verifyLoaded verifies weights whose load was not verified when it was ordered: the order had
+// no response, or this process has restarted since. If they cannot be verified, it replaces
+// them: an engine takes no second order for the version that it holds, so another one is loaded
+// in between.
+func (d *Daemon) verifyLoaded(ctx context.Context, t target, r protocol.Report) (time.Duration, error) {
+	newest := t.version
+	t.version = d.loaded.Load()
+	c := d.store.get(t.version)
+	if c == nil || !c.complete() {
+		return checkInterval, nil // it is being fetched
+	}
+	if rejected := (verifiedLoads{r.Started, r.Orders}); d.rejected != rejected {
+		if err := d.verifyStaged(ctx, t, c, r.Started, r.Orders); err != nil || d.rejected != rejected {
+			return 0, err
+		}
+	}
+	other := d.store.newestComplete(t.version)
+	if other == 0 {
+		if newest == t.version { // otherwise the newer version arrives and replaces the weights
+			d.replacement.Store(t.version - 1)
+		}
+		return checkInterval, nil
+	}
+	t.version = other
+	return 0, d.load(ctx, t, d.store.get(other))
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -28,6 +28,34 @@
 	Loading bool `cbor:"11,keyasint,omitempty"`
 	// LoadPending is true during the LoadNotice before a load is ordered.
 	LoadPending bool `cbor:"12,keyasint,omitempty"`
+	// Loads tells whether the weights of an engine were verified.
+	Loads EngineLoads `cbor:"13,keyasint,omitempty"`
+}
+
+// EngineLoads tells up to which order the loads of an engine were verified. An engine takes
+// the staged pieces as they are when it accepts an order, at any time after they were last
+// verified, so its weights are trusted only once the pieces were verified after the order.
+type EngineLoads struct {
+	// Reported is false if no stager has reported the state of the engine.
+	Reported bool   `cbor:"1,keyasint,omitempty"`
+	Accepted uint64 `cbor:"2,keyasint,omitempty"` // orders accepted since the engine started
+	Verified uint64 `cbor:"3,keyasint,omitempty"` // orders up to which the loads were verified
+}
+
+// TrustedWeights reports whether the weights of an engine were verified. Without a report of a
+// stager, only the weights that engines may hold when they start are trusted.
+func (s Server) TrustedWeights() bool {
+	if s.Loads.Reported {
+		return s.Loads.Accepted == s.Loads.Verified
+	}
+	for _, m := range s.Models {
+		for _, l := range m.Layers {
+			if l.Version > protocol.FirstVersion {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // LoadNotice is the time before a load at which entries are told of it. The engine
@@ -42,6 +70,7 @@
 		return s
 	}
 	s.Loading, s.LoadPending = e.Loading, e.LoadPending
+	s.Loads = EngineLoads{Reported: true, Accepted: e.Orders, Verified: e.Verified}
 	if e.Version != 0 {
 		s.Models = []ServerModel{{Name: e.Model, Layers: []protocol.ServedLayers{{From: 0, To: e.Layers, Version: e.Version}}}}
 	}
@@ -150,6 +179,27 @@
 	Layers  int    `cbor:"5,keyasint,omitempty"` // number of layers of the model
 	// LoadPending is true during the LoadNotice before a load is ordered.
 	LoadPending bool `cbor:"6,keyasint,omitempty"`
+	// Orders is the number of orders that the engine has accepted since its start. Verified
+	// is the number up to which the staged pieces were verified after the order.
+	Orders   uint64 `cbor:"7,keyasint,omitempty"`
+	Verified uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// WithoutStager returns the state of an engine whose stager is not in touch and last reported
+// e. The engine may have accepted another order since; the version that it reports itself shows
+// whether it has.
+func (s Server) WithoutStager(e EngineState) Server {
+	if e.Started == 0 || e.Started != s.Started {
+		return s
+	}
+	next := s.WithEngineState(e)
+	next.LoadPending = false // a stager that is gone orders nothing
+	for _, m := range s.Models {
+		if v := protocol.NewestCompleteVersion(m.Layers, e.Layers); m.Name == e.Model && v != 0 && v != e.Version {
+			next.Loads.Accepted++
+		}
+	}
+	return next
 }
 
 // MessageType implements Message.
