membership, control: send departures to those that were away

Cause: full tables left out the endpoints that had stopped, and one that is only missing rightly stays in use for 10 s, since a restarted replica may not know it yet. So whoever was away when a departure was sent never learned of it. The same on related paths: replicas did not share departures that they had learned from others; a stop of an endpoint that had expired was no change of the table; a source that knew of an earlier incarnation's stop counted as a holder of the present one; an older departure replaced a newer one.

Change: full tables include stopped endpoints, replicas share learned departures like their own, and the other three cases are corrected.

--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -87,6 +87,9 @@
 	f.shareSources[s] = m.From
 	delete(f.lostAt, m.From)
 	applied := m.Servers == nil || f.remoteServers.Apply(m.From, m.Servers.Update(), now)
+	if applied && m.Servers != nil {
+		f.adoptDepartures(m.Servers.Updated, now)
+	}
 	if m.Whole || f.remoteProcesses[m.From] == nil {
 		f.remoteProcesses[m.From] = map[string]wire.Process{}
 	}
@@ -107,6 +110,17 @@
 	}
 }
 
+// adoptDepartures makes the departures that another replica shares this replica's own, which
+// it shares in turn. They then reach every replica that has a path to one that knows them, also
+// if the replica at which a server deregistered has failed since. The caller holds mu.
+func (f *fleet) adoptDepartures(servers []wire.Server, now time.Time) {
+	for _, s := range servers {
+		if s.Gone {
+			f.localServers.Apply(s.Record(), now)
+		}
+	}
+}
+
 // endShare handles the end of a session over which another replica shared. Its
 // state is kept until lostReplicaTTL or lostProcessTTL has passed. The caller
 // holds mu.
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -243,7 +243,7 @@
 	applied := c.serverView.Apply(address, m.Update(), now)
 	for _, s := range m.Updated {
 		if s.Gone && applied {
-			c.departed[s.ID] = departure{s.Started, now}
+			c.departed[s.ID] = departure{max(s.Started, c.departed[s.ID].started), now}
 		}
 	}
 	var session *transport.Session
--- a/membership/table.go
+++ b/membership/table.go
@@ -91,7 +91,9 @@
 
 func (t *Table[T]) changed(e *entry[T], next Record[T]) bool {
 	previous := e.record
-	if e.removed != next.Gone || previous.Incarnation != next.Incarnation || previous.Draining != next.Draining {
+	// An endpoint that expired and then stops is removed before and after, but only a stop
+	// tells followers that it will not return.
+	if e.removed != next.Gone || previous.Gone != next.Gone || previous.Incarnation != next.Incarnation || previous.Draining != next.Draining {
 		return true
 	}
 	return t.cfg.Significant == nil || t.cfg.Significant(previous, next)
@@ -201,11 +203,13 @@
 func (t *Table[T]) Version() uint64 { return t.version }
 
 // Since returns the delta since the given version of the given epoch, or the
-// full table if no delta can be built.
+// full table if no delta can be built. The full table includes the endpoints that
+// stopped recently: a follower that was away must learn that they stopped, since one
+// that is only missing may not have announced itself to this process yet.
 func (t *Table[T]) Since(epoch, version uint64) Update[T] {
 	u := Update[T]{Epoch: t.cfg.Epoch, Version: t.version}
 	if epoch != t.cfg.Epoch || version == 0 || version < t.oldestBase || version > t.version {
-		u.Updated = t.Live()
+		u.Updated = t.All()
 		return u
 	}
 	u.Base = version
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -133,3 +133,46 @@
 		})
 	})
 }
+
+// Guards against a follower that was away while an endpoint stopped and keeps using it: in a
+// full table an endpoint that is only missing may be one that has not announced itself yet.
+func TestFullTableHasStoppedEndpoints(t *testing.T) {
+	is := is.New(t)
+	table := membership.New(membership.Config[int]{Epoch: 1})
+	table.Apply(record{Endpoint: "a", Incarnation: 1, Sequence: 1}, start)
+	table.Apply(record{Endpoint: "b", Incarnation: 1, Sequence: 1}, start)
+	gone := record{Endpoint: "a", Incarnation: 1, Sequence: 2, Gone: true}
+	table.Apply(gone, start)
+	u := table.Since(0, 0)
+	is.Equal(u.Base, uint64(0))
+	is.Equal(u.Updated, []record{gone, {Endpoint: "b", Incarnation: 1, Sequence: 1}})
+	view := membership.NewView[int](membership.ViewConfig{})
+	is.True(view.Apply("x", membership.Update[int]{Epoch: 9, Version: 1, Updated: []record{{Endpoint: "a", Incarnation: 1, Sequence: 1}}}, start))
+	is.True(view.Apply("y", u, start)) // a source that knows of the stop
+	is.Equal(len(view.Live()), 1)
+}
+
+// Guards against a stop that followers never learn of, because the endpoint had expired before
+// it was announced.
+func TestStopOfExpiredEndpointIsAChange(t *testing.T) {
+	is := is.New(t)
+	table := membership.New(membership.Config[int]{Epoch: 1, Significant: func(a, b record) bool { return a.Report != b.Report }})
+	table.Apply(record{Endpoint: "a", Incarnation: 1, Sequence: 1}, start)
+	is.Equal(table.Expire(start.Add(3*time.Second)), []string{"a"})
+	before := table.Version()
+	gone := record{Endpoint: "a", Incarnation: 1, Sequence: 2, Gone: true}
+	table.Apply(gone, start.Add(4*time.Second))
+	is.Equal(table.Since(1, before).Updated, []record{gone})
+}
+
+// Guards against a source that knows only that an earlier incarnation stopped, and then counts
+// as one that lists the present one, which keeps it after all others have dropped it.
+func TestStopOfEarlierIncarnationHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	view := membership.NewView[int](membership.ViewConfig{})
+	view.Apply("x", membership.Update[int]{Epoch: 1, Version: 1, Updated: []record{{Endpoint: "a", Incarnation: 2, Sequence: 1}}}, start)
+	view.Apply("y", membership.Update[int]{Epoch: 1, Version: 1, Updated: []record{{Endpoint: "a", Incarnation: 1, Sequence: 9, Gone: true}}}, start)
+	is.Equal(len(view.Live()), 1)
+	view.Apply("x", membership.Update[int]{Epoch: 1, Version: 2, Base: 1, Removed: []string{"a"}}, start)
+	is.Equal(len(view.Live()), 0)
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -92,6 +92,10 @@
 		e = &viewEntry[T]{holders: map[string]struct{}{}}
 		v.entries[r.Endpoint] = e
 	}
+	if r.Gone && known && e.record.position().after(r.position()) {
+		v.removeHolder(from, r.Endpoint, now) // it knows an earlier incarnation only
+		return
+	}
 	// The same announcement may arrive again with an updated report.
 	if !known || !e.record.position().after(r.position()) {
 		e.record = r
