relay: send nothing to endpoints that the entry knows to have left

Cause: the entry sent each request to the endpoint that the broker named, without a look at its own list. A broker that has lost its control replicas goes on granting from its last list until the others no longer list it, 3 to 4 s later.

Change: right before a request is sent, the entry asks whether the endpoint has left, drains or was replaced by a later incarnation, as far as it knows, whoever selected it. It then returns the slot and places the request again, with the new retry reason endpoint-left. Endpoints known to drain are excluded in the slot request.

--- a/internal/fleetclient/lists.go
+++ b/internal/fleetclient/lists.go
@@ -62,6 +62,14 @@
 	return list
 }
 
+// HasLeft reports whether a replica has told that an incarnation of a server has deregistered.
+func (c *Client) HasLeft(id string, started uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, left := c.departed[id]
+	return left && d.started >= started
+}
+
 // withKnownLoads returns a server with what was known of its engine before, if no stager has
 // reported it to the replicas since they started.
 func withKnownLoads(s, held wire.Server) wire.Server {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,6 +25,9 @@
 	// endpoint may no longer be used: opening the connection took too long, or this
 	// process was paused after the endpoint was selected.
 	errOldWeights = errors.New("weights of the endpoint are superseded")
+	// errEndpointLeft means that the request was not sent because the endpoint has left, or
+	// has announced that it will. A broker that is cut off grants the slots of such endpoints.
+	errEndpointLeft = errors.New("endpoint has left the fleet")
 	// errRequestEnded means that the caller disconnected or the deadline of the request
 	// passed.
 	errRequestEnded = errors.New("request ended")
@@ -74,6 +77,10 @@
 		h.conns.put(a.key, conn, 0)
 		return nil, errOldWeights
 	}
+	if h.dispatcher.hasLeft(q.service, c) {
+		_ = conn.Close()
+		return nil, errEndpointLeft
+	}
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = a.exchange(h, q, f, readTimeout)
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -99,6 +99,7 @@
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
 	}
+	d.handler.dispatcher.departed = d.fleet.HasLeft
 	return d
 }
 
@@ -305,7 +306,7 @@
 // endpointOf converts a server to an endpoint for placement.
 func endpointOf(s wire.Server, service *routing.Service) placement.Endpoint {
 	e := placement.Endpoint{
-		ID: s.ID, Incarnation: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining || s.Loading,
+		ID: s.ID, Incarnation: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining || s.Loading, Leaving: s.Draining,
 	}
 	if s.LoadPending {
 		e.DrainsIn = wire.LoadNotice
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -43,6 +43,9 @@
 type dispatcher struct {
 	ratio, slack float64
 	slots        *slotCoordinator
+	// departed reports whether the control replicas have told that an incarnation of an
+	// endpoint has left.
+	departed func(id string, incarnation uint64) bool
 
 	// mu must not be held during calls of slots, which calls this dispatcher as its
 	// rateLimitStore while it holds its own lock.
@@ -60,7 +63,7 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, departed: func(string, uint64) bool { return false }, retryDetectors: map[string]*admission.RetryDetector{}}
 	s.setRateLimitStore(d)
 	return d
 }
@@ -200,9 +203,9 @@
 		a.TimeLeft = max(time.Millisecond, q.arrived.Add(q.route.Objective-q.spent).Sub(now))
 	}
 	d.mu.Lock()
-	ejected := d.pool(q.service).Ejected(now)
+	ejected, leaving := d.pool(q.service).Ejected(now), d.pool(q.service).Leaving()
 	d.mu.Unlock()
-	a.Exclude = slices.Concat(r.Exclude, ejected[:min(len(ejected), maxExcluded)])
+	a.Exclude = slices.Concat(r.Exclude, ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
@@ -378,6 +381,18 @@
 	return ejected
 }
 
+// hasLeft reports whether this entry knows that an endpoint has left or will. It is asked right
+// before a request is sent, whoever selected the endpoint: a broker may be cut off, and time has
+// passed since.
+func (d *dispatcher) hasLeft(service string, c placement.Choice) bool {
+	if d.departed(c.ID, c.Incarnation) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).HasLeft(c.ID, c.Incarnation)
+}
+
 // leaves reports whether an endpoint has announced that it stops, or is no longer listed.
 func (d *dispatcher) leaves(service string, c placement.Choice) bool {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -200,7 +200,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent:
+	case RetryNotSent, RetryEndpointLeft:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.sends == 0 {
@@ -347,6 +347,10 @@
 		q.notRun++
 		h.endSend(q, c, placement.Neutral, err)
 		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}, RetryOldWeights
+	case errors.Is(err, errEndpointLeft):
+		q.notRun++
+		h.endSend(q, c, placement.Neutral, err)
+		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}, RetryEndpointLeft
 	case errors.Is(err, errNotSent):
 		q.notRun++
 		h.endSend(q, c, placement.ConnectFailed, err)
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -48,6 +48,9 @@
 	// RetryOldWeights means that the request did not begin in time on weights that were
 	// superseded.
 	RetryOldWeights Reason = "old-weights"
+	// RetryEndpointLeft means that the endpoint had left the fleet, or announced that it
+	// will, when the request was about to be sent.
+	RetryEndpointLeft Reason = "endpoint-left"
 )
 
 // RefusalReasons lists the reasons for which a request ends without a complete answer
@@ -61,7 +64,7 @@
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft}
 }
 
 // refusal is a final answer by the entry itself.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -16,7 +16,8 @@
 	Address     string
 	Zone        string
 	Slots       int
-	Draining    bool
+	Draining    bool // takes no requests now
+	Leaving     bool // has announced that it stops; it is Draining as well
 	// WeightsVersion is the newest version of the weights that the endpoint holds
 	// completely. It is zero for plain services and while the endpoint has no complete
 	// version.
@@ -542,6 +543,26 @@
 	return s == nil || s.Incarnation == incarnation && s.Draining
 }
 
+// HasLeft reports whether an incarnation of an endpoint has announced that it stops, or was
+// replaced by a later one. An endpoint that is not listed may be one that others learned of
+// earlier.
+func (p *Pool) HasLeft(id string, incarnation uint64) bool {
+	s := p.endpoints[id]
+	return s != nil && (s.Incarnation > incarnation || s.Incarnation == incarnation && s.Leaving)
+}
+
+// Leaving returns the sorted IDs of the endpoints that have announced that they stop.
+func (p *Pool) Leaving() []string {
+	var list []string
+	for id, s := range p.endpoints {
+		if s.Leaving {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Ejected returns the sorted IDs of the endpoints that are ejected for failures.
 func (p *Pool) Ejected(now time.Time) []string {
 	var list []string
