relay: free the slot of an answer whose caller does not read

A faulty endpoint sends a body without end. Its connection was closed by the deadline of the request and memory stayed bounded, but a caller that did not read kept the handler in a write, and with it the slot of the endpoint, for as long as its own connection was open. A caller that left in the middle of a long answer counted as a failure of the endpoint, which was taken out of use: the next caller got 503.

Cause: writes to the caller had no limit, and a failed write of a long answer was taken for a failed read.

Change: writes of answers that are not buffered end 200 ms after the deadline of the request, and failed writes end the request, not the endpoint.

Evidence: TestEndlessAnswersHarmNobody failed in 6 of 14 cases before (a slot in use after the deadline), TestCallersThatLeaveDoNotEjectEndpoint failed (503).

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -509,9 +509,14 @@
 // its body were already read.
 func (h *handler) relayUnbuffered(w http.ResponseWriter, q *request, c placement.Choice, a *attempt, first []byte) (result, Reason) {
 	copyHeader(w.Header(), a.response.Header)
+	defer q.limitWrites(w)()
 	w.WriteHeader(a.response.StatusCode)
 	err := copyBody(w, first, a)
 	a.close()
+	if err != nil && (q.ctx.Err() != nil || errors.Is(err, errRequestEnded)) {
+		r, _ := h.handleRequestEnd(q, c)
+		h.abort(q, r.refusal.reason, err)
+	}
 	if err != nil {
 		h.endSend(q, c, placement.Broken, err)
 		h.abort(q, AnswerLost, err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,14 +12,50 @@
 	"github.com/rhubarbhill/rhubarbhill/placement"
 )
 
-// copyBody writes the start of a body and copies the rest.
+// callerWriteSlack is how long after the deadline of a request its caller may take to read what
+// was passed on. A caller that does not read would otherwise hold the slot of the endpoint for
+// as long as its connection is open.
+const callerWriteSlack = 200 * time.Millisecond
+
+// limitWrites limits the time of writes to the caller while an answer is passed on that is not
+// buffered. The returned function ends the limit.
+func (q *request) limitWrites(w http.ResponseWriter) (end func()) {
+	// Fails only if w has no connection, as in tests of the handler alone.
+	c := http.NewResponseController(w)
+	_ = c.SetWriteDeadline(q.deadline.Add(callerWriteSlack))
+	return func() { _ = c.SetWriteDeadline(time.Time{}) }
+}
+
+// copyBody writes the start of a body and copies the rest. A failure of the caller's connection
+// is an errRequestEnded.
 func copyBody(w http.ResponseWriter, first []byte, a *attempt) error {
 	if _, err := w.Write(first); err != nil {
-		return err
+		return errors.Join(errRequestEnded, err)
 	}
 	a.conn.limitReads(math.MaxInt64) // not buffered, and limited by the deadline of the request
-	_, err := io.Copy(w, a.response.Body)
-	return err
+	body := &errorReader{Reader: a.response.Body}
+	if _, err := io.Copy(w, body); err != nil {
+		if body.err == nil {
+			err = errors.Join(errRequestEnded, err)
+		}
+		return err
+	}
+	return nil
+}
+
+// errorReader records the error other than io.EOF with which its reader fails.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
 }
 
 // streamState is the state of a stream to the caller.
@@ -37,6 +73,7 @@
 func (h *handler) relayStream(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
 	flusher, _ := w.(http.Flusher)
 	s := &streamState{w: w, flusher: flusher, lastEventID: q.call.LastEvent, version: a.answer.Version, contentType: contentType(a)}
+	defer q.limitWrites(w)()
 	for {
 		err := h.relayEvents(q, c, a, s)
 		if err == nil {
