stager, network: bound response heads and calls to the staging area

A faulty server can send a head without end; the HTTP client of stagers read up to 10 MiB of it, for each call, with 152 MB of memory. An engine that took a call for staged pieces and never answered held a fetch or a load for good, since only reports and orders had a timeout.

Change: heads are limited to 64 KiB, and calls to the staging area to 2 s.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -14,6 +14,9 @@
 	keepAliveInterval   = 5 * time.Second
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerHost = 64
+	// maxResponseHeaderBytes bounds the memory that a faulty server can use up with a head
+	// without end. The heads of the platform and of other processes have less than 2 KB.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Network opens listeners and connections by IP address and port.
@@ -60,5 +63,7 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -515,12 +515,11 @@
 // It returns how many it replaced.
 func (d *Daemon) stage(ctx context.Context, t target, c *versionCopy) (replaced int, err error) {
 	for i := range c.pieces {
-		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		data, err := d.readStaged(ctx, t.model, i)
 		if err == nil && c.matches(i, data) {
 			continue
 		}
-		d.writes.pending = true
-		if err := d.opts.Engine.Stage(ctx, d.settings.Engine, t.model, i, c.get(i)); err != nil {
+		if err := d.writeStaged(ctx, t.model, i, c.get(i)); err != nil {
 			return replaced, err
 		}
 		replaced++
@@ -528,6 +527,21 @@
 	return replaced, nil
 }
 
+// readStaged reads a piece back from the engine's staging area.
+func (d *Daemon) readStaged(ctx context.Context, model string, piece int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return d.opts.Engine.Staged(ctx, d.settings.Engine, model, piece, maxPieceBytes)
+}
+
+// writeStaged writes a piece to the engine's staging area.
+func (d *Daemon) writeStaged(ctx context.Context, model string, piece int, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	d.writes.pending = true
+	return d.opts.Engine.Stage(ctx, d.settings.Engine, model, piece, data)
+}
+
 // awaitLoad waits until the engine holds the version. It fails if the engine stops loading
 // or restarts before that.
 func (d *Daemon) awaitLoad(ctx context.Context, t target, before protocol.Report) error {
--- a/internal/stager/daemon_test.go
+++ b/internal/stager/daemon_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -242,3 +243,35 @@
 	_, err := d.fetch(ctx, version2)
 	is.True(err != nil)
 }
+
+// silentEngine takes calls for the staging area and never answers them.
+type silentEngine struct{ *fakeEngine }
+
+func (e silentEngine) Staged(ctx context.Context, _, _ string, _ int, _ int64) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (e silentEngine) Stage(ctx context.Context, _, _ string, _ int, _ []byte) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a stager that waits for ever for an engine that takes a call and never
+// answers: neither a fetch nor a load may stand still.
+func TestSilentEngineStopsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newFakeEngine()
+		d := testDaemon(e)
+		d.opts.Engine = silentEngine{e}
+		began := time.Now()
+		c := newCopy(listOf(2))
+		is.NoErr(d.adoptStaged(t.Context(), version2, c))
+		for i := range testPieces {
+			is.NoErr(c.put(i, pieceOf(2, i)))
+		}
+		is.True(errors.Is(d.load(t.Context(), version2, c), context.DeadlineExceeded))
+		is.True(time.Since(began) <= 3*engineTimeout)
+	})
+}
--- a/internal/stager/fetch.go
+++ b/internal/stager/fetch.go
@@ -157,7 +157,7 @@
 		return nil // fetch the pieces from peers or the origin
 	}
 	for i := range c.pieces {
-		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		data, err := d.readStaged(ctx, t.model, i)
 		if err != nil {
 			return nil // nothing is staged, as on a new engine
 		}
--- a/internal/stager/verification.go
+++ b/internal/stager/verification.go
@@ -64,7 +64,7 @@
 // match.
 func (d *Daemon) verifyStaged(ctx context.Context, t target, c *versionCopy, started, orders uint64) error {
 	for i := range c.pieces {
-		data, err := d.opts.Engine.Staged(ctx, d.settings.Engine, t.model, i, maxPieceBytes)
+		data, err := d.readStaged(ctx, t.model, i)
 		if err == nil && !(c.matches(i, data) && d.writes.precede(started, orders)) {
 			err = errLoadNotVerified
 		}
