control: acknowledge a departure only once another replica holds it

Cause: a check-in or deregistration was acknowledged before it was shared.

Change: replicas acknowledge shares, and the answer to a server that leaves waits until one other replica holds its departure, which that one passes on. A replica that knows of no other answers at once.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -132,7 +132,7 @@
 	}
 	d.peers = &peers{
 		token: d.processToken.Secret(), network: d.opts.Network, byteCounts: d.opts.ByteCounts, log: d.log,
-		localHello: d.hello, ownAddress: d.settings.advertised(), onConnect: func() { d.fleet.NotifyChanged() },
+		localHello: d.hello, ownAddress: d.settings.advertised(), onConnect: func() { d.fleet.NotifyChanged() }, onReply: d.receiveReply,
 		dialers: map[string]*dialer{}, byID: map[string]string{}, byName: map[string]peer{},
 		startedEmpty: map[string]bool{}, lostStorage: map[string]bool{},
 	}
@@ -147,7 +147,7 @@
 	d.hub = newHub(replica.View)
 	d.hub.onAnnounce = d.inForce.RecordAnnouncement
 	d.fleet = newFleet(replica.View, d.settings.Replica, d.settings.Heartbeat.Std(), d.log)
-	d.fleet.peerSessions = d.peers.Sessions
+	d.fleet.peerSessions, d.fleet.alone = d.peers.Sessions, d.peers.Alone
 	d.fleet.zone = func(replica string) string {
 		if replica == id {
 			return d.settings.Zone
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -71,6 +72,51 @@
 	})
 }
 
+// Guards against an acknowledged departure that is lost with the replica that acknowledged it in
+// the next moment: the acknowledgement waits until another replica holds the departure, and one
+// that reaches no other replica gives none.
+func TestAcknowledgedDepartureIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startFiveReplicas(t)
+		client, stop := c.startFollower("entry", wire.RoleEntry, "v2", "v3", "v4")
+		defer stop()
+		for i := range 2 {
+			c.daemons["v1"].CheckIn(testServer(fmt.Sprint("i-", i), 1, 1))
+		}
+		c.eventually("servers known", func() bool { return lists(client, "i-0") && lists(client, "i-1") })
+		c.net.SetIsolated("v1", []string{"v2", "v3", "v4", "v5"}, true)
+		c.daemons["v1"].Depart("i-0", 1)
+		before := time.Now()
+		is.True(errors.Is(c.daemons["v1"].AwaitShared(t.Context(), "i-0"), ErrNotShared))
+		is.True(time.Since(before) < time.Second) // the server calls another replica then
+		c.net.SetIsolated("v1", []string{"v2", "v3", "v4", "v5"}, false)
+		time.Sleep(4 * time.Second)
+		before = time.Now()
+		c.daemons["v1"].Depart("i-1", 1)
+		is.NoErr(c.daemons["v1"].AwaitShared(t.Context(), "i-1"))
+		is.True(time.Since(before) < 200*time.Millisecond)
+		c.daemons["v1"].kill()
+		delete(c.daemons, "v1")
+		time.Sleep(time.Second)
+		is.True(client.HasLeft("i-0", 1) && client.HasLeft("i-1", 1))
+		// Draining is a departure that is announced.
+		s := testServer("i-2", 1, 1)
+		is.NoErr(c.daemons["v2"].CheckIn(s))
+		s.Sequence, s.Draining = 2, true
+		is.NoErr(c.daemons["v2"].CheckIn(s))
+		is.NoErr(c.daemons["v2"].AwaitShared(t.Context(), "i-2"))
+	})
+}
+
+// A replica without others has nobody to share a departure with.
+func TestSingleReplicaAcknowledgesDepartures(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet()
+	f.Depart("i-1", 1, time.Now())
+	is.NoErr(f.AwaitShared(t.Context(), "i-1"))
+}
+
 // Draws cuts, restarts and freezes of replicas and entries around departures and late check-ins,
 // and checks for every entry in touch that a server that has left is not listed any more. It
 // guards against orders of events in which a departure is forgotten or does not reach somebody.
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -45,6 +45,8 @@
 	zone func(id string) string
 	// peerSessions returns the open sessions to other replicas.
 	peerSessions func() []*transport.Session
+	// alone reports whether this replica knows of no other.
+	alone func() bool
 
 	mu           sync.Mutex
 	epoch        uint64
@@ -57,14 +59,18 @@
 	shareSources    map[*transport.Session]string      // name of the replica that shares over a session
 	// servers merges localServers and remoteServers; it is the table sent to
 	// followers.
-	servers      *membership.Table[wire.Server]
-	followers    map[*transport.Session]*follower
-	sentShares   map[*transport.Session]*sentShare // what was sent to each replica
-	processLists map[wire.Role]*processList        // present processes by role
-	dirty        bool                              // servers and processLists must be rebuilt
-	weightsSeen  map[weightsKey]time.Time
-	engines      map[string]wire.EngineState // last reported by a stager, by server address
-	wake         chan struct{}
+	servers    *membership.Table[wire.Server]
+	followers  map[*transport.Session]*follower
+	sentShares map[*transport.Session]*sentShare // what was sent to each replica
+	// sharedVersion is the newest version of localServers that another replica has
+	// acknowledged. sharedChanged is closed when it changes.
+	sharedVersion uint64
+	sharedChanged chan struct{}
+	processLists  map[wire.Role]*processList // present processes by role
+	dirty         bool                       // servers and processLists must be rebuilt
+	weightsSeen   map[weightsKey]time.Time
+	engines       map[string]wire.EngineState // last reported by a stager, by server address
+	wake          chan struct{}
 }
 
 // weightsKey identifies a version of a model's weights.
@@ -109,11 +115,11 @@
 	}
 	return &fleet{
 		log: logger, view: view, name: name, epoch: epoch, zone: func(string) string { return "" },
-		peerSessions: func() []*transport.Session { return nil },
+		peerSessions: func() []*transport.Session { return nil }, alone: func() bool { return true },
 		localServers: table(), servers: table(), remoteServers: membership.NewView[wire.Server](membership.ViewConfig{Expiry: lostReplicaTTL}),
 		remoteProcesses: map[string]map[string]wire.Process{}, lostAt: map[string]time.Time{}, shareSources: map[*transport.Session]string{},
 		followers: map[*transport.Session]*follower{}, sentShares: map[*transport.Session]*sentShare{}, processLists: map[wire.Role]*processList{},
-		dirty: true, weightsSeen: map[weightsKey]time.Time{}, engines: map[string]wire.EngineState{}, wake: make(chan struct{}, 1),
+		dirty: true, weightsSeen: map[weightsKey]time.Time{}, engines: map[string]wire.EngineState{}, sharedChanged: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -70,6 +70,8 @@
 	localHello func() hello
 	ownAddress string // session address of this replica
 	onConnect  func() // called when a session to another replica is established
+	// onReply handles what another replica sends on a session that this one has opened.
+	onReply func(env wire.Envelope)
 
 	mu           sync.Mutex
 	ctx          context.Context
@@ -153,7 +155,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	d := &dialer{cancel: cancel, lastUsed: time.Now(), Dialer: &transport.Dialer{
 		Address: address, Token: p.token, Network: p.network, Bytes: p.byteCounts,
-		Handler: func(context.Context, *transport.Session, wire.Envelope) {},
+		Handler: func(_ context.Context, _ *transport.Session, env wire.Envelope) { p.onReply(env) },
 		OnOpen: func(s *transport.Session) {
 			p.sendHello(s, p.replicas(time.Now()))
 			p.onConnect()
@@ -246,6 +248,13 @@
 	return list
 }
 
+// Alone reports whether no other replica is known, present or not.
+func (p *peers) Alone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.dialers) == 0
+}
+
 // Zone returns the availability zone of a replica, or "" if no hello of it was
 // received.
 func (p *peers) Zone(id string) string {
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -24,6 +24,9 @@
 	// ErrNotCurrent means that this replica cannot confirm which state is the
 	// newest.
 	ErrNotCurrent = errors.New("the newest state cannot be confirmed")
+	// ErrNotShared means that no other replica has confirmed in time that it knows of a
+	// departure.
+	ErrNotShared = errors.New("no other replica knows of the departure yet")
 	// ErrContradictory means that a check-in states another service or address than
 	// the same incarnation of the server did before.
 	ErrContradictory = errors.New("the same start of this server has another service or address")
@@ -185,6 +188,12 @@
 // Depart records that a server deregisters.
 func (d *Daemon) Depart(id string, started uint64) { d.fleet.Depart(id, started, time.Now()) }
 
+// AwaitShared waits until another replica holds what this one knows of a server, or returns
+// ErrNotShared.
+func (d *Daemon) AwaitShared(ctx context.Context, id string) error {
+	return d.fleet.AwaitShared(ctx, id)
+}
+
 // Addresses returns the addresses of the entries that a caller may connect to
 // and how long the caller may cache them. While all ready entries are draining,
 // it returns those that are draining.
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -47,7 +47,7 @@
 	case wire.TypeProcess:
 		handleMessage(d, s, env, func(m wire.Process) { d.fleet.RegisterProcess(s, m) })
 	case wire.TypeShare:
-		handleMessage(d, s, env, func(m wire.Share) { d.fleet.ApplyShare(s, m, time.Now()) })
+		handleMessage(d, s, env, func(m wire.Share) { d.receiveShare(s, m) })
 	case wire.TypeRoutingRequest:
 		handleMessage(d, s, env, func(m wire.RoutingRequest) { d.receiveRoutingRequest(ctx, s, env, m) })
 	case wire.TypePropose:
@@ -57,6 +57,29 @@
 	}
 }
 
+// receiveShare applies the share of another replica and acknowledges the servers in it.
+func (d *Daemon) receiveShare(s *transport.Session, m wire.Share) {
+	if !d.fleet.ApplyShare(s, m, time.Now()) || m.Servers == nil {
+		return
+	}
+	if err := s.Send(wire.ShareAck{Version: m.Servers.Version}); err != nil {
+		s.Close() // the full table of the next session is acknowledged
+	}
+}
+
+// receiveReply handles a message of another replica on a session that this one has opened.
+func (d *Daemon) receiveReply(env wire.Envelope) {
+	if env.Type != wire.TypeShareAck {
+		return
+	}
+	var m wire.ShareAck
+	if env.Into(&m) != nil {
+		d.metrics.malformed.Inc()
+		return
+	}
+	d.fleet.RecordShareAck(m)
+}
+
 func handleMessage[M wire.Message](d *Daemon, s *transport.Session, env wire.Envelope, f func(M)) {
 	var m M
 	if err := env.Into(&m); err != nil {
--- a/internal/control/share.go
+++ b/internal/control/share.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/samber/oops"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/transport"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
@@ -77,10 +79,11 @@
 	sendFrame(s, encodeFrame(m))
 }
 
-// ApplyShare applies a share received from another replica.
-func (f *fleet) ApplyShare(s *transport.Session, m wire.Share, now time.Time) {
+// ApplyShare applies a share received from another replica and reports whether it could be
+// applied.
+func (f *fleet) ApplyShare(s *transport.Session, m wire.Share, now time.Time) bool {
 	if m.From == "" || m.From == f.name {
-		return
+		return false
 	}
 	f.mu.Lock()
 	known := f.shareSources[s] != ""
@@ -108,6 +111,7 @@
 	if !applied {
 		s.Close() // the next session starts with the full table
 	}
+	return applied
 }
 
 // adoptDepartures makes the departures that another replica shares this replica's own, which
@@ -121,6 +125,45 @@
 	}
 }
 
+// sharedTimeout limits the wait until another replica holds a departure. A server calls another
+// replica after a second without an answer.
+const sharedTimeout = 700 * time.Millisecond
+
+// AwaitShared waits until another replica holds what this replica knows of a server. The
+// acknowledgement of a departure promises that no entry uses the server any more after the drain
+// bound, also if this replica stops in the next moment. Without other replicas there is nobody
+// to wait for.
+func (f *fleet) AwaitShared(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, sharedTimeout)
+	defer cancel()
+	for {
+		f.mu.Lock()
+		shared := f.sharedVersion >= f.localServers.ChangedAt(id) || f.alone()
+		changed := f.sharedChanged
+		f.mu.Unlock()
+		if shared {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			f.log.WithField("server", id).Warn("departure_not_shared")
+			return oops.In("control").With("server", id).Wrap(ErrNotShared)
+		}
+	}
+}
+
+// RecordShareAck records that another replica holds a version of localServers.
+func (f *fleet) RecordShareAck(m wire.ShareAck) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Version > f.sharedVersion && m.Version <= f.localServers.Version() {
+		f.sharedVersion = m.Version
+		close(f.sharedChanged)
+		f.sharedChanged = make(chan struct{})
+	}
+}
+
 // endShare handles the end of a session over which another replica shared. Its
 // state is kept until lostReplicaTTL or lostProcessTTL has passed. The caller
 // holds mu.
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -32,9 +32,10 @@
 	TypeRoutingRequest Type = 20
 	TypeRouting        Type = 21
 	TypeShare          Type = 22
+	TypeShareAck       Type = 23
 
 	// TypeCount is one more than the highest type.
-	TypeCount = 23
+	TypeCount = 24
 )
 
 var typeNames = [TypeCount]string{
@@ -42,7 +43,7 @@
 	TypeConfirmReply: "confirm_reply", TypeCatalogue: "catalogue", TypeMembers: "members", TypeRaft: "raft",
 	TypePropose: "propose", TypeProposeReply: "propose_reply", TypeHaveRequest: "have_request", TypeHave: "have",
 	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads", TypeKeepAlive: "keep_alive",
-	TypeProcess: "process", TypeFleet: "fleet", TypeServers: "servers", TypeRoutingRequest: "routing_request", TypeRouting: "routing", TypeShare: "share",
+	TypeProcess: "process", TypeFleet: "fleet", TypeServers: "servers", TypeRoutingRequest: "routing_request", TypeRouting: "routing", TypeShare: "share", TypeShareAck: "share_ack",
 }
 
 // String returns the name of the message type, or "unknown".
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -251,6 +251,14 @@
 // MessageType implements Message.
 func (Share) MessageType() Type { return TypeShare }
 
+// ShareAck confirms that the servers of a Share were applied.
+type ShareAck struct {
+	Version uint64 `cbor:"1,keyasint"` // of Share.Servers
+}
+
+// MessageType implements Message.
+func (ShareAck) MessageType() Type { return TypeShareAck }
+
 // MessageType implements Message.
 func (Fleet) MessageType() Type { return TypeFleet }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -132,6 +132,15 @@
 	return e.record, true
 }
 
+// ChangedAt returns the version of the last significant change of an endpoint, also of one that
+// was removed and is still retained, or zero for an unknown endpoint.
+func (t *Table[T]) ChangedAt(endpoint string) uint64 {
+	if e, ok := t.entries[endpoint]; ok {
+		return e.version
+	}
+	return 0
+}
+
 // LastSeen returns when the last announcement of a live endpoint arrived.
 func (t *Table[T]) LastSeen(endpoint string) (time.Time, bool) {
 	e, ok := t.entries[endpoint]
