fleetclient: count suspensions of the machine in the age of weights

After one that is too short to end its sessions, an entry would let requests begin on superseded weights for as long as the suspension lasted beyond the bound, less the margin of 1.2 s.

Change: every 250 ms, the difference between CLOCK_BOOTTIME and CLOCK_MONOTONIC is compared with its last value, and an increase is added to the ages.

Evidence: TestSuspensionCountsForAgeOfWeights, which cannot pass without the correction.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -54,6 +54,9 @@
 	Decode func(source []byte) (*routing.Document, error)
 	// Servers is not used.
 	Servers bool
+	// Suspended returns how long the machine was suspended in total. Default: by the clocks of
+	// the operating system.
+	Suspended func() time.Duration
 	// OnChange, if set, is called after each change of the state.
 	OnChange func()
 }
@@ -86,6 +89,7 @@
 	seenServers      map[string]seenServer // servers reported now or recently, by identifier
 	departed         map[string]departure  // servers that deregistered, by identifier
 	wake             chan struct{}         // signals a newer routing version
+	suspended        time.Duration         // total that the ages account for
 }
 
 // seenServer is a server and when a replica last reported it.
@@ -105,12 +109,16 @@
 // time, so that it increases across restarts.
 func New(cfg Config, self wire.Process) *Client {
 	cfg.MinFetchInterval = cmp.Or(cfg.MinFetchInterval, defaultMinFetchInterval)
+	if cfg.Suspended == nil {
+		cfg.Suspended = timeSuspended
+	}
 	c := &Client{
 		cfg: cfg, self: self, knownReplicas: map[string]knownReplica{}, followed: map[string]*replica{}, weights: map[string][]NamedVersion{},
 		processes: map[string]map[string]wire.Process{}, wake: make(chan struct{}, 1),
 		serverView:  membership.NewView[wire.Server](membership.ViewConfig{}),
 		seenServers: map[string]seenServer{}, departed: map[string]departure{},
 	}
+	c.suspended = cfg.Suspended()
 	c.self.Revision = uint64(time.Now().UnixNano())
 	c.AddReplicas(cfg.Seeds)
 	return c
@@ -147,6 +155,7 @@
 
 func (c *Client) tick(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
 	c.mu.Lock()
+	c.correctAges()
 	expired := c.serverView.Expire(now)
 	c.expireReplicas(now)
 	c.updateFollowed(now)
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -63,3 +63,35 @@
 	restarted.Started = 2
 	is.True(!list(3, restarted)[0].TrustedWeights()) // another incarnation
 }
+
+// Guards against requests that begin on superseded weights after the bound because the machine
+// was suspended, which the monotonic clock does not count.
+func TestSuspensionCountsForAgeOfWeights(t *testing.T) {
+	is := is.New(t)
+	var suspended time.Duration
+	c := New(Config{
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Suspended: func() time.Duration { return suspended },
+	}, wire.Process{})
+	c.recordWeights(wire.NamedWeights{Model: "m", Version: 2}, time.Now(), "a")
+	tick := func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.correctAges()
+	}
+	suspended = minSuspension - 1 // the clocks are not read at the same moment
+	tick()
+	is.Equal(c.RequiredWeights("m", minSuspension), uint64(0))
+	suspended = 3 * time.Second
+	tick()
+	tick() // counts once
+	is.Equal(c.RequiredWeights("m", 3*time.Second), uint64(2))
+	is.Equal(c.RequiredWeights("m", 4*time.Second), uint64(0))
+}
+
+// Guards against a correction on a machine that is never suspended.
+func TestClocksAgree(t *testing.T) {
+	is := is.New(t)
+	before := timeSuspended()
+	time.Sleep(50 * time.Millisecond)
+	is.True(timeSuspended()-before < minSuspension)
+}
