stager: an order that was in effect already verifies no further one

Found in reading the diff: the load of an order is recorded as verified under the next order number. If the engine answers that the order is in effect already, that number is taken by a later order, whose weights would then be trusted without a look at their pieces. No path is known on which a stager orders what the engine holds, so no play shows it.

Change: a report with fewer orders than were verified discards the verification; the load is then verified again.

Evidence: TestOrderInEffectVerifiesNoFurtherOne fails without it.

--- a/internal/stager/verification.go
+++ b/internal/stager/verification.go
@@ -36,13 +36,21 @@
 	return !w.pending && (w.last.started != started || orders > w.last.orders)
 }
 
-// observe polls the engine, and records how many orders it had accepted by the last write.
+// observe polls the engine, and records how many orders it had accepted by the last write. A
+// load that the engine answers as already in effect is no further order: what was verified for
+// it must not count for the next one.
 func (d *Daemon) observe(ctx context.Context) (protocol.Report, error) {
 	r, err := d.report(ctx)
-	if err == nil && d.writes.pending {
+	if err != nil {
+		return r, err
+	}
+	if d.writes.pending {
 		d.writes = stagingWrites{last: verifiedLoads{r.Started, r.Orders}}
 	}
-	return r, err
+	if d.verified.ordersOf(r.Started) > r.Orders {
+		d.verified = verifiedLoads{}
+	}
+	return r, nil
 }
 
 // ordersOf returns the number of orders of an incarnation of the engine up to which the loads
--- a/internal/stager/verification_test.go
+++ b/internal/stager/verification_test.go
@@ -188,3 +188,22 @@
 	is.Equal(stepped.steps, steps+1) // a report, and the pieces are not read again
 	is.Equal(d.replacement.Load(), uint64(1))
 }
+
+// Guards against weights that are trusted because an earlier order was answered as already in
+// effect, and its verification counts for the next order.
+func TestOrderInEffectVerifiesNoFurtherOne(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine()
+	stepped := &steppedEngine{fakeEngine: e, before: func(int) {}}
+	d := stagerOf(t, e, stepped)
+	is.NoErr(d.load(t.Context(), version2, d.store.get(2)))
+	is.NoErr(d.load(t.Context(), version2, d.store.get(2))) // in effect already
+	is.Equal(e.orders, uint64(1))
+	_, err := d.observe(t.Context())
+	is.NoErr(err)
+	e.spoil(3)
+	is.NoErr(e.Load(t.Context(), "", "m", 3, 1)) // an order that nobody verified
+	report, err := d.observe(t.Context())
+	is.NoErr(err)
+	is.True(!d.trusts(report))
+}
