--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -71,7 +71,7 @@
 	ownAddress string // session address of this replica
 	onConnect  func() // called when a session to another replica is established
 	// onReply handles what another replica sends on a session that this one has opened.
-	onReply func(env wire.Envelope)
+	onReply func(s *transport.Session, env wire.Envelope)
 
 	mu           sync.Mutex
 	ctx          context.Context
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	d := &dialer{cancel: cancel, lastUsed: time.Now(), Dialer: &transport.Dialer{
 		Address: address, Token: p.token, Network: p.network, Bytes: p.byteCounts,
-		Handler: func(_ context.Context, _ *transport.Session, env wire.Envelope) { p.onReply(env) },
+		Handler: func(_ context.Context, s *transport.Session, env wire.Envelope) { p.onReply(s, env) },
 		OnOpen: func(s *transport.Session) {
 			p.sendHello(s, p.replicas(time.Now()))
 			p.onConnect()
@@ -268,15 +268,9 @@
 func (p *peers) SetMembers(addresses map[string]string) {
 	p.mu.Lock()
 	p.members = slices.Sorted(maps.Values(addresses))
-	missing := map[string]string{}
-	for id, address := range addresses {
-		if p.byID[id] != address {
-			missing[id] = address
-		}
-	}
-	maps.Copy(p.byID, missing)
+	maps.Copy(p.byID, addresses)
 	p.mu.Unlock()
-	for _, address := range missing {
+	for _, address := range addresses {
 		p.connect(address)
 	}
 }
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -68,16 +68,10 @@
 }
 
 // receiveReply handles a message of another replica on a session that this one has opened.
-func (d *Daemon) receiveReply(env wire.Envelope) {
-	if env.Type != wire.TypeShareAck {
-		return
-	}
-	var m wire.ShareAck
-	if env.Into(&m) != nil {
-		d.metrics.malformed.Inc()
-		return
+func (d *Daemon) receiveReply(s *transport.Session, env wire.Envelope) {
+	if env.Type == wire.TypeShareAck {
+		handleMessage(d, s, env, d.fleet.RecordShareAck)
 	}
-	d.fleet.RecordShareAck(m)
 }
 
 func handleMessage[M wire.Message](d *Daemon, s *transport.Session, env wire.Envelope, f func(M)) {
--- a/internal/fleetclient/lists.go
+++ b/internal/fleetclient/lists.go
@@ -42,7 +42,7 @@
 	}
 	newest := map[string]wire.Server{} // by address
 	for id, l := range c.seenServers {
-		if d, left := c.departed[id]; now.Sub(l.lastSeen) > serverRetention || left && d.started >= l.server.Started {
+		if now.Sub(l.lastSeen) > serverRetention || c.hasLeft(id, l.server.Started) {
 			delete(c.seenServers, id)
 			continue
 		}
@@ -66,6 +66,11 @@
 func (c *Client) HasLeft(id string, started uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.hasLeft(id, started)
+}
+
+// hasLeft is like HasLeft. The caller holds mu.
+func (c *Client) hasLeft(id string, started uint64) bool {
 	d, left := c.departed[id]
 	return left && d.started >= started
 }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -59,11 +59,10 @@
 // settings in the environment and does not request compression.
 func HTTPTransport(n Network) *http.Transport {
 	return &http.Transport{
-		DialContext:         OrSystem(n).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-
+		DialContext:            OrSystem(n).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -77,7 +77,7 @@
 		h.conns.put(a.key, conn, 0)
 		return nil, errOldWeights
 	}
-	if h.dispatcher.hasLeft(q.service, c) {
+	if h.hasLeft(q.service, c) {
 		_ = conn.Close()
 		return nil, errEndpointLeft
 	}
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -99,7 +99,6 @@
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
 	}
-	d.handler.dispatcher.departed = d.fleet.HasLeft
 	return d
 }
 
--- a/internal/relay/departures_test.go
+++ b/internal/relay/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,15 +21,15 @@
 	for name, c := range map[string]struct {
 		leaving     bool
 		incarnation uint64 // that the entry knows
-		departed    bool
+		departed    string
 		unlisted    bool
 		sent        int // requests that reach the endpoint
 	}{
-		"nothing is known":        {false, 1, false, false, 1},
-		"it drains":               {true, 1, false, false, 0},
-		"it has deregistered":     {false, 1, true, true, 0},
-		"it has restarted":        {false, 2, false, false, 0},
-		"the entry does not know": {false, 1, false, true, 1}, // a new endpoint that the broker learned of earlier
+		"nothing is known":        {false, 1, "", false, 1},
+		"it drains":               {true, 1, "", false, 0},
+		"it has deregistered":     {false, 1, "gone", true, 0},
+		"it has restarted":        {false, 2, "", false, 0},
+		"the entry does not know": {false, 1, "", true, 1}, // a new endpoint that the broker learned of earlier
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -39,19 +40,18 @@
 				document.Services[i].Engine = engine
 			}
 			table := routing.Compile(document)
-			h.fleet = fixedState{table: table}
+			h.fleet = fixedState{table: table, departed: c.departed}
 			list := []placement.Endpoint{
 				{ID: "gone", Incarnation: 1, Address: gone.listener.Addr().String(), Zone: "near", WeightsVersion: 1},
 				{ID: "other", Incarnation: 1, Address: other.listener.Addr().String(), Zone: "far", WeightsVersion: 1},
 			}
 			// The broker keeps its list while the entry learns what has happened.
 			h.dispatcher.slots.update(table, map[string][]placement.Endpoint{"dispatch": list}, []placement.Entry{{Name: "entry-1", Zone: "near"}}, time.Now())
-			known := list
+			known := slices.Clone(list)
 			known[0].Leaving, known[0].Draining, known[0].Incarnation = c.leaving, c.leaving, c.incarnation
 			if c.unlisted {
 				known = known[1:]
 			}
-			h.dispatcher.departed = func(id string, incarnation uint64) bool { return c.departed && id == "gone" && incarnation <= 1 }
 			h.dispatcher.update(table, map[string][]placement.Endpoint{"dispatch": known}, 1)
 			response, _, err := send(t, url, "/safe/look", http.MethodGet, "", nil)
 			is.NoErr(err)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -43,9 +43,6 @@
 type dispatcher struct {
 	ratio, slack float64
 	slots        *slotCoordinator
-	// departed reports whether the control replicas have told that an incarnation of an
-	// endpoint has left.
-	departed func(id string, incarnation uint64) bool
 
 	// mu must not be held during calls of slots, which calls this dispatcher as its
 	// rateLimitStore while it holds its own lock.
@@ -63,7 +60,7 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, departed: func(string, uint64) bool { return false }, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, retryDetectors: map[string]*admission.RetryDetector{}}
 	s.setRateLimitStore(d)
 	return d
 }
@@ -381,13 +378,9 @@
 	return ejected
 }
 
-// hasLeft reports whether this entry knows that an endpoint has left or will. It is asked right
-// before a request is sent, whoever selected the endpoint: a broker may be cut off, and time has
-// passed since.
+// hasLeft reports whether an endpoint has announced that it stops, or has restarted since it was
+// selected.
 func (d *dispatcher) hasLeft(service string, c placement.Choice) bool {
-	if d.departed(c.ID, c.Incarnation) {
-		return true
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.pool(service).HasLeft(c.ID, c.Incarnation)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -45,6 +45,8 @@
 	// SupersededAt returns when a version of a model's weights newer than the given one
 	// was named, or the zero time if none was.
 	SupersededAt(model string, version uint64) time.Time
+	// HasLeft reports whether an incarnation of an endpoint has deregistered.
+	HasLeft(id string, incarnation uint64) bool
 	// NamedWeights lists the named versions of a model that are still remembered.
 	NamedWeights(model string) []fleetclient.NamedVersion
 }
@@ -276,6 +278,13 @@
 	return h.fleet.RequiredWeights(q.call.Model, age)
 }
 
+// hasLeft reports whether this entry knows that an endpoint has left or will. It is asked right
+// before a request is sent, whoever selected the endpoint: a broker may be cut off, and time has
+// passed since.
+func (h *handler) hasLeft(service string, c placement.Choice) bool {
+	return h.fleet.HasLeft(c.ID, c.Incarnation) || h.dispatcher.hasLeft(service, c)
+}
+
 // forwarding returns what the endpoint is told in headers.
 func (h *handler) forwarding(q *request, c placement.Choice, lastEvent string) protocol.Forwarding {
 	// An engine refuses a request for another version than it holds. Without the version, an
@@ -344,17 +353,11 @@
 func (h *handler) handleSendError(q *request, c placement.Choice, err error) (result, Reason) {
 	switch {
 	case errors.Is(err, errOldWeights):
-		q.notRun++
-		h.endSend(q, c, placement.Neutral, err)
-		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}, RetryOldWeights
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryOldWeights
 	case errors.Is(err, errEndpointLeft):
-		q.notRun++
-		h.endSend(q, c, placement.Neutral, err)
-		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}, RetryEndpointLeft
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointLeft
 	case errors.Is(err, errNotSent):
-		q.notRun++
-		h.endSend(q, c, placement.ConnectFailed, err)
-		return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}, RetryNotSent
+		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
 		q.sends++
 		return h.handleRequestEnd(q, c)
@@ -370,6 +373,13 @@
 	}
 }
 
+// handleNotSent handles an attempt of which no byte was sent.
+func (h *handler) handleNotSent(q *request, c placement.Choice, r placement.Result, err error) result {
+	q.notRun++
+	h.endSend(q, c, r, err)
+	return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}
+}
+
 // handleRequestEnd handles an attempt that ended because the caller disconnected or the
 // deadline passed.
 func (h *handler) handleRequestEnd(q *request, c placement.Choice) (result, Reason) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -38,11 +38,16 @@
 	table        *routing.Table
 	required     uint64
 	supersededAt time.Time // when version 2 was named; zero if it was not
+	departed     string    // endpoint whose first incarnation has deregistered
 }
 
 func (f fixedState) Table() *routing.Table                        { return f.table }
 func (f fixedState) RequiredWeights(string, time.Duration) uint64 { return f.required }
 
+func (f fixedState) HasLeft(id string, incarnation uint64) bool {
+	return id == f.departed && incarnation <= 1
+}
+
 func (f fixedState) NamedWeights(string) []fleetclient.NamedVersion {
 	if f.supersededAt.IsZero() {
 		return nil
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -498,10 +498,8 @@
 	if err != nil {
 		return err
 	}
-	if err := d.verifyStaged(ctx, t, c, report.Started, report.Orders+1); err != nil {
-		return errors.Join(err, d.awaitLoad(ctx, t, report))
-	}
-	return d.awaitLoad(ctx, t, report)
+	err = d.verifyStaged(ctx, t, c, verifiedLoads{report.Started, report.Orders + 1})
+	return errors.Join(err, d.awaitLoad(ctx, t, report))
 }
 
 func errorText(err error) string {
--- a/internal/stager/verification.go
+++ b/internal/stager/verification.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -31,9 +32,10 @@
 	last    verifiedLoads
 }
 
-// precede reports whether the engine is known to have accepted an order after the last write.
-func (w stagingWrites) precede(started, orders uint64) bool {
-	return !w.pending && (w.last.started != started || orders > w.last.orders)
+// precede reports whether the engine is known to have accepted the last order of a load after
+// the last write.
+func (w stagingWrites) precede(l verifiedLoads) bool {
+	return !w.pending && (w.last.started != l.started || l.orders > w.last.orders)
 }
 
 // observe polls the engine, and records how many orders it had accepted by the last write. A
@@ -68,24 +70,37 @@
 	return d.verified.ordersOf(r.Started) == r.Orders
 }
 
-// verifyStaged checks all staged pieces and records the load of an order as verified if they
-// match.
-func (d *Daemon) verifyStaged(ctx context.Context, t target, c *versionCopy, started, orders uint64) error {
+// verifyStaged checks all staged pieces after an order was accepted, and records its load as
+// verified or rejected.
+func (d *Daemon) verifyStaged(ctx context.Context, t target, c *versionCopy, load verifiedLoads) error {
+	err := errLoadNotVerified
+	if d.writes.precede(load) {
+		err = d.compareStaged(ctx, t, c)
+	}
+	entry := d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "orders": load.orders})
+	switch {
+	case err == nil:
+		d.verified = load
+		entry.Info("load_verified")
+		return nil
+	case errors.Is(err, errLoadNotVerified):
+		d.rejected = load
+	}
+	entry.WithError(err).Warn("load_not_verified")
+	return err
+}
+
+// compareStaged returns errLoadNotVerified if a staged piece does not match.
+func (d *Daemon) compareStaged(ctx context.Context, t target, c *versionCopy) error {
 	for i := range c.pieces {
 		data, err := d.readStaged(ctx, t.model, i)
-		if err == nil && !(c.matches(i, data) && d.writes.precede(started, orders)) {
-			err = errLoadNotVerified
-		}
-		if errors.Is(err, errLoadNotVerified) {
-			d.rejected = verifiedLoads{started, orders}
-		}
 		if err != nil {
-			d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "orders": orders, "piece": i}).WithError(err).Warn("load_not_verified")
 			return err
 		}
+		if !c.matches(i, data) {
+			return fmt.Errorf("%w: piece %d", errLoadNotVerified, i)
+		}
 	}
-	d.verified = verifiedLoads{started, orders}
-	d.log.WithFields(log.Fields{"model": t.model, "version": t.version, "orders": orders}).Info("load_verified")
 	return nil
 }
 
@@ -100,10 +115,8 @@
 	if c == nil || !c.complete() {
 		return checkInterval, nil // it is being fetched
 	}
-	if rejected := (verifiedLoads{r.Started, r.Orders}); d.rejected != rejected {
-		if err := d.verifyStaged(ctx, t, c, r.Started, r.Orders); err != nil || d.rejected != rejected {
-			return 0, err
-		}
+	if load := (verifiedLoads{r.Started, r.Orders}); d.rejected != load {
+		return 0, d.verifyStaged(ctx, t, c, load)
 	}
 	other := d.store.newestComplete(t.version)
 	if other == 0 {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -553,21 +553,19 @@
 
 // Leaving returns the sorted IDs of the endpoints that have announced that they stop.
 func (p *Pool) Leaving() []string {
-	var list []string
-	for id, s := range p.endpoints {
-		if s.Leaving {
-			list = append(list, id)
-		}
-	}
-	slices.Sort(list)
-	return list
+	return p.ids(func(s *endpointState) bool { return s.Leaving })
 }
 
 // Ejected returns the sorted IDs of the endpoints that are ejected for failures.
 func (p *Pool) Ejected(now time.Time) []string {
+	return p.ids(func(s *endpointState) bool { return now.Before(s.health.pausedUntil) && s.health.probation })
+}
+
+// ids returns the sorted IDs of the endpoints that match.
+func (p *Pool) ids(match func(s *endpointState) bool) []string {
 	var list []string
 	for id, s := range p.endpoints {
-		if now.Before(s.health.pausedUntil) && s.health.probation {
+		if match(s) {
 			list = append(list, id)
 		}
 	}
