relay: log and count what tells the causes of repeats apart

Added: retry_budget_total by service and event, retry_budget_burst, retry_budget_sharers and retry_share_changed for the share and the number of entries it rests on; tried and budget_refused in request_ended; pause_named and pause_malformed with counters for what an endpoint states in a 503. No decision changes.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -33,8 +33,12 @@
 	}
 }
 
-// Deposit adds the tokens of a first attempt.
-func (b *RetryBudget) Deposit() { b.tokens = min(b.Burst, b.tokens+b.Ratio) }
+// Deposit adds the tokens of a first attempt and returns how many were added.
+func (b *RetryBudget) Deposit() float64 {
+	before := b.tokens
+	b.tokens = min(b.Burst, b.tokens+b.Ratio)
+	return max(0, b.tokens-before)
+}
 
 // TryWithdraw removes one token for a retry. It returns false if none is left.
 func (b *RetryBudget) TryWithdraw(now time.Time) bool {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -57,6 +57,11 @@
 	RateLimit *float64
 	// RateLimitErr is set if the endpoint names a limit that cannot be decoded.
 	RateLimitErr error
+	// Pause is how long the endpoint wants no further request from this entry, as stated in a
+	// refusal; zero if it states nothing.
+	Pause time.Duration
+	// PauseErr is set if the endpoint states a pause that cannot be decoded.
+	PauseErr error
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// given.
 	IdleTimeout time.Duration
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -78,6 +78,8 @@
 	peers    atomic.Pointer[peerPort]
 	draining atomic.Bool
 	wasReady bool
+	// retrySharers is the number of entries that share the retry budget, as last logged.
+	retrySharers int
 }
 
 // New returns a Daemon that is not running yet.
@@ -242,6 +244,7 @@
 	entries := d.entries(processes)
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
+	d.recordRetryShare()
 	d.handler.conns.prune(keep)
 	ready := d.ready() == nil
 	if ready != d.wasReady {
@@ -253,6 +256,18 @@
 	}
 }
 
+// recordRetryShare logs a change of this entry's share of the retry budget.
+func (d *Daemon) recordRetryShare() {
+	burst, sharers := d.handler.dispatcher.retryShare()
+	if d.retrySharers != sharers {
+		d.log.WithFields(log.Fields{"sharers": sharers, "before": d.retrySharers, "burst": burst}).Info("retry_share_changed")
+	}
+	d.retrySharers = sharers
+	m := d.handler.metrics
+	m.retryBurst.Set(burst)
+	m.retrySharers.Set(float64(sharers))
+}
+
 // otherEntries lists the names of all other entries.
 func (d *Daemon) otherEntries(processes []wire.Process) []string {
 	var names []string
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -96,6 +96,15 @@
 	p.retryBudget.PerSecond = 0
 }
 
+// retryShare returns the burst of the retry budget that this entry may use, and the number
+// of entries among which it is divided.
+func (d *dispatcher) retryShare() (burst float64, sharers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sharers = max(1, d.entries)
+	return d.slack / float64(sharers), sharers
+}
+
 // update replaces the endpoints of every service.
 func (d *dispatcher) update(table *routing.Table, endpoints map[string][]placement.Endpoint, entries int) {
 	d.mu.Lock()
@@ -118,11 +127,12 @@
 	}
 }
 
-// depositRetry credits the retry budget of a service for a new request.
-func (d *dispatcher) depositRetry(service string) {
+// depositRetry credits the retry budget of a service for a new request and returns the
+// tokens added.
+func (d *dispatcher) depositRetry(service string) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool(service).retryBudget.Deposit()
+	return d.pool(service).retryBudget.Deposit()
 }
 
 // timeSpent returns how long the caller of a request spent on earlier attempts.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -80,7 +80,7 @@
 		ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 		defer cancel()
 		q.ctx = ctx
-		h.dispatcher.depositRetry(q.service)
+		h.metrics.retryBudget.WithLabelValues(q.service, budgetEarned).Add(h.dispatcher.depositRetry(q.service))
 		refused = h.serve(w, q)
 		if refused != nil && q.sends > 0 && impliesNotRun(refused.status) {
 			refused = &refusal{status: http.StatusBadGateway, reason: AnswerLost}
@@ -147,7 +147,10 @@
 		fields["rate_limit"] = *q.record.rateLimit
 	}
 	if len(q.record.retries) > 0 {
-		fields["retries"] = q.record.retries
+		fields["retries"], fields["tried"] = q.record.retries, q.tried
+	}
+	if q.record.budgetRefused {
+		fields["budget_refused"] = true
 	}
 	if q.record.quarantined != "" {
 		fields["part_id"] = q.record.quarantined
@@ -210,7 +213,7 @@
 		}
 		return h.mayRepeat(q)
 	case RetryNotRun:
-		return q.notRun < maxNotRun && h.dispatcher.withdrawRetry(q.service)
+		return q.notRun < maxNotRun && h.withdrawRetry(q)
 	default:
 		return h.mayRepeat(q)
 	}
@@ -218,7 +221,20 @@
 
 // mayRepeat reports whether a request that may have run may be sent again.
 func (h *handler) mayRepeat(q *request) bool {
-	return q.route.Repeatable() && q.sends < q.route.MaxAttempts && h.dispatcher.withdrawRetry(q.service)
+	return q.route.Repeatable() && q.sends < q.route.MaxAttempts && h.withdrawRetry(q)
+}
+
+// withdrawRetry takes one retry from the budget of the request's service and reports whether
+// there was one.
+func (h *handler) withdrawRetry(q *request) bool {
+	ok := h.dispatcher.withdrawRetry(q.service)
+	event := budgetRefused
+	if ok {
+		event = budgetSpent
+	}
+	h.metrics.retryBudget.WithLabelValues(q.service, event).Inc()
+	q.record.budgetRefused = q.record.budgetRefused || !ok
+	return ok
 }
 
 // place selects an endpoint, waiting briefly for a slot. The preferred version of the
@@ -323,6 +339,7 @@
 	if load := a.answer.Load; load != nil {
 		h.dispatcher.recordLoad(q.service, c.ID, *load)
 	}
+	h.recordPause(q, c, a)
 	limit, err := a.answer.RateLimit, a.answer.RateLimitErr
 	if err != nil { // the limit known so far stays in force
 		h.metrics.malformedRateLimit.Inc()
@@ -338,6 +355,22 @@
 	}
 }
 
+// recordPause records the pause that an endpoint states in a refusal.
+func (h *handler) recordPause(q *request, c placement.Choice, a *attempt) {
+	pause, err := a.answer.Pause, a.answer.PauseErr
+	if err != nil {
+		h.metrics.malformedPauses.Inc()
+		h.log.WithError(err).WithFields(log.Fields{"request": q.call.ID, "endpoint": c.ID}).Warn("pause_malformed")
+	}
+	if pause == 0 {
+		return
+	}
+	h.metrics.pauses.Inc()
+	h.log.WithFields(log.Fields{
+		"request": q.call.ID, "service": q.service, "endpoint": c.ID, "started": c.Incarnation, "for_ms": pause.Milliseconds(),
+	}).Info("pause_named")
+}
+
 // logRateLimit logs that the rate limit of an endpoint has changed; perSecond is nil if
 // it has ended.
 func logRateLimit(logger log.Interface, endpoint string, perSecond *float64, fields log.Fields) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -20,16 +20,24 @@
 	crashes          prometheus.Counter
 	quarantined      prometheus.Counter   // parts
 	suspectParts     *prometheus.GaugeVec // by state
-	// rateLimited and malformedRateLimit count answers.
-	rateLimited, malformedRateLimit prometheus.Counter
-	ended                           *prometheus.CounterVec
-	first, total                    *prometheus.HistogramVec
+	// rateLimited, malformedRateLimit, pauses and malformedPauses count answers.
+	rateLimited, malformedRateLimit, pauses, malformedPauses prometheus.Counter
+	// retryBudget counts the tokens of the retry budget, by service and event.
+	retryBudget *prometheus.CounterVec
+	// retryBurst is the share of the burst of the retry budget that this entry may use, and
+	// retrySharers the number of entries that it rests on.
+	retryBurst, retrySharers prometheus.Gauge
+	ended                    *prometheus.CounterVec
+	first, total             *prometheus.HistogramVec
 }
 
 func newRelayMetrics(r prometheus.Registerer) *relayMetrics {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help})
 	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help})
+	}
 	latency := func(name, help string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: latencyBuckets,
@@ -47,16 +55,32 @@
 		}, []string{"state"}),
 		rateLimited:        counter("rate_limited_answers_total", "Answers in which an endpoint named a request rate limit."),
 		malformedRateLimit: counter("malformed_rate_limits_total", "Answers with a request rate limit that could not be decoded."),
+		pauses:             counter("pauses_named_total", "Answers 503 in which an endpoint named a pause."),
+		malformedPauses:    counter("malformed_pauses_total", "Answers 503 with a pause that could not be decoded."),
+		retryBudget: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "retry_budget_total",
+			Help: "Tokens of the retry budget: earned by requests, spent on retries, and refused because none was left.",
+		}, []string{"service", "event"}),
+		retryBurst:   gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
+		retrySharers: gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "ended_total", Help: "Requests by kind of route and outcome.",
 		}, []string{"kind", "outcome"}),
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.ended, m.first, m.total)
+	r.MustRegister(m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
+		m.retryBudget, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
 	return m
 }
 
+// Events of the retry budget, as values of a label.
+const (
+	budgetEarned  = "earned"
+	budgetSpent   = "spent"
+	budgetRefused = "refused"
+)
+
 func (m *relayMetrics) observe(kind routing.Kind, outcome string, total, first time.Duration) {
 	label := kind.String()
 	m.ended.WithLabelValues(label, outcome).Inc()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -67,6 +67,7 @@
 	slotInterval  time.Duration // predicted time between two free slots, for a request refused a slot
 	ahead         int           // requests queued ahead, for a request refused a slot
 	retries       []string      // reasons for retries
+	budgetRefused bool          // a retry was refused because the retry budget was used up
 	quarantined   string        // part for which the request was refused
 	rateLimit     *float64      // requests per second that the last endpoint accepts; nil if it named none
 }
