--- /dev/null
+++ b/internal/relay/retry_budget_test.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+const (
+	budgetRatio  = 0.2
+	budgetSlack  = 100
+	budgetWindow = 10 * time.Second
+)
+
+// budgetFleet is several entries that share a retry budget, and what they sent.
+type budgetFleet struct {
+	rng      *rand.Rand
+	entries  []*dispatcher
+	table    *routing.Table
+	requests []time.Time
+	repeats  []time.Time
+	events   []string
+	started  time.Time
+}
+
+func (f *budgetFleet) log(format string, args ...any) {
+	f.events = append(f.events, fmt.Sprintf("%v %s", time.Since(f.started), fmt.Sprintf(format, args...)))
+}
+
+// start starts an entry that knows the given number of entries.
+func (f *budgetFleet) start(i, known int) {
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	f.entries[i] = newDispatcher(budgetRatio, budgetSlack, newSlotCoordinator(fmt.Sprint("entry-", i), "a", logger, func(string, peerMessage) {}))
+	f.learn(i, known)
+}
+
+// learn tells an entry how many entries there are.
+func (f *budgetFleet) learn(i, known int) {
+	f.entries[i].update(f.table, nil, known)
+}
+
+// load sends requests to the entries for a while. If they fail, each is repeated up to twice
+// as far as the budget allows.
+func (f *budgetFleet) load(length, interval time.Duration, fail bool) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+		f.requests = append(f.requests, time.Now())
+		d := f.entries[f.rng.IntN(len(f.entries))]
+		d.depositRetry(plainService)
+		for range 2 {
+			if fail && d.withdrawRetry(plainService) {
+				f.repeats = append(f.repeats, time.Now())
+			}
+		}
+	}
+}
+
+// disturb draws one entry or all, which know only themselves for a while. The fault passes
+// while the load goes on.
+func (f *budgetFleet) disturb(kind string, fault func(entry, known int)) {
+	affected := []int{f.rng.IntN(len(f.entries))}
+	if f.rng.IntN(3) == 0 {
+		affected = f.rng.Perm(len(f.entries))
+	}
+	length := time.Duration(f.rng.IntN(4000)) * time.Millisecond
+	f.log("entries %v: %s, they know the others after %v", affected, kind, length)
+	for _, i := range affected {
+		fault(i, 1)
+	}
+	time.AfterFunc(length, func() {
+		for _, i := range affected {
+			f.learn(i, len(f.entries))
+		}
+	})
+}
+
+// check checks the budget in every window that begins with a repeat.
+func (f *budgetFleet) check(t *testing.T) {
+	t.Helper()
+	count := func(list []time.Time, from time.Time) int {
+		first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(list, from.Add(budgetWindow), time.Time.Compare)
+		return end - first
+	}
+	for _, from := range f.repeats {
+		n, sent := count(f.repeats, from), 0
+		for _, shift := range []time.Duration{0, budgetWindow / 2, budgetWindow} {
+			sent = max(sent, count(f.requests, from.Add(-shift)))
+		}
+		if allowed := budgetRatio*float64(sent) + budgetSlack; float64(n) > allowed {
+			t.Errorf("%d repeats within %v from %v, allowed %.0f", n, budgetWindow, from.Sub(f.started), allowed)
+			for _, e := range f.events {
+				t.Log(e)
+			}
+			return
+		}
+	}
+}
+
+// runBudgetSeeds plays drawn loads with a fault between any two.
+func runBudgetSeeds(t *testing.T, disturb func(f *budgetFleet)) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				f := &budgetFleet{rng: rng, entries: make([]*dispatcher, 2+rng.IntN(15)), table: routing.Compile(testDocument()), started: time.Now()}
+				for i := range f.entries {
+					f.start(i, len(f.entries))
+				}
+				interval := time.Duration(3+rng.IntN(40)) * time.Millisecond
+				for range 12 {
+					disturb(f)
+					f.load(time.Duration(rng.IntN(4000))*time.Millisecond, interval, rng.IntN(3) > 0)
+				}
+				f.check(t)
+			})
+		})
+	}
+}
+
+// Guards against entries that exceed the retry budget together because a process starts with
+// a burst that its predecessor has spent.
+func TestRetryBudgetOverRestarts(t *testing.T) {
+	runBudgetSeeds(t, func(f *budgetFleet) { f.disturb("killed", f.start) })
+}
+
+// Guards against entries that exceed the retry budget together because those that lose the
+// list of entries divide the burst by fewer.
+func TestRetryBudgetWithLostLists(t *testing.T) {
+	runBudgetSeeds(t, func(f *budgetFleet) { f.disturb("list lost", f.learn) })
+}
