relay: keep the pauses that endpoints state in refusals

Callers waited for sends that could only be refused.

Cause: of a 503 only the status counted. An endpoint that refused a request was left alone for 0.1 s (refusedPause) and then tried again, about ten times a second by each entry. Ruled out: retries of one request; the sends are of different requests.

Change: the pause is a state of the incarnation of an endpoint (placement/pause.go). It is left out of the entry's choices and of its slot requests, and asked for once more right before a request is sent, whoever chose the endpoint. If all endpoints pause, a request waits if it may wait that long, and is refused at once otherwise. A time that cannot be read counts as 1 s, a longer one than max_pause (1 h) as that.

TestEntriesKeepPauses (virtual time, both services) fails with the check before the send removed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -28,6 +28,9 @@
 	// errEndpointLeft means that the request was not sent because the endpoint has left, or
 	// has announced that it will. A broker that is cut off grants the slots of such endpoints.
 	errEndpointLeft = errors.New("endpoint has left the fleet")
+	// errEndpointPaused means that the request was not sent because the endpoint wants no
+	// requests from this entry for a while. It may have said so after it was selected.
+	errEndpointPaused = errors.New("endpoint wants no requests for a while")
 	// errRequestEnded means that the caller disconnected or the deadline of the request
 	// passed.
 	errRequestEnded = errors.New("request ended")
@@ -81,6 +84,10 @@
 		_ = conn.Close()
 		return nil, errEndpointLeft
 	}
+	if h.dispatcher.paused(q.service, c) {
+		h.conns.put(a.key, conn, 0)
+		return nil, errEndpointPaused
+	}
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = a.exchange(h, q, f, readTimeout)
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -99,6 +99,7 @@
 		conns: newConnPool(opts.Network), metrics: m, log: logger, zone: s.Zone,
 		softWeightsBound: max(minWeightsBound, s.WeightsBound.Std()-softWeightsMargin),
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
+		maxPause:         s.MaxPause.Std(),
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
 	}
 	return d
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -163,6 +163,9 @@
 // selects the endpoint from its local state. An endpoint with a rate limit is used only
 // with the permission of a broker, because the limit applies to all entries together.
 func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
+	if refused := d.awaitPauses(q, r); refused != nil {
+		return placement.Choice{}, refused
+	}
 	if d.slots.brokered(q.service) {
 		if choice, refused, ok := d.placeByBroker(q, r); ok {
 			return choice, refused
@@ -180,6 +183,27 @@
 	return d.placeLocally(q, r)
 }
 
+// awaitPauses waits while all endpoints for a request want none. It refuses the request if
+// the first pause ends later than the request may wait.
+func (d *dispatcher) awaitPauses(q *request, r placement.Request) *refusal {
+	for {
+		now := time.Now()
+		d.mu.Lock()
+		until, all := d.pool(q.service).AllPaused(r, now)
+		d.mu.Unlock()
+		if !all {
+			return nil
+		}
+		left := until.Sub(now)
+		if left > q.maxWait(now) {
+			return &refusal{status: http.StatusServiceUnavailable, reason: EndpointsPaused, retryAfter: pauseRetryAfter(left)}
+		}
+		if !sleep(q.ctx, left) {
+			return &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+		}
+	}
+}
+
 // prefill returns the prefill work of the request.
 func (q *request) prefill() placement.Prefill {
 	return placement.Prefill{PromptTokens: q.call.PromptTokens}
@@ -210,9 +234,10 @@
 		a.TimeLeft = max(time.Millisecond, q.arrived.Add(q.route.Objective-q.spent).Sub(now))
 	}
 	d.mu.Lock()
-	ejected, leaving := d.pool(q.service).Ejected(now), d.pool(q.service).Leaving()
+	pool := d.pool(q.service)
+	paused, ejected, leaving := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving()
 	d.mu.Unlock()
-	a.Exclude = slices.Concat(r.Exclude, ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
+	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
@@ -224,7 +249,10 @@
 	q.late = q.late || p.response.Late
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
-		refused = placementRefusal(p.response.Verdict, retryAfter(p.response))
+		d.mu.Lock()
+		delay := afterPauses(d.pool(q.service), retryAfter(p.response), time.Now())
+		d.mu.Unlock()
+		refused = placementRefusal(p.response.Verdict, delay)
 		if refused.reason == NoSlot && len(r.Suspects) > 0 {
 			refused.reason = CrashSuspect
 		}
@@ -344,7 +372,7 @@
 // localRetryAfter returns the retry delay for a request that was refused from local
 // state. The caller holds mu.
 func (d *dispatcher) localRetryAfter(p *poolState, r placement.Request, now time.Time) time.Duration {
-	return retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Len()})
+	return afterPauses(p, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Len()}), now)
 }
 
 // retryAfter returns the retry delay for a refused request: the predicted time until
@@ -355,6 +383,20 @@
 	return minRetryAfter + due + rand.N(retryAfterJitter)
 }
 
+// pauseRetryAfter returns the retry delay for a request that no endpoint wants for a while.
+func pauseRetryAfter(left time.Duration) time.Duration {
+	return max(minRetryAfter, left) + rand.N(retryAfterJitter)
+}
+
+// afterPauses returns the retry delay for a refused request, which does not end while all
+// endpoints of a pool want no requests.
+func afterPauses(p *poolState, delay time.Duration, now time.Time) time.Duration {
+	if until, all := p.AllPaused(placement.Request{}, now); all {
+		return max(delay, pauseRetryAfter(until.Sub(now)))
+	}
+	return delay
+}
+
 // retryAfter returns the retry delay for a request that endpoints refused.
 func (d *dispatcher) retryAfter(q *request) time.Duration {
 	d.mu.Lock()
@@ -396,6 +438,20 @@
 	return d.pool(service).HasLeft(c.ID, c.Incarnation)
 }
 
+// pause selects an endpoint no more until the end of the pause that it stated.
+func (d *dispatcher) pause(service string, c placement.Choice, length time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).Pause(c.ID, c.Incarnation, time.Now().Add(length))
+}
+
+// paused reports whether an endpoint wants no requests now.
+func (d *dispatcher) paused(service string, c placement.Choice) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).Paused(c.ID, c.Incarnation, time.Now())
+}
+
 // leaves reports whether an endpoint has announced that it stops, or is no longer listed.
 func (d *dispatcher) leaves(service string, c placement.Choice) bool {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -66,6 +66,8 @@
 	// after weightsBound it is not sent to them at all; after beginBound it must not
 	// begin on them.
 	softWeightsBound, weightsBound, beginBound time.Duration
+	// maxPause limits the pauses that endpoints state.
+	maxPause time.Duration
 	// drain is nil until the drain starts.
 	drain atomic.Pointer[drainPhase]
 }
@@ -205,7 +207,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent, RetryEndpointLeft:
+	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.sends == 0 {
@@ -355,16 +357,22 @@
 	}
 }
 
+// defaultPause is the pause of an endpoint that states one that cannot be decoded.
+const defaultPause = time.Second
+
 // recordPause records the pause that an endpoint states in a refusal.
 func (h *handler) recordPause(q *request, c placement.Choice, a *attempt) {
 	pause, err := a.answer.Pause, a.answer.PauseErr
 	if err != nil {
 		h.metrics.malformedPauses.Inc()
 		h.log.WithError(err).WithFields(log.Fields{"request": q.call.ID, "endpoint": c.ID}).Warn("pause_malformed")
+		pause = max(pause, defaultPause)
 	}
 	if pause == 0 {
 		return
 	}
+	pause = min(pause, h.maxPause)
+	h.dispatcher.pause(q.service, c, pause)
 	h.metrics.pauses.Inc()
 	h.log.WithFields(log.Fields{
 		"request": q.call.ID, "service": q.service, "endpoint": c.ID, "started": c.Incarnation, "for_ms": pause.Milliseconds(),
@@ -389,6 +397,8 @@
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryOldWeights
 	case errors.Is(err, errEndpointLeft):
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointLeft
+	case errors.Is(err, errEndpointPaused):
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointPaused
 	case errors.Is(err, errNotSent):
 		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -41,6 +41,7 @@
 	limit    string // value of Server-Limit; empty for none
 	arrivals []time.Time
 	crashes  *crashes // nil if no request crashes the endpoint
+	pausing  *pausing // nil if the endpoint refuses no requests
 	conns    map[net.Conn]bool
 	down     bool
 }
@@ -70,6 +71,12 @@
 		if e.crashes.observe(r, e) {
 			return
 		}
+		if pause := e.pausing.observe(r); pause > 0 {
+			if writePause(conn, r, pause) != nil {
+				return
+			}
+			continue
+		}
 		head := "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
 		if limit != "" {
 			head += "Server-Limit: " + limit + "\r\n"
@@ -144,6 +151,7 @@
 	known     []placement.Entry
 	listMu    sync.Mutex                      // serializes changes of listed
 	listed    map[string][]placement.Endpoint // by service
+	hidden    []placement.Endpoint            // that are not listed for a while
 
 	mu      sync.Mutex
 	answers map[int]int    // number of answers by status
@@ -191,7 +199,7 @@
 		go guard.run(n.ctx)
 		f.handlers = append(f.handlers, &handler{
 			protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: guard, conns: newConnPool(pipeNetwork{endpoints: f.endpoints}),
-			metrics: m, log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second,
+			metrics: m, log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second, maxPause: time.Hour,
 		})
 	}
 	for i, e := range f.known {
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -25,7 +25,10 @@
 	EndpointsRefused Reason = "endpoints-refused"
 	// RateLimited means that the endpoints with room have reached the request rate that
 	// they accept.
-	RateLimited      Reason = "rate-limited"
+	RateLimited Reason = "rate-limited"
+	// EndpointsPaused means that all endpoints want no requests for longer than the request
+	// may wait.
+	EndpointsPaused  Reason = "endpoints-paused"
 	CallerGone       Reason = "caller-gone"
 	DeadlineExceeded Reason = "time-over"
 	AnswerLost       Reason = "answer-lost"
@@ -51,20 +54,23 @@
 	// RetryEndpointLeft means that the endpoint had left the fleet, or announced that it
 	// will, when the request was about to be sent.
 	RetryEndpointLeft Reason = "endpoint-left"
+	// RetryEndpointPaused means that the endpoint wanted no requests when the request was
+	// about to be sent.
+	RetryEndpointPaused Reason = "endpoint-paused"
 )
 
 // RefusalReasons lists the reasons for which a request ends without a complete answer
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited,
+		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited, EndpointsPaused,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused}
 }
 
 // refusal is a final answer by the entry itself.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -189,7 +189,7 @@
 	h := &handler{
 		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: guard, conns: newConnPool(nil),
 		metrics: m, log: logger, zone: "near",
-		softWeightsBound: time.Second, weightsBound: time.Second,
+		softWeightsBound: time.Second, weightsBound: time.Second, maxPause: time.Hour,
 	}
 	front := httptest.NewServer(h)
 	t.Cleanup(front.Close)
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -12,6 +12,7 @@
 	defaultWeightsBound = 8 * time.Second
 	defaultRetryRatio   = 0.1
 	defaultRetrySlack   = 20
+	defaultMaxPause     = time.Hour
 )
 
 // Settings are the settings of the relay daemon.
@@ -44,6 +45,10 @@
 	// RetrySlack is the number of additional retries that are allowed in a burst, over
 	// all entries. Default 20.
 	RetrySlack float64 `yaml:"retry_slack"`
+	// MaxPause limits the time for which an endpoint that refuses a request can keep this
+	// entry from sending it others. A shorter limit brings an endpoint back sooner that
+	// states an absurd time, but disregards those that mean it. Default 1 h.
+	MaxPause settings.Duration `yaml:"max_pause"`
 }
 
 // DefaultSettings returns the default settings.
@@ -51,6 +56,7 @@
 	return Settings{
 		Common: settings.DefaultCommon(), Grace: settings.Duration(defaultGrace),
 		WeightsBound: settings.Duration(defaultWeightsBound), RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack,
+		MaxPause: settings.Duration(defaultMaxPause),
 	}
 }
 
@@ -68,6 +74,7 @@
 	p.CheckSeeds(s.Controls, s.Seeds, s.SessionPort)
 	p.Positive("grace", int64(s.Grace))
 	p.Positive("weights_bound", int64(s.WeightsBound))
+	p.Positive("max_pause", int64(s.MaxPause))
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		p.Add("retry_ratio", "must be from 0 to 1, got %v", s.RetryRatio)
 	}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -59,6 +59,9 @@
 	brokerLinger = 3 * time.Second
 	// maxExcluded limits the ejected endpoints listed in a slot request.
 	maxExcluded = 16
+	// maxPausedExcluded limits the endpoints in a slot request that want no requests from this
+	// entry. If the broker grants a slot of another one, it is returned unused.
+	maxPausedExcluded = 128
 	// maxHeldReported limits a report to about 6 KB.
 	maxHeldReported = 512
 )
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -130,6 +130,8 @@
 	// rateLimits holds the limits that endpoints have named, by ID.
 	rateLimits map[string]*rateLimit
 	noPermits  bool // endpoints with a rate limit may not be used
+	// pauses holds the pauses that endpoints have stated, by ID.
+	pauses map[string]pause
 }
 
 type endpointState struct {
@@ -154,7 +156,7 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Pool{cfg: cfg, sharers: 1, endpoints: map[string]*endpointState{}, rateLimits: map[string]*rateLimit{}}
+	return &Pool{cfg: cfg, sharers: 1, endpoints: map[string]*endpointState{}, rateLimits: map[string]*rateLimit{}, pauses: map[string]pause{}}
 }
 
 // Update replaces the endpoints and the description of their engines, which is nil
@@ -184,6 +186,7 @@
 		}
 	}
 	p.forgetRateLimits(now)
+	p.forgetPauses(now)
 }
 
 // SetSharers sets the number of pools that place requests on the same endpoints without
@@ -323,16 +326,19 @@
 
 // suitable reports whether an endpoint may serve a request, regardless of its load.
 func (p *Pool) suitable(s *endpointState, r Request, now time.Time) bool {
-	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
-		return false
-	}
-	if s.WeightsVersion < r.SoftMinVersion && !s.lag.timely(now) {
+	if !p.eligible(s, r) || s.WeightsVersion < r.SoftMinVersion && !s.lag.timely(now) {
 		return false
 	}
-	if slices.Contains(r.Exclude, s.ID) || r.Only != "" && r.Only != s.ID {
+	return !p.Paused(s.ID, s.Incarnation, now) && s.health.admits(s.placed.Running, now)
+}
+
+// eligible reports whether an endpoint could serve a request, regardless of its load, health
+// and pauses.
+func (p *Pool) eligible(s *endpointState, r Request) bool {
+	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
 		return false
 	}
-	return s.health.admits(s.placed.Running, now)
+	return !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
 // usableSlots returns the number of an endpoint's slots that a request may use. Under
