relay: begin with an empty retry budget

Change: an entry begins without tokens and earns them by its requests. A process that is killed leaves at most what it had, so over any restarts the entries together spend no more than the burst that they held and the ratio of the requests.

Tests of single retries use an entry that has earned some.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -83,7 +83,7 @@
 func (d *dispatcher) pool(service string) *poolState {
 	p := d.pools[service]
 	if p == nil {
-		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), retryBudget: admission.NewRetryBudget(d.ratio)}
+		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), retryBudget: &admission.RetryBudget{Ratio: d.ratio}}
 		d.setRetryBurst(p)
 		d.pools[service] = p
 	}
@@ -93,7 +93,6 @@
 // setRetryBurst divides the burst of the retry budget among the entries.
 func (d *dispatcher) setRetryBurst(p *poolState) {
 	p.retryBudget.Burst = d.slack / float64(max(1, d.entries))
-	p.retryBudget.PerSecond = 0
 }
 
 // retryShare returns the burst of the retry budget that this entry may use, and the number
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -165,6 +165,9 @@
 	return err == nil
 }
 
+// earlierRequests is the number of requests by which a test's entry has earned retries.
+const earlierRequests = 30
+
 // newEntry starts a relay handler in front of servers. The first server is in the same
 // zone and preferred.
 func newEntry(t *testing.T, servers ...*server) (*handler, string) {
@@ -183,6 +186,9 @@
 	d.update(table, map[string][]placement.Endpoint{"dispatch": endpoints}, 1)
 	d.pools["dispatch"].Pool = placement.NewPool(placement.Config{JitterMs: 0.001, CrossZoneMs: 1000})
 	d.pools["dispatch"].Update(nil, endpoints, time.Now())
+	for range earlierRequests {
+		d.depositRetry("dispatch")
+	}
 	m := newRelayMetrics(prometheus.NewRegistry())
 	guard := newCrashGuard(logger, m, func(string, peerMessage) {})
 	guard.update(nil, time.Now())
--- a/internal/relay/retry_budget_test.go
+++ b/internal/relay/retry_budget_test.go
@@ -64,12 +64,12 @@
 
 // disturb draws one entry or all, which know only themselves for a while. The fault passes
 // while the load goes on.
-func (f *budgetFleet) disturb(kind string, fault func(entry, known int)) {
+func (f *budgetFleet) disturb(kind string, longest time.Duration, fault func(entry, known int)) {
 	affected := []int{f.rng.IntN(len(f.entries))}
 	if f.rng.IntN(3) == 0 {
 		affected = f.rng.Perm(len(f.entries))
 	}
-	length := time.Duration(f.rng.IntN(4000)) * time.Millisecond
+	length := time.Duration(f.rng.Int64N(int64(longest)))
 	f.log("entries %v: %s, they know the others after %v", affected, kind, length)
 	for _, i := range affected {
 		fault(i, 1)
@@ -104,19 +104,27 @@
 	}
 }
 
-// runBudgetSeeds plays drawn loads with a fault between any two.
-func runBudgetSeeds(t *testing.T, disturb func(f *budgetFleet)) {
+func newBudgetFleet(seed uint64, entries int) *budgetFleet {
+	f := &budgetFleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), entries: make([]*dispatcher, entries), table: routing.Compile(testDocument()), started: time.Now(),
+	}
+	for i := range f.entries {
+		f.start(i, entries)
+	}
+	return f
+}
+
+// Guards against entries that exceed the retry budget together because a process starts with
+// a burst that its predecessor has spent.
+func TestRetryBudgetOverRestarts(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rng := rand.New(rand.NewPCG(seed, 1))
-				f := &budgetFleet{rng: rng, entries: make([]*dispatcher, 2+rng.IntN(15)), table: routing.Compile(testDocument()), started: time.Now()}
-				for i := range f.entries {
-					f.start(i, len(f.entries))
-				}
-				interval := time.Duration(3+rng.IntN(40)) * time.Millisecond
+				rng := rand.New(rand.NewPCG(seed, 2))
+				f := newBudgetFleet(seed, 2+rng.IntN(15))
+				interval := time.Duration(1+rng.IntN(40)) * time.Millisecond
 				for range 12 {
-					disturb(f)
+					f.disturb("killed", 4*time.Second, f.start)
 					f.load(time.Duration(rng.IntN(4000))*time.Millisecond, interval, rng.IntN(3) > 0)
 				}
 				f.check(t)
@@ -125,14 +133,24 @@
 	}
 }
 
-// Guards against entries that exceed the retry budget together because a process starts with
-// a burst that its predecessor has spent.
-func TestRetryBudgetOverRestarts(t *testing.T) {
-	runBudgetSeeds(t, func(f *budgetFleet) { f.disturb("killed", f.start) })
-}
-
-// Guards against entries that exceed the retry budget together because those that lose the
-// list of entries divide the burst by fewer.
+// Guards against entries that exceed the retry budget together because each divides the burst
+// by one while it has lost the list of entries.
 func TestRetryBudgetWithLostLists(t *testing.T) {
-	runBudgetSeeds(t, func(f *budgetFleet) { f.disturb("list lost", f.learn) })
+	for _, entries := range []int{4, 8, 16} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBudgetFleet(uint64(entries), entries)
+				for i := range f.entries {
+					f.learn(i, 1)
+				}
+				f.load(8*time.Second, 2*time.Millisecond, false)
+				f.load(2*time.Second, 2*time.Millisecond, true)
+				for i := range f.entries {
+					f.learn(i, entries)
+				}
+				f.load(10*time.Second, 2*time.Millisecond, true)
+				f.check(t)
+			})
+		})
+	}
 }
