relay: divide the retry budget by all entries listed within a minute

One that loses its control replicas sees none, and keeps the whole burst for itself; entries that start or drain did not count, though they spend. If all entries lose their lists, each earns the whole burst while endpoints are sound, and spends it when they fail.

Change: admission.Sharers keeps the largest count within a minute, over all listed entries whatever their state. A part that is too small leaves some of the burst unused for a minute; one that is too large exceeds the bound. The budget also shrinks at once with its burst, not at the next request.

Before: TestRetryBudgetWithLostLists, virtual time: 1,330 and 1,342 repeats with 8 and 16 entries, allowed 1,100. After: it passes.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -44,9 +44,9 @@
 // TryWithdraw removes one token for a retry. It returns false if none is left.
 func (b *RetryBudget) TryWithdraw(now time.Time) bool {
 	if !b.last.IsZero() {
-		b.tokens = min(b.Burst, b.tokens+b.PerSecond*max(0, now.Sub(b.last).Seconds()))
+		b.tokens += b.PerSecond * max(0, now.Sub(b.last).Seconds())
 	}
-	b.last = now
+	b.tokens, b.last = min(b.Burst, b.tokens), now
 	if b.tokens < 1 {
 		return false
 	}
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -230,7 +230,8 @@
 	if p := d.peers.Load(); p != nil {
 		p.setAddresses(processes)
 	}
-	d.guard.update(d.otherEntries(processes), time.Now())
+	others := d.otherEntries(processes)
+	d.guard.update(others, time.Now())
 	table := d.fleet.Table()
 	if table == nil {
 		return
@@ -245,7 +246,7 @@
 	entries := d.entries(processes)
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
-	d.recordRetryShare()
+	d.shareRetries(len(others) + 1)
 	d.handler.conns.prune(keep)
 	ready := d.ready() == nil
 	if ready != d.wasReady {
@@ -257,9 +258,10 @@
 	}
 }
 
-// recordRetryShare logs a change of this entry's share of the retry budget.
-func (d *Daemon) recordRetryShare() {
-	burst, sharers := d.handler.dispatcher.retryShare()
+// shareRetries divides the retry budget among the listed entries and logs a change of this
+// entry's part.
+func (d *Daemon) shareRetries(listed int) {
+	burst, sharers := d.handler.dispatcher.shareRetries(listed)
 	if d.retrySharers != sharers {
 		d.log.WithFields(log.Fields{"sharers": sharers, "before": d.retrySharers, "burst": burst}).Info("retry_share_changed")
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -21,6 +21,10 @@
 	// retryBudgetShare keeps the entries together within the retry budget, because they
 	// learn of a change in their number with a delay.
 	retryBudgetShare = 0.75
+	// sharerRetention is how long an entry counts others among which the burst of the retry
+	// budget is divided after they were last listed. An entry that is cut off from all
+	// control replicas knows no others, and sends to endpoints for 10 s.
+	sharerRetention = time.Minute
 	// retryAfterJitter spreads the retries of refused callers.
 	retryAfterJitter = time.Second
 	// minRetryAfter lets a burst pass. A request that is retried is late in any case,
@@ -48,7 +52,8 @@
 	// rateLimitStore while it holds its own lock.
 	mu      sync.Mutex
 	pools   map[string]*poolState
-	entries int // number of entries that share the retry budget
+	sharers admission.Sharers // of the retry budget
+	divisor int               // of the burst of the retry budget
 	// retryDetectors distinguish the retries of callers from first attempts, by route.
 	retryDetectors map[string]*admission.RetryDetector
 }
@@ -60,7 +65,7 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, entries: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, sharers: admission.Sharers{Retention: sharerRetention}, divisor: 1, retryDetectors: map[string]*admission.RetryDetector{}}
 	s.setRateLimitStore(d)
 	return d
 }
@@ -83,32 +88,32 @@
 func (d *dispatcher) pool(service string) *poolState {
 	p := d.pools[service]
 	if p == nil {
-		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), retryBudget: &admission.RetryBudget{Ratio: d.ratio}}
-		d.setRetryBurst(p)
+		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
 		d.pools[service] = p
 	}
 	return p
 }
 
-// setRetryBurst divides the burst of the retry budget among the entries.
-func (d *dispatcher) setRetryBurst(p *poolState) {
-	p.retryBudget.Burst = d.slack / float64(max(1, d.entries))
-}
+// retryBurst returns the burst of the retry budget of each service at this entry. The caller
+// holds mu.
+func (d *dispatcher) retryBurst() float64 { return d.slack / float64(d.divisor) }
 
-// retryShare returns the burst of the retry budget that this entry may use, and the number
-// of entries among which it is divided.
-func (d *dispatcher) retryShare() (burst float64, sharers int) {
+// shareRetries divides the burst of the retry budget among the listed entries, which include
+// those that start or stop. It returns the part of this entry and the number of parts.
+func (d *dispatcher) shareRetries(listed int) (burst float64, sharers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	sharers = max(1, d.entries)
-	return d.slack / float64(sharers), sharers
+	d.divisor = d.sharers.Observe(listed, time.Now())
+	for _, p := range d.pools {
+		p.retryBudget.Burst = d.retryBurst()
+	}
+	return d.retryBurst(), d.divisor
 }
 
 // update replaces the endpoints of every service.
 func (d *dispatcher) update(table *routing.Table, endpoints map[string][]placement.Endpoint, entries int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entries = entries
 	for name := range endpoints {
 		if table.Service(name) != nil { // pools are kept, and a check-in may state any name
 			d.pool(name)
@@ -121,7 +126,6 @@
 		}
 		p.SetSharers(entries)
 		p.Update(engine, endpoints[name], time.Now())
-		d.setRetryBurst(p)
 		d.wakeNext(p)
 	}
 }
--- a/internal/relay/retry_budget_test.go
+++ b/internal/relay/retry_budget_test.go
@@ -45,6 +45,7 @@
 // learn tells an entry how many entries there are.
 func (f *budgetFleet) learn(i, known int) {
 	f.entries[i].update(f.table, nil, known)
+	f.entries[i].shareRetries(known)
 }
 
 // load sends requests to the entries for a while. If they fail, each is repeated up to twice
