storage, control: go on after a full disk, whatever operation failed

Cause: a failed sync, or a partial write that could not be cut off, made the storage refuse every call until its directory was opened again, and the replica waited for that without a timer. Ruled out: disks that refuse at the write, which was retried.

--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -37,7 +37,7 @@
 	}
 	daemon.SetLogger(logger)
 	defer lines.Close()
-	d, err := control.New(config, control.Options{
+	d, err := control.NewWhenWritable(ctx, config, control.Options{
 		ProcessToken: &processToken, OperatorToken: &operatorToken,
 		Registry:  func(d *control.Daemon) http.Handler { return platform.RegistryHandler(d) },
 		Directory: func(d *control.Daemon) http.Handler { return platform.DirectoryHandler(d) },
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -72,8 +72,8 @@
 	return c
 }
 
-func (c *cluster) start(name string) *instance {
-	c.t.Helper()
+// settings returns the settings and options of a replica.
+func (c *cluster) settings(name string) (Settings, Options) {
 	s := DefaultSettings()
 	s.Instance, s.Replica, s.Zone, s.Region = name, name, "z", "r"
 	s.SessionListen, s.OperatorListen = c.session[name], "operator-"+name
@@ -82,6 +82,12 @@
 	if c.change != nil {
 		c.change(name, &s, &o)
 	}
+	return s, o
+}
+
+func (c *cluster) start(name string) *instance {
+	c.t.Helper()
+	s, o := c.settings(name)
 	d, err := New(s, o, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -102,6 +102,25 @@
 	return d, nil
 }
 
+// NewWhenWritable is like New, but waits while the disk takes no writes, until ctx ends. A process
+// that ended instead would be started again and again while its disk is full.
+func NewWhenWritable(ctx context.Context, s Settings, opts Options, logger log.Interface) (*Daemon, error) {
+	for waiting := false; ; waiting = true {
+		d, err := New(s, opts, logger)
+		if !errors.Is(err, storage.ErrRetryable) {
+			return d, err
+		}
+		if !waiting {
+			logger.WithError(err).Error("disk_failed")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(diskRetryInterval):
+		}
+	}
+}
+
 func (d *Daemon) readTokens() error {
 	for _, t := range []struct {
 		given *auth.Token
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -361,9 +360,8 @@
 	}
 }
 
-// persist writes snapshot, entries and hard state to stable storage. It retries
-// while the disk is full; after any other failure it waits until ctx ends.
-// While the disk fails, the replica handles no Raft messages, so it
+// persist writes snapshot, entries and hard state to stable storage. It retries until that
+// succeeds or ctx ends. While the disk fails, the replica handles no Raft messages, so it
 // acknowledges nothing and another replica becomes leader.
 func (r *Replica) persist(ctx context.Context, ready raft.Ready) bool {
 	for {
@@ -380,7 +378,7 @@
 		}
 		r.diskErr = err
 		r.publish()
-		if !r.waitForDiskRetry(ctx, err) {
+		if !r.waitForDiskRetry(ctx) {
 			return false
 		}
 	}
@@ -409,18 +407,14 @@
 // waitForDiskRetry runs queued operations, which are refused while the disk
 // fails, and drops messages until the next retry. It returns false when ctx
 // ends.
-func (r *Replica) waitForDiskRetry(ctx context.Context, err error) bool {
-	var retry <-chan time.Time
-	if errors.Is(err, storage.ErrRetryable) {
-		timer := time.NewTimer(diskRetryInterval)
-		defer timer.Stop()
-		retry = timer.C
-	}
+func (r *Replica) waitForDiskRetry(ctx context.Context) bool {
+	timer := time.NewTimer(diskRetryInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return false
-		case <-retry:
+		case <-timer.C:
 			return true
 		case w := <-r.inbox:
 			if w.op != nil {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -27,12 +27,9 @@
 	ErrWrongReplica = errors.New("data directory belongs to another replica")
 	// ErrLocked means that another process uses the directory.
 	ErrLocked = errors.New("data directory is locked by another process")
-	// ErrDiskFailed means that a sync failed, or that a partial write could not be
-	// removed. What the disk holds is unknown until the directory is opened
-	// again.
-	ErrDiskFailed = errors.New("disk failed")
-	// ErrRetryable means that nothing was stored. The caller may retry with the same
-	// arguments, for example once the disk has free space.
+	// ErrRetryable means that nothing is known to be stored. The caller may retry with the
+	// same arguments, for example once the disk has free space. Until a call succeeds, what
+	// the failed one wrote may be found when the directory is opened again.
 	ErrRetryable = errors.New("disk full or not writable")
 )
 
@@ -43,6 +40,7 @@
 	snapshotDir         = "snap"
 	segmentSuffix       = ".wal"
 	snapshotSuffix      = ".snap"
+	tmpSuffix           = ".tmp"
 	identityBytes       = 8
 	fileMode            = 0o600
 	dirMode             = 0o700
@@ -62,22 +60,46 @@
 	SegmentBytes int64
 	// NoSync disables syncing. It is only for measurements: a crash loses data.
 	NoSync bool
-	// FileOps replaces the write and sync operations, for fault injection in tests.
+	// FileOps replaces the operations that change files, for fault injection in tests.
 	FileOps FileOps
 }
 
 // FileOps are the file operations in which tests inject disk faults.
 type FileOps interface {
+	// Create creates a file that must not exist.
+	Create(path string) (*os.File, error)
 	Write(f *os.File, data []byte) (int, error)
+	// Sync syncs a file or a directory.
 	Sync(f *os.File) error
+	Truncate(f *os.File, size int64) error
+	Rename(from, to string) error
+	Remove(path string) error
 }
 
-type osFiles struct{}
+// OSFiles are the operations of the operating system.
+type OSFiles struct{}
 
-func (osFiles) Write(f *os.File, data []byte) (int, error) { return f.Write(data) }
-func (osFiles) Sync(f *os.File) error                      { return f.Sync() }
+// Create implements FileOps.
+func (OSFiles) Create(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+}
+
+// Write implements FileOps.
+func (OSFiles) Write(f *os.File, data []byte) (int, error) { return f.Write(data) }
+
+// Sync implements FileOps.
+func (OSFiles) Sync(f *os.File) error { return f.Sync() }
+
+// Truncate implements FileOps.
+func (OSFiles) Truncate(f *os.File, size int64) error { return f.Truncate(size) }
 
-type noSync struct{ osFiles }
+// Rename implements FileOps.
+func (OSFiles) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FileOps.
+func (OSFiles) Remove(path string) error { return os.Remove(path) }
+
+type noSync struct{ OSFiles }
 
 func (noSync) Sync(*os.File) error { return nil }
 
@@ -106,14 +128,12 @@
 
 // DataDir is an open data directory.
 type DataDir struct {
-	dir           string
-	opts          Options
-	files         FileOps
-	identity      Identity
-	lock          *os.File
-	wal           *wal
-	failed        error
-	lastHardState raft.HardState
+	dir      string
+	opts     Options
+	files    FileOps
+	identity Identity
+	lock     *os.File
+	wal      *wal
 }
 
 // Open locks and reads a data directory. It creates the directory if it does not
@@ -127,7 +147,7 @@
 	case opts.NoSync:
 		f.files = noSync{}
 	case f.files == nil:
-		f.files = osFiles{}
+		f.files = OSFiles{}
 	}
 	if err := f.createAndLock(); err != nil {
 		return nil, State{}, err
@@ -164,6 +184,12 @@
 		return state, err
 	}
 	state.Identity = f.identity
+	f.removeTemporary(walDir, nil)
+	f.removeTemporary(snapshotDir, nil)
+	// A snapshot may have been renamed before a sync of its directory failed.
+	if err := syncDir(filepath.Join(f.dir, snapshotDir), f.files); err != nil {
+		return state, fmt.Errorf("%w: %w", ErrRetryable, err)
+	}
 	snapshot, err := f.loadSnapshot()
 	if err != nil {
 		return state, err
@@ -175,7 +201,6 @@
 	}
 	f.wal = w
 	state.HardState, state.TornBytes = content.hardState, content.tornBytes
-	f.lastHardState = state.HardState
 	if err := content.checkContinuity(snapshot); err != nil {
 		return state, err
 	}
@@ -234,32 +259,47 @@
 }
 
 // writeFileAtomic writes a file atomically: after a crash it is complete or has
-// its previous content, if any.
+// its previous content, if any. After ErrRetryable, the new content may have replaced the
+// previous one.
 func (f *DataDir) writeFileAtomic(path string, data []byte) error {
-	tmp, err := os.OpenFile(path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	file, err := createAtomic(path, data, f.files)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrRetryable, err)
+		return err
 	}
-	_, err = f.files.Write(tmp, data)
+	_ = file.Close() // the content is synced
+	return nil
+}
+
+// createAtomic is like writeFileAtomic and returns the file, open at its end.
+func createAtomic(path string, data []byte, files FileOps) (*os.File, error) {
+	tmp := path + tmpSuffix
+	// Once a sync of a file has failed, a later one may succeed without writing, so an
+	// earlier temporary file is never used again.
+	if err := files.Remove(tmp); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("%w: %w", ErrRetryable, err)
+	}
+	file, err := files.Create(tmp)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRetryable, err)
+	}
+	_, err = files.Write(file, data)
 	if err == nil {
-		err = f.files.Sync(tmp)
+		err = files.Sync(file)
 	}
-	err = errors.Join(err, tmp.Close())
 	if err == nil {
-		err = os.Rename(path+".tmp", path)
+		err = files.Rename(tmp, path)
 	}
 	if err == nil {
-		err = f.syncDir(filepath.Dir(path))
+		err = syncDir(filepath.Dir(path), files)
 	}
 	if err != nil {
-		_ = os.Remove(path + ".tmp")
-		return fmt.Errorf("%w: %w", ErrRetryable, err)
+		_ = file.Close()
+		_ = files.Remove(tmp) // gives its room back; the next attempt removes it otherwise
+		return nil, fmt.Errorf("%w: %w", ErrRetryable, err)
 	}
-	return nil
+	return file, nil
 }
 
-func (f *DataDir) syncDir(dir string) error { return syncDir(dir, f.files) }
-
 func syncDir(dir string, files FileOps) error {
 	d, err := os.Open(dir)
 	if err != nil {
@@ -270,22 +310,12 @@
 
 // Save stores the hard state and entries as one record and returns after syncing
 // it. The entries replace the stored log from their first index on. After
-// ErrRetryable nothing is stored and the call may be repeated; any other error is
-// permanent.
+// ErrRetryable the call may be repeated; any other error is permanent.
 //
 // There is no variant without a sync: after a crash, several unsynced records
 // could not be distinguished from corruption.
 func (f *DataDir) Save(hard raft.HardState, entries []raft.Entry) error {
-	if f.failed != nil {
-		return f.failed
-	}
-	err := f.wal.append(record{HardState: hard, Entries: entries})
-	if err == nil {
-		f.lastHardState = hard
-	} else if errors.Is(err, ErrDiskFailed) {
-		f.failed = err
-	}
-	return err
+	return f.wal.append(record{HardState: hard, Entries: entries})
 }
 
 // WriteSnapshot writes a snapshot file. Unlike all other methods it may run
@@ -304,25 +334,15 @@
 // keepFrom. With reset the snapshot replaces the whole stored log, as is needed
 // for a snapshot received from the leader.
 func (f *DataDir) ActivateSnapshot(index uint64, hard raft.HardState, reset bool, keepFrom uint64) error {
-	if f.failed != nil {
-		return f.failed
-	}
 	if err := f.wal.append(record{HardState: hard, Reset: resetIndex(reset, index), Snapshot: index}); err != nil {
-		if errors.Is(err, ErrDiskFailed) {
-			f.failed = err
-		}
 		return err
 	}
-	f.lastHardState = hard
 	f.removeObsolete(keepFrom)
 	return nil
 }
 
 // SaveSnapshot calls WriteSnapshot and ActivateSnapshot.
 func (f *DataDir) SaveSnapshot(s raft.Snapshot, hard raft.HardState, reset bool, keepFrom uint64) error {
-	if f.failed != nil {
-		return f.failed
-	}
 	if err := f.WriteSnapshot(s); err != nil {
 		return err
 	}
@@ -342,10 +362,26 @@
 	names, err := f.snapshotNames()
 	if err == nil {
 		for _, name := range names[min(snapshotsKept, len(names)):] {
-			_ = os.Remove(filepath.Join(f.dir, snapshotDir, name))
+			_ = f.files.Remove(filepath.Join(f.dir, snapshotDir, name))
+		}
+		f.removeTemporary(snapshotDir, names)
+	}
+	f.wal.removeBefore(keepFrom)
+}
+
+// removeTemporary removes the temporary files that failed writes have left in a directory. If
+// complete names the complete files, newest first, those for later ones may still be written.
+func (f *DataDir) removeTemporary(sub string, complete []string) {
+	files, err := os.ReadDir(filepath.Join(f.dir, sub))
+	if err != nil {
+		return // the next call removes them
+	}
+	for _, file := range files {
+		name, temporary := strings.CutSuffix(file.Name(), tmpSuffix)
+		if temporary && (len(complete) == 0 || name <= complete[0]) {
+			_ = f.files.Remove(filepath.Join(f.dir, sub, file.Name()))
 		}
 	}
-	f.wal.removeBefore(keepFrom, f.lastHardState)
 }
 
 // snapshotNames returns the file names of complete snapshots, newest first.
