platform: keep the pauses that the origin of weights states

Requests within the pause now fail without being sent, as they do while the origin is down. Requests of a stager to its own engine do not keep pauses: they are orders and reports, which the engine does not queue.

--- a/cmd/rhubarb-stager/main.go
+++ b/cmd/rhubarb-stager/main.go
@@ -38,7 +38,7 @@
 		Token: token, Decode: platform.DecodeRouting,
 		Engine: platform.Client{
 			HTTP:   &http.Client{Transport: network.HTTPTransport(nil)},
-			Origin: &http.Client{Transport: network.SingleConnTransport(nil)},
+			Origin: &http.Client{Transport: platform.KeepPauses(network.SingleConnTransport(nil))},
 		},
 	}, logger).Run(ctx, reloads)
 }
