--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -16,8 +16,11 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
+// testServer returns a check-in of a server named i-N, whose address is its own.
 func testServer(id string, started, sequence uint64) wire.Server {
-	return wire.Server{ID: id, Started: started, Sequence: sequence, Service: "quote", Address: "10.1.0." + id[2:] + ":1"}
+	s := server(id, started, sequence)
+	s.Address = "10.1.0." + strings.TrimPrefix(id, "i-") + ":1"
+	return s
 }
 
 func lists(client *fleetclient.Client, id string) bool {
@@ -144,7 +147,7 @@
 	servers map[string]wire.Server // last check-in, by ID
 	left    map[string]bool
 	leftAt  map[string]time.Time
-	// awayUntil is when a replica or entry last came back from a cut.
+	// awayUntil is when a replica or entry was last back in touch; in the future while it is away.
 	awayUntil map[string]time.Time
 	events    []string
 }
@@ -243,22 +246,23 @@
 	everybody := append(slices.Clone(d.names), "entry-0", "entry-1", "entry-2")
 	victim := everybody[d.rng.IntN(len(everybody))]
 	others := slices.DeleteFunc(slices.Clone(everybody), func(name string) bool { return name == victim })
-	restart := strings.HasPrefix(victim, "v") && d.rng.IntN(3) == 0
+	end := func() { d.net.SetIsolated(victim, others, false) }
 	d.away(victim)
-	if restart {
+	switch kind := d.rng.IntN(3); {
+	case kind == 0 && strings.HasPrefix(victim, "v"):
 		d.daemons[victim].kill()
 		delete(d.daemons, victim)
-	} else {
+		end = func() { d.start(victim) }
+	case kind == 1:
+		d.net.Freeze(victim)
+		end = func() { d.net.Thaw(victim) }
+	default:
 		d.net.SetIsolated(victim, others, true)
 	}
 	d.pass(time.Duration(d.rng.IntN(3000)) * time.Millisecond)
 	d.leaveOne()
 	d.pass(time.Duration(d.rng.IntN(5000)) * time.Millisecond)
-	if restart {
-		d.start(victim)
-	} else {
-		d.net.SetIsolated(victim, others, false)
-	}
+	end()
 	d.back(victim)
 	if d.rng.IntN(2) == 0 {
 		d.leaveOne()
--- a/internal/control/discovery_test.go
+++ b/internal/control/discovery_test.go
@@ -45,9 +45,15 @@
 
 // join starts an empty replica that joins through the given seeds.
 func (c *seededCluster) join(name string, seeds ...string) {
+	c.joins[name] = true
+	c.add(name, seeds...)
+}
+
+// add starts an empty replica with the given seeds.
+func (c *seededCluster) add(name string, seeds ...string) {
 	c.names = append(c.names, name)
 	c.session[name] = net.JoinHostPort(name, "1")
-	c.seeds[name], c.joins[name] = seeds, true
+	c.seeds[name] = seeds
 	c.start(name)
 }
 
@@ -57,11 +63,7 @@
 // startVoters starts a new cluster, whose seeds are up to three of its voters.
 func (c *seededCluster) startVoters(n int) {
 	for i := range n {
-		name := fmt.Sprintf("10.0.0.%d", i+1)
-		c.names = append(c.names, name)
-		c.session[name] = net.JoinHostPort(name, "1")
-		c.seeds[name] = []string{"10.0.0.1", "10.0.0.3", fmt.Sprintf("10.0.0.%d", n)}
-		c.start(name)
+		c.add(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.1", "10.0.0.3", fmt.Sprintf("10.0.0.%d", n))
 	}
 	c.eventually("all are voters", func() bool { return c.votersAre(c.running()) })
 }
@@ -75,6 +77,12 @@
 	return names
 }
 
+// followers returns the names of the running replicas except the leader.
+func (c *seededCluster) followers() []string {
+	leader := c.leader().name
+	return slices.DeleteFunc(c.running(), func(name string) bool { return name == leader })
+}
+
 // votersAre reports whether the leader's voters are the named replicas.
 func (c *seededCluster) votersAre(names []string) bool {
 	l := c.leader()
@@ -104,8 +112,7 @@
 		c.startFive()
 		is.Equal(c.submit(1).Status, "accepted")
 		for round := range 6 {
-			leader := c.leader().name
-			others := slices.DeleteFunc(c.running(), func(name string) bool { return name == leader })
+			others := c.followers()
 			c.remove(others[0])
 			time.Sleep(time.Second)
 			// The seeds are the newest replicas, some of which may still be joining.
@@ -126,8 +133,7 @@
 		c := newSeededCluster(t)
 		c.startFive()
 		is.Equal(c.submit(1).Status, "accepted")
-		leader := c.leader().name
-		others := slices.DeleteFunc(c.running(), func(name string) bool { return name == leader })
+		others := c.followers()
 		c.remove(others[0])
 		c.join("10.0.1.3", "10.0.1.2") // its only seed starts later
 		c.join("10.0.1.2", "10.0.1.1")
