platform, admission: one place for the default pause; count at least one sharer

Found in reading: the default of a pause that cannot be read stood twice, and a list with no process at all would have added a count at each call. No decision changes.

--- a/admission/sharers.go
+++ b/admission/sharers.go
@@ -24,10 +24,11 @@
 // Observe records the number of processes on the list now, and returns the number by which to
 // divide the bound.
 func (s *Sharers) Observe(count int, now time.Time) int {
+	count = max(1, count)
 	for len(s.counts) > 0 && s.counts[len(s.counts)-1].count <= count {
 		s.counts = s.counts[:len(s.counts)-1]
 	}
-	s.counts = append(s.counts, sharerCount{max(1, count), now})
+	s.counts = append(s.counts, sharerCount{count, now})
 	for now.Sub(s.counts[0].lastSeen) > s.Retention {
 		s.counts = s.counts[1:]
 	}
--- a/admission/sharers_test.go
+++ b/admission/sharers_test.go
@@ -23,7 +23,7 @@
 	is.Equal(s.Observe(2, at(25)), 2)
 	is.Equal(s.Observe(5, at(26)), 5)
 	for i := range 1000 {
-		s.Observe(1+i%5, at(26).Add(time.Duration(i)*time.Millisecond))
+		s.Observe(i%6, at(26).Add(time.Duration(i)*time.Millisecond))
 	}
 	is.True(len(s.counts) <= 5)
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -60,7 +60,8 @@
 	// Pause is how long the endpoint wants no further request from this entry, as stated in a
 	// refusal; zero if it states nothing.
 	Pause time.Duration
-	// PauseErr is set if the endpoint states a pause that cannot be decoded.
+	// PauseErr is set if the endpoint states a pause that cannot be decoded. Pause then is a
+	// default.
 	PauseErr error
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// given.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -357,16 +357,12 @@
 	}
 }
 
-// defaultPause is the pause of an endpoint that states one that cannot be decoded.
-const defaultPause = time.Second
-
 // recordPause records the pause that an endpoint states in a refusal.
 func (h *handler) recordPause(q *request, c placement.Choice, a *attempt) {
 	pause, err := a.answer.Pause, a.answer.PauseErr
 	if err != nil {
 		h.metrics.malformedPauses.Inc()
 		h.log.WithError(err).WithFields(log.Fields{"request": q.call.ID, "endpoint": c.ID}).Warn("pause_malformed")
-		pause = max(pause, defaultPause)
 	}
 	if pause == 0 {
 		return
--- a/internal/relay/pauses_test.go
+++ b/internal/relay/pauses_test.go
@@ -19,6 +19,9 @@
 	"github.com/rhubarbhill/rhubarbhill/placement"
 )
 
+// defaultPause is the pause of an endpoint that states one that cannot be read.
+const defaultPause = time.Second
+
 const (
 	// pauseKnownFrom and maxDuringPause bound the requests from an entry within a pause that
 	// an endpoint stated to it.
@@ -241,6 +244,7 @@
 		{"soon", defaultPause, defaultPause},
 		{"2\r\nRetry-After: 7", 7 * time.Second, 7 * time.Second},
 		{"2\r\nRetry-After: soon", 2 * time.Second, 2 * time.Second},
+		{"0.5\r\nRetry-After: soon", defaultPause, defaultPause},
 		{"0", 0, 0},
 		{"", defaultPause, defaultPause},
 	} {
