--- a/internal/relay/retry_budget_test.go
+++ b/internal/relay/retry_budget_test.go
@@ -29,6 +29,14 @@
 	repeats  []time.Time
 	events   []string
 	started  time.Time
+	// recoveries are the faults that have not passed yet.
+	recoveries []recovery
+}
+
+// recovery is when entries know all others again.
+type recovery struct {
+	at      time.Time
+	entries []int
 }
 
 func (f *budgetFleet) log(format string, args ...any) {
@@ -52,6 +60,7 @@
 // as far as the budget allows.
 func (f *budgetFleet) load(length, interval time.Duration, fail bool) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+		f.recover()
 		f.requests = append(f.requests, time.Now())
 		d := f.entries[f.rng.IntN(len(f.entries))]
 		d.depositRetry(plainService)
@@ -75,10 +84,19 @@
 	for _, i := range affected {
 		fault(i, 1)
 	}
-	time.AfterFunc(length, func() {
-		for _, i := range affected {
-			f.learn(i, len(f.entries))
+	f.recoveries = append(f.recoveries, recovery{time.Now().Add(length), affected})
+}
+
+// recover tells the others to the entries whose faults have passed.
+func (f *budgetFleet) recover() {
+	f.recoveries = slices.DeleteFunc(f.recoveries, func(r recovery) bool {
+		due := !time.Now().Before(r.at)
+		for _, i := range r.entries {
+			if due {
+				f.learn(i, len(f.entries))
+			}
 		}
+		return due
 	})
 }
 
