--- a/admission/budget.go
+++ b/admission/budget.go
@@ -10,8 +10,9 @@
 )
 
 // RetryBudget is a token bucket that limits retries to a share of the requests,
-// so that retries do not amplify an overload. A literal is an empty budget without the
-// defaults, for processes that share a bound: full ones would add up over their restarts.
+// so that retries do not amplify an overload. The zero value with a Ratio and a Burst is an
+// empty budget. It suits processes that share a bound: budgets that are full at the start would
+// add up over restarts.
 type RetryBudget struct {
 	// Ratio is the number of tokens added by each request. Default 0.1. A
 	// higher ratio hides more failures from callers but adds more load during
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -20,37 +19,26 @@
 	"github.com/rhubarbhill/rhubarbhill/ledger"
 	"github.com/rhubarbhill/rhubarbhill/raft"
 	"github.com/rhubarbhill/rhubarbhill/release"
-	"github.com/rhubarbhill/rhubarbhill/storage"
 )
 
 // faultyDisk fails or runs a hook at chosen operations.
 type faultyDisk struct {
-	storage.OSFiles
-	full     atomic.Bool
-	broken   atomic.Bool
+	operationDisk
 	onSync   atomic.Pointer[func()] // before a sync
 	onSynced atomic.Pointer[func()] // after a sync
 }
 
-func (d *faultyDisk) Write(f *os.File, data []byte) (int, error) {
-	if d.full.Load() {
-		return 0, errors.New("no space left on device")
-	}
-	return f.Write(data)
-}
-
 func (d *faultyDisk) Sync(f *os.File) error {
 	if hook := d.onSync.Load(); hook != nil {
 		(*hook)()
 	}
-	if d.broken.Load() {
-		return errors.New("input/output error")
+	if err := d.operationDisk.Sync(f); err != nil {
+		return err
 	}
-	err := f.Sync()
 	if hook := d.onSynced.Load(); hook != nil {
 		(*hook)()
 	}
-	return err
+	return nil
 }
 
 var fourNames = []string{"c1", "c2", "c3", "c4"}
@@ -460,7 +448,7 @@
 // A replica must not acknowledge what its disk did not store, and a leader
 // without a working disk must lose leadership.
 func TestFullOrFailingDiskLosesLeadership(t *testing.T) {
-	for _, fault := range []string{"full", "broken"} {
+	for fault, operation := range map[string]string{"full": "write", "broken": "sync"} {
 		t.Run(fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -468,8 +456,7 @@
 				c := startCluster(t, disks)
 				is.Equal(c.submit(1).Status, "accepted")
 				l := c.leader()
-				disks[l.name].full.Store(fault == "full")
-				disks[l.name].broken.Store(fault == "broken")
+				disks[l.name].set(operation)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				_, answer := l.SubmitNote(ctx, document(t, 2))
 				cancel()
@@ -479,8 +466,7 @@
 				c.eventually("another leader", func() bool { return c.leader() != l })
 				is.Equal(c.submit(2).Status, "accepted")
 				is.Equal(l.replica.View().Catalogue.Revision, uint64(1))
-				disks[l.name].full.Store(false)
-				disks[l.name].broken.Store(false)
+				disks[l.name].set()
 				c.waitForRevision(2)
 			})
 		})
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -186,6 +186,12 @@
 	return d.placeLocally(q, r)
 }
 
+// endedWaiting refuses a request whose caller has left, or whose deadline has passed, while it
+// waited for a slot.
+func endedWaiting() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+}
+
 // awaitPauses waits while all endpoints for a request want none. It refuses the request if
 // the first pause ends later than the request may wait.
 func (d *dispatcher) awaitPauses(q *request, r placement.Request) *refusal {
@@ -202,7 +208,7 @@
 			return &refusal{status: http.StatusServiceUnavailable, reason: EndpointsPaused, retryAfter: pauseRetryAfter(left)}
 		}
 		if !sleep(q.ctx, left) {
-			return &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+			return endedWaiting()
 		}
 	}
 }
@@ -244,7 +250,7 @@
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
-		return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}, true
+		return choice, endedWaiting(), true
 	}
 	if !ok {
 		return choice, nil, false
@@ -287,7 +293,7 @@
 				return choice, nil
 			}
 			if q.ctx.Err() != nil {
-				return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+				return choice, endedWaiting()
 			}
 			continue
 		}
@@ -317,7 +323,7 @@
 		timer.Stop()
 		d.dequeue(q.service, ready)
 		if q.ctx.Err() != nil {
-			return choice, &refusal{status: http.StatusServiceUnavailable, reason: NoSlot, retryAfter: minRetryAfter}
+			return choice, endedWaiting()
 		}
 	}
 }
@@ -441,7 +447,7 @@
 	return d.pool(service).HasLeft(c.ID, c.Incarnation)
 }
 
-// pause selects an endpoint no more until the end of the pause that it stated.
+// pause keeps an endpoint from being selected for the length of the pause that it stated.
 func (d *dispatcher) pause(service string, c placement.Choice, length time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/relay/pauses_test.go
+++ b/internal/relay/pauses_test.go
@@ -91,29 +91,29 @@
 	return most, pauses
 }
 
-func writePause(w io.Writer, r *http.Request, pause time.Duration) error {
-	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n",
-		r.Header.Get("X-Request-Id"), pause.Seconds())
+// writePause refuses a request with the text of a pause.
+func writePause(w io.Writer, r *http.Request, text string) error {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n",
+		r.Header.Get("X-Request-Id"), text)
 	return err
 }
 
-// drawPause lets an endpoint refuse requests for a while. Meanwhile it may vanish from the
-// list for a while, or restart.
+// drawPause lets an endpoint refuse requests for a while. Meanwhile it may drain, restart, or
+// not be listed.
 func (f *entryFleet) drawPause(rng *rand.Rand, service string, i int) {
-	id, p := f.listed[service][i].ID, f.endpoints[f.listed[service][i].ID].pausing
+	p := f.endpoints[f.listed[service][i].ID].pausing
 	p.set(time.Duration(100+rng.IntN(5000)) * time.Millisecond)
 	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	change := rng.IntN(4)
 	f.relist(func() {
 		switch change {
-		case 0: // vanishes
+		case 0:
 			f.listed[service][i].Draining = true
 		case 1:
 			f.listed[service][i].Incarnation = p.restart()
-		case 2: // another endpoint is unlisted
-			j := (i + 1) % len(f.listed[service])
-			f.hidden = append(f.hidden, f.listed[service][j])
-			f.listed[service] = slices.Delete(slices.Clone(f.listed[service]), j, j+1)
+		case 2:
+			f.hidden = append(f.hidden, f.listed[service][i])
+			f.listed[service] = slices.Delete(slices.Clone(f.listed[service]), i, i+1)
 		}
 	})
 	time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
@@ -125,7 +125,7 @@
 			f.listed[service][k].Draining = false
 		}
 	})
-	f.endpoints[id].pausing.set(0)
+	p.set(0)
 }
 
 // relist changes the listed endpoints and tells all entries.
@@ -183,9 +183,7 @@
 
 func pauseFor(text string) reply {
 	return func(conn net.Conn, r *http.Request) bool {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n",
-			r.Header.Get("X-Request-Id"), text)
-		return err == nil
+		return writePause(conn, r, text) == nil
 	}
 }
 
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -72,7 +72,7 @@
 			return
 		}
 		if pause := e.pausing.observe(r); pause > 0 {
-			if writePause(conn, r, pause) != nil {
+			if writePause(conn, r, strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)) != nil {
 				return
 			}
 			continue
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A pause is a time in which an endpoint wants no requests from this process, stated in a
 // refusal. It applies to the incarnation that stated it, and outlasts a time in which the
@@ -10,8 +13,8 @@
 	until       time.Time
 }
 
-// Pause selects no incarnation of an endpoint up to the given one until a time. It does not
-// shorten an earlier pause.
+// Pause keeps an endpoint from being selected until a time, up to the given incarnation. It does
+// not shorten an earlier pause.
 func (p *Pool) Pause(id string, incarnation uint64, until time.Time) {
 	held := p.pauses[id]
 	if held.incarnation > incarnation {
@@ -32,7 +35,14 @@
 
 // PausedEndpoints returns the sorted IDs of the endpoints that want no requests now.
 func (p *Pool) PausedEndpoints(now time.Time) []string {
-	return p.ids(func(s *endpointState) bool { return p.Paused(s.ID, s.Incarnation, now) })
+	var list []string
+	for id := range p.pauses { // few, while there may be hundreds of endpoints
+		if s := p.endpoints[id]; s != nil && p.Paused(id, s.Incarnation, now) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
 }
 
 // AllPaused reports whether every endpoint that could serve a request, apart from its load and
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -170,49 +171,26 @@
 	}
 }
 
-// faultyDisk is a disk whose writes and syncs fail on demand. A full disk still
-// writes the first writeLimit bytes.
-type faultyDisk struct {
-	OSFiles
-	writeLimit int
-	full       bool
-	syncErr    error
-}
-
-func (d *faultyDisk) Write(f *os.File, data []byte) (int, error) {
-	if d.full {
-		n, _ := f.Write(data[:min(d.writeLimit, len(data))])
-		return n, errors.New("no space left on device")
-	}
-	return f.Write(data)
-}
-
-func (d *faultyDisk) Sync(f *os.File) error {
-	if d.syncErr != nil {
-		return d.syncErr
-	}
-	return f.Sync()
-}
-
 // Guards against a partial record that a full disk leaves before later records, and against
 // a directory that stores nothing any more after a failed sync.
 func TestFullAndFailingDisk(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	disk := &faultyDisk{writeLimit: 7}
+	disk := newPowerDisk(rand.New(rand.NewPCG(1, 1)))
+	defer disk.close()
 	f, _ := open(t, dir, Options{FileOps: disk})
 	is.NoErr(f.Save(raft.HardState{Term: 1}, entries(1, 1, 1)))
-	disk.full = true
+	disk.failing["partial write"] = true
 	for range 3 {
 		is.True(errors.Is(f.Save(raft.HardState{Term: 1}, entries(2, 2, 1)), ErrRetryable))
 	}
-	disk.full = false
+	clear(disk.failing)
 	is.NoErr(f.Save(raft.HardState{Term: 1}, entries(2, 2, 1)))
-	disk.syncErr = errors.New("input/output error")
+	disk.failing["sync"] = true
 	for range 3 {
 		is.True(errors.Is(f.Save(raft.HardState{Term: 1}, entries(3, 3, 1)), ErrRetryable))
 	}
-	disk.syncErr = nil
+	clear(disk.failing)
 	is.NoErr(f.Save(raft.HardState{Term: 1}, entries(3, 4, 1)))
 	f.Close()
 	_, state := open(t, dir, Options{})
--- a/storage/wal.go
+++ b/storage/wal.go
@@ -130,16 +130,6 @@
 	// unfinished is set after a failed start of a segment, whose name may be on the disk
 	// already: a record that is appended elsewhere would have its sequence number.
 	unfinished bool
-
-	tail tail // of the last segment, while the log is opened
-}
-
-// tail is the last record of a segment.
-type tail struct {
-	record    record
-	hardState raft.HardState // of the record before it
-	count     int            // of records in the segment
-	offset    int64          // of the record in its segment
 }
 
 // walContent is the state recovered by replaying the WAL.
@@ -149,6 +139,15 @@
 	snapshot  uint64 // highest snapshot index in a record
 	lastReset uint64 // index of the last Reset
 	tornBytes int64  // size of the torn record at the end
+	tail      tail   // of the last segment
+}
+
+// tail is the last record of a segment.
+type tail struct {
+	record    record
+	hardState raft.HardState // of the record before it
+	count     int            // of records in the segment
+	offset    int64          // of the record in its segment
 }
 
 // checkContinuity checks that the snapshot is not older than the WAL requires,
@@ -218,13 +217,21 @@
 	if err != nil {
 		return nil, c, err
 	}
+	var data []byte // of the previous segment
 	for i, name := range names {
-		next, err := w.repairFrom(names[i+1:])
-		if err == nil {
-			err = w.readSegment(filepath.Join(dir, name), i == len(names)-1, next, &c)
-		}
+		next, err := os.ReadFile(filepath.Join(dir, name))
 		if err != nil {
-			w.close()
+			return nil, c, fmt.Errorf("write-ahead log: %w", err)
+		}
+		if i > 0 {
+			if err := w.readSegment(names[i-1], data, repairedFrom(next), false, &c); err != nil {
+				return nil, c, err
+			}
+		}
+		data = next
+	}
+	if len(names) > 0 {
+		if err := w.readSegment(names[len(names)-1], data, 0, true, &c); err != nil {
 			return nil, c, err
 		}
 	}
@@ -232,23 +239,16 @@
 	if len(w.segments) == 0 {
 		return w, c, w.startSegment()
 	}
-	return w, c, w.rewriteTail()
+	return w, c, w.rewriteTail(c.tail)
 }
 
-// repairFrom returns the sequence number from which on the next segment repairs the one before
-// it, or zero if it does not.
-func (w *wal) repairFrom(next []string) (uint64, error) {
-	if len(next) == 0 {
-		return 0, nil
-	}
-	data, err := os.ReadFile(filepath.Join(w.dir, next[0]))
-	if err != nil {
-		return 0, fmt.Errorf("write-ahead log: %w", err)
-	}
+// repairedFrom returns the sequence number from which on a segment repairs the one before it, or
+// zero if it does not.
+func repairedFrom(data []byte) uint64 {
 	if r, _, err := decodeRecord(data); err == nil && r.Repairs {
-		return r.Sequence, nil
+		return r.Sequence
 	}
-	return 0, nil
+	return 0
 }
 
 func segmentNames(dir string) ([]string, error) {
@@ -268,16 +268,13 @@
 
 // readSegment applies the records of a segment, up to the one from which on the next segment
 // repairs it, if that is not zero.
-func (w *wal) readSegment(path string, last bool, repairedFrom uint64, c *walContent) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return fmt.Errorf("write-ahead log: %w", err)
-	}
+func (w *wal) readSegment(name string, data []byte, repaired uint64, last bool, c *walContent) error {
+	path := filepath.Join(w.dir, name)
 	seg := segment{path: path}
 	offset, end := 0, tail{}
 	for offset < len(data) {
 		r, length, err := decodeRecord(data[offset:])
-		if repairedFrom > 0 && (err == nil && r.Sequence >= repairedFrom || err != nil && w.lastSequence+1 == repairedFrom) {
+		if repaired > 0 && (err == nil && r.Sequence >= repaired || err != nil && w.lastSequence+1 == repaired) {
 			break
 		}
 		if err != nil {
@@ -302,7 +299,7 @@
 		c.tornBytes = int64(len(data) - offset)
 	}
 	if offset > 0 {
-		w.segments, w.tail = append(w.segments, seg), end
+		w.segments, c.tail = append(w.segments, seg), end
 		return nil
 	}
 	// The process ended while it started the segment.
@@ -330,8 +327,7 @@
 // rewriteTail continues the log in a new segment that begins with the last record. If a sync of
 // that record failed and the process ended, it may be in memory only, and another sync of the
 // same file may succeed without writing it. A short segment is replaced as a whole.
-func (w *wal) rewriteTail() error {
-	t := w.tail
+func (w *wal) rewriteTail(t tail) error {
 	last := w.segments[len(w.segments)-1]
 	earlier := w.segments
 	header := record{Sequence: t.record.Sequence, HardState: t.hardState, Storage: w.storage, LastReset: w.lastReset, Repairs: true}
