relay: log and count what tells the causes of broken streams apart

Adds not_repeated, silent_ms, drain and drain_ms to request_ended; version, events and silent_ms to send_failed; process_delayed with its counters; and rhubarb_relay_not_repeated_total by reason. No decision changes.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -192,6 +192,7 @@
 	wg.Go(func() { d.fleet.Reload(background, reloads) })
 	wg.Go(func() { d.fleet.Run(background) })
 	wg.Go(func() { d.refreshLoop(background) })
+	wg.Go(func() { d.reportDelays(background) })
 	wg.Go(func() { d.runPeers(background) })
 	wg.Go(func() { d.guard.run(background) })
 	d.log.Info("started")
@@ -225,6 +226,31 @@
 	}
 }
 
+// minReportedDelay is the shortest delay that is reported. Shorter ones of a busy machine change
+// nothing that a request could notice.
+const minReportedDelay = 500 * time.Millisecond
+
+// reportDelays logs when this process did not run for a while: its endpoints then seem silent,
+// and its deadlines have passed at once.
+func (d *Daemon) reportDelays(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for last := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if delay := now.Sub(last) - refreshInterval; delay >= minReportedDelay {
+			d.handler.metrics.delays.Inc()
+			d.handler.metrics.delaySeconds.Add(delay.Seconds())
+			d.log.WithField("ms", delay.Milliseconds()).Warn("process_delayed")
+		}
+		last = now
+	}
+}
+
 func (d *Daemon) refresh() {
 	processes := d.fleet.Processes()
 	if p := d.peers.Load(); p != nil {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -37,16 +37,17 @@
 // and those on connections that are still open. Those that outlast the drain are cancelled
 // and get an answer that says so, unless their answer has begun.
 func (d *Daemon) drain(callers *network.DrainServer, cut context.CancelCauseFunc) {
-	end := time.Now().Add(d.settings.Grace.Std() - stopMargin)
+	begin := time.Now()
+	end := begin.Add(d.settings.Grace.Std() - stopMargin)
 	d.draining.Store(true)
 	d.fleet.Announce(d.process(d.fleet.Table() != nil))
 	d.log.Info("draining")
-	d.handler.drain.Store(&drainPhase{end: end, accepting: true})
+	d.handler.drain.Store(&drainPhase{begin: begin, end: end, accepting: true})
 	callers.StartDrain()
-	for begun := time.Now(); time.Since(begun) < d.acceptPeriod(); {
+	for time.Since(begin) < d.acceptPeriod() {
 		time.Sleep(drainPollInterval)
 	}
-	d.handler.drain.Store(&drainPhase{end: end})
+	d.handler.drain.Store(&drainPhase{begin: begin, end: end})
 	d.fleet.Announce(d.process(false))
 	d.log.Info("no_more_callers")
 	err := shutdownBy(end, callers)
@@ -77,8 +78,16 @@
 
 // drainPhase is the state of a drain.
 type drainPhase struct {
-	end       time.Time
-	accepting bool // callers that cached the address may still come
+	begin, end time.Time
+	accepting  bool // callers that cached the address may still come
+}
+
+// phase returns the name of the phase for logs.
+func (p *drainPhase) phase() string {
+	if p.accepting {
+		return "accepting"
+	}
+	return "finishing"
 }
 
 // refuseLate refuses a request that arrives during a drain and could outlast it. A request that
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -154,12 +154,21 @@
 	if q.record.budgetRefused {
 		fields["budget_refused"] = true
 	}
+	if q.record.notRepeated != "" {
+		fields["not_repeated"] = string(q.record.notRepeated)
+	}
+	if d := h.drain.Load(); d != nil {
+		fields["drain"], fields["drain_ms"] = d.phase(), now.Sub(d.begin).Milliseconds()
+	}
 	if q.record.quarantined != "" {
 		fields["part_id"] = q.record.quarantined
 	}
 	if reason != "" {
 		fields["reason"], fields["status"] = string(reason), status
 		fields["left_ms"] = q.timeLeft().Milliseconds()
+		if q.sends > 0 {
+			fields["silent_ms"] = q.silence(now).Milliseconds()
+		}
 	}
 	h.log.WithFields(fields).Info("request_ended")
 }
@@ -223,7 +232,26 @@
 
 // mayRepeat reports whether a request that may have run may be sent again.
 func (h *handler) mayRepeat(q *request) bool {
-	return q.route.Repeatable() && q.sends < q.route.MaxAttempts && h.withdrawRetry(q)
+	reason := Reason("")
+	switch {
+	case !q.route.Repeatable():
+		reason = NotRepeatable
+	case q.sends >= q.route.MaxAttempts:
+		reason = AttemptsUsed
+	case !h.withdrawRetry(q):
+		reason = BudgetUsed
+	}
+	h.recordNotRepeated(q, reason)
+	return reason == ""
+}
+
+// recordNotRepeated records why a request is not sent again, or that it is if the reason is
+// empty.
+func (h *handler) recordNotRepeated(q *request, reason Reason) {
+	q.record.notRepeated = reason
+	if reason != "" {
+		h.metrics.notRepeated.Inc(reason)
+	}
 }
 
 // withdrawRetry takes one retry from the budget of the request's service and reports whether
@@ -463,6 +491,7 @@
 	fields := log.Fields{
 		"request": q.call.ID, "endpoint": c.ID, "address": c.Address, "started": c.Incarnation,
 		"predicted_ms": c.TTFT.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
+		"events": q.record.events, "silent_ms": q.silence(time.Now()).Milliseconds(), "version": c.WeightsVersion,
 	}
 	if r == placement.Broken {
 		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -15,11 +15,13 @@
 var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6}
 
 type relayMetrics struct {
-	refused, retried metrics.ReasonCounter[Reason]
-	stray, ejected   prometheus.Counter
-	crashes          prometheus.Counter
-	quarantined      prometheus.Counter   // parts
-	suspectParts     *prometheus.GaugeVec // by state
+	refused, retried, notRepeated metrics.ReasonCounter[Reason]
+	stray, ejected                prometheus.Counter
+	// delays counts the times at which this process did not run, and delaySeconds how long.
+	delays, delaySeconds prometheus.Counter
+	crashes              prometheus.Counter
+	quarantined          prometheus.Counter   // parts
+	suspectParts         *prometheus.GaugeVec // by state
 	// rateLimited, malformedRateLimit, pauses and malformedPauses count answers.
 	rateLimited, malformedRateLimit, pauses, malformedPauses prometheus.Counter
 	// retryBudget counts the tokens of the retry budget, by service and event.
@@ -44,12 +46,15 @@
 		}, []string{"kind"})
 	}
 	m := &relayMetrics{
-		refused:     metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
-		retried:     metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
-		stray:       counter("stray_answers_total", "Answers that belong to another request, or to none."),
-		ejected:     counter("ejections_total", "Endpoints taken out for a time after failures."),
-		crashes:     counter("crashes_total", "Requests without an event whose endpoint crashed."),
-		quarantined: counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
+		refused:      metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
+		retried:      metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
+		notRepeated:  metrics.NewReasonCounter(r, subsystem, "not_repeated_total", "Requests that may have run and were not sent again after their endpoint failed, by reason.", NotRepeatedReasons()),
+		delays:       counter("process_delays_total", "Times at which this process did not run for half a second or more."),
+		delaySeconds: counter("process_delay_seconds_total", "Time for which this process did not run, of delays of half a second or more."),
+		stray:        counter("stray_answers_total", "Answers that belong to another request, or to none."),
+		ejected:      counter("ejections_total", "Endpoints taken out for a time after failures."),
+		crashes:      counter("crashes_total", "Requests without an event whose endpoint crashed."),
+		quarantined:  counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
 		suspectParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "suspect_parts", Help: "Parts of requests that are quarantined, or suspect of crashing endpoints.",
 		}, []string{"state"}),
@@ -69,7 +74,7 @@
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
+	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
 		m.retryBudget, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
 	return m
 }
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -59,6 +59,19 @@
 	RetryEndpointPaused Reason = "endpoint-paused"
 )
 
+// Reasons for not sending a request again that may have run, besides those for which it is
+// refused a slot.
+const (
+	// NotRepeatable means that the route does not allow it.
+	NotRepeatable Reason = "not-repeatable"
+	// AttemptsUsed means that it was sent as often as the route allows.
+	AttemptsUsed Reason = "attempts-used"
+	// BudgetUsed means that the retry budget of the service had no token left.
+	BudgetUsed Reason = "budget-used"
+	// NoEventID means that the stream cannot be resumed, since no event had an ID.
+	NoEventID Reason = "no-event-id"
+)
+
 // RefusalReasons lists the reasons for which a request ends without a complete answer
 // from an endpoint.
 func RefusalReasons() []Reason {
@@ -73,6 +86,11 @@
 	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused}
 }
 
+// NotRepeatedReasons lists the reasons for not sending a request again that may have run.
+func NotRepeatedReasons() []Reason {
+	return append([]Reason{NotRepeatable, AttemptsUsed, BudgetUsed, NoEventID}, RefusalReasons()...)
+}
+
 // refusal is a final answer by the entry itself.
 type refusal struct {
 	status     int
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -68,6 +68,7 @@
 	ahead         int           // requests queued ahead, for a request refused a slot
 	retries       []string      // reasons for retries
 	budgetRefused bool          // a retry was refused because the retry budget was used up
+	notRepeated   Reason        // why a request that may have run was not sent again
 	quarantined   string        // part for which the request was refused
 	rateLimit     *float64      // requests per second that the last endpoint accepts; nil if it named none
 }
@@ -172,6 +173,15 @@
 // timeLeft returns the time until the deadline of the final answer.
 func (q *request) timeLeft() time.Duration { return time.Until(q.deadline) }
 
+// silence returns the time since the last event that was passed on, or since the current
+// endpoint was selected if that was later.
+func (q *request) silence(now time.Time) time.Duration {
+	if q.record.lastEvent.After(q.placedAt) {
+		return now.Sub(q.record.lastEvent)
+	}
+	return now.Sub(q.placedAt)
+}
+
 // readDeadline returns the deadline of the next read: the read timeout from now, the
 // time by which the request must have begun on older weights, or the deadline of the
 // request, whichever is first. A readTimeout of zero means none.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -204,7 +204,11 @@
 // be resumed.
 func (h *handler) resume(q *request, s *streamState, reason Reason) (placement.Choice, *attempt) {
 	for {
-		if s.lastEventID == "" || !h.mayRetry(q, reason) {
+		if s.lastEventID == "" {
+			h.recordNotRepeated(q, NoEventID)
+			return placement.Choice{}, nil
+		}
+		if !h.mayRetry(q, reason) {
 			return placement.Choice{}, nil
 		}
 		q.record.retries = append(q.record.retries, string(reason))
@@ -212,6 +216,7 @@
 		q.resumed = true
 		c, refused := h.place(q, s.version)
 		if refused != nil {
+			h.recordNotRepeated(q, refused.reason)
 			return c, nil
 		}
 		q.tried = append(q.tried, c.ID)
