relay: keep a silent endpoint's connection until another one continues

Callers saw streams that ended with the connection after some events, around planned stops and at other times, although their endpoint would have gone on.

Cause: after 1.5 s without a whole event, the relay closed the connection to the endpoint and only then asked whether the stream might continue elsewhere. That is refused on routes that may not be resumed, when the retry budget is empty (an entry that has just started has none), when max_attempts is used up, without an event ID, and when no other endpoint has a slot; then the sound stream was already thrown away. A relay that had stood still itself for 1.5 s did the same to all its streams, since the read deadlines had passed when it ran again. Something accepted was given up before anything better was certain.

Change: silence ends no answer before its deadline. After 1.5 s another endpoint is sought, if budget, attempts and route allow it, every 0.5 s. The silent one keeps its connection until the other one has sent the next event; whichever sends first continues the stream, and the other is closed. This holds before the head of an answer as well. A retry that found no endpoint goes back to the budget. A timer that fires late means that this process did not run, and gives endpoints 0.5 s more. Waits on superseded weights still end at their bound.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -54,3 +54,6 @@
 	b.tokens--
 	return true
 }
+
+// Return adds a token again that was withdrawn for a retry that was not sent.
+func (b *RetryBudget) Return() { b.tokens = min(b.Burst, b.tokens+1) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -67,7 +67,7 @@
 }
 
 // roundTrip sends a request and reads the head of the answer.
-func (h *handler) roundTrip(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding, readTimeout time.Duration) (*attempt, error) {
+func (h *handler) roundTrip(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding) (*attempt, error) {
 	a := &attempt{key: connKey(c.Endpoint), pool: h.conns}
 	conn, err := h.conns.get(ctx, a.key, c.Address, q.call.ID)
 	if err != nil {
@@ -90,7 +90,7 @@
 	}
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = a.exchange(h, q, f, readTimeout)
+	err = a.exchange(h, q, f)
 	if err == nil {
 		return a, nil
 	}
@@ -103,7 +103,7 @@
 
 func connKey(e placement.Endpoint) string { return fmt.Sprintf("%s/%d", e.ID, e.Incarnation) }
 
-func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding, readTimeout time.Duration) error {
+func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding) error {
 	head := q.encodeHead(h.protocol, f)
 	a.conn.recordID(q.call.ID)
 	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
@@ -126,7 +126,7 @@
 			a.bodyWritten <- err
 		}()
 	}
-	if err := a.conn.SetReadDeadline(q.readDeadline(readTimeout)); err != nil {
+	if err := a.conn.SetReadDeadline(q.readDeadline()); err != nil {
 		return errors.Join(errConnectionBroken, err)
 	}
 	return a.readHead(h, q)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -161,6 +161,13 @@
 	return d.pool(service).retryBudget.TryWithdraw(time.Now())
 }
 
+// returnRetry adds a retry that was withdrawn and not sent to the budget of a service again.
+func (d *dispatcher) returnRetry(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool(service).retryBudget.Return()
+}
+
 // place selects an endpoint and counts the request as running there. Slots of engines
 // are granted by brokers. For plain services, and if no broker answers, this entry
 // selects the endpoint from its local state. An endpoint with a rate limit is used only
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -20,10 +20,10 @@
 	// noRoutingRetryAfter is the retry delay while no routing document has been
 	// received.
 	noRoutingRetryAfter = 500 * time.Millisecond
-	// streamReadTimeout is the longest time between two events of a stream. A pass of a
-	// fully loaded engine takes up to 0.5 s; callers abandon a stream after 2 s or more
-	// without events.
-	streamReadTimeout = 1500 * time.Millisecond
+	// streamSilence is how long a stream may be without events until another endpoint is
+	// asked to continue it. A pass of a fully loaded engine takes up to 0.5 s; callers
+	// abandon a stream after 2 s or more without events.
+	streamSilence = 1500 * time.Millisecond
 	// maxNotSent is the number of attempts that did not run after which a request that
 	// could not be sent is no longer retried.
 	maxNotSent = 4
@@ -261,12 +261,19 @@
 	event := budgetRefused
 	if ok {
 		event = budgetSpent
+		q.record.withdrawn++
 	}
 	h.metrics.retryBudget.WithLabelValues(q.service, event).Inc()
 	q.record.budgetRefused = q.record.budgetRefused || !ok
 	return ok
 }
 
+// returnRetry returns the retry that was withdrawn last to the budget: nothing was sent.
+func (h *handler) returnRetry(q *request) {
+	h.dispatcher.returnRetry(q.service)
+	h.metrics.retryBudget.WithLabelValues(q.service, budgetReturned).Inc()
+}
+
 // place selects an endpoint, waiting briefly for a slot. The preferred version of the
 // weights is zero for no preference.
 func (h *handler) place(q *request, preferred uint64) (placement.Choice, *refusal) {
@@ -344,12 +351,11 @@
 // send sends a request to one endpoint and passes its answer on. The reason is that for
 // a retry, or empty if the request has its final answer.
 func (h *handler) send(w http.ResponseWriter, q *request, c placement.Choice) (result, Reason) {
-	readTimeout := time.Duration(0)
+	q.tried = append(q.tried, c.ID)
 	if q.route.Kind == routing.Stream {
-		readTimeout = streamReadTimeout
+		return h.sendStream(w, q, c)
 	}
-	q.tried = append(q.tried, c.ID)
-	a, err := h.roundTrip(q.ctx, q, c, h.forwarding(q, c, ""), readTimeout)
+	a, err := h.roundTrip(q.ctx, q, c, h.forwarding(q, c, ""))
 	if err != nil {
 		return h.handleSendError(q, c, err)
 	}
@@ -358,9 +364,6 @@
 		return h.handleNotRun(q, c, a)
 	}
 	q.sends++
-	if q.route.Kind == routing.Stream && a.response.StatusCode == http.StatusOK {
-		return h.relayStream(w, q, c, a)
-	}
 	return h.relayBuffered(w, q, c, a)
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,8 @@
 	rateLimited, malformedRateLimit, pauses, malformedPauses prometheus.Counter
 	// retryBudget counts the tokens of the retry budget, by service and event.
 	retryBudget *prometheus.CounterVec
+	// takeovers counts the searches for another endpoint for a silent one's stream.
+	takeovers *prometheus.CounterVec
 	// retryBurst is the share of the burst of the retry budget that this entry may use, and
 	// retrySharers the number of entries that it rests on.
 	retryBurst, retrySharers prometheus.Gauge
@@ -64,8 +66,11 @@
 		malformedPauses:    counter("malformed_pauses_total", "Answers 503 with a pause that could not be decoded."),
 		retryBudget: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "retry_budget_total",
-			Help: "Tokens of the retry budget: earned by requests, spent on retries, and refused because none was left.",
+			Help: "Tokens of the retry budget: earned by requests, spent on retries, returned by retries that were not sent, and refused because none was left.",
 		}, []string{"service", "event"}),
+		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "takeovers_total", Help: "Streams whose endpoint was silent and for which another one was sought, by outcome.",
+		}, []string{"outcome"}),
 		retryBurst:   gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
 		retrySharers: gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -75,15 +80,23 @@
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
 	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
-		m.retryBudget, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
+		m.retryBudget, m.takeovers, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
 	return m
 }
 
 // Events of the retry budget, as values of a label.
 const (
-	budgetEarned  = "earned"
-	budgetSpent   = "spent"
-	budgetRefused = "refused"
+	budgetEarned   = "earned"
+	budgetSpent    = "spent"
+	budgetRefused  = "refused"
+	budgetReturned = "returned"
+)
+
+// Outcomes of the search for another endpoint for a stream whose endpoint is silent.
+const (
+	takeoverDone    = "taken-over"
+	takeoverStopped = "endpoint-continued"
+	takeoverFailed  = "no-endpoint"
 )
 
 func (m *relayMetrics) observe(kind routing.Kind, outcome string, total, first time.Duration) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -35,20 +35,25 @@
 	organisation string
 	table        *routing.Table
 
-	tried     []string      // endpoints that the request was sent to
-	sends     int           // attempts that may have run
-	notRun    int           // attempts that certainly did not run
-	spent     time.Duration // time that the caller spent on earlier attempts
-	late      bool          // can no longer meet its latency objective
-	resumed   bool          // resumes its stream: events were already passed on
-	slot      uint64        // sequence number of the slot granted by a broker; zero for none
-	inPrefill bool          // no first event from the current endpoint yet
-	placedAt  time.Time     // when the current endpoint was selected
-	parts     []quarantine.PartID
-	proven    bool      // the current endpoint did not crash when the request began
+	tried   []string      // endpoints that the request was sent to
+	sends   int           // attempts that may have run
+	notRun  int           // attempts that certainly did not run
+	spent   time.Duration // time that the caller spent on earlier attempts
+	late    bool          // can no longer meet its latency objective
+	resumed bool          // resumes its stream: events were already passed on
+	parts   []quarantine.PartID
+	sendState
+	record record
+}
+
+// sendState is the state of a request at the endpoint that was selected for it.
+type sendState struct {
+	slot      uint64    // sequence number of the slot granted by a broker; zero for none
+	inPrefill bool      // no first event from the endpoint yet
+	placedAt  time.Time // when the endpoint was selected
+	proven    bool      // the endpoint did not crash when the request began
 	beginBy   time.Time // when it must have begun on the weights of the endpoint; zero for no limit
 	sendBy    time.Time // when it must have been sent to the endpoint; zero for no limit
-	record    record
 }
 
 // record holds the values that are logged at the end of a request.
@@ -67,6 +72,7 @@
 	slotInterval  time.Duration // predicted time between two free slots, for a request refused a slot
 	ahead         int           // requests queued ahead, for a request refused a slot
 	retries       []string      // reasons for retries
+	withdrawn     int           // retries withdrawn from the retry budget
 	budgetRefused bool          // a retry was refused because the retry budget was used up
 	notRepeated   Reason        // why a request that may have run was not sent again
 	quarantined   string        // part for which the request was refused
@@ -182,18 +188,17 @@
 	return now.Sub(q.placedAt)
 }
 
-// readDeadline returns the deadline of the next read: the read timeout from now, the
-// time by which the request must have begun on older weights, or the deadline of the
-// request, whichever is first. A readTimeout of zero means none.
-func (q *request) readDeadline(readTimeout time.Duration) time.Time {
-	end := q.deadline
-	if at := time.Now().Add(readTimeout); readTimeout > 0 && at.Before(end) {
-		end = at
-	}
-	if q.inPrefill && !q.beginBy.IsZero() && q.beginBy.Before(end) {
-		end = q.beginBy
+// readDeadline returns the deadline for reads of the answer up to its first event: the time by
+// which the request must have begun on older weights, or the deadline of the request. A stream has
+// none of its own: the end of its context closes the connection.
+func (q *request) readDeadline() time.Time {
+	switch {
+	case q.inPrefill && !q.beginBy.IsZero() && q.beginBy.Before(q.deadline):
+		return q.beginBy
+	case q.route.Kind == routing.Stream:
+		return time.Time{}
 	}
-	return end
+	return q.deadline
 }
 
 // readTimeoutResult returns the retry reason after a read timeout and the result to
