relay: keep a takeover that has begun when the silent endpoint then fails

Callers got an endpoint's status 500, although another endpoint had begun to answer the same stream: the head of the silent endpoint's failure ended the search for another one, sound answer included.

The status of a failure is now passed on, or the request sent again, only if the search has found nothing.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -226,8 +226,9 @@
 		if err := h.open(q, send, a, s.streamPosition); err != nil {
 			return result{}, "", err
 		}
-		if a.response.StatusCode != http.StatusOK {
-			if !watch.claim() {
+		if status := a.response.StatusCode; status != http.StatusOK {
+			failed := status >= http.StatusInternalServerError || impliesNotRun(status)
+			if failed && watch.wait() || !failed && !watch.claim() {
 				return result{}, "", errRequestEnded
 			}
 			if err := a.conn.SetReadDeadline(q.deadline); err != nil {
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -118,6 +118,20 @@
 	return true
 }
 
+// wait waits for the end of a search that is running, and reports whether it has found another
+// endpoint.
+func (w *silenceWatch) wait() bool {
+	w.mu.Lock()
+	w.armed = false
+	t := w.current
+	w.mu.Unlock()
+	if t == nil {
+		return false
+	}
+	<-t.done
+	return t.send != nil
+}
+
 // await waits for the end of a search that is running, and returns it if it has found another
 // endpoint. Its sends are added to the request.
 func (w *silenceWatch) await() *takeover {
