relay: do not count a slow caller's time as silence of the endpoint

A relay that wrote an event to a slow caller for more than 1.5 s sought another endpoint 0.5 s later, though the endpoint had not been silent: the silence was counted from the event's arrival, and the timer, set into the past, looked like a standstill of the process. Retries were spent in vain, and other endpoints ran requests whose events nobody needed.

The silence now begins when the relay waits for the next event.

--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -34,7 +34,7 @@
 	fireAt  time.Time   // when the timer fires; zero if it is not set
 	armed   bool
 	silent  bool      // the endpoint has been silent for streamSilence since its last event
-	due     time.Time // when to look for another endpoint
+	due     time.Time // when to look for another endpoint; zero if the silence has not begun
 	send    *streamSend
 	current *takeover // running, or ended and not yet added to the request
 }
@@ -60,7 +60,7 @@
 func (w *silenceWatch) begin(send *streamSend) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.send, w.silent, w.due = send, false, time.Now().Add(streamSilence)
+	w.send, w.silent, w.due = send, false, time.Time{}
 }
 
 // arm lets the watch look for another endpoint once the silence has lasted for streamSilence. The
@@ -76,8 +76,11 @@
 		w.mu.Lock()
 	}
 	w.armed = true
+	if w.due.IsZero() { // a slow caller may have held up the event before
+		w.due = time.Now().Add(streamSilence)
+	}
 	if w.fireAt.IsZero() {
-		w.setTimer(time.Until(w.due))
+		w.setTimer(max(0, time.Until(w.due)))
 	}
 }
 
@@ -103,7 +106,7 @@
 func (w *silenceWatch) claim() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.armed, w.silent, w.due = false, false, time.Now().Add(streamSilence)
+	w.armed, w.silent, w.due = false, false, time.Time{}
 	switch {
 	case w.current == nil:
 		return true
