relay: test silences of streams case by case

Each case states which endpoint falls silent where (before the head, before the first event, between events, before the end), why no other may continue, and which endpoint goes on first; the checks of TestSilentStreams apply as well.

--- a/internal/relay/silent_streams_test.go
+++ b/internal/relay/silent_streams_test.go
@@ -66,6 +66,7 @@
 	stopAfter time.Duration // zero if the relay does not drain
 	grace     time.Duration
 
+	plans    []streamPlan // of the endpoints, if they are not drawn; the first one gets the requests
 	coverage *silenceCoverage
 
 	mu    sync.Mutex
@@ -270,6 +271,9 @@
 // planOf draws what an endpoint does with a request. It is the same for every arrival after the
 // same event.
 func (c *silenceCase) planOf(s *streamCall, e *silentEndpoint, after int) streamPlan {
+	if c.plans != nil {
+		return c.plans[e.index]
+	}
 	hash := fnv.New64a()
 	_, _ = fmt.Fprint(hash, s.index, "/", e.index, "/", after)
 	rng := rand.New(rand.NewPCG(c.seed, hash.Sum64()))
@@ -308,7 +312,7 @@
 	case kind < 0.34:
 		p.kind = planGarbage
 	case !resumed:
-	case kind < 0.50:
+	case kind < 0.70:
 		p.kind = planFromStart + rng.IntN(planOtherID-planFromStart+1)
 	}
 	// A break between two events would look like the end of such a body, and an end before the
@@ -683,7 +687,11 @@
 	for _, e := range c.endpoints {
 		host := "endpoint-" + e.id
 		n.SetDelay("relay", host, c.delay)
-		list = append(list, placement.Endpoint{ID: e.id, Incarnation: 1, Address: e.address, Zone: "near", Slots: e.slots, WeightsVersion: 1})
+		zone := "near"
+		if c.plans != nil && e.index > 0 {
+			zone = "far"
+		}
+		list = append(list, placement.Endpoint{ID: e.id, Incarnation: 1, Address: e.address, Zone: zone, Slots: e.slots, WeightsVersion: 1})
 		if e.unreachable {
 			continue
 		}
@@ -716,7 +724,11 @@
 	d.handler.dispatcher.update(table, endpoints, 1)
 	pool := d.handler.dispatcher.pools[plainService]
 	if !c.engine {
-		pool.Pool = placement.NewPool(placement.Config{JitterMs: localJitterMs, Rand: rand.New(rand.NewPCG(c.seed, 4))})
+		config := placement.Config{JitterMs: localJitterMs, Rand: rand.New(rand.NewPCG(c.seed, 4))}
+		if c.plans != nil {
+			config.CrossZoneMs = 1000
+		}
+		pool.Pool = placement.NewPool(config)
 		pool.Update(nil, list, time.Now())
 	}
 	pool.retryBudget = &admission.RetryBudget{Ratio: float64(c.tokens), Burst: float64(c.tokens)}
