relay: no TCP_USER_TIMEOUT while a long body is sent

Callers got 502, or used a retry, when an endpoint read a long body more than 1.5 s late. The option counts a full receive window as silence even if the peer acknowledges every probe, so the connection to a sound endpoint was reset in the middle of its request. It is off from the first write of more than 16 KB, which an endpoint must read to take in, until the connection returns to the pool. Shorter requests fit into the receive buffer, and a partition under them is found after 1.5 s as before; under a long body it is now found by the read timeout or the deadline of the request.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -21,7 +21,8 @@
 	// and a server behind a network partition never answers.
 	dialTimeout = 400 * time.Millisecond
 	// tcpUserTimeout closes connections whose bytes are not acknowledged. Without it,
-	// only read timeouts detect a network partition.
+	// only read timeouts detect a network partition. It also closes connections whose
+	// peer acknowledges but reads nothing, so it is off while a long body is sent.
 	tcpUserTimeout = 1500 * time.Millisecond
 	// maxIdleTime is how long an idle connection is reused if the endpoint does not
 	// state an idle timeout. If the endpoint closes a connection just as a request is
@@ -68,6 +69,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	reused      bool
+	longWrite   bool     // TCP_USER_TIMEOUT is off
 	recentIDs   []uint64 // hashes of the IDs of the latest requests
 }
 
@@ -87,6 +89,15 @@
 	return id != "" && !slices.Contains(c.recentIDs, maphash.String(idSeed, id))
 }
 
+// Write implements net.Conn.
+func (c *backendConn) Write(p []byte) (int, error) {
+	if len(p) > maxInlineBody && !c.longWrite {
+		c.longWrite = true
+		setUserTimeout(c.Conn, 0)
+	}
+	return c.Conn.Write(p)
+}
+
 // limitReads limits the bytes that are read from now on, besides those already
 // buffered.
 func (c *backendConn) limitReads(bytes int64) { c.limited.remaining = bytes }
@@ -144,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(conn)
+	setUserTimeout(conn, tcpUserTimeout)
 	allowed := &limitedConn{Conn: conn}
 	return &backendConn{Conn: conn, limited: allowed, reader: bufio.NewReaderSize(allowed, readBufferSize)}, nil
 }
@@ -166,8 +177,8 @@
 	return false
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT if conn is a TCP connection.
-func setUserTimeout(conn net.Conn) {
+// setUserTimeout sets TCP_USER_TIMEOUT if conn is a TCP connection; zero turns it off.
+func setUserTimeout(conn net.Conn, timeout time.Duration) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return
@@ -178,7 +189,7 @@
 	}
 	// Errors are ignored: without the option, read timeouts detect a partition later.
 	_ = control.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 }
 
@@ -205,6 +216,10 @@
 		c.idleTimeout = min(maxIdleTime, max(endpointTimeout-idleMargin, endpointTimeout/2))
 	}
 	_ = c.SetDeadline(time.Time{}) // fails only on a closed connection, which isIdle detects
+	if c.longWrite {
+		c.longWrite = false
+		setUserTimeout(c.Conn, tcpUserTimeout)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[key]) >= maxIdleConns {
