fleetclient: keep the processes of a lost replica until another one has listed them

Entries and stagers took themselves for the only ones while the replicas that list the others were replaced. What a lost replica listed is now kept for 4 s, as long as replicas keep the processes of a lost replica, unless another one reports that a process has left or lists it with another state. Servers are kept in the same way, for 10 s.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -31,6 +31,10 @@
 	// reporting it. It covers a restart of all replicas, after which a server checks in
 	// within about two intervals.
 	serverRetention = 10 * time.Second
+	// processRetention is how long a process stays listed after the last session to a
+	// replica that listed it has ended. It covers the dialling of another replica and its
+	// first list, and is as long as replicas keep the processes of a lost replica.
+	processRetention = 4 * time.Second
 	// departureRetention is how long a departure is remembered. It exceeds the delay of
 	// a late check-in, which would otherwise list the server again.
 	departureRetention      = time.Minute
@@ -85,6 +89,7 @@
 	lastFetch        time.Time
 	weights          map[string][]NamedVersion          // by model, oldest version first
 	processes        map[string]map[string]wire.Process // by replica and name
+	unlisted         map[string]unlistedProcess         // by name; those in processes take precedence
 	serverView       *membership.View[wire.Server]
 	seenServers      map[string]seenServer // servers reported now or recently, by identifier
 	departed         map[string]departure  // servers that deregistered, by identifier
@@ -114,7 +119,7 @@
 	}
 	c := &Client{
 		cfg: cfg, self: self, knownReplicas: map[string]knownReplica{}, followed: map[string]*replica{}, weights: map[string][]NamedVersion{},
-		processes: map[string]map[string]wire.Process{}, wake: make(chan struct{}, 1),
+		processes: map[string]map[string]wire.Process{}, unlisted: map[string]unlistedProcess{}, wake: make(chan struct{}, 1),
 		serverView:  membership.NewView[wire.Server](membership.ViewConfig{}),
 		seenServers: map[string]seenServer{}, departed: map[string]departure{},
 	}
--- a/internal/fleetclient/lists.go
+++ b/internal/fleetclient/lists.go
@@ -24,9 +24,26 @@
 	}
 	for _, name := range m.Left {
 		delete(held, name)
+		delete(c.unlisted, name)
 	}
 }
 
+// unlistedProcess is a process that was listed last by a replica whose session has ended.
+type unlistedProcess struct {
+	process wire.Process
+	lostAt  time.Time
+}
+
+// dropProcesses drops the list of a replica. What it listed is kept for processRetention, so
+// that this process does not take itself for the only one until another replica has sent its
+// list. The caller holds mu.
+func (c *Client) dropProcesses(address string, now time.Time) {
+	for name, p := range c.processes[address] {
+		c.unlisted[name] = unlistedProcess{p, now}
+	}
+	delete(c.processes, address)
+}
+
 // ServerList returns the servers that a replica reports or reported recently. Recent ones
 // are included because a restarted replica knows no servers until they check in again,
 // and a sender of requests notices by itself that a server does not answer. Addresses are
@@ -104,12 +121,20 @@
 	return s != nil && s.Origin == ""
 }
 
-// Processes returns the processes of this role that any replica reports, including this
-// one, sorted by name.
+// Processes returns the processes of this role that any replica reports or reported
+// recently, including this one, sorted by name.
 func (c *Client) Processes() []wire.Process {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	byName := map[string]wire.Process{}
+	for name, u := range c.unlisted {
+		if now.Sub(u.lostAt) >= processRetention {
+			delete(c.unlisted, name)
+			continue
+		}
+		byName[name] = u.process
+	}
 	for _, address := range slices.Sorted(maps.Keys(c.processes)) {
 		maps.Copy(byName, c.processes[address])
 	}
--- a/internal/fleetclient/replicas.go
+++ b/internal/fleetclient/replicas.go
@@ -168,7 +168,7 @@
 		r.cancel()
 	}
 	delete(c.followed, address)
-	delete(c.processes, address)
+	c.dropProcesses(address, time.Now())
 	c.serverView.SourceLost(address, time.Now())
 	c.replacePeerSource()
 	c.cfg.Log.WithField("replica", address).Info("replica_left")
@@ -266,7 +266,7 @@
 	if r != nil {
 		r.open, r.peerSource, r.leaderlessSince = false, false, time.Time{}
 	}
-	delete(c.processes, address)
+	c.dropProcesses(address, time.Now())
 	c.serverView.SourceLost(address, time.Now())
 	c.replacePeerSource()
 	c.updateFollowed(time.Now())
