--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -20,10 +20,10 @@
 	// noRoutingRetryAfter is the retry delay while no routing document has been
 	// received.
 	noRoutingRetryAfter = 500 * time.Millisecond
-	// streamReadTimeout is the longest time between two events of a stream. A pass of a
-	// fully loaded engine takes up to 0.5 s; callers abandon a stream after 2 s or more
-	// without events.
-	streamReadTimeout = 1500 * time.Millisecond
+	// streamSilence is how long a stream may be without events until another endpoint is
+	// asked to continue it. A pass of a fully loaded engine takes up to 0.5 s; callers
+	// abandon a stream after 2 s or more without events.
+	streamSilence = 1500 * time.Millisecond
 	// maxNotSent is the number of attempts that did not run after which a request that
 	// could not be sent is no longer retried.
 	maxNotSent = 4
@@ -154,12 +154,21 @@
 	if q.record.budgetRefused {
 		fields["budget_refused"] = true
 	}
+	if q.record.notRepeated != "" {
+		fields["not_repeated"] = string(q.record.notRepeated)
+	}
+	if d := h.drain.Load(); d != nil {
+		fields["drain"], fields["drain_ms"] = d.phase(), now.Sub(d.begin).Milliseconds()
+	}
 	if q.record.quarantined != "" {
 		fields["part_id"] = q.record.quarantined
 	}
 	if reason != "" {
 		fields["reason"], fields["status"] = string(reason), status
 		fields["left_ms"] = q.timeLeft().Milliseconds()
+		if q.sends > 0 {
+			fields["silent_ms"] = q.silence(now).Milliseconds()
+		}
 	}
 	h.log.WithFields(fields).Info("request_ended")
 }
@@ -223,7 +232,26 @@
 
 // mayRepeat reports whether a request that may have run may be sent again.
 func (h *handler) mayRepeat(q *request) bool {
-	return q.route.Repeatable() && q.sends < q.route.MaxAttempts && h.withdrawRetry(q)
+	reason := Reason("")
+	switch {
+	case !q.route.Repeatable():
+		reason = NotRepeatable
+	case q.sends >= q.route.MaxAttempts:
+		reason = AttemptsUsed
+	case !h.withdrawRetry(q):
+		reason = BudgetUsed
+	}
+	h.recordNotRepeated(q, reason)
+	return reason == ""
+}
+
+// recordNotRepeated records why a request is not sent again, or that it is if the reason is
+// empty.
+func (h *handler) recordNotRepeated(q *request, reason Reason) {
+	q.record.notRepeated = reason
+	if reason != "" {
+		h.metrics.notRepeated.Inc(reason)
+	}
 }
 
 // withdrawRetry takes one retry from the budget of the request's service and reports whether
@@ -233,12 +261,19 @@
 	event := budgetRefused
 	if ok {
 		event = budgetSpent
+		q.record.withdrawn++
 	}
 	h.metrics.retryBudget.WithLabelValues(q.service, event).Inc()
 	q.record.budgetRefused = q.record.budgetRefused || !ok
 	return ok
 }
 
+// returnRetry returns the retry that was withdrawn last to the budget: nothing was sent.
+func (h *handler) returnRetry(q *request) {
+	h.dispatcher.returnRetry(q.service)
+	h.metrics.retryBudget.WithLabelValues(q.service, budgetReturned).Inc()
+}
+
 // place selects an endpoint, waiting briefly for a slot. The preferred version of the
 // weights is zero for no preference.
 func (h *handler) place(q *request, preferred uint64) (placement.Choice, *refusal) {
@@ -316,12 +351,11 @@
 // send sends a request to one endpoint and passes its answer on. The reason is that for
 // a retry, or empty if the request has its final answer.
 func (h *handler) send(w http.ResponseWriter, q *request, c placement.Choice) (result, Reason) {
-	readTimeout := time.Duration(0)
+	q.tried = append(q.tried, c.ID)
 	if q.route.Kind == routing.Stream {
-		readTimeout = streamReadTimeout
+		return h.sendStream(w, q, c)
 	}
-	q.tried = append(q.tried, c.ID)
-	a, err := h.roundTrip(q.ctx, q, c, h.forwarding(q, c, ""), readTimeout)
+	a, err := h.roundTrip(q.ctx, q, c, h.forwarding(q, c, ""))
 	if err != nil {
 		return h.handleSendError(q, c, err)
 	}
@@ -330,9 +364,6 @@
 		return h.handleNotRun(q, c, a)
 	}
 	q.sends++
-	if q.route.Kind == routing.Stream && a.response.StatusCode == http.StatusOK {
-		return h.relayStream(w, q, c, a)
-	}
 	return h.relayBuffered(w, q, c, a)
 }
 
@@ -463,6 +494,7 @@
 	fields := log.Fields{
 		"request": q.call.ID, "endpoint": c.ID, "address": c.Address, "started": c.Incarnation,
 		"predicted_ms": c.TTFT.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
+		"events": q.record.events, "silent_ms": q.silence(time.Now()).Milliseconds(), "version": c.WeightsVersion,
 	}
 	if r == placement.Broken {
 		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -15,15 +15,19 @@
 var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6}
 
 type relayMetrics struct {
-	refused, retried metrics.ReasonCounter[Reason]
-	stray, ejected   prometheus.Counter
-	crashes          prometheus.Counter
-	quarantined      prometheus.Counter   // parts
-	suspectParts     *prometheus.GaugeVec // by state
+	refused, retried, notRepeated metrics.ReasonCounter[Reason]
+	stray, ejected                prometheus.Counter
+	// delays counts the times at which this process did not run, and delaySeconds how long.
+	delays, delaySeconds prometheus.Counter
+	crashes              prometheus.Counter
+	quarantined          prometheus.Counter   // parts
+	suspectParts         *prometheus.GaugeVec // by state
 	// rateLimited, malformedRateLimit, pauses and malformedPauses count answers.
 	rateLimited, malformedRateLimit, pauses, malformedPauses prometheus.Counter
 	// retryBudget counts the tokens of the retry budget, by service and event.
 	retryBudget *prometheus.CounterVec
+	// takeovers counts the searches for another endpoint for a silent one's stream.
+	takeovers *prometheus.CounterVec
 	// retryBurst is the share of the burst of the retry budget that this entry may use, and
 	// retrySharers the number of entries that it rests on.
 	retryBurst, retrySharers prometheus.Gauge
@@ -44,12 +48,15 @@
 		}, []string{"kind"})
 	}
 	m := &relayMetrics{
-		refused:     metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
-		retried:     metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
-		stray:       counter("stray_answers_total", "Answers that belong to another request, or to none."),
-		ejected:     counter("ejections_total", "Endpoints taken out for a time after failures."),
-		crashes:     counter("crashes_total", "Requests without an event whose endpoint crashed."),
-		quarantined: counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
+		refused:      metrics.NewReasonCounter(r, subsystem, "refused_total", "Requests that ended without an endpoint's whole answer, by reason.", RefusalReasons()),
+		retried:      metrics.NewReasonCounter(r, subsystem, "retried_total", "Sends of a request beyond its first, by reason.", RetryReasons()),
+		notRepeated:  metrics.NewReasonCounter(r, subsystem, "not_repeated_total", "Requests that may have run and were not sent again after their endpoint failed, by reason.", NotRepeatedReasons()),
+		delays:       counter("process_delays_total", "Times at which this process did not run for half a second or more."),
+		delaySeconds: counter("process_delay_seconds_total", "Time for which this process did not run, of delays of half a second or more."),
+		stray:        counter("stray_answers_total", "Answers that belong to another request, or to none."),
+		ejected:      counter("ejections_total", "Endpoints taken out for a time after failures."),
+		crashes:      counter("crashes_total", "Requests without an event whose endpoint crashed."),
+		quarantined:  counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
 		suspectParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "suspect_parts", Help: "Parts of requests that are quarantined, or suspect of crashing endpoints.",
 		}, []string{"state"}),
@@ -59,8 +66,11 @@
 		malformedPauses:    counter("malformed_pauses_total", "Answers 503 with a pause that could not be decoded."),
 		retryBudget: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "retry_budget_total",
-			Help: "Tokens of the retry budget: earned by requests, spent on retries, and refused because none was left.",
+			Help: "Tokens of the retry budget: earned by requests, spent on retries, returned by retries that were not sent, and refused because none was left.",
 		}, []string{"service", "event"}),
+		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "takeovers_total", Help: "Streams whose endpoint was silent and for which another one was sought, by outcome.",
+		}, []string{"outcome"}),
 		retryBurst:   gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
 		retrySharers: gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -69,16 +79,24 @@
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
-		m.retryBudget, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
+	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
+		m.retryBudget, m.takeovers, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
 	return m
 }
 
 // Events of the retry budget, as values of a label.
 const (
-	budgetEarned  = "earned"
-	budgetSpent   = "spent"
-	budgetRefused = "refused"
+	budgetEarned   = "earned"
+	budgetSpent    = "spent"
+	budgetRefused  = "refused"
+	budgetReturned = "returned"
+)
+
+// Outcomes of the search for another endpoint for a stream whose endpoint is silent.
+const (
+	takeoverDone    = "taken-over"
+	takeoverStopped = "endpoint-continued"
+	takeoverFailed  = "no-endpoint"
 )
 
 func (m *relayMetrics) observe(kind routing.Kind, outcome string, total, first time.Duration) {
