--- a/internal/relay/stop_series_test.go
+++ b/internal/relay/stop_series_test.go
@@ -187,5 +187,5 @@
 	begun := time.Now()
 	_, ok := s.requestSlot(ctx, "quotes", "near", placement.SlotRequest{Resumed: true, MaxWait: resumedMaxWait})
 	is.True(!ok) // it is placed by what this entry knows
-	is.True(time.Since(begun) < streamReadTimeout/2)
+	is.True(time.Since(begun) < streamSilence/2)
 }
