relay: search for another endpoint without waiting in the local queue

A stream with a silent endpoint waited up to 1.2 s for a slot in the queue of a service without a broker, and with it every request behind it, although their endpoints had free slots: the queue goes in order, and the one in front excluded the endpoint that was free.

The search now takes a free slot or is repeated 0.5 s later, as after every other refusal; its first connection is open meanwhile.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -287,7 +287,10 @@
 // requests whose endpoint failed: if an endpoint crashes under load, the slots of the
 // others are in use.
 func (d *dispatcher) placeLocally(q *request, r placement.Request) (placement.Choice, *refusal) {
-	deadline := time.Now().Add(q.maxWait(time.Now()))
+	deadline := time.Now()
+	if !q.beside { // it would hold up requests that can use a free slot, and is tried again
+		deadline = deadline.Add(q.maxWait(deadline))
+	}
 	var ready chan struct{}
 	for {
 		now := time.Now()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -41,6 +41,7 @@
 	spent   time.Duration // time that the caller spent on earlier attempts
 	late    bool          // can no longer meet its latency objective
 	resumed bool          // resumes its stream: events were already passed on
+	beside  bool          // copy for a send beside one that is silent, see takeover
 	parts   []quarantine.PartID
 	sendState
 	record record
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -303,7 +303,7 @@
 // copyFor returns a copy of a request for a send beside the current one.
 func (q *request) copyFor(ctx context.Context) *request {
 	n := *q
-	n.ctx, n.sendState = ctx, sendState{}
+	n.ctx, n.sendState, n.beside = ctx, sendState{}, true
 	n.tried, n.record.retries = slices.Clone(q.tried), slices.Clone(q.record.retries)
 	return &n
 }
