--- a/internal/relay/stop_series_test.go
+++ b/internal/relay/stop_series_test.go
@@ -94,6 +94,9 @@
 			e.slots.update(e.handler.fleet.Table(), map[string][]placement.Endpoint{}, nil, time.Now())
 			e.guard.update(nil, time.Now())
 		},
+		"settings reloaded": func(e *drainingRelay, _ *server) {
+			e.fleet.AddReplicas([]string{"127.0.0.1:1"})
+		},
 		"entry drains on": func(e *drainingRelay, _ *server) {
 			for range 10 { // refreshes of a draining entry list itself out
 				e.refresh()
