relay: two cuts at the bound of superseded weights

Callers got 502 for a request that ran: a buffered answer kept the read deadline by which its request had to begin, also after its head had arrived. It is read up to the deadline of the request now.

A stream that broke off was cut although another endpoint would have resumed it: a resume that was not sent, since its weights were superseded while the connection was opened, used up a retry as soon as any earlier attempt had run. Whether the failed attempt itself was sent decides now.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -219,7 +219,7 @@
 	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
-		if q.sends == 0 {
+		if q.unsent {
 			return q.notRun < maxNotSent
 		}
 		return h.mayRepeat(q)
@@ -296,7 +296,7 @@
 		h.dispatcher.end(q, choice, placement.Neutral)
 		return choice, q.quarantineRefusal(suspicion)
 	}
-	q.proven = false
+	q.proven, q.unsent = false, false
 	q.record.endpoint, q.record.predictedTTFT, q.record.load = choice.ID, choice.TTFT, choice.Load
 	q.record.incarnation = choice.Incarnation
 	q.beginBy, q.sendBy = time.Time{}, time.Time{}
@@ -446,6 +446,7 @@
 // handleNotSent handles an attempt of which no byte was sent.
 func (h *handler) handleNotSent(q *request, c placement.Choice, r placement.Result, err error) result {
 	q.notRun++
+	q.unsent = true
 	h.endSend(q, c, r, err)
 	return result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: h.dispatcher.retryAfter(q)}}
 }
@@ -543,7 +544,11 @@
 // unless it is longer than maxBufferedAnswer or the request should be retried.
 func (h *handler) relayBuffered(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
 	status := a.response.StatusCode
-	body, err := a.readBody(maxBufferedAnswer)
+	var body []byte
+	err := a.conn.SetReadDeadline(q.deadline) // the request has begun in time
+	if err == nil {
+		body, err = a.readBody(maxBufferedAnswer)
+	}
 	if err != nil {
 		a.close()
 		if q.ctx.Err() != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -50,6 +50,7 @@
 // sendState is the state of a request at the endpoint that was selected for it.
 type sendState struct {
 	slot      uint64    // sequence number of the slot granted by a broker; zero for none
+	unsent    bool      // was not sent to the endpoint
 	inPrefill bool      // no first event from the endpoint yet
 	placedAt  time.Time // when the endpoint was selected
 	proven    bool      // the endpoint did not crash when the request began
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -231,9 +231,6 @@
 			if failed && watch.wait() || !failed && !watch.claim() {
 				return result{}, "", errRequestEnded
 			}
-			if err := a.conn.SetReadDeadline(q.deadline); err != nil {
-				return result{}, "", errors.Join(errConnectionBroken, err)
-			}
 			r, reason := h.relayBuffered(s.w, q, send.choice, a)
 			return r, reason, nil
 		}
