relay: test searches that end before anything was sent

TestStoppedSearchUsesNoAttempt: the silent endpoint continues while the connection to the other one is being opened. The attempt then counts as used and the other endpoint as tried, although it got nothing; the next silence lasts until the endpoint goes on.

TestStoppedSearchReturnsSlot: a slot that a broker grants just as the search, or the request, ends is never returned: requestSlot has recorded it as held, and placeByBroker leaves because the context has ended.

The check of the time between an event and the next endpoint asked no longer counts an event that was sent at the very moment of the request: of two things at one moment of virtual time either may be first.

--- a/internal/relay/silent_streams_cases_test.go
+++ b/internal/relay/silent_streams_cases_test.go
@@ -276,3 +276,38 @@
 		is.Equal(len(s.visits), 2)
 	})
 }
+
+// Guards against attempts and endpoints that count as used by a search that ended before it had
+// sent anything.
+func TestStoppedSearchUsesNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		// The second event arrives while the connection to the other endpoint is being opened.
+		c := newFixedCase(servePlan(planServe, map[int]time.Duration{2: streamSilence + 10*time.Millisecond, 3: 8 * time.Second}), servePlan(planServe, nil))
+		c.delay, c.calls[0].attempts = 20*time.Millisecond, 2
+		s, sources := c.play(t)
+		is.NoErr(s.err)
+		is.Equal(sources, "001")
+		is.Equal(len(s.visits), 2)
+	})
+}
+
+// Guards against slots of engines that stay taken when a search ends just as its slot is granted.
+func TestStoppedSearchReturnsSlot(t *testing.T) {
+	for name, leave := range map[string]time.Duration{"endpoint continues": 0, "caller leaves": 2*eventGap + streamSilence} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newFixedCase(servePlan(planServe, map[int]time.Duration{2: streamSilence, 3: streamSilence}), servePlan(planSilent, nil))
+				c.engine, c.endpoints[0].slots, c.endpoints[1].slots = true, 100, 100
+				c.calls = nil
+				for i := range 30 {
+					c.calls = append(c.calls, &streamCall{
+						index: i, id: fmt.Sprint("call-", i), resumable: true, ids: true, attempts: 3, events: 3, timeout: 12 * time.Second,
+						start: time.Second + time.Duration(i)*time.Millisecond, leave: leave,
+					})
+				}
+				c.play(t)
+			})
+		})
+	}
+}
--- a/internal/relay/silent_streams_test.go
+++ b/internal/relay/silent_streams_test.go
@@ -954,7 +954,7 @@
 			// Opening the connection takes three times the delay, and the event another one.
 			latest, decided := v.arrived, w.arrived.Add(-4*c.delay)
 			for _, e := range v.sent {
-				if !e.at.After(decided) {
+				if e.at.Before(decided) {
 					latest = e.at
 				}
 			}
