relay: treat failures, second silences and slots of a search like any other

- A refused stream closed its connection after returning it to the pool; another caller's request could already be running on it and got 502.
- A silent endpoint that then failed was handled only after the search had ended: a connection to superseded weights stayed open beyond its bound, and a crash was recorded as a silence.
- A second silent endpoint ended the search; a third one was never asked.
The search now watches its own endpoint in the same way.
- An endpoint that stays silent was ejected only if another one continued.
- A slot that a broker granted to a search that had just been stopped stayed held for the life of the process.
- A search that was stopped before anything was sent used up an attempt, a retry and the endpoint.
- A late timer could shorten the wait for the next endpoint's first event.
- not_repeated was counted by each search, and logged for complete answers.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -34,6 +34,8 @@
 	// errRequestEnded means that the caller disconnected or the deadline of the request
 	// passed.
 	errRequestEnded = errors.New("request ended")
+	// errEndedUnsent means the same, before any byte was sent.
+	errEndedUnsent = fmt.Errorf("%w before it was sent", errRequestEnded)
 )
 
 const (
@@ -72,7 +74,7 @@
 	conn, err := h.conns.get(ctx, a.key, c.Address, q.call.ID)
 	if err != nil {
 		if ctx.Err() != nil {
-			return nil, errRequestEnded
+			return nil, errEndedUnsent
 		}
 		return nil, errors.Join(errNotSent, err)
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -257,6 +257,9 @@
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
+		if ok && p.response.Verdict == placement.Placed {
+			d.slots.end(p.sequence, placement.Neutral)
+		}
 		return choice, endedWaiting(), true
 	}
 	if !ok {
@@ -288,7 +291,7 @@
 // others are in use.
 func (d *dispatcher) placeLocally(q *request, r placement.Request) (placement.Choice, *refusal) {
 	deadline := time.Now()
-	if !q.beside { // it would hold up requests that can use a free slot, and is tried again
+	if !q.sought { // it would hold up requests that can use a free slot, and is tried again
 		deadline = deadline.Add(q.maxWait(deadline))
 	}
 	var ready chan struct{}
@@ -435,6 +438,14 @@
 	d.wakeNext(p)
 }
 
+// recordSilence records that an endpoint is silent, while it keeps its request, and returns how
+// long this entry ejects it.
+func (d *dispatcher) recordSilence(service string, c placement.Choice) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool(service).RecordSilence(c.ID, c.Incarnation, time.Now())
+}
+
 // end counts an attempt as ended and returns how long this entry ejects the endpoint
 // for its result.
 func (d *dispatcher) end(q *request, c placement.Choice, r placement.Result) time.Duration {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -154,7 +154,7 @@
 	if q.record.budgetRefused {
 		fields["budget_refused"] = true
 	}
-	if q.record.notRepeated != "" {
+	if q.record.notRepeated != "" && outcome != "done" {
 		fields["not_repeated"] = string(q.record.notRepeated)
 	}
 	if d := h.drain.Load(); d != nil {
@@ -248,10 +248,10 @@
 // recordNotRepeated records why a request is not sent again, or that it is if the reason is
 // empty.
 func (h *handler) recordNotRepeated(q *request, reason Reason) {
-	q.record.notRepeated = reason
-	if reason != "" {
+	if reason != "" && reason != q.record.notRepeated { // repeated by each search of a silent stream
 		h.metrics.notRepeated.Inc(reason)
 	}
+	q.record.notRepeated = reason
 }
 
 // withdrawRetry takes one retry from the budget of the request's service and reports whether
@@ -296,7 +296,7 @@
 		h.dispatcher.end(q, choice, placement.Neutral)
 		return choice, q.quarantineRefusal(suspicion)
 	}
-	q.proven, q.unsent = false, false
+	q.proven, q.unsent, q.silent = false, false, false
 	q.record.endpoint, q.record.predictedTTFT, q.record.load = choice.ID, choice.TTFT, choice.Load
 	q.record.incarnation = choice.Incarnation
 	q.beginBy, q.sendBy = time.Time{}, time.Time{}
@@ -429,7 +429,9 @@
 	case errors.Is(err, errNotSent):
 		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
-		q.sends++
+		if !errors.Is(err, errEndedUnsent) {
+			q.sends++
+		}
 		return h.handleRequestEnd(q, c)
 	case errors.Is(err, errReadTimeout):
 		q.sends++
@@ -458,14 +460,18 @@
 		h.endSend(q, c, h.deadlineResult(q), errRequestEnded)
 		return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: DeadlineExceeded}}, ""
 	}
-	h.endSend(q, c, placement.Neutral, errRequestEnded)
+	r := placement.Neutral
+	if q.silent {
+		r = placement.TimedOut
+	}
+	h.endSend(q, c, r, errRequestEnded)
 	return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: CallerGone}}, ""
 }
 
 // deadlineResult returns the result to record for the endpoint of a request that
 // reached its deadline.
 func (h *handler) deadlineResult(q *request) placement.Result {
-	if q.record.firstEvent > 0 {
+	if q.record.firstEvent > 0 && !q.silent {
 		return placement.Neutral
 	}
 	return placement.TimedOut
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -41,7 +41,7 @@
 	spent   time.Duration // time that the caller spent on earlier attempts
 	late    bool          // can no longer meet its latency objective
 	resumed bool          // resumes its stream: events were already passed on
-	beside  bool          // copy for a send beside one that is silent, see takeover
+	sought  bool          // copy of a request for which another endpoint is sought, see search
 	parts   []quarantine.PartID
 	sendState
 	record record
@@ -51,6 +51,7 @@
 type sendState struct {
 	slot      uint64    // sequence number of the slot granted by a broker; zero for none
 	unsent    bool      // was not sent to the endpoint
+	silent    bool      // the endpoint was silent at the end
 	inPrefill bool      // no first event from the endpoint yet
 	placedAt  time.Time // when the endpoint was selected
 	proven    bool      // the endpoint did not crash when the request began
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -173,7 +173,7 @@
 	s := &streamState{w: w, flusher: flusher}
 	s.lastEventID = q.call.LastEvent
 	defer q.limitWrites(w)()
-	watch := newSilenceWatch(h, q, s)
+	watch := newSilenceWatch(h, q, &s.streamPosition)
 	defer watch.close()
 	send := newStreamSend(q.ctx, c)
 	for {
@@ -182,24 +182,14 @@
 			send.cancel()
 			return r, reason
 		}
-		next := watch.await()
-		takenOver := next != nil && send.ctx.Err() != nil && q.ctx.Err() == nil
-		if takenOver {
-			h.endTakenOver(q, send)
-		} else {
-			r, reason = h.endFailedSend(q, send, err)
-		}
-		send.close()
+		r, reason, found := h.endStreamSend(q, send, err, watch)
 		switch {
-		case reason == "" && !takenOver: // the caller disconnected or the deadline passed
-			next.discard(h)
-			if s.started {
-				h.abort(q, r.refusal.reason, errRequestEnded)
-			}
+		case reason == "" && s.started: // the caller disconnected or the deadline passed
+			h.abort(q, r.refusal.reason, errRequestEnded)
+		case reason == "":
 			return r, ""
-		case next != nil:
-			q.adopt(next.request)
-			send = next.send
+		case found != nil:
+			send = found.found
 		case !s.started:
 			return r, reason
 		default:
@@ -212,6 +202,29 @@
 	}
 }
 
+// endStreamSend ends a send that has failed, or whose stream was taken over by another endpoint.
+// If a search has found one, the request continues there. The reason is empty if the caller
+// disconnected or the deadline passed.
+func (h *handler) endStreamSend(q *request, send *streamSend, err error, watch *silenceWatch) (r result, reason Reason, found *search) {
+	takenOver, silent := watch.lost()
+	if q.silent = silent; takenOver {
+		h.endTakenOver(q, send)
+		reason = RetryTimedOut
+	} else {
+		r, reason = h.endFailedSend(q, send, err)
+	}
+	send.close()
+	found = watch.findElsewhere()
+	if reason == "" {
+		found.discard(h)
+		return r, "", nil
+	}
+	if found != nil {
+		q.adopt(found.request)
+	}
+	return r, reason, found
+}
+
 // relaySend opens a send, unless it is open already, and passes the events on until the stream
 // ends.
 func (h *handler) relaySend(q *request, send *streamSend, s *streamState, watch *silenceWatch) (result, Reason, error) {
@@ -228,8 +241,8 @@
 		}
 		if status := a.response.StatusCode; status != http.StatusOK {
 			failed := status >= http.StatusInternalServerError || impliesNotRun(status)
-			if failed && watch.wait() || !failed && !watch.claim() {
-				return result{}, "", errRequestEnded
+			if failed && watch.awaitSearch() || !failed && !watch.claim() {
+				return result{}, "", errTakenOver
 			}
 			r, reason := h.relayBuffered(s.w, q, send.choice, a)
 			return r, reason, nil
@@ -280,7 +293,9 @@
 	case send.attempt == nil:
 		return h.handleSendError(q, send.choice, err)
 	case errors.Is(err, errNotRun):
-		return h.handleNotRun(q, send.choice, send.attempt)
+		a := send.attempt
+		send.attempt = nil // handleNotRun returns its connection to the pool
+		return h.handleNotRun(q, send.choice, a)
 	case q.ctx.Err() != nil || errors.Is(err, errRequestEnded):
 		return h.handleRequestEnd(q, send.choice)
 	case errors.Is(err, errResumeRefused):
@@ -306,7 +321,7 @@
 			return err
 		}
 		if !watch.claim() {
-			return errRequestEnded
+			return errTakenOver
 		}
 		if end {
 			s.start(a)
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -14,46 +14,48 @@
 	"github.com/rhubarbhill/rhubarbhill/placement"
 )
 
-// takeoverInterval is the time between two attempts to find another endpoint for a stream whose
-// endpoint is silent.
+// takeoverInterval is the time between two searches for another endpoint while the endpoint of a
+// stream is silent.
 const takeoverInterval = 500 * time.Millisecond
 
-// silenceWatch finds another endpoint for a stream whose endpoint is silent. The endpoint keeps its
+// silenceWatch seeks another endpoint for a stream whose endpoint is silent. The endpoint keeps its
 // connection until the other one has sent an event, so that a silence alone never ends an answer:
 // whichever sends first continues the stream.
 //
-// The goroutine that relays the stream changes the request only between hold and arm; the watch
-// copies it only between arm and hold.
+// The goroutine that relays the stream calls begin for each send, arm before it waits for the
+// endpoint, and then claim if an event has come, or hold otherwise. After a send has failed it calls
+// lost and findElsewhere. It may change the request and the position only between hold, claim or
+// lost and the next arm, since the timer copies them at other times.
 type silenceWatch struct {
-	h *handler
-	q *request
-	s *streamState
-
-	mu      sync.Mutex
-	timer   *time.Timer // nil until it was set for the first time
-	fireAt  time.Time   // when the timer fires; zero if it is not set
-	armed   bool
-	silent  bool      // the endpoint has been silent for streamSilence since its last event
-	due     time.Time // when to look for another endpoint; zero if the silence has not begun
-	send    *streamSend
-	current *takeover // running, or ended and not yet added to the request
+	h        *handler
+	q        *request
+	position *streamPosition
+
+	mu     sync.Mutex
+	timer  *time.Timer // nil until it was set for the first time
+	fireAt time.Time   // when the timer fires; zero if it is not set
+	armed  bool
+	silent bool      // the endpoint has been silent for streamSilence
+	due    time.Time // when to seek another endpoint; zero if the silence has not begun
+	send   *streamSend
+	search *search // running, or ended and not yet added to the request; nil for none
 }
 
-// takeover is the search for another endpoint.
-type takeover struct {
+// search seeks another endpoint for a stream.
+type search struct {
 	request       *request // copy of the request, with the state of the send to the other endpoint
-	sends, notRun int      // of the request when it was copied
+	sends, notRun int      // of the request when it was copied first
 	position      streamPosition
 	cancel        context.CancelFunc
 	done          chan struct{}
-	// The silenceWatch guards the fields below.
-	stopped bool        // the silent endpoint has sent an event
+	// The silenceWatch guards the fields below until done is closed.
+	stopped bool        // its result is not needed any more
 	ended   bool        // no other endpoint was found
-	send    *streamSend // whose first event has arrived
+	found   *streamSend // has sent an event
 }
 
-func newSilenceWatch(h *handler, q *request, s *streamState) *silenceWatch {
-	return &silenceWatch{h: h, q: q, s: s}
+func newSilenceWatch(h *handler, q *request, p *streamPosition) *silenceWatch {
+	return &silenceWatch{h: h, q: q, position: p}
 }
 
 // begin watches another send.
@@ -63,13 +65,13 @@
 	w.send, w.silent, w.due = send, false, time.Time{}
 }
 
-// arm lets the watch look for another endpoint once the silence has lasted for streamSilence. The
+// arm lets the watch seek another endpoint once the silence has lasted for streamSilence. The
 // sends of a search that was stopped are added to the request before.
 func (w *silenceWatch) arm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t := w.current; t != nil && t.stopped {
-		w.current = nil
+	if t := w.search; t != nil && t.stopped {
+		w.search = nil
 		w.mu.Unlock()
 		<-t.done
 		w.q.addSends(t)
@@ -108,47 +110,54 @@
 	defer w.mu.Unlock()
 	w.armed, w.silent, w.due = false, false, time.Time{}
 	switch {
-	case w.current == nil:
+	case w.search == nil:
 		return true
-	case w.current.send != nil:
+	case w.search.found != nil:
 		return false
 	}
-	if !w.current.stopped && !w.current.ended {
+	if !w.search.stopped && !w.search.ended {
 		w.h.metrics.takeovers.WithLabelValues(takeoverStopped).Inc()
 	}
-	w.current.stopped = true
-	w.current.cancel()
+	w.search.stopped = true
+	w.search.cancel()
 	return true
 }
 
-// wait waits for the end of a search that is running, and reports whether it has found another
-// endpoint.
-func (w *silenceWatch) wait() bool {
+// lost reports, for a send that has failed, whether another endpoint has taken the stream over,
+// which closes the connection of the send, and whether its endpoint was silent.
+func (w *silenceWatch) lost() (takenOver, silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = false
+	return w.search != nil && w.search.found != nil, w.silent
+}
+
+// awaitSearch waits for the end of a search that is running, and reports whether it has found
+// another endpoint.
+func (w *silenceWatch) awaitSearch() bool {
 	w.mu.Lock()
 	w.armed = false
-	t := w.current
+	t := w.search
 	w.mu.Unlock()
 	if t == nil {
 		return false
 	}
 	<-t.done
-	return t.send != nil
+	return t.found != nil
 }
 
-// await waits for the end of a search that is running, and returns it if it has found another
-// endpoint. Its sends are added to the request.
-func (w *silenceWatch) await() *takeover {
+// findElsewhere waits for the end of a search that is running and adds its sends to the request.
+// The search is returned if it has found another endpoint.
+func (w *silenceWatch) findElsewhere() *search {
+	found := w.awaitSearch()
 	w.mu.Lock()
-	w.armed = false
-	t := w.current
-	w.current = nil
+	t := w.search
+	w.search = nil
 	w.mu.Unlock()
-	if t == nil {
-		return nil
+	if t != nil {
+		w.q.addSends(t)
 	}
-	<-t.done
-	w.q.addSends(t)
-	if t.send == nil {
+	if !found {
 		return nil
 	}
 	return t
@@ -161,66 +170,79 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if t := w.current; t != nil {
+	if t := w.search; t != nil {
 		t.stopped = true
 		t.cancel()
 	}
 	w.mu.Unlock()
-	w.await().discard(w.h)
+	w.findElsewhere().discard(w.h)
 }
 
-// fire looks for another endpoint if the silence has lasted long enough.
+// fire starts a search if the silence has lasted long enough.
 func (w *silenceWatch) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	late := now.Sub(w.fireAt)
 	w.fireAt = time.Time{}
-	switch {
-	case !w.armed || w.current != nil && !w.current.ended:
+	if !w.armed || w.search != nil && !w.search.ended {
 		return
-	case late >= minReportedDelay:
+	}
+	if late >= minReportedDelay {
 		// This process did not run. What the endpoint has sent meanwhile is still to be read.
-		w.due = now.Add(takeoverInterval)
-		fallthrough
-	case now.Before(w.due):
+		w.due = later(w.due, now.Add(takeoverInterval))
+	}
+	if now.Before(w.due) {
 		w.setTimer(w.due.Sub(now))
 		return
 	}
-	t := w.newTakeover()
 	if !w.silent {
 		w.silent = true
-		w.h.log.WithFields(log.Fields{
-			"request": w.q.call.ID, "endpoint": w.send.choice.ID, "started": w.send.choice.Incarnation,
-			"events": w.q.record.events, "silent_ms": w.q.silence(now).Milliseconds(), "sends": t.request.sends,
-		}).Info("endpoint_silent")
+		w.recordSilence(now)
+	}
+	if !w.q.route.Repeatable() || w.position.started && w.position.lastEventID == "" {
+		return // nobody else may continue the stream
 	}
-	w.current = t
-	go w.run(t)
+	w.search = w.newSearch()
+	go w.run(w.search)
 }
 
-// newTakeover copies the request. The caller holds mu.
-func (w *silenceWatch) newTakeover() *takeover {
-	t := &takeover{position: w.s.streamPosition, done: make(chan struct{})}
+// recordSilence logs the silence of the endpoint, which gets no other requests for a while. The
+// caller holds mu.
+func (w *silenceWatch) recordSilence(now time.Time) {
+	c := w.send.choice
+	fields := log.Fields{
+		"request": w.q.call.ID, "endpoint": c.ID, "started": c.Incarnation, "events": w.q.record.events,
+		"silent_ms": w.q.silence(now).Milliseconds(), "sends": w.q.sends,
+	}
+	if ejected := w.h.dispatcher.recordSilence(w.q.service, c); ejected > 0 {
+		fields["ejected_ms"] = ejected.Milliseconds()
+		w.h.metrics.ejected.Inc()
+	}
+	w.h.log.WithFields(fields).Info("endpoint_silent")
+}
+
+// newSearch copies the request, or its copy of the search before. The caller holds mu.
+func (w *silenceWatch) newSearch() *search {
+	t := &search{position: *w.position, done: make(chan struct{})}
 	ctx, cancel := context.WithCancel(w.q.ctx)
 	t.cancel = cancel
-	last := w.current
-	if last == nil {
-		t.request = w.q.copyFor(ctx)
-		if w.send.attempt == nil { // sent, and not yet counted
-			t.request.sends++
-		}
-		t.sends, t.notRun = t.request.sends, t.request.notRun
+	if last := w.search; last != nil {
+		t.request = last.request.copyFor(ctx)
+		t.sends, t.notRun = last.sends, last.notRun
 		return t
 	}
-	t.request = last.request.copyFor(ctx)
-	t.sends, t.notRun = last.sends, last.notRun
+	t.request = w.q.copyFor(ctx)
+	if w.send.attempt == nil { // sent, and not yet counted
+		t.request.sends++
+	}
+	t.sends, t.notRun = t.request.sends, t.request.notRun
 	return t
 }
 
-// run looks for another endpoint and closes the connection to the silent one if the other one
+// run seeks another endpoint and closes the connection to the silent one if the other one
 // continues the stream first.
-func (w *silenceWatch) run(t *takeover) {
+func (w *silenceWatch) run(t *search) {
 	defer close(t.done)
 	send := w.h.openElsewhere(t.request, t.position)
 	w.mu.Lock()
@@ -237,9 +259,10 @@
 			}
 		}
 	case t.stopped:
+		t.ended = true
 		w.h.endUnused(t.request, send)
 	default:
-		t.send = send
+		t.found = send
 		w.h.metrics.takeovers.WithLabelValues(takeoverDone).Inc()
 		w.send.cancel()
 	}
@@ -247,38 +270,76 @@
 
 // openElsewhere sends a request to other endpoints until one has sent an event, or the end of the
 // stream. It returns nil if no other endpoint may be asked, or the context of the request ends.
+// An endpoint that is silent in turn is treated like the first one.
 func (h *handler) openElsewhere(q *request, p streamPosition) *streamSend {
+	watch := newSilenceWatch(h, q, &p)
+	defer watch.close()
 	for reason := RetryTimedOut; ; {
+		before := *q
 		c, ok := h.placeAgain(q, p, reason)
 		if !ok {
 			return nil
 		}
-		send := newStreamSend(q.ctx, c)
-		a, err := h.roundTrip(send.ctx, q, c, h.streamForwarding(q, send, p))
-		if err == nil {
-			err = h.open(q, send, a, p)
-		}
-		if err == nil && a.response.StatusCode != http.StatusOK {
-			err = fmt.Errorf("%w: status %s", errResumeRefused, a.response.Status)
-		}
-		if err == nil {
-			err = send.readAhead(p)
-		}
-		if err == nil {
-			return send
-		}
-		_, reason = h.endFailedSend(q, send, err)
-		send.close()
-		if reason == "" {
-			return nil
+		for send := newStreamSend(q.ctx, c); ; {
+			err := h.readAhead(q, send, p, watch)
+			if err == nil {
+				return send
+			}
+			var found *search
+			if _, reason, found = h.endStreamSend(q, send, err, watch); reason == "" {
+				if errors.Is(err, errEndedUnsent) {
+					h.undoPlacement(q, &before)
+				}
+				return nil
+			}
+			if found == nil {
+				break
+			}
+			send = found.found
 		}
 	}
 }
 
-// discard ends the send of a takeover that is not used. The takeover may be nil.
-func (t *takeover) discard(h *handler) {
-	if t != nil && t.send != nil {
-		h.endUnused(t.request, t.send)
+// undoPlacement takes back that an endpoint was selected to which nothing was sent.
+func (h *handler) undoPlacement(q, before *request) {
+	if q.record.withdrawn > before.record.withdrawn {
+		h.returnRetry(q)
+	}
+	q.tried, q.record.retries = before.tried, before.record.retries
+}
+
+// readAhead opens a send, unless it is open already, and reads up to its first event.
+func (h *handler) readAhead(q *request, send *streamSend, p streamPosition, watch *silenceWatch) error {
+	if send.attempt != nil { // its events were read by a search
+		return nil
+	}
+	watch.begin(send)
+	watch.arm()
+	a, err := h.roundTrip(send.ctx, q, send.choice, h.streamForwarding(q, send, p))
+	watch.hold()
+	if err == nil {
+		err = h.open(q, send, a, p)
+	}
+	if err != nil {
+		return err
+	}
+	if a.response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: status %s", errResumeRefused, a.response.Status)
+	}
+	watch.arm()
+	if err := send.readAhead(p); err != nil {
+		return err
+	}
+	if !watch.claim() {
+		return errTakenOver
+	}
+	return nil
+}
+
+// discard ends the send of a search that is not used. The search may be nil.
+func (t *search) discard(h *handler) {
+	if t != nil && t.found != nil {
+		h.endUnused(t.request, t.found)
 	}
 }
 
@@ -300,22 +361,32 @@
 // errTakenOver means that another endpoint has continued the stream of a silent one.
 var errTakenOver = errors.New("another endpoint has continued the stream")
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // copyFor returns a copy of a request for a send beside the current one.
 func (q *request) copyFor(ctx context.Context) *request {
 	n := *q
-	n.ctx, n.sendState, n.beside = ctx, sendState{}, true
+	n.ctx, n.sendState, n.sought = ctx, sendState{}, true
 	n.tried, n.record.retries = slices.Clone(q.tried), slices.Clone(q.record.retries)
 	return &n
 }
 
-// addSends adds the sends of a takeover to the request.
-func (q *request) addSends(t *takeover) {
+// addSends adds the sends of a search to the request.
+func (q *request) addSends(t *search) {
 	n := t.request
 	q.sends += n.sends - t.sends
 	q.notRun += n.notRun - t.notRun
 	q.tried, q.record.retries = n.tried, n.record.retries
 	q.record.budgetRefused = q.record.budgetRefused || n.record.budgetRefused
-	q.record.notRepeated = n.record.notRepeated
+	if !t.stopped {
+		q.record.notRepeated = n.record.notRepeated
+	}
 }
 
 // adopt continues a request at the endpoint of its copy.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -529,6 +529,21 @@
 	if left.InPrefill {
 		s.prefillDone(left.Prefill)
 	}
+	return s.observe(result, now)
+}
+
+// RecordSilence records that an endpoint sends nothing for a request that it keeps, and returns
+// how long the endpoint is ejected for it.
+func (p *Pool) RecordSilence(id string, started uint64, now time.Time) (ejected time.Duration) {
+	s := p.endpoints[id]
+	if s == nil || s.Incarnation != started {
+		return 0
+	}
+	return s.observe(TimedOut, now)
+}
+
+// observe records a result as evidence of the endpoint's health.
+func (s *endpointState) observe(result Result, now time.Time) (ejected time.Duration) {
 	if result == TimedOut {
 		s.lag.observe(timeoutLag, now)
 	}
