relay, placement: a silence ends when the endpoint sends again

An endpoint that was silent for 1.5 s on one stream and then went on stayed ejected, and on probation until a request was complete, though it had shown that it was sound. Other streams could not be continued there meanwhile.

The ejection for a silence now ends with the next event of the stream.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -446,6 +446,15 @@
 	return d.pool(service).RecordSilence(c.ID, c.Incarnation, time.Now())
 }
 
+// endSilence records that an endpoint has gone on after a silence.
+func (d *dispatcher) endSilence(service string, c placement.Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service)
+	p.EndSilence(c.ID, c.Incarnation)
+	d.wakeNext(p)
+}
+
 // end counts an attempt as ended and returns how long this entry ejects the endpoint
 // for its result.
 func (d *dispatcher) end(q *request, c placement.Choice, r placement.Result) time.Duration {
--- a/internal/relay/silent_streams_test.go
+++ b/internal/relay/silent_streams_test.go
@@ -1052,7 +1052,10 @@
 	end := from.Add(abandonAfter)
 	for _, o := range c.calls {
 		for _, v := range o.visits {
-			// The relay avoids an endpoint for a while after a failure.
+			// The relay avoids an endpoint for a while after a failure, and while it is silent.
+			if v.endpoint == e && v.silentBetween(from, end) {
+				return false
+			}
 			ended := slices.MinFunc([]time.Time{orLater(v.failed, end), orLater(v.over, end), orLater(v.closed, end)}, time.Time.Compare)
 			if v.endpoint == e && ended.Before(end) && (v.over.IsZero() || !v.failed.IsZero() || !v.closed.IsZero() && v.closed.Before(v.over)) {
 				return false
@@ -1070,6 +1073,24 @@
 	return true
 }
 
+// silentBetween reports whether the endpoint had sent no event for streamSilence at some time of a
+// period.
+func (v *visit) silentBetween(from, to time.Time) bool {
+	closed := orLater(v.closed, to.Add(time.Nanosecond))
+	last := v.arrived
+	for _, step := range append(slices.Clone(v.steps), streamStep{at: closed, event: 1}) {
+		if step.event == 0 || step.never {
+			continue
+		}
+		until := slices.MinFunc([]time.Time{step.at, closed}, time.Time.Compare)
+		if begins := last.Add(streamSilence); begins.Before(until) && begins.Before(to) && until.After(from) {
+			return true
+		}
+		last = until
+	}
+	return false
+}
+
 func orLater(t, other time.Time) time.Time {
 	if t.IsZero() {
 		return other
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -108,13 +108,17 @@
 func (w *silenceWatch) claim() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.armed, w.silent, w.due = false, false, time.Time{}
-	switch {
-	case w.search == nil:
-		return true
-	case w.search.found != nil:
+	w.armed = false
+	if w.search != nil && w.search.found != nil {
 		return false
 	}
+	if w.silent {
+		w.h.dispatcher.endSilence(w.q.service, w.send.choice)
+	}
+	w.silent, w.due = false, time.Time{}
+	if w.search == nil {
+		return true
+	}
 	if !w.search.stopped && !w.search.ended {
 		w.h.metrics.takeovers.WithLabelValues(takeoverStopped).Inc()
 	}
--- a/placement/health.go
+++ b/placement/health.go
@@ -54,6 +54,8 @@
 	// endpoint gets one request at a time.
 	probation bool
 	brokenAt  time.Time // time of the last broken answer
+	// silentUntil is the end of an ejection for a silence that has not ended; zero for none.
+	silentUntil time.Time
 }
 
 // admits reports whether an endpoint with so many running requests may get another.
@@ -99,6 +101,26 @@
 	return pause
 }
 
+// observeSilence records that the endpoint is silent and returns how long it is ejected for it.
+func (h *health) observeSilence(now time.Time) time.Duration {
+	ejected := h.observe(TimedOut, now)
+	if ejected > 0 {
+		h.silentUntil = h.pausedUntil
+	}
+	return ejected
+}
+
+// endSilence ends an ejection for a silence: the endpoint has sent again.
+func (h *health) endSilence() {
+	if h.silentUntil.IsZero() {
+		return
+	}
+	if h.pausedUntil.Equal(h.silentUntil) {
+		h.pausedUntil = time.Time{}
+	}
+	h.probation, h.ejections, h.silentUntil = false, max(0, h.ejections-1), time.Time{}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -529,7 +529,10 @@
 	if left.InPrefill {
 		s.prefillDone(left.Prefill)
 	}
-	return s.observe(result, now)
+	if result == TimedOut {
+		s.lag.observe(timeoutLag, now)
+	}
+	return s.health.observe(result, now)
 }
 
 // RecordSilence records that an endpoint sends nothing for a request that it keeps, and returns
@@ -539,15 +542,15 @@
 	if s == nil || s.Incarnation != started {
 		return 0
 	}
-	return s.observe(TimedOut, now)
+	s.lag.observe(timeoutLag, now)
+	return s.health.observeSilence(now)
 }
 
-// observe records a result as evidence of the endpoint's health.
-func (s *endpointState) observe(result Result, now time.Time) (ejected time.Duration) {
-	if result == TimedOut {
-		s.lag.observe(timeoutLag, now)
+// EndSilence records that an endpoint has gone on after a silence, which ends its ejection.
+func (p *Pool) EndSilence(id string, started uint64) {
+	if s := p.endpoints[id]; s != nil && s.Incarnation == started {
+		s.health.endSilence()
 	}
-	return s.health.observe(result, now)
 }
 
 // RecordLoad records the load that an endpoint reported with an answer.
