relay: report running requests to the broker that their engine's group has now

Callers waited in the queues of full engines, or were refused there, after the groups of engines had changed: held slots kept the key of the group in which they were granted, so the broker of the new group did not count them. Held slots now move with their endpoint at each update, and the new broker gets a report at once.

TestRunningRequestsAreKnownAfterChangeOfGroups: red in 3 of 3 runs before, green in 5 of 5 after, with -race. internal/relay, run with -race beside other work (load 54), failed in TestUnboundedAnswers/header alone (1.41 s, bound 1 s). That test then failed in 2 of 252 repeats here and in none of 252 on, all beside other work; not traced.

--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -164,6 +164,7 @@
 	s.mu.Lock()
 	endpointIDs := map[uint32]string{}
 	services := map[string]*serviceGroups{}
+	groupOfEndpoint := map[string]string{}
 	for service, list := range endpoints {
 		description := table.Service(service)
 		if description == nil {
@@ -175,6 +176,7 @@
 		byGroup := map[string][]placement.Endpoint{}
 		for _, e := range list {
 			endpointIDs[endpointHash(e.ID)] = e.ID
+			groupOfEndpoint[e.ID] = g.groupOfZone[e.Zone]
 			byGroup[g.groupOfZone[e.Zone]] = append(byGroup[g.groupOfZone[e.Zone]], e)
 		}
 		for _, group := range g.groups {
@@ -201,12 +203,33 @@
 	for _, e := range entries {
 		s.entries = append(s.entries, e.Name)
 	}
+	moved := s.moveHeld(groupOfEndpoint)
 	s.updateActiveBrokers(now)
+	for key := range moved {
+		s.sendReport(key, []string{s.activeBroker[key]}, nil)
+	}
 	out := s.takeResponses()
 	s.mu.Unlock()
 	s.deliver(out)
 }
 
+// moveHeld assigns the held slots to the groups that their endpoints belong to now, and
+// returns the groups that have got some. The broker of a group counts only the slots that are
+// reported to it. The caller holds mu.
+func (s *slotCoordinator) moveHeld(groupOfEndpoint map[string]string) map[groupKey]bool {
+	moved := map[groupKey]bool{}
+	for sequence, h := range s.held {
+		group, listed := groupOfEndpoint[h.endpoint]
+		if !listed || group == h.key.group {
+			continue
+		}
+		h.key.group = group
+		s.held[sequence] = h
+		moved[h.key] = true
+	}
+	return moved
+}
+
 func zonesOf(list []placement.Endpoint) []string {
 	seen := map[string]bool{}
 	var zones []string
