--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -38,13 +38,14 @@
 	// force within 2 s.
 	minRoutingInterval = 500 * time.Millisecond
 	// softWeightsMargin and weightsMargin are subtracted from the time after which no
-	// request may begin on older weights. A request may be pending until beginMargin, and
+	// request may begin on older weights. A request may wait for its first event for
+	// streamSilence and longer, until it is cancelled beginMargin before that time, and
 	// one that is delayed by a slow link begins up to 0.8 s later still (observed). If
-	// first events arrive as predicted, a request is sent as long as it
-	// is predicted to begin in time (see placement.WeightsBound), and at most until
-	// weightsMargin. With a weightsMargin of 0.6 s, a request began too late at an
-	// engine whose link had become slow since its last first event.
-	softWeightsMargin = 2900 * time.Millisecond
+	// first events arrive as predicted, a request is sent as long as it is predicted to
+	// begin in time (see placement.WeightsBound), and at most until weightsMargin. With a
+	// weightsMargin of 0.6 s, a request began too late at an engine whose link had become
+	// slow since its last first event.
+	softWeightsMargin = streamSilence + 1400*time.Millisecond
 	weightsMargin     = 1200 * time.Millisecond
 	// beginMargin is how long before that time a request that has not begun on older
 	// weights is cancelled. Closing the connection takes effect after up to one pass of
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -99,16 +99,16 @@
 }
 
 // opened records the head of the answer.
-func (x *streamSend) opened(a *attempt, p streamPosition) {
-	x.attempt, x.events, x.continued = a, newEventReader(a.response.Body), !p.started
+func (send *streamSend) opened(a *attempt, p streamPosition) {
+	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body), !p.started
 }
 
 // close closes the connection.
-func (x *streamSend) close() {
-	if x.attempt != nil {
-		x.attempt.close()
+func (send *streamSend) close() {
+	if send.attempt != nil {
+		send.attempt.close()
 	}
-	x.cancel()
+	send.cancel()
 }
 
 var (
@@ -123,15 +123,15 @@
 
 // next returns the next event and whether it is the end of the stream. An endpoint that resumes
 // a stream must begin after its last event.
-func (x *streamSend) next(p streamPosition) (ev event, end bool, err error) {
-	if len(x.ahead) > 0 {
-		ev, x.ahead = x.ahead[0], x.ahead[1:]
-		return ev, x.aheadEnd && len(x.ahead) == 0, nil
+func (send *streamSend) next(p streamPosition) (ev event, end bool, err error) {
+	if len(send.ahead) > 0 {
+		ev, send.ahead = send.ahead[0], send.ahead[1:]
+		return ev, send.aheadEnd && len(send.ahead) == 0, nil
 	}
-	x.attempt.conn.limitReads(maxEventBytes + maxHeadBytes)
-	ev, err = x.events.next()
+	send.attempt.conn.limitReads(maxEventBytes + maxHeadBytes)
+	ev, err = send.events.next()
 	switch {
-	case errors.Is(err, io.EOF) && x.attempt.endsWithConnection() && (!x.begun || len(ev.data) > 0):
+	case errors.Is(err, io.EOF) && send.attempt.endsWithConnection() && (!send.begun || len(ev.data) > 0):
 		// The connection ended inside an event, or before the first one.
 		return event{}, false, errors.Join(errConnectionBroken, io.ErrUnexpectedEOF)
 	case errors.Is(err, io.EOF):
@@ -139,27 +139,27 @@
 	case err != nil:
 		return event{}, false, readError(err)
 	}
-	x.begun = true
-	if !x.continued && (ev.hasData || ev.id != "") {
+	send.begun = true
+	if !send.continued && (ev.hasData || ev.id != "") {
 		if !isAfter(ev.id, p.lastEventID) {
 			return event{}, false, fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, p.lastEventID)
 		}
-		x.continued = true
+		send.continued = true
 	}
 	return ev, false, nil
 }
 
 // readAhead reads up to the first event with data, or to the end of the stream.
-func (x *streamSend) readAhead(p streamPosition) error {
+func (send *streamSend) readAhead(p streamPosition) error {
 	var list []event
 	for {
-		ev, end, err := x.next(p)
+		ev, end, err := send.next(p)
 		if err != nil {
 			return err
 		}
 		list = append(list, ev)
 		if end || ev.hasData || ev.id != "" {
-			x.ahead, x.aheadEnd = list, end
+			send.ahead, send.aheadEnd = list, end
 			return nil
 		}
 	}
@@ -361,7 +361,7 @@
 
 // buffered reports whether another complete event has been read, so that the caller can postpone
 // a flush.
-func (x *streamSend) buffered() bool { return len(x.ahead) > 0 || x.events.buffered() }
+func (send *streamSend) buffered() bool { return len(send.ahead) > 0 || send.events.buffered() }
 
 // event records an event that was passed on.
 func (r *record) event(now time.Time) {
