--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -189,7 +189,7 @@
 		case reason == "":
 			return r, ""
 		case found != nil:
-			send = found.found
+			send = found.result
 		case !s.started:
 			return r, reason
 		default:
@@ -214,7 +214,7 @@
 		r, reason = h.endFailedSend(q, send, err)
 	}
 	send.close()
-	found = watch.findElsewhere()
+	found = watch.takeResult()
 	if reason == "" {
 		found.discard(h)
 		return r, "", nil
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -24,7 +24,7 @@
 //
 // The goroutine that relays the stream calls begin for each send, arm before it waits for the
 // endpoint, and then claim if an event has come, or hold otherwise. After a send has failed it calls
-// lost and findElsewhere. It may change the request and the position only between hold, claim or
+// lost and takeResult. It may change the request and the position only between hold, claim or
 // lost and the next arm, since the timer copies them at other times.
 type silenceWatch struct {
 	h        *handler
@@ -51,7 +51,7 @@
 	// The silenceWatch guards the fields below until done is closed.
 	stopped bool        // its result is not needed any more
 	ended   bool        // no other endpoint was found
-	found   *streamSend // has sent an event
+	result  *streamSend // has sent an event
 }
 
 func newSilenceWatch(h *handler, q *request, p *streamPosition) *silenceWatch {
@@ -109,7 +109,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.armed = false
-	if w.search != nil && w.search.found != nil {
+	if w.search != nil && w.search.result != nil {
 		return false
 	}
 	if w.silent {
@@ -133,7 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.armed = false
-	return w.search != nil && w.search.found != nil, w.silent
+	return w.search != nil && w.search.result != nil, w.silent
 }
 
 // awaitSearch waits for the end of a search that is running, and reports whether it has found
@@ -147,12 +147,12 @@
 		return false
 	}
 	<-t.done
-	return t.found != nil
+	return t.result != nil
 }
 
-// findElsewhere waits for the end of a search that is running and adds its sends to the request.
+// takeResult waits for the end of a search that is running and adds its sends to the request.
 // The search is returned if it has found another endpoint.
-func (w *silenceWatch) findElsewhere() *search {
+func (w *silenceWatch) takeResult() *search {
 	found := w.awaitSearch()
 	w.mu.Lock()
 	t := w.search
@@ -179,7 +179,7 @@
 		t.cancel()
 	}
 	w.mu.Unlock()
-	w.findElsewhere().discard(w.h)
+	w.takeResult().discard(w.h)
 }
 
 // fire starts a search if the silence has lasted long enough.
@@ -194,7 +194,9 @@
 	}
 	if late >= minReportedDelay {
 		// This process did not run. What the endpoint has sent meanwhile is still to be read.
-		w.due = later(w.due, now.Add(takeoverInterval))
+		if again := now.Add(takeoverInterval); again.After(w.due) {
+			w.due = again
+		}
 	}
 	if now.Before(w.due) {
 		w.setTimer(w.due.Sub(now))
@@ -266,7 +268,7 @@
 		t.ended = true
 		w.h.endUnused(t.request, send)
 	default:
-		t.found = send
+		t.result = send
 		w.h.metrics.takeovers.WithLabelValues(takeoverDone).Inc()
 		w.send.cancel()
 	}
@@ -299,7 +301,7 @@
 			if found == nil {
 				break
 			}
-			send = found.found
+			send = found.result
 		}
 	}
 }
@@ -342,8 +344,8 @@
 
 // discard ends the send of a search that is not used. The search may be nil.
 func (t *search) discard(h *handler) {
-	if t != nil && t.found != nil {
-		h.endUnused(t.request, t.found)
+	if t != nil && t.result != nil {
+		h.endUnused(t.request, t.result)
 	}
 }
 
@@ -365,14 +367,6 @@
 // errTakenOver means that another endpoint has continued the stream of a silent one.
 var errTakenOver = errors.New("another endpoint has continued the stream")
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // copyFor returns a copy of a request for a send beside the current one.
 func (q *request) copyFor(ctx context.Context) *request {
 	n := *q
