--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -56,6 +56,14 @@
 	// that misses several is removed. Default 1 s.
 	Heartbeat settings.Duration `yaml:"heartbeat"`
 
+	// Zones maps each availability zone to its region. Orders to evacuate other zones are
+	// refused. Default empty.
+	Zones map[string]string `yaml:"zones"`
+	// ZoneLosses is the number of zones whose loss the deployment tolerates. If it is above 0,
+	// the voters are spread so that the loss of any one zone leaves a majority. Default 0:
+	// voters are chosen regardless of their zone.
+	ZoneLosses int `yaml:"zone_losses"`
+
 	// VoterLoss is the time without a message after which a voter is replaced
 	// or removed. A shorter time repairs sooner; a longer one keeps a voter
 	// through a restart. Default 15 s.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -34,11 +34,17 @@
 	LastEvent    string // empty to keep the value of the caller
 	// Version is the version of the weights that the request must run on; zero for any.
 	Version uint64
+	// Priority is the rank of the request, 0 the highest. It is sent if Prioritized is true.
+	Priority    int
+	Prioritized bool
 }
 
 // Load is the load that an endpoint reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the endpoint now, relative to the usual time: 2 is half as
+	// fast as usual. Zero means not stated.
+	Pace float64
 }
 
 // Answer holds the values in the headers of an endpoint's answer.
@@ -66,6 +72,8 @@
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// given.
 	IdleTimeout time.Duration
+	// ColdFor is how long the endpoint remains cold; zero if it states nothing.
+	ColdFor time.Duration
 }
 
 // HeaderCodec reads and writes the HTTP headers that a platform defines for requests
@@ -98,6 +106,9 @@
 	Orders  uint64 // accepted since the engine started
 	Running int
 	Waiting int
+	// Pace is how long work takes at the engine now, relative to the usual time; zero if it is
+	// not stated.
+	Pace float64
 	// Started is the start time of the engine in Unix milliseconds.
 	Started uint64
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -13,6 +13,8 @@
 	defaultRetryRatio   = 0.1
 	defaultRetrySlack   = 20
 	defaultMaxPause     = time.Hour
+	defaultColdOverage  = 1
+	defaultColdSlack    = 1
 )
 
 // Settings are the settings of the relay daemon.
@@ -49,6 +51,15 @@
 	// entry from sending it others. A shorter limit brings an endpoint back sooner that
 	// states an absurd time, but disregards those that mean it. Default 1 h.
 	MaxPause settings.Duration `yaml:"max_pause"`
+	// Zones maps each availability zone to its region. Requests that are bound to regions are
+	// sent to no endpoint of a zone that is not listed. Default empty.
+	Zones map[string]string `yaml:"zones"`
+	// ColdOverage and ColdSlack bound the requests that a cold endpoint gets in any second from
+	// all entries: ColdOverage times the rate that the routing document states, plus ColdSlack.
+	// Lower values are safer for endpoints that crash; higher ones use more of their capacity.
+	// Default 1 and 1.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
 }
 
 // DefaultSettings returns the default settings.
@@ -56,7 +67,7 @@
 	return Settings{
 		Common: settings.DefaultCommon(), Grace: settings.Duration(defaultGrace),
 		WeightsBound: settings.Duration(defaultWeightsBound), RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack,
-		MaxPause: settings.Duration(defaultMaxPause),
+		MaxPause: settings.Duration(defaultMaxPause), ColdOverage: defaultColdOverage, ColdSlack: defaultColdSlack,
 	}
 }
 
@@ -78,6 +89,9 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		p.Add("retry_ratio", "must be from 0 to 1, got %v", s.RetryRatio)
 	}
+	if !(s.ColdOverage > 0) || s.ColdSlack < 0 {
+		p.Add("cold_overage", "must be above 0, and cold_slack not negative; got %v and %v", s.ColdOverage, s.ColdSlack)
+	}
 	if s.RetrySlack < 0 {
 		p.Add("retry_slack", "must not be negative, got %v", s.RetrySlack)
 	}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -30,6 +30,8 @@
 	LoadPending bool `cbor:"12,keyasint,omitempty"`
 	// Loads tells whether the weights of an engine were verified.
 	Loads EngineLoads `cbor:"13,keyasint,omitempty"`
+	// ColdMs is how long the server reports that it remains cold.
+	ColdMs int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // EngineLoads tells up to which order the loads of an engine were verified. An engine takes
@@ -229,6 +231,10 @@
 	// Leaderless is true while the replica knows no leader. It may be partitioned from
 	// the others, so its messages may be out of date.
 	Leaderless bool `cbor:"7,keyasint,omitempty"`
+	// Evacuated lists the evacuated zones, sorted. EvacuationRevision increases with each change
+	// of the list.
+	Evacuated          []string `cbor:"8,keyasint,omitempty"`
+	EvacuationRevision uint64   `cbor:"9,keyasint,omitempty"`
 }
 
 // Replica is a control replica to which processes may connect.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -25,6 +25,13 @@
 	// DrainsIn is the time until the endpoint starts to drain to load other weights,
 	// counted from the first Update that states it; zero if no drain is planned.
 	DrainsIn time.Duration
+	// Region is the region of the zone; empty if it is unknown.
+	Region string
+	// Evacuated is true while the zone is evacuated: the endpoint must get no requests.
+	Evacuated bool
+	// ColdFor is the time for which the endpoint reports that it remains cold, counted from
+	// the first Update that states it; zero if it reports none.
+	ColdFor time.Duration
 }
 
 // Load is the load of one endpoint.
@@ -72,6 +79,10 @@
 	Serialized bool
 	// Only is the ID of the only endpoint to consider; empty means all.
 	Only string
+	// Regions are the regions in which the request may be served.
+	Regions Regions
+	// Priority is the rank of the request, 0 the highest.
+	Priority int
 }
 
 // WeightsBound is the time by which a request must have begun if it runs on weights older
--- a/routing/document.go
+++ b/routing/document.go
@@ -60,6 +60,8 @@
 	Anonymous   bool // accept requests without an API key
 	Affinity    bool // requests share prompt prefixes
 	Resumable   bool // an interrupted stream may resume on another endpoint
+	// Regions are the only regions in which requests may be served; empty for all.
+	Regions []string
 }
 
 // Repeatable reports whether a request may be retried if it may already have run.
@@ -95,13 +97,23 @@
 	// Origin is the address from which weights are downloaded. A service with an origin
 	// has no endpoints.
 	Origin string
+	// ColdStart is how long an endpoint is cold after a start, and ColdPerSecond how many
+	// requests per second it tolerates meanwhile from all entries together. Endpoints of a
+	// service are never cold if ColdPerSecond is 0.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Organisation is a customer with its API keys.
 type Organisation struct {
 	Name     string
 	Keys     []string
-	Priority int
+	Priority int // 0 is the highest; takes precedence over the priority of a route
+	// Prioritized is false if the document states no priority for the organisation.
+	Prioritized bool
+	// Regions are the only regions in which requests of the organisation may be served; empty
+	// for all. The regions of the route are binding as well.
+	Regions []string
 }
 
 // Limits are the limits on client requests.
@@ -146,6 +158,9 @@
 		if err := s.Engine.validate(); err != nil {
 			return fmt.Errorf("%w: service %q: %w", ErrInvalid, s.Name, err)
 		}
+		if !validDuration(s.ColdStart) || !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxEngineNumber) {
+			return fmt.Errorf("%w: service %q: time or rate of cold endpoints is out of range", ErrInvalid, s.Name)
+		}
 		if s.MaxConnections < 0 {
 			return fmt.Errorf("%w: service %q: maximum of connections is negative", ErrInvalid, s.Name)
 		}
