placement: order the queue by priority, refuse what it displaces at once

Cause: the queue goes by deadline alone, so prompts that are short and have a wide objective displace urgent ones. Priorities are decoded and used nowhere.

Change: the rank of a request is the priority of its organisation, then that of its route. The queue is ordered by class of service, rank and deadline; a request whose turn cannot come, at the recent rate of more urgent ones, is refused when it comes or when it is displaced. Each rank keeps a twentieth of the slots. The rank is sent to engines.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -222,7 +222,7 @@
 
 // prefill returns the prefill work of the request.
 func (q *request) prefill() placement.Prefill {
-	return placement.Prefill{PromptTokens: q.call.PromptTokens}
+	return placement.Prefill{PromptTokens: q.call.PromptTokens, Priority: q.priority}
 }
 
 // maxWait returns how long a request may wait for a slot. A request whose endpoint
@@ -346,7 +346,7 @@
 // refuses or does not respond, the endpoint is not selected for a while.
 func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
 	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, placement.SlotRequest{
-		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID}, Redirected: true,
+		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority}, Redirected: true,
 	})
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	now := time.Now()
@@ -371,6 +371,8 @@
 	switch v {
 	case placement.NoEndpoint:
 		reason = NoEndpoint
+	case placement.Displaced:
+		reason = Displaced
 	case placement.RateLimited:
 		reason = RateLimited
 	}
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -15,13 +15,16 @@
 	// Draining means that the request arrived late in a drain and could have outlasted it.
 	Draining Reason = "draining"
 	// GracePeriodOver means that the request outlasted the drain.
-	GracePeriodOver  Reason = "grace-period-over"
-	NoRoute          Reason = "no-route"
-	UnknownKey       Reason = "unknown-key"
-	BodyTooLarge     Reason = "body-too-large"
-	BadBody          Reason = "bad-body"
-	NoEndpoint       Reason = "no-endpoint"
-	NoSlot           Reason = "no-slot"
+	GracePeriodOver Reason = "grace-period-over"
+	NoRoute         Reason = "no-route"
+	UnknownKey      Reason = "unknown-key"
+	BodyTooLarge    Reason = "body-too-large"
+	BadBody         Reason = "bad-body"
+	NoEndpoint      Reason = "no-endpoint"
+	NoSlot          Reason = "no-slot"
+	// Displaced means that the request was queued and more urgent ones came before it, so that
+	// it would have got no slot in time.
+	Displaced        Reason = "displaced"
 	EndpointsRefused Reason = "endpoints-refused"
 	// RateLimited means that the endpoints with room have reached the request rate that
 	// they accept.
@@ -76,7 +79,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, EndpointsRefused, RateLimited, EndpointsPaused,
+		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, Displaced, EndpointsRefused, RateLimited, EndpointsPaused,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,6 +33,7 @@
 	route        *routing.Route
 	service      string
 	organisation string
+	priority     int // rank, see routing.Rank
 	table        *routing.Table
 
 	tried   []string      // endpoints that the request was sent to
@@ -128,6 +129,7 @@
 // route allows anonymous callers or the routing document has no keys.
 func (q *request) authorize() *refusal {
 	organisation := q.table.Organisation(q.call.Key)
+	q.priority = q.route.Rank(organisation)
 	if organisation != nil {
 		q.organisation = organisation.Name
 		return nil
@@ -216,6 +218,6 @@
 // placementRequest converts the request for package placement.
 func (q *request) placementRequest(zone string, minVersion, softVersion, preferred uint64) placement.Request {
 	return placement.Request{
-		PromptTokens: q.call.PromptTokens, AnswerTokens: q.call.LengthHint, Zone: zone, MinVersion: minVersion, SoftMinVersion: softVersion, PreferredVersion: preferred, GapObjective: q.route.GapObjective, Late: q.late, Exclude: q.tried,
+		PromptTokens: q.call.PromptTokens, AnswerTokens: q.call.LengthHint, Zone: zone, MinVersion: minVersion, SoftMinVersion: softVersion, PreferredVersion: preferred, GapObjective: q.route.GapObjective, Late: q.late, Exclude: q.tried, Priority: q.priority,
 	}
 }
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -96,9 +96,10 @@
 	pool       *Pool
 	grants     map[SlotRequestID]grant
 	lastSeen   map[string]time.Time // time of the last message, by entry
-	queue      []queuedRequest      // in order of service
-	suspects   []queuedRequest      // requests that may crash their endpoints and wait, in order of arrival
-	responses  []SlotResponse       // not yet returned to the caller
+	queue      requestQueue
+	arrivals   arrivals
+	suspects   []queuedRequest // requests that may crash their endpoints and wait, in order of arrival
+	responses  []SlotResponse  // not yet returned to the caller
 	peerGroups map[string]peerGroup
 	minVersion uint64 // highest minimum version of the weights in any request so far
 }
@@ -108,17 +109,13 @@
 	incarnation uint64
 	prefill     Prefill
 	inPrefill   bool // no first event yet
+	priority    int
 	suspects    []uint64
 	grantedAt   time.Time
 	// sentAfter is a time before the request was sent; zero if unknown.
 	sentAfter time.Time
 }
 
-type queuedRequest struct {
-	SlotRequest
-	deadline time.Time
-}
-
 type peerGroup struct {
 	freeSlots  int
 	receivedAt time.Time
@@ -157,7 +154,7 @@
 		return
 	}
 	queued := func(w queuedRequest) bool { return w.SlotRequestID == a.SlotRequestID }
-	if slices.ContainsFunc(b.queue, queued) || slices.ContainsFunc(b.suspects, queued) {
+	if slices.ContainsFunc(b.queue.waiting, queued) || slices.ContainsFunc(b.suspects, queued) {
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 		return
 	}
@@ -165,6 +162,7 @@
 	if a.TimeLeft > 0 && !a.Late {
 		a.Due = now.Add(a.TimeLeft)
 	}
+	b.arrivals.record(a.urgency(), now)
 	b.place(a, now)
 }
 
@@ -177,7 +175,7 @@
 	}
 	choice, verdict := b.pool.Place(a.Request, now)
 	onTime := a.Late || a.Resumed || a.TimeLeft <= 0 || choice.TTFT <= a.TimeLeft
-	if verdict == Placed && onTime && !b.mustQueue(a) {
+	if verdict == Placed && onTime && !b.mustQueue(a, now) {
 		b.grant(a, choice, now)
 		return
 	}
@@ -185,7 +183,7 @@
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Redirected, Group: group, Late: a.Late})
 		return
 	}
-	if verdict == Placed && !onTime && !b.mustQueue(a) {
+	if verdict == Placed && !onTime && !b.mustQueue(a, now) {
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
@@ -201,14 +199,16 @@
 	if a.Late {
 		maxWait = max(maxWait, lateMaxWait)
 	}
-	interval := b.pool.NextSlot(a.Request, now)
-	ahead := b.queuePosition(a, now.Add(maxWait))
+	interval := b.slotInterval(a, now)
+	w := queuedRequest{a, now.Add(maxWait)}
+	ahead := b.queue.position(w)
 	if verdict == NoEndpoint || interval*time.Duration(ahead+1) > maxWait {
 		b.refuse(a, verdict, interval, ahead)
 		return
 	}
-	b.enqueue(queuedRequest{a, now.Add(maxWait)})
+	b.queue.insert(w)
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
+	b.refuseDisplaced(a, now)
 }
 
 // placeRequest selects an endpoint. Two requests that may crash their endpoints begin at
@@ -265,7 +265,7 @@
 		}
 	}
 	if verdict == NoEndpoint || maxWait <= 0 || len(b.suspects) >= maxWaitingSuspects {
-		b.refuse(a, verdict, b.pool.NextSlot(a.Request, now), len(b.queue))
+		b.refuse(a, verdict, b.pool.NextSlot(a.Request, now), b.queue.len())
 		return
 	}
 	b.suspects = append(b.suspects, w)
@@ -274,7 +274,7 @@
 
 // precedesQueue reports whether a waiting suspect comes before all queued requests.
 func (b *Broker) precedesQueue(w queuedRequest) bool {
-	return len(b.queue) == 0 || compareQueued(w, b.queue[0]) < 0
+	return b.queue.len() == 0 || compareQueued(w, b.queue.waiting[0]) < 0
 }
 
 // placeSuspects places the waiting requests that may crash their endpoints and whose turn it
@@ -296,7 +296,7 @@
 			}
 		}
 		if ends {
-			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), len(b.queue))
+			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), b.queue.len())
 			continue
 		}
 		b.suspects = append(b.suspects, w)
@@ -309,7 +309,7 @@
 	b.pool.Begin(c.ID, a.Prefill())
 	b.pool.TakePermit(c.ID, now)
 	b.grants[a.SlotRequestID] = grant{
-		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, suspects: a.Suspects, grantedAt: now, sentAfter: now,
+		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, sentAfter: now,
 	}
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Late: a.Late})
 }
@@ -318,54 +318,17 @@
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: v, SlotInterval: interval, Ahead: ahead, Late: a.Late})
 }
 
-// compareQueued orders the queue by priority, then by deadline.
-func compareQueued(a, b queuedRequest) int {
-	return cmp.Or(cmp.Compare(a.priority(), b.priority()), a.deadline.Compare(b.deadline))
-}
-
-// priority returns the rank of a request in the queue, served in ascending order: resumed
-// streams, requests that can still meet their objective, and late ones.
-func (a SlotRequest) priority() int {
-	switch {
-	case a.Resumed:
-		return 0
-	case !a.Late:
-		return 1
-	}
-	return 2
-}
-
-func (b *Broker) enqueue(w queuedRequest) {
-	b.queue = slices.Insert(b.queue, b.queuePosition(w.SlotRequest, w.deadline), w)
-}
-
-// queuePosition returns the number of queued requests that come before one with the given
-// deadline.
-func (b *Broker) queuePosition(a SlotRequest, deadline time.Time) int {
-	at, _ := slices.BinarySearchFunc(b.queue, queuedRequest{a, deadline}, func(w, target queuedRequest) int {
-		if compareQueued(w, target) <= 0 {
-			return -1 // equal requests keep their order of arrival
-		}
-		return 1
-	})
-	return at
-}
-
-// mustQueue reports whether a queued request of the same or a higher priority comes
-// before a new one.
-func (b *Broker) mustQueue(a SlotRequest) bool {
-	return len(b.queue) > 0 && b.queue[0].priority() <= a.priority()
-}
-
 // serveQueue grants free slots to queued requests and refuses those whose deadline has
 // passed.
 func (b *Broker) serveQueue(now time.Time) {
-	if len(b.suspects) > 0 && len(b.queue) > 0 {
+	if len(b.suspects) > 0 && b.queue.len() > 0 {
 		b.placeSuspects(now) // those that come before the queue
 	}
-	remaining := b.queue[:0]
+	b.serveMinimumShares(now)
+	waiting := b.queue.waiting
+	remaining := waiting[:0]
 	failedTries := 0
-	for _, w := range b.queue {
+	for _, w := range waiting {
 		if failedTries < maxFailedTries {
 			if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
 				b.grant(w.SlotRequest, choice, now)
@@ -374,14 +337,14 @@
 			failedTries++
 		}
 		if !now.Before(w.deadline) {
-			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), len(remaining))
+			b.refuse(w.SlotRequest, Full, b.slotInterval(w.SlotRequest, now), len(remaining))
 			continue
 		}
 		remaining = append(remaining, w)
 	}
-	clear(b.queue[len(remaining):])
-	b.queue = remaining
-	if len(b.suspects) > 0 && len(b.queue) == 0 {
+	clear(waiting[len(remaining):])
+	b.queue.waiting = remaining
+	if len(b.suspects) > 0 && b.queue.len() == 0 {
 		b.placeSuspects(now)
 	}
 }
@@ -464,7 +427,8 @@
 }
 
 func (b *Broker) removeQueued(remove func(queuedRequest) bool) {
-	b.queue, b.suspects = slices.DeleteFunc(b.queue, remove), slices.DeleteFunc(b.suspects, remove)
+	b.queue.remove(remove)
+	b.suspects = slices.DeleteFunc(b.suspects, remove)
 }
 
 func (b *Broker) release(id SlotRequestID, result Result, now time.Time) time.Duration {
@@ -535,7 +499,7 @@
 // while requests are queued.
 func (b *Broker) Summary(now time.Time) Summary {
 	var s Summary
-	if len(b.queue) == 0 {
+	if b.queue.len() == 0 {
 		s.FreeSlots = b.pool.freeSlots(Request{MinVersion: b.minVersion}, now)
 	}
 	return s
@@ -550,7 +514,7 @@
 
 // Counts returns the number of queued requests and of granted slots.
 func (b *Broker) Counts() (waiting, granted int) {
-	return len(b.queue) + len(b.suspects), len(b.grants)
+	return b.queue.len() + len(b.suspects), len(b.grants)
 }
 
 // Entry is one of the entry processes that share the endpoints of a service.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -98,10 +98,14 @@
 	// Due is the time by which the first event must arrive to meet the latency
 	// objective; zero means none.
 	Due time.Time
+	// Priority is the rank of the request, 0 the highest.
+	Priority int
 }
 
 // Prefill returns the prefill work of the request.
-func (r Request) Prefill() Prefill { return Prefill{PromptTokens: r.PromptTokens, Due: r.Due} }
+func (r Request) Prefill() Prefill {
+	return Prefill{PromptTokens: r.PromptTokens, Due: r.Due, Priority: r.Priority}
+}
 
 // Config configures a Pool. The zero value of a field takes its default.
 type Config struct {
@@ -245,6 +249,9 @@
 	// RateLimited means that endpoints have room, but a request would exceed the rate
 	// that they accept.
 	RateLimited
+	// Displaced means that more urgent requests were queued before a queued one, so that it
+	// gets no slot in time.
+	Displaced
 )
 
 // Place selects the endpoint with the earliest predicted first event, after penalties for
@@ -404,15 +411,15 @@
 	return true
 }
 
-// delaysPending reports whether a request would make pending requests at an engine miss
-// their objective. A pass prefills all pending prompts before it decodes, so all their
+// delaysPending reports whether a request would make pending requests of the same or a higher
+// priority at an engine miss their objective. A pass prefills all pending prompts before it decodes, so all their
 // first events arrive at its end.
 func (p *Pool) delaysPending(s *endpointState, load Load, r Request, now time.Time) bool {
 	if p.engine == nil || len(s.inPrefill) == 0 {
 		return false
 	}
 	end := now.Add(milliseconds(p.passEndMs(load, r.PromptTokens)))
-	return slices.ContainsFunc(s.inPrefill, func(w Prefill) bool { return w.Due.After(now) && end.After(w.Due) })
+	return slices.ContainsFunc(s.inPrefill, func(w Prefill) bool { return w.Priority <= r.Priority && w.Due.After(now) && end.After(w.Due) })
 }
 
 const (
--- /dev/null
+++ b/placement/queue_by_cost.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// requestQueue holds the requests of all entries that wait for a slot, in order of service.
+// It answers the load of more requests than the endpoints can serve on time: what waits
+// longer, or is refused, is what costs callers least.
+type requestQueue struct{ waiting []queuedRequest }
+
+type queuedRequest struct {
+	SlotRequest
+	deadline time.Time
+}
+
+// urgency is the part of the queue's order that does not depend on the time.
+type urgency struct {
+	class int // of service, see class
+	rank  int // priority of the request
+}
+
+// Classes of service, in order.
+const (
+	classResumed = iota // callers of an interrupted stream lose what they have already got
+	classOnTime
+	// classLate holds requests that can no longer meet their objective. They are worth little
+	// of what an answer on time is worth, so they only use what the others leave, whatever
+	// their priority.
+	classLate
+)
+
+func (a SlotRequest) urgency() urgency {
+	u := urgency{class: classOnTime, rank: a.Priority}
+	switch {
+	case a.Resumed:
+		u.class = classResumed
+	case a.Late:
+		u.class = classLate
+	}
+	return u
+}
+
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.class, o.class), cmp.Compare(u.rank, o.rank))
+}
+
+// compareQueued orders the queue by class of service, priority and deadline.
+func compareQueued(a, b queuedRequest) int {
+	return cmp.Or(a.urgency().compare(b.urgency()), a.deadline.Compare(b.deadline))
+}
+
+func (q *requestQueue) len() int { return len(q.waiting) }
+
+// position returns the number of queued requests that come before w.
+func (q *requestQueue) position(w queuedRequest) int {
+	at, _ := slices.BinarySearchFunc(q.waiting, w, func(held, target queuedRequest) int {
+		if compareQueued(held, target) <= 0 {
+			return -1 // equal requests keep their order of arrival
+		}
+		return 1
+	})
+	return at
+}
+
+func (q *requestQueue) insert(w queuedRequest) {
+	q.waiting = slices.Insert(q.waiting, q.position(w), w)
+}
+
+func (q *requestQueue) remove(match func(queuedRequest) bool) {
+	q.waiting = slices.DeleteFunc(q.waiting, match)
+}
+
+// precedes reports whether a queued request comes before a new one that could start now.
+func (q *requestQueue) precedes(a SlotRequest) bool {
+	return len(q.waiting) > 0 && q.waiting[0].urgency().compare(a.urgency()) <= 0
+}
+
+// removeHopeless removes and returns the requests that are less urgent than a new one and
+// that, behind it, get no slot within their wait if one becomes free for them per interval. The
+// numbers of requests ahead of them are returned as well.
+func (q *requestQueue) removeHopeless(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (hopeless []queuedRequest, ahead []int) {
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		if w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && now.Add(interval(w)*time.Duration(len(kept)+1)).After(w.deadline) {
+			hopeless, ahead = append(hopeless, w), append(ahead, len(kept))
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+	return hopeless, ahead
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -12,6 +12,7 @@
 	routes   map[string][]*Route // by host, longest prefix first
 	services map[string]*Service
 	keys     map[string]*Organisation
+	ranked   bool
 }
 
 // Compile builds the Table of a valid document.
@@ -36,9 +37,13 @@
 			t.keys[key] = &d.Organisations[i]
 		}
 	}
+	t.ranked = d.ranked()
 	return t
 }
 
+// Ranked reports whether the document tells more urgent requests from less urgent ones.
+func (t *Table) Ranked() bool { return t.ranked }
+
 // Route returns the route of a host with the longest matching path prefix, or nil. It
 // ignores the port and the case of the host.
 func (t *Table) Route(host, path string) *Route {
