placement: judge late requests by the plain slot interval; rank in local queues

Cause: after a loss of power callers come back in waves, and the rate of more urgent late requests predicted that nobody less urgent would get a slot: twice as many were refused a second time.

Change: only requests that can be on time leave room for more urgent ones, and only they are displaced. The queue of an entry without a broker is ordered by rank as well.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -319,13 +319,13 @@
 			d.mu.Unlock()
 			return choice, nil
 		}
-		if verdict == placement.NoEndpoint || !p.queue.ServedWithin(deadline.Sub(now), p.NextSlot(r, now)) {
+		if verdict == placement.NoEndpoint || !p.queue.ServedWithin(r.Priority, deadline.Sub(now), p.NextSlot(r, now)) {
 			delay := d.localRetryAfter(p, r, now)
 			d.mu.Unlock()
 			return choice, placementRefusal(verdict, delay)
 		}
 		ready = make(chan struct{})
-		p.queue.Push(deadline, ready)
+		p.queue.Push(r.Priority, deadline, ready)
 		d.mu.Unlock()
 		timer := time.NewTimer(deadline.Sub(now))
 		select {
@@ -396,7 +396,7 @@
 // localRetryAfter returns the retry delay for a request that was refused from local
 // state. The caller holds mu.
 func (d *dispatcher) localRetryAfter(p *poolState, r placement.Request, now time.Time) time.Duration {
-	return afterPauses(p, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Len()}), now)
+	return afterPauses(p, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Ahead(r.Priority)}), now)
 }
 
 // retryAfter returns the retry delay for a refused request: the predicted time until
--- a/placement/admission.go
+++ b/placement/admission.go
@@ -68,9 +68,13 @@
 }
 
 // slotInterval predicts the time between two slots that become free for requests as urgent as
-// a: those that more urgent requests are expected to take are left out.
+// a: those that more urgent requests are expected to take are left out. Late requests come in
+// waves, after capacity was lost, and their recent rate says nothing about the next second.
 func (b *Broker) slotInterval(a SlotRequest, now time.Time) time.Duration {
 	interval := b.pool.NextSlot(a.Request, now)
+	if a.Late {
+		return interval
+	}
 	taken := min(maxTakenShare, b.arrivals.morePressing(a.urgency(), now)*interval.Seconds())
 	return time.Duration(float64(interval) / (1 - taken))
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -236,14 +236,14 @@
 func TestWaitQueue(t *testing.T) {
 	is := is.New(t)
 	var l placement.WaitQueue[int]
-	l.Push(start.Add(3*time.Second), 3)
-	l.Push(start.Add(time.Second), 1)
-	l.Push(start.Add(2*time.Second), 2)
-	l.Push(start.Add(4*time.Second), 4)
+	l.Push(0, start.Add(3*time.Second), 3)
+	l.Push(0, start.Add(time.Second), 1)
+	l.Push(0, start.Add(2*time.Second), 2)
+	l.Push(0, start.Add(4*time.Second), 4)
 	l.Remove(2)
 	is.Equal(l.Len(), 3)
-	is.True(l.ServedWithin(400*time.Millisecond, 100*time.Millisecond))
-	is.True(!l.ServedWithin(399*time.Millisecond, 100*time.Millisecond))
+	is.True(l.ServedWithin(0, 400*time.Millisecond, 100*time.Millisecond))
+	is.True(!l.ServedWithin(0, 399*time.Millisecond, 100*time.Millisecond))
 	for _, want := range []int{1, 3, 4} {
 		got, ok := l.Pop()
 		is.True(ok)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -1,35 +1,49 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// WaitQueue is a queue of requests without a slot, earliest deadline first. It absorbs
+// WaitQueue is a queue of requests without a slot, ordered by priority and deadline. It absorbs
 // short bursts; callers remove a request whose deadline has passed.
 type WaitQueue[T comparable] struct{ requests []queued[T] }
 
 type queued[T comparable] struct {
+	priority int
 	deadline time.Time
 	request  T
 }
 
+func (w queued[T]) compare(o queued[T]) int {
+	return cmp.Or(cmp.Compare(w.priority, o.priority), w.deadline.Compare(o.deadline))
+}
+
 // Len returns the number of queued requests.
 func (l *WaitQueue[T]) Len() int { return len(l.requests) }
 
+// Ahead returns the number of queued requests that come before one with the given priority, of
+// any deadline.
+func (l *WaitQueue[T]) Ahead(priority int) int {
+	at, _ := slices.BinarySearchFunc(l.requests, priority+1, func(w queued[T], p int) int { return cmp.Compare(w.priority, p) })
+	return at
+}
+
 // ServedWithin reports whether a request added now would get a slot within maxWait, if
 // one slot becomes free per interval.
-func (l *WaitQueue[T]) ServedWithin(maxWait, interval time.Duration) bool {
-	return maxWait > 0 && interval*time.Duration(len(l.requests)+1) <= maxWait
+func (l *WaitQueue[T]) ServedWithin(priority int, maxWait, interval time.Duration) bool {
+	return maxWait > 0 && interval*time.Duration(l.Ahead(priority)+1) <= maxWait
 }
 
-// Push adds a request with the given deadline.
-func (l *WaitQueue[T]) Push(deadline time.Time, request T) {
-	at, _ := slices.BinarySearchFunc(l.requests, deadline, func(w queued[T], t time.Time) int { return w.deadline.Compare(t) })
-	l.requests = slices.Insert(l.requests, at, queued[T]{deadline, request})
+// Push adds a request with the given priority and deadline.
+func (l *WaitQueue[T]) Push(priority int, deadline time.Time, request T) {
+	w := queued[T]{priority, deadline, request}
+	at, _ := slices.BinarySearchFunc(l.requests, w, queued[T].compare)
+	l.requests = slices.Insert(l.requests, at, w)
 }
 
-// Pop removes and returns the request with the earliest deadline.
+// Pop removes and returns the first request.
 func (l *WaitQueue[T]) Pop() (T, bool) {
 	if len(l.requests) == 0 {
 		var zero T
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -84,7 +84,7 @@
 func (q *requestQueue) removeHopeless(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (hopeless []queuedRequest, ahead []int) {
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
-		if w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && now.Add(interval(w)*time.Duration(len(kept)+1)).After(w.deadline) {
+		if !w.Late && w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && now.Add(interval(w)*time.Duration(len(kept)+1)).After(w.deadline) {
 			hopeless, ahead = append(hopeless, w), append(ahead, len(kept))
 			continue
 		}
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -209,3 +209,28 @@
 		is.Equal(order, []uint64{102, 103, 101})
 	}
 }
+
+// Guards against an entry without a broker that lets urgent requests wait behind less urgent
+// ones whose deadline is earlier.
+func TestWaitQueueOrdersByPriority(t *testing.T) {
+	is := is.New(t)
+	var q placement.WaitQueue[string]
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	q.Push(2, at(10), "digest")
+	q.Push(0, at(300), "summary")
+	q.Push(0, at(200), "earlier summary")
+	is.Equal(q.Ahead(0), 2)
+	is.Equal(q.Ahead(1), 2)
+	is.Equal(q.Ahead(2), 3)
+	is.True(q.ServedWithin(0, 300*time.Millisecond, 100*time.Millisecond))
+	is.True(!q.ServedWithin(2, 300*time.Millisecond, 100*time.Millisecond))
+	var order []string
+	for {
+		next, ok := q.Pop()
+		if !ok {
+			break
+		}
+		order = append(order, next)
+	}
+	is.Equal(order, []string{"earlier summary", "summary", "digest"})
+}
