routing: allowed regions of requests and hosts

Cause: documents may state allowed regions of routes and organisations; nothing uses them.

A list with an empty name is invalid; names of unknown regions are valid.

--- a/routing/document.go
+++ b/routing/document.go
@@ -180,6 +180,9 @@
 	if err := d.Limits.validate(); err != nil {
 		return err
 	}
+	if err := d.validateRegions(); err != nil {
+		return err
+	}
 	return d.validateKeys()
 }
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"net"
 	"sort"
 	"strings"
 )
@@ -47,10 +46,7 @@
 // Route returns the route of a host with the longest matching path prefix, or nil. It
 // ignores the port and the case of the host.
 func (t *Table) Route(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, r := range t.routes[strings.ToLower(host)] {
+	for _, r := range t.routes[hostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
