placement: keep bound requests inside their regions

Cause: Request.Regions was ignored by pools and brokers.

Change: an endpoint outside the allowed regions, or in an unknown one, is not eligible. The verdict NoAllowedRegion tells its refusals from others. Summaries state the free slots by region, so that a bound request is redirected only where one is free. A request that waits for a full region neither counts as ahead of requests that cannot use its slot nor keeps them from starting.

--- a/placement/admission.go
+++ b/placement/admission.go
@@ -10,10 +10,10 @@
 // starve all others. A higher share delays urgent requests.
 const minimumShare = 0.05
 
-// mustQueue reports whether a new request may not start now, because a queued one comes before
-// it.
-func (b *Broker) mustQueue(a SlotRequest, now time.Time) bool {
-	return b.queue.precedes(a) && !b.belowMinimumShare(a, now)
+// mustQueue reports whether a new request may not start at an endpoint now, because a queued one
+// that could start there comes before it.
+func (b *Broker) mustQueue(a SlotRequest, c Choice, now time.Time) bool {
+	return b.queue.precedes(a, c.Region) && !b.belowMinimumShare(a, now)
 }
 
 // belowMinimumShare reports whether the priority of a request holds less than its minimum share
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -57,6 +57,9 @@
 // Summary is what the broker of a group reports to the brokers of other groups.
 type Summary struct {
 	FreeSlots int // free slots of healthy endpoints
+	// FreeByRegion are those in regions that are known. It tells which requests that are bound
+	// to regions may be redirected to the group.
+	FreeByRegion map[string]int
 }
 
 const (
@@ -76,8 +79,8 @@
 	// maxWaitingSuspects limits the requests that may crash their endpoints and wait: each
 	// event of the group looks at all of them.
 	maxWaitingSuspects = 64
-	// maxFailedTries limits how many queued requests may fail to be placed in one pass
-	// over the queue. More than one is tried because the first may exclude the endpoint
+	// maxFailedTries limits how many queued requests that are bound to the same regions may
+	// fail to be placed in one pass over the queue. More than one is tried because the first may exclude the endpoint
 	// with the free slot.
 	maxFailedTries = 8
 )
@@ -117,8 +120,9 @@
 }
 
 type peerGroup struct {
-	freeSlots  int
-	receivedAt time.Time
+	freeSlots    int
+	freeByRegion map[string]int
+	receivedAt   time.Time
 }
 
 // NewBroker returns a broker without endpoints.
@@ -175,7 +179,7 @@
 	}
 	choice, verdict := b.pool.Place(a.Request, now)
 	onTime := a.Late || a.Resumed || a.TimeLeft <= 0 || choice.TTFT <= a.TimeLeft
-	if verdict == Placed && onTime && !b.mustQueue(a, now) {
+	if verdict == Placed && onTime && !b.mustQueue(a, choice, now) {
 		b.grant(a, choice, now)
 		return
 	}
@@ -183,7 +187,7 @@
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Redirected, Group: group, Late: a.Late})
 		return
 	}
-	if verdict == Placed && !onTime && !b.mustQueue(a, now) {
+	if verdict == Placed && !onTime && !b.mustQueue(a, choice, now) {
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
@@ -201,7 +205,7 @@
 	}
 	interval := b.slotInterval(a, now)
 	w := queuedRequest{a, now.Add(maxWait)}
-	ahead := b.queue.position(w)
+	ahead := b.queue.ahead(w)
 	if verdict == NoEndpoint || interval*time.Duration(ahead+1) > maxWait {
 		b.refuse(a, verdict, interval, ahead)
 		return
@@ -315,6 +319,7 @@
 }
 
 func (b *Broker) refuse(a SlotRequest, v Verdict, interval time.Duration, ahead int) {
+	v = b.pool.refusalVerdict(a.Request, v)
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: v, SlotInterval: interval, Ahead: ahead, Late: a.Late})
 }
 
@@ -327,14 +332,14 @@
 	b.serveMinimumShares(now)
 	waiting := b.queue.waiting
 	remaining := waiting[:0]
-	failedTries := 0
+	failed := failedTries{}
 	for _, w := range waiting {
-		if failedTries < maxFailedTries {
+		if !failed.exhausted(w.Regions) {
 			if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
 				b.grant(w.SlotRequest, choice, now)
 				continue
 			}
-			failedTries++
+			failed.record(w.Regions)
 		}
 		if !now.Before(w.deadline) {
 			b.refuse(w.SlotRequest, Full, b.slotInterval(w.SlotRequest, now), len(remaining))
@@ -357,15 +362,16 @@
 	}
 	best, freeSlots := "", 0
 	for name, o := range b.peerGroups {
-		if now.Sub(o.receivedAt) < summaryTTL && (o.freeSlots > freeSlots || o.freeSlots == freeSlots && freeSlots > 0 && name < best) {
-			best, freeSlots = name, o.freeSlots
+		free := o.freeFor(a.Regions)
+		if now.Sub(o.receivedAt) < summaryTTL && (free > freeSlots || free == freeSlots && freeSlots > 0 && name < best) {
+			best, freeSlots = name, free
 		}
 	}
 	if freeSlots == 0 {
 		return "", false
 	}
 	o := b.peerGroups[best]
-	o.freeSlots--
+	o.take(a.Regions)
 	b.peerGroups[best] = o
 	return best, true
 }
@@ -500,7 +506,8 @@
 func (b *Broker) Summary(now time.Time) Summary {
 	var s Summary
 	if b.queue.len() == 0 {
-		s.FreeSlots = b.pool.freeSlots(Request{MinVersion: b.minVersion}, now)
+		r := Request{MinVersion: b.minVersion}
+		s.FreeSlots, s.FreeByRegion = b.pool.freeSlots(r, now), b.pool.freeByRegion(r, now)
 	}
 	return s
 }
@@ -509,7 +516,11 @@
 // uses an equal share of the free slots, since all of them receive the same summary;
 // groups is the number of all groups.
 func (b *Broker) RecordSummary(group string, s Summary, groups int, now time.Time) {
-	b.peerGroups[group] = peerGroup{freeSlots: s.FreeSlots / max(1, groups-1), receivedAt: now}
+	share := peerGroup{freeSlots: s.FreeSlots / max(1, groups-1), freeByRegion: map[string]int{}, receivedAt: now}
+	for region, free := range s.FreeByRegion {
+		share.freeByRegion[region] = free / max(1, groups-1)
+	}
+	b.peerGroups[group] = share
 }
 
 // Counts returns the number of queued requests and of granted slots.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -252,6 +252,8 @@
 	// Displaced means that more urgent requests were queued before a queued one, so that it
 	// gets no slot in time.
 	Displaced
+	// NoAllowedRegion means that no endpoint is in a region in which the request may be served.
+	NoAllowedRegion
 )
 
 // Place selects the endpoint with the earliest predicted first event, after penalties for
@@ -318,19 +320,23 @@
 func (p *Pool) freeSlots(r Request, now time.Time) int {
 	n := 0
 	for _, s := range p.endpoints {
-		if p.suitable(s, r, now) {
-			free := max(0, p.usableSlots(s, r)-p.load(s, now).Running)
-			if p.rateLimited(s, now) {
-				free = 0
-			} else if p.rateLimits[s.ID].limited() {
-				free = min(free, 1)
-			}
-			n += free
-		}
+		n += p.freeSlotsAt(s, r, now)
 	}
 	return n
 }
 
+// freeSlotsAt returns the number of free slots at an endpoint, 0 if it is not suitable.
+func (p *Pool) freeSlotsAt(s *endpointState, r Request, now time.Time) int {
+	if !p.suitable(s, r, now) || p.rateLimited(s, now) {
+		return 0
+	}
+	free := max(0, p.usableSlots(s, r)-p.load(s, now).Running)
+	if p.rateLimits[s.ID].limited() {
+		free = min(free, 1)
+	}
+	return free
+}
+
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // otherVersionPenaltyMs is added to the predicted time of an endpoint without the
@@ -356,7 +362,7 @@
 	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
 		return false
 	}
-	return !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
+	return r.Regions.Allow(s.Region) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
 // usableSlots returns the number of an endpoint's slots that a request may use. Under
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -73,9 +73,35 @@
 	q.waiting = slices.DeleteFunc(q.waiting, match)
 }
 
-// precedes reports whether a queued request comes before a new one that could start now.
-func (q *requestQueue) precedes(a SlotRequest) bool {
-	return len(q.waiting) > 0 && q.waiting[0].urgency().compare(a.urgency()) <= 0
+// ahead returns the number of queued requests that come before w and could use its slot.
+func (q *requestQueue) ahead(w queuedRequest) int { return competing(q.waiting[:q.position(w)], w) }
+
+// competing returns the number of requests that could use a slot that another one could use.
+func competing(list []queuedRequest, w queuedRequest) int {
+	n := len(list)
+	if w.Regions.Bound {
+		for _, held := range list {
+			if held.Regions.Disjoint(w.Regions) {
+				n--
+			}
+		}
+	}
+	return n
+}
+
+// precedes reports whether a queued request comes before a new one that could start now at an
+// endpoint in a region. Requests that are bound to other regions do not: they would keep the
+// endpoint idle.
+func (q *requestQueue) precedes(a SlotRequest, region string) bool {
+	for _, w := range q.waiting {
+		if w.urgency().compare(a.urgency()) > 0 {
+			return false
+		}
+		if w.Regions.Allow(region) {
+			return true
+		}
+	}
+	return false
 }
 
 // removeHopeless removes and returns the requests that are less urgent than a new one and
@@ -84,9 +110,11 @@
 func (q *requestQueue) removeHopeless(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (hopeless []queuedRequest, ahead []int) {
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
-		if w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && now.Add(interval(w)*time.Duration(len(kept)+1)).After(w.deadline) {
-			hopeless, ahead = append(hopeless, w), append(ahead, len(kept))
-			continue
+		if w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && !w.Regions.Disjoint(a.Regions) {
+			if before := competing(kept, w); now.Add(interval(w) * time.Duration(before+1)).After(w.deadline) {
+				hopeless, ahead = append(hopeless, w), append(ahead, before)
+				continue
+			}
 		}
 		kept = append(kept, w)
 	}
