relay: send bound requests to allowed regions only

Cause: entries ignored the allowed regions of routes and organisations.

Change: a request gets its regions from the table that routes it; whatever selects an endpoint for it gets the intersection with those of the table in force. Slot requests carry them (key 21), and summaries of groups the free slots by region. Right before a request is sent, the region of the endpoint, by what this entry itself knows of it, is checked against both tables; otherwise the slot is returned and another endpoint chosen. A request without endpoints in its regions is refused at once as no-allowed-region. A bound request is sent first to a group that has endpoints in its regions. Requests that wait locally for a full region do not delay others.

Each guard was removed once: without the check before sending, TestListsChangeWhileRequestsWait and TestGrantOutsideAllowedRegionsIsReturned fail; without the newest table, the first of them; with the region as the broker states it, the second; without firstGroup, TestBoundRequestsAskGroupsWithAllowedEndpoints; without the names in slot requests, TestRegionsOfSlotRequests; without waitingRegions, TestFullRegionDelaysNoOtherLocally.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -97,7 +97,7 @@
 	d.guard = newCrashGuard(logger, m, d.sendPeer)
 	d.handler = &handler{
 		protocol: opts.Protocol, fleet: d.fleet, dispatcher: newDispatcher(s.RetryRatio, s.RetrySlack, d.slots), guard: d.guard,
-		conns: newConnPool(opts.Network), metrics: m, log: logger, zone: s.Zone,
+		conns: newConnPool(opts.Network), metrics: m, log: logger, zone: s.Zone, regions: knownRegions(s.Zones),
 		softWeightsBound: max(minWeightsBound, s.WeightsBound.Std()-softWeightsMargin),
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
 		maxPause:         s.MaxPause.Std(),
@@ -266,7 +266,7 @@
 	endpoints := map[string][]placement.Endpoint{}
 	keep := map[string]bool{}
 	for _, s := range d.fleet.ServerList() {
-		e := endpointOf(s, table.Service(s.Service))
+		e := d.endpoint(s, table.Service(s.Service))
 		endpoints[s.Service] = append(endpoints[s.Service], e)
 		keep[connKey(e)] = true
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -61,6 +61,7 @@
 type poolState struct {
 	*placement.Pool
 	queue       placement.WaitQueue[chan struct{}]
+	waiting     waitingRegions
 	retryBudget *admission.RetryBudget
 }
 
@@ -88,7 +89,7 @@
 func (d *dispatcher) pool(service string) *poolState {
 	p := d.pools[service]
 	if p == nil {
-		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
+		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
 		d.pools[service] = p
 	}
 	return p
@@ -173,6 +174,9 @@
 // selects the endpoint from its local state. An endpoint with a rate limit is used only
 // with the permission of a broker, because the limit applies to all entries together.
 func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
+	if refused := d.refuseOutsideRegions(q.service, r); refused != nil {
+		return placement.Choice{}, refused
+	}
 	if refused := d.awaitPauses(q, r); refused != nil {
 		return placement.Choice{}, refused
 	}
@@ -269,7 +273,7 @@
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
 		d.mu.Lock()
-		delay := afterPauses(d.pool(q.service), retryAfter(p.response), time.Now())
+		delay := afterPauses(d.pool(q.service), r.Regions, retryAfter(p.response), time.Now())
 		d.mu.Unlock()
 		refused = placementRefusal(p.response.Verdict, delay)
 		if refused.reason == NoSlot && len(r.Suspects) > 0 {
@@ -310,7 +314,7 @@
 			}
 			continue
 		}
-		if verdict == placement.Placed && (ready != nil || p.queue.Len() == 0 || choice.Load.Running == 0) {
+		if verdict == placement.Placed && (ready != nil || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0) {
 			p.Begin(choice.ID, r.Prefill())
 			q.inPrefill = true
 			if ready != nil {
@@ -320,12 +324,14 @@
 			return choice, nil
 		}
 		if verdict == placement.NoEndpoint || !p.queue.ServedWithin(deadline.Sub(now), p.NextSlot(r, now)) {
+			verdict = p.RefusalVerdict(r, verdict)
 			delay := d.localRetryAfter(p, r, now)
 			d.mu.Unlock()
 			return choice, placementRefusal(verdict, delay)
 		}
 		ready = make(chan struct{})
 		p.queue.Push(deadline, ready)
+		p.waiting.add(ready, r.Regions)
 		d.mu.Unlock()
 		timer := time.NewTimer(deadline.Sub(now))
 		select {
@@ -346,7 +352,7 @@
 // refuses or does not respond, the endpoint is not selected for a while.
 func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
 	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, placement.SlotRequest{
-		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority}, Redirected: true,
+		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority, Regions: r.Regions}, Redirected: true,
 	})
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	now := time.Now()
@@ -375,6 +381,8 @@
 		reason = Displaced
 	case placement.RateLimited:
 		reason = RateLimited
+	case placement.NoAllowedRegion:
+		reason = NoAllowedRegion
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: delay}
 }
@@ -383,12 +391,24 @@
 func (d *dispatcher) dequeue(service string, ready chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool(service).queue.Remove(ready)
+	p := d.pool(service)
+	p.queue.Remove(ready)
+	delete(p.waiting, ready)
 }
 
-// wakeNext lets the first request in the queue try again. The caller holds mu.
+// wakeNext lets the first request in the queue try again, and the next ones if some are bound to
+// regions. The caller holds mu.
 func (d *dispatcher) wakeNext(p *poolState) {
-	if ready, ok := p.queue.Pop(); ok {
+	n := 1
+	if len(p.waiting) > 0 {
+		n = maxWoken
+	}
+	for range n {
+		ready, ok := p.queue.Pop()
+		if !ok {
+			return
+		}
+		delete(p.waiting, ready)
 		close(ready)
 	}
 }
@@ -396,7 +416,7 @@
 // localRetryAfter returns the retry delay for a request that was refused from local
 // state. The caller holds mu.
 func (d *dispatcher) localRetryAfter(p *poolState, r placement.Request, now time.Time) time.Duration {
-	return afterPauses(p, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Len()}), now)
+	return afterPauses(p, r.Regions, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Len()}), now)
 }
 
 // retryAfter returns the retry delay for a refused request: the predicted time until
@@ -413,9 +433,9 @@
 }
 
 // afterPauses returns the retry delay for a refused request, which does not end while all
-// endpoints of a pool want no requests.
-func afterPauses(p *poolState, delay time.Duration, now time.Time) time.Duration {
-	if until, all := p.AllPaused(placement.Request{}, now); all {
+// endpoints of a pool in the allowed regions want no requests.
+func afterPauses(p *poolState, allowed placement.Regions, delay time.Duration, now time.Time) time.Duration {
+	if until, all := p.AllPaused(placement.Request{Regions: allowed}, now); all {
 		return max(delay, pauseRetryAfter(until.Sub(now)))
 	}
 	return delay
@@ -425,7 +445,7 @@
 func (d *dispatcher) retryAfter(q *request) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.localRetryAfter(d.pool(q.service), placement.Request{}, time.Now())
+	return d.localRetryAfter(d.pool(q.service), placement.Request{Regions: q.regions}, time.Now())
 }
 
 // firstEvent counts the prefill of a request as done. The lag is by how much its first
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -61,6 +61,7 @@
 	metrics    *relayMetrics
 	log        log.Interface
 	zone       string
+	regions    map[string]bool // that zones belong to, see knownRegions
 	// Limits on the time since newer weights were named. After softWeightsBound, a
 	// request is sent to older weights only if first events there arrive as predicted;
 	// after weightsBound it is not sent to them at all; after beginBound it must not
@@ -133,6 +134,9 @@
 	if q.spent > 0 {
 		fields["spent_ms"] = q.spent.Milliseconds()
 	}
+	if q.regions.Bound {
+		fields["regions"] = q.regions.Names
+	}
 	if q.table != nil {
 		fields["routing"] = q.table.Document.Version
 	}
@@ -216,7 +220,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused:
+	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.unsent {
@@ -284,7 +288,7 @@
 	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	before := time.Now()
 	r := q.placementRequest(h.zone, version, softVersion, preferred)
-	r.Bounds = h.bounds(q)
+	r.Bounds, r.Regions = h.bounds(q), h.allowedRegions(q)
 	r.Suspects, r.Serialized = toUint64(suspicion.Suspects[:min(len(suspicion.Suspects), maxSuspectsSent)]), suspicion.Repeated
 	choice, refused := h.dispatcher.place(q, r)
 	q.placedAt = time.Now()
@@ -427,6 +431,10 @@
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointLeft
 	case errors.Is(err, errEndpointPaused):
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointPaused
+	case errors.Is(err, errRegionNotAllowed):
+		r := h.handleNotSent(q, c, placement.Neutral, err)
+		r.refusal.reason = NoAllowedRegion
+		return r, RetryRegionNotAllowed
 	case errors.Is(err, errNotSent):
 		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -53,6 +53,8 @@
 	Suspects     []uint64              `cbor:"18,keyasint,omitempty"`
 	Serialized   bool                  `cbor:"19,keyasint,omitempty"`
 	Priority     int                   `cbor:"20,keyasint,omitempty"`
+	// Regions is absent for requests that are not bound to regions.
+	Regions *regionsMessage `cbor:"21,keyasint,omitempty"`
 }
 
 // weightsBoundMessage encodes a placement.WeightsBound, with the time relative to the
@@ -139,6 +141,8 @@
 type summaryMessage struct {
 	FreeSlots int `cbor:"1,keyasint,omitempty"`
 	Groups    int `cbor:"3,keyasint,omitempty"`
+	// Regions states the free slots in regions that are known.
+	Regions []regionSlotsMessage `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -162,10 +166,13 @@
 func (m *peerMessage) valid() bool {
 	count := func(n int) bool { return n >= 0 && n <= maxTokens }
 	ms := func(n int64) bool { return n >= -maxMs && n <= maxMs }
-	if r := m.SlotRequest; r != nil && !(count(r.PromptTokens) && count(r.AnswerTokens) && count(r.Priority) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
+	if r := m.SlotRequest; r != nil && !(r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && count(r.Priority) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
 		!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })) {
 		return false
 	}
+	if !m.Summary.valid() {
+		return false
+	}
 	if h := m.HeldSlots; h != nil && slices.ContainsFunc(h.PrefillTokens, func(n int32) bool { return n < 0 && n != prefillDone }) {
 		return false
 	}
@@ -178,7 +185,7 @@
 	a := placement.SlotRequest{
 		SlotRequestID: placement.SlotRequestID{Entry: from, Sequence: m.Sequence},
 		Request: placement.Request{
-			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late, Suspects: m.Suspects, Serialized: m.Serialized, Priority: m.Priority,
+			PromptTokens: m.PromptTokens, AnswerTokens: m.AnswerTokens, Zone: m.Zone, MinVersion: m.MinVersion, SoftMinVersion: m.SoftMinVersion, PreferredVersion: m.PreferredVersion, GapObjective: fromMs(m.GapObjectiveMs), Late: m.Late, Suspects: m.Suspects, Serialized: m.Serialized, Priority: m.Priority, Regions: m.Regions.regions(),
 		},
 		MaxWait: fromMs(m.MaxWaitMs), TimeLeft: fromMs(m.TimeLeftMs), Resumed: m.Resumed, Redirected: m.Redirected,
 	}
@@ -201,7 +208,7 @@
 func newSlotRequestMessage(a placement.SlotRequest, now time.Time) *slotRequestMessage {
 	m := &slotRequestMessage{
 		Sequence: a.Sequence, PromptTokens: a.PromptTokens, AnswerTokens: a.AnswerTokens, Zone: a.Zone, MinVersion: a.MinVersion, SoftMinVersion: a.SoftMinVersion, PreferredVersion: a.PreferredVersion, GapObjectiveMs: a.GapObjective.Milliseconds(),
-		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects, Serialized: a.Serialized, Priority: a.Priority,
+		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects, Serialized: a.Serialized, Priority: a.Priority, Regions: newRegionsMessage(a.Regions),
 	}
 	for _, b := range a.Bounds {
 		m.Bounds = append(m.Bounds, weightsBoundMessage{Version: b.Version, LeftMs: b.By.Sub(now).Milliseconds()})
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -42,6 +42,8 @@
 	// Quarantined means that requests with a part of this one crash endpoints.
 	Quarantined   Reason = "quarantined"
 	EndpointError Reason = "endpoint-error"
+	// NoAllowedRegion means that no endpoint is in a region in which the request may be served.
+	NoAllowedRegion Reason = "no-allowed-region"
 )
 
 // Reasons for a retry.
@@ -60,6 +62,9 @@
 	// RetryEndpointPaused means that the endpoint wanted no requests when the request was
 	// about to be sent.
 	RetryEndpointPaused Reason = "endpoint-paused"
+	// RetryRegionNotAllowed means that the endpoint was in none of the allowed regions when the
+	// request was about to be sent.
+	RetryRegionNotAllowed Reason = "region-not-allowed"
 )
 
 // Reasons for not sending a request again that may have run, besides those for which it is
@@ -80,13 +85,13 @@
 func RefusalReasons() []Reason {
 	return []Reason{
 		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, Displaced, EndpointsRefused, RateLimited, EndpointsPaused,
-		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
+		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError, NoAllowedRegion,
 	}
 }
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed}
 }
 
 // NotRepeatedReasons lists the reasons for not sending a request again that may have run.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,7 +33,8 @@
 	route        *routing.Route
 	service      string
 	organisation string
-	priority     int // rank, see routing.Rank
+	priority     int               // rank, see routing.Rank
+	regions      placement.Regions // allowed by the table
 	table        *routing.Table
 
 	tried   []string      // endpoints that the request was sent to
@@ -106,6 +107,7 @@
 	if refused := q.authorize(); refused != nil {
 		return q, refused
 	}
+	q.regions = h.regionsIn(table, q.route, q.call.Key)
 	if refused := q.readBody(w, r); refused != nil {
 		return q, refused
 	}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/settings"
@@ -86,6 +88,9 @@
 	p.Positive("grace", int64(s.Grace))
 	p.Positive("weights_bound", int64(s.WeightsBound))
 	p.Positive("max_pause", int64(s.MaxPause))
+	if known := knownRegions(s.Zones); len(known) > maxRegions || slices.ContainsFunc(slices.Collect(maps.Keys(known)), func(name string) bool { return len(name) > maxRegionBytes }) {
+		p.Add("zones", "may name up to %d regions of up to %d bytes", maxRegions, maxRegionBytes)
+	}
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		p.Add("retry_ratio", "must be from 0 to 1, got %v", s.RetryRatio)
 	}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -116,6 +116,8 @@
 	engines     bool
 	groups      []placement.Group
 	groupOfZone map[string]string
+	// regions are those in which the groups have endpoints that are not evacuated, by group.
+	regions map[string]map[string]bool
 }
 
 // heldSlot is a slot that a broker granted to this entry.
@@ -170,13 +172,16 @@
 		if description == nil {
 			continue
 		}
-		g := &serviceGroups{engines: description.Engine != nil}
+		g := &serviceGroups{engines: description.Engine != nil, regions: map[string]map[string]bool{}}
 		g.groups, g.groupOfZone = placement.Groups(entries, len(list), zonesOf(list))
 		services[service] = g
 		byGroup := map[string][]placement.Endpoint{}
 		for _, e := range list {
 			endpointIDs[endpointHash(e.ID)] = e.ID
 			groupOfEndpoint[e.ID] = g.groupOfZone[e.Zone]
+			if !e.Evacuated {
+				g.addRegion(g.groupOfZone[e.Zone], e.Region)
+			}
 			byGroup[g.groupOfZone[e.Zone]] = append(byGroup[g.groupOfZone[e.Zone]], e)
 		}
 		for _, group := range g.groups {
@@ -321,7 +326,7 @@
 	a.SlotRequestID = placement.SlotRequestID{Entry: s.self, Sequence: s.sequence}
 	responses := make(chan placement.SlotResponse, 4) // room for repeated responses
 	s.waiters[a.Sequence] = responses
-	group, found := s.groupOfZone(service, zone)
+	group, found := s.firstGroup(service, zone, a.Request)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -615,7 +620,7 @@
 	if m.Summary != nil {
 		for k, b := range s.brokers {
 			if k.service == m.Service && k.group != m.Group {
-				b.RecordSummary(m.Group, placement.Summary{FreeSlots: m.Summary.FreeSlots}, m.Summary.Groups, now)
+				b.RecordSummary(m.Group, placement.Summary{FreeSlots: m.Summary.FreeSlots, FreeByRegion: m.Summary.freeByRegion()}, m.Summary.Groups, now)
 			}
 		}
 	}
@@ -755,7 +760,7 @@
 			}
 			summary := b.Summary(now)
 			m := peerMessage{Service: service, Group: group.Name, Summary: &summaryMessage{
-				FreeSlots: summary.FreeSlots, Groups: len(g.groups),
+				FreeSlots: summary.FreeSlots, Groups: len(g.groups), Regions: newRegionSlotsMessages(summary.FreeByRegion),
 			}}
 			for _, other := range g.groups {
 				if other.Name == group.Name {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -299,8 +299,8 @@
 				continue
 			}
 		}
-		if ends {
-			b.refuse(w.SlotRequest, Full, b.pool.NextSlot(w.Request, now), b.queue.len())
+		if ends || b.pool.NoneAllowed(w.Request) {
+			b.refuse(w.SlotRequest, b.pool.RefusalVerdict(w.Request, Full), b.pool.NextSlot(w.Request, now), b.queue.len())
 			continue
 		}
 		b.suspects = append(b.suspects, w)
@@ -319,7 +319,9 @@
 }
 
 func (b *Broker) refuse(a SlotRequest, v Verdict, interval time.Duration, ahead int) {
-	v = b.pool.refusalVerdict(a.Request, v)
+	if v = b.pool.RefusalVerdict(a.Request, v); v == NoAllowedRegion {
+		interval, ahead = noEndpointPause, 0 // no queue of others delays it
+	}
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: v, SlotInterval: interval, Ahead: ahead, Late: a.Late})
 }
 
@@ -339,6 +341,10 @@
 				b.grant(w.SlotRequest, choice, now)
 				continue
 			}
+			if b.pool.NoneAllowed(w.Request) { // the last endpoint there has left
+				b.refuse(w.SlotRequest, NoAllowedRegion, noEndpointPause, 0)
+				continue
+			}
 			failed.record(w.Regions)
 		}
 		if !now.Before(w.deadline) {
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -87,9 +87,9 @@
 	return free
 }
 
-// refusalVerdict returns why a request is refused for which no endpoint is suitable.
-func (p *Pool) refusalVerdict(r Request, v Verdict) Verdict {
-	if v == NoEndpoint && p.NoneAllowed(r) {
+// RefusalVerdict returns why a request is refused that could not be placed with the given verdict.
+func (p *Pool) RefusalVerdict(r Request, v Verdict) Verdict {
+	if p.NoneAllowed(r) {
 		return NoAllowedRegion
 	}
 	return v
