--- a/placement/regions_test.go
+++ b/placement/regions_test.go
@@ -195,3 +195,23 @@
 		})
 	})
 }
+
+// Guards against a queued request that waits on after the last endpoint in its regions has left.
+func TestQueuedRequestIsRefusedWhenItsRegionIsGone(t *testing.T) {
+	for name, suspects := range map[string][]uint64{"queued": nil, "suspect": {1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := broker(endpointIn("e", "r1"), endpointIn("f", "r2"))
+			for i := range 17 {
+				a := boundRequest("x", uint64(i+1), bound("r1"))
+				if i == 16 {
+					a.Suspects, a.MaxWait = suspects, time.Second
+				}
+				b.RequestSlot(a, start)
+			}
+			is.Equal(verdicts(b.TakeResponses())[17], placement.Queued)
+			b.Update(engine, []placement.Endpoint{endpointIn("f", "r2")}, start)
+			is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{17: placement.NoAllowedRegion})
+		})
+	}
+}
