control: direct callers of bound hosts to allowed regions

Cause: address answers named all ready entries, so callers of routes with allowed regions connected to entries in other regions.

Change: Directory.Addresses takes the host. For a host with bound routes, or while any organisation is bound, the answer names entries in the caller's region and in the regions that all of them allow; if there is none, all as before.

Result: go test ./internal/control ./platform passes. Without the restriction, TestAddressesInAllowedRegions fails; with entries of unknown region, TestAddressesOfEntriesInUnknownRegions; if calls do not leave decoding to one of them, TestDocumentIsDecodedOncePerVersion.

--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -41,6 +41,7 @@
 		ProcessToken: &processToken, OperatorToken: &operatorToken,
 		Registry:  func(d *control.Daemon) http.Handler { return platform.RegistryHandler(d) },
 		Directory: func(d *control.Daemon) http.Handler { return platform.DirectoryHandler(d) },
+		Decode:    platform.DecodeRouting,
 	}, logger)
 	if err != nil {
 		return err
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbhill/rhubarbhill/ledger"
 	"github.com/rhubarbhill/rhubarbhill/raft"
 	"github.com/rhubarbhill/rhubarbhill/release"
+	"github.com/rhubarbhill/rhubarbhill/routing"
 	"github.com/rhubarbhill/rhubarbhill/storage"
 )
 
@@ -49,6 +50,9 @@
 	// Registry and Directory create the handlers of the registry and directory
 	// addresses, in the format of the platform.
 	Registry, Directory func(*Daemon) http.Handler
+	// Decode decodes the source of a routing document. Address answers need it to
+	// tell which hosts are bound to regions. Default: none is.
+	Decode func(source []byte) (*routing.Document, error)
 }
 
 // Daemon is a control replica with its listeners.
@@ -60,6 +64,7 @@
 	dataDir       *storage.DataDir
 	hub           *hub
 	fleet         *fleet
+	hostRegions   *hostRegions
 	peers         *peers
 	inForce       *inForceTracker
 	policy        repairPolicy
@@ -77,6 +82,7 @@
 func New(s Settings, opts Options, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, opts: opts, log: logger, registry: metrics.NewRegistry(),
+		hostRegions:   &hostRegions{log: logger, decode: opts.Decode},
 		proposalSlots: make(chan struct{}, maxConcurrentProposals), inForce: newInForce(defaultLease+s.Grace.Std(), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -151,11 +151,11 @@
 	add(wire.Process{Name: "starting", Address: "1"})
 	add(wire.Process{Name: "stopping", Address: "2", Ready: true, Draining: true})
 	add(wire.Process{Name: "stopped", Address: "3", Draining: true})
-	addresses, ttl := d.Addresses("", "")
+	addresses, ttl := d.Addresses("", "", "")
 	is.Equal(addresses, []string{"2"})
 	is.True(ttl > 0)
 	add(wire.Process{Name: "ready", Address: "4", Ready: true})
-	addresses, _ = d.Addresses("", "")
+	addresses, _ = d.Addresses("", "", "")
 	is.Equal(addresses, []string{"4"})
 }
 
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -39,10 +39,6 @@
 	// commitRetryInterval is the pause between two attempts while there is no
 	// leader.
 	commitRetryInterval = 30 * time.Millisecond
-	// entryAddressTTL is how long callers may cache the addresses of entries. A
-	// longer time costs callers more failed connections after the loss of an
-	// entry; a shorter one causes more requests to the replicas.
-	entryAddressTTL = time.Second
 )
 
 // ReplaceRouting commits a valid routing document, unless a document of the
@@ -193,23 +189,3 @@
 func (d *Daemon) AwaitShared(ctx context.Context, id string) error {
 	return d.fleet.AwaitShared(ctx, id)
 }
-
-// Addresses returns the addresses of the entries that a caller may connect to
-// and how long the caller may cache them. While all ready entries are draining,
-// it returns those that are draining.
-func (d *Daemon) Addresses(_, _ string) ([]string, time.Duration) {
-	var ready, stopping []string
-	for _, p := range d.fleet.Entries() {
-		switch {
-		case !p.Ready:
-		case p.Draining:
-			stopping = append(stopping, p.Address)
-		default:
-			ready = append(ready, p.Address)
-		}
-	}
-	if len(ready) == 0 {
-		ready = stopping
-	}
-	return ready, entryAddressTTL
-}
--- a/internal/control/share_test.go
+++ b/internal/control/share_test.go
@@ -76,7 +76,7 @@
 			return true
 		})
 		for _, d := range c.daemons {
-			addresses, _ := d.Addresses("", "")
+			addresses, _ := d.Addresses("", "", "")
 			is.Equal(len(addresses), entries)
 		}
 		c.eventually("few sessions", func() bool {
