relay: know the region of an endpoint by its address

Cause: a grant of an endpoint that has just restarted was returned until this entry heard of the new incarnation, and four of them in a row refused a bound request.

Change: the region is that of the endpoint that this entry lists under the identifier at the address it has connected to, whatever its incarnation.

Result: TestRegionOfRestartedEndpoint passes; it fails without the comparison of addresses.

--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -86,11 +86,12 @@
 	return !regions.Bound || regions.Allow(h.dispatcher.region(q.service, c))
 }
 
-// region returns the region of an endpoint, or "" if this entry does not know it.
+// region returns the region of an endpoint at the address that the request would be sent to, or ""
+// if this entry does not know it.
 func (d *dispatcher) region(service string, c placement.Choice) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.pool(service).Region(c.ID, c.Incarnation)
+	return d.pool(service).Region(c.ID, c.Address)
 }
 
 // refuseOutsideRegions refuses a request if this entry knows no endpoint that serves requests in
--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -358,6 +358,20 @@
 	is.True(strings.Contains(d.settings.Check().Error(), "zones"))
 }
 
+// Guards against refusing grants of an endpoint that has restarted, of which the broker hears first,
+// and against trusting its region at an address where it is not listed.
+func TestRegionOfRestartedEndpoint(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, ok)
+	h, state, _ := newBoundEntry(t, nil, []string{"r1"}, nil, regionalServer{s, "r1"})
+	route := &state.Table().Document.Routes[0]
+	q := &request{route: route, service: "dispatch", table: state.Table(), regions: h.regionsIn(state.Table(), route, testKey)}
+	c := placement.Choice{Endpoint: placement.Endpoint{ID: "i-0", Incarnation: 2, Address: s.listener.Addr().String(), Region: "r1"}}
+	is.True(h.regionAllowed(q, c))
+	c.Address = "10.0.0.9:1"
+	is.True(!h.regionAllowed(q, c))
+}
+
 // setRegions lists engines with their regions at all entries.
 func (n *peerNetwork) setRegions(engines int, regions map[string]string) {
 	zones := []string{"a", "b"}
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -63,10 +63,10 @@
 	return true
 }
 
-// Region returns the region of an incarnation of an endpoint, or "" if the region or the
-// incarnation is not known.
-func (p *Pool) Region(id string, incarnation uint64) string {
-	if s := p.endpoints[id]; s != nil && s.Incarnation == incarnation {
+// Region returns the region of an endpoint at an address, or "" if the region is not known or the
+// endpoint is not listed there. A later incarnation at the same address runs on the same machine.
+func (p *Pool) Region(id, address string) string {
+	if s := p.endpoints[id]; s != nil && s.Address == address {
 		return s.Region
 	}
 	return ""
