relay: test bound requests while no broker responds

Without refuseOutsideRegions, and without the check in Pool.eligible, the case without an endpoint inside fails. The other case passes without the latter, since the check before sending returns the endpoint outside.

--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -358,6 +358,37 @@
 	is.True(strings.Contains(d.settings.Check().Error(), "zones"))
 }
 
+// Guards against an entry that forgets the regions when no broker responds and it places requests to
+// engines by itself, and against waiting for a broker that could grant nothing.
+func TestBoundRequestsWithoutBroker(t *testing.T) {
+	for name, c := range map[string]struct {
+		regions []string
+		status  int
+		asked   bool // a broker
+	}{
+		"endpoint inside":    {[]string{"r1"}, http.StatusOK, true},
+		"no endpoint inside": {[]string{"r3"}, http.StatusServiceUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			outside, inside := newServer(t, ok), newServer(t, ok)
+			engine := &routing.Engine{Slots: testSlots, StepMs: 1, PrefillPerSecond: 1e6}
+			h, state, url := newBoundEntry(t, engine, c.regions, nil, regionalServer{outside, "r2"}, regionalServer{inside, "r1"})
+			var asked atomic.Bool
+			h.dispatcher.slots.send = func(string, peerMessage) { asked.Store(true) }
+			endpoints := []placement.Endpoint{{ID: "i-0", Incarnation: 1, Zone: "near", Region: "r2"}, {ID: "i-1", Incarnation: 1, Zone: "far", Region: "r1"}}
+			h.dispatcher.slots.update(state.Table(), map[string][]placement.Endpoint{"dispatch": endpoints}, []placement.Entry{{Name: "entry-2", Zone: "near"}}, time.Now())
+			asked.Store(false) // the first report was sent
+			response, _, err := send(t, url, "/unsafe/book", http.MethodPost, "order", nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(outside.count(), 0)
+			is.Equal(inside.count(), map[bool]int{true: 1, false: 0}[c.status == http.StatusOK])
+			is.Equal(asked.Load(), c.asked)
+		})
+	}
+}
+
 // Guards against refusing grants of an endpoint that has restarted, of which the broker hears first,
 // and against trusting its region at an address where it is not listed.
 func TestRegionOfRestartedEndpoint(t *testing.T) {
