placement: explain decisions without applying them

Place returned a verdict, but not why an endpoint was left out, and the broker decided and applied a request in one step. The checks of Place now name an Obstacle, and the broker's decision is computed by decide, which changes nothing, and applied by place. Pool.Explain and Broker.Explain use the same functions. A broker's pool never adds jitter.

The new tests failed with the redirect counted in decide, with a request explained as it was sent, and with jitter in Preview.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -127,6 +127,7 @@
 
 // NewBroker returns a broker without endpoints.
 func NewBroker(cfg Config) *Broker {
+	cfg.JitterMs = 0 // a broker places all requests on its endpoints, so choices need no spread
 	return &Broker{
 		pool: NewPool(cfg), grants: map[SlotRequestID]grant{}, lastSeen: map[string]time.Time{},
 		peerGroups: map[string]peerGroup{},
@@ -162,57 +163,116 @@
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 		return
 	}
+	a = a.received(now)
+	b.arrivals.record(a.urgency(), now)
+	b.place(a, now)
+}
+
+// received returns the request as the broker handles it.
+func (a SlotRequest) received(now time.Time) SlotRequest {
 	a.Late = !a.Resumed && a.Late
 	if a.TimeLeft > 0 && !a.Late {
 		a.Due = now.Add(a.TimeLeft)
 	}
-	b.arrivals.record(a.urgency(), now)
-	b.place(a, now)
+	return a
 }
 
 // place grants a slot, or else redirects the request to another group, queues it or
 // refuses it.
 func (b *Broker) place(a SlotRequest, now time.Time) {
+	d := b.decide(a, now)
+	switch d.verdict {
+	case Placed:
+		b.grant(d.request, d.choice, now)
+	case Redirected:
+		o := b.peerGroups[d.group]
+		o.take(d.request.Regions)
+		b.peerGroups[d.group] = o
+		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Redirected, Group: d.group, Late: d.request.Late})
+	case Queued:
+		w := queuedRequest{d.request, d.deadline}
+		if d.apart {
+			b.suspects = append(b.suspects, w)
+		} else {
+			b.queue.insert(w)
+		}
+		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: d.request.Late})
+		if !d.apart {
+			b.refuseDisplaced(d.request, now)
+		}
+	default:
+		b.refuse(d.request, d.verdict, d.interval, d.ahead)
+	}
+}
+
+// decision is what becomes of a new request for a slot.
+type decision struct {
+	request SlotRequest // it may have been found to be late
+	// verdict is Placed, Redirected, Queued, or why the request is refused.
+	verdict Verdict
+	choice  Choice // if it is placed
+	group   string // to which it is redirected
+	// deadline is the end of its wait if it is queued.
+	deadline time.Time
+	// apart is true if it waits apart from the queue, because it may crash its endpoint.
+	apart bool
+	// interval is the predicted time between two slots that become free, and ahead the number of
+	// requests queued ahead, if the request is queued or refused.
+	interval time.Duration
+	ahead    int
+	// held is why a request waits although an endpoint can take it.
+	held Hold
+}
+
+// decide returns what becomes of a new request for a slot. It changes no state.
+func (b *Broker) decide(a SlotRequest, now time.Time) decision {
 	if len(a.Suspects) > 0 {
-		b.placeSuspect(a, now)
-		return
+		return b.decideSuspect(a, now)
 	}
 	choice, verdict := b.pool.Place(a.Request, now)
 	onTime := a.Late || a.Resumed || a.TimeLeft <= 0 || choice.TTFT <= a.TimeLeft
-	if verdict == Placed && onTime && !b.mustQueue(a, choice, now) {
-		b.grant(a, choice, now)
-		return
+	mustQueue := verdict == Placed && b.mustQueue(a, choice, now)
+	if verdict == Placed && onTime && !mustQueue {
+		return decision{request: a, verdict: Placed, choice: choice}
 	}
 	if group, ok := b.redirectGroup(a, now); ok {
-		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Redirected, Group: group, Late: a.Late})
-		return
+		return decision{request: a, verdict: Redirected, group: group}
 	}
-	if verdict == Placed && !onTime && !b.mustQueue(a, choice, now) {
+	if verdict == Placed && !onTime && !mustQueue {
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
 		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed {
-			b.grant(a, choice, now)
-			return
+			return decision{request: a, verdict: Placed, choice: choice}
 		}
 	}
+	d := decision{request: a}
 	if verdict == Placed {
-		verdict = Full // requests queued before it come first
+		verdict, d.held = Full, HoldQueue // requests queued before it come first
 	}
-	maxWait := a.MaxWait
-	if a.Late {
-		maxWait = max(maxWait, lateMaxWait)
+	maxWait := a.longestWait()
+	d.interval, d.deadline = b.slotInterval(a, now), now.Add(maxWait)
+	d.ahead = b.queue.ahead(queuedRequest{a, d.deadline})
+	d.verdict = Queued
+	if verdict == NoEndpoint || d.interval*time.Duration(d.ahead+1) > maxWait {
+		d.refuse(b.pool, verdict)
 	}
-	interval := b.slotInterval(a, now)
-	w := queuedRequest{a, now.Add(maxWait)}
-	ahead := b.queue.ahead(w)
-	if verdict == NoEndpoint || interval*time.Duration(ahead+1) > maxWait {
-		b.refuse(a, verdict, interval, ahead)
-		return
+	return d
+}
+
+// refuse decides that the request is refused.
+func (d *decision) refuse(p *Pool, v Verdict) {
+	if d.verdict = p.RefusalVerdict(d.request.Request, v); d.verdict == NoAllowedRegion {
+		d.interval, d.ahead = noEndpointPause, 0 // no queue of others delays it
+	}
+}
+
+// longestWait returns how long the request may be queued.
+func (a SlotRequest) longestWait() time.Duration {
+	if a.Late {
+		return max(a.MaxWait, lateMaxWait)
 	}
-	b.queue.insert(w)
-	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
-	b.refuseDisplaced(a, now)
+	return a.MaxWait
 }
 
 // placeRequest selects an endpoint. Two requests that may crash their endpoints begin at
@@ -222,12 +282,7 @@
 		return b.pool.Place(r, now)
 	}
 	apart := r
-	apart.Exclude = slices.Clone(r.Exclude)
-	for _, g := range b.grants {
-		if g.inPrefill && len(g.suspects) > 0 {
-			apart.Exclude = append(apart.Exclude, g.endpoint)
-		}
-	}
+	apart.Exclude = slices.Concat(r.Exclude, b.suspectsBeginAt())
 	choice, verdict := b.pool.Place(apart, now)
 	if verdict == NoEndpoint {
 		if _, other := b.pool.Place(r, now); other != NoEndpoint {
@@ -237,6 +292,17 @@
 	return choice, verdict
 }
 
+// suspectsBeginAt lists the endpoints at which a request that may crash them has not begun yet.
+func (b *Broker) suspectsBeginAt() []string {
+	var list []string
+	for _, g := range b.grants {
+		if g.inPrefill && len(g.suspects) > 0 {
+			list = append(list, g.endpoint)
+		}
+	}
+	return list
+}
+
 // suspectBegins reports whether a request with one of the suspects of r was granted a slot
 // and has not begun yet.
 func (b *Broker) suspectBegins(r Request) bool {
@@ -251,29 +317,29 @@
 	return false
 }
 
-// placeSuspect grants a slot to a request that may crash its endpoint. Otherwise the request
+// decideSuspect grants a slot to a request that may crash its endpoint. Otherwise the request
 // waits apart from the queue, so that it delays no other request, or is refused if it may
 // not wait or no endpoint is suitable.
-func (b *Broker) placeSuspect(a SlotRequest, now time.Time) {
-	maxWait := a.MaxWait
-	if a.Late {
-		maxWait = max(maxWait, lateMaxWait)
-	}
-	w := queuedRequest{a, now.Add(maxWait)}
+func (b *Broker) decideSuspect(a SlotRequest, now time.Time) decision {
+	maxWait := a.longestWait()
+	d := decision{request: a, verdict: Queued, apart: true, deadline: now.Add(maxWait)}
 	verdict := Full
-	if !b.suspectBegins(a.Request) && b.precedesQueue(w) {
-		var choice Choice
-		if choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
-			b.grant(a, choice, now)
-			return
+	switch {
+	case b.suspectBegins(a.Request):
+		d.held = HoldSuspect
+	case !b.precedesQueue(queuedRequest{a, d.deadline}):
+		d.held = HoldQueue
+	default:
+		if d.choice, verdict = b.placeRequest(a.Request, now); verdict == Placed {
+			d.verdict = Placed
+			return d
 		}
 	}
+	d.interval, d.ahead = b.pool.NextSlot(a.Request, now), b.queue.len()
 	if verdict == NoEndpoint || maxWait <= 0 || len(b.suspects) >= maxWaitingSuspects {
-		b.refuse(a, verdict, b.pool.NextSlot(a.Request, now), b.queue.len())
-		return
+		d.refuse(b.pool, verdict)
 	}
-	b.suspects = append(b.suspects, w)
-	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
+	return d
 }
 
 // precedesQueue reports whether a waiting suspect comes before all queued requests.
@@ -376,9 +442,6 @@
 	if freeSlots == 0 {
 		return "", false
 	}
-	o := b.peerGroups[best]
-	o.take(a.Regions)
-	b.peerGroups[best] = o
 	return best, true
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -58,12 +58,17 @@
 	silentUntil time.Time
 }
 
-// admits reports whether an endpoint with so many running requests may get another.
-func (h *health) admits(running int, now time.Time) bool {
-	if now.Before(h.pausedUntil) {
-		return false
+// obstacle returns why an endpoint with so many running requests may get no other.
+func (h *health) obstacle(running int, now time.Time) Obstacle {
+	switch {
+	case now.Before(h.pausedUntil) && h.probation:
+		return ObstacleEjected
+	case now.Before(h.pausedUntil):
+		return ObstacleRefused
+	case h.probation && running > 0:
+		return ObstacleProbation
 	}
-	return !h.probation || running == 0
+	return ObstacleNone
 }
 
 // observe records a result and returns how long the endpoint is ejected for it.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -260,37 +260,28 @@
 // the zone and the version of the weights, among those that can take the request now. It
 // does not count the request; see Begin.
 func (p *Pool) Place(r Request, now time.Time) (Choice, Verdict) {
+	return p.selectEndpoint(&r, p.cfg.JitterMs, now)
+}
+
+// selectEndpoint implements Place with the given jitter.
+func (p *Pool) selectEndpoint(r *Request, jitterMs float64, now time.Time) (Choice, Verdict) {
 	verdict, rateLimited := NoEndpoint, false
 	var best *endpointState
 	bestScore := math.Inf(1)
 	for _, s := range p.endpoints {
-		if !p.suitable(s, r, now) {
+		switch p.obstacle(s, r, now).verdict() {
+		case NoEndpoint:
 			continue
-		}
-		load := p.load(s, now)
-		if !p.beginsInTime(s, load, r, now) {
-			continue
-		}
-		if load.Running >= p.usableSlots(s, r) || len(s.inPrefill) >= p.maxInPrefill(s) || p.interruptsStreams(load, r) || p.delaysPending(s, load, r, now) || p.endsAfterDrain(s, load, r, now) {
+		case Full:
 			verdict = min(verdict, Full)
 			continue
-		}
-		if p.rateLimited(s, now) {
+		case RateLimited:
 			rateLimited = true
 			continue
 		}
-		score := p.ttftMs(load, r.PromptTokens) + s.lag.ms(now)
-		if p.cfg.JitterMs > 0 {
-			score += p.cfg.Rand.Float64() * p.cfg.JitterMs
-		}
-		if s.Zone != r.Zone {
-			score += p.cfg.CrossZoneMs
-		}
-		if len(r.Suspects) > 0 {
-			score += suspectRunningMs * float64(load.Running)
-		}
-		if r.PreferredVersion != 0 && s.WeightsVersion != r.PreferredVersion {
-			score += otherVersionPenaltyMs
+		score := p.predict(s, r, now).scoreMs()
+		if jitterMs > 0 {
+			score += p.cfg.Rand.Float64() * jitterMs
 		}
 		if score < bestScore || score == bestScore && s.ID < best.ID {
 			best, bestScore, verdict = s, score, Placed
@@ -330,7 +321,7 @@
 	if !p.suitable(s, r, now) || p.rateLimited(s, now) {
 		return 0
 	}
-	free := max(0, p.usableSlots(s, r)-p.load(s, now).Running)
+	free := max(0, p.usableSlots(s, &r)-p.load(s, now).Running)
 	if p.rateLimits[s.ID].limited() {
 		free = min(free, 1)
 	}
@@ -350,25 +341,19 @@
 
 // suitable reports whether an endpoint may serve a request, regardless of its load.
 func (p *Pool) suitable(s *endpointState, r Request, now time.Time) bool {
-	if !p.eligible(s, r) || s.WeightsVersion < r.SoftMinVersion && !s.lag.timely(now) {
-		return false
-	}
-	return !p.Paused(s.ID, s.Incarnation, now) && s.health.admits(s.placed.Running, now)
+	return p.unsuitable(s, &r, now) == ObstacleNone
 }
 
 // eligible reports whether an endpoint could serve a request, regardless of its load, health
 // and pauses.
 func (p *Pool) eligible(s *endpointState, r Request) bool {
-	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
-		return false
-	}
-	return r.Regions.Allow(s.Region) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
+	return p.ineligible(s, &r) == ObstacleNone
 }
 
 // usableSlots returns the number of an endpoint's slots that a request may use. Under
 // overload the last slots are reserved for requests that can still meet their
 // objective; late requests only use the rest.
-func (p *Pool) usableSlots(s *endpointState, r Request) int {
+func (p *Pool) usableSlots(s *endpointState, r *Request) int {
 	slots := p.slots(s)
 	if r.Late {
 		return int(lateSlotShare * float64(slots))
@@ -379,7 +364,7 @@
 // interruptsStreams reports whether the prefill of a request would interrupt the streams
 // of an engine for longer than their objective allows: a pass prefills all pending
 // prompts before its decode steps.
-func (p *Pool) interruptsStreams(load Load, r Request) bool {
+func (p *Pool) interruptsStreams(load Load, r *Request) bool {
 	if p.engine == nil || r.GapObjective == 0 || load.PrefillTokens == 0 {
 		return false // a single prompt is always accepted
 	}
@@ -401,7 +386,7 @@
 
 // beginsInTime reports whether a request is predicted to begin before every bound that
 // applies to the weights of an endpoint.
-func (p *Pool) beginsInTime(s *endpointState, load Load, r Request, now time.Time) bool {
+func (p *Pool) beginsInTime(s *endpointState, load Load, r *Request, now time.Time) bool {
 	if p.engine == nil {
 		return true
 	}
@@ -420,7 +405,7 @@
 // delaysPending reports whether a request would make pending requests of the same or a higher
 // priority at an engine miss their objective. A pass prefills all pending prompts before it decodes, so all their
 // first events arrive at its end.
-func (p *Pool) delaysPending(s *endpointState, load Load, r Request, now time.Time) bool {
+func (p *Pool) delaysPending(s *endpointState, load Load, r *Request, now time.Time) bool {
 	if p.engine == nil || len(s.inPrefill) == 0 {
 		return false
 	}
@@ -439,7 +424,7 @@
 
 // endsAfterDrain reports whether an answer is expected to end after the start of the
 // drain of its endpoint, which would then accept no requests while it waits for this one.
-func (p *Pool) endsAfterDrain(s *endpointState, load Load, r Request, now time.Time) bool {
+func (p *Pool) endsAfterDrain(s *endpointState, load Load, r *Request, now time.Time) bool {
 	if p.engine == nil || s.drainsAt.IsZero() || now.After(s.drainsAt.Add(drainGrace)) {
 		return false
 	}
