relay: explain on the admin port where a request would go

Operators could see why a request was refused, but not where one would go now. POST /explain/request runs the decisions of a request without sending it. Jitter of Retry-After is added where a refusal is given, so that decisions can be compared.

The tests failed with a suspended broker, without following a redirect, without the size limit, with a request that overtakes the local queue, and with a slot taken in the local pool.

--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -8,6 +8,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/explain"
 	"github.com/rhubarbhill/rhubarbhill/internal/metrics"
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
 )
@@ -40,8 +41,11 @@
 //	GET    /quarantine         lists them, as JSON
 //	DELETE /quarantine/{part}  clears one, and those that are refused only together
 //	                           with it, at all entries; 404 if it is not listed
+//	POST   /explain/request    tells where a request would go now, see package explain;
+//	                           400 names a wrong field
 func (d *Daemon) adminHandler() http.Handler {
 	r := mux.NewRouter()
+	r.HandleFunc(explain.PathRequest, d.explainRequest).Methods(http.MethodPost)
 	r.HandleFunc(pathQuarantine, d.listQuarantine).Methods(http.MethodGet)
 	r.HandleFunc(pathQuarantine+"/{part}", d.liftQuarantine).Methods(http.MethodDelete)
 	r.PathPrefix("/").Handler(metrics.AdminHandler(d.registry, d.ready))
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -101,10 +101,23 @@
 func (g *crashGuard) ready(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.synced = g.synced || !g.syncedBy.IsZero() && (len(g.others) == 0 || !now.Before(g.syncedBy))
+	g.synced = g.isSynced(now)
 	return g.synced
 }
 
+// wouldBeReady returns what ready returns, and changes no state.
+func (g *crashGuard) wouldBeReady(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isSynced(now)
+}
+
+// isSynced reports whether the records of other entries are known or need not be waited for. The
+// caller holds mu.
+func (g *crashGuard) isSynced(now time.Time) bool {
+	return g.synced || !g.syncedBy.IsZero() && (len(g.others) == 0 || !now.Before(g.syncedBy))
+}
+
 // broadcast sends a message to all other entries.
 func (g *crashGuard) broadcast(m peerMessage) {
 	g.mu.Lock()
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -89,12 +89,16 @@
 func (d *dispatcher) pool(service string) *poolState {
 	p := d.pools[service]
 	if p == nil {
-		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
+		p = d.newPool()
 		d.pools[service] = p
 	}
 	return p
 }
 
+func (d *dispatcher) newPool() *poolState {
+	return &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
+}
+
 // retryBurst returns the burst of the retry budget of each service at this entry. The caller
 // holds mu.
 func (d *dispatcher) retryBurst() float64 { return d.slack / float64(d.divisor) }
@@ -184,19 +188,32 @@
 		if choice, refused, ok := d.placeByBroker(q, r); ok {
 			return choice, refused
 		}
-		if r.Serialized { // without a broker, several entries would send the same suspect
-			return placement.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: CrashSuspect, retryAfter: minRetryAfter}
-		}
-		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
-		for _, l := range d.rateLimits(q.service) {
-			if !l.Ended() {
-				r.Exclude = append(r.Exclude, l.Endpoint)
-			}
+		if r.Serialized {
+			return placement.Choice{}, suspectRefusal()
 		}
+		r.Exclude = withoutPermits(r.Exclude, d.rateLimits(q.service))
 	}
 	return d.placeLocally(q, r)
 }
 
+// withoutPermits adds the endpoints with a rate limit to those that are excluded: if no broker
+// responds, none grants a permit.
+func withoutPermits(excluded []string, limits []placement.NamedRateLimit) []string {
+	excluded = slices.Clone(excluded)
+	for _, l := range limits {
+		if !l.Ended() {
+			excluded = append(excluded, l.Endpoint)
+		}
+	}
+	return excluded
+}
+
+// suspectRefusal refuses a request that may only run alone. Without a broker, several entries would
+// send the same suspect.
+func suspectRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: CrashSuspect, retryAfter: minRetryAfter}
+}
+
 // endedWaiting refuses a request whose caller has left, or whose deadline has passed, while it
 // waited for a slot.
 func endedWaiting() *refusal {
@@ -209,14 +226,10 @@
 	for {
 		now := time.Now()
 		d.mu.Lock()
-		until, all := d.pool(q.service).AllPaused(r, now)
+		left, refused := d.pool(q.service).pauseLeft(r, q.maxWait(now), now)
 		d.mu.Unlock()
-		if !all {
-			return nil
-		}
-		left := until.Sub(now)
-		if left > q.maxWait(now) {
-			return &refusal{status: http.StatusServiceUnavailable, reason: EndpointsPaused, retryAfter: pauseRetryAfter(left)}
+		if refused != nil || left == 0 {
+			return refused.spread()
 		}
 		if !sleep(q.ctx, left) {
 			return endedWaiting()
@@ -224,6 +237,20 @@
 	}
 }
 
+// pauseLeft returns how long all endpoints for a request want none, or zero. It refuses the request,
+// without jitter, if that is longer than it may wait.
+func (p *poolState) pauseLeft(r placement.Request, maxWait time.Duration, now time.Time) (time.Duration, *refusal) {
+	until, all := p.AllPaused(r, now)
+	if !all {
+		return 0, nil
+	}
+	left := until.Sub(now)
+	if left > maxWait {
+		return left, &refusal{status: http.StatusServiceUnavailable, reason: EndpointsPaused, retryAfter: pauseRetryAfter(left)}
+	}
+	return left, nil
+}
+
 // prefill returns the prefill work of the request.
 func (q *request) prefill() placement.Prefill {
 	return placement.Prefill{PromptTokens: q.call.PromptTokens, Priority: q.priority}
@@ -245,19 +272,9 @@
 // placeByBroker requests a slot from a broker. The result ok is false if no broker
 // answered.
 func (d *dispatcher) placeByBroker(q *request, r placement.Request) (choice placement.Choice, refused *refusal, ok bool) {
-	now := time.Now()
-	a := placement.SlotRequest{Request: r, Resumed: q.resumed, MaxWait: q.maxWait(now)}
-	switch {
-	case q.resumed && q.route.GapObjective > 0:
-		a.TimeLeft = max(time.Millisecond, q.record.lastEvent.Add(q.route.GapObjective).Sub(now))
-	case !q.resumed && q.route.Objective > 0:
-		a.TimeLeft = max(time.Millisecond, q.arrived.Add(q.route.Objective-q.spent).Sub(now))
-	}
 	d.mu.Lock()
-	pool := d.pool(q.service)
-	paused, ejected, leaving := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving()
+	a := d.pool(q.service).slotRequest(q, r, time.Now())
 	d.mu.Unlock()
-	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
@@ -273,12 +290,8 @@
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
 		d.mu.Lock()
-		delay := afterPauses(d.pool(q.service), r.Regions, retryAfter(p.response), time.Now())
+		refused = d.pool(q.service).brokerRefusal(r, p.response, time.Now()).spread()
 		d.mu.Unlock()
-		refused = placementRefusal(p.response.Verdict, delay)
-		if refused.reason == NoSlot && len(r.Suspects) > 0 {
-			refused.reason = CrashSuspect
-		}
 		return choice, refused, true
 	}
 	q.slot = p.sequence
@@ -289,6 +302,65 @@
 	return p.choice, nil, true
 }
 
+// slotRequest returns the request for a slot that is sent to brokers.
+func (p *poolState) slotRequest(q *request, r placement.Request, now time.Time) placement.SlotRequest {
+	a := placement.SlotRequest{Request: r, Resumed: q.resumed, MaxWait: q.maxWait(now)}
+	switch {
+	case q.resumed && q.route.GapObjective > 0:
+		a.TimeLeft = max(time.Millisecond, q.record.lastEvent.Add(q.route.GapObjective).Sub(now))
+	case !q.resumed && q.route.Objective > 0:
+		a.TimeLeft = max(time.Millisecond, q.arrived.Add(q.route.Objective-q.spent).Sub(now))
+	}
+	paused, ejected, leaving := p.PausedEndpoints(now), p.Ejected(now), p.Leaving()
+	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
+	return a
+}
+
+// brokerRefusal returns the refusal, without jitter, of a request to which a broker grants no slot.
+func (p *poolState) brokerRefusal(r placement.Request, response placement.SlotResponse, now time.Time) *refusal {
+	refused := placementRefusal(response.Verdict, afterPauses(p, r.Regions, retryAfter(response), now))
+	if refused.reason == NoSlot && len(r.Suspects) > 0 {
+		refused.reason = CrashSuspect
+	}
+	return refused
+}
+
+// localStep is what an entry does with a request that it places by itself.
+type localStep uint8
+
+const (
+	stepSend   localStep = iota
+	stepPermit           // ask a broker for a permit first
+	stepQueue
+	stepRefuse
+)
+
+// localDecision is a localStep with its reason.
+type localDecision struct {
+	step    localStep
+	choice  placement.Choice
+	verdict placement.Verdict
+	refused *refusal // without jitter, for stepRefuse
+}
+
+// decide returns what to do with a request that may wait for maxWait. It changes no state but that
+// of place, which is Place or Preview of the pool. A request is woken if it has waited and a slot
+// became free.
+func (p *poolState) decide(r placement.Request, woken bool, maxWait time.Duration, place func(placement.Request, time.Time) (placement.Choice, placement.Verdict), now time.Time) localDecision {
+	choice, verdict := place(r, now)
+	d := localDecision{step: stepQueue, choice: choice, verdict: verdict}
+	switch {
+	case verdict == placement.Placed && choice.RateLimited:
+		d.step = stepPermit
+	case verdict == placement.Placed && (woken || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0):
+		d.step = stepSend
+	case verdict == placement.NoEndpoint || !p.queue.ServedWithin(r.Priority, maxWait, p.NextSlot(r, now)):
+		d.step, d.verdict = stepRefuse, p.RefusalVerdict(r, verdict)
+		d.refused = placementRefusal(d.verdict, p.localRetryAfter(r, now))
+	}
+	return d
+}
+
 // placeLocally selects an endpoint from the local state of this entry. If all slots are
 // in use, the request is queued if a slot is expected soon enough. This includes
 // requests whose endpoint failed: if an endpoint crashes under load, the slots of the
@@ -303,8 +375,10 @@
 		now := time.Now()
 		d.mu.Lock()
 		p := d.pool(q.service)
-		choice, verdict := p.Place(r, now)
-		if verdict == placement.Placed && choice.RateLimited {
+		decided := p.decide(r, ready != nil, deadline.Sub(now), p.Place, now)
+		choice := decided.choice
+		switch decided.step {
+		case stepPermit:
 			d.mu.Unlock()
 			if d.takePermit(q, r, choice) {
 				return choice, nil
@@ -313,8 +387,7 @@
 				return choice, endedWaiting()
 			}
 			continue
-		}
-		if verdict == placement.Placed && (ready != nil || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0) {
+		case stepSend:
 			p.Begin(choice.ID, r.Prefill())
 			q.inPrefill = true
 			if ready != nil {
@@ -322,12 +395,9 @@
 			}
 			d.mu.Unlock()
 			return choice, nil
-		}
-		if verdict == placement.NoEndpoint || !p.queue.ServedWithin(r.Priority, deadline.Sub(now), p.NextSlot(r, now)) {
-			verdict = p.RefusalVerdict(r, verdict)
-			delay := d.localRetryAfter(p, r, now)
+		case stepRefuse:
 			d.mu.Unlock()
-			return choice, placementRefusal(verdict, delay)
+			return choice, decided.refused.spread()
 		}
 		ready = make(chan struct{})
 		p.queue.Push(r.Priority, deadline, ready)
@@ -351,9 +421,7 @@
 // the requests of all entries, and counts the request as running there. If the broker
 // refuses or does not respond, the endpoint is not selected for a while.
 func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
-	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, placement.SlotRequest{
-		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority, Regions: r.Regions}, Redirected: true,
-	})
+	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, permitRequest(r, c))
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	now := time.Now()
 	d.mu.Lock()
@@ -372,6 +440,13 @@
 	return false
 }
 
+// permitRequest returns the request for a permit for an endpoint.
+func permitRequest(r placement.Request, c placement.Choice) placement.SlotRequest {
+	return placement.SlotRequest{
+		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority, Regions: r.Regions}, Redirected: true,
+	}
+}
+
 func placementRefusal(v placement.Verdict, delay time.Duration) *refusal {
 	reason := NoSlot
 	switch v {
@@ -413,23 +488,24 @@
 	}
 }
 
-// localRetryAfter returns the retry delay for a request that was refused from local
-// state. The caller holds mu.
-func (d *dispatcher) localRetryAfter(p *poolState, r placement.Request, now time.Time) time.Duration {
+// localRetryAfter returns the retry delay, without jitter, for a request that was refused from
+// local state.
+func (p *poolState) localRetryAfter(r placement.Request, now time.Time) time.Duration {
 	return afterPauses(p, r.Regions, retryAfter(placement.SlotResponse{SlotInterval: p.NextSlot(r, now), Ahead: p.queue.Ahead(r.Priority)}), now)
 }
 
 // retryAfter returns the retry delay for a refused request: the predicted time until
-// enough slots have become free for the requests queued ahead, plus jitter so that
-// callers do not return together.
+// enough slots have become free for the requests queued ahead. Jitter is added to it, see
+// refusal.spread.
 func retryAfter(a placement.SlotResponse) time.Duration {
 	due := a.SlotInterval * time.Duration(a.Ahead+1)
-	return minRetryAfter + due + rand.N(retryAfterJitter)
+	return minRetryAfter + due
 }
 
-// pauseRetryAfter returns the retry delay for a request that no endpoint wants for a while.
+// pauseRetryAfter returns the retry delay, without jitter, for a request that no endpoint wants for
+// a while.
 func pauseRetryAfter(left time.Duration) time.Duration {
-	return max(minRetryAfter, left) + rand.N(retryAfterJitter)
+	return max(minRetryAfter, left)
 }
 
 // afterPauses returns the retry delay for a refused request, which does not end while all
@@ -445,7 +521,7 @@
 func (d *dispatcher) retryAfter(q *request) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.localRetryAfter(d.pool(q.service), placement.Request{Regions: q.regions}, time.Now())
+	return d.pool(q.service).localRetryAfter(placement.Request{Regions: q.regions}, time.Now()) + rand.N(retryAfterJitter)
 }
 
 // firstEvent counts the prefill of a request as done. The lag is by how much its first
--- /dev/null
+++ b/internal/relay/explain_test.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/explain"
+	"github.com/rhubarbhill/rhubarbhill/internal/wire"
+	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/platform"
+	"github.com/rhubarbhill/rhubarbhill/routing"
+)
+
+// explainedDocument has a route to engines and one that is split over plain services.
+func explainedDocument() *routing.Document {
+	route := func(name string, targets ...routing.Target) routing.Route {
+		return routing.Route{
+			Name: name, Host: "orders.example", Prefix: "/" + name + "/", Kind: routing.Safe, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond,
+			Targets: targets, MaxAttempts: 2,
+		}
+	}
+	return &routing.Document{
+		Version: 7,
+		Routes: []routing.Route{
+			route("quote", routing.Target{Service: "quotes", Weight: 1}),
+			route("split", routing.Target{Service: "plain", Weight: 3}, routing.Target{Service: "empty", Weight: 1}),
+		},
+		Services: []routing.Service{
+			{Name: "plain"},
+			{Name: "empty"},
+			{Name: "quotes", Engine: &routing.Engine{
+				Slots: engineSlots, Stride: 5, StepMs: 13.3, PrefillPerSecond: 12700, PrefillChunkTokens: 2048, MeanPromptTokens: 1000, MeanAnswerTokens: 75,
+			}},
+		},
+		Organisations: []routing.Organisation{{Name: "one", Keys: []string{testKey}, Priority: 1}},
+	}
+}
+
+// explainingEntry returns the handler of an entry that uses a slotCoordinator.
+func explainingEntry(s *slotCoordinator, plain []placement.Endpoint) *handler {
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	table := routing.Compile(explainedDocument())
+	d := newDispatcher(1, 100, s)
+	d.update(table, map[string][]placement.Endpoint{"plain": plain}, 1)
+	m := newRelayMetrics(prometheus.NewRegistry())
+	guard := newCrashGuard(logger, m, func(string, peerMessage) {})
+	guard.update(nil, time.Now())
+	return &handler{
+		protocol: platform.Headers{}, fleet: fixedState{table: table}, dispatcher: d, guard: guard, conns: newConnPool(nil),
+		metrics: m, log: logger, zone: "a", softWeightsBound: time.Second, weightsBound: time.Second, maxPause: time.Hour,
+	}
+}
+
+func quoteQuery() explain.Query {
+	return explain.Query{Host: "orders.example", Path: "/quote/x", Method: http.MethodPost, Key: testKey, PromptTokens: 500}
+}
+
+// state prints what decisions of an entry depend on, and what they change.
+func (h *handler) state() string {
+	d, s := h.dispatcher, h.dispatcher.slots
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var b strings.Builder
+	fmt.Fprintln(&b, len(d.pools), d.retryDetectors, s.sequence, s.held, s.suspendedUntil, len(s.waiters), s.pendingEvents, len(s.explanations.waiting), h.guard.list)
+	for name, p := range d.pools {
+		fmt.Fprintf(&b, "%s %v %+v %+v %d %v\n", name, p.OwnLoads(), p.Explain(placement.Request{}, now), *p.retryBudget, p.queue.Len(), p.RateLimits())
+	}
+	for key, broker := range s.brokers {
+		waiting, granted := broker.Counts()
+		fmt.Fprintf(&b, "%v %d %d %+v\n", key, waiting, granted, broker.Explain(placement.SlotRequest{}, now))
+	}
+	return b.String()
+}
+
+// localCase is a drawn state of an entry that places requests to a plain service by itself.
+type localCase struct {
+	endpoints []placement.Endpoint
+	load      []int // endpoints with a running request each
+	pauses    []time.Duration
+	queued    int
+}
+
+func drawLocalCase(t *rapid.T) localCase {
+	c := localCase{
+		load:   rapid.SliceOfN(rapid.IntRange(0, 2), 0, 6).Draw(t, "load"),
+		pauses: rapid.SliceOfN(rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, 5 * time.Second}), 0, 3).Draw(t, "pauses"),
+		queued: rapid.SampledFrom([]int{0, 0, 1, 400}).Draw(t, "queued"),
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "endpoints") {
+		c.endpoints = append(c.endpoints, placement.Endpoint{
+			ID: fmt.Sprint("e", i), Incarnation: 1, Address: "x", Zone: []string{"a", "b"}[i%2], Slots: 2, Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+		})
+	}
+	return c
+}
+
+// entry returns an entry in the state of the case.
+func (c localCase) entry() *handler {
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	h := explainingEntry(newSlotCoordinator("entry-0", "a", logger, func(string, peerMessage) {}), c.endpoints)
+	p := h.dispatcher.pools["plain"]
+	// Jitter decides between endpoints; the explanation states its size.
+	p.Pool = placement.NewPool(placement.Config{JitterMs: 0.001})
+	p.Update(nil, c.endpoints, time.Now())
+	for _, at := range c.load {
+		p.Begin(fmt.Sprint("e", at), placement.Prefill{})
+	}
+	for i, length := range c.pauses {
+		p.Pause(fmt.Sprint("e", i), 1, time.Now().Add(length))
+	}
+	for range c.queued {
+		p.queue.Push(0, time.Now().Add(time.Second), make(chan struct{}))
+	}
+	return h
+}
+
+// check returns how an explanation changes the state, or differs from what the entry then does.
+func (c localCase) check(ctx context.Context, h *handler) (outcome, problem string) {
+	table := h.fleet.Table()
+	query := explain.Query{Host: "orders.example", Path: "/split/x", Key: testKey}
+	for i := 0; query.ID == "" || table.Route(query.Host, query.Path).Pick(hashFraction(query.ID)) != "plain"; i++ {
+		query.ID = fmt.Sprint(i)
+	}
+	before := h.state()
+	answer := h.explain(ctx, query)
+	if after := h.state(); after != before {
+		return "", fmt.Sprintf("the explanation changed the state\n%s\n%s", before, after)
+	}
+	if len(answer.Targets) != 1 || answer.Targets[0].Service != "plain" {
+		return "", fmt.Sprintf("%+v", answer)
+	}
+	told := answer.Targets[0]
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	q := &request{ctx: ctx, arrived: time.Now(), service: "plain", route: table.Route(query.Host, query.Path), table: table, priority: answer.Rank}
+	choice, refused := h.place(q, 0)
+	done := explain.Placed
+	switch {
+	case time.Since(q.arrived) > 0:
+		done = explain.Queued
+	case refused != nil:
+		done = explain.Refused
+	}
+	if done != told.Outcome {
+		return "", fmt.Sprintf("explained %+v, but it was %s: %+v %+v", told, done, choice, refused)
+	}
+	if done == explain.Refused {
+		extra := refused.retryAfter.Milliseconds() - told.Refusal.RetryAfterMs
+		if string(refused.reason) != told.Refusal.Reason || refused.status != told.Refusal.Status || extra < 0 || extra > told.Refusal.JitterMs {
+			return "", fmt.Sprintf("explained %+v, refused with %+v", told.Refusal, refused)
+		}
+	}
+	return done, ""
+}
+
+// Guards against an explanation of a locally placed request that changes the entry's state, and
+// against one that differs from what the entry then does.
+func TestEntryExplanationAgreesWithPlacement(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		c := drawLocalCase(rt)
+		var outcome, problem string
+		synctest.Test(t, func(t *testing.T) { outcome, problem = c.check(t.Context(), c.entry()) })
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+		seen[outcome]++
+	})
+	for _, outcome := range []string{explain.Placed, explain.Queued, explain.Refused} {
+		if seen[outcome] == 0 {
+			t.Errorf("no drawn request was %s", outcome)
+		}
+	}
+	t.Log(seen)
+}
+
+// Guards against an explanation that states the knowledge of an entry where a broker decides, or
+// that takes a slot.
+func TestBrokerOfOtherEntryExplains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, cancel := newPeerNetwork(t, 3, 2, "a")
+		defer cancel()
+		broker := n.slots["entry-0"].activeBroker[groupKey{"quotes", ""}]
+		asking := "entry-0"
+		if broker == asking {
+			asking = "entry-1"
+		}
+		h := explainingEntry(n.slots[asking], nil)
+		for i := range 2 * engineSlots {
+			told := h.explain(t.Context(), quoteQuery())
+			is.Equal(told.Rank, 10)
+			target := told.Targets[0]
+			is.Equal(target.Outcome, explain.Placed)
+			is.Equal(target.Views[0].By, explain.ByBroker)
+			is.Equal(target.Views[0].Name, broker)
+			is.Equal(target.Views[0].AgeMs, 2*peerDelay.Milliseconds())
+			_, granted := n.slots[broker].brokers[groupKey{"quotes", ""}].Counts()
+			is.Equal(granted, i) // nothing was granted for the explanation
+			p, ok := n.place("entry-2", 0)
+			is.True(ok)
+			is.Equal(p.choice.ID, target.Endpoint)
+		}
+		told := h.explain(t.Context(), quoteQuery()).Targets[0]
+		is.Equal(told.Outcome, explain.Refused)
+		is.Equal(told.Refusal.Reason, string(NoSlot))
+		table := h.fleet.Table()
+		q := &request{ctx: t.Context(), arrived: time.Now(), service: "quotes", route: table.Route("orders.example", "/quote/x"), table: table, priority: 10}
+		q.call.PromptTokens = quoteQuery().PromptTokens
+		_, refused := h.place(q, 0)
+		is.Equal(refused.reason, NoSlot)
+		extra := refused.retryAfter.Milliseconds() - told.Refusal.RetryAfterMs
+		is.True(extra > -50 && extra <= told.Refusal.JitterMs) // rates have decayed a little meanwhile
+		is.Equal(told.Views[0].Placement.Endpoints[0].NotUsable, "full")
+		is.Equal(told.Views[0].Placement.Endpoints[0].Running, engineSlots)
+	})
+}
+
+// Guards against an explanation that suspends a broker that does not answer, or that conceals that
+// it did not.
+func TestSilentBrokerIsNamedAndNotSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, cancel := newPeerNetwork(t, 3, 2, "a")
+		defer cancel()
+		broker := n.slots["entry-0"].activeBroker[groupKey{"quotes", ""}]
+		asking := map[bool]string{true: "entry-1", false: "entry-0"}[broker == "entry-0"]
+		h := explainingEntry(n.slots[asking], nil)
+		n.mu.Lock()
+		n.down[broker] = true
+		n.mu.Unlock()
+		told := h.explain(t.Context(), quoteQuery()).Targets[0]
+		is.True(len(told.Views) >= 2)
+		is.Equal(told.Views[0].Name, broker)
+		is.True(!told.Views[0].Answered)
+		is.True(told.Views[1].Name != broker)
+		is.Equal(told.Outcome, explain.Placed) // by the next one
+		is.Equal(len(n.slots[asking].suspendedUntil), 0)
+	})
+}
+
+// Guards against an explanation that stops at a redirect.
+func TestExplanationFollowsRedirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, cancel := newPeerNetwork(t, 4, 102, "a", "b")
+		defer cancel()
+		time.Sleep(time.Second) // until the groups have exchanged summaries
+		h := explainingEntry(n.slots["entry-0"], nil)
+		for range 51 * engineSlots {
+			p, ok := n.place("entry-0", 0)
+			is.True(ok)
+			is.Equal(p.key.group, "a")
+		}
+		told := h.explain(t.Context(), quoteQuery()).Targets[0]
+		is.Equal(told.Views[0].Group, "a")
+		is.Equal(told.Views[0].Placement.Verdict, placement.Redirected.String())
+		is.Equal(told.Views[1].Group, "b")
+		is.Equal(told.Outcome, explain.Placed)
+		p, ok := n.place("entry-0", 0)
+		is.True(ok)
+		is.Equal(p.key.group, "b")
+	})
+}
+
+// Guards against an explanation that no datagram can carry.
+func TestExplanationFitsMessage(t *testing.T) {
+	is := is.New(t)
+	var list []placement.EndpointExplanation
+	for i := range 200 {
+		list = append(list, placement.EndpointExplanation{
+			Endpoint: placement.Endpoint{ID: strings.Repeat("i", 400) + fmt.Sprint(i), Zone: "a", Region: "r"}, Obstacle: placement.ObstacleFull,
+		})
+	}
+	var p explain.Placement
+	setEndpoints(&p, list, time.Now())
+	is.Equal(len(p.Endpoints), maxExplained)
+	limitSize(&p)
+	is.Equal(len(p.Endpoints)+p.Omitted, 200)
+	is.True(len(p.Endpoints) > 0)
+	data, err := wire.Marshal(peerMessage{From: "x", Explanation: &explanationMessage{Sequence: 1, Placement: p}})
+	is.NoErr(err)
+	is.True(len(data) < 16<<10)
+	var m peerMessage
+	is.NoErr(wire.Unmarshal(data, &m))
+	is.Equal(m.Explanation.Placement, p)
+}
+
+// Guards against an answer with the API key, and against a wrong field that is not named.
+func TestExplainOverHTTP(t *testing.T) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	s := newSlotCoordinator("entry-0", "a", logger, func(string, peerMessage) {})
+	h := explainingEntry(s, []placement.Endpoint{{ID: "p", Incarnation: 1, Address: "x", Zone: "a", Slots: 2}})
+	d := &Daemon{settings: DefaultSettings(), handler: h, guard: h.guard, registry: prometheus.NewRegistry()}
+	admin := d.adminHandler()
+	post := func(query any) (int, string) {
+		body, err := json.Marshal(query)
+		is.NoErr(err)
+		w := httptest.NewRecorder()
+		admin.ServeHTTP(w, httptest.NewRequest(http.MethodPost, explain.PathRequest, bytes.NewReader(body)))
+		return w.Code, w.Body.String()
+	}
+	query := quoteQuery()
+	query.Path = "/split/x"
+	status, body := post(query)
+	is.Equal(status, http.StatusOK)
+	is.True(!strings.Contains(body, testKey))
+	var answer explain.Request
+	is.NoErr(json.Unmarshal([]byte(body), &answer))
+	is.Equal(answer.Organisation, "one")
+	is.Equal(len(answer.Targets), 2) // the whole split, since the query has no ID
+	is.Equal(answer.Targets[0].Share, 0.75)
+	is.Equal(answer.Targets[0].Endpoint, "p")
+	is.Equal(answer.Targets[1].Refusal.Reason, string(NoEndpoint))
+
+	query.Key = "other"
+	_, body = post(query)
+	is.NoErr(json.Unmarshal([]byte(body), &answer))
+	is.Equal(answer.Refusal, &explain.Refusal{Status: http.StatusUnauthorized, Reason: string(UnknownKey)})
+
+	for field, wrong := range map[string]any{
+		"host":          map[string]any{"path": "/x"},
+		"path":          map[string]any{"host": "h", "path": "x"},
+		"prompt_tokens": map[string]any{"host": "h", "path": "/x", "prompt_tokens": -1},
+		"deadline_ms":   map[string]any{"host": "h", "path": "/x", "deadline_ms": -1},
+		"colour":        map[string]any{"host": "h", "path": "/x", "colour": 1},
+	} {
+		status, body := post(wrong)
+		is.Equal(status, http.StatusBadRequest)
+		is.True(strings.Contains(body, field))
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
@@ -285,11 +286,8 @@
 	if suspicion.Quarantined {
 		return placement.Choice{}, q.quarantineRefusal(suspicion)
 	}
-	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	before := time.Now()
-	r := q.placementRequest(h.zone, version, softVersion, preferred)
-	r.Bounds, r.Regions = h.bounds(q), h.allowedRegions(q)
-	r.Suspects, r.Serialized = toUint64(suspicion.Suspects[:min(len(suspicion.Suspects), maxSuspectsSent)]), suspicion.Repeated
+	r := h.placementRequest(q, preferred, suspicion)
 	choice, refused := h.dispatcher.place(q, r)
 	q.placedAt = time.Now()
 	q.record.queueWait += q.placedAt.Sub(before)
@@ -310,6 +308,15 @@
 	return choice, nil
 }
 
+// placementRequest returns the request for package placement with what this entry knows now.
+func (h *handler) placementRequest(q *request, preferred uint64, suspicion quarantine.PartVerdict) placement.Request {
+	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
+	r := q.placementRequest(h.zone, version, softVersion, preferred)
+	r.Bounds, r.Regions = h.bounds(q), h.allowedRegions(q)
+	r.Suspects, r.Serialized = toUint64(suspicion.Suspects[:min(len(suspicion.Suspects), maxSuspectsSent)]), suspicion.Repeated
+	return r
+}
+
 // bounds returns the times by which a request must have begun on weights that were
 // superseded recently.
 func (h *handler) bounds(q *request) []placement.WeightsBound {
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -29,6 +29,9 @@
 	Crash    *crashMessage    `cbor:"10,keyasint,omitempty"`
 	Sound    *soundMessage    `cbor:"11,keyasint,omitempty"`
 	Suspects *suspectsMessage `cbor:"12,keyasint,omitempty"`
+	// Explain asks a broker what it would do with a request for a slot, and Explanation answers.
+	Explain     *slotRequestMessage `cbor:"13,keyasint,omitempty"`
+	Explanation *explanationMessage `cbor:"14,keyasint,omitempty"`
 }
 
 // slotRequestMessage encodes a placement.SlotRequest. Durations are in milliseconds.
@@ -166,8 +169,11 @@
 func (m *peerMessage) valid() bool {
 	count := func(n int) bool { return n >= 0 && n <= maxTokens }
 	ms := func(n int64) bool { return n >= -maxMs && n <= maxMs }
-	if r := m.SlotRequest; r != nil && !(r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && count(r.Priority) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
-		!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })) {
+	request := func(r *slotRequestMessage) bool {
+		return r == nil || r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && count(r.Priority) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
+			!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })
+	}
+	if !request(m.SlotRequest) || !request(m.Explain) {
 		return false
 	}
 	if !m.Summary.valid() {
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Reason states why a request was refused, retried, or ended without a complete answer.
 // Values appear in logs and metric labels and must not change.
@@ -105,3 +108,11 @@
 	reason     Reason
 	retryAfter time.Duration // value of Retry-After; zero sends none
 }
+
+// spread adds jitter to Retry-After, so that callers do not return together.
+func (r *refusal) spread() *refusal {
+	if r != nil {
+		r.retryAfter += rand.N(retryAfterJitter)
+	}
+	return r
+}
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -101,10 +101,14 @@
 	if !r.Regions.Bound {
 		return nil
 	}
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pool(service)
+	return d.pool(service).regionRefusal(r, time.Now()).spread()
+}
+
+// regionRefusal refuses a request, without jitter, if no endpoint of the pool serves requests in
+// one of its allowed regions.
+func (p *poolState) regionRefusal(r placement.Request, now time.Time) *refusal {
 	if !p.NoneAllowed(r) {
 		return nil
 	}
@@ -157,7 +161,7 @@
 // firstGroup returns the group whose broker is asked first for a request: that of the zone or, if
 // the request is bound to regions where that one has no endpoints, one of those that have some. A
 // redirect would lead there only while a slot is free. The caller holds mu.
-func (s *slotCoordinator) firstGroup(service, zone string, r placement.Request) (placement.Group, bool) {
+func (s *slotCoordinator) firstGroup(service, zone string, r placement.Request, sequence uint64) (placement.Group, bool) {
 	own, found := s.groupOfZone(service, zone)
 	if !found || !r.Regions.Bound || s.services[service].hasAllowed(own.Name, r.Regions) {
 		return own, found
@@ -171,7 +175,7 @@
 	if len(allowed) == 0 {
 		return own, true
 	}
-	return allowed[s.sequence%uint64(len(allowed))], true // spreads the requests
+	return allowed[sequence%uint64(len(allowed))], true // spreads the requests
 }
 
 // regionsMessage encodes the names of placement.Regions that are bound. Those that are not bound
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -90,32 +90,46 @@
 		ctx: r.Context(), call: h.protocol.Call(r.Header), method: r.Method, target: r.RequestURI, host: r.Host,
 		header: r.Header, arrived: time.Now(),
 	}
+	if refused := h.findRoute(q, h.guard.ready); refused != nil {
+		return q, refused
+	}
+	if refused := q.readBody(w, r); refused != nil {
+		return q, refused
+	}
+	q.spent = h.dispatcher.timeSpent(q)
+	q.setService(q.route.Pick(hashFraction(q.call.ID)))
+	return q, nil
+}
+
+// findRoute finds the route of a request by its head, and checks whether the caller may use it.
+// The ready function reports whether the entry knows the quarantined parts.
+func (h *handler) findRoute(q *request, ready func(time.Time) bool) *refusal {
 	q.deadline = q.arrived.Add(q.call.Timeout)
 	table := h.fleet.Table()
 	if table == nil {
-		return q, &refusal{status: http.StatusServiceUnavailable, reason: NoRouting, retryAfter: noRoutingRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: NoRouting, retryAfter: noRoutingRetryAfter}
 	}
-	if !h.guard.ready(q.arrived) {
-		return q, &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: noRoutingRetryAfter}
+	if !ready(q.arrived) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: noRoutingRetryAfter}
 	}
 	q.table = table
 	path, _, _ := strings.Cut(q.target, "?")
 	if q.route = table.Route(q.host, path); q.route == nil {
-		return q, &refusal{status: http.StatusNotFound, reason: NoRoute}
+		return &refusal{status: http.StatusNotFound, reason: NoRoute}
 	}
 	q.setDeadline()
 	if refused := q.authorize(); refused != nil {
-		return q, refused
+		return refused
 	}
 	q.regions = h.regionsIn(table, q.route, q.call.Key)
-	if refused := q.readBody(w, r); refused != nil {
-		return q, refused
-	}
-	q.service = q.route.Pick(hashFraction(q.call.ID))
-	q.spent = h.dispatcher.timeSpent(q)
+	return nil
+}
+
+// setService sets the target service of a request, and what depends on it.
+func (q *request) setService(service string) {
+	q.service = service
 	q.parts = partIDs(q)
 	q.late = q.route.Objective > 0 && q.spent >= q.route.Objective
-	return q, nil
 }
 
 // setDeadline sets the deadline to the earlier of the caller's and the route's timeout.
@@ -180,6 +194,10 @@
 // quarantineRefusal refuses a request until its quarantine expires.
 func (q *request) quarantineRefusal(v quarantine.PartVerdict) *refusal {
 	q.record.quarantined = formatPart(v.Part)
+	return quarantineRefusal(v)
+}
+
+func quarantineRefusal(v quarantine.PartVerdict) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: Quarantined, retryAfter: time.Until(v.Until)}
 }
 
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -92,6 +92,8 @@
 	sequence       uint64
 	waiters        map[uint64]chan placement.SlotResponse
 	held           map[uint64]heldSlot
+	explanations   explanationWaiters
+	updatedAt      time.Time // of the endpoints
 	pendingEvents  map[groupKey][]eventMessage
 	meanLagMs      float64 // moving average of the lag of first events at this entry, see excessLag
 	wake           chan struct{}
@@ -204,7 +206,7 @@
 			delete(s.lastCandidate, key)
 		}
 	}
-	s.endpointIDs, s.services, s.entries = endpointIDs, services, s.entries[:0]
+	s.endpointIDs, s.services, s.entries, s.updatedAt = endpointIDs, services, s.entries[:0], now
 	for _, e := range entries {
 		s.entries = append(s.entries, e.Name)
 	}
@@ -264,11 +266,11 @@
 	}
 }
 
-// selectBroker returns the highest-ranked entry of a group that is not suspended. The
-// caller holds mu.
-func (s *slotCoordinator) selectBroker(group placement.Group, now time.Time) string {
+// selectBroker returns the highest-ranked entry of a group that is neither suspended nor
+// listed as silent. The caller holds mu.
+func (s *slotCoordinator) selectBroker(group placement.Group, now time.Time, silent ...string) string {
 	for _, name := range group.Brokers {
-		if !now.Before(s.suspendedUntil[name]) {
+		if !now.Before(s.suspendedUntil[name]) && !slices.Contains(silent, name) {
 			return name
 		}
 	}
@@ -326,7 +328,7 @@
 	a.SlotRequestID = placement.SlotRequestID{Entry: s.self, Sequence: s.sequence}
 	responses := make(chan placement.SlotResponse, 4) // room for repeated responses
 	s.waiters[a.Sequence] = responses
-	group, found := s.firstGroup(service, zone, a.Request)
+	group, found := s.firstGroup(service, zone, a.Request, s.sequence)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -612,6 +614,10 @@
 	}
 	now := time.Now()
 	key := groupKey{m.Service, m.Group}
+	if m.Explain != nil || m.Explanation != nil {
+		s.receiveExplanation(m, now)
+		return
+	}
 	if m.SlotResponse != nil {
 		s.handleResponse(key, m.SlotResponse.slotResponse(s.self))
 		return
