placement: bound the requests to cold endpoints

An endpoint that has just started crashes at a rate well above what the routing document states for cold ones, and brokers sent it as many requests as it has slots.

A ColdTracker determines which endpoints are cold: after a start during traffic, while they report so, and after the evacuation of their zone. The rate limits of a pool get a second schedule for them, so that the broker's permits count both; each broker grants half of the bound within the window from which requests may arrive within one second, and none in the first window after it became the first broker. Grants tell how long the request waited, so that entries know their age.

TestGrantsBeforeColdCount fails if earlier grants do not count.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -29,6 +29,8 @@
 	Resumed bool
 	// Redirected is true if the broker of another group redirected the entry here.
 	Redirected bool
+
+	receivedAt time.Time // when the broker received it first
 }
 
 // SlotResponse is the response of a broker to a request for a slot.
@@ -42,6 +44,8 @@
 	// the number of requests queued ahead. Both are set for refusals.
 	SlotInterval time.Duration
 	Ahead        int
+	// Waited is how long the broker had the request before it granted the slot.
+	Waited time.Duration
 	// Late reports that the request can no longer meet its latency objective.
 	Late bool
 }
@@ -102,6 +106,8 @@
 	responses  []SlotResponse  // not yet returned to the caller
 	peerGroups map[string]peerGroup
 	minVersion uint64 // highest minimum version of the weights in any request so far
+	// coldPermitsDenied is true while permits of cold endpoints are left to other brokers.
+	coldPermitsDenied bool
 }
 
 type grant struct {
@@ -112,6 +118,7 @@
 	priority    int
 	suspects    []uint64
 	grantedAt   time.Time
+	waited      time.Duration // from the arrival of the request to the grant
 	// sentAfter is a time before the request was sent; zero if unknown.
 	sentAfter time.Time
 }
@@ -138,6 +145,7 @@
 
 // Update replaces the endpoints of the group and the description of their engines.
 func (b *Broker) Update(engine *routing.Engine, endpoints []Endpoint, now time.Time) {
+	b.updateColdPermits(now)
 	b.pool.Update(engine, endpoints, now)
 	b.serveQueue(now)
 }
@@ -149,7 +157,7 @@
 	b.minVersion = max(b.minVersion, a.MinVersion)
 	if g, ok := b.grants[a.SlotRequestID]; ok {
 		if s := b.pool.endpoints[g.endpoint]; s != nil {
-			b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: b.pool.choice(s, a.PromptTokens, now)})
+			b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: b.pool.choice(s, a.PromptTokens, now), Waited: g.waited})
 		}
 		return
 	}
@@ -158,6 +166,7 @@
 		b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Queued, Late: a.Late})
 		return
 	}
+	a.receivedAt = now
 	a.Late = !a.Resumed && a.Late
 	if a.TimeLeft > 0 && !a.Late {
 		a.Due = now.Add(a.TimeLeft)
@@ -309,9 +318,9 @@
 	b.pool.Begin(c.ID, a.Prefill())
 	b.pool.TakePermit(c.ID, now)
 	b.grants[a.SlotRequestID] = grant{
-		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, sentAfter: now,
+		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, waited: now.Sub(a.receivedAt), sentAfter: now,
 	}
-	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Late: a.Late})
+	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Waited: now.Sub(a.receivedAt), Late: a.Late})
 }
 
 func (b *Broker) refuse(a SlotRequest, v Verdict, interval time.Duration, ahead int) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -32,6 +32,10 @@
 	// ColdFor is the time for which the endpoint reports that it remains cold, counted from
 	// the first Update that states it; zero if it reports none.
 	ColdFor time.Duration
+	// Report is the sequence number of the check-in that states ColdFor.
+	Report uint64
+	// Cold is set by a ColdTracker.
+	Cold Cold
 }
 
 // Load is the load of one endpoint.
@@ -145,6 +149,7 @@
 	// rateLimits holds the limits that endpoints have named, by ID.
 	rateLimits map[string]*rateLimit
 	noPermits  bool // endpoints with a rate limit may not be used
+	coldPermits
 	// pauses holds the pauses that endpoints have stated, by ID.
 	pauses map[string]pause
 }
@@ -158,6 +163,7 @@
 	health     health
 	lag        lag
 	drainsAt   time.Time // when it is expected to drain; zero if no drain is planned
+	coldState
 }
 
 // NewPool returns an empty pool.
@@ -193,6 +199,7 @@
 		case s.DrainsIn == 0:
 			s.drainsAt = now.Add(e.DrainsIn)
 		}
+		s.unused = s.ID == "" || s.Evacuated && !e.Evacuated
 		s.Endpoint = e
 	}
 	for id := range p.endpoints {
@@ -201,6 +208,7 @@
 		}
 	}
 	p.forgetRateLimits(now)
+	p.limitCold(now)
 	p.forgetPauses(now)
 }
 
@@ -229,6 +237,8 @@
 	Load            Load // of the endpoint, from all entries
 	// RateLimited reports that the endpoint limits the requests of all entries together.
 	RateLimited bool
+	// PermitUntil is when the permit for the request expires; zero if it needs none.
+	PermitUntil time.Time
 }
 
 // Verdict is the result of an attempt to place a request.
@@ -648,11 +658,11 @@
 			perMs += slotsPerMs
 			continue
 		}
-		if p.noPermits {
+		if p.noPermits || l.cold.limits() && p.noColdPermits {
 			continue
 		}
-		wait = min(wait, l.permitAt.Sub(now))
-		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.interval)/float64(p.sharers))
+		wait = min(wait, p.nextPermit(l).Sub(now))
+		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.longestInterval())/float64(p.sharers))
 	}
 	if perMs == 0 {
 		return noEndpointPause
