control: pass on when a server becomes cold again

Changes of the remaining cold time in check-ins were not significant, so entries learned of them only with another change of the server. A change is passed on when the end of that time moves by more than half a second, and when the server becomes cold or warm; the steps of a countdown are not.

TestColdServersArePassedOn fails without the comparison.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -126,16 +126,37 @@
 // serverChanged reports whether a check-in has changes that entries need.
 func serverChanged(previous, next membership.Record[wire.Server]) bool {
 	a, b := previous.Report, next.Report
-	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone || a.Loading != b.Loading || a.LoadPending != b.LoadPending || a.Loads != b.Loads ||
+	return a.Address != b.Address || a.Service != b.Service || a.Slots != b.Slots || a.Zone != b.Zone || a.Loading != b.Loading || a.LoadPending != b.LoadPending || a.Loads != b.Loads || coldChanged(a, b) ||
 		!slices.EqualFunc(a.Models, b.Models, func(x, y wire.ServerModel) bool {
 			return x.Name == y.Name && slices.Equal(x.Layers, y.Layers)
 		})
 }
 
+// coldTolerance is by how much the end of the time for which a server reports to be cold may move
+// without being passed on: check-ins are delayed by different times.
+const coldTolerance = 500 * time.Millisecond
+
+// coldChanged reports whether the time for which a server remains cold has changed by more than
+// what has passed. A countdown is not passed on.
+func coldChanged(a, b wire.Server) bool {
+	switch {
+	case (a.ColdMs == 0) != (b.ColdMs == 0):
+		return true
+	case b.ColdMs == 0:
+		return false
+	case a.ColdUntil.IsZero() || b.ColdUntil.IsZero():
+		return b.ColdMs >= a.ColdMs
+	}
+	return b.ColdUntil.Sub(a.ColdUntil).Abs() > coldTolerance
+}
+
 // CheckIn records a check-in of a server. It refuses one that states another service or
 // address than the same incarnation did before, here or at another replica: a server cannot
 // change them without a restart, so it comes from another writer.
 func (f *fleet) CheckIn(s wire.Server, now time.Time) error {
+	if s.ColdMs > 0 {
+		s.ColdUntil = now.Add(time.Duration(s.ColdMs) * time.Millisecond)
+	}
 	f.mu.Lock()
 	local, _ := f.localServers.Get(s.ID)
 	remote, _ := f.remoteServers.Get(s.ID)
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -225,3 +225,33 @@
 	}
 	is.Equal(len(f.engines), 1)
 }
+
+// Guards against entries that do not learn that a server has become cold again, and against one
+// message to all entries for each step of a countdown.
+func TestColdServersArePassedOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := newTestFleet()
+	version := mergedServers(f).Version()
+	sequence := uint64(0)
+	checkIn := func(after time.Duration, coldMs int64) (passedOn bool) {
+		now = now.Add(after)
+		sequence++
+		s := server("i-1", 100, sequence)
+		s.ColdMs = coldMs
+		is.NoErr(f.CheckIn(s, now))
+		before := version
+		version = mergedServers(f).Version()
+		return version != before
+	}
+	is.True(checkIn(0, 0))
+	is.True(!checkIn(time.Second, 0))
+	is.True(checkIn(time.Second, 8000))
+	is.True(!checkIn(time.Second, 7000))
+	is.True(!checkIn(2*time.Second, 5200)) // a check-in may be late
+	is.True(checkIn(time.Second, 5200))    // it remains cold for longer
+	is.True(checkIn(time.Second, 9000))
+	is.True(checkIn(9*time.Second, 0))
+	is.True(!checkIn(time.Second, 0))
+	is.True(checkIn(time.Second, 9000)) // the same time as before
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -32,6 +32,9 @@
 	Loads EngineLoads `cbor:"13,keyasint,omitempty"`
 	// ColdMs is how long the server reports that it remains cold.
 	ColdMs int64 `cbor:"14,keyasint,omitempty"`
+	// ColdUntil is when that ends by the clock of the replica to which the server reported it. It
+	// is zero if the server reported to another one.
+	ColdUntil time.Time `cbor:"-"`
 }
 
 // EngineLoads tells up to which order the loads of an engine were verified. An engine takes
