relay: send requests to cold endpoints by permit only

Entries did not use what the routing document, check-ins and answers state of cold endpoints. An entry that reaches no control replica with a leader grants no permits of cold endpoints.

--- a/internal/fleetclient/replicas.go
+++ b/internal/fleetclient/replicas.go
@@ -291,6 +291,19 @@
 	c.updateFollowed(time.Now())
 }
 
+// Isolated reports whether this process has no session to a control replica that knows a
+// leader. Its lists may be out of date then.
+func (c *Client) Isolated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.followed {
+		if r.open && r.leaderlessSince.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // peerSources counts the replicas that are asked for processes. The caller holds mu.
 func (c *Client) peerSources() int {
 	n := 0
--- a/internal/fleetclient/replicas_test.go
+++ b/internal/fleetclient/replicas_test.go
@@ -97,3 +97,15 @@
 	c.updateFollowed(time.Now().Add(leaderlessTimeout + dialGrace))
 	is.Equal(len(c.followed), followCount+1)
 }
+
+// Guards against a process that takes its lists for current although it is cut off, or follows only
+// replicas that are.
+func TestIsolated(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}}, wire.Process{Name: "p", Zone: "a"})
+	is.True(c.Isolated())
+	c.followed["r-0"], c.followed["r-1"] = &replica{open: true, leaderlessSince: time.Now()}, &replica{}
+	is.True(c.Isolated())
+	c.followed["r-1"].open = true
+	is.True(!c.Isolated())
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,6 +31,10 @@
 	// errEndpointPaused means that the request was not sent because the endpoint wants no
 	// requests from this entry for a while. It may have said so after it was selected.
 	errEndpointPaused = errors.New("endpoint wants no requests for a while")
+	// errPermitExpired means that the request was not sent because the permit of the broker
+	// was granted too long ago. It would exceed the rate of the endpoint together with
+	// requests that were granted later.
+	errPermitExpired = errors.New("permit of the broker has expired")
 	// errRequestEnded means that the caller disconnected or the deadline of the request
 	// passed.
 	errRequestEnded = errors.New("request ended")
@@ -90,6 +94,10 @@
 		h.conns.put(a.key, conn, 0)
 		return nil, errEndpointPaused
 	}
+	if !c.PermitUntil.IsZero() && time.Now().After(c.PermitUntil) {
+		h.conns.put(a.key, conn, 0)
+		return nil, errPermitExpired
+	}
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = a.exchange(h, q, f)
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -81,6 +81,7 @@
 	wasReady bool
 	// retrySharers is the number of entries that share the retry budget, as last logged.
 	retrySharers int
+	cold         placement.ColdTracker
 }
 
 // New returns a Daemon that is not running yet.
@@ -103,6 +104,7 @@
 		maxPause:         s.MaxPause.Std(),
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
 	}
+	d.handler.dispatcher.countCold(m)
 	return d
 }
 
@@ -271,8 +273,10 @@
 		keep[connKey(e)] = true
 	}
 	entries := d.entries(processes)
+	d.updateCold(table, endpoints, time.Now())
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
+	d.handler.metrics.setCold(d.handler.dispatcher.coldEndpoints())
 	d.shareRetries(len(others) + 1)
 	d.handler.conns.prune(keep)
 	ready := d.ready() == nil
@@ -351,6 +355,7 @@
 func endpointOf(s wire.Server, service *routing.Service) placement.Endpoint {
 	e := placement.Endpoint{
 		ID: s.ID, Incarnation: s.Started, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining || s.Loading, Leaving: s.Draining,
+		ColdFor: time.Duration(s.ColdMs) * time.Millisecond, Report: s.Sequence,
 	}
 	if s.LoadPending {
 		e.DrainsIn = wire.LoadNotice
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -38,7 +38,8 @@
 	// broker.
 	localJitterMs = 60
 	// permitJitter spreads the requests of entries for permits of an endpoint with a rate
-	// limit. A higher value leaves permits unused if few entries want them.
+	// limit, up to the time between two permits. A higher value leaves permits unused if few
+	// entries want them.
 	permitJitter = 250 * time.Millisecond
 )
 
@@ -56,6 +57,9 @@
 	divisor int               // of the burst of the retry budget
 	// retryDetectors distinguish the retries of callers from first attempts, by route.
 	retryDetectors map[string]*admission.RetryDetector
+	// coldRefused is called, with mu held, when a broker refuses a permit while endpoints of a
+	// service are cold.
+	coldRefused func(service string)
 }
 
 type poolState struct {
@@ -65,7 +69,7 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, sharers: admission.Sharers{Retention: sharerRetention}, divisor: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, sharers: admission.Sharers{Retention: sharerRetention}, divisor: 1, retryDetectors: map[string]*admission.RetryDetector{}, coldRefused: func(string) {}}
 	s.setRateLimitStore(d)
 	return d
 }
@@ -183,12 +187,7 @@
 		if r.Serialized { // without a broker, several entries would send the same suspect
 			return placement.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: CrashSuspect, retryAfter: minRetryAfter}
 		}
-		r.Exclude = slices.Clone(r.Exclude) // no broker responds, so none grants a permit
-		for _, l := range d.rateLimits(q.service) {
-			if !l.Ended() {
-				r.Exclude = append(r.Exclude, l.Endpoint)
-			}
-		}
+		r.Exclude = slices.Concat(r.Exclude, d.rateLimited(q.service)) // no broker responds, so none grants a permit
 	}
 	return d.placeLocally(q, r)
 }
@@ -269,6 +268,7 @@
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
 		d.mu.Lock()
+		d.countColdRefusal(q.service, p.response.Verdict)
 		delay := afterPauses(d.pool(q.service), retryAfter(p.response), time.Now())
 		d.mu.Unlock()
 		refused = placementRefusal(p.response.Verdict, delay)
@@ -302,7 +302,7 @@
 		choice, verdict := p.Place(r, now)
 		if verdict == placement.Placed && choice.RateLimited {
 			d.mu.Unlock()
-			if d.takePermit(q, r, choice) {
+			if d.takePermit(q, r, &choice) {
 				return choice, nil
 			}
 			if q.ctx.Err() != nil {
@@ -344,7 +344,7 @@
 // takePermit requests a slot of an endpoint with a rate limit from the broker that counts
 // the requests of all entries, and counts the request as running there. If the broker
 // refuses or does not respond, the endpoint is not selected for a while.
-func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
+func (d *dispatcher) takePermit(q *request, r placement.Request, c *placement.Choice) bool {
 	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, placement.SlotRequest{
 		Request: placement.Request{PromptTokens: r.PromptTokens, Zone: r.Zone, Only: c.ID, Priority: r.Priority}, Redirected: true,
 	})
@@ -355,11 +355,12 @@
 	pool := d.pool(q.service)
 	switch {
 	case ok && p.response.Verdict == placement.Placed:
-		q.slot, q.inPrefill = p.sequence, true
+		q.slot, q.inPrefill, c.PermitUntil = p.sequence, true, p.choice.PermitUntil
 		pool.Begin(c.ID, r.Prefill())
 		return true
 	case ok:
-		pool.DeferPermits(c.ID, now.Add(p.response.SlotInterval+rand.N(permitJitter)))
+		d.countColdRefusal(q.service, p.response.Verdict)
+		pool.DeferPermits(c.ID, now.Add(p.response.SlotInterval+rand.N(min(permitJitter, max(p.response.SlotInterval, time.Millisecond)))))
 	default:
 		pool.DeferPermits(c.ID, now.Add(brokerSuspension))
 	}
@@ -503,7 +504,7 @@
 // recordRateLimit records the request rate that an endpoint named in an answer, nil for
 // none, and reports whether its limit changed.
 func (d *dispatcher) recordRateLimit(q *request, c placement.Choice, perSecond *float64) bool {
-	d.slots.recordRateLimit(q.slot, perSecond)
+	d.slots.recordAnswer(q.slot, perSecond, q.record.coldFor)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.pool(q.service).RecordRateLimit(c.ID, c.Incarnation, perSecond, q.placedAt, time.Now())
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -216,7 +216,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused:
+	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused, RetryPermitExpired:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.unsent {
@@ -374,6 +374,8 @@
 		h.dispatcher.recordLoad(q.service, c.ID, *load)
 	}
 	h.recordPause(q, c, a)
+	q.record.coldFor = a.answer.ColdFor
+	h.dispatcher.recordCold(q, c)
 	limit, err := a.answer.RateLimit, a.answer.RateLimitErr
 	if err != nil { // the limit known so far stays in force
 		h.metrics.malformedRateLimit.Inc()
@@ -427,6 +429,8 @@
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointLeft
 	case errors.Is(err, errEndpointPaused):
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointPaused
+	case errors.Is(err, errPermitExpired):
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryPermitExpired
 	case errors.Is(err, errNotSent):
 		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -81,6 +81,7 @@
 	Ahead          int               `cbor:"14,keyasint,omitempty"`
 	Late           bool              `cbor:"15,keyasint,omitempty"`
 	RateLimited    bool              `cbor:"16,keyasint,omitempty"`
+	WaitedMs       int64             `cbor:"17,keyasint,omitempty"`
 }
 
 // eventMessage reports the answer, the first event or the end of an attempt to the broker
@@ -96,6 +97,8 @@
 	// per second, or no limit if it is nil.
 	Answered  bool     `cbor:"5,keyasint,omitempty"`
 	RateLimit *float64 `cbor:"6,keyasint,omitempty"`
+	// ColdMs is how long the endpoint remains cold, as the answer states it.
+	ColdMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // heldSlotsMessage lists the slots of a group that an entry holds.
@@ -170,7 +173,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(m.Events, func(e eventMessage) bool {
-		return !ms(e.LateMs) || e.RateLimit != nil && !(*e.RateLimit >= 0)
+		return !ms(e.LateMs) || !ms(e.ColdMs) || e.RateLimit != nil && !(*e.RateLimit >= 0)
 	})
 }
 
@@ -220,7 +223,7 @@
 		Sequence: a.RequestID.Sequence, Verdict: a.Verdict, Endpoint: a.Choice.ID, Incarnation: a.Choice.Incarnation, Address: a.Choice.Address, Zone: a.Choice.Zone,
 		WeightsVersion: a.Choice.WeightsVersion, TTFTMs: a.Choice.TTFT.Milliseconds(), ModelTTFTMs: a.Choice.ModelTTFT.Milliseconds(),
 		Running: a.Choice.Load.Running, PrefillTokens: a.Choice.Load.PrefillTokens, Group: a.Group, SlotIntervalUs: a.SlotInterval.Microseconds(), Ahead: a.Ahead, Late: a.Late,
-		RateLimited: a.Choice.RateLimited,
+		RateLimited: a.Choice.RateLimited, WaitedMs: a.Waited.Milliseconds(),
 	}
 }
 
@@ -232,6 +235,7 @@
 			TTFT:     fromMs(m.TTFTMs), ModelTTFT: fromMs(m.ModelTTFTMs), Load: placement.Load{Running: m.Running, PrefillTokens: m.PrefillTokens}, RateLimited: m.RateLimited,
 		},
 		Group: m.Group, SlotInterval: time.Duration(m.SlotIntervalUs) * time.Microsecond, Ahead: m.Ahead, Late: m.Late,
+		Waited: fromMs(max(0, min(m.WaitedMs, maxQueueMs))),
 	}
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,9 @@
 	rateLimited, malformedRateLimit, pauses, malformedPauses prometheus.Counter
 	// retryBudget counts the tokens of the retry budget, by service and event.
 	retryBudget *prometheus.CounterVec
+	// coldEndpoints and coldRefused are by service.
+	coldEndpoints *prometheus.GaugeVec
+	coldRefused   *prometheus.CounterVec
 	// takeovers counts the searches for another endpoint for a silent one's stream.
 	takeovers *prometheus.CounterVec
 	// retryBurst is the share of the burst of the retry budget that this entry may use, and
@@ -71,6 +74,12 @@
 		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "takeovers_total", Help: "Streams whose endpoint was silent and for which another one was sought, by outcome.",
 		}, []string{"outcome"}),
+		coldEndpoints: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "cold_endpoints", Help: "Endpoints that are cold and get requests by permit only, by service.",
+		}, []string{"service"}),
+		coldRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "cold_permits_refused_total", Help: "Requests for a permit that a broker refused while endpoints of the service were cold, by service.",
+		}, []string{"service"}),
 		retryBurst:   gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
 		retrySharers: gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -80,7 +89,7 @@
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
 	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
-		m.retryBudget, m.takeovers, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
+		m.retryBudget, m.coldEndpoints, m.coldRefused, m.takeovers, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
 	return m
 }
 
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -60,6 +60,9 @@
 	// RetryEndpointPaused means that the endpoint wanted no requests when the request was
 	// about to be sent.
 	RetryEndpointPaused Reason = "endpoint-paused"
+	// RetryPermitExpired means that the permit of the broker was too old when the request was
+	// about to be sent.
+	RetryPermitExpired Reason = "permit-expired"
 )
 
 // Reasons for not sending a request again that may have run, besides those for which it is
@@ -86,7 +89,7 @@
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused, RetryPermitExpired}
 }
 
 // NotRepeatedReasons lists the reasons for not sending a request again that may have run.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -80,6 +80,7 @@
 	budgetRefused bool          // a retry was refused because the retry budget was used up
 	notRepeated   Reason        // why a request that may have run was not sent again
 	quarantined   string        // part for which the request was refused
+	coldFor       time.Duration // for which the last endpoint remains cold, as its answer stated
 	rateLimit     *float64      // requests per second that the last endpoint accepts; nil if it named none
 }
 
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -93,6 +93,7 @@
 	waiters        map[uint64]chan placement.SlotResponse
 	held           map[uint64]heldSlot
 	pendingEvents  map[groupKey][]eventMessage
+	isolated       bool    // reaches no control replica with a leader, see setIsolated
 	meanLagMs      float64 // moving average of the lag of first events at this entry, see excessLag
 	wake           chan struct{}
 }
@@ -189,6 +190,7 @@
 			}
 			if b := s.brokers[key]; b != nil {
 				b.SetPrimary(group.Brokers[0] == s.self)
+				b.SetColdPermits(!s.isolated)
 				b.Update(description.Engine, byGroup[group.Name], now)
 			}
 		}
@@ -309,6 +311,8 @@
 	key      groupKey
 	broker   string
 	requests int
+	// requestedAt is when the slot was requested first.
+	requestedAt time.Time
 	// response is the final response of the broker.
 	response placement.SlotResponse
 }
@@ -331,7 +335,7 @@
 	if !found {
 		return p, false
 	}
-	p.sequence = a.Sequence
+	p.sequence, p.requestedAt = a.Sequence, time.Now()
 	for range maxBrokersTried {
 		s.mu.Lock()
 		p.broker = s.selectBroker(group, time.Now())
@@ -389,6 +393,7 @@
 				}
 				if response.Verdict == placement.Placed {
 					p.choice = response.Choice
+					p.choice.PermitUntil = p.permitUntil()
 					s.recordHeld(p, a.PromptTokens)
 				}
 				return "", true
@@ -439,15 +444,15 @@
 	s.reportEvent(h.key, eventMessage{Sequence: sequence, LateMs: excess.Milliseconds()})
 }
 
-// recordRateLimit reports to the broker the request rate that the endpoint of a slot
-// names in its answer, nil for none. An answer without one matters only if the broker
-// knows of a limit.
-func (s *slotCoordinator) recordRateLimit(sequence uint64, perSecond *float64) {
+// recordAnswer reports to the broker the request rate that the endpoint of a slot names in
+// its answer, nil for none, and for how long it remains cold. An answer without a rate
+// matters only if the broker knows of a limit.
+func (s *slotCoordinator) recordAnswer(sequence uint64, perSecond *float64, coldFor time.Duration) {
 	s.mu.Lock()
 	h, ok := s.held[sequence]
 	s.mu.Unlock()
-	if ok && (perSecond != nil || h.rateLimited) {
-		s.reportEvent(h.key, eventMessage{Sequence: sequence, Answered: true, RateLimit: perSecond})
+	if ok && (perSecond != nil || h.rateLimited || coldFor > 0) {
+		s.reportEvent(h.key, eventMessage{Sequence: sequence, Answered: true, RateLimit: perSecond, ColdMs: coldFor.Milliseconds()})
 	}
 }
 
@@ -514,6 +519,7 @@
 	for _, e := range events {
 		id := placement.SlotRequestID{Entry: entry, Sequence: e.Sequence}
 		if e.Answered {
+			b.RecordCold(id, fromMs(e.ColdMs), now)
 			if endpoint, changed := b.RecordRateLimit(id, e.RateLimit, now); changed {
 				logRateLimit(s.log, endpoint, e.RateLimit, log.Fields{"service": key.service, "group": key.group, "entry": entry})
 			}
