placement: predict with the pace that servers state

Servers that share their machines slow down and recover many times a second. Their answers state the pace, which was decoded and not used: placement noticed a slow engine only by first events that were late already.

Each pool keeps a moving average of the pace of an endpoint, and all predictions of its times multiply by it. Entries report the pace to the broker in the message of the first event. Lag is measured against the model that includes the pace.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -511,8 +511,11 @@
 }
 
 // recordLoad records the load that an endpoint reported with an answer.
-func (d *dispatcher) recordLoad(service, id string, l protocol.Load) {
+func (d *dispatcher) recordLoad(q *request, id string, l protocol.Load) {
+	d.slots.recordPace(q.slot, l.Pace)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool(service).RecordLoad(id, l.Running, l.Waiting, time.Now())
+	p, now := d.pool(q.service), time.Now()
+	p.RecordLoad(id, l.Running, l.Waiting, now)
+	p.RecordPace(id, l.Pace, now)
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -371,7 +371,7 @@
 // recordAnswer records what an endpoint states about itself in the head of an answer.
 func (h *handler) recordAnswer(q *request, c placement.Choice, a *attempt) {
 	if load := a.answer.Load; load != nil {
-		h.dispatcher.recordLoad(q.service, c.ID, *load)
+		h.dispatcher.recordLoad(q, c.ID, *load)
 	}
 	h.recordPause(q, c, a)
 	q.record.coldFor = a.answer.ColdFor
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -99,6 +99,9 @@
 	RateLimit *float64 `cbor:"6,keyasint,omitempty"`
 	// ColdMs is how long the endpoint remains cold, as the answer states it.
 	ColdMs int64 `cbor:"7,keyasint,omitempty"`
+	// Pace is how long work takes at the endpoint, in hundredths of the usual time, as its answer
+	// states it. It is sent with the first event.
+	Pace int `cbor:"8,keyasint,omitempty"`
 }
 
 // heldSlotsMessage lists the slots of a group that an entry holds.
--- a/internal/relay/odd_entries_test.go
+++ b/internal/relay/odd_entries_test.go
@@ -73,6 +73,11 @@
 		"highest version": {SlotRequest: &slotRequestMessage{Sequence: 1, MinVersion: ^uint64(0), Bounds: []weightsBoundMessage{{Version: ^uint64(0), LeftMs: least}}}},
 		"result unknown":  {Events: []eventMessage{{Sequence: 1, Ended: true, Result: 255}}},
 		"late overflows":  {Events: []eventMessage{{Sequence: 1, LateMs: most}}},
+		"pace below 0":    {Events: []eventMessage{{Sequence: 1, Pace: -1 << 62}}},
+		"highest pace":    {Events: []eventMessage{{Sequence: 1, Pace: 1 << 62}}},
+		"cold overflows":  {Events: []eventMessage{{Sequence: 1, Answered: true, ColdMs: most}}},
+		"cold below 0":    {Events: []eventMessage{{Sequence: 1, Answered: true, ColdMs: least}}},
+		"wait too long":   {SlotResponse: &slotResponseMessage{Sequence: 1, Verdict: placement.Placed, Endpoint: "a", RateLimited: true, WaitedMs: most}},
 		"rate below 0":    {Events: []eventMessage{{Sequence: 1, Answered: true, RateLimit: rate(-1)}}},
 		"rate not a number": {Events: []eventMessage{
 			{Sequence: 1, Answered: true, RateLimit: rate(math.NaN())},
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -126,6 +126,7 @@
 	prefillTokens int
 	inPrefill     bool
 	rateLimited   bool // the endpoint had a rate limit when the slot was granted
+	pace          int  // as in eventMessage
 }
 
 func newSlotCoordinator(self, zone string, logger log.Interface, send func(string, peerMessage)) *slotCoordinator {
@@ -441,7 +442,7 @@
 	s.held[sequence] = h
 	excess := s.excessLag(lag)
 	s.mu.Unlock()
-	s.reportEvent(h.key, eventMessage{Sequence: sequence, LateMs: excess.Milliseconds()})
+	s.reportEvent(h.key, eventMessage{Sequence: sequence, LateMs: excess.Milliseconds(), Pace: h.pace})
 }
 
 // recordAnswer reports to the broker the request rate that the endpoint of a slot names in
@@ -526,6 +527,7 @@
 			continue
 		}
 		if !e.Ended {
+			b.RecordPace(id, decodePace(e.Pace), now)
 			b.FirstEvent(id, fromMs(e.LateMs), now)
 			continue
 		}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -43,6 +43,8 @@
 	Running int
 	// PrefillTokens is the total of prompt tokens of the requests without a first event.
 	PrefillTokens int
+
+	pace float64 // estimate; 0 in counts that no prediction uses
 }
 
 // Request describes a request to place.
@@ -162,6 +164,7 @@
 	reportedAt time.Time
 	health     health
 	lag        lag
+	pace       pace
 	drainsAt   time.Time // when it is expected to drain; zero if no drain is planned
 	coldState
 }
@@ -391,7 +394,7 @@
 	if perPass := p.engine.PrefillChunkTokens * max(1, p.engine.Stride); perPass > 0 {
 		tokens = min(tokens, perPass)
 	}
-	pause := p.engine.DecodePassMs(load.Running+1) + p.engine.PrefillMs(tokens)
+	pause := load.slowed(p.engine.DecodePassMs(load.Running+1) + p.engine.PrefillMs(tokens))
 	return pause > float64(r.GapObjective)/float64(time.Millisecond)
 }
 
@@ -452,7 +455,7 @@
 		answer = p.engine.MeanAnswerTokens
 	}
 	passes := float64(answer) / float64(max(1, p.engine.Stride))
-	lastsMs := p.ttftMs(load, r.PromptTokens) + passes*p.engine.DecodePassMs(load.Running+1)
+	lastsMs := p.ttftMs(load, r.PromptTokens) + load.slowed(passes*p.engine.DecodePassMs(load.Running+1))
 	return now.Add(milliseconds(lastsMs)).After(s.drainsAt.Add(drainSlack))
 }
 
@@ -487,6 +490,7 @@
 	if now.Sub(s.reportedAt) < reportTTL {
 		load.Running = max(load.Running, s.reported.Running)
 	}
+	load.pace = s.pace.factor(now)
 	return load
 }
 
@@ -494,7 +498,7 @@
 func (p *Pool) ttftMs(load Load, prompt int) float64 {
 	e := p.engine
 	if e == nil {
-		return plainServiceMs * float64(load.Running)
+		return load.plainTTFTMs()
 	}
 	return p.passEndMs(load, prompt)
 }
@@ -505,7 +509,7 @@
 func (p *Pool) passEndMs(load Load, prompt int) float64 {
 	const meanRemainder = 0.5
 	e := p.engine
-	return meanRemainder*e.DecodePassMs(load.Running) + e.PrefillMs(load.PrefillTokens) + e.PrefillMs(prompt) + e.DecodePassMs(load.Running+1)
+	return load.slowed(meanRemainder*e.DecodePassMs(load.Running) + e.PrefillMs(load.PrefillTokens) + e.PrefillMs(prompt) + e.DecodePassMs(load.Running+1))
 }
 
 // Begin counts a request as running at an endpoint, with its prefill pending.
