relay: request permits of cold endpoints more often

An entry that places requests to a plain service itself waited for one to two intervals between permits after a refused one, although the next permit is due at any time within an interval. It now waits for up to two, one on average; named rates with longer intervals are as before.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -77,6 +78,16 @@
 	d.pool(q.service).RecordCold(c.ID, c.Incarnation, q.record.coldFor, time.Now())
 }
 
+// permitDelay returns how long an entry waits after a refused permit until it requests another one.
+// If the interval between two permits is short, the next one is due at any time within it, and a
+// request that comes too early costs little.
+func permitDelay(interval time.Duration) time.Duration {
+	if interval < permitJitter {
+		return rand.N(2 * max(interval, time.Millisecond))
+	}
+	return interval + rand.N(permitJitter)
+}
+
 // countCold counts the permits that brokers refuse while endpoints are cold.
 func (d *dispatcher) countCold(m *relayMetrics) {
 	d.mu.Lock()
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -38,8 +38,7 @@
 	// broker.
 	localJitterMs = 60
 	// permitJitter spreads the requests of entries for permits of an endpoint with a rate
-	// limit, up to the time between two permits. A higher value leaves permits unused if few
-	// entries want them.
+	// limit. A higher value leaves permits unused if few entries want them.
 	permitJitter = 250 * time.Millisecond
 )
 
@@ -360,7 +359,7 @@
 		return true
 	case ok:
 		d.countColdRefusal(q.service, p.response.Verdict)
-		pool.DeferPermits(c.ID, now.Add(p.response.SlotInterval+rand.N(min(permitJitter, max(p.response.SlotInterval, time.Millisecond)))))
+		pool.DeferPermits(c.ID, now.Add(permitDelay(p.response.SlotInterval)))
 	default:
 		pool.DeferPermits(c.ID, now.Add(brokerSuspension))
 	}
