--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -220,7 +220,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed:
+	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed, RetryPermitExpired:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.unsent {
@@ -375,9 +375,11 @@
 // recordAnswer records what an endpoint states about itself in the head of an answer.
 func (h *handler) recordAnswer(q *request, c placement.Choice, a *attempt) {
 	if load := a.answer.Load; load != nil {
-		h.dispatcher.recordLoad(q.service, c.ID, *load)
+		h.dispatcher.recordLoad(q, c.ID, *load)
 	}
 	h.recordPause(q, c, a)
+	q.record.coldFor = a.answer.ColdFor
+	h.dispatcher.recordCold(q, c)
 	limit, err := a.answer.RateLimit, a.answer.RateLimitErr
 	if err != nil { // the limit known so far stays in force
 		h.metrics.malformedRateLimit.Inc()
@@ -435,6 +437,8 @@
 		r := h.handleNotSent(q, c, placement.Neutral, err)
 		r.refusal.reason = NoAllowedRegion
 		return r, RetryRegionNotAllowed
+	case errors.Is(err, errPermitExpired):
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryPermitExpired
 	case errors.Is(err, errNotSent):
 		return h.handleNotSent(q, c, placement.ConnectFailed, err), RetryNotSent
 	case errors.Is(err, errRequestEnded) || q.ctx.Err() != nil:
