--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -177,6 +177,9 @@
 	ZonePenaltyMs    int64 `cbor:"12,keyasint,omitempty" json:"zone_penalty_ms"`
 	VersionPenaltyMs int64 `cbor:"13,keyasint,omitempty" json:"version_penalty_ms"`
 	SuspectPenaltyMs int64 `cbor:"14,keyasint,omitempty" json:"suspect_penalty_ms"`
+	// Pace is the estimate of how long work takes there, relative to the usual time. FirstEventMs
+	// is the predicted time with it.
+	Pace float64 `cbor:"17,keyasint,omitempty" json:"pace"`
 	// NotUsable is why the endpoint cannot take the request now; empty if it can.
 	NotUsable string `cbor:"15,keyasint,omitempty" json:"not_usable,omitempty"`
 	// EndsInMs is when that ends at the latest; 0 if it is not known.
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -56,6 +56,9 @@
 	divisor int               // of the burst of the retry budget
 	// retryDetectors distinguish the retries of callers from first attempts, by route.
 	retryDetectors map[string]*admission.RetryDetector
+	// coldRefused is called, with mu held, when a broker refuses a permit while endpoints of a
+	// service are cold.
+	coldRefused func(service string)
 }
 
 type poolState struct {
@@ -66,7 +69,7 @@
 }
 
 func newDispatcher(ratio, slack float64, s *slotCoordinator) *dispatcher {
-	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, sharers: admission.Sharers{Retention: sharerRetention}, divisor: 1, retryDetectors: map[string]*admission.RetryDetector{}}
+	d := &dispatcher{slots: s, ratio: ratio * retryBudgetShare, slack: slack * retryBudgetShare, pools: map[string]*poolState{}, sharers: admission.Sharers{Retention: sharerRetention}, divisor: 1, retryDetectors: map[string]*admission.RetryDetector{}, coldRefused: func(string) {}}
 	s.setRateLimitStore(d)
 	return d
 }
@@ -191,23 +194,11 @@
 		if r.Serialized {
 			return placement.Choice{}, suspectRefusal()
 		}
-		r.Exclude = withoutPermits(r.Exclude, d.rateLimits(q.service))
+		r.Exclude = slices.Concat(r.Exclude, d.rateLimited(q.service)) // no broker responds, so none grants a permit
 	}
 	return d.placeLocally(q, r)
 }
 
-// withoutPermits adds the endpoints with a rate limit to those that are excluded: if no broker
-// responds, none grants a permit.
-func withoutPermits(excluded []string, limits []placement.NamedRateLimit) []string {
-	excluded = slices.Clone(excluded)
-	for _, l := range limits {
-		if !l.Ended() {
-			excluded = append(excluded, l.Endpoint)
-		}
-	}
-	return excluded
-}
-
 // suspectRefusal refuses a request that may only run alone. Without a broker, several entries would
 // send the same suspect.
 func suspectRefusal() *refusal {
@@ -290,6 +281,7 @@
 	if p.response.Verdict != placement.Placed {
 		q.record.slotInterval, q.record.ahead = p.response.SlotInterval, p.response.Ahead
 		d.mu.Lock()
+		d.countColdRefusal(q.service, p.response.Verdict)
 		refused = d.pool(q.service).brokerRefusal(r, p.response, time.Now()).spread()
 		d.mu.Unlock()
 		return choice, refused, true
@@ -380,7 +372,7 @@
 		switch decided.step {
 		case stepPermit:
 			d.mu.Unlock()
-			if d.takePermit(q, r, choice) {
+			if d.takePermit(q, r, &choice) {
 				return choice, nil
 			}
 			if q.ctx.Err() != nil {
@@ -420,8 +412,8 @@
 // takePermit requests a slot of an endpoint with a rate limit from the broker that counts
 // the requests of all entries, and counts the request as running there. If the broker
 // refuses or does not respond, the endpoint is not selected for a while.
-func (d *dispatcher) takePermit(q *request, r placement.Request, c placement.Choice) bool {
-	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, permitRequest(r, c))
+func (d *dispatcher) takePermit(q *request, r placement.Request, c *placement.Choice) bool {
+	p, ok := d.slots.requestSlot(q.ctx, q.service, c.Zone, permitRequest(r, *c))
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	now := time.Now()
 	d.mu.Lock()
@@ -429,11 +421,12 @@
 	pool := d.pool(q.service)
 	switch {
 	case ok && p.response.Verdict == placement.Placed:
-		q.slot, q.inPrefill = p.sequence, true
+		q.slot, q.inPrefill, c.PermitUntil = p.sequence, true, p.choice.PermitUntil
 		pool.Begin(c.ID, r.Prefill())
 		return true
 	case ok:
-		pool.DeferPermits(c.ID, now.Add(p.response.SlotInterval+rand.N(permitJitter)))
+		d.countColdRefusal(q.service, p.response.Verdict)
+		pool.DeferPermits(c.ID, now.Add(permitDelay(p.response.SlotInterval)))
 	default:
 		pool.DeferPermits(c.ID, now.Add(brokerSuspension))
 	}
@@ -599,15 +592,18 @@
 // recordRateLimit records the request rate that an endpoint named in an answer, nil for
 // none, and reports whether its limit changed.
 func (d *dispatcher) recordRateLimit(q *request, c placement.Choice, perSecond *float64) bool {
-	d.slots.recordRateLimit(q.slot, perSecond)
+	d.slots.recordAnswer(q.slot, perSecond, q.record.coldFor)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.pool(q.service).RecordRateLimit(c.ID, c.Incarnation, perSecond, q.placedAt, time.Now())
 }
 
 // recordLoad records the load that an endpoint reported with an answer.
-func (d *dispatcher) recordLoad(service, id string, l protocol.Load) {
+func (d *dispatcher) recordLoad(q *request, id string, l protocol.Load) {
+	d.slots.recordPace(q.slot, l.Pace)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool(service).RecordLoad(id, l.Running, l.Waiting, time.Now())
+	p, now := d.pool(q.service), time.Now()
+	p.RecordLoad(id, l.Running, l.Waiting, now)
+	p.RecordPace(id, l.Pace, now)
 }
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -97,7 +97,7 @@
 	for _, e := range list[:len(list)-p.Omitted] {
 		x := explain.Endpoint{
 			ID: e.ID, Zone: e.Zone, Region: e.Region, Version: e.WeightsVersion, Running: e.Load.Running, Slots: e.Slots, UsableSlots: e.Usable,
-			Pending: e.InPrefill, PrefillTokens: e.Load.PrefillTokens, FirstEventMs: e.TTFT.Milliseconds(), LagMs: e.Lag.Milliseconds(),
+			Pending: e.InPrefill, PrefillTokens: e.Load.PrefillTokens, FirstEventMs: e.TTFT.Milliseconds(), LagMs: e.Lag.Milliseconds(), Pace: e.Pace,
 			ZonePenaltyMs: e.ZonePenalty.Milliseconds(), VersionPenaltyMs: e.VersionPenalty.Milliseconds(), SuspectPenaltyMs: e.SuspectPenalty.Milliseconds(),
 			NotUsable: e.Obstacle.String(),
 		}
@@ -360,7 +360,9 @@
 		if r.Serialized {
 			return refusedTarget(t, suspectRefusal(), false)
 		}
-		r.Exclude = withoutPermits(r.Exclude, d.rateLimits(q.service))
+		d.mu.Lock()
+		r.Exclude = slices.Concat(r.Exclude, d.view(q.service).RateLimited())
+		d.mu.Unlock()
 	}
 	return d.explainLocally(q, r, t)
 }
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -47,6 +47,8 @@
 	// TTFT is the predicted time to the first event with the lag recently observed, and Lag that
 	// lag alone. The others are added to rank the endpoints.
 	TTFT, Lag, ZonePenalty, SuspectPenalty, VersionPenalty time.Duration
+	// Pace is the estimate of how long work takes there, relative to the usual time. TTFT is with it.
+	Pace float64
 	// Obstacle is why the endpoint cannot take the request now, and Until when that ends at the
 	// latest if it is known, or else zero.
 	Obstacle Obstacle
@@ -101,7 +103,7 @@
 			Endpoint: s.Endpoint, Load: p.load(s, now), Slots: p.slots(s), Usable: p.usableSlots(s, &r), InPrefill: len(s.inPrefill),
 			TTFT: milliseconds(t.modelMs + t.lagMs), Lag: milliseconds(t.lagMs),
 			ZonePenalty: milliseconds(t.zoneMs), SuspectPenalty: milliseconds(t.suspectMs), VersionPenalty: milliseconds(t.versionMs),
-			Obstacle: p.obstacle(s, &r, now),
+			Pace: s.pace.factor(now), Obstacle: p.obstacle(s, &r, now),
 		}
 		e.Until = p.obstacleEnd(s, e.Obstacle)
 		list = append(list, e)
@@ -119,8 +121,8 @@
 		return p.pauses[s.ID].until
 	case ObstacleEjected, ObstacleRefused:
 		return s.health.pausedUntil
-	case ObstacleRateLimited:
-		return p.rateLimits[s.ID].permitAt
+	case ObstacleCold, ObstacleRateLimited:
+		return p.nextPermit(p.rateLimits[s.ID])
 	case ObstacleOutlastsLoad:
 		return s.drainsAt.Add(drainGrace)
 	}
--- a/placement/explain_internal_test.go
+++ b/placement/explain_internal_test.go
@@ -28,6 +28,7 @@
 	var b strings.Builder
 	state, _ := source.MarshalBinary() // never fails
 	fmt.Fprintf(&b, "%v %v %v %v %x %v\n", p.cfg.Slots, p.engine, p.sharers, p.noPermits, state, p.pauses)
+	fmt.Fprintf(&b, "%+v\n", p.coldPermits)
 	for _, id := range slices.Sorted(maps.Keys(p.endpoints)) {
 		fmt.Fprintf(&b, "%s %+v\n", id, *p.endpoints[id])
 	}
@@ -44,7 +45,7 @@
 		rates = append(rates, fmt.Sprintf("%+v %+v", u, *r))
 	}
 	slices.Sort(rates)
-	return fmt.Sprintf("%s%+v\n%v\n%+v\n%v\n%+v\n%+v\n%+v\n%v", dumpPool(b.pool, source), b.grants, b.lastSeen, b.queue, rates, b.suspects, b.responses, b.peerGroups, b.minVersion)
+	return fmt.Sprintf("%s%+v\n%v\n%+v\n%v\n%+v\n%+v\n%+v\n%v", dumpPool(b.pool, source), b.grants, b.lastSeen, b.queue, rates, b.suspects, b.responses, b.peerGroups, b.minVersion) + fmt.Sprint(b.coldPermitsDenied)
 }
 
 func drawRequest(t *rapid.T) Request {
@@ -98,6 +99,9 @@
 		if rapid.IntRange(0, 4).Draw(t, "drains") == 0 {
 			e.DrainsIn = 100 * time.Millisecond
 		}
+		if rapid.IntRange(0, 4).Draw(t, "cold") == 0 {
+			e.Cold = Cold{Until: explainStart.Add(20 * time.Second), PerSecond: float64(rapid.IntRange(1, 40).Draw(t, "permits"))}
+		}
 		list = append(list, e)
 	}
 	return list
@@ -113,7 +117,8 @@
 		b := NewBroker(Config{JitterMs: 40, Rand: rand.New(source)})
 		now, sequence := explainStart, uint64(0)
 		b.Update(explainEngine, drawEndpoints(t), now)
-		b.SetPrimary(rapid.Bool().Draw(t, "primary"))
+		b.SetPrimary(rapid.IntRange(0, 3).Draw(t, "not primary") > 0)
+		b.SetColdPermits(rapid.IntRange(0, 3).Draw(t, "isolated") > 0)
 		granted := func(t *rapid.T) (SlotRequestID, bool) {
 			ids := slices.SortedFunc(maps.Keys(b.grants), func(a, b SlotRequestID) int {
 				return cmp.Or(cmp.Compare(a.Sequence, b.Sequence), cmp.Compare(a.Entry, b.Entry))
@@ -182,6 +187,9 @@
 			"pause": func(t *rapid.T) {
 				b.pool.Pause(fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "paused")), 2, now.Add(50*time.Millisecond))
 			},
+			"pace": func(t *rapid.T) {
+				b.pool.RecordPace(fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "paced")), rapid.Float64Range(0.5, 6).Draw(t, "pace"), now)
+			},
 			"summary": func(t *rapid.T) {
 				n := rapid.IntRange(0, 3).Draw(t, "free")
 				b.RecordSummary("other", Summary{FreeSlots: n, FreeByRegion: map[string]int{"r1": n}}, 2, now)
--- a/placement/obstacle.go
+++ b/placement/obstacle.go
@@ -55,9 +55,14 @@
 	ObstacleOutlastsLoad
 	// ObstacleRateLimited means that a request now would exceed the rate that the endpoint accepts.
 	ObstacleRateLimited
-	// ObstacleNotPrimary means that the endpoint has a rate limit, and that this broker may grant no
-	// permits.
+	// ObstacleCold means that the endpoint is cold and the next permit for it is not due yet.
+	ObstacleCold
+	// ObstacleNotPrimary means that the endpoint has a rate limit or is cold, and that this broker
+	// may grant no permits, since it is not the first one of its group.
 	ObstacleNotPrimary
+	// ObstacleIsolated means that the endpoint is cold, and that this broker may grant no permits,
+	// since it is cut off from the control replicas.
+	ObstacleIsolated
 	// ObstacleSuspectBegins means that another request that may crash its endpoint has not begun
 	// there yet.
 	ObstacleSuspectBegins
@@ -68,7 +73,7 @@
 	names := [...]string{
 		"", "leaving", "draining", "no-weights", "old-weights", "region-not-allowed", "excluded", "not-named", "old-weights-soon", "paused", "ejected",
 		"refused-recently", "probation", "begins-too-late", "full", "prefill-limit", "interrupts-streams", "delays-pending", "outlasts-load",
-		"rate-limited", "not-first-broker", "suspect-begins",
+		"rate-limited", "cold", "not-first-broker", "isolated", "suspect-begins",
 	}
 	if int(o) < len(names) {
 		return names[o]
@@ -110,14 +115,24 @@
 	case p.endsAfterDrain(s, load, r, now):
 		return ObstacleOutlastsLoad
 	case p.rateLimited(s, now):
-		if p.noPermits {
-			return ObstacleNotPrimary
-		}
-		return ObstacleRateLimited
+		return p.permitObstacle(p.rateLimits[s.ID], now)
 	}
 	return ObstacleNone
 }
 
+// permitObstacle returns why an endpoint with a limit gets no request now.
+func (p *Pool) permitObstacle(l *rateLimit, now time.Time) Obstacle {
+	switch {
+	case p.noPermits:
+		return ObstacleNotPrimary
+	case l.cold.limits() && p.noColdPermits:
+		return ObstacleIsolated
+	case l.cold.limits() && (now.Before(p.coldPermitsFrom) || now.Before(l.cold.permitAt)):
+		return ObstacleCold
+	}
+	return ObstacleRateLimited
+}
+
 // unsuitable returns why an endpoint may not serve a request, regardless of its load.
 func (p *Pool) unsuitable(s *endpointState, r *Request, now time.Time) Obstacle {
 	if o := p.ineligible(s, r); o != ObstacleNone {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -32,6 +32,10 @@
 	// ColdFor is the time for which the endpoint reports that it remains cold, counted from
 	// the first Update that states it; zero if it reports none.
 	ColdFor time.Duration
+	// Report is the sequence number of the check-in that states ColdFor.
+	Report uint64
+	// Cold is set by a ColdTracker.
+	Cold Cold
 }
 
 // Load is the load of one endpoint.
@@ -39,6 +43,8 @@
 	Running int
 	// PrefillTokens is the total of prompt tokens of the requests without a first event.
 	PrefillTokens int
+
+	pace float64 // estimate; 0 in counts that no prediction uses
 }
 
 // Request describes a request to place.
@@ -145,6 +151,7 @@
 	// rateLimits holds the limits that endpoints have named, by ID.
 	rateLimits map[string]*rateLimit
 	noPermits  bool // endpoints with a rate limit may not be used
+	coldPermits
 	// pauses holds the pauses that endpoints have stated, by ID.
 	pauses map[string]pause
 }
@@ -157,7 +164,9 @@
 	reportedAt time.Time
 	health     health
 	lag        lag
+	pace       pace
 	drainsAt   time.Time // when it is expected to drain; zero if no drain is planned
+	coldState
 }
 
 // NewPool returns an empty pool.
@@ -193,6 +202,7 @@
 		case s.DrainsIn == 0:
 			s.drainsAt = now.Add(e.DrainsIn)
 		}
+		s.unused = s.ID == "" || s.Evacuated && !e.Evacuated
 		s.Endpoint = e
 	}
 	for id := range p.endpoints {
@@ -201,6 +211,7 @@
 		}
 	}
 	p.forgetRateLimits(now)
+	p.limitCold(now)
 	p.forgetPauses(now)
 }
 
@@ -229,6 +240,8 @@
 	Load            Load // of the endpoint, from all entries
 	// RateLimited reports that the endpoint limits the requests of all entries together.
 	RateLimited bool
+	// PermitUntil is when the permit for the request expires; zero if it needs none.
+	PermitUntil time.Time
 }
 
 // Verdict is the result of an attempt to place a request.
@@ -372,7 +385,7 @@
 	if perPass := p.engine.PrefillChunkTokens * max(1, p.engine.Stride); perPass > 0 {
 		tokens = min(tokens, perPass)
 	}
-	pause := p.engine.DecodePassMs(load.Running+1) + p.engine.PrefillMs(tokens)
+	pause := load.slowed(p.engine.DecodePassMs(load.Running+1) + p.engine.PrefillMs(tokens))
 	return pause > float64(r.GapObjective)/float64(time.Millisecond)
 }
 
@@ -433,7 +446,7 @@
 		answer = p.engine.MeanAnswerTokens
 	}
 	passes := float64(answer) / float64(max(1, p.engine.Stride))
-	lastsMs := p.ttftMs(load, r.PromptTokens) + passes*p.engine.DecodePassMs(load.Running+1)
+	lastsMs := p.ttftMs(load, r.PromptTokens) + load.slowed(passes*p.engine.DecodePassMs(load.Running+1))
 	return now.Add(milliseconds(lastsMs)).After(s.drainsAt.Add(drainSlack))
 }
 
@@ -468,6 +481,7 @@
 	if now.Sub(s.reportedAt) < reportTTL {
 		load.Running = max(load.Running, s.reported.Running)
 	}
+	load.pace = s.pace.factor(now)
 	return load
 }
 
@@ -475,7 +489,7 @@
 func (p *Pool) ttftMs(load Load, prompt int) float64 {
 	e := p.engine
 	if e == nil {
-		return plainServiceMs * float64(load.Running)
+		return load.plainTTFTMs()
 	}
 	return p.passEndMs(load, prompt)
 }
@@ -486,7 +500,7 @@
 func (p *Pool) passEndMs(load Load, prompt int) float64 {
 	const meanRemainder = 0.5
 	e := p.engine
-	return meanRemainder*e.DecodePassMs(load.Running) + e.PrefillMs(load.PrefillTokens) + e.PrefillMs(prompt) + e.DecodePassMs(load.Running+1)
+	return load.slowed(meanRemainder*e.DecodePassMs(load.Running) + e.PrefillMs(load.PrefillTokens) + e.PrefillMs(prompt) + e.DecodePassMs(load.Running+1))
 }
 
 // Begin counts a request as running at an endpoint, with its prefill pending.
@@ -639,11 +653,11 @@
 			perMs += slotsPerMs
 			continue
 		}
-		if p.noPermits {
+		if p.noPermits || l.cold.limits() && p.noColdPermits {
 			continue
 		}
-		wait = min(wait, l.permitAt.Sub(now))
-		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.interval)/float64(p.sharers))
+		wait = min(wait, p.nextPermit(l).Sub(now))
+		perMs += min(slotsPerMs, float64(time.Millisecond)/float64(l.longestInterval())/float64(p.sharers))
 	}
 	if perMs == 0 {
 		return noEndpointPause
