stager: explain which weights would be loaded next

reconcile decided and acted in one step, so nobody could ask a stager when and why it would load a version. Its decision is now computed by decide, which GET /explain/load on the admin port runs as well, with the last report of the engine and the state of each copy.

--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -97,6 +97,8 @@
 	verified, rejected verifiedLoads
 	writes             stagingWrites // likewise
 
+	lastReport         atomic.Pointer[engineState]
+
 	mu           sync.Mutex
 	fetching     map[uint64]context.CancelFunc // by version
 	lastProgress map[uint64]time.Time          // when a piece or the list last arrived, by version
@@ -166,7 +168,7 @@
 func (d *Daemon) Run(ctx context.Context, reloads <-chan settings.Checker) error {
 	servers, err := network.OpenServers(d.opts.Network,
 		network.ServerConfig{Address: d.settings.PeerListen, Handler: d.peerHandler(d.opts.Token)},
-		network.ServerConfig{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, func() error { return nil })},
+		network.ServerConfig{Address: d.settings.AdminListen, Handler: d.adminHandler()},
 		network.ServerConfig{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, func() error { return nil })},
 	)
 	if err != nil {
@@ -367,15 +369,9 @@
 // reconcile polls the engine, announces its state and loads the next version if it is due.
 // It returns the time until the next call is due.
 func (d *Daemon) reconcile(ctx context.Context, t target) (time.Duration, error) {
-	completedAt := func(version uint64) time.Time {
-		if c := d.store.get(version); c != nil {
-			return c.completedAt()
-		}
-		return time.Time{}
-	}
 	named := d.namedVersions(t.model)
 	for _, n := range slices.Backward(named) {
-		if !completedAt(n.Version).IsZero() {
+		if !d.completedAt(n.Version).IsZero() {
 			d.announceVersion(n.Version)
 			break
 		}
@@ -386,28 +382,38 @@
 	}
 	d.loaded.Store(protocol.NewestCompleteVersion(report.Layers[t.model], t.layers))
 	now := time.Now()
-	due, ok := nextLoad(d.loaded.Load(), named, completedAt, d.loadTime, d.newerArriving, now)
-	until := due.at.Sub(now)
-	d.announceEngine(t, report, report.Loading, ok && until <= wire.LoadNotice)
-	trusted := d.trusts(report)
-	if trusted {
+	state := engineState{loading: report.Loading, trusted: d.trusts(report), at: now}
+	d.lastReport.Store(&state)
+	next := d.decide(named, state, now)
+	until := next.due.at.Sub(now)
+	d.announceEngine(t, report, report.Loading, next.planned && until <= wire.LoadNotice)
+	if state.trusted {
 		d.replacement.Store(0)
 	}
-	switch {
-	case !trusted && !report.Loading && d.loaded.Load() != 0 && (!ok || until > 0):
+	switch next.step {
+	case stepVerify:
 		return d.verifyLoaded(ctx, t, report)
-	case !ok:
+	case stepNone:
 		return checkInterval, nil
-	case until > wire.LoadNotice:
-		return until - wire.LoadNotice, nil
-	case until > 0:
+	case stepWait:
+		if until > wire.LoadNotice {
+			return until - wire.LoadNotice, nil
+		}
 		return until, nil
 	}
-	t.version = due.version
-	if report.Loading {
+	t.version = next.due.version
+	if next.step == stepAwaitLoad {
 		return 0, d.awaitLoad(ctx, t, report)
 	}
-	return 0, d.load(ctx, t, d.store.get(due.version))
+	return 0, d.load(ctx, t, d.store.get(next.due.version))
+}
+
+// completedAt returns when the copy of a version was completed, or the zero time.
+func (d *Daemon) completedAt(version uint64) time.Time {
+	if c := d.store.get(version); c != nil {
+		return c.completedAt()
+	}
+	return time.Time{}
 }
 
 // loadTime returns when this stager's engine is to load a version.
