ledger: orders that start and end the evacuation of zones

Cause: operators evacuate zones, and the order must survive what the log survives.

Change: a command starts or ends the evacuation of a zone. An order that is in force already is accepted as repeated. One that was received before the latest change of its zone was known, and would undo it, is a conflict.

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -6,15 +6,16 @@
 // AtMs is the leader's time when it proposed the command, in Unix milliseconds,
 // and the only clock that Apply uses.
 type Command struct {
-	AtMs     int64              `cbor:"1,keyasint"`
-	Note     *SubmitNote        `cbor:"2,keyasint,omitempty"`
-	Claim    *Claim             `cbor:"3,keyasint,omitempty"`
-	Complete *CompleteClaim     `cbor:"4,keyasint,omitempty"`
-	Crash    *ReportCrash       `cbor:"5,keyasint,omitempty"`
-	Clear    *ClearSuspect      `cbor:"6,keyasint,omitempty"`
-	Lookup   *LookupClaim       `cbor:"7,keyasint,omitempty"`
-	Routing  *SetRouting        `cbor:"8,keyasint,omitempty"`
-	Weights  *SetWeightsVersion `cbor:"9,keyasint,omitempty"`
+	AtMs       int64              `cbor:"1,keyasint"`
+	Note       *SubmitNote        `cbor:"2,keyasint,omitempty"`
+	Claim      *Claim             `cbor:"3,keyasint,omitempty"`
+	Complete   *CompleteClaim     `cbor:"4,keyasint,omitempty"`
+	Crash      *ReportCrash       `cbor:"5,keyasint,omitempty"`
+	Clear      *ClearSuspect      `cbor:"6,keyasint,omitempty"`
+	Lookup     *LookupClaim       `cbor:"7,keyasint,omitempty"`
+	Routing    *SetRouting        `cbor:"8,keyasint,omitempty"`
+	Weights    *SetWeightsVersion `cbor:"9,keyasint,omitempty"`
+	Evacuation *SetEvacuation     `cbor:"10,keyasint,omitempty"`
 }
 
 // SetRouting submits a validated routing document, which is stored unchanged.
@@ -96,7 +97,7 @@
 	StatusRefused   Status = "refused"   // nothing changed; Reason gives the cause
 	StatusDuplicate Status = "duplicate" // claim held by another attempt, no result yet
 	StatusCompleted Status = "completed" // claim completed; Complete is the first result
-	StatusConflict  Status = "conflict"  // same number or key with other content
+	StatusConflict  Status = "conflict"  // same number or key with other content, or overtaken by a newer order
 	StatusExpired   Status = "expired"   // retention of the key has passed; the call never runs again
 )
 
@@ -109,6 +110,7 @@
 	Owner    string         `cbor:"5,keyasint,omitempty" json:"owner,omitempty"`
 	Complete *CompleteClaim `cbor:"6,keyasint,omitempty" json:"-"`
 	// Repeated is true for a note, routing document or weights version that had
-	// been accepted before or is not newer than the accepted one.
+	// been accepted before or is not newer than the accepted one, and for the evacuation
+	// of a zone, or its end, that is already in force.
 	Repeated bool `cbor:"7,keyasint,omitempty" json:"repeated,omitempty"`
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -21,15 +21,16 @@
 
 // Ledger is the replicated state. It is not safe for concurrent use.
 type Ledger struct {
-	nowMs      int64
-	catalogue  release.Catalogue
-	digests    []byte // 32 bytes per accepted note, in order of number
-	claims     claims
-	suspects   suspects
-	lastDelta  *release.Delta
-	quarantine uint64 // incremented when the suspects may have changed
-	routing    SetRouting
-	weights    map[string][]WeightsVersion // by model, oldest first
+	nowMs       int64
+	catalogue   release.Catalogue
+	digests     []byte // 32 bytes per accepted note, in order of number
+	claims      claims
+	suspects    suspects
+	lastDelta   *release.Delta
+	quarantine  uint64 // incremented when the suspects may have changed
+	routing     SetRouting
+	weights     map[string][]WeightsVersion // by model, oldest first
+	evacuations Evacuations
 }
 
 // New returns an empty ledger.
@@ -47,7 +48,7 @@
 		return c, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	operations := 0
-	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil, c.Lookup != nil, c.Routing != nil, c.Weights != nil} {
+	for _, set := range []bool{c.Note != nil, c.Claim != nil, c.Complete != nil, c.Crash != nil, c.Clear != nil, c.Lookup != nil, c.Routing != nil, c.Weights != nil, c.Evacuation != nil} {
 		if set {
 			operations++
 		}
@@ -84,6 +85,8 @@
 		return l.applyRouting(*c.Routing)
 	case c.Weights != nil:
 		return l.applyWeightsVersion(*c.Weights)
+	case c.Evacuation != nil:
+		return l.applyEvacuation(*c.Evacuation)
 	}
 	return refused("empty command")
 }
@@ -238,17 +241,18 @@
 
 // snapshotState is the content of a snapshot.
 type snapshotState struct {
-	NowMs     int64                       `cbor:"1,keyasint"`
-	Catalogue release.Catalogue           `cbor:"2,keyasint"`
-	Digests   []byte                      `cbor:"3,keyasint"`
-	Claims    []claimRecord               `cbor:"4,keyasint"`
-	Expired   []byte                      `cbor:"5,keyasint"` // hashes of 8 bytes each
-	Filter    []byte                      `cbor:"6,keyasint,omitempty"`
-	Filtered  uint64                      `cbor:"7,keyasint,omitempty"`
-	Suspects  map[string]suspect          `cbor:"8,keyasint,omitempty"`
-	Incidents map[string]int64            `cbor:"9,keyasint,omitempty"`
-	Routing   *SetRouting                 `cbor:"10,keyasint,omitempty"`
-	Weights   map[string][]WeightsVersion `cbor:"11,keyasint,omitempty"`
+	NowMs       int64                       `cbor:"1,keyasint"`
+	Catalogue   release.Catalogue           `cbor:"2,keyasint"`
+	Digests     []byte                      `cbor:"3,keyasint"`
+	Claims      []claimRecord               `cbor:"4,keyasint"`
+	Expired     []byte                      `cbor:"5,keyasint"` // hashes of 8 bytes each
+	Filter      []byte                      `cbor:"6,keyasint,omitempty"`
+	Filtered    uint64                      `cbor:"7,keyasint,omitempty"`
+	Suspects    map[string]suspect          `cbor:"8,keyasint,omitempty"`
+	Incidents   map[string]int64            `cbor:"9,keyasint,omitempty"`
+	Routing     *SetRouting                 `cbor:"10,keyasint,omitempty"`
+	Weights     map[string][]WeightsVersion `cbor:"11,keyasint,omitempty"`
+	Evacuations *Evacuations                `cbor:"12,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state. Equal states have equal encodings.
@@ -261,8 +265,12 @@
 	if l.routing.Version != 0 {
 		routing = &l.routing
 	}
+	var evacuations *Evacuations
+	if l.evacuations.Revision != 0 {
+		evacuations = &l.evacuations
+	}
 	return snapshotEncMode.Marshal(snapshotState{
-		Routing: routing, Weights: l.weights,
+		Routing: routing, Weights: l.weights, Evacuations: evacuations,
 		NowMs: l.nowMs, Catalogue: l.catalogue, Digests: l.digests,
 		Claims: l.claims.ordered(), Expired: expired, Filter: l.claims.bloom, Filtered: l.claims.bloomCount,
 		Suspects: l.suspects.held, Incidents: l.suspects.incidents,
@@ -303,6 +311,9 @@
 	if s.Weights != nil {
 		l.weights = s.Weights
 	}
+	if s.Evacuations != nil {
+		l.evacuations = *s.Evacuations
+	}
 	if s.Incidents != nil {
 		l.suspects.incidents = s.Incidents
 	}
