fleetclient: follow the set of evacuated zones

The set with the highest revision applies, whichever replica sends it. It counts as known once a replica with a leader has sent one, which the first message of a session does.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -95,6 +95,7 @@
 	departed         map[string]departure  // servers that deregistered, by identifier
 	wake             chan struct{}         // signals a newer routing version
 	suspended        time.Duration         // total that the ages account for
+	evacuations      evacuations
 }
 
 // seenServer is a server and when a replica last reported it.
@@ -243,6 +244,7 @@
 		default:
 		}
 	}
+	c.recordEvacuations(m, address)
 	c.updateProcesses(address, m)
 	for _, w := range m.Weights {
 		c.recordWeights(w, now.Add(-time.Duration(w.AgeMs)*time.Millisecond), address)
