control: orders that start and end the evacuation of zones

Cause: an operator's order must be in force at every entry within 5 s, survive what the log survives, and not undo a newer one when it is late.

Change: Daemon.Evacuate commits the order, with the evacuation revision that the replica knew when it arrived. It waits 50 ms first, so that a caller who has left or a pause that has just ended is noticed; such orders, and those within 1 s of a pause of 0.5 s or more, are not proposed and must be sent again. Zones that are neither in the settings nor evacuated are refused. Followers of the fleet state get the set with every change. Settings with unnamed zones or a negative number of zone losses are rejected.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -68,8 +68,9 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposalSlots chan struct{}
-	sentConfirms  sync.Map           // *transport.Session to *sentConfirm
-	lastAnnounces sync.Map           // *transport.Session to its last *wire.Announce
+	sentConfirms  sync.Map // *transport.Session to *sentConfirm
+	lastAnnounces sync.Map // *transport.Session to its last *wire.Announce
+	pauses        pauseDetector
 	abort         context.CancelFunc // stops at once, without transferring leadership
 }
 
@@ -217,13 +218,16 @@
 		d.hub.NotifyCatalogueChanged()
 	}
 	if old.Routing.Version != next.Routing.Version || old.Raft.Membership.Index != next.Raft.Membership.Index ||
-		!maps.EqualFunc(old.Weights, next.Weights, slices.Equal) {
+		old.Evacuations.Revision != next.Evacuations.Revision || !maps.EqualFunc(old.Weights, next.Weights, slices.Equal) {
 		d.fleet.NotifyChanged()
 	}
 }
 
-// onApply starts to track a newly accepted note. It runs in the replica's loop.
+// onApply starts to track a newly accepted note, and logs a change of the evacuated zones. It runs in the replica's loop.
 func (d *Daemon) onApply(c ledger.Command, r ledger.Result) {
+	if e := c.Evacuation; e != nil && r.Status == ledger.StatusAccepted && !r.Repeated {
+		d.log.WithFields(log.Fields{"zone": e.Zone, "evacuated": e.Evacuated, "revision": r.Number}).Info("evacuation_changed")
+	}
 	if c.Note == nil || r.Status != ledger.StatusAccepted || r.Repeated {
 		return
 	}
@@ -297,6 +301,7 @@
 	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.fleet.Run(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
+	wg.Go(func() { d.pauses.Run(ctx.Done()) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	select {
 	case <-ctx.Done():
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -95,6 +95,7 @@
 	replicas          string
 	weightsVersionSum int64
 	leaderless        bool
+	evacuation        uint64
 }
 
 // processList is an immutable list of the processes of a role, by name.
@@ -424,7 +425,7 @@
 	v := f.view()
 	weights, sum := f.namedWeights(v, now)
 	replicas := f.memberReplicas(v)
-	state := sentState{v.Routing.Version, fmt.Sprint(replicas), sum, v.Raft.Leader == ""}
+	state := sentState{v.Routing.Version, fmt.Sprint(replicas), sum, v.Raft.Leader == "", v.Evacuations.Revision}
 	frames := map[updateKey][]byte{}
 	updates := map[uint64][]byte{}
 	for session, follower := range f.followers {
@@ -475,7 +476,10 @@
 }
 
 func (c updateKey) message(v *View, weights []wire.NamedWeights, replicas []wire.Replica) wire.Fleet {
-	m := wire.Fleet{RoutingVersion: v.Routing.Version, Weights: weights, Leaderless: v.Raft.Leader == ""}
+	m := wire.Fleet{
+		RoutingVersion: v.Routing.Version, Weights: weights, Leaderless: v.Raft.Leader == "",
+		Evacuated: v.Evacuations.Evacuated(), EvacuationRevision: v.Evacuations.Revision,
+	}
 	if c.replicas {
 		m.Replicas = replicas
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -14,6 +14,7 @@
 // daemonMetrics holds the counters of the daemon.
 type daemonMetrics struct {
 	notes, proposals *prometheus.CounterVec
+	evacuationOrders *prometheus.CounterVec
 	malformed        prometheus.Counter
 }
 
@@ -24,8 +25,9 @@
 		}, []string{label})
 	}
 	m := &daemonMetrics{
-		notes:     counters("notes_total", "Submitted notes by answer.", "answer"),
-		proposals: counters("proposals_total", "Proposals of entries and agents by answer.", "answer"),
+		notes:            counters("notes_total", "Submitted notes by answer.", "answer"),
+		proposals:        counters("proposals_total", "Proposals of entries and agents by answer.", "answer"),
+		evacuationOrders: counters("evacuation_orders_total", "Orders to start or end the evacuation of a zone, by answer.", "answer"),
 		malformed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "malformed_messages_total",
 			Help: "Messages that could not be decoded.",
@@ -39,7 +41,10 @@
 	for _, answer := range []string{wire.ProposeCommitted, wire.ProposeNotRun, wire.ProposeUnknown} {
 		m.proposals.WithLabelValues(answer)
 	}
-	r.MustRegister(m.notes, m.proposals, m.malformed)
+	for _, answer := range []string{orderAccepted, orderRepeated, orderUnknownZone, orderLate, orderNotAccepted, orderUnknown} {
+		m.evacuationOrders.WithLabelValues(answer)
+	}
+	r.MustRegister(m.notes, m.proposals, m.evacuationOrders, m.malformed)
 	return m
 }
 
@@ -62,6 +67,7 @@
 	gauge("leader", "1 while this replica leads.", func(v *View) float64 { return boolValue(v.Raft.Role == raft.Leader) })
 	gauge("voters", "Voters of the newest membership.", func(v *View) float64 { return float64(len(v.Raft.Membership.Voters)) })
 	gauge("learners", "Learners of the newest membership.", func(v *View) float64 { return float64(len(v.Raft.Membership.Learners)) })
+	gauge("evacuated_zones", "Zones that are evacuated.", func(v *View) float64 { return float64(len(v.Evacuations.Evacuated())) })
 	gauge("disk_failed", "1 while this replica cannot store anything.", func(v *View) float64 { return boolValue(v.DiskError != nil) })
 	gauge("claims", "Claims within retention.", func(v *View) float64 { return float64(v.LedgerSizes.Claims) })
 	gauge("expired_keys", "Keys remembered past retention.", func(v *View) float64 { return float64(v.LedgerSizes.ExpiredKeys) })
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -48,6 +48,9 @@
 	Lag               map[string]uint64 `json:"lag,omitempty"` // log entries by replica ID; on the leader only
 	Ledger            ledger.Sizes      `json:"ledger"`
 	DiskError         string            `json:"disk_error,omitempty"`
+
+	Evacuated          []operator.ZoneEvacuation `json:"evacuated,omitempty"`
+	EvacuationRevision uint64                    `json:"evacuation_revision,omitempty"`
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
@@ -58,6 +61,7 @@
 	r.HandleFunc(operator.PathEndpoints, d.getEndpoints).Methods(http.MethodGet)
 	r.HandleFunc(operator.PathQuarantine, d.getQuarantine).Methods(http.MethodGet)
 	r.HandleFunc(operator.PathRollout, d.getRollout).Methods(http.MethodGet)
+	r.HandleFunc(operator.PathEvacuations, d.postEvacuation).Methods(http.MethodPost)
 	r.HandleFunc("/v1/outcomes/{organisation}/{key:.+}", d.getOutcome).Methods(http.MethodGet)
 	r.HandleFunc("/v1/outcomes/{key}", d.getOutcome).Methods(http.MethodGet)
 	return d.operatorToken.Require(r)
@@ -190,6 +194,7 @@
 		Term: v.Raft.Term, Voters: append([]string{}, m.Voters...), Learners: append([]string{}, m.Learners...), Revision: v.Catalogue.Revision,
 		Digest: v.Digest, Endpoints: d.endpoints(), Catalogue: v.Catalogue, Commit: v.Raft.Commit,
 		Unresolved: v.Unresolved, MembershipPending: v.Raft.MembershipPending, Ledger: v.LedgerSizes,
+		Evacuated: zoneEvacuations(v.Evacuations, time.Now()), EvacuationRevision: v.Evacuations.Revision,
 	}
 	if v.DiskError != nil {
 		s.DiskError = v.DiskError.Error()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -70,6 +70,7 @@
 	DiskError   error
 	Routing     ledger.SetRouting
 	Weights     map[string][]ledger.WeightsVersion // by model, oldest first
+	Evacuations ledger.Evacuations
 }
 
 // ReplicaConfig configures a Replica.
@@ -550,7 +551,7 @@
 	view := &View{
 		Raft: status, Catalogue: r.ledger.Catalogue(), Delta: r.ledger.LastDelta(),
 		QuarantineVersion: r.ledger.QuarantineVersion(), LedgerSizes: r.ledger.Sizes(), DiskError: r.diskErr,
-		Unresolved: r.unresolved(status), Routing: r.ledger.Routing(), Weights: r.ledger.Weights(),
+		Unresolved: r.unresolved(status), Routing: r.ledger.Routing(), Weights: r.ledger.Weights(), Evacuations: r.ledger.Evacuations(),
 	}
 	if old != nil && old.Catalogue.Revision == view.Catalogue.Revision {
 		view.Digest = old.Digest
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -130,6 +130,17 @@
 	if s.TargetVoters < 0 {
 		p.Add("target_voters", "must not be negative")
 	}
+	if _, unnamed := s.Zones[""]; unnamed {
+		p.Add("zones", "must not contain a zone without a name")
+	}
+	for _, zone := range slices.Sorted(maps.Keys(s.Zones)) {
+		if s.Zones[zone] == "" {
+			p.Add("zones."+zone, "is required: the region of the zone")
+		}
+	}
+	if s.ZoneLosses < 0 {
+		p.Add("zone_losses", "must not be negative")
+	}
 	return p.Err()
 }
 
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
@@ -9,13 +10,14 @@
 
 // Paths of the operator API.
 const (
-	PathNotes      = "/v1/notes"
-	PathNotesCheck = "/v1/notes:check"
-	PathStatus     = "/v1/status"
-	PathEndpoints  = "/v1/endpoints"
-	PathQuarantine = "/v1/quarantine"
-	PathOutcomes   = "/v1/outcomes/" // {key}?organisation=
-	PathRollout    = "/v1/rollout"
+	PathNotes       = "/v1/notes"
+	PathNotesCheck  = "/v1/notes:check"
+	PathStatus      = "/v1/status"
+	PathEndpoints   = "/v1/endpoints"
+	PathQuarantine  = "/v1/quarantine"
+	PathOutcomes    = "/v1/outcomes/" // {key}?organisation=
+	PathRollout     = "/v1/rollout"
+	PathEvacuations = "/v1/evacuations"
 )
 
 // HeaderCurrent is "true" on an answer of a replica that has just confirmed its
@@ -43,6 +45,20 @@
 	Leader   string            `json:"leader,omitempty"`
 }
 
+// EvacuationOrder is the body of POST PathEvacuations. The answer is a NoteAnswer.
+type EvacuationOrder struct {
+	Zone string `json:"zone"`
+	// Evacuate is true to start the evacuation and false to end it.
+	Evacuate bool `json:"evacuate"`
+}
+
+// ZoneEvacuation is an evacuated zone.
+type ZoneEvacuation struct {
+	Zone  string    `json:"zone"`
+	Since time.Time `json:"since"`
+	AgeMs int64     `json:"age_ms"`
+}
+
 // Status answers GET PathStatus.
 type Status struct {
 	Replica  string   `json:"replica"`
@@ -60,6 +76,7 @@
 	Digest     release.Digest     `json:"digest"`
 	Catalogue  *release.Catalogue `json:"catalogue,omitempty"`
 	Endpoints  []Endpoint         `json:"endpoints,omitempty"`
+	Evacuated  []ZoneEvacuation   `json:"evacuated,omitempty"`
 }
 
 // Live returns how many endpoints serve the weights set of a model, and how many
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -237,6 +238,9 @@
 	EvacuationRevision uint64   `cbor:"9,keyasint,omitempty"`
 }
 
+// ErrUnknownZone means that an order names a zone that the deployment does not have.
+var ErrUnknownZone = errors.New("unknown zone")
+
 // Replica is a control replica to which processes may connect.
 type Replica struct {
 	Address string `cbor:"1,keyasint"` // for sessions
