--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -28,7 +28,7 @@
 // Errors of the client. Each has its own exit code.
 var (
 	ErrRefused     = errors.New("refused")
-	ErrUnknown     = errors.New("outcome unknown: send the same note again")
+	ErrUnknown     = errors.New("outcome unknown: send the same order again")
 	ErrBadInput    = errors.New("bad input")
 	ErrUnreachable = errors.New("no control replica reached")
 	ErrNotInForce  = errors.New("accepted, but not in force in time")
@@ -186,11 +186,24 @@
 // or ctx ends. After a lost or "unknown" answer, sending the same note again is safe,
 // since submission is idempotent.
 func (c *Client) Submit(ctx context.Context, note []byte) (NoteAnswer, error) {
+	return c.submit(ctx, PathNotes, note)
+}
+
+// Evacuate orders the start or the end of the evacuation of a zone as Submit does a note.
+func (c *Client) Evacuate(ctx context.Context, order EvacuationOrder) (NoteAnswer, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return NoteAnswer{}, oops.In("operator").Wrap(err)
+	}
+	return c.submit(ctx, PathEvacuations, body)
+}
+
+func (c *Client) submit(ctx context.Context, path string, body []byte) (NoteAnswer, error) {
 	mayBeAccepted := false
 	var last error
 	for {
 		for _, replica := range c.replicasByFailure() {
-			a, sent, err := c.call(ctx, replica, http.MethodPost, PathNotes, note)
+			a, sent, err := c.call(ctx, replica, http.MethodPost, path, body)
 			if err != nil {
 				mayBeAccepted = mayBeAccepted || sent
 				last = oops.In("operator").Wrapf(err, "%s", replica)
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -25,10 +25,10 @@
 const (
 	ExitOK          = 0 // accepted, valid, or shown
 	ExitInternal    = 1 // internal error, or malformed answer
-	ExitRefused     = 2 // the note was refused
-	ExitUnknown     = 3 // the note may have been accepted: send it again
+	ExitRefused     = 2 // the note or order was refused
+	ExitUnknown     = 3 // the note or order may have been accepted: send it again
 	ExitBadInput    = 4 // command line, token, or note is wrong
-	ExitUnreachable = 5 // no control replica answered; the note was not accepted
+	ExitUnreachable = 5 // no control replica answered; the note or order was not accepted
 	ExitNotInForce  = 6 // accepted, but not in force within the wait timeout
 )
 
@@ -74,6 +74,7 @@
 		Watch rolloutWatch `cmd:"" help:"Follow the rollout until every endpoint serves its sets."`
 	} `cmd:"" help:"Look at the rollout."`
 	Endpoints  endpointsCommand  `cmd:"" help:"List endpoints."`
+	Evacuate   evacuateCommand   `cmd:"" help:"Start or end the evacuation of a zone."`
 	Quarantine quarantineCommand `cmd:"" help:"List suspected and quarantined requests."`
 	Outcome    outcomeCommand    `cmd:"" help:"Show the outcome of a call by its idempotency key."`
 }
@@ -253,6 +254,23 @@
 	return oops.In("operator").Wrap(err)
 }
 
+type evacuateCommand struct {
+	Zone   string `arg:"" help:"Availability zone."`
+	Finish bool   `help:"End the evacuation: return the zone to service."`
+}
+
+// Run implements the command.
+func (c *evacuateCommand) Run(s *session) error {
+	var problems settings.Problems
+	problems.Required("zone", c.Zone)
+	if err := asBadInput(&problems); err != nil {
+		return err
+	}
+	ctx, cancel := s.withTimeout()
+	defer cancel()
+	return s.printNote(s.client.Evacuate(ctx, EvacuationOrder{Zone: c.Zone, Evacuate: !c.Finish}))
+}
+
 type statusCommand struct{}
 
 // Run implements the command.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -310,3 +311,43 @@
 		})
 	}
 }
+
+// Guards against orders to evacuate that are wrong on the wire, and against exit codes that do not
+// tell whether to give an order again.
+func TestEvacuate(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		answer any
+		args   []string
+		code   int
+		body   string
+	}{
+		"start":        {http.StatusOK, NoteAnswer{Status: NoteAccepted}, []string{"evacuate", "eu 1a"}, ExitOK, `{"zone":"eu 1a","evacuate":true}`},
+		"finish":       {http.StatusOK, NoteAnswer{Status: NoteAccepted}, []string{"evacuate", "--finish", "za"}, ExitOK, `{"zone":"za","evacuate":false}`},
+		"unknown zone": {http.StatusUnprocessableEntity, NoteAnswer{Status: NoteRefused}, []string{"evacuate", "za"}, ExitRefused, ""},
+		"late":         {http.StatusServiceUnavailable, NoteAnswer{Status: NoteNotRun}, []string{"evacuate", "za"}, ExitUnreachable, ""},
+		"unknown":      {http.StatusGatewayTimeout, NoteAnswer{Status: NoteUnknown}, []string{"evacuate", "za"}, ExitUnknown, ""},
+		"lost answer":  {abortConnection, nil, []string{"evacuate", "za"}, ExitUnknown, ""},
+		"no zone":      {http.StatusOK, nil, []string{"evacuate", ""}, ExitBadInput, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			replica := startReplica(t, c.status, c.answer)
+			code, _, errOut := runCtl(t, testToken, []string{replica.address()}, c.args...)
+			is.Equal(code, c.code)
+			if c.body != "" {
+				is.Equal(errOut, "")
+				is.Equal(replica.received(), []string{c.body})
+			}
+		})
+	}
+}
+
+// Guards against a status that does not show evacuated zones.
+func TestStatusShowsEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	replica := startReplica(t, http.StatusOK, Status{Replica: "c1", Evacuated: []ZoneEvacuation{{Zone: "za", Since: time.Unix(1000, 0).UTC(), AgeMs: 90_000}}})
+	code, out, _ := runCtl(t, testToken, []string{replica.address()}, "status")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "za since 1970-01-01T00:16:40Z (1m30s)"))
+}
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -109,6 +109,9 @@
 		row(w, "waiting for", strings.Join(s.WaitingFor, " "))
 	}
 	row(w, "digest", s.Digest)
+	for _, e := range s.Evacuated {
+		row(w, "evacuated", fmt.Sprintf("%s since %s (%s)", e.Zone, e.Since.Format(time.RFC3339), (time.Duration(e.AgeMs)*time.Millisecond).Round(time.Second)))
+	}
 	if s.Catalogue == nil {
 		return
 	}
