placement: evacuated endpoints get no requests

Change: an evacuated endpoint is not eligible. Its load stays counted while its requests finish. A broker refuses the queued requests that only evacuated endpoints could serve.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -139,6 +139,7 @@
 // Update replaces the endpoints of the group and the description of their engines.
 func (b *Broker) Update(engine *routing.Engine, endpoints []Endpoint, now time.Time) {
 	b.pool.Update(engine, endpoints, now)
+	b.refuseEvacuated(now)
 	b.serveQueue(now)
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -353,7 +353,7 @@
 // eligible reports whether an endpoint could serve a request, regardless of its load, health
 // and pauses.
 func (p *Pool) eligible(s *endpointState, r Request) bool {
-	if s.Draining || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
+	if s.Draining || s.Evacuated || p.engine != nil && s.WeightsVersion == 0 || s.WeightsVersion < r.MinVersion {
 		return false
 	}
 	return !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
