relay: no requests to evacuated zones

Cause: an entry must send nothing to an evacuated zone, whatever its brokers know.

Change: endpoints of evacuated zones are marked in the pools, and all are until a control replica with a leader has sent the set. The zone is checked again right before a request is sent; a grant of a broker that does not know is returned (retry reason zone-evacuated). Evacuated endpoints are excluded from slot requests, and their idle connections are closed. If only evacuated endpoints could serve a request, it is refused at once, also while it waits.

Result: tests with a broker that does not know, an evacuation while dialling, all zones evacuated, streams, and an entry that restarts and loses its replica.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -86,6 +86,10 @@
 		_ = conn.Close()
 		return nil, errEndpointLeft
 	}
+	if h.fleet.IsEvacuated(c.Zone) {
+		_ = conn.Close()
+		return nil, errZoneEvacuated
+	}
 	if h.dispatcher.paused(q.service, c) {
 		h.conns.put(a.key, conn, 0)
 		return nil, errEndpointPaused
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -144,6 +144,8 @@
 		return errDraining
 	case d.fleet.Table() == nil:
 		return errNoRouting
+	case !d.fleet.EvacuationsKnown():
+		return errNoEvacuations
 	case !d.guard.ready(time.Now()):
 		return errNotSynced
 	}
@@ -267,12 +269,14 @@
 	keep := map[string]bool{}
 	for _, s := range d.fleet.ServerList() {
 		e := endpointOf(s, table.Service(s.Service))
+		e.Evacuated = d.fleet.IsEvacuated(e.Zone)
 		endpoints[s.Service] = append(endpoints[s.Service], e)
-		keep[connKey(e)] = true
+		keep[connKey(e)] = !e.Evacuated
 	}
 	entries := d.entries(processes)
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
+	d.handler.metrics.evacuatedZones.Set(float64(len(d.fleet.Evacuated())))
 	d.shareRetries(len(others) + 1)
 	d.handler.conns.prune(keep)
 	ready := d.ready() == nil
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -126,6 +126,7 @@
 		}
 		p.SetSharers(entries)
 		p.Update(engine, endpoints[name], time.Now())
+		d.wakeEvacuated(p)
 		d.wakeNext(p)
 	}
 }
@@ -173,6 +174,9 @@
 // selects the endpoint from its local state. An endpoint with a rate limit is used only
 // with the permission of a broker, because the limit applies to all entries together.
 func (d *dispatcher) place(q *request, r placement.Request) (placement.Choice, *refusal) {
+	if refused := d.refuseEvacuated(q, r); refused != nil {
+		return placement.Choice{}, refused
+	}
 	if refused := d.awaitPauses(q, r); refused != nil {
 		return placement.Choice{}, refused
 	}
@@ -251,9 +255,9 @@
 	}
 	d.mu.Lock()
 	pool := d.pool(q.service)
-	paused, ejected, leaving := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving()
+	paused, ejected, leaving, evacuated := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving(), pool.EvacuatedEndpoints()
 	d.mu.Unlock()
-	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
+	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)], evacuated[:min(len(evacuated), maxEvacuatedExcluded)])
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
@@ -215,13 +216,19 @@
 // refusedCounts returns the counters of refused requests that are not zero.
 func (e *drainingRelay) refusedCounts(t *testing.T) map[string]float64 {
 	t.Helper()
-	families, err := e.Registry().Gather()
+	return reasonCounts(t, e.Registry(), "rhubarb_relay_refused_total")
+}
+
+// reasonCounts returns the values of a counter that are not zero, by reason.
+func reasonCounts(t *testing.T, r *prometheus.Registry, name string) map[string]float64 {
+	t.Helper()
+	families, err := r.Gather()
 	if err != nil {
 		t.Fatal(err)
 	}
 	counts := map[string]float64{}
 	for _, f := range families {
-		if f.GetName() != "rhubarb_relay_refused_total" {
+		if f.GetName() != name {
 			continue
 		}
 		for _, m := range f.GetMetric() {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -47,6 +47,8 @@
 	SupersededAt(model string, version uint64) time.Time
 	// HasLeft reports whether an incarnation of an endpoint has deregistered.
 	HasLeft(id string, incarnation uint64) bool
+	// IsEvacuated reports whether the endpoints of a zone must get no requests.
+	IsEvacuated(zone string) bool
 	// NamedWeights lists the named versions of a model that are still remembered.
 	NamedWeights(model string) []fleetclient.NamedVersion
 }
@@ -216,7 +218,7 @@
 		return false
 	}
 	switch reason {
-	case RetryNotSent, RetryEndpointLeft, RetryEndpointPaused:
+	case RetryNotSent, RetryEndpointLeft, RetryZoneEvacuated, RetryEndpointPaused:
 		return q.notRun < maxNotSent
 	case RetryOldWeights:
 		if q.unsent {
@@ -425,6 +427,8 @@
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryOldWeights
 	case errors.Is(err, errEndpointLeft):
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointLeft
+	case errors.Is(err, errZoneEvacuated):
+		return h.handleNotSent(q, c, placement.Neutral, err), RetryZoneEvacuated
 	case errors.Is(err, errEndpointPaused):
 		return h.handleNotSent(q, c, placement.Neutral, err), RetryEndpointPaused
 	case errors.Is(err, errNotSent):
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -31,6 +31,7 @@
 	// retryBurst is the share of the burst of the retry budget that this entry may use, and
 	// retrySharers the number of entries that it rests on.
 	retryBurst, retrySharers prometheus.Gauge
+	evacuatedZones           prometheus.Gauge
 	ended                    *prometheus.CounterVec
 	first, total             *prometheus.HistogramVec
 }
@@ -71,8 +72,9 @@
 		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "takeovers_total", Help: "Streams whose endpoint was silent and for which another one was sought, by outcome.",
 		}, []string{"outcome"}),
-		retryBurst:   gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
-		retrySharers: gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
+		retryBurst:     gauge("retry_budget_burst", "Retries beyond its earned ones that this entry may send in a burst, by service."),
+		retrySharers:   gauge("retry_budget_sharers", "Entries among which the burst of the retry budget is divided."),
+		evacuatedZones: gauge("evacuated_zones", "Zones to which this entry sends nothing because they are evacuated."),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: subsystem, Name: "ended_total", Help: "Requests by kind of route and outcome.",
 		}, []string{"kind", "outcome"}),
@@ -80,7 +82,7 @@
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
 	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
-		m.retryBudget, m.takeovers, m.retryBurst, m.retrySharers, m.ended, m.first, m.total)
+		m.retryBudget, m.takeovers, m.retryBurst, m.retrySharers, m.evacuatedZones, m.ended, m.first, m.total)
 	return m
 }
 
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -57,6 +57,9 @@
 	// RetryEndpointLeft means that the endpoint had left the fleet, or announced that it
 	// will, when the request was about to be sent.
 	RetryEndpointLeft Reason = "endpoint-left"
+	// RetryZoneEvacuated means that the zone of the endpoint was evacuated when the request was
+	// about to be sent.
+	RetryZoneEvacuated Reason = "zone-evacuated"
 	// RetryEndpointPaused means that the endpoint wanted no requests when the request was
 	// about to be sent.
 	RetryEndpointPaused Reason = "endpoint-paused"
@@ -86,7 +89,7 @@
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryZoneEvacuated, RetryEndpointPaused}
 }
 
 // NotRepeatedReasons lists the reasons for not sending a request again that may have run.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,6 +39,7 @@
 	required     uint64
 	supersededAt time.Time // when version 2 was named; zero if it was not
 	departed     string    // endpoint whose first incarnation has deregistered
+	evacuated    string    // zone
 }
 
 func (f fixedState) Table() *routing.Table                        { return f.table }
@@ -48,6 +49,8 @@
 	return id == f.departed && incarnation <= 1
 }
 
+func (f fixedState) IsEvacuated(zone string) bool { return f.evacuated != "" && zone == f.evacuated }
+
 func (f fixedState) NamedWeights(string) []fleetclient.NamedVersion {
 	if f.supersededAt.IsZero() {
 		return nil
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -62,6 +62,10 @@
 	// maxPausedExcluded limits the endpoints in a slot request that want no requests from this
 	// entry. If the broker grants a slot of another one, it is returned unused.
 	maxPausedExcluded = 128
+	// maxEvacuatedExcluded limits the evacuated endpoints in a slot request, like
+	// maxPausedExcluded: the broker may not know of the evacuation, and a request that is returned
+	// unused more than maxNotSent times is refused.
+	maxEvacuatedExcluded = 128
 	// maxHeldReported limits a report to about 6 KB.
 	maxHeldReported = 512
 )
