control: spread the voters over zones

Cause: if three of five voters are in one zone, the loss of that zone loses accepted commands.

Change: with zone_losses above 0, at most (target - 1) / 2 voters are in one zone.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -149,6 +149,7 @@
 	d.policy = repairPolicy{
 		self: id, voterLossTicks: int(d.settings.VoterLoss.Std() / d.opts.TickInterval),
 		targetVoters: d.settings.targetVoters(), maxReplicas: defaultMaxReplicas,
+		zoneLosses: d.settings.ZoneLosses, zone: d.zoneOf,
 	}
 	d.peers = &peers{
 		token: d.processToken.Secret(), network: d.opts.Network, byteCounts: d.opts.ByteCounts, log: d.log,
@@ -168,18 +169,21 @@
 	d.hub.onAnnounce = d.inForce.RecordAnnouncement
 	d.fleet = newFleet(replica.View, d.settings.Replica, d.settings.Heartbeat.Std(), d.log)
 	d.fleet.peerSessions, d.fleet.alone = d.peers.Sessions, d.peers.Alone
-	d.fleet.zone = func(replica string) string {
-		if replica == id {
-			return d.settings.Zone
-		}
-		return d.peers.Zone(replica)
-	}
+	d.fleet.zone = d.zoneOf
 	d.peers.SetSeeds(d.settings.seedAddresses())
 	d.peers.SetMembers(replica.View().Raft.Membership.Addresses)
 	d.metrics.registerGauges(d.registry, d)
 	return nil
 }
 
+// zoneOf returns the availability zone of a replica, or "" if it is not known.
+func (d *Daemon) zoneOf(replica string) string {
+	if replica == d.policy.self {
+		return d.settings.Zone
+	}
+	return d.peers.Zone(replica)
+}
+
 // Reload puts the seeds of changed settings in force. All other settings take effect at the
 // next start.
 func (d *Daemon) Reload(s *Settings) {
