control: orders that follow at once on an answer are not late

Cause: the leader may answer before the replica that passed an order on has applied it. The next order at that replica was then proposed with the older revision and rejected.

Change: the replica also remembers the revisions in the answers of the log.

Result: the test, which stops the loop of the replica, failed before.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -71,7 +72,9 @@
 	sentConfirms  sync.Map // *transport.Session to *sentConfirm
 	lastAnnounces sync.Map // *transport.Session to its last *wire.Announce
 	pauses        pauseDetector
-	abort         context.CancelFunc // stops at once, without transferring leadership
+	// knownEvacuations is the highest evacuation revision that an answer of the log contained.
+	knownEvacuations atomic.Uint64
+	abort            context.CancelFunc // stops at once, without transferring leadership
 }
 
 // New opens the data directory and creates the daemon.
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -134,6 +134,7 @@
 	// Read before anything else: whatever this replica learns from now on may be newer than
 	// the order.
 	known := d.replica.View().Evacuations
+	known.Revision = max(known.Revision, d.knownEvacuations.Load())
 	_, configured := d.settings.Zones[zone]
 	if _, ordered := known.Zones[zone]; !configured && !ordered {
 		return ledger.Result{}, oops.In("control").With("zone", zone).Wrap(ErrUnknownZone)
@@ -147,7 +148,13 @@
 	if d.pauses.Paused(time.Now()) {
 		return ledger.Result{}, oops.In("control").Wrapf(ErrLateOrder, "this replica was paused")
 	}
-	return d.commit(ctx, ledger.Command{Evacuation: &ledger.SetEvacuation{Zone: zone, Evacuated: evacuate, KnownRevision: known.Revision}})
+	result, err := d.commit(ctx, ledger.Command{Evacuation: &ledger.SetEvacuation{Zone: zone, Evacuated: evacuate, KnownRevision: known.Revision}})
+	// The leader may answer before this replica has applied the order. The next order, which
+	// its caller sends after the answer, must not count as a late one.
+	for held := d.knownEvacuations.Load(); result.Number > held && !d.knownEvacuations.CompareAndSwap(held, result.Number); {
+		held = d.knownEvacuations.Load()
+	}
+	return result, err
 }
 
 // postEvacuation starts or ends the evacuation of a zone.
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -230,6 +230,25 @@
 	})
 }
 
+// Guards against refusing an order as late that follows at once on the answer to another one, while
+// the replica that has passed both on to the leader has not applied the first.
+func TestOrdersThatFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startZonedCluster(t, nil)
+		f := c.others(c.leader().name)[0]
+		for i := range 10 {
+			// The replica applies nothing while its loop is busy.
+			resume := make(chan struct{})
+			f.replica.enqueueOp(func() { <-resume })
+			err := f.Evacuate(t.Context(), "za", i%2 == 0)
+			close(resume)
+			is.NoErr(err)
+		}
+		c.eventually("finished", func() bool { return c.evacuatedAre() })
+	})
+}
+
 // Guards against a pause that is not noticed, or that is noticed for ever.
 func TestPauseDetector(t *testing.T) {
 	is := is.New(t)
