--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -73,9 +74,12 @@
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
 	proposalSlots chan struct{}
-	sentConfirms  sync.Map           // *transport.Session to *sentConfirm
-	lastAnnounces sync.Map           // *transport.Session to its last *wire.Announce
-	abort         context.CancelFunc // stops at once, without transferring leadership
+	sentConfirms  sync.Map // *transport.Session to *sentConfirm
+	lastAnnounces sync.Map // *transport.Session to its last *wire.Announce
+	pauses        pauseDetector
+	// knownEvacuations is the highest evacuation revision that an answer of the log contained.
+	knownEvacuations atomic.Uint64
+	abort            context.CancelFunc // stops at once, without transferring leadership
 }
 
 // New opens the data directory and creates the daemon.
@@ -154,6 +158,7 @@
 	d.policy = repairPolicy{
 		self: id, voterLossTicks: int(d.settings.VoterLoss.Std() / d.opts.TickInterval),
 		targetVoters: d.settings.targetVoters(), maxReplicas: defaultMaxReplicas,
+		zoneLosses: d.settings.ZoneLosses, zone: d.zoneOf,
 	}
 	d.peers = &peers{
 		token: d.processToken.Secret(), network: d.opts.Network, byteCounts: d.opts.ByteCounts, log: d.log,
@@ -173,18 +178,21 @@
 	d.hub.onAnnounce = d.inForce.RecordAnnouncement
 	d.fleet = newFleet(replica.View, d.settings.Replica, d.settings.Heartbeat.Std(), d.log)
 	d.fleet.peerSessions, d.fleet.alone = d.peers.Sessions, d.peers.Alone
-	d.fleet.zone = func(replica string) string {
-		if replica == id {
-			return d.settings.Zone
-		}
-		return d.peers.Zone(replica)
-	}
+	d.fleet.zone = d.zoneOf
 	d.peers.SetSeeds(d.settings.seedAddresses())
 	d.peers.SetMembers(replica.View().Raft.Membership.Addresses)
 	d.metrics.registerGauges(d.registry, d)
 	return nil
 }
 
+// zoneOf returns the availability zone of a replica, or "" if it is not known.
+func (d *Daemon) zoneOf(replica string) string {
+	if replica == d.policy.self {
+		return d.settings.Zone
+	}
+	return d.peers.Zone(replica)
+}
+
 // Reload puts the seeds of changed settings in force. All other settings take effect at the
 // next start.
 func (d *Daemon) Reload(s *Settings) {
@@ -223,13 +231,16 @@
 		d.hub.NotifyCatalogueChanged()
 	}
 	if old.Routing.Version != next.Routing.Version || old.Raft.Membership.Index != next.Raft.Membership.Index ||
-		!maps.EqualFunc(old.Weights, next.Weights, slices.Equal) {
+		old.Evacuations.Revision != next.Evacuations.Revision || !maps.EqualFunc(old.Weights, next.Weights, slices.Equal) {
 		d.fleet.NotifyChanged()
 	}
 }
 
-// onApply starts to track a newly accepted note. It runs in the replica's loop.
+// onApply starts to track a newly accepted note, and logs a change of the evacuated zones. It runs in the replica's loop.
 func (d *Daemon) onApply(c ledger.Command, r ledger.Result) {
+	if e := c.Evacuation; e != nil && r.Status == ledger.StatusAccepted && !r.Repeated {
+		d.log.WithFields(log.Fields{"zone": e.Zone, "evacuated": e.Evacuated, "revision": r.Number}).Info("evacuation_changed")
+	}
 	if c.Note == nil || r.Status != ledger.StatusAccepted || r.Repeated {
 		return
 	}
@@ -303,6 +314,7 @@
 	wg.Go(func() { d.hub.RunPush(ctx.Done()) })
 	wg.Go(func() { d.fleet.Run(ctx.Done()) })
 	wg.Go(func() { d.bootstrap(ctx) })
+	wg.Go(func() { d.pauses.Run(ctx.Done()) })
 	d.log.WithField("replica", d.replica.View().Raft.ID).Info("started")
 	select {
 	case <-ctx.Done():
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -18,7 +18,9 @@
 	defaultHeartbeat     = time.Second
 	defaultLease         = 2 * time.Second
 	defaultSnapshotEvery = 2000
-	defaultMaxReplicas   = 8
+	// defaultMaxReplicas is the number of instances that are reserved for control. A replica that
+	// is no member knows no leader: it refuses orders, and its followers go elsewhere.
+	defaultMaxReplicas = 9
 )
 
 // Settings holds the settings of the control daemon.
@@ -130,6 +132,17 @@
 	if s.TargetVoters < 0 {
 		p.Add("target_voters", "must not be negative")
 	}
+	if _, unnamed := s.Zones[""]; unnamed {
+		p.Add("zones", "must not contain a zone without a name")
+	}
+	for _, zone := range slices.Sorted(maps.Keys(s.Zones)) {
+		if s.Zones[zone] == "" {
+			p.Add("zones."+zone, "is required: the region of the zone")
+		}
+	}
+	if s.ZoneLosses < 0 {
+		p.Add("zone_losses", "must not be negative")
+	}
 	return p.Err()
 }
 
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -134,6 +134,7 @@
 		}
 		p.SetSharers(entries)
 		p.Update(engine, endpoints[name], time.Now())
+		d.wakeEvacuated(p)
 		d.wakeNext(p)
 	}
 }
@@ -184,6 +185,9 @@
 	if refused := d.refuseOutsideRegions(q.service, r); refused != nil {
 		return placement.Choice{}, refused
 	}
+	if refused := d.refuseEvacuated(q, r); refused != nil {
+		return placement.Choice{}, refused
+	}
 	if refused := d.awaitPauses(q, r); refused != nil {
 		return placement.Choice{}, refused
 	}
@@ -303,8 +307,8 @@
 	case !q.resumed && q.route.Objective > 0:
 		a.TimeLeft = max(time.Millisecond, q.arrived.Add(q.route.Objective-q.spent).Sub(now))
 	}
-	paused, ejected, leaving := p.PausedEndpoints(now), p.Ejected(now), p.Leaving()
-	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
+	paused, ejected, leaving, evacuated := p.PausedEndpoints(now), p.Ejected(now), p.Leaving(), p.EvacuatedEndpoints()
+	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)], evacuated[:min(len(evacuated), maxEvacuatedExcluded)])
 	return a
 }
 
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -334,6 +334,9 @@
 	d.mu.Lock()
 	p := d.view(q.service)
 	refused := p.regionRefusal(r, now)
+	if refused == nil {
+		refused = p.evacuationRefusal(r, now)
+	}
 	var left time.Duration
 	if refused == nil {
 		left, refused = p.pauseLeft(r, q.maxWait(now), now)
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -106,6 +106,7 @@
 	for i := range rapid.IntRange(0, 3).Draw(t, "endpoints") {
 		c.endpoints = append(c.endpoints, placement.Endpoint{
 			ID: fmt.Sprint("e", i), Incarnation: 1, Address: "x", Zone: []string{"a", "b"}[i%2], Slots: 2, Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+			Evacuated: rapid.IntRange(0, 3).Draw(t, "evacuated") == 0,
 		})
 	}
 	return c
--- a/placement/explain_internal_test.go
+++ b/placement/explain_internal_test.go
@@ -95,6 +95,7 @@
 			Region: fmt.Sprint("r", i%3), WeightsVersion: uint64(rapid.IntRange(0, 2).Draw(t, "version")),
 			Draining: rapid.IntRange(0, 6).Draw(t, "draining") == 0,
 		}
+		e.Evacuated = rapid.IntRange(0, 6).Draw(t, "evacuated") == 0
 		e.Leaving = e.Draining && rapid.Bool().Draw(t, "leaving")
 		if rapid.IntRange(0, 4).Draw(t, "drains") == 0 {
 			e.DrainsIn = 100 * time.Millisecond
--- a/placement/obstacle.go
+++ b/placement/obstacle.go
@@ -18,6 +18,8 @@
 	// ObstacleDraining means that the endpoint takes no requests now, since it drains, loads
 	// weights, or holds weights that nobody has verified.
 	ObstacleDraining
+	// ObstacleEvacuated means that the zone is evacuated.
+	ObstacleEvacuated
 	// ObstacleNoWeights means that the engine holds no complete version of the weights.
 	ObstacleNoWeights
 	// ObstacleOldWeights means that the weights are older than the required version.
@@ -71,7 +73,7 @@
 // String returns the name of the obstacle in explanations.
 func (o Obstacle) String() string {
 	names := [...]string{
-		"", "leaving", "draining", "no-weights", "old-weights", "region-not-allowed", "excluded", "not-named", "old-weights-soon", "paused", "ejected",
+		"", "leaving", "draining", "evacuated", "no-weights", "old-weights", "region-not-allowed", "excluded", "not-named", "old-weights-soon", "paused", "ejected",
 		"refused-recently", "probation", "begins-too-late", "full", "prefill-limit", "interrupts-streams", "delays-pending", "outlasts-load",
 		"rate-limited", "cold", "not-first-broker", "isolated", "suspect-begins",
 	}
@@ -155,6 +157,8 @@
 		return ObstacleLeaving
 	case s.Draining:
 		return ObstacleDraining
+	case s.Evacuated:
+		return ObstacleEvacuated
 	case p.engine != nil && s.WeightsVersion == 0:
 		return ObstacleNoWeights
 	case s.WeightsVersion < r.MinVersion:
