rhubarbctl: explain request and explain load

The commands ask the admin port of one entry or stager and print the decision with the knowledge behind it, as a table or as JSON. Exit codes 7 and 8 say that the request would wait or be refused; the least favourable target of a split counts. They need no control replica and no token.

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -103,7 +103,7 @@
 			t.Errorf("operating.md does not mention `%s`", name)
 		}
 	}
-	for code := operator.ExitOK; code <= operator.ExitNotInForce; code++ {
+	for code := operator.ExitOK; code <= operator.ExitWouldRefuse; code++ {
 		is.True(strings.Contains(text, "\n| "+strconv.Itoa(code)+" |"))
 	}
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -30,6 +30,8 @@
 	ExitBadInput    = 4 // command line, token, or note is wrong
 	ExitUnreachable = 5 // no control replica answered; the note or order was not accepted
 	ExitNotInForce  = 6 // accepted, but not in force within the wait timeout
+	ExitWouldWait   = 7 // explained: the request would wait for a slot
+	ExitWouldRefuse = 8 // explained: the request would be refused
 )
 
 // ExitCode returns the exit code for an error of a command.
@@ -43,6 +45,9 @@
 		{ErrBadInput, ExitBadInput},
 		{ErrUnreachable, ExitUnreachable},
 		{ErrNotInForce, ExitNotInForce},
+		{ErrNotReached, ExitUnreachable},
+		{ErrWouldWait, ExitWouldWait},
+		{ErrWouldBeRefused, ExitWouldRefuse},
 	}
 	if err == nil {
 		return ExitOK
@@ -73,6 +78,10 @@
 	Rollout struct {
 		Watch rolloutWatch `cmd:"" help:"Follow the rollout until every endpoint serves its sets."`
 	} `cmd:"" help:"Look at the rollout."`
+	Explain struct {
+		Request explainRequest `cmd:"" help:"Explain where an entry would send a request now, without sending it."`
+		Load    explainLoad    `cmd:"" help:"Explain which weights a stager would load next."`
+	} `cmd:"" help:"Explain decisions of one process."`
 	Endpoints  endpointsCommand  `cmd:"" help:"List endpoints."`
 	Evacuate   evacuateCommand   `cmd:"" help:"Start or end the evacuation of a zone."`
 	Quarantine quarantineCommand `cmd:"" help:"List suspected and quarantined requests."`
@@ -130,7 +139,7 @@
 	}
 	if err == nil {
 		var s *session
-		if s, err = newSession(ctx, cli, out, errOut); err == nil {
+		if s, err = newSession(ctx, cli, !strings.HasPrefix(parsed.Command(), "explain "), out, errOut); err == nil {
 			err = parsed.Run(s)
 		}
 	} else {
@@ -142,8 +151,14 @@
 	return ExitCode(err)
 }
 
-func newSession(ctx context.Context, cli *CLI, out, errOut io.Writer) (*session, error) {
+// newSession checks the flags of all commands. Those that do not ask the control replicas need
+// neither addresses nor a token.
+func newSession(ctx context.Context, cli *CLI, control bool, out, errOut io.Writer) (*session, error) {
 	var problems settings.Problems
+	if !control {
+		checkPositive(&problems, "--timeout", cli.Timeout)
+		return &session{ctx: ctx, cli: cli, out: out, errOut: errOut, timeout: cli.Timeout.Std()}, asBadInput(&problems)
+	}
 	if len(cli.Control) == 0 {
 		problems.Add("--control", "is required (or RHUBARB_CONTROL)")
 	}
