relay: explanations of permits take the limits of the entry into account

An entry tells the broker the rate limits that it knows with a request for a permit, and a limit that is new there begins without a permit. The explanation left them out and promised a permit that was then refused. They are now tried and restored. The test failed without trying them, and without restoring.

--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if b := s.brokers[groupKey{m.Service, m.Group}]; b != nil {
-		p := s.brokerPlacement(b, m.Explain.slotRequest(m.From, s.endpointIDs, now), now)
+		p := s.brokerPlacement(b, m.Explain.slotRequest(m.From, s.endpointIDs, now), s.decodeRateLimits(m, now), now)
 		limitSize(&p)
 		s.send(m.From, peerMessage{Service: m.Service, Group: m.Group, Explanation: &explanationMessage{Sequence: m.Explain.Sequence, Placement: p}})
 	}
@@ -76,8 +76,8 @@
 
 // brokerPlacement explains what a broker of this entry would do with a request for a slot. The
 // caller holds mu.
-func (s *slotCoordinator) brokerPlacement(b *placement.Broker, a placement.SlotRequest, now time.Time) explain.Placement {
-	e := b.Explain(a, now)
+func (s *slotCoordinator) brokerPlacement(b *placement.Broker, a placement.SlotRequest, limits []placement.NamedRateLimit, now time.Time) explain.Placement {
+	e := b.Explain(a, limits, now)
 	p := explain.Placement{
 		Verdict: e.Verdict.String(), Endpoint: e.Choice.ID, Group: e.Group, Hold: e.Hold.String(), Late: e.Late,
 		SlotIntervalMs: toMs(e.SlotInterval), Ahead: e.Ahead, MaxWaitMs: e.MaxWait.Milliseconds(),
@@ -165,10 +165,14 @@
 // explainAt asks one broker. The result ok is false if it does not answer.
 func (s *slotCoordinator) explainAt(ctx context.Context, broker string, key groupKey, a placement.SlotRequest) (p explain.Placement, ok bool) {
 	s.mu.Lock()
+	var limits []placement.NamedRateLimit
+	if a.Only != "" { // as in requestFrom
+		limits = s.groupRateLimits(key)
+	}
 	if broker == s.self {
 		defer s.mu.Unlock()
 		if b := s.brokers[key]; b != nil {
-			return s.brokerPlacement(b, a, time.Now()), true
+			return s.brokerPlacement(b, a, limits, time.Now()), true
 		}
 		return p, false
 	}
@@ -181,7 +185,8 @@
 	}()
 	a.Sequence = sequence
 	for range explainTries {
-		s.send(broker, peerMessage{Service: key.service, Group: key.group, Explain: newSlotRequestMessage(a, time.Now())})
+		now := time.Now()
+		s.send(broker, peerMessage{Service: key.service, Group: key.group, Explain: newSlotRequestMessage(a, now), RateLimits: newRateLimitMessages(limits, now)})
 		timer := time.NewTimer(explainTimeout)
 		select {
 		case p = <-answers:
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/explain"
+	"github.com/rhubarbhill/rhubarbhill/internal/operator"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 	"github.com/rhubarbhill/rhubarbhill/platform"
@@ -65,6 +66,14 @@
 	}
 }
 
+// activeBroker returns the broker of the only group of engines.
+func (n *peerNetwork) activeBroker() string {
+	s := n.slots["entry-0"]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.activeBroker[groupKey{"quotes", ""}]
+}
+
 func quoteQuery() explain.Query {
 	return explain.Query{Host: "orders.example", Path: "/quote/x", Method: http.MethodPost, Key: testKey, PromptTokens: 500}
 }
@@ -84,7 +93,7 @@
 	}
 	for key, broker := range s.brokers {
 		waiting, granted := broker.Counts()
-		fmt.Fprintf(&b, "%v %d %d %+v\n", key, waiting, granted, broker.Explain(placement.SlotRequest{}, now))
+		fmt.Fprintf(&b, "%v %d %d %+v\n", key, waiting, granted, broker.Explain(placement.SlotRequest{}, nil, now))
 	}
 	return b.String()
 }
@@ -199,7 +208,7 @@
 		is := is.New(t)
 		n, cancel := newPeerNetwork(t, 3, 2, "a")
 		defer cancel()
-		broker := n.slots["entry-0"].activeBroker[groupKey{"quotes", ""}]
+		broker := n.activeBroker()
 		asking := "entry-0"
 		if broker == asking {
 			asking = "entry-1"
@@ -213,7 +222,9 @@
 			is.Equal(target.Views[0].By, explain.ByBroker)
 			is.Equal(target.Views[0].Name, broker)
 			is.Equal(target.Views[0].AgeMs, 2*peerDelay.Milliseconds())
+			n.slots[broker].mu.Lock()
 			_, granted := n.slots[broker].brokers[groupKey{"quotes", ""}].Counts()
+			n.slots[broker].mu.Unlock()
 			is.Equal(granted, i) // nothing was granted for the explanation
 			p, ok := n.place("entry-2", 0)
 			is.True(ok)
@@ -241,7 +252,7 @@
 		is := is.New(t)
 		n, cancel := newPeerNetwork(t, 3, 2, "a")
 		defer cancel()
-		broker := n.slots["entry-0"].activeBroker[groupKey{"quotes", ""}]
+		broker := n.activeBroker()
 		asking := map[bool]string{true: "entry-1", false: "entry-0"}[broker == "entry-0"]
 		h := explainingEntry(n.slots[asking], nil)
 		n.mu.Lock()
@@ -253,7 +264,9 @@
 		is.True(!told.Views[0].Answered)
 		is.True(told.Views[1].Name != broker)
 		is.Equal(told.Outcome, explain.Placed) // by the next one
+		n.slots[asking].mu.Lock()
 		is.Equal(len(n.slots[asking].suspendedUntil), 0)
+		n.slots[asking].mu.Unlock()
 	})
 }
 
@@ -349,3 +362,110 @@
 		is.True(strings.Contains(body, field))
 	}
 }
+
+// Guards against a command that does not show what the broker knows. docs/OPERATIONS.md shows its
+// output (go test -run ExplainCommand -v ./internal/relay).
+func TestExplainCommand(t *testing.T) {
+	is := is.New(t)
+	n, cancel := newPeerNetwork(t, 3, 0, "a")
+	defer cancel()
+	now := time.Now()
+	list := []placement.Endpoint{
+		{ID: "engine-0", Incarnation: 1, Address: "x", Zone: "a", Region: "eu", WeightsVersion: 8},
+		{ID: "engine-1", Incarnation: 1, Address: "x", Zone: "b", Region: "eu", WeightsVersion: 8},
+		{ID: "engine-2", Incarnation: 1, Address: "x", Zone: "b", Region: "eu", WeightsVersion: 7},
+		{ID: "engine-3", Incarnation: 1, Address: "x", Zone: "c", Region: "eu", WeightsVersion: 8, Evacuated: true},
+		{ID: "engine-4", Incarnation: 1, Address: "x", Zone: "a", Region: "eu", WeightsVersion: 8, Draining: true, Leaving: true},
+		{ID: "engine-5", Incarnation: 1, Address: "x", Zone: "b", Region: "eu", WeightsVersion: 8, Cold: placement.Cold{Until: now.Add(time.Minute), PerSecond: 18}},
+	}
+	var entries []placement.Entry
+	for name := range n.slots {
+		entries = append(entries, placement.Entry{Name: name, Zone: "a"})
+	}
+	table := routing.Compile(explainedDocument())
+	for _, s := range n.slots {
+		s.update(table, map[string][]placement.Endpoint{"quotes": list}, entries, now)
+	}
+	broker := n.activeBroker()
+	asking := map[bool]string{true: "entry-1", false: "entry-0"}[broker == "entry-0"]
+	h := explainingEntry(n.slots[asking], nil)
+	h.fleet = fixedState{table: table, required: 8}
+	d := &Daemon{settings: DefaultSettings(), handler: h, guard: h.guard, registry: prometheus.NewRegistry()}
+	d.settings.Instance = asking
+	admin := httptest.NewServer(d.adminHandler())
+	defer admin.Close()
+	run := func() (int, string) {
+		var out, errOut bytes.Buffer
+		code := operator.Main(t.Context(), []string{
+			"explain", "request", "--entry", admin.Listener.Addr().String(), "--host", "orders.example", "--path", "/quote/x", "--key", testKey, "--model", "m",
+			"--prompt-tokens", "500", "--deadline", "3s",
+		}, &out, &errOut)
+		t.Logf("exit code %d\n%s%s", code, &out, &errOut)
+		return code, strings.Join(strings.Fields(out.String()), " ")
+	}
+	for range 3 {
+		_, ok := n.place(asking, 0)
+		is.True(ok)
+	}
+	code, out := run()
+	is.Equal(code, operator.ExitOK)
+	for _, part := range []string{"rank 10", "version 8 required", "broker " + broker + ": placed", "cold, for", "old-weights", "evacuated", "leaving"} {
+		if !strings.Contains(out, part) {
+			t.Errorf("%q is missing", part)
+		}
+	}
+	for range 5 + engineSlots {
+		n.place(asking, 0)
+	}
+	code, out = run()
+	is.Equal(code, operator.ExitWouldRefuse)
+	for _, part := range []string{"refused", "no-slot", "full"} {
+		if !strings.Contains(out, part) {
+			t.Errorf("%q is missing", part)
+		}
+	}
+}
+
+// Guards against an explanation that forgets the permits of plain services with a rate limit, or
+// that uses one up.
+func TestExplanationOfPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, cancel := newPeerNetwork(t, 3, 0, "a")
+		defer cancel()
+		list := []placement.Endpoint{{ID: "p", Incarnation: 1, Address: "x", Zone: "a", Slots: 2}}
+		table := routing.Compile(explainedDocument())
+		for _, s := range n.slots {
+			s.update(table, map[string][]placement.Endpoint{"plain": list}, []placement.Entry{{Name: "entry-0", Zone: "a"}, {Name: "entry-1", Zone: "a"}}, time.Now())
+		}
+		h := explainingEntry(n.slots["entry-2"], list)
+		perSecond := 0.5
+		h.dispatcher.pools["plain"].RecordRateLimit("p", 1, &perSecond, time.Now(), time.Now())
+		query := quoteQuery()
+		query.Path = "/split/x"
+		told := h.explain(t.Context(), query).Targets[0]
+		is.Equal(told.Refusal.Reason, string(RateLimited)) // a limit begins without a permit
+		is.Equal(told.Views[0].Placement.Endpoints[0].NotUsable, "rate-limited")
+		time.Sleep(3 * time.Second)
+		told = h.explain(t.Context(), query).Targets[0]
+		is.Equal(told.Refusal.Reason, string(RateLimited)) // it begins for the broker with the first request
+		q := &request{ctx: t.Context(), arrived: time.Now(), service: "plain", route: table.Route("orders.example", "/split/x"), table: table}
+		_, refused := h.place(q, 0)
+		is.Equal(refused.reason, RateLimited)
+		time.Sleep(5 * time.Second)
+		for range 3 {
+			told = h.explain(t.Context(), query).Targets[0]
+			is.Equal(told.Outcome, explain.Placed)
+			is.Equal(len(told.Views), 2)
+			is.Equal(told.Views[1].Permit, "p")
+			is.Equal(told.Views[1].By, explain.ByBroker)
+		}
+		q.arrived = time.Now()
+		_, refused = h.place(q, 0)
+		is.True(refused == nil)
+		told = h.explain(t.Context(), query).Targets[0]
+		is.Equal(told.Outcome, explain.Refused)
+		is.Equal(told.Refusal.Reason, string(RateLimited))
+		is.Equal(told.Views[1].Placement.Verdict, placement.RateLimited.String())
+	})
+}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -642,12 +642,7 @@
 			}
 		}
 	}
-	var limits []placement.NamedRateLimit
-	for _, l := range m.RateLimits {
-		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
-			limits = append(limits, n)
-		}
-	}
+	limits := s.decodeRateLimits(m, now)
 	if g := s.services[m.Service]; g != nil && !g.engines {
 		for _, n := range limits {
 			s.limits.addRateLimit(m.Service, n)
@@ -668,6 +663,18 @@
 	s.deliver(out)
 }
 
+// decodeRateLimits returns the limits in a message of endpoints that are known here. The caller
+// holds mu.
+func (s *slotCoordinator) decodeRateLimits(m peerMessage, now time.Time) []placement.NamedRateLimit {
+	var limits []placement.NamedRateLimit
+	for _, l := range m.RateLimits {
+		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
+			limits = append(limits, n)
+		}
+	}
+	return limits
+}
+
 // sendReport reports the slots of a group that this entry holds, and rate limits, to
 // brokers. The caller holds mu.
 func (s *slotCoordinator) sendReport(key groupKey, to []string, limits []placement.NamedRateLimit) {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -129,8 +129,10 @@
 	return time.Time{}
 }
 
-// Explain tells what RequestSlot would do with a new request, and why. It changes no state.
-func (b *Broker) Explain(a SlotRequest, now time.Time) Explanation {
+// Explain tells what RequestSlot would do with a new request, and why, if the limits of the entry
+// that asks were added before. It changes no state.
+func (b *Broker) Explain(a SlotRequest, limits []NamedRateLimit, now time.Time) Explanation {
+	defer b.pool.tryRateLimits(limits, now)()
 	d := b.decide(a.received(now), now)
 	e := Explanation{
 		Verdict: d.verdict, Choice: d.choice, Group: d.group, Hold: d.held, Late: d.request.Late,
@@ -152,6 +154,31 @@
 	return e
 }
 
+// tryRateLimits adds limits and returns a function that restores the ones before.
+func (p *Pool) tryRateLimits(limits []NamedRateLimit, now time.Time) (restore func()) {
+	before := map[string]*rateLimit{}
+	for _, n := range limits {
+		l, known := p.rateLimits[n.Endpoint]
+		if _, tried := before[n.Endpoint]; !tried {
+			before[n.Endpoint] = l
+		}
+		if known {
+			changed := *l
+			p.rateLimits[n.Endpoint] = &changed
+		}
+		p.AddRateLimit(n, now)
+	}
+	return func() {
+		for id, l := range before {
+			if l == nil {
+				delete(p.rateLimits, id)
+			} else {
+				p.rateLimits[id] = l
+			}
+		}
+	}
+}
+
 // counts returns the number of queued requests by class and rank, in order of service.
 func (q *requestQueue) counts() []RankCount {
 	classes := [...]string{classResumed: "resumed", classOnTime: "on-time", classLate: "late"}
--- a/placement/explain_internal_test.go
+++ b/placement/explain_internal_test.go
@@ -134,10 +134,19 @@
 				sequence++
 				a := drawSlotRequest(t, sequence, now)
 				before := dumpBroker(b, source)
-				e := b.Explain(a, now)
+				var limits []NamedRateLimit
+				for range rapid.IntRange(0, 2).Draw(t, "limits") {
+					limits = append(limits, NamedRateLimit{
+						Endpoint: fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "limited")), Incarnation: 1, PerSecond: float64(rapid.IntRange(1, 9).Draw(t, "per second")), NamedAt: now.Add(-time.Second),
+					})
+				}
+				e := b.Explain(a, limits, now)
 				if after := dumpBroker(b, source); after != before {
 					t.Fatalf("the explanation changed the state\n%s\n%s", before, after)
 				}
+				for _, l := range limits {
+					b.AddRateLimit(l, now)
+				}
 				b.RequestSlot(a, now)
 				var done SlotResponse
 				for _, r := range b.TakeResponses() {
