relay: take no endpoint for cold that started before traffic

An entry that has just started goes by the start that endpoints state, so that it takes no cold one for warm. After the start of a whole fleet, that limited all endpoints for cold_start_s and 3 s more, although they started before traffic.

A process that saw the first routing document come into force no longer counts those starts: replicas with a leader must have had no document for 2 s, because replicas that restart know a leader before they have applied their log again.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -95,6 +95,7 @@
 	departed         map[string]departure  // servers that deregistered, by identifier
 	wake             chan struct{}         // signals a newer routing version
 	suspended        time.Duration         // total that the ages account for
+	firstRouting     firstRouting
 }
 
 // seenServer is a server and when a replica last reported it.
@@ -236,6 +237,7 @@
 		r.listed = m.Replicas
 	}
 	c.recordLeaderless(address, m.Leaderless)
+	c.firstRouting.observe(m.RoutingVersion, m.Leaderless, now)
 	if m.RoutingVersion > c.announcedVersion {
 		c.announcedVersion = m.RoutingVersion
 		select {
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -27,6 +27,7 @@
 // brokers while this entry is cut off from the control replicas.
 func (d *Daemon) updateCold(table *routing.Table, endpoints map[string][]placement.Endpoint, now time.Time) {
 	rule := func(service string) placement.ColdRule { return d.settings.coldRule(table.Service(service)) }
+	d.cold.SawFirstRouting = d.fleet.SawFirstRouting()
 	logColdChanges(d.log, d.cold.Update(rule, endpoints, now))
 	d.slots.setIsolated(d.fleet.Isolated())
 }
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -67,6 +67,11 @@
 // There is one for each process, since pools are made and dropped when groups change. It never
 // reads the clock and is not safe for concurrent use.
 type ColdTracker struct {
+	// SawFirstRouting is true if the first routing document came into force while this process was
+	// running: endpoints that were present then are not cold, whenever they started. Otherwise this
+	// process has started during traffic.
+	SawFirstRouting bool
+
 	firstListed time.Time // when the first endpoint was listed
 	endpoints   map[string]*trackedEndpoint
 }
@@ -145,7 +150,7 @@
 	if now.Sub(t.firstListed) >= firstListPeriod {
 		return now.Add(r.Start)
 	}
-	if e.Incarnation == 0 || e.Incarnation > math.MaxInt64 || r.Start <= 0 {
+	if t.SawFirstRouting || e.Incarnation == 0 || e.Incarnation > math.MaxInt64 || r.Start <= 0 {
 		return time.Time{}
 	}
 	// An endpoint with a clock that is ahead has not been running for a negative time.
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -177,6 +177,16 @@
 	}
 }
 
+// Guards against a fleet that is limited after its start, because it started shortly before traffic.
+func TestFleetStartIsNotCold(t *testing.T) {
+	is := is.New(t)
+	tracker := placement.ColdTracker{SawFirstRouting: true}
+	list := []placement.Endpoint{{ID: "a", Incarnation: startedAt(start.Add(-time.Second))}, {ID: "b", Incarnation: startedAt(start), ColdFor: time.Second}}
+	is.Equal(track(&tracker, list, start), []placement.ColdChange{{Service: "quotes", Endpoint: "b", Cold: true, For: time.Second}})
+	list = append(list, placement.Endpoint{ID: "c", Incarnation: startedAt(start.Add(4 * time.Second))})
+	is.Equal(track(&tracker, list, start.Add(5*time.Second))[1], placement.ColdChange{Service: "quotes", Endpoint: "c", Cold: true, For: 10 * time.Second})
+}
+
 // Guards against changes that are told more than once, or of services without cold endpoints.
 func TestColdChangesAreToldOnce(t *testing.T) {
 	is := is.New(t)
