--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -276,7 +276,9 @@
 		keep[connKey(e)] = !e.Evacuated
 	}
 	entries := d.entries(processes)
-	d.updateCold(table, endpoints, time.Now())
+	if d.fleet.EvacuationsKnown() { // before that, all zones count as evacuated, and their return would be a cold start
+		d.updateCold(table, endpoints, time.Now())
+	}
 	d.slots.update(table, endpoints, entries, time.Now())
 	d.handler.dispatcher.update(table, endpoints, len(entries))
 	d.handler.metrics.setCold(d.handler.dispatcher.coldEndpoints())
