relay, network: treat answers with an invalid status or framing as broken

Cause: http.ReadResponse accepts the status codes 000, 099, +12, 600 and 999, and drops the length of an answer that also has a transfer encoding. A handler that passes on a code below 100 panics, so the slot was recorded as a success and the agent never recorded the end of its attempt.

On the paths that use net/http's client, a length beside chunks is still dropped without an error; chunks then decide, and the length is not passed on.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -43,7 +43,7 @@
 	transport := network.HTTPTransport(n)
 	transport.DisableKeepAlives = kind == wire.KindService
 	return &http.Client{
-		Transport:     transport,
+		Transport:     network.CheckStatuses(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -52,7 +52,7 @@
 	transport.DisableKeepAlives = !reuse
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
 	return &http.Client{
-		Transport:     transport,
+		Transport:     network.CheckStatuses(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -142,7 +142,7 @@
 	a.conn.limitReads(maxHeadBytes)
 	first := !a.conn.reused
 	for range maxStrayAnswers {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.method})
+		response, err := readResponseHead(a.conn, q.method)
 		if err != nil {
 			return readError(err)
 		}
@@ -229,7 +229,7 @@
 // release returns the connection to the pool if nothing is outstanding on it, and
 // closes it otherwise.
 func (a *attempt) release() {
-	reusable := a.complete && !a.response.Close && a.answer.RequestID != "" && a.conn.reader.Buffered() == 0
+	reusable := a.complete && !a.response.Close && a.answer.RequestID != "" && a.conn.buffered() == 0
 	if a.bodyWritten != nil {
 		select {
 		case err := <-a.bodyWritten:
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -50,9 +50,17 @@
 type limitedConn struct {
 	net.Conn
 	remaining int64
+	unread    []byte // read and returned to the connection; not counted again
 }
 
 func (a *limitedConn) Read(p []byte) (int, error) {
+	if len(a.unread) > 0 {
+		n := copy(p, a.unread)
+		if a.unread = a.unread[n:]; len(a.unread) == 0 {
+			a.unread = nil
+		}
+		return n, nil
+	}
 	if a.remaining <= 0 {
 		return 0, errReadLimit
 	}
@@ -102,10 +110,13 @@
 // buffered.
 func (c *backendConn) limitReads(bytes int64) { c.limited.remaining = bytes }
 
+// buffered returns the number of bytes that have arrived but were not read.
+func (c *backendConn) buffered() int { return c.reader.Buffered() + len(c.limited.unread) }
+
 // isIdle reports whether an idle connection is open and has no bytes to read.
 // Unsolicited bytes belong to no request.
 func (c *backendConn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
+	if c.buffered() > 0 {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
