network: limit what callers can use up of a process

Cause: net/http buffers a whole body through io.ReadAll up to the limit of the document for each connection, waits for the rest of a body without a deadline, accepts heads of 1 MiB on most ports and keeps as many connections as there are descriptors. Some dozens of callers used several times the memory of an instance, and idle connections were kept for 3 minutes whatever the routing document said.

Change: network.Guard protects the listeners that face callers (relay: requests and readiness; control: check-ins, operator, addresses; entry: callers). Bodies are read in steps, each of which is taken from one budget of the process before it is allocated; without room the request is refused with 503 after 1 s, and bodies without progress are given up with 408. The limits of the routing document for heads and idle connections apply to open connections at once. At two thirds of the descriptors, the connection that was idle for longest is closed.

--- a/cmd/rhubarb-control/main.go
+++ b/cmd/rhubarb-control/main.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/control"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/memory"
 	"github.com/rhubarbhill/rhubarbhill/platform"
 )
 
@@ -23,6 +24,7 @@
 }
 
 func run(ctx context.Context, config control.Settings, reloads daemon.Reloads) error {
+	memory.SetRuntimeLimit(int64(config.Memory))
 	processToken, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
--- a/cmd/rhubarb-entry/main.go
+++ b/cmd/rhubarb-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/entry"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/memory"
 )
 
 const program = "rhubarb-entry"
@@ -23,6 +24,7 @@
 }
 
 func run(ctx context.Context, config entry.Settings) error {
+	memory.SetRuntimeLimit(int64(config.Memory))
 	processToken, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
--- a/cmd/rhubarb-relay/main.go
+++ b/cmd/rhubarb-relay/main.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/memory"
 	"github.com/rhubarbhill/rhubarbhill/internal/relay"
 	"github.com/rhubarbhill/rhubarbhill/platform"
 )
@@ -22,6 +23,7 @@
 }
 
 func run(ctx context.Context, config relay.Settings, reloads daemon.Reloads) error {
+	memory.SetRuntimeLimit(int64(config.Memory))
 	token, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
--- a/cmd/rhubarb-stager/main.go
+++ b/cmd/rhubarb-stager/main.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/auth"
 	"github.com/rhubarbhill/rhubarbhill/internal/daemon"
 	"github.com/rhubarbhill/rhubarbhill/internal/logging"
+	"github.com/rhubarbhill/rhubarbhill/internal/memory"
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/stager"
 	"github.com/rhubarbhill/rhubarbhill/platform"
@@ -24,6 +25,7 @@
 }
 
 func run(ctx context.Context, config stager.Settings, reloads daemon.Reloads) error {
+	memory.SetRuntimeLimit(int64(config.Memory))
 	token, err := auth.ReadToken(config.ProcessTokenFile)
 	if err != nil {
 		return err
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -67,6 +67,7 @@
 	operatorToken auth.Token
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
+	callers       *network.Guard
 	proposalSlots chan struct{}
 	sentConfirms  sync.Map           // *transport.Session to *sentConfirm
 	lastAnnounces sync.Map           // *transport.Session to its last *wire.Announce
@@ -80,6 +81,7 @@
 		proposalSlots: make(chan struct{}, maxConcurrentProposals), inForce: newInForce(defaultLease+s.Grace.Std(), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
+	d.callers = metrics.NewGuard(d.registry, "control", int64(s.Memory))
 	if err := d.readTokens(); err != nil {
 		return nil, err
 	}
@@ -321,9 +323,9 @@
 	}))
 	servers, err := network.OpenServers(d.opts.Network,
 		network.ServerConfig{Address: d.settings.SessionListen, Handler: session},
-		network.ServerConfig{Address: d.settings.OperatorListen, Handler: d.operatorHandler()},
-		network.ServerConfig{Address: d.settings.RegistryListen, Handler: handlerOr404(d.opts.Registry, d)},
-		network.ServerConfig{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d)},
+		network.ServerConfig{Address: d.settings.OperatorListen, Handler: d.operatorHandler(), Guard: d.callers},
+		network.ServerConfig{Address: d.settings.RegistryListen, Handler: handlerOr404(d.opts.Registry, d), Guard: d.callers},
+		network.ServerConfig{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d), Guard: d.callers},
 		network.ServerConfig{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 		network.ServerConfig{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/operator"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/ledger"
@@ -72,7 +72,7 @@
 // readNote parses the note in a request. If it is invalid, it writes the error
 // response and returns false.
 func readNote(w http.ResponseWriter, r *http.Request) (*release.Document, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, release.MaxNoteBytes+1))
+	data, err := network.ReadBody(w, r, release.MaxNoteBytes+1)
 	if err == nil {
 		var doc *release.Document
 		if doc, err = release.Parse(data); err == nil {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -25,6 +25,12 @@
 type Settings struct {
 	settings.Common `yaml:",inline"`
 
+	// Memory is the memory of the instance, from which the limits of the runtime and of what is
+	// held for callers follow. A higher value serves more large bodies at once, and above the real
+	// memory the operating system may end the process. Default 0, which reads it from the control
+	// group of the process or from the machine.
+	Memory settings.Size `yaml:"memory"`
+
 	Replica           string `yaml:"replica"`
 	SessionListen     string `yaml:"session_listen"`
 	OperatorListen    string `yaml:"operator_listen"`
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/balancer"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/outcome"
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
@@ -103,12 +103,16 @@
 			return nil, refusal(http.StatusBadRequest, outcome.InvalidHeader, wire.HeaderPriority+" is not a whole number")
 		}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBody)))
+	body, err := network.ReadBody(w, r, int64(e.settings.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, outcome.BodyTooLarge,
 			"the request body is larger than "+strconv.FormatInt(int64(e.settings.MaxBody), 10)+" bytes")
+	case errors.Is(err, network.ErrMemoryBudget):
+		return nil, refusal(http.StatusServiceUnavailable, outcome.MemoryBudget, "this entry holds as much for callers as it may").withRetryAfter(time.Second)
+	case errors.Is(err, network.ErrBodyTooSlow):
+		return nil, refusal(http.StatusRequestTimeout, outcome.BodyTooSlow, "the request body did not arrive in time")
 	case err != nil:
 		return nil, refusal(http.StatusBadRequest, outcome.InvalidBody, "the request body could not be read")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	// controlClient maintains the sessions that control proposes through.
 	controlClient *controlclient.Client
 	network       network.Network
+	guard         *network.Guard // of the listener for callers
 	// refreshMu serialises refreshFleet, so that an older endpoint table does not
 	// replace a newer one.
 	refreshMu sync.Mutex
@@ -120,6 +121,8 @@
 		listener:      o.Listener,
 		background:    background, stopBackground: stop,
 	}
+	e.guard = metrics.NewGuard(e.registry, "entry", int64(s.Memory))
+	e.guard.SetLimits(network.CallerLimits{IdleTime: idleTimeout})
 	e.admitter = newAdmitter(s, e.fleet, e.peers)
 	client := e.newControlClient()
 	e.control = client
@@ -202,9 +205,8 @@
 	if err != nil {
 		return err
 	}
-	server := network.NewDrainServer(
-		&http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, listener,
-	)
+	callers := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := network.NewDrainServer(callers, e.guard.Protect(callers, listener))
 	admin, err := e.startAdmin()
 	if err != nil {
 		_ = listener.Close()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -96,6 +96,11 @@
 	// MaxBody limits the size of a request body. Default 4MiB. A larger limit needs
 	// more memory per request in flight.
 	MaxBody settings.Size `yaml:"max_body"`
+	// Memory is the memory of the instance, from which the limits of the runtime and of what is
+	// held for callers follow. A higher value serves more large bodies at once, and above the real
+	// memory the operating system may end the process. Default 0, which reads it from the control
+	// group of the process or from the machine.
+	Memory settings.Size `yaml:"memory"`
 	// Organisations holds the settings of organisations by name.
 	Organisations map[string]OrganisationSettings `yaml:"organisations"`
 }
--- a/internal/network/drain.go
+++ b/internal/network/drain.go
@@ -37,10 +37,14 @@
 	s := &DrainServer{server: server, idle: make(chan struct{}, 1), conns: map[*trackedConn]bool{}}
 	s.listener = trackedListener{listener, s}
 	server.Handler = s.track(server.Handler)
+	next := server.ConnState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if next != nil {
+			next(c.(*trackedConn).Conn, state)
+		}
 		if state == http.StateIdle { // the answer is sent
 			c.(*trackedConn).setIdle()
 		}
--- /dev/null
+++ b/internal/network/guard.go
@@ -0,0 +1,382 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Reasons for which a Guard ends a connection or refuses a request.
+const (
+	LimitMemory      = "memory-budget"
+	LimitSlowBody    = "body-too-slow"
+	LimitHead        = "head-too-long"
+	LimitConnections = "connections"
+	LimitIdle        = "idle"
+	LimitSlowHead    = "head-too-slow"
+)
+
+// LimitReasons lists the reasons for which a Guard ends a connection or refuses a request.
+func LimitReasons() []string {
+	return []string{LimitMemory, LimitSlowBody, LimitHead, LimitSlowHead, LimitIdle, LimitConnections}
+}
+
+const (
+	// maxHeadBytes bounds heads where no document states a limit. Heads of the platform have
+	// less than 2 KB.
+	maxHeadBytes = 64 << 10
+	// readAhead is what net/http may have read beyond a head: its read buffer.
+	readAhead = 4 << 10
+	// headMargin and idleMargin are added to the limits of callers, so that a caller that uses
+	// a connection until just before a limit is not cut.
+	headMargin = 500 * time.Millisecond
+	idleMargin = time.Second
+	// maxIdleTime applies where no document states a limit.
+	maxIdleTime = 3 * time.Minute
+	// maxHeadTime applies where no document states a limit.
+	maxHeadTime = 10 * time.Second
+	// callerDescriptorShare is the share of the descriptors of the process that connections of
+	// callers may use. The others are for connections to endpoints and processes, and files.
+	callerDescriptorShare = 2.0 / 3
+	// unreadTimeout is how long the rest of a body is waited for that the handler did not read.
+	unreadTimeout = time.Second
+)
+
+// CallerLimits are the limits on the connections of callers. Zero values stand for defaults.
+type CallerLimits struct {
+	HeadBytes int
+	HeadTime  time.Duration // from the first byte of a head to its end
+	IdleTime  time.Duration // from an answer to the next request
+}
+
+// Guard limits what callers can use up of a process, on all listeners of servers that have it.
+type Guard struct {
+	budget   *Budget
+	limited  func(reason string)
+	maxConns int
+	limits   atomic.Pointer[CallerLimits]
+
+	mu    sync.Mutex
+	conns map[*guardedConn]bool
+}
+
+// NewGuard returns a guard. Limited, which may be nil, is called for each connection that is
+// closed and each request that is refused.
+func NewGuard(budget *Budget, limited func(reason string)) *Guard {
+	if limited == nil {
+		limited = func(string) {}
+	}
+	g := &Guard{budget: budget, limited: limited, conns: map[*guardedConn]bool{}}
+	g.SetLimits(CallerLimits{})
+	var descriptors syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
+		const enough = 1 << 20 // more than any process has
+		g.maxConns = int(callerDescriptorShare * float64(min(descriptors.Cur, enough)))
+	}
+	return g
+}
+
+// SetLimits changes the limits, also of connections that are open.
+func (g *Guard) SetLimits(l CallerLimits) {
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = maxHeadBytes
+	}
+	if l.HeadTime <= 0 {
+		l.HeadTime = maxHeadTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = maxIdleTime
+	}
+	g.limits.Store(&l)
+}
+
+// Protect prepares a server that does not serve yet, and returns the listener that it must serve.
+// A server that a DrainServer takes over must be protected before.
+func (g *Guard) Protect(server *http.Server, listener net.Listener) net.Listener {
+	server.MaxHeaderBytes = maxHeadBytes
+	server.Handler = g.trackBody(server.Handler)
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		guarded, ok := c.(*guardedConn)
+		if !ok {
+			return
+		}
+		switch state {
+		case http.StateActive, http.StateHijacked:
+			guarded.headEnded()
+		case http.StateIdle:
+			guarded.awaitHead()
+		}
+	}
+	return &guardedListener{listener, g}
+}
+
+type guardedListener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept implements net.Listener.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &guardedConn{Conn: accepted, guard: l.guard, since: time.Now(), inHead: true}
+		if l.guard.admit(c) {
+			return c, nil
+		}
+		l.guard.limited(LimitConnections)
+		_ = accepted.Close()
+	}
+}
+
+// admit adds a connection. If there are too many, it closes the one that has been idle for
+// longest; if none is, the new one is not admitted.
+func (g *Guard) admit(c *guardedConn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.maxConns > 0 && len(g.conns) >= g.maxConns {
+		idle := g.longestIdle()
+		if idle == nil {
+			return false
+		}
+		delete(g.conns, idle)
+		if idle.closeIdle() {
+			g.limited(LimitConnections)
+		}
+	}
+	g.conns[c] = true
+	return true
+}
+
+// longestIdle returns the connection that has been idle for longest, or nil.
+func (g *Guard) longestIdle() *guardedConn {
+	var found *guardedConn
+	var since time.Time
+	for c := range g.conns {
+		if at, idle := c.idleSince(); idle && (found == nil || at.Before(since)) {
+			found, since = c, at
+		}
+	}
+	return found
+}
+
+// guardedConn is a connection of a caller.
+type guardedConn struct {
+	net.Conn
+	guard *Guard
+
+	mu        sync.Mutex
+	inHead    bool      // a head is awaited or being read
+	headBytes int64     // of the head that is being read; 0 while the connection is idle
+	since     time.Time // when the connection became idle, or the head began
+	requested time.Time // read deadline that the server has set
+	closed    bool
+}
+
+func (c *guardedConn) idleSince() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.inHead && c.headBytes == 0 && !c.closed
+}
+
+// closeIdle closes the connection unless a request has begun on it, and reports whether it did.
+// A request that arrives from now on is not read.
+func (c *guardedConn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inHead || c.headBytes > 0 || c.closed {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close()
+	return true
+}
+
+func (c *guardedConn) headEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead = false
+	_ = c.Conn.SetReadDeadline(c.requested) // fails only if the connection is closed
+}
+
+func (c *guardedConn) awaitHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.budget.release(headCost * c.headBytes)
+	c.inHead, c.headBytes, c.since = true, 0, time.Now()
+}
+
+// SetReadDeadline implements net.Conn. While a head is awaited, the earlier of this deadline and
+// that of the guard applies.
+func (c *guardedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requested = t
+	return c.applyDeadline()
+}
+
+// SetDeadline implements net.Conn.
+func (c *guardedConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+func (c *guardedConn) applyDeadline() error {
+	if !c.inHead {
+		return c.Conn.SetReadDeadline(c.requested)
+	}
+	limits := c.guard.limits.Load()
+	if c.headBytes == 0 { // the server does not know the limit of the document
+		return c.Conn.SetReadDeadline(c.since.Add(limits.IdleTime + idleMargin))
+	}
+	deadline := c.since.Add(limits.HeadTime + headMargin)
+	if !c.requested.IsZero() && c.requested.Before(deadline) {
+		deadline = c.requested
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// errConnEnded is a network error, which net/http does not answer with 400.
+func errConnEnded() error { return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed} }
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	inHead := c.inHead
+	if inHead {
+		_ = c.applyDeadline() // fails only if the connection is closed
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	if !inHead {
+		return n, err
+	}
+	if reason, ended := c.countHead(n, err); ended {
+		if reason != "" {
+			c.guard.limited(reason)
+		}
+		return 0, errConnEnded()
+	}
+	return n, err
+}
+
+// countHead counts n bytes of a head, and reports whether the connection ends and for which
+// reason.
+func (c *guardedConn) countHead(n int, err error) (reason string, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return "", true
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.headBytes == 0 && n == 0:
+		return LimitIdle, true
+	case errors.Is(err, os.ErrDeadlineExceeded) && n == 0:
+		return LimitSlowHead, true
+	case n == 0:
+		return "", false
+	}
+	if c.headBytes == 0 {
+		c.since = time.Now()
+	}
+	if c.headBytes+int64(n) > int64(c.guard.limits.Load().HeadBytes+readAhead) {
+		return LimitHead, true
+	}
+	if !c.guard.budget.take(headCost*int64(n), 1) {
+		return LimitMemory, true
+	}
+	c.headBytes += int64(n)
+	return "", false
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.guard.budget.release(headCost * c.headBytes)
+	c.headBytes = 0
+	c.mu.Unlock()
+	c.guard.mu.Lock()
+	delete(c.guard.conns, c)
+	c.guard.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side, see trackedConn.
+func (c *guardedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// trackBody limits the time of reads of bodies, and returns what was taken from the budget for
+// the body when the handler returns.
+func (g *Guard) trackBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		now := time.Now()
+		control := http.NewResponseController(w)
+		h := &heldBody{budget: g.budget, begun: now, progress: now, limited: g.limited}
+		h.end = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) } // fails only if the connection is closed
+		body := &guardedBody{ReadCloser: r.Body, held: h, control: control}
+		r = r.WithContext(context.WithValue(r.Context(), heldKey{}, h))
+		r.Body = body
+		_ = control.SetReadDeadline(h.deadline(now))
+		defer func() {
+			if h.budget != nil {
+				h.give(h.taken())
+			}
+			if !body.ended && !h.ended.Load() {
+				_ = control.SetReadDeadline(time.Now().Add(unreadTimeout))
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// guardedBody is a body whose reads have a deadline.
+type guardedBody struct {
+	io.ReadCloser
+	held    *heldBody
+	control *http.ResponseController
+	ended   bool
+	failed  bool
+}
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	if b.ended || b.failed {
+		return b.ReadCloser.Read(p)
+	}
+	n, err := b.ReadCloser.Read(p)
+	now := time.Now()
+	b.held.advance(n, now)
+	switch {
+	case errors.Is(err, io.EOF):
+		// net/http watches the connection from now on, without a deadline.
+		b.ended = true
+		_ = b.control.SetReadDeadline(time.Time{})
+	case err != nil:
+		b.failed = true
+		if errors.Is(bodyError(err), ErrBodyTooSlow) {
+			b.held.limited(LimitSlowBody)
+		}
+	default:
+		_ = b.control.SetReadDeadline(b.held.deadline(now))
+		if b.held.ended.Load() { // since the read
+			b.held.end()
+		}
+	}
+	return n, err
+}
--- a/internal/network/servers.go
+++ b/internal/network/servers.go
@@ -16,6 +16,8 @@
 type ServerConfig struct {
 	Address string
 	Handler http.Handler
+	// Guard protects a server that faces callers; nil for none.
+	Guard *Guard
 }
 
 // Server is an HTTP server with an open listener.
@@ -51,7 +53,11 @@
 			}
 			return nil, fmt.Errorf("listening on %s: %w", p.Address, err)
 		}
-		servers = append(servers, Server{&http.Server{Handler: p.Handler, ReadHeaderTimeout: readHeaderTimeout}, listener})
+		server := &http.Server{Handler: p.Handler, ReadHeaderTimeout: readHeaderTimeout}
+		if p.Guard != nil {
+			listener = p.Guard.Protect(server, listener)
+		}
+		servers = append(servers, Server{server, listener})
 	}
 	return servers, nil
 }
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -26,10 +26,7 @@
 )
 
 const (
-	// callerIdleTimeout is the idle timeout of connections from callers. It is longer
-	// than any limit that a routing document is expected to state, so that no
-	// connection is closed just as a request arrives.
-	callerIdleTimeout    = 3 * time.Minute
+	// callerHeaderTimeout and maxCallerHeaderBytes bound the limits of the routing document.
 	callerHeaderTimeout  = 10 * time.Second
 	maxCallerHeaderBytes = 64 << 10
 	refreshInterval      = 250 * time.Millisecond
@@ -76,6 +73,7 @@
 	changed  chan struct{}
 	slots    *slotCoordinator
 	guard    *crashGuard
+	callers  *network.Guard
 	peers    atomic.Pointer[peerPort]
 	draining atomic.Bool
 	wasReady bool
@@ -94,6 +92,7 @@
 	}, d.process(false))
 	d.slots = newSlotCoordinator(s.Instance, s.Zone, logger, d.sendPeer)
 	m := newRelayMetrics(d.registry)
+	d.callers = metrics.NewGuard(d.registry, subsystem, int64(s.Memory))
 	d.guard = newCrashGuard(logger, m, d.sendPeer)
 	d.handler = &handler{
 		protocol: opts.Protocol, fleet: d.fleet, dispatcher: newDispatcher(s.RetryRatio, s.RetrySlack, d.slots), guard: d.guard,
@@ -162,8 +161,8 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	servers, err := network.OpenServers(d.opts.Network,
-		network.ServerConfig{Address: d.settings.Listen, Handler: d.handler},
-		network.ServerConfig{Address: d.settings.ReadyListen, Handler: d.opts.ReadyHandler(d.ready)},
+		network.ServerConfig{Address: d.settings.Listen, Handler: d.handler, Guard: d.callers},
+		network.ServerConfig{Address: d.settings.ReadyListen, Handler: d.opts.ReadyHandler(d.ready), Guard: d.callers},
 		network.ServerConfig{Address: d.settings.AdminListen, Handler: d.adminHandler()},
 		network.ServerConfig{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
@@ -171,7 +170,7 @@
 		return oops.In("relay").Wrap(err)
 	}
 	server := servers[0]
-	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
+	server.ReadHeaderTimeout, server.MaxHeaderBytes = callerHeaderTimeout, maxCallerHeaderBytes
 	serving, cut := context.WithCancelCause(background)
 	defer cut(nil)
 	server.BaseContext = func(net.Listener) context.Context { return serving }
@@ -263,6 +262,8 @@
 	if table == nil {
 		return
 	}
+	limits := table.Document.Limits
+	d.callers.SetLimits(network.CallerLimits{HeadBytes: limits.HeaderBytes, HeadTime: limits.HeaderTimeout, IdleTime: limits.IdleTimeout})
 	endpoints := map[string][]placement.Endpoint{}
 	keep := map[string]bool{}
 	for _, s := range d.fleet.ServerList() {
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -20,8 +20,12 @@
 	UnknownKey      Reason = "unknown-key"
 	BodyTooLarge    Reason = "body-too-large"
 	BadBody         Reason = "bad-body"
-	NoEndpoint      Reason = "no-endpoint"
-	NoSlot          Reason = "no-slot"
+	// MemoryBudget means that the entry holds as many bytes for callers as it may.
+	MemoryBudget Reason = "memory-budget"
+	// BodyTooSlow means that the body of the request did not arrive in time.
+	BodyTooSlow Reason = "body-too-slow"
+	NoEndpoint  Reason = "no-endpoint"
+	NoSlot      Reason = "no-slot"
 	// Displaced means that the request was queued and more urgent ones came before it, so that
 	// it would have got no slot in time.
 	Displaced        Reason = "displaced"
@@ -79,7 +83,7 @@
 // from an endpoint.
 func RefusalReasons() []Reason {
 	return []Reason{
-		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, NoEndpoint, NoSlot, Displaced, EndpointsRefused, RateLimited, EndpointsPaused,
+		Starting, NoRouting, Draining, GracePeriodOver, NoRoute, UnknownKey, BodyTooLarge, BadBody, MemoryBudget, BodyTooSlow, NoEndpoint, NoSlot, Displaced, EndpointsRefused, RateLimited, EndpointsPaused,
 		CallerGone, DeadlineExceeded, AnswerLost, StreamBroken, CrashSuspect, Quarantined, EndpointError,
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 	"github.com/rhubarbhill/rhubarbhill/quarantine"
@@ -18,6 +18,10 @@
 // defaultBodyBytes limits request bodies if the routing document states no limit.
 const defaultBodyBytes = 4 << 20
 
+// memoryRetryAfter is the retry delay if the memory budget for callers is used up. Bodies that do
+// not arrive are then given up after 250 ms, and others take about as long as a request.
+const memoryRetryAfter = time.Second
+
 // request is a request of a caller and its state in the relay.
 type request struct {
 	ctx      context.Context
@@ -146,11 +150,15 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := network.ReadBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: BodyTooLarge}
+	case errors.Is(err, network.ErrMemoryBudget):
+		return &refusal{status: http.StatusServiceUnavailable, reason: MemoryBudget, retryAfter: memoryRetryAfter}
+	case errors.Is(err, network.ErrBodyTooSlow):
+		return &refusal{status: http.StatusRequestTimeout, reason: BodyTooSlow}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: BadBody}
 	}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -60,6 +60,11 @@
 	// Default 1 and 1.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
+	// Memory is the memory of the instance, from which the limits of the runtime and of what is
+	// held for callers follow. A higher value serves more large bodies at once, and above the real
+	// memory the operating system may end the process. Default 0, which reads it from the control
+	// group of the process or from the machine.
+	Memory settings.Size `yaml:"memory"`
 }
 
 // DefaultSettings returns the default settings.
--- a/internal/stager/settings.go
+++ b/internal/stager/settings.go
@@ -27,6 +27,10 @@
 	Controls    []string `yaml:"controls"`
 	Seeds       []string `yaml:"seeds"`
 	SessionPort int      `yaml:"session_port"`
+	// Memory is the memory of the instance, from which the limit of the runtime follows. Above the
+	// real memory, the operating system may end the process. Default 0, which reads it from the control
+	// group of the process or from the machine.
+	Memory settings.Size `yaml:"memory"`
 }
 
 // DefaultSettings returns settings with defaults filled in.
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -9,6 +9,8 @@
 	EmptyBody         Reason = "empty-body"
 	InvalidBody       Reason = "invalid-body"
 	BodyTooLarge      Reason = "body-too-large"
+	MemoryBudget      Reason = "memory-budget"
+	BodyTooSlow       Reason = "body-too-slow"
 	MissingModel      Reason = "missing-model"
 	UnknownModel      Reason = "unknown-model"
 	UnknownService    Reason = "unknown-service"
@@ -57,6 +59,8 @@
 		EmptyBody,
 		InvalidBody,
 		BodyTooLarge,
+		MemoryBudget,
+		BodyTooSlow,
 		MissingModel,
 		UnknownModel,
 		UnknownService,
