network, relay: count connections and buffered answers in the budget

Cause: callers could hold more connections than an instance has memory for, and buffered answers were not counted.

Change: a connection takes 16 KiB of the budget, and connections are limited to half of it. A buffered answer takes its bytes, and is passed on as it arrives if there are none.

--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -44,6 +44,12 @@
 	// largeBodyShare is the share of the budget that is open to bodies beyond their first step.
 	// The rest lets ordinary requests in while large bodies use up their share.
 	largeBodyShare = 0.875
+	// connCost is the number of bytes held for a connection: the buffers of net/http for reads
+	// and writes, the stack of a goroutine, and their state.
+	connCost = 16 << 10
+	// connShare is the share of the budget that connections may take. They are let in also while
+	// bodies use up the budget, and bodies then get less.
+	connShare = 0.5
 	// headCost is the number of bytes held for each byte of a head: it is buffered, split into
 	// strings and entered into a map.
 	headCost = 4
@@ -74,6 +80,12 @@
 	return b.used
 }
 
+// Take takes n bytes and reports whether there were as many.
+func (b *Budget) Take(n int64) bool { return b.take(n, largeBodyShare) }
+
+// Release returns n bytes.
+func (b *Budget) Release(n int64) { b.release(n) }
+
 // take takes n bytes and reports whether there were as many within a share of the budget.
 func (b *Budget) take(n int64, share float64) bool {
 	if b == nil {
@@ -88,6 +100,9 @@
 	return true
 }
 
+// charge takes n bytes, also beyond the limit, so that bodies get less.
+func (b *Budget) charge(n int64) { b.release(-n) }
+
 // release returns n bytes.
 func (b *Budget) release(n int64) {
 	if b == nil {
--- a/internal/network/export_test.go
+++ b/internal/network/export_test.go
@@ -1,4 +1,7 @@
 package network
 
+// ConnCost is what each connection of a caller takes from the budget.
+const ConnCost = connCost
+
 // SetMaxConns changes the number of connections of callers that a guard admits.
 func (g *Guard) SetMaxConns(n int) { g.maxConns = n }
--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -80,9 +80,18 @@
 		const enough = 1 << 20 // more than any process has
 		g.maxConns = int(callerDescriptorShare * float64(min(descriptors.Cur, enough)))
 	}
+	if budget != nil {
+		byMemory := max(1, int(connShare*float64(budget.limit)/connCost))
+		if g.maxConns == 0 || byMemory < g.maxConns {
+			g.maxConns = byMemory
+		}
+	}
 	return g
 }
 
+// Budget returns the budget of the process.
+func (g *Guard) Budget() *Budget { return g.budget }
+
 // SetLimits changes the limits, also of connections that are open.
 func (g *Guard) SetLimits(l CallerLimits) {
 	if l.HeadBytes <= 0 {
@@ -148,12 +157,13 @@
 		if idle == nil {
 			return false
 		}
-		delete(g.conns, idle)
 		if idle.closeIdle() {
+			delete(g.conns, idle)
 			g.limited(LimitConnections)
 		}
 	}
-	g.conns[c] = true
+	g.budget.charge(connCost)
+	g.conns[c], c.cost = true, connCost
 	return true
 }
 
@@ -180,6 +190,7 @@
 	since     time.Time // when the connection became idle, or the head began
 	requested time.Time // read deadline that the server has set
 	closed    bool
+	cost      int64 // taken from the budget for the connection
 }
 
 func (c *guardedConn) idleSince() (since time.Time, idle bool) {
@@ -196,11 +207,17 @@
 	if !c.inHead || c.headBytes > 0 || c.closed {
 		return false
 	}
-	c.closed = true
+	c.setClosed()
 	_ = c.Conn.Close()
 	return true
 }
 
+// setClosed returns what was taken from the budget. The mutex must be held.
+func (c *guardedConn) setClosed() {
+	c.guard.budget.release(c.cost + headCost*c.headBytes)
+	c.closed, c.cost, c.headBytes = true, 0, 0
+}
+
 func (c *guardedConn) headEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -299,9 +316,7 @@
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.mu.Lock()
-	c.closed = true
-	c.guard.budget.release(headCost * c.headBytes)
-	c.headBytes = 0
+	c.setClosed()
 	c.mu.Unlock()
 	c.guard.mu.Lock()
 	delete(c.guard.conns, c)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 )
@@ -59,6 +60,8 @@
 	key         string // key of the endpoint in the connection pool
 	conn        *backendConn
 	pool        *connPool
+	budget      *network.Budget
+	request     *request
 	stopWatch   func() bool // stops closing the connection when the request context ends
 	bodyWritten chan error  // receives the result of writing a long body; nil for a short one
 	response    *http.Response
@@ -70,7 +73,7 @@
 
 // roundTrip sends a request and reads the head of the answer.
 func (h *handler) roundTrip(ctx context.Context, q *request, c placement.Choice, f protocol.Forwarding) (*attempt, error) {
-	a := &attempt{key: connKey(c.Endpoint), pool: h.conns}
+	a := &attempt{key: connKey(c.Endpoint), pool: h.conns, budget: h.budget, request: q}
 	conn, err := h.conns.get(ctx, a.key, c.Address, q.call.ID)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -207,16 +210,41 @@
 	return errors.Join(errConnectionBroken, err)
 }
 
-// readBody reads the body of the answer to its end, or up to limit bytes.
+// readBody reads the body of the answer to its end, or up to limit bytes, or up to the end of the
+// memory budget.
 func (a *attempt) readBody(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(a.response.Body, limit))
-	if err != nil {
-		return data, readError(err)
+	var data []byte
+	for int64(len(data)) < limit {
+		if len(data) == cap(data) {
+			size := min(limit, max(readBufferSize, 2*int64(cap(data))))
+			if size > readBufferSize && !a.take(size) {
+				return data, nil
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := a.response.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			a.complete = int64(len(data)) < limit
+			return data, nil
+		}
+		if err != nil {
+			return data, readError(err)
+		}
 	}
-	a.complete = int64(len(data)) < limit
 	return data, nil
 }
 
+// take takes n bytes of the memory budget until the end of the request, and reports whether there
+// were as many.
+func (a *attempt) take(n int64) bool {
+	if !a.budget.Take(n) {
+		return false
+	}
+	a.request.answerBytes += n
+	return true
+}
+
 // discardRefusal reads the body of a refusal, so that the connection can be reused.
 func (a *attempt) discardRefusal() error {
 	if err := a.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -96,7 +96,7 @@
 	d.guard = newCrashGuard(logger, m, d.sendPeer)
 	d.handler = &handler{
 		protocol: opts.Protocol, fleet: d.fleet, dispatcher: newDispatcher(s.RetryRatio, s.RetrySlack, d.slots), guard: d.guard,
-		conns: newConnPool(opts.Network), metrics: m, log: logger, zone: s.Zone,
+		conns: newConnPool(opts.Network), budget: d.callers.Budget(), metrics: m, log: logger, zone: s.Zone,
 		softWeightsBound: max(minWeightsBound, s.WeightsBound.Std()-softWeightsMargin),
 		weightsBound:     max(minWeightsBound, s.WeightsBound.Std()-weightsMargin),
 		maxPause:         s.MaxPause.Std(),
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/placement"
 	"github.com/rhubarbhill/rhubarbhill/routing"
@@ -58,6 +59,7 @@
 	dispatcher *dispatcher
 	guard      *crashGuard
 	conns      *connPool
+	budget     *network.Budget // nil for no limit
 	metrics    *relayMetrics
 	log        log.Interface
 	zone       string
@@ -75,6 +77,7 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q, refused := h.admit(w, r)
+	defer func() { h.budget.Release(q.answerBytes) }()
 	if refused == nil {
 		refused = h.refuseLate(q)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -50,6 +50,8 @@
 	parts   []quarantine.PartID
 	sendState
 	record record
+	// answerBytes are taken from the budget for answers that were buffered.
+	answerBytes int64
 }
 
 // sendState is the state of a request at the endpoint that was selected for it.
