relay: explanations list the entry's own queue by rank

The queue of an entry that places requests by itself was shown as one number under the rank of the explained request. WaitQueue counts its requests by priority now. Also tests that a quarantined part is named and that nothing is recorded. The tests failed without the check for quarantined parts, and with one count for all ranks.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -152,7 +152,7 @@
 
 // QueuedRank is the number of queued requests of a class of service and rank.
 type QueuedRank struct {
-	Class   string `cbor:"1,keyasint" json:"class"` // resumed, on-time or late
+	Class   string `cbor:"1,keyasint" json:"class"` // resumed, on-time, late, or any at an entry
 	Rank    int    `cbor:"2,keyasint" json:"rank"`
 	Waiting int    `cbor:"3,keyasint" json:"waiting"`
 }
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -83,13 +83,19 @@
 		SlotIntervalMs: toMs(e.SlotInterval), Ahead: e.Ahead, MaxWaitMs: e.MaxWait.Milliseconds(),
 		Entries: e.Entries, OldestReportMs: e.OldestReport.Milliseconds(), ListAgeMs: now.Sub(s.updatedAt).Milliseconds(),
 	}
-	for _, q := range e.Queue {
-		p.Queue = append(p.Queue, explain.QueuedRank{Class: q.Class, Rank: q.Rank, Waiting: q.Waiting})
-	}
+	p.Queue = queuedRanks(e.Queue)
 	setEndpoints(&p, e.Endpoints, now)
 	return p
 }
 
+func queuedRanks(counts []placement.RankCount) []explain.QueuedRank {
+	var list []explain.QueuedRank
+	for _, c := range counts {
+		list = append(list, explain.QueuedRank{Class: c.Class, Rank: c.Rank, Waiting: c.Waiting})
+	}
+	return list
+}
+
 // setEndpoints sets the endpoints of an explanation, up to maxExplained.
 func setEndpoints(p *explain.Placement, list []placement.EndpointExplanation, now time.Time) {
 	p.Endpoints = []explain.Endpoint{}
@@ -494,9 +500,7 @@
 			x.Hold = placement.HoldQueue.String()
 		}
 	}
-	if n := p.queue.Len(); n > 0 {
-		x.Queue = []explain.QueuedRank{{Class: "any", Rank: r.Priority, Waiting: n}}
-	}
+	x.Queue = queuedRanks(p.queue.Counts())
 	setEndpoints(&x, p.Explain(r, now), now)
 	return x
 }
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -469,3 +469,46 @@
 		is.Equal(told.Views[1].Placement.Verdict, placement.RateLimited.String())
 	})
 }
+
+// Guards against an explanation that leaves out quarantined parts, or that records a crash or a
+// sound request.
+func TestExplanationOfQuarantinedPart(t *testing.T) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	h := explainingEntry(newSlotCoordinator("entry-0", "a", logger, func(string, peerMessage) {}), []placement.Endpoint{{ID: "p", Incarnation: 1, Address: "x", Zone: "a", Slots: 2}})
+	query := quoteQuery()
+	query.Path, query.Parts = "/split/x", []string{"shared", "own"}
+	is.Equal(h.explain(t.Context(), query).Targets[0].Outcome, explain.Placed)
+	var part string
+	for i := range 6 { // crashes of different endpoints under different requests with the part
+		q := &request{service: "plain", organisation: "one", body: []byte(fmt.Sprint("body ", i))}
+		q.placedAt = time.Now()
+		q.call.PromptParts = query.Parts
+		q.parts = partIDs(q)
+		part = formatPart(q.parts[1])
+		h.guard.recordCrash(q, placement.Choice{Endpoint: placement.Endpoint{ID: fmt.Sprint("e", i), Incarnation: 1}}, time.Now())
+	}
+	before := h.state()
+	told := h.explain(t.Context(), query).Targets[0]
+	is.Equal(h.state(), before)
+	is.Equal(told.Outcome, explain.Refused)
+	is.Equal(told.Refusal.Reason, string(Quarantined))
+	is.Equal(told.Quarantined, part)
+	is.Equal(h.explain(t.Context(), quoteQuery()).Targets[0].Quarantined, "") // without the part
+}
+
+// Guards against a local queue that is shown under the rank of the explained request.
+func TestExplanationOfLocalQueue(t *testing.T) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	h := explainingEntry(newSlotCoordinator("entry-0", "a", logger, func(string, peerMessage) {}), []placement.Endpoint{{ID: "p", Incarnation: 1, Address: "x", Zone: "a", Slots: 2}})
+	p := h.dispatcher.pools["plain"]
+	for _, rank := range []int{3, 0, 12, 3} {
+		p.queue.Push(rank, time.Now(), make(chan struct{}))
+	}
+	query := quoteQuery()
+	query.Path = "/split/x"
+	told := h.explain(t.Context(), query).Targets[0].Views[0].Placement
+	is.Equal(told.Queue, []explain.QueuedRank{{Class: "any", Rank: 0, Waiting: 1}, {Class: "any", Rank: 3, Waiting: 2}, {Class: "any", Rank: 12, Waiting: 1}})
+	is.Equal(told.Ahead, 3) // the rank of the request is 10
+}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -57,7 +57,7 @@
 
 // RankCount is the number of queued requests of a rank.
 type RankCount struct {
-	// Class is "resumed", "on-time" or "late".
+	// Class is "resumed", "on-time" or "late", or "any" in a queue that does not distinguish them.
 	Class   string
 	Rank    int
 	Waiting int
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -23,6 +23,19 @@
 // Len returns the number of queued requests.
 func (l *WaitQueue[T]) Len() int { return len(l.requests) }
 
+// Counts returns the number of queued requests by priority, in order of service.
+func (l *WaitQueue[T]) Counts() []RankCount {
+	var list []RankCount
+	for _, w := range l.requests {
+		if n := len(list); n > 0 && list[n-1].Rank == w.priority {
+			list[n-1].Waiting++
+			continue
+		}
+		list = append(list, RankCount{Class: "any", Rank: w.priority, Waiting: 1})
+	}
+	return list
+}
+
 // Ahead returns the number of queued requests that come before one with the given priority, of
 // any deadline.
 func (l *WaitQueue[T]) Ahead(priority int) int {
