--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -22,11 +22,15 @@
 func (d *dispatcher) refuseEvacuated(q *request, r placement.Request) *refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pool(q.service)
+	return d.pool(q.service).evacuationRefusal(r, time.Now()).spread()
+}
+
+// evacuationRefusal refuses a request, without jitter, if only evacuated endpoints could serve it.
+func (p *poolState) evacuationRefusal(r placement.Request, now time.Time) *refusal {
 	if !p.OnlyEvacuated(r) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: d.localRetryAfter(p, r, time.Now())}
+	return &refusal{status: http.StatusServiceUnavailable, reason: NoEndpoint, retryAfter: p.localRetryAfter(r, now)}
 }
 
 // wakeEvacuated lets all queued requests try again if every endpoint is evacuated, so that they
