placement: limit the minimum shares of all priorities together

A routing document can give requests up to 100 priorities. Each of them could hold 0.08 of the slots while more urgent requests waited, so that 13 of them could hold all slots.

All minimum shares together are limited to 0.24 of the slots and divided among the priorities that wait. With up to three of them nothing changes.

TestMinimumSharesOfManyPriorities failed before.

--- a/placement/admission.go
+++ b/placement/admission.go
@@ -13,6 +13,10 @@
 // quarter of the capacity is served. A higher share delays urgent requests.
 const minimumShare = 0.08
 
+// maxMinimumShares limits the minimum shares of all priorities together. There may be a hundred,
+// whose shares would add up to all slots. Three priorities have their full share.
+const maxMinimumShares = 3 * minimumShare
+
 // mustQueue reports whether a new request may not start at an endpoint now, because a queued one
 // that could start there comes before it.
 func (b *Broker) mustQueue(a SlotRequest, c Choice, now time.Time) bool {
@@ -25,10 +29,32 @@
 	return b.queue.len() > 0 && !a.Late && b.queue.waiting[0].Priority < a.Priority
 }
 
-// belowMinimumShare reports whether the priority of a request holds less than its minimum share
-// of the slots.
+// belowMinimumShare reports whether the priority of a request that is outranked holds less than
+// its minimum share of the slots.
 func (b *Broker) belowMinimumShare(a SlotRequest, slots int) bool {
-	return float64(b.held[a.Priority]) < minimumShare*float64(slots)
+	share := min(minimumShare, maxMinimumShares/float64(b.outrankedPriorities(a)))
+	if float64(b.held[a.Priority]) >= share*float64(slots) {
+		return false
+	}
+	total := 0.0
+	for priority, held := range b.held {
+		if priority > b.queue.waiting[0].Priority {
+			total += min(float64(held), minimumShare*float64(slots))
+		}
+	}
+	return total < maxMinimumShares*float64(slots)
+}
+
+// outrankedPriorities returns the number of priorities of the queued requests that are outranked,
+// and of a.
+func (b *Broker) outrankedPriorities(a SlotRequest) int {
+	seen := map[int]bool{a.Priority: true}
+	for _, w := range b.queue.waiting {
+		if b.outranked(w.SlotRequest) {
+			seen[w.Priority] = true
+		}
+	}
+	return len(seen)
 }
 
 // serveMinimumShares grants slots to the priorities that hold less than their minimum share
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -259,3 +259,23 @@
 	b.End(placement.SlotRequestID{Entry: "x", Sequence: 101}, placement.Success, start.Add(2*time.Second))
 	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{201: placement.Placed})
 }
+
+// Guards against minimum shares that add up: with many priorities, the most urgent requests would
+// get none of the slots that become free.
+func TestMinimumSharesOfManyPriorities(t *testing.T) {
+	is := is.New(t)
+	urgent, _ := urgentAndNot(1.5, 0)
+	kinds := []*kind{urgent}
+	for i := range 20 {
+		kinds = append(kinds, &kind{priority: 1 + i, prompt: 607, objective: 20 * time.Second, demand: 0.8})
+	}
+	playRanked(12, 20*time.Second, kinds...)
+	others, worst := 0.0, 1.0
+	for _, k := range kinds[1:] {
+		others += k.served() / float64(len(kinds)-1)
+		worst = min(worst, k.served())
+	}
+	t.Logf("urgent: %+v; mean of the others %.3f, worst %.3f", *urgent, others, worst)
+	is.True(urgent.served() > 0.45)
+	is.True(worst > 0)
+}
