placement: a request whose entry holds a slot is not queued any more

An entry that got no response in time asks the next broker. If the first one had queued the request, it learned of the slot from the entry's report and counted it, but kept the request queued and granted it a second slot later. The end of the request released only one of them, so a slot of the endpoint was lost until the endpoint restarted.

The report of a held slot removes its request from the queue. TestHeldRequestIsNotQueued failed before: with all requests ended, 15 of 16 slots were free.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -497,6 +497,7 @@
 		s := b.pool.endpoints[h.Endpoint]
 		switch {
 		case !known && s != nil:
+			b.removeQueued(func(w queuedRequest) bool { return w.SlotRequestID == id }) // another broker has granted it a slot
 			work := Prefill{PromptTokens: h.PrefillTokens}
 			b.addGrant(id, grant{endpoint: h.Endpoint, incarnation: s.Incarnation, prefill: work, inPrefill: h.InPrefill, grantedAt: now})
 			b.pool.Begin(h.Endpoint, work)
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -490,3 +490,24 @@
 	b.Tick(start.Add(200 * time.Millisecond)) // the end of the wait
 	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{2: placement.Placed, 3: placement.Placed})
 }
+
+// Guards against a queued request whose slot is granted twice: its entry already holds one, which
+// another broker has granted.
+func TestHeldRequestIsNotQueued(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	for i := range 16 {
+		b.RequestSlot(slotRequest("x", uint64(1+i)), start)
+	}
+	b.RequestSlot(slotRequest("y", 100), start)
+	waiting, _ := b.Counts()
+	is.Equal(waiting, 1)
+	b.Reconcile("y", []placement.HeldSlot{{Sequence: 100, Endpoint: "e"}}, start.Add(10*time.Millisecond))
+	waiting, _ = b.Counts()
+	is.Equal(waiting, 0)
+	for i := range 16 {
+		b.End(placement.SlotRequestID{Entry: "x", Sequence: uint64(1 + i)}, placement.Success, start.Add(20*time.Millisecond))
+	}
+	b.End(placement.SlotRequestID{Entry: "y", Sequence: 100}, placement.Success, start.Add(20*time.Millisecond))
+	is.Equal(b.Summary(start.Add(20*time.Millisecond)).FreeSlots, 16)
+}
