placement: queued requests keep only the slots that they could use

A new request had to wait behind any queued request as urgent as itself that was allowed in the region of the free slot. If that one needed newer weights or had excluded the endpoint, the slot stayed idle and the new request was queued, or refused if the queue was long.

Versions, bounds and exclusions of the queued requests count as well. TestUnusableSlotsAreLeftToOthers failed before: the request was queued.

--- a/placement/admission.go
+++ b/placement/admission.go
@@ -20,7 +20,11 @@
 // mustQueue reports whether a new request may not start at an endpoint now, because a queued one
 // that could start there comes before it.
 func (b *Broker) mustQueue(a SlotRequest, c Choice, now time.Time) bool {
-	return b.queue.precedes(a, c.Region) && !(b.outranked(a) && b.belowMinimumShare(a, b.pool.totalSlots(now)))
+	s := b.pool.endpoints[c.ID]
+	couldStart := func(r Request) bool {
+		return b.pool.suitable(s, r, now) && b.pool.beginsInTime(s, b.pool.load(s, now), r, now)
+	}
+	return b.queue.precedes(a, couldStart) && !(b.outranked(a) && b.belowMinimumShare(a, b.pool.totalSlots(now)))
 }
 
 // outranked reports whether a request may need the minimum share of its priority: more urgent
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -89,15 +89,14 @@
 	return n
 }
 
-// precedes reports whether a queued request comes before a new one that could start now at an
-// endpoint in a region. Requests that are bound to other regions do not: they would keep the
-// endpoint idle.
-func (q *requestQueue) precedes(a SlotRequest, region string) bool {
+// precedes reports whether a queued request that could start at an endpoint comes before a new one
+// that could start there now. The others do not: they would keep the endpoint idle.
+func (q *requestQueue) precedes(a SlotRequest, couldStart func(Request) bool) bool {
 	for _, w := range q.waiting {
 		if w.urgency().compare(a.urgency()) > 0 {
 			return false
 		}
-		if w.Regions.Allow(region) {
+		if couldStart(w.Request) {
 			return true
 		}
 	}
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -279,3 +279,27 @@
 	is.True(urgent.served() > 0.45)
 	is.True(worst > 0)
 }
+
+// Guards against a request that is queued or refused, although it could start, behind requests
+// that may not use the free slot.
+func TestUnusableSlotsAreLeftToOthers(t *testing.T) {
+	is := is.New(t)
+	newer := endpoint("newer")
+	newer.WeightsVersion = 2
+	b := broker(endpoint("older"), newer)
+	request := func(sequence, minVersion uint64, exclude ...string) {
+		a := slotRequest("x", sequence)
+		a.MinVersion, a.Exclude, a.MaxWait = minVersion, exclude, time.Second
+		b.RequestSlot(a, start)
+	}
+	for i := range 16 {
+		request(uint64(1+i), 2)
+	}
+	request(101, 2)
+	request(102, 0, "older")
+	waiting, _ := b.Counts()
+	is.Equal(waiting, 2)
+	b.TakeResponses()
+	request(200, 0)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{200: placement.Placed})
+}
