placement: late arrivals do not overtake more urgent late requests

A request that could start, but not on time at any endpoint, was turned into a late one and granted a slot by its order among requests on time. If a slot had become free by the passing of time, such as a permit or the end of an ejection, it started before a more urgent late request in the queue.

Its order is checked again as a late one. TestLateArrivalsDoNotOvertake failed before: the less urgent request was granted the slot.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -202,7 +202,7 @@
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
-		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed {
+		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed && !b.mustQueue(a, choice, now) {
 			b.grant(a, choice, now)
 			return
 		}
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -303,3 +303,28 @@
 	request(200, 0)
 	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{200: placement.Placed})
 }
+
+// Guards against a request that turns out to be late on arrival and starts before a more urgent
+// late one that waits for the same slot.
+func TestLateArrivalsDoNotOvertake(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	b.RequestSlot(slotRequest("x", 1), start)
+	perSecond := 1.0
+	b.RecordRateLimit(placement.SlotRequestID{Entry: "x", Sequence: 1}, &perSecond, start)
+	b.End(placement.SlotRequestID{Entry: "x", Sequence: 1}, placement.Success, start)
+	urgent := slotRequest("x", 100)
+	urgent.Late = true
+	b.RequestSlot(urgent, start.Add(500*time.Millisecond))
+	waiting, _ := b.Counts()
+	is.Equal(waiting, 1)
+	b.TakeResponses()
+
+	permitDue := start.Add(time.Second)
+	other := slotRequest("x", 200)
+	other.Priority, other.TimeLeft = 2, time.Millisecond // it cannot be on time
+	b.RequestSlot(other, permitDue)
+	is.True(verdicts(b.TakeResponses())[200] != placement.Placed)
+	b.Tick(permitDue)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{100: placement.Placed})
+}
