relay: urgent requests start before less urgent ones in the local queue

An entry without a broker queued every new request while others waited, also if a slot was free and the new one was more urgent than all of them. A slot becomes free without an event when a reported load is no longer used or an ejection ends. A request that may not wait as long was then refused.

A request that comes before all queued ones starts at once. TestUrgentRequestStartsBeforeQueuedOnes failed before: it was refused with 503 no-slot beside a free slot.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -317,7 +317,7 @@
 			}
 			continue
 		}
-		if verdict == placement.Placed && (ready != nil || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0) {
+		if verdict == placement.Placed && (ready != nil || p.queue.Ahead(r.Priority) == 0 || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0) {
 			p.Begin(choice.ID, r.Prefill())
 			q.inPrefill = true
 			if ready != nil {
