relay: connections on which nothing was sent keep their idle time

A connection that was taken from the pool, and returned because one of the checks right before the send failed, counted as idle from then on and for 4 s. The endpoint counts from its last answer and may state less. The connection could then be reused just as the endpoint closes it, and whether that request ran is not known.

Such a connection is returned with its idle time. TestUnusedConnectionsKeepTheirIdleTime failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -86,7 +86,7 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	if !q.sendBy.IsZero() && time.Now().After(q.sendBy) {
-		h.conns.put(a.key, conn, 0)
+		h.conns.putUnused(a.key, conn)
 		return nil, errOldWeights
 	}
 	if h.hasLeft(q.service, c) {
@@ -98,15 +98,15 @@
 		return nil, errZoneEvacuated
 	}
 	if !h.regionAllowed(q, c) {
-		h.conns.put(a.key, conn, 0)
+		h.conns.putUnused(a.key, conn)
 		return nil, errRegionNotAllowed
 	}
 	if h.dispatcher.paused(q.service, c) {
-		h.conns.put(a.key, conn, 0)
+		h.conns.putUnused(a.key, conn)
 		return nil, errEndpointPaused
 	}
 	if !c.PermitUntil.IsZero() && time.Now().After(c.PermitUntil) {
-		h.conns.put(a.key, conn, 0)
+		h.conns.putUnused(a.key, conn)
 		return nil, errPermitExpired
 	}
 	a.conn = conn
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -162,6 +162,28 @@
 	is.True(h.mayRetry(q, reason)) // at another endpoint
 }
 
+// Guards against a connection that is reused at the moment when its endpoint closes it for being
+// idle: a request that was not sent on it does not keep it open.
+func TestUnusedConnectionsKeepTheirIdleTime(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, ok)
+	h, _ := newEntry(t, s)
+	c, verdict := h.dispatcher.pools["dispatch"].Place(placement.Request{}, time.Now())
+	is.Equal(verdict, placement.Placed)
+	conn, err := h.conns.get(t.Context(), connKey(c.Endpoint), c.Address, "1")
+	is.NoErr(err)
+	h.conns.put(connKey(c.Endpoint), conn, 2*time.Second)
+	since, timeout := conn.idleSince, conn.idleTimeout
+	q := &request{ctx: t.Context(), service: "dispatch", deadline: time.Now().Add(time.Second)}
+	q.call.ID = "2"
+	c.PermitUntil = time.Now().Add(-time.Millisecond)
+	_, err = h.roundTrip(t.Context(), q, c, h.forwarding(&request{table: routing.Compile(testDocument())}, c, ""))
+	is.True(errors.Is(err, errPermitExpired))
+	is.Equal(h.conns.idle[connKey(c.Endpoint)], []*backendConn{conn})
+	is.Equal(conn.idleSince, since)
+	is.Equal(conn.idleTimeout, timeout)
+}
+
 // Guards against a permit whose age is counted from when its grant was read instead of from when
 // it may have been granted.
 func TestAgeOfPermits(t *testing.T) {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -231,6 +231,20 @@
 		c.longWrite = false
 		setUserTimeout(c.Conn, tcpUserTimeout)
 	}
+	p.add(key, c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent since get returned it. Its
+// endpoint still counts the idle time from its last answer.
+func (p *connPool) putUnused(key string, c *backendConn) {
+	if c.reused {
+		p.add(key, c)
+		return
+	}
+	p.put(key, c, 0)
+}
+
+func (p *connPool) add(key string, c *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[key]) >= maxIdleConns {
