relay: slot requests have ranks up to the lowest one

A broker keeps an arrival rate for each rank. The rank of a slot request from another entry was accepted up to 2^31, so that malformed datagrams could make the rates grow without bound. Ranks of routing documents go up to 99.

Messages with other ranks are ignored. TestPrioritiesOfSlotRequestsAreBounded failed before for rank 100.

--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
 // Entries exchange datagrams. A lost slot request is repeated after some milliseconds,
@@ -172,7 +173,7 @@
 func (m *peerMessage) valid() bool {
 	count := func(n int) bool { return n >= 0 && n <= maxTokens }
 	ms := func(n int64) bool { return n >= -maxMs && n <= maxMs }
-	if r := m.SlotRequest; r != nil && !(r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && count(r.Priority) && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
+	if r := m.SlotRequest; r != nil && !(r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && r.Priority >= 0 && r.Priority <= routing.MaxRank && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
 		!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })) {
 		return false
 	}
--- a/internal/relay/odd_entries_test.go
+++ b/internal/relay/odd_entries_test.go
@@ -58,6 +58,17 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 }
 
+// Guards against a broker whose memory grows with each priority that odd datagrams state, and
+// against refusing the lowest priority of a routing document.
+func TestPrioritiesOfSlotRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	lowest := (&routing.Route{Priority: 1000}).Rank(&routing.Organisation{Priority: 1000})
+	for priority, valid := range map[int]bool{-1: false, 0: true, lowest: true, lowest + 1: false} {
+		m := peerMessage{SlotRequest: &slotRequestMessage{Sequence: 1, Priority: priority}}
+		is.Equal(m.valid(), valid)
+	}
+}
+
 // Guards against an odd datagram after which a broker prefers or avoids an endpoint, refuses
 // requests of other entries or ends.
 func TestOddDatagramsLeaveBrokerUsable(t *testing.T) {
--- a/routing/rank.go
+++ b/routing/rank.go
@@ -3,6 +3,9 @@
 // maxPriority is the lowest priority that is told apart from others.
 const maxPriority = 9
 
+// MaxRank is the rank of the least urgent requests.
+const MaxRank = (maxPriority+1)*(maxPriority+1) - 1
+
 // Rank returns the rank of the requests of an organisation on a route; 0 is the most urgent. The
 // organisation may be nil. Its priority takes precedence over that of the route, which orders the
 // requests of organisations with the same priority.
