--- a/placement/admission.go
+++ b/placement/admission.go
@@ -99,8 +99,8 @@
 		}
 		return known[key]
 	}
-	hopeless, ahead := b.queue.removeHopeless(a, interval, now)
-	for i, w := range hopeless {
+	removed, ahead := b.queue.removeUnservable(a, interval, now)
+	for i, w := range removed {
 		b.refuse(w.SlotRequest, Displaced, interval(w), ahead[i])
 	}
 }
@@ -119,7 +119,7 @@
 	if a.Late {
 		return interval
 	}
-	taken := min(maxTakenShare, b.arrivals.morePressing(a.urgency(), now)*interval.Seconds())
+	taken := min(maxTakenShare, b.arrivals.moreUrgent(a.urgency(), now)*interval.Seconds())
 	return time.Duration(float64(interval) / (1 - taken))
 }
 
@@ -158,9 +158,9 @@
 	r.count, r.at = r.perSecond(now)*arrivalWindow.Seconds()+1, now
 }
 
-// morePressing returns the rate per second of requests of the same class of service and a higher
+// moreUrgent returns the rate per second of requests of the same class of service and a higher
 // priority than u.
-func (a *arrivals) morePressing(u urgency, now time.Time) float64 {
+func (a *arrivals) moreUrgent(u urgency, now time.Time) float64 {
 	total := 0.0
 	for o, r := range a.rates {
 		if o.class == u.class && o.rank < u.rank {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -442,8 +442,8 @@
 }
 
 // delaysPending reports whether a request would make pending requests of the same or a higher
-// priority at an engine miss their objective. A pass prefills all pending prompts before it decodes, so all their
-// first events arrive at its end.
+// priority at an engine miss their objective. A pass prefills all pending prompts before it
+// decodes, so all their first events arrive at its end.
 func (p *Pool) delaysPending(s *endpointState, load Load, r Request, now time.Time) bool {
 	if p.engine == nil || len(s.inPrefill) == 0 {
 		return false
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -8,8 +8,6 @@
 )
 
 // requestQueue holds the requests of all entries that wait for a slot, in order of service.
-// It answers the load of more requests than the endpoints can serve on time: what waits
-// longer, or is refused, is what costs callers least.
 type requestQueue struct{ waiting []queuedRequest }
 
 type queuedRequest struct {
@@ -27,9 +25,9 @@
 const (
 	classResumed = iota // callers of an interrupted stream lose what they have already got
 	classOnTime
-	// classLate holds requests that can no longer meet their objective. They are worth little
-	// of what an answer on time is worth, so they only use what the others leave, whatever
-	// their priority.
+	// classLate holds requests that can no longer meet their objective. Their answers are worth
+	// little to callers, so they use only the slots that the others leave, whatever their
+	// priority.
 	classLate
 )
 
@@ -104,15 +102,15 @@
 	return false
 }
 
-// removeHopeless removes and returns the requests that are less urgent than a new one and
+// removeUnservable removes and returns the requests that are less urgent than a new one and
 // that, behind it, get no slot within their wait if one becomes free for them per interval. The
 // numbers of requests ahead of them are returned as well.
-func (q *requestQueue) removeHopeless(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (hopeless []queuedRequest, ahead []int) {
+func (q *requestQueue) removeUnservable(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (removed []queuedRequest, ahead []int) {
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if !w.Late && w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && !w.Regions.Disjoint(a.Regions) {
 			if before := competing(kept, w); now.Add(interval(w) * time.Duration(before+1)).After(w.deadline) {
-				hopeless, ahead = append(hopeless, w), append(ahead, before)
+				removed, ahead = append(removed, w), append(ahead, before)
 				continue
 			}
 		}
@@ -120,7 +118,7 @@
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
-	return hopeless, ahead
+	return removed, ahead
 }
 
 // usableKey identifies requests that may use the same endpoints, apart from load and bounds.
