relay: a woken request keeps its turn in the local queue

An entry without a broker wakes the first queued request when a slot becomes free. Until that request ran, it was in no queue: a new, less urgent request could take the slot. If the caller of the woken request had left, nobody was woken for the slot.

Woken requests count until they have tried, and those that end before pass their turn on. WaitQueue.Pop returns the priority as well; its tests only take the third result.

TestWokenRequestKeepsItsTurn failed in 50 of 50 runs before, and in 20 of 20 with the check of woken requests removed; TestTurnOfLeavingCallerIsPassedOn failed without passTurn.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -65,6 +65,7 @@
 	*placement.Pool
 	queue       placement.WaitQueue[chan struct{}]
 	waiting     waitingRegions
+	woken       wokenRequests
 	retryBudget *admission.RetryBudget
 }
 
@@ -92,7 +93,7 @@
 func (d *dispatcher) pool(service string) *poolState {
 	p := d.pools[service]
 	if p == nil {
-		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
+		p = &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, woken: wokenRequests{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
 		d.pools[service] = p
 	}
 	return p
@@ -306,6 +307,7 @@
 		now := time.Now()
 		d.mu.Lock()
 		p := d.pool(q.service)
+		delete(p.woken, ready)
 		choice, verdict := p.Place(r, now)
 		if verdict == placement.Placed && choice.RateLimited {
 			d.mu.Unlock()
@@ -317,7 +319,7 @@
 			}
 			continue
 		}
-		if verdict == placement.Placed && (ready != nil || p.queue.Ahead(r.Priority) == 0 || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0) {
+		if verdict == placement.Placed && (ready != nil || p.mayStart(r, choice)) {
 			p.Begin(choice.ID, r.Prefill())
 			q.inPrefill = true
 			if ready != nil {
@@ -345,6 +347,7 @@
 		timer.Stop()
 		d.dequeue(q.service, ready)
 		if q.ctx.Err() != nil {
+			d.passTurn(q.service, ready)
 			return choice, endedWaiting()
 		}
 	}
@@ -400,6 +403,38 @@
 	delete(p.waiting, ready)
 }
 
+// passTurn lets the next request in the queue try if one was woken whose caller has left.
+func (d *dispatcher) passTurn(service string, ready chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service)
+	if _, ok := p.woken[ready]; ok {
+		delete(p.woken, ready)
+		d.wakeNext(p)
+	}
+}
+
+// mayStart reports whether a new request may use a free slot: no request as urgent that could use
+// it was woken and has not tried yet, and none is queued unless the endpoint is idle. The caller
+// holds mu.
+func (p *poolState) mayStart(r placement.Request, c placement.Choice) bool {
+	for _, w := range p.woken {
+		if w.priority <= r.Priority && w.regions.Allow(c.Region) {
+			return false
+		}
+	}
+	return c.Load.Running == 0 || p.queue.Ahead(r.Priority) == 0 || !p.waiting.mayUse(p.queue.Len(), c.Region)
+}
+
+// wokenRequests are the requests that were taken from the queue to try again and have not tried
+// yet.
+type wokenRequests map[chan struct{}]wokenRequest
+
+type wokenRequest struct {
+	priority int
+	regions  placement.Regions
+}
+
 // wakeNext lets the first request in the queue try again, and the next ones if some are bound to
 // regions. The caller holds mu.
 func (d *dispatcher) wakeNext(p *poolState) {
@@ -408,10 +443,11 @@
 		n = maxWoken
 	}
 	for range n {
-		ready, ok := p.queue.Pop()
+		ready, priority, ok := p.queue.Pop()
 		if !ok {
 			return
 		}
+		p.woken[ready] = wokenRequest{priority, p.waiting[ready]}
 		delete(p.waiting, ready)
 		close(ready)
 	}
--- a/internal/relay/local_queue_test.go
+++ b/internal/relay/local_queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,86 @@
 		synctest.Wait()
 	})
 }
+
+// localQueue is an entry without a broker in front of one endpoint.
+type localQueue struct {
+	*dispatcher
+	pool *poolState
+}
+
+// newLocalQueue returns one with a number of slots, all of which are in use.
+func newLocalQueue(slots int) *localQueue {
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	d := newDispatcher(1, 100, newSlotCoordinator("entry-1", "near", logger, func(string, peerMessage) {}))
+	endpoints := []placement.Endpoint{{ID: "i-0", Incarnation: 1, Address: "i-0", Slots: slots}}
+	d.update(routing.Compile(testDocument()), map[string][]placement.Endpoint{"dispatch": endpoints}, 1)
+	for range slots {
+		d.pools["dispatch"].Begin("i-0", placement.Prefill{})
+	}
+	return &localQueue{d, d.pools["dispatch"]}
+}
+
+// place places a request and sends the outcome to the channel.
+func (l *localQueue) place(ctx context.Context, priority int, refused chan<- *refusal) {
+	q := &request{ctx: ctx, service: "dispatch", arrived: time.Now(), priority: priority, route: &routing.Route{Objective: 4 * time.Second}}
+	_, r := l.placeLocally(q, placement.Request{Priority: priority})
+	refused <- r
+}
+
+// releaseSlot ends a request and wakes the next one, which cannot run before mu is unlocked. The
+// caller holds mu.
+func (l *localQueue) releaseSlot() {
+	l.pool.End("i-0", 1, placement.PrefillState{InPrefill: true}, placement.Success, time.Now())
+	l.wakeNext(l.pool)
+}
+
+// Guards against a new request that takes the slot for which a more urgent one was woken, before
+// that one has run.
+func TestWokenRequestKeepsItsTurn(t *testing.T) {
+	for slots := range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			l := newLocalQueue(slots + 1)
+			ctx, cancel := context.WithCancel(t.Context())
+			urgent, other := make(chan *refusal, 1), make(chan *refusal, 1)
+			go l.place(ctx, 0, urgent)
+			synctest.Wait()
+			l.mu.Lock()
+			l.releaseSlot()
+			go l.place(ctx, 5, other)
+			for range 1000 { // both wait for mu
+				runtime.Gosched()
+			}
+			l.mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(len(urgent), 1)
+			is.Equal(<-urgent, nil)
+			is.Equal(len(other), 0)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// Guards against a slot that stays free because the caller of the request that was woken for it
+// has left.
+func TestTurnOfLeavingCallerIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLocalQueue(2)
+		ctx, leave := context.WithCancel(t.Context())
+		first, next := make(chan *refusal, 1), make(chan *refusal, 1)
+		go l.place(ctx, 0, first)
+		synctest.Wait()
+		go l.place(t.Context(), 5, next)
+		synctest.Wait()
+		l.mu.Lock()
+		l.releaseSlot()
+		leave()
+		l.mu.Unlock()
+		synctest.Wait()
+		is.True(<-first != nil)
+		is.Equal(len(next), 1)
+		is.Equal(<-next, nil)
+	})
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -245,11 +245,11 @@
 	is.True(l.ServedWithin(0, 400*time.Millisecond, 100*time.Millisecond))
 	is.True(!l.ServedWithin(0, 399*time.Millisecond, 100*time.Millisecond))
 	for _, want := range []int{1, 3, 4} {
-		got, ok := l.Pop()
+		got, _, ok := l.Pop()
 		is.True(ok)
 		is.Equal(got, want)
 	}
-	_, ok := l.Pop()
+	_, _, ok := l.Pop()
 	is.True(!ok)
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -43,15 +43,14 @@
 	l.requests = slices.Insert(l.requests, at, w)
 }
 
-// Pop removes and returns the first request.
-func (l *WaitQueue[T]) Pop() (T, bool) {
+// Pop removes and returns the first request and its priority.
+func (l *WaitQueue[T]) Pop() (request T, priority int, ok bool) {
 	if len(l.requests) == 0 {
-		var zero T
-		return zero, false
+		return request, 0, false
 	}
 	first := l.requests[0]
 	l.requests = l.requests[1:]
-	return first.request, true
+	return first.request, first.priority, true
 }
 
 // Remove removes a request, if it is queued.
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -226,7 +226,7 @@
 	is.True(!q.ServedWithin(2, 300*time.Millisecond, 100*time.Millisecond))
 	var order []string
 	for {
-		next, ok := q.Pop()
+		next, _, ok := q.Pop()
 		if !ok {
 			break
 		}
