relay: return retries that were withdrawn and not sent

A request that was refused by an endpoint took a retry from the budget of its service and kept it if no other endpoint could be selected, also if it was then not sent because a check right before the send failed. While many requests are refused, the budget was used up by retries that never took place.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -186,9 +186,13 @@
 // the answer was passed on.
 func (h *handler) serve(w http.ResponseWriter, q *request) *refusal {
 	var lastFailure *bufferedAnswer // error answer of an endpoint, passed on if no retry succeeds
+	withdrawn := false              // a retry for which nothing was sent yet
 	for {
 		choice, refused := h.place(q, 0)
 		if refused != nil {
+			if withdrawn {
+				h.returnRetry(q)
+			}
 			if lastFailure != nil {
 				return lastFailure.write(w)
 			}
@@ -201,12 +205,18 @@
 		if retryReason == "" {
 			return result.refusal
 		}
+		withdrawn = withdrawn && q.unsent
+		before := q.record.withdrawn
 		if !h.mayRetry(q, retryReason) {
+			if withdrawn {
+				h.returnRetry(q)
+			}
 			if lastFailure != nil {
 				return lastFailure.write(w)
 			}
 			return result.refusal
 		}
+		withdrawn = withdrawn || q.record.withdrawn > before
 		q.record.retries = append(q.record.retries, string(retryReason))
 		h.metrics.retried.Inc(retryReason)
 	}
--- a/internal/relay/refusals_test.go
+++ b/internal/relay/refusals_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rhubarbhill/rhubarbhill/admission"
 	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
@@ -224,3 +225,23 @@
 	is.Equal(stalling.count(), 1)
 	is.True(time.Since(began) < time.Second) // long before the deadline of the request
 }
+
+// Guards against a retry budget that is used up by retries that are not sent, because the request
+// gets no other endpoint.
+func TestUnsentRetriesAreReturned(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, notRun)
+	h, url := newEntry(t, s)
+	const retries = 5
+	h.dispatcher.pools["dispatch"].retryBudget = &admission.RetryBudget{Ratio: retries, Burst: retries}
+	response, body, err := send(t, url, "/unsafe/book", http.MethodPost, "order", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(body, "no-endpoint\n")
+	is.Equal(s.count(), 1)
+	left := 0
+	for h.dispatcher.withdrawRetry("dispatch") {
+		left++
+	}
+	is.Equal(left, retries)
+}
