--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -65,6 +65,7 @@
 	*placement.Pool
 	queue       placement.WaitQueue[chan struct{}]
 	waiting     waitingRegions
+	woken       wokenRequests
 	retryBudget *admission.RetryBudget
 }
 
@@ -99,7 +100,7 @@
 }
 
 func (d *dispatcher) newPool() *poolState {
-	return &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
+	return &poolState{Pool: placement.NewPool(placement.Config{JitterMs: localJitterMs}), waiting: waitingRegions{}, woken: wokenRequests{}, retryBudget: &admission.RetryBudget{Ratio: d.ratio, Burst: d.retryBurst()}}
 }
 
 // retryBurst returns the burst of the retry budget of each service at this entry. The caller
@@ -348,7 +349,7 @@
 	switch {
 	case verdict == placement.Placed && choice.RateLimited:
 		d.step = stepPermit
-	case verdict == placement.Placed && (woken || !p.waiting.mayUse(p.queue.Len(), choice.Region) || choice.Load.Running == 0):
+	case verdict == placement.Placed && (woken || p.mayStart(r, choice)):
 		d.step = stepSend
 	case verdict == placement.NoEndpoint || !p.queue.ServedWithin(r.Priority, maxWait, p.NextSlot(r, now)):
 		d.step, d.verdict = stepRefuse, p.RefusalVerdict(r, verdict)
@@ -371,6 +372,7 @@
 		now := time.Now()
 		d.mu.Lock()
 		p := d.pool(q.service)
+		delete(p.woken, ready)
 		decided := p.decide(r, ready != nil, deadline.Sub(now), p.Place, now)
 		choice := decided.choice
 		switch decided.step {
@@ -408,6 +410,7 @@
 		timer.Stop()
 		d.dequeue(q.service, ready)
 		if q.ctx.Err() != nil {
+			d.passTurn(q.service, ready)
 			return choice, endedWaiting()
 		}
 	}
@@ -468,6 +471,38 @@
 	delete(p.waiting, ready)
 }
 
+// passTurn lets the next request in the queue try if one was woken whose caller has left.
+func (d *dispatcher) passTurn(service string, ready chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service)
+	if _, ok := p.woken[ready]; ok {
+		delete(p.woken, ready)
+		d.wakeNext(p)
+	}
+}
+
+// mayStart reports whether a new request may use a free slot: no request as urgent that could use
+// it was woken and has not tried yet, and none is queued unless the endpoint is idle. The caller
+// holds mu.
+func (p *poolState) mayStart(r placement.Request, c placement.Choice) bool {
+	for _, w := range p.woken {
+		if w.priority <= r.Priority && w.regions.Allow(c.Region) {
+			return false
+		}
+	}
+	return c.Load.Running == 0 || p.queue.Ahead(r.Priority) == 0 || !p.waiting.mayUse(p.queue.Len(), c.Region)
+}
+
+// wokenRequests are the requests that were taken from the queue to try again and have not tried
+// yet.
+type wokenRequests map[chan struct{}]wokenRequest
+
+type wokenRequest struct {
+	priority int
+	regions  placement.Regions
+}
+
 // wakeNext lets the first request in the queue try again, and the next ones if some are bound to
 // regions. The caller holds mu.
 func (d *dispatcher) wakeNext(p *poolState) {
@@ -476,10 +511,11 @@
 		n = maxWoken
 	}
 	for range n {
-		ready, ok := p.queue.Pop()
+		ready, priority, ok := p.queue.Pop()
 		if !ok {
 			return
 		}
+		p.woken[ready] = wokenRequest{priority, p.waiting[ready]}
 		delete(p.waiting, ready)
 		close(ready)
 	}
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -97,7 +97,7 @@
 	verified, rejected verifiedLoads
 	writes             stagingWrites // likewise
 
-	lastReport         atomic.Pointer[engineState]
+	lastReport atomic.Pointer[engineState]
 
 	mu           sync.Mutex
 	fetching     map[uint64]context.CancelFunc // by version
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -83,10 +83,13 @@
 	// maxWaitingSuspects limits the requests that may crash their endpoints and wait: each
 	// event of the group looks at all of them.
 	maxWaitingSuspects = 64
-	// maxFailedTries limits how many queued requests that are bound to the same regions may
-	// fail to be placed in one pass over the queue. More than one is tried because the first may exclude the endpoint
-	// with the free slot.
+	// maxFailedTries limits how many queued requests that may use the same endpoints may fail
+	// to be placed in one pass over the queue. More than one is tried because the prompt of the
+	// first may be too long for the endpoint with the free slot.
 	maxFailedTries = 8
+	// maxFailedTriesByRegions limits the same for all queued requests that are bound to the same
+	// regions. A try takes about 4 us with 100 endpoints, and a pass follows each event.
+	maxFailedTriesByRegions = 4 * maxFailedTries
 )
 
 // Broker places the requests of several entries on the endpoints of one group. It
@@ -102,6 +105,7 @@
 type Broker struct {
 	pool       *Pool
 	grants     map[SlotRequestID]grant
+	held       map[int]int          // number of grants by priority
 	lastSeen   map[string]time.Time // time of the last message, by entry
 	queue      requestQueue
 	arrivals   arrivals
@@ -136,7 +140,7 @@
 func NewBroker(cfg Config) *Broker {
 	cfg.JitterMs = 0 // a broker places all requests on its endpoints, so choices need no spread
 	return &Broker{
-		pool: NewPool(cfg), grants: map[SlotRequestID]grant{}, lastSeen: map[string]time.Time{},
+		pool: NewPool(cfg), grants: map[SlotRequestID]grant{}, held: map[int]int{}, lastSeen: map[string]time.Time{},
 		peerGroups: map[string]peerGroup{},
 	}
 }
@@ -252,7 +256,7 @@
 		// It would miss its objective at every endpoint, so it only gets a slot that
 		// late requests may use.
 		a.Late, a.Due = true, time.Time{}
-		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed {
+		if choice, verdict = b.pool.Place(a.Request, now); verdict == Placed && !b.mustQueue(a, choice, now) {
 			return decision{request: a, verdict: Placed, choice: choice}
 		}
 	}
@@ -388,12 +392,25 @@
 func (b *Broker) grant(a SlotRequest, c Choice, now time.Time) {
 	b.pool.Begin(c.ID, a.Prefill())
 	b.pool.TakePermit(c.ID, now)
-	b.grants[a.SlotRequestID] = grant{
+	b.addGrant(a.SlotRequestID, grant{
 		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, waited: now.Sub(a.receivedAt), sentAfter: now,
-	}
+	})
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Waited: now.Sub(a.receivedAt), Late: a.Late})
 }
 
+// addGrant records a grant of a request that has none.
+func (b *Broker) addGrant(id SlotRequestID, g grant) {
+	b.grants[id] = g
+	b.held[g.priority]++
+}
+
+func (b *Broker) removeGrant(id SlotRequestID, g grant) {
+	delete(b.grants, id)
+	if b.held[g.priority]--; b.held[g.priority] == 0 {
+		delete(b.held, g.priority)
+	}
+}
+
 func (b *Broker) refuse(a SlotRequest, v Verdict, interval time.Duration, ahead int) {
 	if v = b.pool.RefusalVerdict(a.Request, v); v == NoAllowedRegion {
 		interval, ahead = noEndpointPause, 0 // no queue of others delays it
@@ -410,18 +427,22 @@
 	b.serveMinimumShares(now)
 	waiting := b.queue.waiting
 	remaining := waiting[:0]
-	failed := failedTries{}
+	failed := newFailedTries()
+	free := b.queue.len() > 0 && b.pool.hasFreeSlot(now)
 	for _, w := range waiting {
-		if !failed.exhausted(w.Regions) {
-			if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
-				b.grant(w.SlotRequest, choice, now)
-				continue
+		if usable := w.usableKey(); !failed.exhausted(usable) {
+			if free {
+				if choice, verdict := b.pool.Place(w.Request, now); verdict == Placed {
+					b.grant(w.SlotRequest, choice, now)
+					free = b.pool.hasFreeSlot(now)
+					continue
+				}
 			}
 			if b.pool.NoneAllowed(w.Request) { // the last endpoint there has left
 				b.refuse(w.SlotRequest, NoAllowedRegion, noEndpointPause, 0)
 				continue
 			}
-			failed.record(w.Regions)
+			failed.record(usable)
 		}
 		if !now.Before(w.deadline) {
 			b.refuse(w.SlotRequest, Full, b.slotInterval(w.SlotRequest, now), len(remaining))
@@ -521,7 +542,7 @@
 	if !ok {
 		return 0
 	}
-	delete(b.grants, id)
+	b.removeGrant(id, g)
 	return b.pool.End(g.endpoint, g.incarnation, PrefillState{InPrefill: g.inPrefill, Prefill: g.prefill}, result, now)
 }
 
@@ -542,8 +563,9 @@
 		s := b.pool.endpoints[h.Endpoint]
 		switch {
 		case !known && s != nil:
+			b.removeQueued(func(w queuedRequest) bool { return w.SlotRequestID == id }) // another broker has granted it a slot
 			work := Prefill{PromptTokens: h.PrefillTokens}
-			b.grants[id] = grant{endpoint: h.Endpoint, incarnation: s.Incarnation, prefill: work, inPrefill: h.InPrefill, grantedAt: now}
+			b.addGrant(id, grant{endpoint: h.Endpoint, incarnation: s.Incarnation, prefill: work, inPrefill: h.InPrefill, grantedAt: now})
 			b.pool.Begin(h.Endpoint, work)
 			if !h.InPrefill {
 				b.pool.FirstEvent(h.Endpoint, work)
