relay: the first of all listed entries grants permits of cold endpoints

Cause: after a loss of all power, entries become ready one after another within 0.4 s.

Change: only the first of all listed entries, ready or not, grants such permits, and its wait counts from the list that made it the first. Seen to fail without: TestColdAuthorityCountsFromTheListOfEntries.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -29,7 +29,6 @@
 	rule := func(service string) placement.ColdRule { return d.settings.coldRule(table.Service(service)) }
 	d.cold.SawFirstRouting = d.fleet.SawFirstRouting()
 	logColdChanges(d.log, d.cold.Update(rule, endpoints, now))
-	d.slots.setIsolated(d.fleet.Isolated())
 }
 
 func logColdChanges(logger log.Interface, changes []placement.ColdChange) {
@@ -104,13 +103,42 @@
 	}
 }
 
-// setIsolated sets whether this entry reaches no control replica that knows a leader. The others
-// may then have another first broker, and any number of isolated entries may take themselves for
+// coldAuthority tells for which groups this entry grants permits of cold endpoints, and since when,
+// by the lists of entries that it has received.
+type coldAuthority map[string]time.Time
+
+// updateColdAuthority replaces the entries that the control replicas list, with this one, whether or
+// not they accept callers. An isolated entry reaches no control replica that knows a leader: the
+// others may have another first broker, and any number of isolated entries may take themselves for
 // it.
-func (s *slotCoordinator) setIsolated(isolated bool) {
+func (s *slotCoordinator) updateColdAuthority(listed []placement.Entry, isolated bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isolated = isolated
+	next := coldAuthority{}
+	if !isolated {
+		for group, name := range placement.ColdAuthorities(listed) {
+			if name != s.self {
+				continue
+			}
+			next[group] = now
+			if since, held := s.coldAuthority[group]; held {
+				next[group] = since
+			}
+		}
+	}
+	s.coldAuthority = next
+}
+
+// setColdAuthority tells a broker whether it may grant permits of cold endpoints. Without any list
+// of entries, the first broker may. The caller holds mu.
+func (s *slotCoordinator) setColdAuthority(b *placement.Broker, group string) {
+	since, held := s.coldAuthority[group]
+	switch {
+	case held:
+		b.SetColdAuthority(since)
+	default:
+		b.SetColdPermits(s.coldAuthority == nil)
+	}
 }
 
 // permitUntil returns when the permit in the response of a broker expires; zero if the endpoint
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -223,14 +223,14 @@
 		f, stop := newEntryFleet(t, 3, 1)
 		defer stop()
 		for _, s := range f.slots {
-			s.setIsolated(true)
+			s.updateColdAuthority(f.known, true, time.Now())
 		}
 		began := time.Now()
 		f.setCold(service+"-0", began.Add(time.Minute))
 		f.load(path, 50, 3*time.Second)
 		is.Equal(f.endpoints[service+"-0"].mostArrivals(began, time.Hour), 0)
 		for _, s := range f.slots {
-			s.setIsolated(false)
+			s.updateColdAuthority(f.known, false, time.Now())
 		}
 		f.update()
 		f.load(path, 50, 3*time.Second)
@@ -279,7 +279,9 @@
 	is.Equal(len(handler.Entries), maxColdLogged+1) // of 11
 	is.Equal(handler.Entries[0].Message, "endpoint_cold")
 	is.Equal(handler.Entries[maxColdLogged].Fields["endpoints"], 3)
-	is.True(d.slots.isolated)
+	d.refresh() // it has no session to a control replica
+	is.True(d.slots.coldAuthority != nil)
+	is.Equal(len(d.slots.coldAuthority), 0)
 	d.handler.dispatcher.update(table, later, 1)
 	is.Equal(d.handler.dispatcher.coldEndpoints(), map[string]int{"quotes": 11, "other": 0})
 	d.handler.metrics.setCold(d.handler.dispatcher.coldEndpoints())
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -262,6 +262,7 @@
 	}
 	others := d.otherEntries(processes)
 	d.guard.update(others, time.Now())
+	d.slots.updateColdAuthority(d.listedEntries(processes), d.fleet.Isolated(), time.Now())
 	table := d.fleet.Table()
 	if table == nil {
 		return
@@ -320,6 +321,17 @@
 	return names
 }
 
+// listedEntries lists this entry and the others that do not stop.
+func (d *Daemon) listedEntries(processes []wire.Process) []placement.Entry {
+	list := []placement.Entry{{Name: d.settings.Instance, Zone: d.settings.Zone}}
+	for _, p := range processes {
+		if !p.Draining && p.Name != d.settings.Instance {
+			list = append(list, placement.Entry{Name: p.Name, Zone: p.Zone})
+		}
+	}
+	return list
+}
+
 // entries lists the entries that accept callers. If there is none, this entry is the
 // only one listed and places its requests by itself.
 func (d *Daemon) entries(processes []wire.Process) []placement.Entry {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -99,7 +99,7 @@
 	explanations   explanationWaiters
 	updatedAt      time.Time // of the endpoints
 	pendingEvents  map[groupKey][]eventMessage
-	isolated       bool    // reaches no control replica with a leader, see setIsolated
+	coldAuthority  coldAuthority
 	meanLagMs      float64 // moving average of the lag of first events at this entry, see excessLag
 	wake           chan struct{}
 }
@@ -202,7 +202,7 @@
 			}
 			if b := s.brokers[key]; b != nil {
 				b.SetPrimary(group.Brokers[0] == s.self)
-				b.SetColdPermits(!s.isolated)
+				s.setColdAuthority(b, group.Name)
 				b.Update(description.Engine, byGroup[group.Name], now)
 			}
 		}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -115,6 +115,8 @@
 	minVersion uint64 // highest minimum version of the weights in any request so far
 	// coldPermitsDenied is true while permits of cold endpoints are left to other brokers.
 	coldPermitsDenied bool
+	// coldAuthoritySince is described at SetColdAuthority.
+	coldAuthoritySince time.Time
 }
 
 type grant struct {
@@ -689,6 +691,25 @@
 	return groups, groupOfZone
 }
 
+// ColdAuthorities returns, for each group that Groups may return for these entries, the entry that
+// grants permits of cold endpoints. The entries include those that do not accept callers yet: an
+// entry that has just started would otherwise take over from several others in turn, as each of
+// them becomes ready.
+func ColdAuthorities(entries []Entry) map[string]string {
+	byGroup := map[string][]string{}
+	for _, e := range entries {
+		byGroup[""] = append(byGroup[""], e.Name)
+		if e.Zone != "" {
+			byGroup[e.Zone] = append(byGroup[e.Zone], e.Name)
+		}
+	}
+	first := map[string]string{}
+	for group, names := range byGroup {
+		first[group] = brokerOrder(group, names)[0]
+	}
+	return first
+}
+
 // brokerOrder sorts the entries by their preference as the broker of a group. Adding or
 // removing an entry does not change the order of the others.
 func brokerOrder(group string, names []string) []string {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -251,12 +251,22 @@
 // broker together with any number of others. Default true.
 func (b *Broker) SetColdPermits(granted bool) { b.coldPermitsDenied = !granted }
 
+// SetColdAuthority sets since when this process has been the only one that may grant permits of
+// cold endpoints of the group, and that it is. Default: from when the broker begins to grant them.
+func (b *Broker) SetColdAuthority(since time.Time) {
+	b.coldPermitsDenied, b.coldAuthoritySince = false, since
+}
+
 // updateColdPermits delays permits of cold endpoints for a window after this broker has begun to
 // grant them, because another one may have granted some until now.
 func (b *Broker) updateColdPermits(now time.Time) {
 	denied := b.pool.noPermits || b.coldPermitsDenied
 	if !denied && (b.pool.noColdPermits || b.pool.coldPermitsFrom.IsZero()) {
-		b.pool.coldPermitsFrom = now.Add(coldWindow)
+		since := now
+		if !b.coldAuthoritySince.IsZero() {
+			since = b.coldAuthoritySince
+		}
+		b.pool.coldPermitsFrom = since.Add(coldWindow)
 	}
 	b.pool.noColdPermits = denied
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -350,3 +350,35 @@
 	is.Equal(again.Verdict, placement.Placed)
 	is.Equal(again.Waited, 1500*time.Millisecond)
 }
+
+// Guards against a broker that waits once more when it becomes the first one that accepts callers,
+// although no other one could grant permits meanwhile: after a restart of all entries, cold
+// endpoints would get no requests for a second longer.
+func TestColdAuthorityCountsFromTheListOfEntries(t *testing.T) {
+	is := is.New(t)
+	b := placement.NewBroker(placement.Config{})
+	b.SetPrimary(true)
+	b.SetColdAuthority(start.Add(-time.Second))
+	b.Update(engine, zoneOfCold(3, start.Add(time.Minute), 32), start)
+	is.Equal(b.Summary(start.Add(200*time.Millisecond)).FreeSlots, 0) // others may have granted until a second ago
+	is.Equal(b.Summary(start.Add(300*time.Millisecond)).FreeSlots, 3)
+}
+
+// Guards against several entries that grant permits of cold endpoints one after another as they
+// become ready: the first one of all that are listed does, ready or not.
+func TestColdAuthorityIsTheFirstOfAllEntries(t *testing.T) {
+	is := is.New(t)
+	var all []placement.Entry
+	for _, name := range []string{"p", "q", "r", "s", "t"} {
+		all = append(all, placement.Entry{Name: name, Zone: "a"})
+	}
+	first := placement.ColdAuthorities(all)
+	is.Equal(len(first), 2) // of all entries, and of their zone
+	groups, _ := placement.Groups(all, 10, []string{"a"})
+	is.Equal(first[""], groups[0].Brokers[0])
+	groups, _ = placement.Groups(append(all, placement.Entry{Name: "u", Zone: "b"}), 1000, []string{"a", "b"})
+	first = placement.ColdAuthorities(append(all, placement.Entry{Name: "u", Zone: "b"}))
+	for _, g := range groups {
+		is.Equal(first[g.Name], g.Brokers[0])
+	}
+}
