memory: limit the runtime to three quarters of the instance's memory

Cause: with 80 %, the peak of the relay in platform/hostile was 117 MiB in one of two runs, near the bound of 122 MiB.

Change: 75 %.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -14,7 +14,7 @@
 const (
 	// runtimeShare is the share of the machine's memory that the Go runtime may use. The program
 	// text adds 8 to 9 MiB to it, and the operating system needs some.
-	runtimeShare = 0.8
+	runtimeShare = 0.75
 	// callerShare is the share of it that may be held for callers. As much again may be garbage,
 	// and the rest is the state of the process.
 	callerShare = 1.0 / 3
