relay: return the memory that answers to searches hold

While an entry looks for another endpoint for a silent stream, the search runs on a copy of the request. Bytes of the memory budget that it took for a refusal of more than 4 KiB were counted in the copy and never returned, until the entry had no budget left for bodies of callers.

They are added to the request together with the sends of the search. TestSearchReturnsItsBudget failed before: 24,576 bytes stayed in use.

--- a/internal/relay/answer_budget_test.go
+++ b/internal/relay/answer_budget_test.go
@@ -48,3 +48,34 @@
 		}
 	}
 }
+
+// Guards against bytes of the memory budget that are never returned: they were taken for the long
+// refusal of an endpoint that was asked to continue a silent stream.
+func TestSearchReturnsItsBudget(t *testing.T) {
+	is := is.New(t)
+	slow := newServer(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, streamHead, r.Header.Get("X-Request-Id"), "s")
+		_, _ = io.WriteString(conn, encodeChunk(eventText(1)))
+		time.Sleep(streamSilence + takeoverInterval/2)
+		_, err := io.WriteString(conn, encodeChunk(eventText(2))+lastChunk)
+		return err == nil
+	})
+	refusing := newServer(t, func(conn net.Conn, _ *http.Request) bool {
+		const length = 4 * readBufferSize
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
+		return err == nil
+	})
+	h, url := newEntry(t, slow, refusing)
+	h.budget = network.NewBudget(8 << 20)
+	_, body, err := send(t, url, "/stream/a", http.MethodPost, "", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "9000") })
+	is.NoErr(err)
+	is.Equal(body, eventText(1)+eventText(2))
+	is.Equal(refusing.count(), 1)
+	for range 100 { // the handler may still return
+		if h.budget.Used() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(h.budget.Used(), int64(0))
+}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -45,6 +45,7 @@
 type search struct {
 	request       *request // copy of the request, with the state of the send to the other endpoint
 	sends, notRun int      // of the request when it was copied first
+	answerBytes   int64    // the same
 	position      streamPosition
 	cancel        context.CancelFunc
 	done          chan struct{}
@@ -235,14 +236,14 @@
 	t.cancel = cancel
 	if last := w.search; last != nil {
 		t.request = last.request.copyFor(ctx)
-		t.sends, t.notRun = last.sends, last.notRun
+		t.sends, t.notRun, t.answerBytes = last.sends, last.notRun, last.answerBytes
 		return t
 	}
 	t.request = w.q.copyFor(ctx)
 	if w.send.attempt == nil { // sent, and not yet counted
 		t.request.sends++
 	}
-	t.sends, t.notRun = t.request.sends, t.request.notRun
+	t.sends, t.notRun, t.answerBytes = t.request.sends, t.request.notRun, t.request.answerBytes
 	return t
 }
 
@@ -375,11 +376,12 @@
 	return &n
 }
 
-// addSends adds the sends of a search to the request.
+// addSends adds the sends of a search, and the bytes that its answers hold, to the request.
 func (q *request) addSends(t *search) {
 	n := t.request
 	q.sends += n.sends - t.sends
 	q.notRun += n.notRun - t.notRun
+	q.answerBytes += n.answerBytes - t.answerBytes
 	q.tried, q.record.retries = n.tried, n.record.retries
 	q.record.budgetRefused = q.record.budgetRefused || n.record.budgetRefused
 	if !t.stopped {
