--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -65,6 +65,9 @@
 	// RetryRegionNotAllowed means that the endpoint was in none of the allowed regions when the
 	// request was about to be sent.
 	RetryRegionNotAllowed Reason = "region-not-allowed"
+	// RetryPermitExpired means that the permit of the broker was too old when the request was
+	// about to be sent.
+	RetryPermitExpired Reason = "permit-expired"
 )
 
 // Reasons for not sending a request again that may have run, besides those for which it is
@@ -91,7 +94,7 @@
 
 // RetryReasons lists the reasons for a retry.
 func RetryReasons() []Reason {
-	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed}
+	return []Reason{RetryNotSent, RetryNotRun, RetryBroken, RetryTimedOut, RetryErrorStatus, RetryOldWeights, RetryEndpointLeft, RetryEndpointPaused, RetryRegionNotAllowed, RetryPermitExpired}
 }
 
 // NotRepeatedReasons lists the reasons for not sending a request again that may have run.
