--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -130,6 +130,7 @@
 		}
 		p.SetSharers(entries)
 		p.Update(engine, endpoints[name], time.Now())
+		d.wakeEvacuated(p)
 		d.wakeNext(p)
 	}
 }
@@ -180,6 +181,9 @@
 	if refused := d.refuseOutsideRegions(q.service, r); refused != nil {
 		return placement.Choice{}, refused
 	}
+	if refused := d.refuseEvacuated(q, r); refused != nil {
+		return placement.Choice{}, refused
+	}
 	if refused := d.awaitPauses(q, r); refused != nil {
 		return placement.Choice{}, refused
 	}
@@ -253,9 +257,9 @@
 	}
 	d.mu.Lock()
 	pool := d.pool(q.service)
-	paused, ejected, leaving := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving()
+	paused, ejected, leaving, evacuated := pool.PausedEndpoints(now), pool.Ejected(now), pool.Leaving(), pool.EvacuatedEndpoints()
 	d.mu.Unlock()
-	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)])
+	a.Exclude = slices.Concat(r.Exclude, paused[:min(len(paused), maxPausedExcluded)], ejected[:min(len(ejected), maxExcluded)], leaving[:min(len(leaving), maxExcluded)], evacuated[:min(len(evacuated), maxEvacuatedExcluded)])
 	p, ok := d.slots.requestSlot(q.ctx, q.service, r.Zone, a)
 	q.record.broker, q.record.slotRequests = p.broker, q.record.slotRequests+p.requests
 	if q.ctx.Err() != nil {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -151,6 +151,7 @@
 func (b *Broker) Update(engine *routing.Engine, endpoints []Endpoint, now time.Time) {
 	b.updateColdPermits(now)
 	b.pool.Update(engine, endpoints, now)
+	b.refuseEvacuated(now)
 	b.serveQueue(now)
 }
 
