--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -96,6 +96,8 @@
 	sequence       uint64
 	waiters        map[uint64]chan placement.SlotResponse
 	held           map[uint64]heldSlot
+	explanations   explanationWaiters
+	updatedAt      time.Time // of the endpoints
 	pendingEvents  map[groupKey][]eventMessage
 	isolated       bool    // reaches no control replica with a leader, see setIsolated
 	meanLagMs      float64 // moving average of the lag of first events at this entry, see excessLag
@@ -211,7 +213,7 @@
 			delete(s.lastCandidate, key)
 		}
 	}
-	s.endpointIDs, s.services, s.entries = endpointIDs, services, s.entries[:0]
+	s.endpointIDs, s.services, s.entries, s.updatedAt = endpointIDs, services, s.entries[:0], now
 	for _, e := range entries {
 		s.entries = append(s.entries, e.Name)
 	}
@@ -271,11 +273,11 @@
 	}
 }
 
-// selectBroker returns the highest-ranked entry of a group that is not suspended. The
-// caller holds mu.
-func (s *slotCoordinator) selectBroker(group placement.Group, now time.Time) string {
+// selectBroker returns the highest-ranked entry of a group that is neither suspended nor
+// listed as silent. The caller holds mu.
+func (s *slotCoordinator) selectBroker(group placement.Group, now time.Time, silent ...string) string {
 	for _, name := range group.Brokers {
-		if !now.Before(s.suspendedUntil[name]) {
+		if !now.Before(s.suspendedUntil[name]) && !slices.Contains(silent, name) {
 			return name
 		}
 	}
@@ -335,7 +337,7 @@
 	a.SlotRequestID = placement.SlotRequestID{Entry: s.self, Sequence: s.sequence}
 	responses := make(chan placement.SlotResponse, 4) // room for repeated responses
 	s.waiters[a.Sequence] = responses
-	group, found := s.firstGroup(service, zone, a.Request)
+	group, found := s.firstGroup(service, zone, a.Request, s.sequence)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -624,6 +626,10 @@
 	}
 	now := time.Now()
 	key := groupKey{m.Service, m.Group}
+	if m.Explain != nil || m.Explanation != nil {
+		s.receiveExplanation(m, now)
+		return
+	}
 	if m.SlotResponse != nil {
 		s.handleResponse(key, m.SlotResponse.slotResponse(s.self))
 		return
@@ -636,12 +642,7 @@
 			}
 		}
 	}
-	var limits []placement.NamedRateLimit
-	for _, l := range m.RateLimits {
-		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
-			limits = append(limits, n)
-		}
-	}
+	limits := s.decodeRateLimits(m, now)
 	if g := s.services[m.Service]; g != nil && !g.engines {
 		for _, n := range limits {
 			s.limits.addRateLimit(m.Service, n)
@@ -662,6 +663,18 @@
 	s.deliver(out)
 }
 
+// decodeRateLimits returns the limits in a message of endpoints that are known here. The caller
+// holds mu.
+func (s *slotCoordinator) decodeRateLimits(m peerMessage, now time.Time) []placement.NamedRateLimit {
+	var limits []placement.NamedRateLimit
+	for _, l := range m.RateLimits {
+		if n, ok := l.namedRateLimit(s.endpointIDs, now); ok {
+			limits = append(limits, n)
+		}
+	}
+	return limits
+}
+
 // sendReport reports the slots of a group that this entry holds, and rate limits, to
 // brokers. The caller holds mu.
 func (s *slotCoordinator) sendReport(key groupKey, to []string, limits []placement.NamedRateLimit) {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -23,6 +23,19 @@
 // Len returns the number of queued requests.
 func (l *WaitQueue[T]) Len() int { return len(l.requests) }
 
+// Counts returns the number of queued requests by priority, in order of service.
+func (l *WaitQueue[T]) Counts() []RankCount {
+	var list []RankCount
+	for _, w := range l.requests {
+		if n := len(list); n > 0 && list[n-1].Rank == w.priority {
+			list[n-1].Waiting++
+			continue
+		}
+		list = append(list, RankCount{Class: "any", Rank: w.priority, Waiting: 1})
+	}
+	return list
+}
+
 // Ahead returns the number of queued requests that come before one with the given priority, of
 // any deadline.
 func (l *WaitQueue[T]) Ahead(priority int) int {
@@ -43,15 +56,14 @@
 	l.requests = slices.Insert(l.requests, at, w)
 }
 
-// Pop removes and returns the first request.
-func (l *WaitQueue[T]) Pop() (T, bool) {
+// Pop removes and returns the first request and its priority.
+func (l *WaitQueue[T]) Pop() (request T, priority int, ok bool) {
 	if len(l.requests) == 0 {
-		var zero T
-		return zero, false
+		return request, 0, false
 	}
 	first := l.requests[0]
 	l.requests = l.requests[1:]
-	return first.request, true
+	return first.request, first.priority, true
 }
 
 // Remove removes a request, if it is queued.
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -3,12 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
 // requestQueue holds the requests of all entries that wait for a slot, in order of service.
-// It answers the load of more requests than the endpoints can serve on time: what waits
-// longer, or is refused, is what costs callers least.
 type requestQueue struct{ waiting []queuedRequest }
 
 type queuedRequest struct {
@@ -26,9 +25,9 @@
 const (
 	classResumed = iota // callers of an interrupted stream lose what they have already got
 	classOnTime
-	// classLate holds requests that can no longer meet their objective. They are worth little
-	// of what an answer on time is worth, so they only use what the others leave, whatever
-	// their priority.
+	// classLate holds requests that can no longer meet their objective. Their answers are worth
+	// little to callers, so they use only the slots that the others leave, whatever their
+	// priority.
 	classLate
 )
 
@@ -89,30 +88,29 @@
 	return n
 }
 
-// precedes reports whether a queued request comes before a new one that could start now at an
-// endpoint in a region. Requests that are bound to other regions do not: they would keep the
-// endpoint idle.
-func (q *requestQueue) precedes(a SlotRequest, region string) bool {
+// precedes reports whether a queued request that could start at an endpoint comes before a new one
+// that could start there now. The others do not: they would keep the endpoint idle.
+func (q *requestQueue) precedes(a SlotRequest, couldStart func(Request) bool) bool {
 	for _, w := range q.waiting {
 		if w.urgency().compare(a.urgency()) > 0 {
 			return false
 		}
-		if w.Regions.Allow(region) {
+		if couldStart(w.Request) {
 			return true
 		}
 	}
 	return false
 }
 
-// removeHopeless removes and returns the requests that are less urgent than a new one and
+// removeUnservable removes and returns the requests that are less urgent than a new one and
 // that, behind it, get no slot within their wait if one becomes free for them per interval. The
 // numbers of requests ahead of them are returned as well.
-func (q *requestQueue) removeHopeless(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (hopeless []queuedRequest, ahead []int) {
+func (q *requestQueue) removeUnservable(a SlotRequest, interval func(queuedRequest) time.Duration, now time.Time) (removed []queuedRequest, ahead []int) {
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if !w.Late && w.Priority > a.Priority && w.urgency().compare(a.urgency()) > 0 && !w.Regions.Disjoint(a.Regions) {
 			if before := competing(kept, w); now.Add(interval(w) * time.Duration(before+1)).After(w.deadline) {
-				hopeless, ahead = append(hopeless, w), append(ahead, before)
+				removed, ahead = append(removed, w), append(ahead, before)
 				continue
 			}
 		}
@@ -120,5 +118,34 @@
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
-	return hopeless, ahead
+	return removed, ahead
+}
+
+// usableKey identifies requests that may use the same endpoints, apart from load and bounds.
+type usableKey struct {
+	minVersion, softMinVersion uint64
+	regions, exclude, only     string
+}
+
+func (r Request) usableKey() usableKey {
+	return usableKey{r.MinVersion, r.SoftMinVersion, r.Regions.key(), strings.Join(r.Exclude, "\x00"), r.Only}
+}
+
+// failedTries counts the queued requests that could not be placed in one pass over the queue, by
+// the endpoints that they may use and by their regions: they must not keep others from free slots
+// elsewhere.
+type failedTries struct {
+	byUse     map[usableKey]int
+	byRegions map[string]int
+}
+
+func newFailedTries() failedTries { return failedTries{map[usableKey]int{}, map[string]int{}} }
+
+func (f failedTries) exhausted(k usableKey) bool {
+	return f.byUse[k] >= maxFailedTries || f.byRegions[k.regions] >= maxFailedTriesByRegions
+}
+
+func (f failedTries) record(k usableKey) {
+	f.byUse[k]++
+	f.byRegions[k.regions]++
 }
--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -226,7 +226,7 @@
 	is.True(!q.ServedWithin(2, 300*time.Millisecond, 100*time.Millisecond))
 	var order []string
 	for {
-		next, ok := q.Pop()
+		next, _, ok := q.Pop()
 		if !ok {
 			break
 		}
@@ -234,3 +234,122 @@
 	}
 	is.Equal(order, []string{"earlier summary", "summary", "digest"})
 }
+
+// Guards against counting slots for a priority that were released long ago: it would get no
+// minimum share any more.
+func TestReleasedSlotsDoNotCountForMinimumShare(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	request := func(sequence uint64, priority int) {
+		a := slotRequest("x", sequence)
+		a.Priority, a.MaxWait = priority, time.Minute
+		b.RequestSlot(a, start.Add(time.Second))
+	}
+	for i := range 16 {
+		request(uint64(1+i), 2)
+	}
+	b.Reconcile("x", nil, start.Add(2*time.Second)) // the entry holds none of them
+	for i := range 17 {
+		request(uint64(101+i), 0)
+	}
+	request(201, 2)
+	waiting, granted := b.Counts()
+	is.Equal([]int{waiting, granted}, []int{2, 16})
+	b.TakeResponses()
+	b.End(placement.SlotRequestID{Entry: "x", Sequence: 101}, placement.Success, start.Add(2*time.Second))
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{201: placement.Placed})
+}
+
+// Guards against minimum shares that add up: with many priorities, the most urgent requests would
+// get none of the slots that become free.
+func TestMinimumSharesOfManyPriorities(t *testing.T) {
+	is := is.New(t)
+	urgent, _ := urgentAndNot(1.5, 0)
+	kinds := []*kind{urgent}
+	for i := range 20 {
+		kinds = append(kinds, &kind{priority: 1 + i, prompt: 607, objective: 20 * time.Second, demand: 0.8})
+	}
+	playRanked(12, 20*time.Second, kinds...)
+	others, worst := 0.0, 1.0
+	for _, k := range kinds[1:] {
+		others += k.served() / float64(len(kinds)-1)
+		worst = min(worst, k.served())
+	}
+	t.Logf("urgent: %+v; mean of the others %.3f, worst %.3f", *urgent, others, worst)
+	is.True(urgent.served() > 0.45)
+	is.True(worst > 0)
+}
+
+// Guards against a request that is queued or refused, although it could start, behind requests
+// that may not use the free slot.
+func TestUnusableSlotsAreLeftToOthers(t *testing.T) {
+	is := is.New(t)
+	newer := endpoint("newer")
+	newer.WeightsVersion = 2
+	b := broker(endpoint("older"), newer)
+	request := func(sequence, minVersion uint64, exclude ...string) {
+		a := slotRequest("x", sequence)
+		a.MinVersion, a.Exclude, a.MaxWait = minVersion, exclude, time.Second
+		b.RequestSlot(a, start)
+	}
+	for i := range 16 {
+		request(uint64(1+i), 2)
+	}
+	request(101, 2)
+	request(102, 0, "older")
+	waiting, _ := b.Counts()
+	is.Equal(waiting, 2)
+	b.TakeResponses()
+	request(200, 0)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{200: placement.Placed})
+}
+
+// Guards against a request that turns out to be late on arrival and starts before a more urgent
+// late one that waits for the same slot.
+func TestLateArrivalsDoNotOvertake(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	b.RequestSlot(slotRequest("x", 1), start)
+	perSecond := 1.0
+	b.RecordRateLimit(placement.SlotRequestID{Entry: "x", Sequence: 1}, &perSecond, start)
+	b.End(placement.SlotRequestID{Entry: "x", Sequence: 1}, placement.Success, start)
+	urgent := slotRequest("x", 100)
+	urgent.Late = true
+	b.RequestSlot(urgent, start.Add(500*time.Millisecond))
+	waiting, _ := b.Counts()
+	is.Equal(waiting, 1)
+	b.TakeResponses()
+
+	permitDue := start.Add(time.Second)
+	other := slotRequest("x", 200)
+	other.Priority, other.TimeLeft = 2, time.Millisecond // it cannot be on time
+	b.RequestSlot(other, permitDue)
+	is.True(verdicts(b.TakeResponses())[200] != placement.Placed)
+	b.Tick(permitDue)
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{100: placement.Placed})
+}
+
+// Guards against a slot that stays free because the first requests of the queue may not use it,
+// though a later one may.
+func TestExclusionsDoNotKeepSlotsIdle(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("a"), endpoint("b"))
+	request := func(sequence uint64, exclude ...string) {
+		r := slotRequest("x", sequence)
+		r.Exclude, r.MaxWait = exclude, 2*time.Second
+		b.RequestSlot(r, start)
+	}
+	for i := range 16 {
+		request(uint64(1+i), "b")
+		request(uint64(101+i), "a")
+	}
+	for i := range 10 {
+		request(uint64(201+i), "b")
+	}
+	request(300)
+	waiting, granted := b.Counts()
+	is.Equal([]int{waiting, granted}, []int{11, 32})
+	b.TakeResponses()
+	b.End(placement.SlotRequestID{Entry: "x", Sequence: 101}, placement.Success, start) // a slot of b
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{300: placement.Placed})
+}
