--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -47,7 +47,7 @@
 				Slots: engineSlots, Stride: 5, StepMs: 13.3, PrefillPerSecond: 12700, PrefillChunkTokens: 2048, MeanPromptTokens: 1000, MeanAnswerTokens: 75,
 			}},
 		},
-		Organisations: []routing.Organisation{{Name: "one", Keys: []string{testKey}, Priority: 1}},
+		Organisations: []routing.Organisation{{Name: "one", Keys: []string{testKey}, Priority: 1, Prioritized: true}},
 	}
 }
 
