--- a/placement/queue_by_cost_test.go
+++ b/placement/queue_by_cost_test.go
@@ -353,3 +353,20 @@
 	b.End(placement.SlotRequestID{Entry: "x", Sequence: 101}, placement.Success, start) // a slot of b
 	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{300: placement.Placed})
 }
+
+// Guards against refusing a request on arrival that would get the next free slot by the minimum
+// share of its priority.
+func TestMinimumShareIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	b := broker(endpoint("e"))
+	for i := range 17 { // 16 run, one is queued
+		b.RequestSlot(slotRequest("x", uint64(1+i)), start)
+	}
+	other := slotRequest("x", 100)
+	other.Priority = 2
+	b.TakeResponses()
+	b.RequestSlot(other, start.Add(time.Millisecond))
+	is.Equal(verdicts(b.TakeResponses())[100], placement.Queued)
+	b.End(placement.SlotRequestID{Entry: "x", Sequence: 1}, placement.Success, start.Add(10*time.Millisecond))
+	is.Equal(verdicts(b.TakeResponses()), map[uint64]placement.Verdict{100: placement.Placed})
+}
