relay: callers refused during a start of all entries come back when it is over

Change: while no other entry is known to accept callers, the delay lasts until 2.5 s after the start.

--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +105,7 @@
 		beginBound:       max(minWeightsBound, s.WeightsBound.Std()-beginMargin),
 	}
 	d.handler.dispatcher.countCold(m)
+	d.handler.start.began = time.Now()
 	return d
 }
 
@@ -262,6 +264,7 @@
 	}
 	others := d.otherEntries(processes)
 	d.guard.update(others, time.Now())
+	d.handler.start.otherReady.Store(d.otherReady(processes))
 	d.slots.updateColdAuthority(d.listedEntries(processes), d.fleet.Isolated(), time.Now())
 	table := d.fleet.Table()
 	if table == nil {
@@ -321,6 +324,13 @@
 	return names
 }
 
+// otherReady reports whether another entry accepts callers.
+func (d *Daemon) otherReady(processes []wire.Process) bool {
+	return slices.ContainsFunc(processes, func(p wire.Process) bool {
+		return p.Ready && !p.Draining && p.Name != d.settings.Instance
+	})
+}
+
 // listedEntries lists this entry and the others that do not stop.
 func (d *Daemon) listedEntries(processes []wire.Process) []placement.Entry {
 	list := []placement.Entry{{Name: d.settings.Instance, Zone: d.settings.Zone}}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// noRoutingRetryAfter is the retry delay while no routing document has been
-	// received.
-	noRoutingRetryAfter = 500 * time.Millisecond
 	// streamSilence is how long a stream may be without events until another endpoint is
 	// asked to continue it. A pass of a fully loaded engine takes up to 0.5 s; callers
 	// abandon a stream after 2 s or more without events.
@@ -74,6 +71,7 @@
 	softWeightsBound, weightsBound, beginBound time.Duration
 	// maxPause limits the pauses that endpoints state.
 	maxPause time.Duration
+	start    startPhase
 	// drain is nil until the drain starts.
 	drain atomic.Pointer[drainPhase]
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -114,10 +114,10 @@
 	q.deadline = q.arrived.Add(q.call.Timeout)
 	table := h.fleet.Table()
 	if table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: NoRouting, retryAfter: noRoutingRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: NoRouting, retryAfter: h.start.retryAfter(q.arrived)}
 	}
 	if !ready(q.arrived) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: noRoutingRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: Starting, retryAfter: h.start.retryAfter(q.arrived)}
 	}
 	q.table = table
 	path, _, _ := strings.Cut(q.target, "?")
--- a/placement/admission.go
+++ b/placement/admission.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// The decisions of this file answer a lasting load beyond the capacity: which requests start
+// although more urgent ones wait, and which are refused at once because their turn cannot come.
+
 // minimumShare is the share of the slots of a group up to which each priority is served even
 // while more urgent requests wait. Without it, a lasting overload by urgent requests would
 // starve all others. With this one, about a third of the requests of a kind that asks for a
--- a/placement/queue_by_cost.go
+++ b/placement/queue_by_cost.go
@@ -7,7 +7,9 @@
 	"time"
 )
 
-// requestQueue holds the requests of all entries that wait for a slot, in order of service.
+// requestQueue holds the requests of all entries that wait for a slot, in order of service. It
+// answers the load of more requests than the endpoints can serve on time: what waits longest, and
+// is refused first, is what costs callers least.
 type requestQueue struct{ waiting []queuedRequest }
 
 type queuedRequest struct {
