--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -265,7 +265,7 @@
 	}
 	if q.route != nil {
 		regions := h.allowedRegions(q)
-		answer.Route, answer.Kind, answer.Organisation, answer.Rank, answer.Level = q.route.Name, kindName(q.route.Kind), q.organisation, q.priority, routing.Level(q.priority)
+		answer.Route, answer.Kind, answer.Organisation, answer.Rank, answer.Level = q.route.Name, kindName(q.route.Kind), q.organisation, q.priority, q.table.Level(q.priority)
 		answer.RegionsBound, answer.Regions = regions.Bound, regions.Names
 		answer.RequiredVersion, answer.SoonRequiredVersion = h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -304,7 +304,7 @@
 	// that nobody may have verified yet.
 	return protocol.Forwarding{
 		Endpoint: c.ID, Timeout: q.timeLeft(), Organisation: q.organisation, LastEvent: lastEvent, Version: c.WeightsVersion,
-		Priority: routing.Level(q.priority), Prioritized: q.table.Ranked(),
+		Priority: q.table.Level(q.priority), Prioritized: q.table.Ranked(),
 	}
 }
 
--- a/routing/rank.go
+++ b/routing/rank.go
@@ -19,11 +19,14 @@
 
 func clampPriority(p int) int { return max(0, min(p, maxPriority)) }
 
-// Level returns a rank on the scale from 0 to 9 of engines. Priorities of routes below the third
-// share a level.
-func Level(rank int) int {
+// Level returns a rank on the scale from 0 to 9 of engines. It is the priority of the route if no
+// organisation states a priority. Otherwise, priorities of routes below the third share a level.
+func (t *Table) Level(rank int) int {
 	const levelsPerPriority = 3
 	priority, route := rank/(maxPriority+1), rank%(maxPriority+1)
+	if !t.prioritized {
+		return min(maxPriority, route)
+	}
 	return min(maxPriority, priority*levelsPerPriority+min(route, levelsPerPriority-1))
 }
 
--- a/routing/rank_test.go
+++ b/routing/rank_test.go
@@ -24,10 +24,15 @@
 	is.True(route(2).Rank(none) < route(3).Rank(none))           // the route alone
 	is.Equal(route(1000).Rank(stated(1000)), routing.MaxRank)    // out of range
 	is.Equal(route(-1).Rank(stated(-1)), 0)                      // out of range
+	table := routing.Compile(&routing.Document{Organisations: []routing.Organisation{{Name: "one", Prioritized: true}}})
 	for rank := range routing.MaxRank {
-		is.True(routing.Level(rank) <= routing.Level(rank+1)) // engines use the same order
+		is.True(table.Level(rank) <= table.Level(rank+1)) // engines use the same order
+	}
+	is.Equal(table.Level(routing.MaxRank), 9)
+	routes := routing.Compile(&routing.Document{Organisations: []routing.Organisation{{Name: "one"}}})
+	for priority := range 10 { // without priorities of organisations, engines get that of the route
+		is.Equal(routes.Level((&routing.Route{Priority: priority}).Rank(nil)), priority)
 	}
-	is.Equal(routing.Level(routing.MaxRank), 9)
 }
 
 // Guards against engines that are told priorities although all requests have the same one, and
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 )
@@ -12,6 +13,8 @@
 	services map[string]*Service
 	keys     map[string]*Organisation
 	ranked   bool
+	// prioritized is true if an organisation states a priority.
+	prioritized bool
 }
 
 // Compile builds the Table of a valid document.
@@ -37,6 +40,7 @@
 		}
 	}
 	t.ranked = d.ranked()
+	t.prioritized = slices.ContainsFunc(d.Organisations, func(o Organisation) bool { return o.Prioritized })
 	return t
 }
 
