--- a/review/stand2/unread/main.go
+++ b/review/stand2/unread/main.go
@@ -1,5 +1,5 @@
-// Command unread lets a crowd of callers send requests inside all limits and read none of the
-// answers, and asks whether ordinary callers still get answers from the same front machine.
+// Command unread lets a crowd of callers send requests inside all limits and read the answers
+// slowly, and asks whether ordinary callers still get answers from the same front machine.
 package main
 
 import (
@@ -28,7 +28,9 @@
 	watch       = 40 * time.Second
 	// The largest answer on the users' sheet.
 	answerBytes = 4800
-	orderEvery  = 250 * time.Millisecond
+	// A caller that reads slowly reads this much a second.
+	slowBytes  = 16
+	orderEvery = 250 * time.Millisecond
 )
 
 func main() {
@@ -101,7 +103,7 @@
 		return err == nil && status == http.StatusOK
 	})
 	reads := !scene.Trouble()
-	s.Logf("a crowd of %d callers begins; reads its answers: %v", crowd, reads)
+	s.Logf("a crowd of %d callers begins; reads its answers at once: %v", crowd, reads)
 	var open, opened atomic.Int64
 	for i := range crowd {
 		go caller(s.Host(30)+":8005", i, reads, &open, &opened)
@@ -166,9 +168,7 @@
 		}
 		open.Add(1)
 		opened.Add(1)
-		if reads {
-			go func() { _, _ = io.Copy(io.Discard, c) }()
-		}
+		go read(c, reads)
 		for k := 0; err == nil; k++ {
 			_, err = fmt.Fprintf(c, "GET /status/%d HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: c-%d-%d-%d\r\nX-Deadline-Ms: 1500\r\n\r\n", k, i, n, k)
 			if reads {
@@ -180,3 +180,18 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// read reads the answers on a connection: at once, or slowly.
+func read(c net.Conn, atOnce bool) {
+	if atOnce {
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	few := make([]byte, slowBytes)
+	for {
+		time.Sleep(time.Second)
+		if _, err := c.Read(few); err != nil {
+			return
+		}
+	}
+}
