fleetclient: log the oldest known version of the weights and corrected ages

The log of an entry did not show whether it had forgotten when the weights were superseded, or had learned a wrong age: a version that it never learned of left no line, and a correction by another replica was silent.

weights_learned names the oldest version that is still known, and weights_age_corrected each correction by 100 ms or more.

--- a/internal/fleetclient/weights.go
+++ b/internal/fleetclient/weights.go
@@ -15,18 +15,27 @@
 func (c *Client) recordWeights(w wire.NamedWeights, since time.Time, replica string) {
 	held := c.weights[w.Model]
 	at, known := slices.BinarySearchFunc(held, w.Version, func(h NamedVersion, v uint64) int { return cmp.Compare(h.Version, v) })
+	fields := log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}
 	if known {
-		if since.Before(held[at].Since) {
+		if earlier := held[at].Since.Sub(since); earlier > 0 {
 			held[at].Since = since
+			if earlier >= minLoggedCorrection {
+				c.cfg.Log.WithFields(fields).WithField("earlier_ms", earlier.Milliseconds()).Info("weights_age_corrected")
+			}
 		}
 		return
 	}
 	if at == len(held) {
-		c.weights[w.Model] = append(held[max(0, at-maxNamedVersions):], NamedVersion{w.Version, since})
-		c.cfg.Log.WithFields(log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}).Info("weights_learned")
+		held = append(held[max(0, at-maxNamedVersions):], NamedVersion{w.Version, since})
+		c.weights[w.Model] = held
+		c.cfg.Log.WithFields(fields).WithField("oldest", held[0].Version).Info("weights_learned")
 	}
 }
 
+// minLoggedCorrection is the smallest correction of an age that is logged. Messages of different
+// replicas differ by less.
+const minLoggedCorrection = 100 * time.Millisecond
+
 // maxNamedVersions limits the earlier named versions that are kept per model.
 const maxNamedVersions = 8
 
