ledger, fleetclient: tests that known successors of weights are not forgotten, known red

Both tests draw versions named in series and fail on each run: the ledger keeps the last four versions of a model, an entry the last nine, and an entry ignores a version that arrives after a newer one.

The entries that started knew version 6 as the oldest one, 4,012 ms old, 8.1 s after version 2 was named.

--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -1,12 +1,14 @@
 package fleetclient
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
@@ -95,3 +97,26 @@
 	time.Sleep(50 * time.Millisecond)
 	is.True(timeSuspended()-before < minSuspension)
 }
+
+// Guards against requests that begin on weights whose successor this process has forgotten or never recorded.
+func TestSupersededAtOutlivesVersionsInSeries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		count := rapid.IntRange(1, 40).Draw(t, "versions")
+		named, order := make([]time.Time, count), make([]int, count)
+		at := now
+		for i := range slices.Backward(named) {
+			named[i], order[i] = at, i
+			at = at.Add(-time.Duration(rapid.IntRange(0, 2_000).Draw(t, "gap ms")) * time.Millisecond)
+		}
+		c := New(Config{Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}}, wire.Process{})
+		for _, i := range rapid.Permutation(order).Draw(t, "order of arrival") {
+			c.recordWeights(wire.NamedWeights{Model: "m", Version: uint64(i + 2)}, named[i], "a")
+		}
+		for i, since := range named {
+			if got := c.SupersededAt("m", uint64(i+1)); !got.Equal(since) {
+				t.Fatalf("version %d was superseded %v ago, known as %v ago", i+1, now.Sub(since), now.Sub(got))
+			}
+		}
+	})
+}
--- a/ledger/routing_test.go
+++ b/ledger/routing_test.go
@@ -1,9 +1,11 @@
 package ledger
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func setRouting(version uint64, text string) Command {
@@ -58,3 +60,27 @@
 	is.NoErr(err)
 	is.Equal(string(again), string(data))
 }
+
+// Guards against requests that begin on weights whose successor was forgotten because others followed within seconds.
+func TestSuccessorOfWeightsIsNotForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		var set []WeightsVersion
+		now := int64(1_000)
+		for version := range uint64(rapid.IntRange(1, 200).Draw(t, "versions")) {
+			now += int64(rapid.IntRange(0, 3_000).Draw(t, "gap ms"))
+			set = append(set, WeightsVersion{version + 2, now})
+			l.Apply(Command{AtMs: now, Weights: &SetWeightsVersion{Model: "m", Version: version + 2}})
+		}
+		supersededAt := func(list []WeightsVersion, version uint64) int64 {
+			return list[slices.IndexFunc(list, func(w WeightsVersion) bool { return w.Version > version })].AtMs
+		}
+		for i, w := range set {
+			used := w.Version - 1
+			want, got := supersededAt(set, used), supersededAt(l.Weights()["m"], used)
+			if got > want || i >= len(set)-50 && got < want {
+				t.Fatalf("version %d of %d was superseded at %d ms, the ledger has %d ms", used, len(set)+1, want, got)
+			}
+		}
+	})
+}
