ledger, fleetclient: keep the successors of weights by time, not by number

The ledger kept the last four versions of a model and a process nine, but a request on version 1 is late 8 s after version 2 was named, whatever was named since. A process that started after version 2 was dropped, or knew more than nine versions, took a later naming for the one that superseded version 1. A version that arrived after a newer one, from a replica that lists more, was ignored.

The ledger and processes keep 64 versions. Messages list those that were named in the last five minutes and the newest one before. A version that is dropped passes its time on to the next one, so weights never seem to be superseded later than they were. Versions are recorded in whatever order they arrive, and the earliest naming of any newer version counts.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -371,16 +371,23 @@
 	return entries
 }
 
-// namedWeights returns the named versions with their ages, and the sum of the
+// namedWeights returns the named versions with their ages, and the sum of the newest
 // version numbers, which changes with every new version.
 func (f *fleet) namedWeights(v *View, now time.Time) (list []wire.NamedWeights, versionSum int64) {
 	for _, model := range slices.Sorted(maps.Keys(v.Weights)) {
-		for _, named := range v.Weights[model] {
-			list = append(list, wire.NamedWeights{
-				Model: model, Version: named.Version, AgeMs: f.age(weightsKey{model, named.Version}, named.AtMs, now).Milliseconds(),
-			})
-			versionSum += int64(named.Version)
+		var named []wire.NamedWeights
+		for _, w := range v.Weights[model] {
+			n := wire.NamedWeights{Model: model, Version: w.Version, AgeMs: f.age(weightsKey{model, w.Version}, w.AtMs, now).Milliseconds()}
+			if n.AgeMs >= wire.WeightsRetention.Milliseconds() && len(named) > 0 {
+				n.AgeMs = max(n.AgeMs, named[0].AgeMs)
+				named = named[:0]
+			}
+			named = append(named, n)
+		}
+		if len(named) > 0 {
+			versionSum += int64(named[len(named)-1].Version)
 		}
+		list = append(list, named...)
 	}
 	return list, versionSum
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -139,6 +139,26 @@
 	is.Equal(f.age(key, now.Add(time.Hour).UnixMilli(), now.Add(5*time.Second)), 5*time.Second)
 }
 
+// Guards against messages that grow with each version ever named, and against naming a successor of weights later than it was.
+func TestNamedWeightsInMessages(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := newTestFleet()
+	v := &View{Weights: map[string][]ledger.WeightsVersion{}}
+	for version := range uint64(40) {
+		at := now.Add(-wire.WeightsRetention - 10*time.Second + time.Duration(version)*time.Second)
+		v.Weights["m"] = append(v.Weights["m"], ledger.WeightsVersion{Version: version + 2, AtMs: at.UnixMilli()})
+	}
+	list, _ := f.namedWeights(v, now)
+	is.Equal(list[0].Version, uint64(12)) // the newest one beyond the retention
+	is.True(list[0].AgeMs >= (wire.WeightsRetention + 10*time.Second).Milliseconds())
+	is.Equal(len(list), 30)
+	for i, w := range list[1:] {
+		is.Equal(w.Version, uint64(13+i))
+		is.True(w.AgeMs/1000 == int64((wire.WeightsRetention-time.Duration(1+i)*time.Second)/time.Second))
+	}
+}
+
 // Callers must not get addresses of entries that accept no callers any more,
 // but must get some while every ready entry is draining.
 func TestAddressesOfEntries(t *testing.T) {
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -120,3 +120,27 @@
 		}
 	})
 }
+
+// Guards against versions that are kept forever, and against a successor of weights that seems younger once others were dropped.
+func TestOldVersionsOfWeightsAreDropped(t *testing.T) {
+	is := is.New(t)
+	c := testClient()
+	now := time.Now()
+	record := func(version uint64, age time.Duration) {
+		c.recordWeights(wire.NamedWeights{Model: "m", Version: version}, now.Add(-age), "a")
+	}
+	for version := range uint64(10) {
+		record(version+2, wire.WeightsRetention+time.Duration(10-version)*time.Second)
+	}
+	is.Equal(len(c.NamedWeights("m")), 1)
+	is.Equal(c.SupersededAt("m", 1), now.Add(-wire.WeightsRetention-10*time.Second))
+	for version := range uint64(100) {
+		record(version+12, time.Duration(100-version)*time.Millisecond)
+	}
+	is.Equal(len(c.NamedWeights("m")), maxNamedVersions)
+	is.Equal(c.SupersededAt("m", 1), now.Add(-wire.WeightsRetention-10*time.Second))
+	is.Equal(c.SupersededAt("m", 110), now.Add(-time.Millisecond))
+	record(11, wire.WeightsRetention+20*time.Second) // a replica that is behind
+	is.Equal(len(c.NamedWeights("m")), maxNamedVersions)
+	is.Equal(c.SupersededAt("m", 1), now.Add(-wire.WeightsRetention-20*time.Second))
+}
--- a/internal/fleetclient/weights.go
+++ b/internal/fleetclient/weights.go
@@ -17,27 +17,47 @@
 	at, known := slices.BinarySearchFunc(held, w.Version, func(h NamedVersion, v uint64) int { return cmp.Compare(h.Version, v) })
 	fields := log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}
 	if known {
-		if earlier := held[at].Since.Sub(since); earlier > 0 {
-			held[at].Since = since
-			if earlier >= minLoggedCorrection {
-				c.cfg.Log.WithFields(fields).WithField("earlier_ms", earlier.Milliseconds()).Info("weights_age_corrected")
-			}
+		correction := held[at].Since.Sub(since)
+		held[at].Since = earlier(held[at].Since, since)
+		if correction >= minLoggedCorrection {
+			c.cfg.Log.WithFields(fields).WithField("earlier_ms", correction.Milliseconds()).Info("weights_age_corrected")
 		}
 		return
 	}
-	if at == len(held) {
-		held = append(held[max(0, at-maxNamedVersions):], NamedVersion{w.Version, since})
-		c.weights[w.Model] = held
-		c.cfg.Log.WithFields(fields).WithField("oldest", held[0].Version).Info("weights_learned")
+	now := time.Now()
+	if at == 0 && len(held) > 0 && (len(held) == maxNamedVersions || now.Sub(held[0].Since) >= wire.WeightsRetention) {
+		held[0].Since = earlier(held[0].Since, since) // the version was dropped, or would be
+		return
+	}
+	held = forgetSuperseded(slices.Insert(held, at, NamedVersion{w.Version, since}), now)
+	c.weights[w.Model] = held
+	c.cfg.Log.WithFields(fields).WithField("oldest", held[0].Version).Info("weights_learned")
+}
+
+// forgetSuperseded drops the oldest of a list of versions once the next one has been named for
+// wire.WeightsRetention, or if there are too many. The next one is then known since the dropped
+// one was named, which is when the weights before it were superseded.
+func forgetSuperseded(list []NamedVersion, now time.Time) []NamedVersion {
+	for len(list) > 1 && (len(list) > maxNamedVersions || now.Sub(list[1].Since) >= wire.WeightsRetention) {
+		list[1].Since = earlier(list[0].Since, list[1].Since)
+		list = list[1:]
 	}
+	return list
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // minLoggedCorrection is the smallest correction of an age that is logged. Messages of different
 // replicas differ by less.
 const minLoggedCorrection = 100 * time.Millisecond
 
-// maxNamedVersions limits the earlier named versions that are kept per model.
-const maxNamedVersions = 8
+// maxNamedVersions limits the named versions that are kept per model.
+const maxNamedVersions = 64
 
 // NewestWeights returns the newest named version of a model's weights, or zero if none
 // has been named.
@@ -64,13 +84,12 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var required uint64
-	for _, w := range c.weights[model] {
+	for _, w := range slices.Backward(c.weights[model]) {
 		if now.Sub(w.Since) >= age {
-			required = w.Version
+			return w.Version
 		}
 	}
-	return required
+	return 0
 }
 
 // SupersededAt returns when the first version newer than the given one was named for a
@@ -78,10 +97,15 @@
 func (c *Client) SupersededAt(model string, version uint64) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, w := range c.weights[model] {
-		if w.Version > version {
-			return w.Since
+	var first time.Time
+	for _, w := range slices.Backward(c.weights[model]) {
+		if w.Version <= version {
+			break
+		}
+		// Replicas measure ages on their own, so a newer version may seem to be older.
+		if first.IsZero() || w.Since.Before(first) {
+			first = w.Since
 		}
 	}
-	return time.Time{}
+	return first
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -211,11 +211,17 @@
 // MessageType implements Message.
 func (Process) MessageType() Type { return TypeProcess }
 
+// WeightsRetention is how long a version of the weights stays in messages and in the memory of
+// processes after the next one was named. It exceeds the time for which requests may begin on
+// superseded weights.
+const WeightsRetention = 5 * time.Minute
+
 // NamedWeights is a version of a model's weights that the engines must load.
 type NamedWeights struct {
 	Model   string `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint"`
-	// AgeMs is the time since the sending replica learned of the version.
+	// AgeMs is the time since the sending replica learned of the version, or of an earlier
+	// version that is not listed.
 	AgeMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -118,18 +118,24 @@
 		result.Repeated = true
 		return result
 	}
-	next := append(slices.Clone(held[max(0, len(held)-maxWeightsVersions+1):]), WeightsVersion{n.Version, l.nowMs})
+	next := append(slices.Clone(held), WeightsVersion{n.Version, l.nowMs})
+	if len(next) > maxWeightsVersions {
+		// The weights before the dropped version were superseded when it was set.
+		next[1].AtMs = next[0].AtMs
+		next = next[1:]
+	}
 	l.weights = maps.Clone(l.weights)
 	l.weights[n.Model] = next
 	return result
 }
 
-// maxWeightsVersions is the number of versions kept per model. Earlier versions are
-// needed because the newest one is not required until some time after it was set.
-const maxWeightsVersions = 4
+// maxWeightsVersions is the number of versions kept per model. Processes that start need
+// every version that superseded another one within the bound of their settings.
+const maxWeightsVersions = 64
 
 // WeightsVersion is a weights version and the ledger's time when it was set, in
-// Unix milliseconds.
+// Unix milliseconds. For the oldest version kept, that is the time of the earliest
+// version that was dropped.
 type WeightsVersion struct {
 	Version uint64 `cbor:"1,keyasint"`
 	AtMs    int64  `cbor:"2,keyasint"`
--- a/ledger/routing_test.go
+++ b/ledger/routing_test.go
@@ -47,7 +47,7 @@
 		l.Apply(Command{AtMs: int64(1000 * version), Weights: &SetWeightsVersion{Model: "m", Version: version + 1}})
 	}
 	is.True(l.Apply(Command{AtMs: 9000, Weights: &SetWeightsVersion{Model: "m", Version: 2}}).Repeated)
-	want := []WeightsVersion{{3, 2000}, {4, 3000}, {5, 4000}, {6, 5000}}
+	want := []WeightsVersion{{1, 0}, {2, 1000}, {3, 2000}, {4, 3000}, {5, 4000}, {6, 5000}}
 	is.Equal(l.Weights()["m"], want)
 	l.Apply(setRouting(7, "document"))
 	data, err := l.Snapshot()
