relay: log lines of sends to superseded weights say how long they are superseded

request_ended and send_failed name the version that was used, but not when this entry takes it to be superseded, nor until when the request may begin.

Change: both lines have version, required, required_soon, superseded_ms and begin_left_ms if the last send was to weights that the entry knows to be superseded.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -85,6 +85,7 @@
 		}
 		return nil, errors.Join(errNotSent, err)
 	}
+	h.recordWeights(q)
 	if !q.sendBy.IsZero() && time.Now().After(q.sendBy) {
 		h.conns.putUnused(a.key, conn)
 		return nil, errOldWeights
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -250,6 +250,7 @@
 	q.record.endpoint, q.record.predictedTTFT, q.record.load = choice.ID, choice.TTFT, choice.Load
 	q.record.incarnation = choice.Incarnation
 	q.beginBy, q.sendBy = time.Time{}, time.Time{}
+	q.weights = &weightsRecord{version: choice.WeightsVersion}
 	if newer := h.fleet.SupersededAt(q.call.Model, choice.WeightsVersion); choice.WeightsVersion != 0 && !newer.IsZero() {
 		q.beginBy, q.sendBy = newer.Add(h.beginBound), newer.Add(h.weightsBound+maxSendDelay)
 	}
@@ -473,6 +474,7 @@
 		"predicted_ms": c.TTFT.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
 		"events": q.record.events, "silent_ms": q.silence(time.Now()).Milliseconds(), "version": c.WeightsVersion,
 	}
+	h.addWeights(fields, q)
 	if r == placement.Broken {
 		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -65,6 +65,16 @@
 	proven    bool      // the endpoint did not crash when the request began
 	beginBy   time.Time // when it must have begun on the weights of the endpoint; zero for no limit
 	sendBy    time.Time // when it must have been sent to the endpoint; zero for no limit
+	// weights is for the log. It is a pointer because a send sets it while the request may be copied
+	// for a send elsewhere, which has its own.
+	weights *weightsRecord
+}
+
+// weightsRecord is what this entry knows of the weights of an endpoint at a send.
+type weightsRecord struct {
+	version                uint64 // of the endpoint
+	required, requiredSoon uint64
+	sentAt                 time.Time // when its connection was open; zero before
 }
 
 // record holds the values that are logged at the end of a request.
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -55,6 +55,7 @@
 	if q.record.notRepeated != "" && outcome != "done" {
 		fields["not_repeated"] = string(q.record.notRepeated)
 	}
+	h.addWeights(fields, q)
 	if d := h.drain.Load(); d != nil {
 		fields["drain"], fields["drain_ms"] = d.phase(), now.Sub(d.begin).Milliseconds()
 	}
@@ -70,3 +71,30 @@
 	}
 	h.log.WithFields(fields).Info("request_ended")
 }
+
+// recordWeights records what this entry knows of the weights of an endpoint when a request is sent
+// to it.
+func (h *handler) recordWeights(q *request) {
+	r := q.weights
+	if r == nil || r.version == 0 {
+		return
+	}
+	r.required, r.requiredSoon = h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
+	r.sentAt = time.Now()
+}
+
+// addWeights adds the fields of the last send if it was to weights that this entry knows to be
+// superseded.
+func (h *handler) addWeights(fields log.Fields, q *request) {
+	r := q.weights
+	if r == nil || r.sentAt.IsZero() {
+		return
+	}
+	since := h.fleet.SupersededAt(q.call.Model, r.version)
+	if since.IsZero() {
+		return
+	}
+	fields["version"], fields["required"], fields["required_soon"] = r.version, r.required, r.requiredSoon
+	fields["superseded_ms"] = r.sentAt.Sub(since).Milliseconds()
+	fields["begin_left_ms"] = since.Add(h.beginBound).Sub(r.sentAt).Milliseconds()
+}
