relay: a comment of an endpoint is no first event of its stream

An endpoint that sends comments before the first event, to keep the connection open, could begin a request at any time after the bound.

Cause: the first event of any kind ended the limit for the begin of a request, and counted its prefill as done. A stream whose head and comments were passed on was also not sent elsewhere, for it had no event identifier to continue from.

Change: only an event with data or an identifier counts. A stream of which only comments were passed on is sent elsewhere from its start.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -70,6 +70,7 @@
 // streamPosition is how far a stream has come.
 type streamPosition struct {
 	started     bool // the head of the answer was passed on
+	begun       bool // an event that is no comment was passed on
 	lastEventID string
 	version     uint64
 	contentType string // of the first answer
@@ -100,7 +101,7 @@
 
 // opened records the head of the answer.
 func (send *streamSend) opened(a *attempt, p streamPosition) {
-	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body), !p.started
+	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body), !p.begun
 }
 
 // close closes the connection.
@@ -140,7 +141,7 @@
 		return event{}, false, readError(err)
 	}
 	send.begun = true
-	if !send.continued && (ev.hasData || ev.id != "") {
+	if !send.continued && ev.substantial() {
 		if !isAfter(ev.id, p.lastEventID) {
 			return event{}, false, fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, p.lastEventID)
 		}
@@ -158,7 +159,7 @@
 			return err
 		}
 		list = append(list, ev)
-		if end || ev.hasData || ev.id != "" {
+		if end || ev.substantial() {
 			send.ahead, send.aheadEnd = list, end
 			return nil
 		}
@@ -330,7 +331,7 @@
 			}
 			return nil
 		}
-		if first {
+		if first && ev.substantial() {
 			first, a.began = false, time.Now()
 			h.dispatcher.firstEvent(q, send.choice.ID, time.Since(q.placedAt)-send.choice.ModelTTFT)
 			q.inPrefill = false
@@ -343,13 +344,14 @@
 		}
 		now := time.Now()
 		q.record.event(now)
-		if now.Sub(a.began) >= soundDelay {
+		if !first && now.Sub(a.began) >= soundDelay {
 			h.recordSound(q, a.began)
 		}
 		s.start(a)
 		if _, err := s.w.Write(ev.data); err != nil {
 			return errors.Join(errRequestEnded, err)
 		}
+		s.begun = s.begun || ev.substantial()
 		if ev.id != "" {
 			s.lastEventID = ev.id
 		}
@@ -397,7 +399,7 @@
 // placeAgain selects another endpoint for a stream whose endpoint has failed or is silent, and
 // reports whether there is one.
 func (h *handler) placeAgain(q *request, p streamPosition, reason Reason) (placement.Choice, bool) {
-	if p.started && p.lastEventID == "" {
+	if p.begun && p.lastEventID == "" {
 		h.recordNotRepeated(q, NoEventID)
 		return placement.Choice{}, false
 	}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -207,7 +207,7 @@
 		w.silent = true
 		w.recordSilence(now)
 	}
-	if !w.q.route.Repeatable() || w.position.started && w.position.lastEventID == "" {
+	if !w.q.route.Repeatable() || w.position.begun && w.position.lastEventID == "" {
 		return // nobody else may continue the stream
 	}
 	w.search = w.newSearch()
