relay: a request that its endpoint does not read in time is not written after the bound

What callers saw: answers from superseded weights. An endpoint that read nothing for a while, for instance because its machine was frozen, got the rest of a request after the time by which it must have begun, and could begin it before it noticed that the connection was closed.

Cause: the write of a request was limited by the deadline of the request only, and the limit for its begin was set after the write.

Change: the write is limited by the bound as well.

TestRequestIsNotWrittenAfterBound/short failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
@@ -128,20 +129,21 @@
 func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding) error {
 	head := q.encodeHead(h.protocol, f)
 	a.conn.recordID(q.call.ID)
-	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
+	if err := a.conn.SetWriteDeadline(h.writeDeadline(q)); err != nil {
 		return errors.Join(errNotSent, err)
 	}
 	first := head
 	if len(q.body) <= maxInlineBody {
 		first = append(head, q.body...)
 	}
-	if n, err := a.conn.Write(first); err != nil {
-		if n == 0 {
-			return errors.Join(errNotSent, err)
-		}
-		return errors.Join(errConnectionBroken, err)
+	n, err := a.conn.Write(first)
+	if err != nil {
+		return h.writeError(q, n, err)
 	}
 	if len(q.body) > maxInlineBody {
+		if err := a.conn.SetWriteDeadline(q.deadline); err != nil { // the reads are limited from now on
+			return errors.Join(errConnectionBroken, err)
+		}
 		a.bodyWritten = make(chan error, 1)
 		go func() {
 			_, err := a.conn.Write(q.body)
@@ -154,6 +156,20 @@
 	return a.readHead(h, q)
 }
 
+// writeError returns the error of an attempt whose request was written up to its byte n.
+func (h *handler) writeError(q *request, n int, err error) error {
+	tooLate := errors.Is(err, os.ErrDeadlineExceeded) && h.beginsTooLate(q, time.Now())
+	switch {
+	case tooLate && n == 0:
+		return errors.Join(errOldWeights, err)
+	case tooLate:
+		return errors.Join(errReadTimeout, err)
+	case n == 0:
+		return errors.Join(errNotSent, err)
+	}
+	return errors.Join(errConnectionBroken, err)
+}
+
 // awaitBegin limits the reads up to the first event of the answer.
 func (a *attempt) awaitBegin(h *handler, q *request) error {
 	return a.conn.setReadDeadline(h.beginDeadline(q, time.Now()), func() (time.Time, bool) {
--- a/internal/relay/superseded_weights_test.go
+++ b/internal/relay/superseded_weights_test.go
@@ -153,3 +153,33 @@
 		})
 	}
 }
+
+// Guards against requests that reach an endpoint with superseded weights when they must have begun
+// there, because the endpoint has not read them before.
+func TestRequestIsNotWrittenAfterBound(t *testing.T) {
+	for name, body := range map[string]string{"short": "order", "long": strings.Repeat("x", 2*maxInlineBody)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var received atomic.Int32
+				h, _ := newWeightsEntry(longDocument(), []placement.Endpoint{{ID: "old", Zone: "near", WeightsVersion: 1}, {ID: "new", Zone: "far", WeightsVersion: 2}},
+					map[string]func(net.Conn){"new": newestWeights, "old": func(conn net.Conn) {
+						defer func() { _ = conn.Close() }()
+						time.Sleep(3 * time.Second)
+						if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+							if _, err := io.Copy(io.Discard, r.Body); err == nil {
+								received.Add(1)
+							}
+						}
+					}})
+				h.fleet = fixedState{table: h.fleet.Table(), supersededAt: time.Now()}
+				w := sendDirectly(h, "/safe/look", body, nil)
+				is.Equal(w.Code, http.StatusOK)
+				time.Sleep(10 * time.Second)
+				is.Equal(received.Load(), int32(0))
+				h.conns.prune(nil)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/relay/weights.go
+++ b/internal/relay/weights.go
@@ -63,6 +63,15 @@
 	return q.deadline
 }
 
+// writeDeadline returns the deadline for the write of a request: its own, or if it comes first the
+// time by which it must have begun.
+func (h *handler) writeDeadline(q *request) time.Time {
+	if since := h.supersededAt(q); !since.IsZero() && since.Add(h.beginBound).Before(q.deadline) {
+		return since.Add(h.beginBound)
+	}
+	return q.deadline
+}
+
 // beginDeadline returns the deadline for reads up to the first event of an answer: readDeadline, or
 // if it comes first the time by which the request must have begun, or has to be checked again.
 func (h *handler) beginDeadline(q *request, now time.Time) time.Time {
