relay: requests that state no model of their engines need the named weights too

What callers saw: answers from superseded weights, at any time after the bound, for requests without X-Model or with a model that the engines of the service do not have, if the engine serves them.

Cause: the versions that apply to a request were looked up by the model that it states, and none apply to a request without one.

Change: such a request runs on the first model of the engines of its service, which is the one that stagers load.

TestRequestsWithoutModelNeedNamedWeights failed before in two of three cases; the third is a request that states the model.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -265,12 +265,9 @@
 // bounds returns the times by which a request must have begun on weights that were
 // superseded recently.
 func (h *handler) bounds(q *request) []placement.WeightsBound {
-	if q.call.Model == "" {
-		return nil
-	}
 	var list []placement.WeightsBound
 	now := time.Now()
-	for _, w := range h.fleet.NamedWeights(q.call.Model) {
+	for _, w := range h.fleet.NamedWeights(q.model()) {
 		if by := w.Since.Add(h.beginBound); by.After(now) {
 			list = append(list, placement.WeightsBound{Version: w.Version, By: by})
 		}
@@ -281,10 +278,7 @@
 // requiredVersion returns the newest version of the weights of the request's model that
 // was named at least age ago, or zero for none.
 func (h *handler) requiredVersion(q *request, age time.Duration) uint64 {
-	if q.call.Model == "" {
-		return 0
-	}
-	return h.fleet.RequiredWeights(q.call.Model, age)
+	return h.fleet.RequiredWeights(q.model(), age)
 }
 
 // hasLeft reports whether this entry knows that an endpoint has left or will. It is asked right
--- a/internal/relay/request_log.go
+++ b/internal/relay/request_log.go
@@ -79,7 +79,7 @@
 	if r == nil || r.sentAt.IsZero() {
 		return
 	}
-	since := h.fleet.SupersededAt(q.call.Model, r.version)
+	since := h.fleet.SupersededAt(q.model(), r.version)
 	if since.IsZero() {
 		return
 	}
--- a/internal/relay/superseded_weights_test.go
+++ b/internal/relay/superseded_weights_test.go
@@ -183,3 +183,49 @@
 		})
 	}
 }
+
+// oneModel is a fleetState in which versions of the model m only are named.
+type oneModel struct{ fixedState }
+
+func (f oneModel) of(model string) fixedState {
+	if model != "m" {
+		return fixedState{}
+	}
+	return f.fixedState
+}
+
+func (f oneModel) RequiredWeights(model string, age time.Duration) uint64 {
+	return f.of(model).RequiredWeights(model, age)
+}
+
+func (f oneModel) SupersededAt(model string, version uint64) time.Time {
+	return f.of(model).SupersededAt(model, version)
+}
+
+func (f oneModel) NamedWeights(model string) []fleetclient.NamedVersion {
+	return f.of(model).NamedWeights(model)
+}
+
+// Guards against requests that are sent to superseded weights because they state no model, or none
+// that the engines of their service have.
+func TestRequestsWithoutModelNeedNamedWeights(t *testing.T) {
+	for _, model := range []string{"", "another", "m"} {
+		t.Run(model, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				document := longDocument()
+				document.Services[0].Engine = &routing.Engine{Models: []string{"m"}}
+				began := make(chan time.Duration, 1)
+				h, _ := newWeightsEntry(document, []placement.Endpoint{{ID: "old", Zone: "near", WeightsVersion: 1}, {ID: "new", Zone: "far", WeightsVersion: 2}},
+					map[string]func(net.Conn){"old": lateBegin(time.Millisecond, time.Second, began), "new": newestWeights})
+				h.fleet = oneModel{fixedState{table: h.fleet.Table(), required: 2, supersededAt: time.Now().Add(-time.Minute)}}
+				w := sendDirectly(h, "/safe/look", "", func(r *http.Request) { r.Header.Set("X-Model", model) })
+				synctest.Wait()
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(len(began), 0)
+				h.conns.prune(nil)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/relay/weights.go
+++ b/internal/relay/weights.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/placement"
@@ -20,6 +21,19 @@
 	sentAt                 time.Time // when its connection was open; zero before
 }
 
+// model returns the model on whose weights a request runs: the one that it states, or the first one
+// of the engines of its service if they have no such model.
+func (q *request) model() string {
+	if q.table == nil {
+		return q.call.Model
+	}
+	s := q.table.Service(q.service)
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 || slices.Contains(s.Engine.Models, q.call.Model) {
+		return q.call.Model
+	}
+	return s.Engine.Models[0]
+}
+
 // recordWeights records what this entry knows of the weights of an endpoint when a request is sent
 // to it.
 func (h *handler) recordWeights(q *request) {
@@ -37,7 +51,7 @@
 	if q.weights == nil || q.weights.version == 0 {
 		return time.Time{}
 	}
-	return h.fleet.SupersededAt(q.call.Model, q.weights.version)
+	return h.fleet.SupersededAt(q.model(), q.weights.version)
 }
 
 // sentTooLate reports whether a request may no longer be sent to the endpoint that was selected for
