--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
@@ -85,7 +86,8 @@
 		}
 		return nil, errors.Join(errNotSent, err)
 	}
-	if !q.sendBy.IsZero() && time.Now().After(q.sendBy) {
+	h.recordWeights(q)
+	if h.sentTooLate(q, time.Now()) {
 		h.conns.putUnused(a.key, conn)
 		return nil, errOldWeights
 	}
@@ -127,32 +129,58 @@
 func (a *attempt) exchange(h *handler, q *request, f protocol.Forwarding) error {
 	head := q.encodeHead(h.protocol, f)
 	a.conn.recordID(q.call.ID)
-	if err := a.conn.SetWriteDeadline(q.deadline); err != nil {
+	if err := a.conn.SetWriteDeadline(h.writeDeadline(q)); err != nil {
 		return errors.Join(errNotSent, err)
 	}
 	first := head
 	if len(q.body) <= maxInlineBody {
 		first = append(head, q.body...)
 	}
-	if n, err := a.conn.Write(first); err != nil {
-		if n == 0 {
-			return errors.Join(errNotSent, err)
-		}
-		return errors.Join(errConnectionBroken, err)
+	n, err := a.conn.Write(first)
+	if err != nil {
+		return h.writeError(q, n, err)
 	}
 	if len(q.body) > maxInlineBody {
+		if err := a.conn.SetWriteDeadline(q.deadline); err != nil { // the reads are limited from now on
+			return errors.Join(errConnectionBroken, err)
+		}
 		a.bodyWritten = make(chan error, 1)
 		go func() {
 			_, err := a.conn.Write(q.body)
 			a.bodyWritten <- err
 		}()
 	}
-	if err := a.conn.SetReadDeadline(q.readDeadline()); err != nil {
+	if err := a.awaitBegin(h, q); err != nil {
 		return errors.Join(errConnectionBroken, err)
 	}
 	return a.readHead(h, q)
 }
 
+// writeError returns the error of an attempt whose request was written up to its byte n.
+func (h *handler) writeError(q *request, n int, err error) error {
+	tooLate := errors.Is(err, os.ErrDeadlineExceeded) && h.beginsTooLate(q, time.Now())
+	switch {
+	case tooLate && n == 0:
+		return errors.Join(errOldWeights, err)
+	case tooLate:
+		return errors.Join(errReadTimeout, err)
+	case n == 0:
+		return errors.Join(errNotSent, err)
+	}
+	return errors.Join(errConnectionBroken, err)
+}
+
+// awaitBegin limits the reads up to the first event of the answer.
+func (a *attempt) awaitBegin(h *handler, q *request) error {
+	return a.conn.setReadDeadline(h.beginDeadline(q, time.Now()), func() (time.Time, bool) {
+		now := time.Now()
+		if end := q.readDeadline(); h.beginsTooLate(q, now) || !end.IsZero() && !now.Before(end) {
+			return time.Time{}, false
+		}
+		return h.beginDeadline(q, now), true
+	})
+}
+
 // readHead reads answers up to the one to this request and skips late answers to other
 // requests. An answer without a request ID is accepted only if it states that the
 // request did not run and is the first on its connection: later, it may repeat the
@@ -263,7 +291,7 @@
 
 // discardRefusal reads the body of a refusal, so that the connection can be reused.
 func (a *attempt) discardRefusal() error {
-	if err := a.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+	if err := a.conn.setReadDeadline(time.Now().Add(refusalBodyTimeout), nil); err != nil {
 		return errors.Join(errConnectionBroken, err)
 	}
 	_, err := a.readBody(maxBufferedAnswer)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -249,10 +249,7 @@
 	q.proven, q.unsent, q.silent = false, false, false
 	q.record.endpoint, q.record.predictedTTFT, q.record.load = choice.ID, choice.TTFT, choice.Load
 	q.record.incarnation = choice.Incarnation
-	q.beginBy, q.sendBy = time.Time{}, time.Time{}
-	if newer := h.fleet.SupersededAt(q.call.Model, choice.WeightsVersion); choice.WeightsVersion != 0 && !newer.IsZero() {
-		q.beginBy, q.sendBy = newer.Add(h.beginBound), newer.Add(h.weightsBound+maxSendDelay)
-	}
+	q.weights = &weightsRecord{version: choice.WeightsVersion}
 	return choice, nil
 }
 
@@ -268,12 +265,9 @@
 // bounds returns the times by which a request must have begun on weights that were
 // superseded recently.
 func (h *handler) bounds(q *request) []placement.WeightsBound {
-	if q.call.Model == "" {
-		return nil
-	}
 	var list []placement.WeightsBound
 	now := time.Now()
-	for _, w := range h.fleet.NamedWeights(q.call.Model) {
+	for _, w := range h.fleet.NamedWeights(q.model()) {
 		if by := w.Since.Add(h.beginBound); by.After(now) {
 			list = append(list, placement.WeightsBound{Version: w.Version, By: by})
 		}
@@ -284,10 +278,7 @@
 // requiredVersion returns the newest version of the weights of the request's model that
 // was named at least age ago, or zero for none.
 func (h *handler) requiredVersion(q *request, age time.Duration) uint64 {
-	if q.call.Model == "" {
-		return 0
-	}
-	return h.fleet.RequiredWeights(q.call.Model, age)
+	return h.fleet.RequiredWeights(q.model(), age)
 }
 
 // hasLeft reports whether this entry knows that an endpoint has left or will. It is asked right
@@ -405,7 +396,7 @@
 		return h.handleRequestEnd(q, c)
 	case errors.Is(err, errReadTimeout):
 		q.sends++
-		reason, attemptResult := q.readTimeoutResult()
+		reason, attemptResult := h.readTimeoutResult(q)
 		h.endSend(q, c, attemptResult, err)
 		return result{refusal: &refusal{status: http.StatusGatewayTimeout, reason: AnswerLost}}, reason
 	default:
@@ -473,6 +464,7 @@
 		"predicted_ms": c.TTFT.Milliseconds(), "running": c.Load.Running, "sends": q.sends,
 		"events": q.record.events, "silent_ms": q.silence(time.Now()).Milliseconds(), "version": c.WeightsVersion,
 	}
+	h.addWeights(fields, q)
 	if r == placement.Broken {
 		fields["in_prefill"], fields["crashed"] = inPrefill, crashed
 	}
@@ -521,7 +513,7 @@
 func (h *handler) relayBuffered(w http.ResponseWriter, q *request, c placement.Choice, a *attempt) (result, Reason) {
 	status := a.response.StatusCode
 	var body []byte
-	err := a.conn.SetReadDeadline(q.deadline) // the request has begun in time
+	err := a.conn.setReadDeadline(q.deadline, nil) // the request has begun in time
 	if err == nil {
 		body, err = a.readBody(maxBufferedAnswer)
 	}
