placement: engines with overdue first events get no requests on superseded weights

What callers saw: answers from superseded weights that began late, at endpoints that had stopped or become slow.

Cause: shortly before older weights are excluded, they are used only where the last first event was recent and on time. An endpoint that stopped counted as timely for another second after its last first event, and got more requests on superseded weights although those sent to it since were overdue.

Change: a request whose first event was expected after the last timely one, and is more than 300 ms overdue, makes its endpoint untimely. That is the lag at which a late event does so when it arrives. One that its entry does not report counts no longer once the endpoint begins others.

TestOlderWeightsNotWhereFirstEventsAreOverdue/overdue failed before.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -386,7 +386,7 @@
 			}
 			continue
 		case stepSend:
-			p.Begin(choice.ID, r.Prefill())
+			p.Begin(choice.ID, r.PrefillAt(choice, now))
 			q.inPrefill = true
 			if ready != nil {
 				d.wakeNext(p) // more than one slot may be free
@@ -429,7 +429,7 @@
 	switch {
 	case ok && p.response.Verdict == placement.Placed:
 		q.slot, q.inPrefill, c.PermitUntil = p.sequence, true, p.choice.PermitUntil
-		pool.Begin(c.ID, r.Prefill())
+		pool.Begin(c.ID, r.PrefillAt(*c, now))
 		return true
 	case ok:
 		d.countColdRefusal(q.service, p.response.Verdict)
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -390,10 +390,11 @@
 func (b *Broker) respond(a SlotResponse) { b.responses = append(b.responses, a) }
 
 func (b *Broker) grant(a SlotRequest, c Choice, now time.Time) {
-	b.pool.Begin(c.ID, a.Prefill())
+	work := a.PrefillAt(c, now)
+	b.pool.Begin(c.ID, work)
 	b.pool.TakePermit(c.ID, now)
 	b.addGrant(a.SlotRequestID, grant{
-		endpoint: c.ID, incarnation: c.Incarnation, prefill: a.Prefill(), inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, waited: now.Sub(a.receivedAt), sentAfter: now,
+		endpoint: c.ID, incarnation: c.Incarnation, prefill: work, inPrefill: true, priority: a.Priority, suspects: a.Suspects, grantedAt: now, waited: now.Sub(a.receivedAt), sentAfter: now,
 	})
 	b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: c, Waited: now.Sub(a.receivedAt), Late: a.Late})
 }
--- a/placement/lag_test.go
+++ b/placement/lag_test.go
@@ -57,3 +57,42 @@
 	choice, _ := p.Place(r, start)
 	is.Equal(choice.ID, "current")
 }
+
+// Guards against requests that are sent to older weights shortly before the bound at an endpoint
+// that has stopped: the last first event was on time, and those expected since have not come.
+func TestOlderWeightsNotWhereFirstEventsAreOverdue(t *testing.T) {
+	old, current := endpoint("old"), endpoint("current")
+	current.WeightsVersion, current.Draining = 2, true
+	soon := slotRequest("x", 9)
+	soon.SoftMinVersion = 2
+	for _, c := range []struct {
+		name string
+		end  func(b *placement.Broker, now time.Time) // of the request that is overdue
+		at   time.Duration
+		want placement.Verdict
+	}{
+		{"pending and not overdue", nil, 300 * time.Millisecond, placement.Placed},
+		{"overdue", nil, 600 * time.Millisecond, placement.NoEndpoint},
+		{"begun meanwhile", func(b *placement.Broker, now time.Time) { b.FirstEvent(slotRequest("x", 2).SlotRequestID, 0, now) }, 600 * time.Millisecond, placement.Placed},
+		{"ended meanwhile", func(b *placement.Broker, now time.Time) {
+			b.End(slotRequest("x", 2).SlotRequestID, placement.Neutral, now)
+		}, 600 * time.Millisecond, placement.Placed},
+		{"only the entry of the overdue one is silent", func(b *placement.Broker, now time.Time) {
+			b.RequestSlot(slotRequest("y", 1), now)
+			b.FirstEvent(slotRequest("y", 1).SlotRequestID, 0, now)
+		}, 600 * time.Millisecond, placement.Placed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := broker(old, current)
+			b.RequestSlot(slotRequest("x", 1), start)
+			b.FirstEvent(slotRequest("x", 1).SlotRequestID, 0, start)
+			b.RequestSlot(slotRequest("x", 2), start)
+			if c.end != nil {
+				c.end(b, start.Add(500*time.Millisecond))
+			}
+			b.RequestSlot(soon, start.Add(c.at))
+			is.Equal(verdicts(b.TakeResponses())[9], c.want)
+		})
+	}
+}
--- a/placement/obstacle.go
+++ b/placement/obstacle.go
@@ -31,7 +31,7 @@
 	// ObstacleNotNamed means that the request is for another endpoint only.
 	ObstacleNotNamed
 	// ObstacleUntimely means that older weights are about to be excluded, and that the endpoint has
-	// no recent first event that arrived as predicted.
+	// no recent first event that arrived as predicted, or an overdue one since.
 	ObstacleUntimely
 	// ObstaclePaused means that the endpoint has stated that it wants no requests.
 	ObstaclePaused
@@ -141,7 +141,7 @@
 		return o
 	}
 	switch {
-	case s.WeightsVersion < r.SoftMinVersion && !s.lag.timely(now):
+	case s.WeightsVersion < r.SoftMinVersion && !s.timely(now):
 		return ObstacleUntimely
 	case p.Paused(s.ID, s.Incarnation, now):
 		return ObstaclePaused
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -106,6 +106,8 @@
 	Due time.Time
 	// Priority is the rank of the request, 0 the highest.
 	Priority int
+	// ExpectedBy is when the first event is predicted to arrive; zero if it is unknown.
+	ExpectedBy time.Time
 }
 
 // Prefill returns the prefill work of the request.
@@ -113,6 +115,13 @@
 	return Prefill{PromptTokens: r.PromptTokens, Due: r.Due, Priority: r.Priority}
 }
 
+// PrefillAt returns the prefill work of the request at the endpoint that is selected for it now.
+func (r Request) PrefillAt(c Choice, now time.Time) Prefill {
+	w := r.Prefill()
+	w.ExpectedBy = now.Add(c.TTFT)
+	return w
+}
+
 // Config configures a Pool. The zero value of a field takes its default.
 type Config struct {
 	// Slots is the number of slots of an endpoint if neither it nor its engine states
@@ -530,14 +539,29 @@
 	}
 }
 
-// prefillDone removes the prefill of one request from the pending ones.
+// prefillDone removes the prefill of one request from the pending ones. If it does not state when
+// its first event was expected, it is the oldest one of its kind.
 func (s *endpointState) prefillDone(w Prefill) {
 	s.placed.PrefillTokens = max(0, s.placed.PrefillTokens-w.PromptTokens)
-	if i := slices.Index(s.inPrefill, w); i >= 0 {
+	i := slices.IndexFunc(s.inPrefill, func(p Prefill) bool {
+		if w.ExpectedBy.IsZero() {
+			p.ExpectedBy = time.Time{}
+		}
+		return p == w
+	})
+	if i >= 0 {
 		s.inPrefill = slices.Delete(s.inPrefill, i, i+1)
 	}
 }
 
+// timely reports whether the last first event was recent and on time, and no other one that was
+// expected since is overdue.
+func (s *endpointState) timely(now time.Time) bool {
+	return s.lag.timely(now) && !slices.ContainsFunc(s.inPrefill, func(w Prefill) bool {
+		return w.ExpectedBy.After(s.lag.timelyAt) && now.Sub(w.ExpectedBy) > timelyMaxLag
+	})
+}
+
 // RecordLag records by how much a first event arrived later than modelled.
 func (p *Pool) RecordLag(id string, late time.Duration, now time.Time) {
 	if s := p.endpoints[id]; s != nil {
