fleetclient, control: entries ask for the age of weights that they learn of

What callers saw: answers from superseded weights up to some seconds after the bound, from an entry that learned of the newer version late: it or its links stood still while the version was named.

Cause: the age of a version in a message is that at the time when the message was encoded, and was counted from when the message was received. What was named while all messages to an entry were delayed by 3 s was superseded 3 s late. A session survives about as long.

Change: an entry that learns of a version asks the replica for the named versions and their ages (new messages weights_request and weights), and counts these from its request.

--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -50,6 +50,8 @@
 		handleMessage(d, s, env, func(m wire.Share) { d.receiveShare(s, m) })
 	case wire.TypeRoutingRequest:
 		handleMessage(d, s, env, func(m wire.RoutingRequest) { d.receiveRoutingRequest(ctx, s, env, m) })
+	case wire.TypeWeightsRequest:
+		_ = s.Reply(env, d.fleet.Weights(time.Now())) // a failed send ends the session
 	case wire.TypePropose:
 		handleMessage(d, s, env, func(m wire.Propose) { d.receiveProposal(ctx, s, env, m) })
 	default:
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -209,28 +209,32 @@
 	return c.self
 }
 
-func (c *Client) receive(address string, env wire.Envelope) {
+// receive handles a message and reports whether it names weights that were not known before.
+func (c *Client) receive(address string, env wire.Envelope) (newWeights bool) {
 	switch env.Type {
 	case wire.TypeFleet:
 		var m wire.Fleet
 		if err := env.Into(&m); err != nil {
 			c.cfg.Log.WithError(err).WithField("replica", address).Warn("message_malformed")
-			return
+			return false
 		}
-		c.receiveFleet(address, m)
+		return c.receiveFleet(address, m)
 	case wire.TypeServers:
 		var m wire.Servers
 		if err := env.Into(&m); err != nil {
 			c.cfg.Log.WithError(err).WithField("replica", address).Warn("message_malformed")
-			return
+			return false
 		}
 		c.receiveServers(address, m)
 	}
+	return false
 }
 
-func (c *Client) receiveFleet(address string, m wire.Fleet) {
+// receiveFleet reports whether a message names weights that were not known before.
+func (c *Client) receiveFleet(address string, m wire.Fleet) (newWeights bool) {
 	now := time.Now()
 	c.mu.Lock()
+	newWeights = !c.knowsWeights(m)
 	for _, r := range m.Replicas {
 		c.addReplica(r, now)
 	}
@@ -253,6 +257,7 @@
 	}
 	c.mu.Unlock()
 	c.notifyChange()
+	return newWeights
 }
 
 func (c *Client) receiveServers(address string, m wire.Servers) {
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -33,9 +33,11 @@
 	TypeRouting        Type = 21
 	TypeShare          Type = 22
 	TypeShareAck       Type = 23
+	TypeWeightsRequest Type = 24
+	TypeWeights        Type = 25
 
 	// TypeCount is one more than the highest type.
-	TypeCount = 24
+	TypeCount = 26
 )
 
 var typeNames = [TypeCount]string{
@@ -44,6 +46,7 @@
 	TypePropose: "propose", TypeProposeReply: "propose_reply", TypeHaveRequest: "have_request", TypeHave: "have",
 	TypeSubscribe: "subscribe", TypeAnnounceReply: "announce_reply", TypeFollowLoads: "follow_loads", TypeLoads: "loads", TypeKeepAlive: "keep_alive",
 	TypeProcess: "process", TypeFleet: "fleet", TypeServers: "servers", TypeRoutingRequest: "routing_request", TypeRouting: "routing", TypeShare: "share", TypeShareAck: "share_ack",
+	TypeWeightsRequest: "weights_request", TypeWeights: "weights",
 }
 
 // String returns the name of the message type, or "unknown".
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -293,3 +293,17 @@
 
 // MessageType implements Message.
 func (Routing) MessageType() Type { return TypeRouting }
+
+// WeightsRequest asks for the named weights with their ages at the time of the reply.
+type WeightsRequest struct{}
+
+// MessageType implements Message.
+func (WeightsRequest) MessageType() Type { return TypeWeightsRequest }
+
+// Weights is the reply to a WeightsRequest.
+type Weights struct {
+	Named []NamedWeights `cbor:"1,keyasint,omitempty"`
+}
+
+// MessageType implements Message.
+func (Weights) MessageType() Type { return TypeWeights }
