ledger, fleetclient: keep the time of weights in use across bursts of versions

Processes refused all requests for up to 8 s after more than 64 versions were named within seconds. When the list of versions was full, the oldest one was dropped and passed its time on to the next one. Processes that started got the same from the ledger.

A full list now drops the oldest version only if the next one was named more than five minutes before the newest one. Otherwise it drops the version named the shortest time before the next one, outside of the newest 50. A version that a full list lacks only passes on its time, since it would be dropped again.

Both tests of bursts fail on: "version 1 was superseded at 301000 ms, the ledger has 1000 ms", "superseded 64ms ago, known as 24h0m0s ago".

--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -137,10 +137,39 @@
 	for version := range uint64(100) {
 		record(version+12, time.Duration(100-version)*time.Millisecond)
 	}
-	is.Equal(len(c.NamedWeights("m")), maxNamedVersions)
+	is.Equal(len(c.NamedWeights("m")), wire.MaxNamedWeights)
 	is.Equal(c.SupersededAt("m", 1), now.Add(-wire.WeightsRetention-10*time.Second))
 	is.Equal(c.SupersededAt("m", 110), now.Add(-time.Millisecond))
 	record(11, wire.WeightsRetention+20*time.Second) // a replica that is behind
-	is.Equal(len(c.NamedWeights("m")), maxNamedVersions)
+	is.Equal(len(c.NamedWeights("m")), wire.MaxNamedWeights)
 	is.Equal(c.SupersededAt("m", 1), now.Add(-wire.WeightsRetention-20*time.Second))
 }
+
+// Guards against weights in use that count as long superseded, so that no request is sent, because many versions followed within seconds.
+func TestWeightsInUseOutliveBursts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := testClient()
+		now := time.Now()
+		count := rapid.IntRange(1, 400).Draw(t, "versions")
+		gap := time.Duration(rapid.IntRange(1, 7_000/count).Draw(t, "gap ms")) * time.Millisecond
+		first := now.Add(-time.Duration(count) * gap)
+		record := func(version uint64, at time.Time) {
+			c.recordWeights(wire.NamedWeights{Model: "m", Version: version}, at, "a")
+		}
+		for range 2 { // a second message repeats the list
+			record(2, now.Add(-24*time.Hour))
+			for i := range count {
+				record(uint64(i+3), first.Add(time.Duration(i)*gap))
+			}
+			if got := c.SupersededAt("m", 2); !got.Equal(first) {
+				t.Fatalf("version 2 was superseded %v ago, known as %v ago", now.Sub(first), now.Sub(got))
+			}
+			if n := len(c.NamedWeights("m")); n > wire.MaxNamedWeights {
+				t.Fatalf("%d versions are kept", n)
+			}
+			if c.RequiredWeights("m", 8*time.Second) != 2 {
+				t.Fatal("a version that was just named is required")
+			}
+		}
+	})
+}
--- a/internal/fleetclient/weights.go
+++ b/internal/fleetclient/weights.go
@@ -25,8 +25,8 @@
 		return
 	}
 	now := time.Now()
-	if at == 0 && len(held) > 0 && (len(held) == maxNamedVersions || now.Sub(held[0].Since) >= wire.WeightsRetention) {
-		held[0].Since = earlier(held[0].Since, since) // the version was dropped, or would be
+	if at < len(held) && len(held) == wire.MaxNamedWeights || at == 0 && len(held) > 0 && now.Sub(held[0].Since) >= wire.WeightsRetention {
+		held[at].Since = earlier(held[at].Since, since) // the version was dropped, or would be
 		return
 	}
 	held = forgetSuperseded(slices.Insert(held, at, NamedVersion{w.Version, since}), now)
@@ -35,12 +35,20 @@
 }
 
 // forgetSuperseded drops the oldest of a list of versions once the next one has been named for
-// wire.WeightsRetention, or if there are too many. The next one is then known since the dropped
-// one was named, which is when the weights before it were superseded.
+// wire.WeightsRetention, and others if there are too many. The next one is then known since the
+// dropped one was named, which is when the weights before it were superseded.
 func forgetSuperseded(list []NamedVersion, now time.Time) []NamedVersion {
-	for len(list) > 1 && (len(list) > maxNamedVersions || now.Sub(list[1].Since) >= wire.WeightsRetention) {
-		list[1].Since = earlier(list[0].Since, list[1].Since)
-		list = list[1:]
+	for len(list) > 1 {
+		drop := 0
+		switch {
+		case now.Sub(list[1].Since) >= wire.WeightsRetention:
+		case len(list) > wire.MaxNamedWeights:
+			drop = wire.WeightsToDrop(len(list), func(i int) time.Duration { return list[i].Since.Sub(now) })
+		default:
+			return list
+		}
+		list[drop+1].Since = earlier(list[drop].Since, list[drop+1].Since)
+		list = slices.Delete(list, drop, drop+1)
 	}
 	return list
 }
@@ -56,9 +64,6 @@
 // replicas differ by less.
 const minLoggedCorrection = 100 * time.Millisecond
 
-// maxNamedVersions limits the named versions that are kept per model.
-const maxNamedVersions = 64
-
 // NewestWeights returns the newest named version of a model's weights, or zero if none
 // has been named.
 func (c *Client) NewestWeights(model string) uint64 {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -216,6 +216,34 @@
 // superseded weights.
 const WeightsRetention = 5 * time.Minute
 
+const (
+	// MaxNamedWeights is the number of versions of a model's weights that the ledger and
+	// processes keep.
+	MaxNamedWeights = 64
+	// exactNamedWeights is the number of newest versions that are not dropped.
+	exactNamedWeights = 50
+)
+
+// WeightsToDrop returns which version of a list of more than MaxNamedWeights is to be dropped. The
+// next version then counts as named when the dropped one was. named returns when a version was
+// named, oldest version first, as the time since any fixed point.
+//
+// The oldest version is dropped if the next one was named WeightsRetention before the newest one,
+// otherwise the one that was named the shortest time before the next one: it may be in use, and
+// seems to be superseded earlier by that time.
+func WeightsToDrop(count int, named func(int) time.Duration) int {
+	if named(count-1)-named(1) >= WeightsRetention {
+		return 0
+	}
+	drop := 0
+	for i := range count - 1 - exactNamedWeights {
+		if named(i+1)-named(i) < named(drop+1)-named(drop) {
+			drop = i
+		}
+	}
+	return drop
+}
+
 // NamedWeights is a version of a model's weights that the engines must load.
 type NamedWeights struct {
 	Model   string `cbor:"1,keyasint"`
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 	"github.com/rhubarbhill/rhubarbhill/release"
@@ -119,23 +120,20 @@
 		return result
 	}
 	next := append(slices.Clone(held), WeightsVersion{n.Version, l.nowMs})
-	if len(next) > maxWeightsVersions {
+	if len(next) > wire.MaxNamedWeights {
+		drop := wire.WeightsToDrop(len(next), func(i int) time.Duration { return time.Duration(next[i].AtMs) * time.Millisecond })
 		// The weights before the dropped version were superseded when it was set.
-		next[1].AtMs = next[0].AtMs
-		next = next[1:]
+		next[drop+1].AtMs = next[drop].AtMs
+		next = slices.Delete(next, drop, drop+1)
 	}
 	l.weights = maps.Clone(l.weights)
 	l.weights[n.Model] = next
 	return result
 }
 
-// maxWeightsVersions is the number of versions kept per model. Processes that start need
-// every version that superseded another one within the bound of their settings.
-const maxWeightsVersions = 64
-
 // WeightsVersion is a weights version and the ledger's time when it was set, in
-// Unix milliseconds. For the oldest version kept, that is the time of the earliest
-// version that was dropped.
+// Unix milliseconds. After versions that were dropped, that is the time of the earliest
+// of them.
 type WeightsVersion struct {
 	Version uint64 `cbor:"1,keyasint"`
 	AtMs    int64  `cbor:"2,keyasint"`
--- a/ledger/routing_test.go
+++ b/ledger/routing_test.go
@@ -84,3 +84,32 @@
 		}
 	})
 }
+
+// Guards against weights in use that count as long superseded at processes that start, because many versions followed within seconds.
+func TestWeightsInUseOutliveBursts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		now := int64(1_000)
+		set := func(version uint64) {
+			l.Apply(Command{AtMs: now, Weights: &SetWeightsVersion{Model: "m", Version: version}})
+		}
+		older := rapid.IntRange(1, 100).Draw(t, "older versions")
+		for version := range uint64(older) {
+			set(version + 1)
+			now += int64(rapid.IntRange(300_000, 86_400_000).Draw(t, "gap ms"))
+		}
+		used, first := uint64(older), now
+		for i := range uint64(rapid.IntRange(1, 400).Draw(t, "versions")) {
+			set(used + i + 1)
+			now += int64(rapid.IntRange(0, 20).Draw(t, "gap ms"))
+		}
+		list := l.Weights()["m"]
+		at := slices.IndexFunc(list, func(w WeightsVersion) bool { return w.Version > used })
+		if list[at].AtMs != first {
+			t.Fatalf("version %d was superseded at %d ms, the ledger has %d ms", used, first, list[at].AtMs)
+		}
+		if len(list) > 64 {
+			t.Fatalf("%d versions are kept", len(list))
+		}
+	})
+}
