fleetclient: ask for ages until a replica replies without delay, whichever session is open

The request for the ages was made once per message on the session that brought it; when that session was lost, or all replies were slow, the age stayed as it was, since no later message names a new version. It is now due until any replica has replied within 200 ms; after eight rounds of slow replies the fastest one counts, which takes versions for older by its round trip. A suspension is added to the ages before versions are recorded that were named after it.

--- a/internal/fleetclient/ages_test.go
+++ b/internal/fleetclient/ages_test.go
@@ -16,13 +16,14 @@
 	named time.Time     // when version 2 was named
 	there time.Duration // of the first request
 	back  time.Duration // of the first reply
+	slow  bool          // all are as slow as the first ones
 	asked int
 	err   error
 }
 
 func (r *slowReplica) Request(_ context.Context, _ wire.Message, out any) error {
 	there, back := r.there, r.back
-	if r.asked++; r.asked > 1 {
+	if r.asked++; r.asked > 1 && !r.slow {
 		there, back = time.Millisecond, time.Millisecond
 	}
 	time.Sleep(there)
@@ -31,6 +32,8 @@
 	return r.err
 }
 
+func (r *slowReplica) Peer() string { return "replica-1" }
+
 // Guards against requests that begin on superseded weights because the message that named the newer
 // version was delayed, or that are refused early because a request for its age was.
 func TestAgeOfWeightsInDelayedMessage(t *testing.T) {
@@ -45,6 +48,7 @@
 		"delayed message":               {3 * time.Second, slowReplica{there: time.Millisecond}, 1, 2 * time.Millisecond, 0},
 		"delayed request":               {3 * time.Second, slowReplica{there: 2 * time.Second}, 2, 2 * time.Millisecond, 0},
 		"delayed reply":                 {3 * time.Second, slowReplica{back: 2 * time.Second}, 2, 2 * time.Millisecond, 0},
+		"only delayed requests":         {3 * time.Second, slowReplica{there: 500 * time.Millisecond, slow: true}, maxSlowAgeRounds, 500 * time.Millisecond, 0},
 		"replica of an earlier version": {3 * time.Second, slowReplica{err: wire.Error{Code: "unsupported"}}, 1, 0, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -58,10 +62,13 @@
 				is.NoErr(err)
 				time.Sleep(c.delay)
 				env := wire.Envelope{Type: wire.TypeFleet, Body: body}
-				client.handle(t.Context(), "replica-1", &replica, env)
-				time.Sleep(5 * time.Second)
-				client.handle(t.Context(), "replica-1", &replica, env) // nothing new
-				synctest.Wait()
+				for range 2 { // the second message has nothing new
+					client.receive("replica-1", env)
+					for client.ages.due {
+						client.ages.due = !client.requestAgesFrom(t.Context(), []requester{&replica})
+						time.Sleep(ageRequestInterval)
+					}
+				}
 				is.Equal(replica.asked, c.asked)
 				since := client.SupersededAt("m", 1)
 				is.True(!since.Before(replica.named.Add(-c.early)))
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -93,8 +93,9 @@
 	serverView       *membership.View[wire.Server]
 	seenServers      map[string]seenServer // servers reported now or recently, by identifier
 	departed         map[string]departure  // servers that deregistered, by identifier
-	wake             chan struct{}         // signals a newer routing version
+	wake             chan struct{}         // signals a newer routing version or weights
 	suspended        time.Duration         // total that the ages account for
+	ages             agesRequest
 	evacuations      evacuations
 	firstRouting     firstRouting
 }
@@ -154,6 +155,7 @@
 			return
 		case <-c.wake:
 			c.fetchRouting(ctx, &wg)
+			c.requestAges(ctx, &wg)
 		case now := <-ticker.C:
 			c.tick(ctx, now, &wg)
 		}
@@ -172,6 +174,7 @@
 		c.notifyChange()
 	}
 	c.fetchRouting(ctx, wg)
+	c.requestAges(ctx, wg)
 }
 
 func (c *Client) notifyChange() {
@@ -209,32 +212,29 @@
 	return c.self
 }
 
-// receive handles a message and reports whether it names weights that were not known before.
-func (c *Client) receive(address string, env wire.Envelope) (newWeights bool) {
+func (c *Client) receive(address string, env wire.Envelope) {
 	switch env.Type {
 	case wire.TypeFleet:
 		var m wire.Fleet
 		if err := env.Into(&m); err != nil {
 			c.cfg.Log.WithError(err).WithField("replica", address).Warn("message_malformed")
-			return false
+			return
 		}
-		return c.receiveFleet(address, m)
+		c.receiveFleet(address, m)
 	case wire.TypeServers:
 		var m wire.Servers
 		if err := env.Into(&m); err != nil {
 			c.cfg.Log.WithError(err).WithField("replica", address).Warn("message_malformed")
-			return false
+			return
 		}
 		c.receiveServers(address, m)
 	}
-	return false
 }
 
-// receiveFleet reports whether a message names weights that were not known before.
-func (c *Client) receiveFleet(address string, m wire.Fleet) (newWeights bool) {
+func (c *Client) receiveFleet(address string, m wire.Fleet) {
 	now := time.Now()
 	c.mu.Lock()
-	newWeights = !c.knowsWeights(m)
+	c.correctAges() // before versions are added that were named after a suspension
 	for _, r := range m.Replicas {
 		c.addReplica(r, now)
 	}
@@ -245,19 +245,27 @@
 	c.firstRouting.observe(m.RoutingVersion, m.Leaderless, now)
 	if m.RoutingVersion > c.announcedVersion {
 		c.announcedVersion = m.RoutingVersion
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.signalWake()
 	}
 	c.recordEvacuations(m, address)
 	c.updateProcesses(address, m)
 	for _, w := range m.Weights {
-		c.recordWeights(w, now.Add(-time.Duration(w.AgeMs)*time.Millisecond), address)
+		isNew := c.recordWeights(w, now.Add(-time.Duration(w.AgeMs)*time.Millisecond), address)
+		if isNew && c.self.Role == wire.RoleEntry {
+			c.ages.due = true
+			c.signalWake()
+		}
 	}
 	c.mu.Unlock()
 	c.notifyChange()
-	return newWeights
+}
+
+// signalWake wakes Run. It does not block.
+func (c *Client) signalWake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (c *Client) receiveServers(address string, m wire.Servers) {
--- a/internal/fleetclient/replicas.go
+++ b/internal/fleetclient/replicas.go
@@ -237,7 +237,7 @@
 func (c *Client) dialer(address string) *transport.Dialer {
 	return &transport.Dialer{
 		Address: address, Token: c.cfg.Token, Network: c.cfg.Network,
-		Handler:   func(ctx context.Context, s *transport.Session, env wire.Envelope) { c.handle(ctx, address, s, env) },
+		Handler:   func(_ context.Context, _ *transport.Session, env wire.Envelope) { c.receive(address, env) },
 		OnOpen:    func(s *transport.Session) { c.sessionOpened(address, s) },
 		OnFailure: func(err error) { c.sessionLost(address, err) },
 	}
--- a/internal/fleetclient/weights.go
+++ b/internal/fleetclient/weights.go
@@ -10,9 +10,9 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/wire"
 )
 
-// recordWeights records a named version. A restarted replica reports a shorter age than
-// the others, so the earliest time is kept. The caller holds mu.
-func (c *Client) recordWeights(w wire.NamedWeights, since time.Time, replica string) {
+// recordWeights records a named version and reports whether it was not known before. A restarted
+// replica reports a shorter age than the others, so the earliest time is kept. The caller holds mu.
+func (c *Client) recordWeights(w wire.NamedWeights, since time.Time, replica string) bool {
 	held := c.weights[w.Model]
 	at, known := slices.BinarySearchFunc(held, w.Version, func(h NamedVersion, v uint64) int { return cmp.Compare(h.Version, v) })
 	fields := log.Fields{"model": w.Model, "version": w.Version, "age_ms": w.AgeMs, "replica": replica}
@@ -22,16 +22,17 @@
 		if correction >= minLoggedCorrection {
 			c.cfg.Log.WithFields(fields).WithField("earlier_ms", correction.Milliseconds()).Info("weights_age_corrected")
 		}
-		return
+		return false
 	}
 	now := time.Now()
 	if at < len(held) && len(held) == wire.MaxNamedWeights || at == 0 && len(held) > 0 && now.Sub(held[0].Since) >= wire.WeightsRetention {
 		held[at].Since = earlier(held[at].Since, since) // the version was dropped, or would be
-		return
+		return false
 	}
 	held = forgetSuperseded(slices.Insert(held, at, NamedVersion{w.Version, since}), now)
 	c.weights[w.Model] = held
 	c.cfg.Log.WithFields(fields).WithField("oldest", held[0].Version).Info("weights_learned")
+	return true
 }
 
 // forgetSuperseded drops the oldest of a list of versions once the next one has been named for
