relay, placement: requests are not sent to engines whose weights are not known

What callers saw: answers from superseded weights, of any age, from an engine that had just restarted.

Cause: a request states the version on which it may run, and an engine that holds another one refuses it. If no version was known of the selected engine, the request stated none, had no bound, and ran on whatever the engine had loaded. An entry got such an engine from a broker that was asked again for the same request, after its response was lost and the engine had restarted: the broker repeats its choice. An entry that places by itself got one while its pool did not know yet that the service has engines.

Change: a broker selects again if the endpoint has restarted, and entries send nothing to an engine without a known version.

TestRepeatedRequestGetsNoSlotOfRestartedEndpoint and TestRequestsAreNotSentWithoutVersion failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -24,9 +24,9 @@
 	// errReadTimeout means that no byte arrived before the read deadline.
 	errReadTimeout = errors.New("endpoint is silent")
 	// errOldWeights means that the request was not sent because the weights of the
-	// endpoint may no longer be used: opening the connection took too long, or this
-	// process was paused after the endpoint was selected.
-	errOldWeights = errors.New("weights of the endpoint are superseded")
+	// endpoint may no longer be used: opening the connection took too long, this process was
+	// paused after the endpoint was selected, or it is not known which weights an engine has.
+	errOldWeights = errors.New("weights of the endpoint are superseded or unknown")
 	// errEndpointLeft means that the request was not sent because the endpoint has left, or
 	// has announced that it will. A broker that is cut off grants the slots of such endpoints.
 	errEndpointLeft = errors.New("endpoint has left the fleet")
@@ -87,7 +87,7 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	h.recordWeights(q)
-	if h.sentTooLate(q, time.Now()) {
+	if h.mustNotRun(q, time.Now()) {
 		h.conns.putUnused(a.key, conn)
 		return nil, errOldWeights
 	}
--- a/internal/relay/superseded_weights_test.go
+++ b/internal/relay/superseded_weights_test.go
@@ -229,3 +229,22 @@
 		})
 	}
 }
+
+// Guards against requests to engines whose weights are not known: they would run on any version.
+func TestRequestsAreNotSentWithoutVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		document := longDocument()
+		document.Services[0].Engine = &routing.Engine{Models: []string{"m"}}
+		began := make(chan time.Duration, 1)
+		// The pool does not know yet that the service has engines.
+		h, _ := newWeightsEntry(document, []placement.Endpoint{{ID: "unknown", Zone: "near"}, {ID: "new", Zone: "far", WeightsVersion: 2}},
+			map[string]func(net.Conn){"unknown": lateBegin(time.Millisecond, time.Second, began), "new": newestWeights})
+		w := sendDirectly(h, "/safe/look", "", nil)
+		synctest.Wait()
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(len(began), 0)
+		h.conns.prune(nil)
+		synctest.Wait()
+	})
+}
--- a/internal/relay/weights.go
+++ b/internal/relay/weights.go
@@ -54,9 +54,13 @@
 	return h.fleet.SupersededAt(q.model(), q.weights.version)
 }
 
-// sentTooLate reports whether a request may no longer be sent to the endpoint that was selected for
-// it, because of its weights.
-func (h *handler) sentTooLate(q *request, now time.Time) bool {
+// mustNotRun reports whether a request may not be sent to the endpoint that was selected for it,
+// because its weights are superseded, or not known although it is an engine.
+func (h *handler) mustNotRun(q *request, now time.Time) bool {
+	if q.weights != nil && q.weights.version == 0 {
+		s := q.table.Service(q.service)
+		return s != nil && s.Engine != nil
+	}
 	since := h.supersededAt(q)
 	return !since.IsZero() && now.After(since.Add(h.weightsBound+maxSendDelay))
 }
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -161,15 +161,20 @@
 }
 
 // RequestSlot handles a request for a slot. A repeated request gets the slot that it was
-// granted before, or stays queued.
+// granted before, unless the endpoint has restarted since, or stays queued.
 func (b *Broker) RequestSlot(a SlotRequest, now time.Time) {
 	b.lastSeen[a.Entry] = now
 	b.minVersion = max(b.minVersion, a.MinVersion)
 	if g, ok := b.grants[a.SlotRequestID]; ok {
-		if s := b.pool.endpoints[g.endpoint]; s != nil {
+		s := b.pool.endpoints[g.endpoint]
+		if s == nil {
+			return
+		}
+		if s.Incarnation == g.incarnation {
 			b.respond(SlotResponse{RequestID: a.SlotRequestID, Verdict: Placed, Choice: b.pool.choice(s, a.PromptTokens, now), Waited: g.waited})
+			return
 		}
-		return
+		b.release(a.SlotRequestID, Neutral, now)
 	}
 	queued := func(w queuedRequest) bool { return w.SlotRequestID == a.SlotRequestID }
 	if slices.ContainsFunc(b.queue.waiting, queued) || slices.ContainsFunc(b.suspects, queued) {
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -511,3 +511,22 @@
 	b.End(placement.SlotRequestID{Entry: "y", Sequence: 100}, placement.Success, start.Add(20*time.Millisecond))
 	is.Equal(b.Summary(start.Add(20*time.Millisecond)).FreeSlots, 16)
 }
+
+// Guards against a request that is sent to an engine that has restarted, whose weights nobody knows
+// yet, because the response for its earlier process was lost.
+func TestRepeatedRequestGetsNoSlotOfRestartedEndpoint(t *testing.T) {
+	is := is.New(t)
+	restarted, other := endpoint("e"), endpoint("f")
+	b := broker(restarted)
+	b.RequestSlot(slotRequest("x", 1), start)
+	restarted.Incarnation, restarted.WeightsVersion = 2, 0
+	b.Update(engine, []placement.Endpoint{restarted, other}, start)
+	b.RequestSlot(slotRequest("x", 1), start)
+	answers := b.TakeResponses()
+	is.Equal(len(answers), 2)
+	is.Equal(answers[0].Choice.ID, "e")
+	is.Equal(answers[1].Verdict, placement.Placed)
+	is.Equal(answers[1].Choice.ID, "f")
+	_, granted := b.Counts()
+	is.Equal(granted, 1)
+}
