placement, relay: the limit on untimely engines holds for requests that were queued before

What callers saw: answers from superseded weights that began late. A request that waited in a broker's queue, or at its entry, while the last 3 s before the bound began, was granted superseded weights at an engine without a recent first event. A resumed or late request waits up to 1.2 s.

Cause: the version that engines must have unless their first events are timely was computed when the request arrived. Only the bound itself was checked again at the grant.

Change: a request for a place states from when on further versions count as such, as it does for the bound. The new field soft_bounds of the message (22) is ignored by brokers of an earlier version.

TestSoftBoundAppliesToQueuedRequests/while_it_is_queued fails without the check.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -257,18 +257,19 @@
 func (h *handler) placementRequest(q *request, preferred uint64, suspicion quarantine.PartVerdict) placement.Request {
 	version, softVersion := h.requiredVersion(q, h.weightsBound), h.requiredVersion(q, h.softWeightsBound)
 	r := q.placementRequest(h.zone, version, softVersion, preferred)
-	r.Bounds, r.Regions = h.bounds(q), h.allowedRegions(q)
+	now := time.Now()
+	r.Bounds, r.SoftBounds = h.weightsBounds(q, h.beginBound, now), h.weightsBounds(q, h.softWeightsBound, now)
+	r.Regions = h.allowedRegions(q)
 	r.Suspects, r.Serialized = toUint64(suspicion.Suspects[:min(len(suspicion.Suspects), maxSuspectsSent)]), suspicion.Repeated
 	return r
 }
 
-// bounds returns the times by which a request must have begun on weights that were
-// superseded recently.
-func (h *handler) bounds(q *request) []placement.WeightsBound {
+// weightsBounds returns the times at which limits on weights that were superseded recently are
+// reached after now: the time by which a request must have begun on them, for an age of beginBound.
+func (h *handler) weightsBounds(q *request, age time.Duration, now time.Time) []placement.WeightsBound {
 	var list []placement.WeightsBound
-	now := time.Now()
 	for _, w := range h.fleet.NamedWeights(q.model()) {
-		if by := w.Since.Add(h.beginBound); by.After(now) {
+		if by := w.Since.Add(age); by.After(now) {
 			list = append(list, placement.WeightsBound{Version: w.Version, By: by})
 		}
 	}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -59,6 +59,8 @@
 	Priority     int                   `cbor:"20,keyasint,omitempty"`
 	// Regions is absent for requests that are not bound to regions.
 	Regions *regionsMessage `cbor:"21,keyasint,omitempty"`
+	// SoftBounds state the time until SoftMinVersion applies to further versions.
+	SoftBounds []weightsBoundMessage `cbor:"22,keyasint,omitempty"`
 }
 
 // weightsBoundMessage encodes a placement.WeightsBound, with the time relative to the
@@ -69,6 +71,22 @@
 	LeftMs  int64
 }
 
+func newWeightsBoundMessages(bounds []placement.WeightsBound, now time.Time) []weightsBoundMessage {
+	var list []weightsBoundMessage
+	for _, b := range bounds {
+		list = append(list, weightsBoundMessage{Version: b.Version, LeftMs: b.By.Sub(now).Milliseconds()})
+	}
+	return list
+}
+
+func weightsBounds(list []weightsBoundMessage, now time.Time) []placement.WeightsBound {
+	var bounds []placement.WeightsBound
+	for _, b := range list {
+		bounds = append(bounds, placement.WeightsBound{Version: b.Version, By: now.Add(fromMs(b.LeftMs))})
+	}
+	return bounds
+}
+
 // slotResponseMessage encodes a placement.SlotResponse.
 type slotResponseMessage struct {
 	Sequence       uint64            `cbor:"1,keyasint"`
@@ -178,7 +196,7 @@
 	ms := func(n int64) bool { return n >= -maxMs && n <= maxMs }
 	request := func(r *slotRequestMessage) bool {
 		return r == nil || r.Regions.valid() && count(r.PromptTokens) && count(r.AnswerTokens) && r.Priority >= 0 && r.Priority <= routing.MaxRank && ms(r.GapObjectiveMs) && ms(r.MaxWaitMs) && r.MaxWaitMs <= maxQueueMs && ms(r.TimeLeftMs) &&
-			!slices.ContainsFunc(r.Bounds, func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })
+			!slices.ContainsFunc(slices.Concat(r.Bounds, r.SoftBounds), func(b weightsBoundMessage) bool { return !ms(b.LeftMs) })
 	}
 	if !request(m.SlotRequest) || !request(m.Explain) {
 		return false
@@ -202,9 +220,7 @@
 		},
 		MaxWait: fromMs(m.MaxWaitMs), TimeLeft: fromMs(m.TimeLeftMs), Resumed: m.Resumed, Redirected: m.Redirected,
 	}
-	for _, b := range m.Bounds {
-		a.Bounds = append(a.Bounds, placement.WeightsBound{Version: b.Version, By: now.Add(fromMs(b.LeftMs))})
-	}
+	a.Bounds, a.SoftBounds = weightsBounds(m.Bounds, now), weightsBounds(m.SoftBounds, now)
 	for _, hash := range m.Exclude {
 		if id, ok := endpointIDs[hash]; ok {
 			a.Exclude = append(a.Exclude, id)
@@ -223,9 +239,7 @@
 		Sequence: a.Sequence, PromptTokens: a.PromptTokens, AnswerTokens: a.AnswerTokens, Zone: a.Zone, MinVersion: a.MinVersion, SoftMinVersion: a.SoftMinVersion, PreferredVersion: a.PreferredVersion, GapObjectiveMs: a.GapObjective.Milliseconds(),
 		Late: a.Late, MaxWaitMs: a.MaxWait.Milliseconds(), TimeLeftMs: a.TimeLeft.Milliseconds(), Resumed: a.Resumed, Redirected: a.Redirected, Suspects: a.Suspects, Serialized: a.Serialized, Priority: a.Priority, Regions: newRegionsMessage(a.Regions),
 	}
-	for _, b := range a.Bounds {
-		m.Bounds = append(m.Bounds, weightsBoundMessage{Version: b.Version, LeftMs: b.By.Sub(now).Milliseconds()})
-	}
+	m.Bounds, m.SoftBounds = newWeightsBoundMessages(a.Bounds, now), newWeightsBoundMessages(a.SoftBounds, now)
 	for _, id := range a.Exclude {
 		m.Exclude = append(m.Exclude, endpointHash(id))
 	}
--- a/internal/relay/superseded_weights_test.go
+++ b/internal/relay/superseded_weights_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
 	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
@@ -248,3 +249,19 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against limits on superseded weights that don't reach the broker that queues a request.
+func TestBoundsReachBroker(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := &handler{fleet: fixedState{supersededAt: now.Add(-time.Second)}, softWeightsBound: 5 * time.Second, weightsBound: 6 * time.Second, beginBound: 7 * time.Second}
+	q := &request{route: &routing.Route{}}
+	r := h.placementRequest(q, 0, quarantine.PartVerdict{})
+	m := newSlotRequestMessage(placement.SlotRequest{Request: r}, now)
+	got := m.slotRequest("entry-1", nil, now)
+	is.Equal(got.Bounds, []placement.WeightsBound{{Version: 2, By: now.Add(6 * time.Second)}})
+	is.Equal(got.SoftBounds, []placement.WeightsBound{{Version: 2, By: now.Add(4 * time.Second)}})
+	is.True((&peerMessage{SlotRequest: m}).valid())
+	m.SoftBounds[0].LeftMs = maxMs + 1
+	is.True(!(&peerMessage{SlotRequest: m}).valid())
+}
--- a/placement/lag_test.go
+++ b/placement/lag_test.go
@@ -96,3 +96,35 @@
 		})
 	}
 }
+
+// Guards against requests that are granted older weights shortly before the bound at an endpoint
+// without a recent first event, because they were queued before.
+func TestSoftBoundAppliesToQueuedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		soft time.Duration // when older weights are used only where first events are timely
+		want placement.Verdict
+	}{
+		{"after the grant", 700 * time.Millisecond, placement.Placed},
+		{"while it is queued", 300 * time.Millisecond, placement.Queued},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := broker(endpoint("old"))
+			for i := range 16 {
+				b.RequestSlot(slotRequest("x", uint64(i+1)), start)
+			}
+			a := slotRequest("x", 99)
+			a.Resumed, a.MaxWait = true, 1200*time.Millisecond
+			a.SoftBounds = []placement.WeightsBound{{Version: 2, By: start.Add(c.soft)}}
+			b.RequestSlot(a, start)
+			is.Equal(verdicts(b.TakeResponses())[99], placement.Queued)
+			b.End(slotRequest("x", 1).SlotRequestID, placement.Neutral, start.Add(600*time.Millisecond))
+			got, answered := verdicts(b.TakeResponses())[99]
+			is.Equal(answered, c.want == placement.Placed)
+			if answered {
+				is.Equal(got, c.want)
+			}
+		})
+	}
+}
--- a/placement/obstacle.go
+++ b/placement/obstacle.go
@@ -141,7 +141,7 @@
 		return o
 	}
 	switch {
-	case s.WeightsVersion < r.SoftMinVersion && !s.timely(now):
+	case s.WeightsVersion < r.softMinVersion(now) && !s.timely(now):
 		return ObstacleUntimely
 	case p.Paused(s.ID, s.Incarnation, now):
 		return ObstaclePaused
@@ -149,6 +149,17 @@
 	return s.health.obstacle(s.placed.Running, now)
 }
 
+// softMinVersion returns SoftMinVersion as it applies now.
+func (r *Request) softMinVersion(now time.Time) uint64 {
+	version := r.SoftMinVersion
+	for _, b := range r.SoftBounds {
+		if !now.Before(b.By) {
+			version = max(version, b.Version)
+		}
+	}
+	return version
+}
+
 // ineligible returns why an endpoint could not serve a request, regardless of its load, health and
 // pauses.
 func (p *Pool) ineligible(s *endpointState, r *Request) Obstacle {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -61,6 +61,9 @@
 	// It applies shortly before older weights are excluded: a request that is delayed by
 	// the network would begin on them too late.
 	SoftMinVersion uint64
+	// SoftBounds are the times from which on SoftMinVersion applies to further versions: a request
+	// may wait in a queue until then.
+	SoftBounds []WeightsBound
 	// Bounds exclude endpoints with older weights on which the request is not predicted
 	// to begin in time.
 	Bounds []WeightsBound
