--- a/internal/relay/superseded_weights_test.go
+++ b/internal/relay/superseded_weights_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rhubarbhill/rhubarbhill/internal/fleetclient"
 	"github.com/rhubarbhill/rhubarbhill/placement"
+	"github.com/rhubarbhill/rhubarbhill/quarantine"
 	"github.com/rhubarbhill/rhubarbhill/routing"
 )
 
@@ -229,3 +230,38 @@
 		})
 	}
 }
+
+// Guards against requests to engines whose weights are not known: they would run on any version.
+func TestRequestsAreNotSentWithoutVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		document := longDocument()
+		document.Services[0].Engine = &routing.Engine{Models: []string{"m"}}
+		began := make(chan time.Duration, 1)
+		// The pool does not know yet that the service has engines.
+		h, _ := newWeightsEntry(document, []placement.Endpoint{{ID: "unknown", Zone: "near"}, {ID: "new", Zone: "far", WeightsVersion: 2}},
+			map[string]func(net.Conn){"unknown": lateBegin(time.Millisecond, time.Second, began), "new": newestWeights})
+		w := sendDirectly(h, "/safe/look", "", nil)
+		synctest.Wait()
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(len(began), 0)
+		h.conns.prune(nil)
+		synctest.Wait()
+	})
+}
+
+// Guards against limits on superseded weights that don't reach the broker that queues a request.
+func TestBoundsReachBroker(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := &handler{fleet: fixedState{supersededAt: now.Add(-time.Second)}, softWeightsBound: 5 * time.Second, weightsBound: 6 * time.Second, beginBound: 7 * time.Second}
+	q := &request{route: &routing.Route{}}
+	r := h.placementRequest(q, 0, quarantine.PartVerdict{})
+	m := newSlotRequestMessage(placement.SlotRequest{Request: r}, now)
+	got := m.slotRequest("entry-1", nil, now)
+	is.Equal(got.Bounds, []placement.WeightsBound{{Version: 2, By: now.Add(6 * time.Second)}})
+	is.Equal(got.SoftBounds, []placement.WeightsBound{{Version: 2, By: now.Add(4 * time.Second)}})
+	is.True((&peerMessage{SlotRequest: m}).valid())
+	m.SoftBounds[0].LeftMs = maxMs + 1
+	is.True(!(&peerMessage{SlotRequest: m}).valid())
+}
