relay, placement: report all held slots, in several messages if necessary

An entry that held more than 512 slots of a group reported 512 of them, drawn by the iteration of a map, and brokers take a report for the complete list. They released the others and granted them again, so engines got more requests than they have slots, refused them, and callers were refused or served late. Four entries hold fewer each; one that serves alone while the others restart may not.

A report now states the range of sequences that it covers, and the rest follows in further messages. An entry that is its own broker passes on the whole list. Brokers of the code before still take each message for the complete list.

TestReportsListAllHeldSlots fails on: with 1,536 slots held and none free, another request is placed.

--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -128,12 +128,15 @@
 	Pace int `cbor:"8,keyasint,omitempty"`
 }
 
-// heldSlotsMessage lists the slots of a group that an entry holds.
+// heldSlotsMessage lists the slots of a group that an entry holds, with sequences from First to
+// Last.
 type heldSlotsMessage struct {
 	BaseSequence  uint64   `cbor:"1,keyasint,omitempty"` // added to each of Sequences
 	Sequences     []uint64 `cbor:"2,keyasint,omitempty"`
 	Endpoints     []uint32 `cbor:"3,keyasint,omitempty"` // hashes of endpoint IDs
 	PrefillTokens []int32  `cbor:"4,keyasint,omitempty"` // prefillDone after the first event
+	First         uint64   `cbor:"5,keyasint,omitempty"`
+	Last          uint64   `cbor:"6,keyasint,omitempty"` // zero for no limit
 }
 
 // rateLimitMessage encodes a placement.NamedRateLimit, with the time relative to the
@@ -270,6 +273,31 @@
 	}
 }
 
+// newHeldSlotsMessages encodes the slots of a group that an entry holds, sorted by sequence, in
+// messages of limited size.
+func newHeldSlotsMessages(held []placement.HeldSlot) []*heldSlotsMessage {
+	list := []*heldSlotsMessage{{}}
+	for _, h := range held {
+		m := list[len(list)-1]
+		if len(m.Sequences) == maxHeldReported {
+			m.Last = h.Sequence - 1
+			m = &heldSlotsMessage{First: h.Sequence}
+			list = append(list, m)
+		}
+		if len(m.Sequences) == 0 {
+			m.BaseSequence = h.Sequence
+		}
+		tokens := int32(prefillDone)
+		if h.InPrefill {
+			tokens = int32(min(h.PrefillTokens, 1<<30))
+		}
+		m.Sequences = append(m.Sequences, h.Sequence-m.BaseSequence)
+		m.Endpoints = append(m.Endpoints, endpointHash(h.Endpoint))
+		m.PrefillTokens = append(m.PrefillTokens, tokens)
+	}
+	return list
+}
+
 // heldSlots decodes the slots that an entry holds. Endpoints that are unknown here are
 // left out.
 func (m *heldSlotsMessage) heldSlots(endpointIDs map[uint32]string) []placement.HeldSlot {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -63,7 +65,7 @@
 	// maxPausedExcluded: the broker may not know of the evacuation, and a request that is returned
 	// unused more than maxNotSent times is refused.
 	maxEvacuatedExcluded = 128
-	// maxHeldReported limits a report to about 6 KB.
+	// maxHeldReported limits a message of a report to about 6 KB.
 	maxHeldReported = 512
 )
 
@@ -649,7 +651,7 @@
 		s.applyEvents(b, m.From, key, m.Events, now)
 		s.addRateLimits(b, key, m.From, limits, now)
 		if m.HeldSlots != nil {
-			b.Reconcile(m.From, m.HeldSlots.heldSlots(s.endpointIDs), now)
+			b.ReconcileRange(m.From, m.HeldSlots.heldSlots(s.endpointIDs), m.HeldSlots.First, cmp.Or(m.HeldSlots.Last, math.MaxUint64), now)
 		}
 		if m.SlotRequest != nil {
 			b.RequestSlot(m.SlotRequest.slotRequest(m.From, s.endpointIDs, now), now)
@@ -675,31 +677,14 @@
 // sendReport reports the slots of a group that this entry holds, and rate limits, to
 // brokers. The caller holds mu.
 func (s *slotCoordinator) sendReport(key groupKey, to []string, limits []placement.NamedRateLimit) {
-	r := &heldSlotsMessage{}
 	var held []placement.HeldSlot
 	for sequence, h := range s.held {
-		if h.key != key {
-			continue
-		}
-		held = append(held, placement.HeldSlot{Sequence: sequence, Endpoint: h.endpoint, PrefillTokens: h.prefillTokens, InPrefill: h.inPrefill})
-		if len(held) == maxHeldReported {
-			break
-		}
-	}
-	for i, h := range held {
-		if i == 0 || h.Sequence < r.BaseSequence {
-			r.BaseSequence = h.Sequence
+		if h.key == key {
+			held = append(held, placement.HeldSlot{Sequence: sequence, Endpoint: h.endpoint, PrefillTokens: h.prefillTokens, InPrefill: h.inPrefill})
 		}
 	}
-	for _, h := range held {
-		tokens := int32(prefillDone)
-		if h.InPrefill {
-			tokens = int32(min(h.PrefillTokens, 1<<30))
-		}
-		r.Sequences = append(r.Sequences, h.Sequence-r.BaseSequence)
-		r.Endpoints = append(r.Endpoints, endpointHash(h.Endpoint))
-		r.PrefillTokens = append(r.PrefillTokens, tokens)
-	}
+	slices.SortFunc(held, func(a, b placement.HeldSlot) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	messages := newHeldSlotsMessages(held)
 	now := time.Now()
 	for _, name := range to {
 		switch {
@@ -709,7 +694,13 @@
 				b.Reconcile(s.self, held, now)
 			}
 		case name != "":
-			s.send(name, peerMessage{Service: key.service, Group: key.group, HeldSlots: r, RateLimits: newRateLimitMessages(limits, now)})
+			for i, m := range messages {
+				p := peerMessage{Service: key.service, Group: key.group, HeldSlots: m}
+				if i == 0 {
+					p.RateLimits = newRateLimitMessages(limits, now)
+				}
+				s.send(name, p)
+			}
 		}
 	}
 }
--- a/internal/relay/slots_test.go
+++ b/internal/relay/slots_test.go
@@ -120,6 +120,36 @@
 	})
 }
 
+// Guards against slots that a broker takes for free, because an entry holds more than a report lists.
+func TestReportsListAllHeldSlots(t *testing.T) {
+	for _, holder := range []string{"entry-0", "entry-1"} { // one of them is the broker
+		t.Run(holder, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const engines = 3 * maxHeldReported / engineSlots
+				n, cancel := newPeerNetwork(t, 2, engines, "a")
+				defer cancel()
+				var held []slotResult
+				for range engines * engineSlots {
+					p, ok := n.place(holder, 0)
+					is.True(ok && p.response.Verdict == placement.Placed)
+					n.slots[holder].firstEvent(p.sequence, 0)
+					held = append(held, p)
+				}
+				for range 4 {
+					time.Sleep(reportInterval)
+					p, ok := n.place("entry-0", 0)
+					is.True(!ok || p.response.Verdict != placement.Placed) // all slots are in use
+				}
+				n.slots[holder].forgetHeld(held[700].sequence) // the message of its end is lost
+				time.Sleep(2 * reportInterval)
+				p, ok := n.place("entry-0", 0)
+				is.True(ok && p.response.Verdict == placement.Placed)
+			})
+		})
+	}
+}
+
 // Guards against a queued request that waits for its full time although a slot becomes
 // free at another entry.
 func TestQueuedRequestGetsNextSlot(t *testing.T) {
@@ -277,3 +307,10 @@
 		is.True(time.Since(before) >= 600*time.Millisecond) // after the first has begun
 	})
 }
+
+// forgetHeld makes an entry hold a slot no more without telling the broker.
+func (s *slotCoordinator) forgetHeld(sequence uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.held, sequence)
+}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -556,6 +557,12 @@
 // the group. It corrects the effects of lost messages and tells a new broker what its
 // predecessor granted.
 func (b *Broker) Reconcile(entry string, held []HeldSlot, now time.Time) {
+	b.ReconcileRange(entry, held, 0, math.MaxUint64, now)
+}
+
+// ReconcileRange is like Reconcile for the slots with sequences from first to last, for an entry
+// that holds more than fit into a message.
+func (b *Broker) ReconcileRange(entry string, held []HeldSlot, first, last uint64, now time.Time) {
 	b.lastSeen[entry] = now
 	listed := make(map[uint64]bool, len(held))
 	for _, h := range held {
@@ -583,7 +590,7 @@
 		}
 	}
 	for id, g := range b.grants {
-		if id.Entry == entry && !listed[id.Sequence] && now.Sub(g.grantedAt) > reportGrace {
+		if id.Entry == entry && id.Sequence >= first && id.Sequence <= last && !listed[id.Sequence] && now.Sub(g.grantedAt) > reportGrace {
 			b.release(id, Neutral, now)
 		}
 	}
