quarantine: drop other records each time there are too many

A part that crashes engines was never quarantined if each engine ran more than 1024 parts without a proof when it crashed, for example eight prompts of 200 parts. The records of one crash are equals, and of equals those with the lowest IDs were kept: at all entries and after every crash the same. A part with a high ID was dropped after each crash and never reached three.

Among equals, each drop now uses another order, derived from the IDs and the number of drops.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -142,6 +142,7 @@
 type PartList struct {
 	cfg     PartConfig
 	records map[PartID]PartRecord
+	cuts    uint64 // how often records were dropped because there were too many
 	// sound and olderSound hold when the latest sound request began, by part. olderSound
 	// is dropped when sound is full or its parts are no longer protected.
 	sound, olderSound map[PartID]time.Time
@@ -444,10 +445,13 @@
 // compare orders records by the number of their crashes and the time of the latest one,
 // descending.
 func (r PartRecord) compare(o PartRecord) int {
+	return cmp.Or(r.compareCrashes(o), cmp.Compare(r.Part, o.Part))
+}
+
+func (r PartRecord) compareCrashes(o PartRecord) int {
 	return cmp.Or(
 		cmp.Compare(independent(o.Crashes), independent(r.Crashes)),
 		o.Crashes[len(o.Crashes)-1].At.Compare(r.Crashes[len(r.Crashes)-1].At),
-		cmp.Compare(r.Part, o.Part),
 	)
 }
 
@@ -467,7 +471,13 @@
 	if len(l.records) <= l.cfg.MaxRecords {
 		return
 	}
-	list := slices.SortedFunc(maps.Values(l.records), func(a, b PartRecord) int { return a.compare(b) })
+	// Among equals, others are dropped each time: the parts of one crash are equals, and a part that
+	// was dropped after every crash would never be quarantined.
+	l.cuts++
+	order := l.cuts * 0x9e3779b97f4a7c15
+	list := slices.SortedFunc(maps.Values(l.records), func(a, b PartRecord) int {
+		return cmp.Or(a.compareCrashes(b), cmp.Compare(uint64(a.Part)^order, uint64(b.Part)^order))
+	})
 	for _, r := range list[int(recordsKept*float64(l.cfg.MaxRecords)):] {
 		delete(l.records, r.Part)
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -323,3 +323,32 @@
 		}
 	})
 }
+
+// Guards against a part that is never quarantined, because engines run more parts than there are records when they crash.
+func TestPartIsQuarantinedAmongMoreThanRecords(t *testing.T) {
+	for run := range 4 {
+		l := quarantine.NewPartList(quarantine.PartConfig{})
+		now := time.Now()
+		id := func(content ...any) quarantine.PartID {
+			return quarantine.NewPartID("part", []byte(fmt.Sprint(content...)))
+		}
+		crashing := id("crashing ", run)
+		crashes := 0
+		for !l.Check([]quarantine.PartID{crashing}, "o", now).Quarantined {
+			if crashes++; crashes > 12 {
+				t.Fatalf("run %d: not quarantined after 12 crashes", run)
+			}
+			now = now.Add(3 * time.Second)
+			for request := range 8 {
+				parts := []quarantine.PartID{id(run, " ", crashes, " ", request)}
+				for i := range 200 {
+					parts = append(parts, id(run, " ", crashes, " ", request, " ", i))
+				}
+				if request == 0 {
+					parts = append(parts, crashing)
+				}
+				l.RecordCrash(quarantine.CrashReport{Endpoint: fmt.Sprint("e-", crashes), Incarnation: 1, Source: "o", PlacedAt: now.Add(-time.Second), At: now, Parts: parts}, now)
+			}
+		}
+	}
+}
