control: the decoded form of a routing document takes from the budget

Four documents of 7 MiB that were lists of empty objects took a control replica to 1035 MiB, and one such document is enough for more than the 280 MB of its machine.

--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -110,6 +110,23 @@
 	return data, err
 }
 
+// Hold takes n bytes more for what the handler of a request makes of its body, until the handler
+// returns. It waits like ReadBody. After ErrMemoryBudget, the answer must close the connection; Hold
+// has set the header for it.
+func Hold(w http.ResponseWriter, r *http.Request, n int64) error {
+	h, _ := r.Context().Value(heldKey{}).(*heldBody)
+	if h == nil || h.budget == nil {
+		return nil
+	}
+	h.budget.complete(h)
+	err := h.await(r.Context(), n)
+	if errors.Is(err, ErrMemoryBudget) {
+		h.limited(LimitMemory)
+		closeAfterAnswer(w)
+	}
+	return err
+}
+
 // stop fails the current and all later reads of the body.
 func (h *heldBody) stop() {
 	h.ended.Store(true)
