network: drop trailers

net/http keeps trailers with the request until it has ended: the names that a head announces from the end of the head (421 KB for one line of 16,384 bytes with 4,750 names), and up to 4 KiB of fields after a body (117 KB). Nothing uses them, and the budget counts neither.

--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -355,7 +355,8 @@
 		control := http.NewResponseController(w)
 		h := &heldBody{budget: g.budget, begun: now, progress: now, limited: g.limited}
 		h.end = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) } // fails only if the connection is closed
-		body := &guardedBody{ReadCloser: r.Body, held: h, control: control}
+		body := &guardedBody{ReadCloser: r.Body, held: h, control: control, request: r}
+		body.dropTrailer() // of which the head has announced the names
 		r = r.WithContext(context.WithValue(r.Context(), heldKey{}, h))
 		r.Body = body
 		_ = control.SetReadDeadline(h.deadline(now))
@@ -376,10 +377,15 @@
 	io.ReadCloser
 	held    *heldBody
 	control *http.ResponseController
+	request *http.Request // of net/http, which enters the trailer into it
 	ended   bool
 	failed  bool
 }
 
+// dropTrailer drops the trailer, which nothing uses and the budget does not count: net/http holds
+// up to 420 KB for the names that a head announces, and 117 KB for the fields after a body.
+func (b *guardedBody) dropTrailer() { b.request.Trailer = nil }
+
 // Read implements io.Reader.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	if b.ended || b.failed {
@@ -392,6 +398,7 @@
 	case errors.Is(err, io.EOF):
 		// net/http watches the connection from now on, without a deadline.
 		b.ended = true
+		b.dropTrailer()
 		_ = b.control.SetReadDeadline(time.Time{})
 	case err != nil:
 		b.failed = true
--- a/internal/network/head_test.go
+++ b/internal/network/head_test.go
@@ -1,13 +1,19 @@
 package network_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/rhubarbhill/rhubarbhill/internal/network"
+	"github.com/rhubarbhill/rhubarbhill/internal/network/memnet"
 )
 
 // headOf returns a head of at most size bytes, without its empty line, of lines with different
@@ -86,3 +92,43 @@
 		g.Equal(g.budget.Used(), int64(network.ConnCost+network.HeadCost*len(head)+network.HeadLineCost*lines))
 	})
 }
+
+// Guards against trailers that are held until the request has ended, uncounted.
+func TestTrailersAreNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := memnet.New()
+		var inner, outer *http.Request
+		guard := network.NewGuard(network.NewBudget(1<<20), nil)
+		held := make(chan int, 2)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			inner = r
+			held <- len(inner.Trailer) + len(outer.Trailer)
+			_, err := io.Copy(io.Discard, r.Body)
+			is.NoErr(err)
+			held <- len(inner.Trailer) + len(outer.Trailer)
+		})}
+		listener, err := net.Host("server").Listen(guardedAddress)
+		is.NoErr(err)
+		listener = guard.Protect(server, listener)
+		guarded := server.Handler
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			outer = r
+			guarded.ServeHTTP(w, r)
+		})
+		go func() { _ = server.Serve(listener) }()
+		conn, err := net.Host("caller").DialContext(t.Context(), "tcp", guardedAddress)
+		is.NoErr(err)
+		for _, announced := range []string{"", "Trailer: a, b\r\n"} {
+			_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"+announced+"\r\n1\r\nx\r\n0\r\na: 1\r\nb: 2\r\n\r\n")
+			is.NoErr(err)
+			is.Equal(<-held, 0)
+			is.Equal(<-held, 0)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+		}
+		_ = server.Close()
+		_ = conn.Close()
+	})
+}
