relay: refuse HTTP/1.0 bodies of unknown length

net/http ignores the transfer encoding of an HTTP/1.0 request and drops the header, so the relay ran a POST with a chunked body, or a body without length, as one with an empty body. Such requests get 400 now, and the connection is closed, since their body would be read as the next request.

TestOddHeadsArePassedOnOrRefused covers 33 odd heads. The two of HTTP/1.0 without a length (a third keeps the connection open) failed before, all pass after; net/http refuses the others, or they reach the endpoint as sent.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -303,7 +303,7 @@
 	header.Del("Content-Length")
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.method, q.target, q.host)
-	if len(q.body) > 0 || q.method == http.MethodPost || q.method == http.MethodPut || q.method == http.MethodPatch {
+	if len(q.body) > 0 || hasBody(q.method) {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
 	_ = header.Write(&b) // a bytes.Buffer never fails
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -100,6 +100,10 @@
 	if refused := h.findRoute(q, h.guard.ready); refused != nil {
 		return q, refused
 	}
+	if bodyLengthUnknown(r) {
+		w.Header().Set("Connection", "close") // the body would be read as the next request
+		return q, &refusal{status: http.StatusBadRequest, reason: BadBody}
+	}
 	if refused := q.readBody(w, r); refused != nil {
 		return q, refused
 	}
@@ -108,6 +112,17 @@
 	return q, nil
 }
 
+// bodyLengthUnknown reports whether a request of HTTP/1.0 lacks the length of its body, which such
+// requests must state. net/http takes a chunked one for empty and drops its Transfer-Encoding.
+func bodyLengthUnknown(r *http.Request) bool {
+	return !r.ProtoAtLeast(1, 1) && hasBody(r.Method) && r.Header["Content-Length"] == nil
+}
+
+// hasBody reports whether requests of a method have a body, which may be empty.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // findRoute finds the route of a request by its head, and checks whether the caller may use it.
 // The ready function reports whether the entry knows the quarantined parts.
 func (h *handler) findRoute(q *request, ready func(time.Time) bool) *refusal {
