network: charge heads that are read together with the request before

net/http reads up to 4 KiB ahead of a request. Those bytes were counted with the request before them, and returned when it was answered: 1,300 lines of a next head were held uncounted, for the time of an idle connection instead of that of a head. The lines are remembered now, and charged when net/http begins the next head without another read, which its deadlines tell. Without room the connection is closed. A read error after a limit no longer counts the limit a second time.

--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -32,8 +33,8 @@
 	// maxHeadBytes bounds heads where no document states a limit. Heads of the platform have
 	// less than 2 KB.
 	maxHeadBytes = 64 << 10
-	// readAhead is what net/http may have read beyond a head: its read buffer.
-	readAhead = 4 << 10
+	// readBuffer is the size of the buffer of net/http, which may hold as much beyond a head.
+	readBuffer = 4 << 10
 	// headMargin and idleMargin are added to the limits of callers, so that a caller that uses
 	// a connection until just before a limit is not cut.
 	headMargin = 500 * time.Millisecond
@@ -190,16 +191,23 @@
 	headBytes int64     // of the head that is being read; 0 while the connection is idle
 	headTaken int64     // from the budget, until the request has ended
 	lines     headLines // of the head that is being read
+	ahead     readAhead // beyond the request that is being read or answered
 	since     time.Time // when the connection became idle, or the head began
 	requested time.Time // read deadline that the server has set
 	closed    bool
+	limited   bool  // a limit has ended the connection, which net/http has yet to close
 	cost      int64 // taken from the budget for the connection
 }
 
 func (c *guardedConn) idleSince() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.inHead && c.headBytes == 0 && !c.closed
+	return c.since, c.idle()
+}
+
+// idle reports whether no request has begun. The mutex must be held.
+func (c *guardedConn) idle() bool {
+	return c.inHead && c.headBytes == 0 && c.ahead.deadlines == 0 && !c.closed
 }
 
 // closeIdle closes the connection unless a request has begun on it, and reports whether it did.
@@ -207,7 +215,7 @@
 func (c *guardedConn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inHead || c.headBytes > 0 || c.closed {
+	if !c.idle() {
 		return false
 	}
 	c.setClosed()
@@ -234,6 +242,32 @@
 	c.guard.budget.release(c.headTaken)
 	c.inHead, c.headBytes, c.headTaken, c.since = true, 0, 0, time.Now()
 	c.lines = headLines{}
+	if c.ahead.bytes > 0 {
+		c.ahead.deadlines = deadlinesOfHead
+	}
+}
+
+// deadlinesOfHead is the number of deadlines that net/http sets before it reads a head: one to
+// await it and one for the head itself. In between, it reads unless the head has begun.
+const deadlinesOfHead = 2
+
+// readAhead is what net/http has read beyond a request at most. It may be a part of the next
+// head, or all of it.
+type readAhead struct {
+	bytes, lines int
+	deadlines    int // until net/http uses it as the next head, unless it reads before
+}
+
+// add counts bytes of a body that were read into a buffer of a size. Only a smaller buffer than
+// that of net/http may be the rest of it, behind what was read before.
+func (a *readAhead) add(p []byte, size int) {
+	if size >= readBuffer {
+		a.bytes, a.lines = 0, 0
+	}
+	if size <= readBuffer {
+		a.bytes += len(p)
+		a.lines += bytes.Count(p, []byte{'\n'})
+	}
 }
 
 // SetReadDeadline implements net.Conn. While a head is awaited, the earlier of this deadline and
@@ -242,9 +276,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requested = t
+	if c.ahead.deadlines > 0 {
+		if c.ahead.deadlines--; c.ahead.deadlines == 0 {
+			c.beginReadAhead()
+		}
+	}
 	return c.applyDeadline()
 }
 
+// beginReadAhead charges a head that was read ahead, and closes the connection if there is no room
+// for it. The mutex must be held.
+func (c *guardedConn) beginReadAhead() {
+	if !c.takeHead(costOf(c.ahead.bytes, c.ahead.lines)) {
+		c.guard.limited(LimitMemory)
+		c.setClosed()
+		_ = c.Conn.Close()
+		return
+	}
+	c.headBytes, c.since = 1, time.Now()
+}
+
+// takeHead takes bytes for a head, and reports whether there were as many. The mutex must be held.
+func (c *guardedConn) takeHead(cost int64) bool {
+	share := largeBodyShare
+	if c.headTaken+cost <= smallHeadCost {
+		share = 1
+	}
+	if !c.guard.budget.take(cost, share) {
+		return false
+	}
+	c.headTaken += cost
+	return true
+}
+
 // SetDeadline implements net.Conn.
 func (c *guardedConn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
@@ -273,16 +337,25 @@
 	c.mu.Lock()
 	inHead := c.inHead
 	if inHead {
+		if c.ahead.deadlines > 0 { // nothing has been read ahead
+			c.ahead = readAhead{}
+		}
 		_ = c.applyDeadline() // fails only if the connection is closed
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	if !inHead {
+		c.mu.Lock()
+		c.ahead.add(p[:n], len(p))
+		c.mu.Unlock()
 		return n, err
 	}
 	if reason, ended := c.countHead(p[:n], err); ended {
 		if reason != "" {
 			c.guard.limited(reason)
+			c.mu.Lock()
+			c.limited = true
+			c.mu.Unlock()
 		}
 		return 0, errConnEnded()
 	}
@@ -296,7 +369,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closed:
+	case c.closed, c.limited:
 		return "", true
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.headBytes == 0 && n == 0:
 		return LimitIdle, true
@@ -308,19 +381,15 @@
 	if c.headBytes == 0 {
 		c.since = time.Now()
 	}
-	if c.headBytes+int64(n) > int64(c.guard.limits.Load().HeadBytes+readAhead) {
+	if c.headBytes+int64(n) > int64(c.guard.limits.Load().HeadBytes+readBuffer) {
 		return LimitHead, true
 	}
-	lines, _ := c.lines.count(p)
-	cost, share := costOf(n, lines), largeBodyShare
-	if c.headTaken+cost <= smallHeadCost {
-		share = 1
-	}
-	if !c.guard.budget.take(cost, share) {
+	lines, beyond := c.lines.count(p)
+	c.ahead.add(p[n-beyond:], readBuffer)
+	if !c.takeHead(costOf(n, lines)) {
 		return LimitMemory, true
 	}
 	c.headBytes += int64(n)
-	c.headTaken += cost
 	return "", false
 }
 
--- a/internal/network/head_test.go
+++ b/internal/network/head_test.go
@@ -132,3 +132,77 @@
 		_ = conn.Close()
 	})
 }
+
+// Guards against heads that are not charged, or that may take the time of an idle connection,
+// because their lines were read together with the request before them.
+func TestHeadsReadAheadAreCharged(t *testing.T) {
+	for name, first := range map[string]string{
+		"no body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+		"length":  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nxxxx",
+		"chunks":  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			bothServers(t, 45<<20, func(g *guarded) {
+				g.guard.SetLimits(network.CallerLimits{HeadTime: 3 * time.Second, IdleTime: 15 * time.Second})
+				next, lines := headOf("POST / HTTP/1.1\r\nHost: x\r\n", 3900)
+				c := g.dial()
+				c.write(first + next)
+				time.Sleep(time.Second)
+				used := g.budget.Used()
+				g.True(used >= int64(network.ConnCost+network.HeadCost*len(next)+network.HeadLineCost*lines))
+				more, lines := headOf("", 3000)
+				c.write(more)
+				time.Sleep(time.Second)
+				g.Equal(g.budget.Used()-used, int64(network.HeadCost*len(more)+network.HeadLineCost*lines))
+				g.Equal(c.status(), http.StatusOK)
+				after := c.closedAfter()
+				g.True(after > time.Second && after <= 2*time.Second)
+				g.Equal(g.count(network.LimitSlowHead), 1)
+			})
+		})
+	}
+}
+
+// Guards against closing the connection of a request as idle, because its head was read together
+// with the request before it.
+func TestRequestReadAheadIsNotCut(t *testing.T) {
+	bothServers(t, 1<<20, func(g *guarded) {
+		g.guard.SetLimits(network.CallerLimits{IdleTime: time.Second, HeadTime: time.Second})
+		g.guard.SetMaxConns(2)
+		c := g.dial()
+		c.write("GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\nWait: 20s\r\n\r\n")
+		g.Equal(c.status(), http.StatusOK)
+		for range 3 {
+			time.Sleep(100 * time.Millisecond)
+			g.dial()
+		}
+		g.Equal(c.status(), http.StatusOK)
+		time.Sleep(100 * time.Millisecond)
+		g.Equal(g.budget.Used(), int64(network.ConnCost))
+	})
+}
+
+// Guards against heads that use more memory than the process has for callers, because they were
+// read together with the request before them.
+func TestHeadsReadAheadStayWithinTheBudget(t *testing.T) {
+	const budget = 2 << 20
+	bothServers(t, budget, func(g *guarded) {
+		next, _ := headOf("POST / HTTP/1.1\r\nHost: x\r\nWait: 10s\r\n", 3900)
+		for i := range 40 {
+			c := g.dial()
+			c.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" + next)
+			if i%2 == 0 {
+				c.write("\r\n") // complete
+			}
+			status := c.status()
+			g.True(status == http.StatusOK || status == 0) // closing its connection is allowed
+		}
+		time.Sleep(time.Second)
+		g.True(g.budget.Used() <= budget)
+		g.True(g.count(network.LimitMemory) > 0)
+		time.Sleep(20 * time.Second)
+		c := g.dial()
+		c.begin(0)
+		g.Equal(c.status(), http.StatusOK)
+	})
+}
