--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -62,9 +62,6 @@
 	// connShare is the share of the budget that connections may take. They are let in also while
 	// bodies use up the budget, and bodies then get less.
 	connShare = 0.5
-	// headCost is the number of bytes held for each byte of a head: it is buffered, split into
-	// strings and entered into a map.
-	headCost = 4
 )
 
 // heldBody is the body of a request, from its first byte to the end of the request.
