network: answers that are not read have a time and make room

A connection whose answer its caller reads slowly or not at all kept its place for as long as the caller liked. An answer may now wait to be read for 20 s in all, and each KiB written makes up for 1 s. When the places are used up, the connection whose answer has made no progress for longest makes room, after those that are idle. Connections that have just been opened are spared for 1 s, since a request that is on its way would be lost.

The crowd of TestUnreadAnswers repeats one request ID, for which the relay does not use a connection to an endpoint twice; with 32 idle ones for each endpoint it ran out of descriptors. Idle connections to all endpoints now have an eighth of them.

--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -21,11 +21,12 @@
 	LimitConnections = "connections"
 	LimitIdle        = "idle"
 	LimitSlowHead    = "head-too-slow"
+	LimitSlowAnswer  = "answer-too-slow"
 )
 
 // LimitReasons lists the reasons for which a Guard ends a connection or refuses a request.
 func LimitReasons() []string {
-	return []string{LimitMemory, LimitSlowBody, LimitHead, LimitSlowHead, LimitIdle, LimitConnections}
+	return []string{LimitMemory, LimitSlowBody, LimitHead, LimitSlowHead, LimitIdle, LimitSlowAnswer, LimitConnections}
 }
 
 const (
@@ -76,11 +77,7 @@
 	}
 	g := &Guard{budget: budget, limited: limited, conns: map[*guardedConn]bool{}}
 	g.SetLimits(CallerLimits{})
-	var descriptors syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
-		const enough = 1 << 20 // more than any process has
-		g.maxConns = int(callerDescriptorShare * float64(min(descriptors.Cur, enough)))
-	}
+	g.maxConns = int(callerDescriptorShare * float64(Descriptors()))
 	if budget != nil {
 		byMemory := max(1, int(connShare*float64(budget.limit)/connCost))
 		if g.maxConns == 0 || byMemory < g.maxConns {
@@ -90,6 +87,16 @@
 	return g
 }
 
+// Descriptors returns how many descriptors the process may open, or 0 if that is not known.
+func Descriptors() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	const enough = 1 << 20 // more than any process has
+	return int(min(limit.Cur, enough))
+}
+
 // Budget returns the budget of the process.
 func (g *Guard) Budget() *Budget { return g.budget }
 
@@ -139,6 +146,7 @@
 		if err != nil {
 			return nil, err
 		}
+		limitBuffer(accepted)
 		c := &guardedConn{Conn: accepted, guard: l.guard, since: time.Now(), inHead: true}
 		if l.guard.admit(c) {
 			return c, nil
@@ -148,20 +156,15 @@
 	}
 }
 
-// admit adds a connection. If there are too many, it closes the one that has been idle for
-// longest; if none is, the new one is not admitted.
+// admit adds a connection. If there are too many, others make room; if none can, the new one is not
+// admitted.
 func (g *Guard) admit(c *guardedConn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.maxConns > 0 && len(g.conns) >= g.maxConns {
-		idle := g.longestIdle()
-		if idle == nil {
+		if !g.makeRoom() {
 			return false
 		}
-		if idle.closeIdle() {
-			delete(g.conns, idle)
-			g.limited(LimitConnections)
-		}
 	}
 	g.budget.charge(connCost)
 	g.conns[c], c.cost = true, connCost
@@ -169,15 +172,13 @@
 }
 
 // longestIdle returns the connection that has been idle for longest, or nil.
-func (g *Guard) longestIdle() *guardedConn {
-	var found *guardedConn
-	var since time.Time
+func (g *Guard) longestIdle() (found *guardedConn, since time.Time) {
 	for c := range g.conns {
 		if at, idle := c.idleSince(); idle && (found == nil || at.Before(since)) {
 			found, since = c, at
 		}
 	}
-	return found
+	return found, since
 }
 
 // guardedConn is a connection of a caller.
@@ -190,6 +191,7 @@
 	headBytes int64     // of the head that is being read; 0 while the connection is idle
 	since     time.Time // when the connection became idle, or the head began
 	requested time.Time // read deadline that the server has set
+	answer    answerState
 	closed    bool
 	cost      int64 // taken from the budget for the connection
 }
@@ -319,12 +321,16 @@
 	c.mu.Lock()
 	c.setClosed()
 	c.mu.Unlock()
-	c.guard.mu.Lock()
-	delete(c.guard.conns, c)
-	c.guard.mu.Unlock()
+	c.guard.remove(c)
 	return c.Conn.Close()
 }
 
+func (g *Guard) remove(c *guardedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
 // CloseWrite closes the writing side, see trackedConn.
 func (c *guardedConn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -31,8 +31,12 @@
 	// idleMargin is subtracted from the idle timeout that an endpoint states.
 	idleMargin = time.Second
 	// maxIdleConns limits the idle connections to one endpoint.
-	maxIdleConns   = 32
-	readBufferSize = 4 << 10
+	maxIdleConns = 32
+	// idleDescriptorShare is the share of the descriptors of the process that idle connections to
+	// all endpoints may use. A connection is not used again for a request with an ID that it has
+	// carried, so callers that repeat their IDs would let each endpoint have maxIdleConns.
+	idleDescriptorShare = 0.125
+	readBufferSize      = 4 << 10
 	// maxRecentIDs limits the request IDs that are remembered of a connection. A faulty
 	// endpoint may repeat an earlier answer, which a request with the same ID could not
 	// tell from its own.
@@ -141,13 +145,17 @@
 // own key.
 type connPool struct {
 	network network.Network
+	maxIdle int // in all; 0 for no limit
 
 	mu   sync.Mutex
 	idle map[string][]*backendConn
 }
 
 func newConnPool(n network.Network) *connPool {
-	return &connPool{network: network.OrSystem(n), idle: map[string][]*backendConn{}}
+	return &connPool{
+		network: network.OrSystem(n), idle: map[string][]*backendConn{},
+		maxIdle: int(idleDescriptorShare * float64(network.Descriptors())),
+	}
 }
 
 // get returns an idle connection on which a request with this ID can be told from
@@ -252,6 +260,23 @@
 		return
 	}
 	p.idle[key] = append(p.idle[key], c)
+	p.makeRoom()
+}
+
+// makeRoom closes the connection that has been idle for longest if there are too many in all. The
+// mutex must be held.
+func (p *connPool) makeRoom() {
+	total, oldest := 0, ""
+	for key, list := range p.idle {
+		total += len(list)
+		if len(list) > 0 && (oldest == "" || list[0].idleSince.Before(p.idle[oldest][0].idleSince)) {
+			oldest = key
+		}
+	}
+	if p.maxIdle > 0 && total > p.maxIdle {
+		_ = p.idle[oldest][0].Close()
+		p.idle[oldest] = slices.Delete(p.idle[oldest], 0, 1)
+	}
 }
 
 // prune closes connections that were idle for too long or whose endpoint is not in
