network: requests wait until earlier answers on their connection were sent

It now takes 8 KiB more than the caller has room for, and a request does not run before the earlier answers on its connection were sent.

--- a/internal/network/answers.go
+++ b/internal/network/answers.go
@@ -1,10 +1,14 @@
 package network
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -16,10 +20,12 @@
 	minAnswerRate = 1 << 10
 	// answerStep is the most that is written at once, so that progress is seen.
 	answerStep = 16 << 10
-	// answerBuffer is the size asked for the send buffer of a connection, of which the operating
-	// system uses twice as much. A write goes on when a third of it is free, which takes 1.5 s on
-	// a link of 30 KB/s. Without a limit, it may grow to several megabytes.
-	answerBuffer = 64 << 10
+	// maxUnsent is how many bytes the operating system takes beyond what the caller has room for.
+	// By default it takes hundreds of kilobytes, so that a caller that does not read keeps the
+	// process busy until they are used up.
+	maxUnsent = 8 << 10
+	// unsentPoll is the time between two looks at the unsent bytes of earlier answers.
+	unsentPoll = 10 * time.Millisecond
 	// newConnTime is how long a connection that waits for a head is spared while answers that are
 	// not read make room. A request that was sent at once would otherwise be lost.
 	newConnTime = time.Second
@@ -33,11 +39,83 @@
 	deadline time.Time     // that the server has set
 }
 
-// limitBuffer limits the memory of the operating system for answers on a connection.
-func limitBuffer(c net.Conn) {
-	if b, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
-		_ = b.SetWriteBuffer(answerBuffer) // fails only if the connection is closed
+// limitUnsent limits what the operating system buffers of answers.
+func limitUnsent(c net.Conn) {
+	withDescriptor(c, func(fd int) {
+		// Without the option, answers that are not read are noticed later.
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+	})
+}
+
+// unsent returns how many bytes of answers the operating system has not sent yet, because their
+// caller or the link has no room.
+func unsent(c net.Conn) (bytes int) {
+	withDescriptor(c, func(fd int) {
+		const closed = 7 // TCP_CLOSE
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State != closed {
+			bytes = int(info.Notsent_bytes)
+		}
+	})
+	return bytes
+}
+
+// withDescriptor calls do unless c is closed or has no descriptor, as in tests.
+func withDescriptor(c net.Conn, do func(fd int)) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if control, err := raw.SyscallConn(); err == nil {
+		_ = control.Control(func(fd uintptr) { do(int(fd)) })
+	}
+}
+
+type guardedKey struct{}
+
+// awaitSent waits until earlier answers were sent, and reports whether the request may run. A caller
+// that sends requests without reading the answers would otherwise keep endpoints busy.
+func awaitSent(ctx context.Context) bool {
+	c, ok := ctx.Value(guardedKey{}).(*guardedConn)
+	if !ok {
+		return true
+	}
+	left := unsent(c.Conn)
+	if left == 0 {
+		return true
+	}
+	c.beginWrite()
+	for left > 0 {
+		time.Sleep(unsentPoll)
+		now := unsent(c.Conn)
+		if c.isTooSlow(left - now) {
+			c.guard.remove(c)
+			return false
+		}
+		left = now
+	}
+	c.endWrite(0, nil)
+	return true
+}
+
+// isTooSlow records that n bytes of earlier answers were sent. It reports whether the connection is
+// closed, which it does if the caller reads too slowly.
+func (c *guardedConn) isTooSlow(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return true
+	}
+	now, a := time.Now(), &c.answer
+	if n > 0 {
+		a.advance(n, now)
+		a.since = now
+	}
+	if a.waited+now.Sub(a.since) < answerStallTimeout {
+		return false
 	}
+	c.guard.limited(LimitSlowAnswer)
+	c.dropAnswer()
+	return true
 }
 
 // Write implements net.Conn. It fails if the caller does not read its answer.
@@ -70,7 +148,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, a := time.Now(), &c.answer
-	a.waited = max(0, a.waited+now.Sub(a.since)-time.Duration(n)*time.Second/minAnswerRate)
+	a.advance(n, now)
 	a.writing = false
 	serverLimit := !a.deadline.IsZero() && !now.Before(a.deadline)
 	if c.closed || !errors.Is(err, os.ErrDeadlineExceeded) || serverLimit {
@@ -84,6 +162,11 @@
 	return false, true
 }
 
+// advance records that n bytes were sent since the write began.
+func (a *answerState) advance(n int, now time.Time) {
+	a.waited = max(0, a.waited+now.Sub(a.since)-time.Duration(n)*time.Second/minAnswerRate)
+}
+
 // SetWriteDeadline implements net.Conn. The earlier of this deadline and that of the guard applies.
 func (c *guardedConn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/network/answers_test.go
+++ b/internal/network/answers_test.go
@@ -1,6 +1,7 @@
 package network_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,3 +229,42 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against callers that keep a process busy with requests whose answers they do not read, and
+// against a caller with several requests on its way that does not get all answers.
+func TestRequestsWaitForEarlierAnswers(t *testing.T) {
+	const size, requests = 64 << 10, 100
+	is := is.New(t)
+	var handled atomic.Int64
+	servers, err := network.OpenServers(nil, network.ServerConfig{Address: "127.0.0.1:0", Guard: network.NewGuard(nil, nil), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})})
+	is.NoErr(err)
+	server := servers[0].Drainable()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve()
+	}()
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	conn, err := dialer.DialContext(t.Context(), "tcp", server.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", requests))
+	is.NoErr(err)
+	time.Sleep(300 * time.Millisecond)
+	is.True(handled.Load() <= 2)
+	reader := bufio.NewReader(conn)
+	for range requests {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		n, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.Equal(n, int64(size))
+	}
+	is.NoErr(conn.Close())
+	is.NoErr(server.Close())
+	<-done
+}
--- a/internal/network/drain.go
+++ b/internal/network/drain.go
@@ -38,7 +38,11 @@
 	s.listener = trackedListener{listener, s}
 	server.Handler = s.track(server.Handler)
 	next := server.ConnState
+	nextContext := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, c.(*trackedConn).Conn)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -119,6 +119,9 @@
 func (g *Guard) Protect(server *http.Server, listener net.Listener) net.Listener {
 	server.MaxHeaderBytes = maxHeadBytes
 	server.Handler = g.trackBody(server.Handler)
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, guardedKey{}, c)
+	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		guarded, ok := c.(*guardedConn)
 		if !ok {
@@ -146,7 +149,7 @@
 		if err != nil {
 			return nil, err
 		}
-		limitBuffer(accepted)
+		limitUnsent(accepted)
 		c := &guardedConn{Conn: accepted, guard: l.guard, since: time.Now(), inHead: true}
 		if l.guard.admit(c) {
 			return c, nil
@@ -343,6 +346,9 @@
 // the body when the handler returns.
 func (g *Guard) trackBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !awaitSent(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			next.ServeHTTP(w, r)
 			return
