--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -73,11 +73,13 @@
 	operatorToken auth.Token
 	registry      *prometheus.Registry
 	metrics       *daemonMetrics
-	callers       *network.Guard
-	proposalSlots chan struct{}
-	sentConfirms  sync.Map // *transport.Session to *sentConfirm
-	lastAnnounces sync.Map // *transport.Session to its last *wire.Announce
-	pauses        pauseDetector
+	// callers protects the addresses of servers and of the operator, and directoryCallers that of
+	// the directory, whose callers must not use up the places of the others.
+	callers, directoryCallers *network.Guard
+	proposalSlots             chan struct{}
+	sentConfirms              sync.Map // *transport.Session to *sentConfirm
+	lastAnnounces             sync.Map // *transport.Session to its last *wire.Announce
+	pauses                    pauseDetector
 	// knownEvacuations is the highest evacuation revision that an answer of the log contained.
 	knownEvacuations atomic.Uint64
 	abort            context.CancelFunc // stops at once, without transferring leadership
@@ -91,7 +93,8 @@
 		proposalSlots: make(chan struct{}, maxConcurrentProposals), inForce: newInForce(defaultLease+s.Grace.Std(), time.Now()),
 	}
 	d.metrics = newDaemonMetrics(d.registry)
-	d.callers = metrics.NewGuard(d.registry, "control", int64(s.Memory))
+	guards := metrics.NewGuards(d.registry, "control", int64(s.Memory), 2)
+	d.callers, d.directoryCallers = guards[0], guards[1]
 	if err := d.readTokens(); err != nil {
 		return nil, err
 	}
@@ -343,7 +346,7 @@
 		network.ServerConfig{Address: d.settings.SessionListen, Handler: session},
 		network.ServerConfig{Address: d.settings.OperatorListen, Handler: d.operatorHandler(), Guard: d.callers},
 		network.ServerConfig{Address: d.settings.RegistryListen, Handler: handlerOr404(d.opts.Registry, d), Guard: d.callers},
-		network.ServerConfig{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d), Guard: d.callers},
+		network.ServerConfig{Address: d.settings.DirectoryListen, Handler: handlerOr404(d.opts.Directory, d), Guard: d.directoryCallers},
 		network.ServerConfig{Address: d.settings.AdminListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 		network.ServerConfig{Address: d.settings.MetricsListen, Handler: metrics.AdminHandler(d.registry, d.ready)},
 	)
--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -72,12 +72,18 @@
 // NewGuard returns a guard. Limited, which may be nil, is called for each connection that is
 // closed and each request that is refused.
 func NewGuard(budget *Budget, limited func(reason string)) *Guard {
+	return NewPartialGuard(budget, 1, limited)
+}
+
+// NewPartialGuard is like NewGuard for one of n guards of a process, which share its descriptors
+// equally.
+func NewPartialGuard(budget *Budget, n int, limited func(reason string)) *Guard {
 	if limited == nil {
 		limited = func(string) {}
 	}
 	g := &Guard{budget: budget, limited: limited, conns: map[*guardedConn]bool{}}
 	g.SetLimits(CallerLimits{})
-	g.maxConns = int(callerDescriptorShare * float64(Descriptors()))
+	g.maxConns = int(callerDescriptorShare * float64(Descriptors()) / float64(n))
 	if budget != nil {
 		byMemory := max(1, int(connShare*float64(budget.limit)/connCost))
 		if g.maxConns == 0 || byMemory < g.maxConns {
