--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -22,11 +22,12 @@
 	LimitConnections = "connections"
 	LimitIdle        = "idle"
 	LimitSlowHead    = "head-too-slow"
+	LimitSlowAnswer  = "answer-too-slow"
 )
 
 // LimitReasons lists the reasons for which a Guard ends a connection or refuses a request.
 func LimitReasons() []string {
-	return []string{LimitMemory, LimitSlowBody, LimitHead, LimitSlowHead, LimitIdle, LimitConnections}
+	return []string{LimitMemory, LimitSlowBody, LimitHead, LimitSlowHead, LimitIdle, LimitSlowAnswer, LimitConnections}
 }
 
 const (
@@ -72,16 +73,18 @@
 // NewGuard returns a guard. Limited, which may be nil, is called for each connection that is
 // closed and each request that is refused.
 func NewGuard(budget *Budget, limited func(reason string)) *Guard {
+	return NewPartialGuard(budget, 1, limited)
+}
+
+// NewPartialGuard is like NewGuard for one of n guards of a process, which share its descriptors
+// equally.
+func NewPartialGuard(budget *Budget, n int, limited func(reason string)) *Guard {
 	if limited == nil {
 		limited = func(string) {}
 	}
 	g := &Guard{budget: budget, limited: limited, conns: map[*guardedConn]bool{}}
 	g.SetLimits(CallerLimits{})
-	var descriptors syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
-		const enough = 1 << 20 // more than any process has
-		g.maxConns = int(callerDescriptorShare * float64(min(descriptors.Cur, enough)))
-	}
+	g.maxConns = int(callerDescriptorShare * float64(Descriptors()) / float64(n))
 	if budget != nil {
 		byMemory := max(1, int(connShare*float64(budget.limit)/connCost))
 		if g.maxConns == 0 || byMemory < g.maxConns {
@@ -91,6 +94,16 @@
 	return g
 }
 
+// Descriptors returns how many descriptors the process may open, or 0 if that is not known.
+func Descriptors() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	const enough = 1 << 20 // more than any process has
+	return int(min(limit.Cur, enough))
+}
+
 // Budget returns the budget of the process.
 func (g *Guard) Budget() *Budget { return g.budget }
 
@@ -113,6 +126,9 @@
 func (g *Guard) Protect(server *http.Server, listener net.Listener) net.Listener {
 	server.MaxHeaderBytes = maxHeadBytes
 	server.Handler = g.trackBody(server.Handler)
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, guardedKey{}, c)
+	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		guarded, ok := c.(*guardedConn)
 		if !ok {
@@ -140,6 +156,7 @@
 		if err != nil {
 			return nil, err
 		}
+		limitUnsent(accepted)
 		c := &guardedConn{Conn: accepted, guard: l.guard, since: time.Now(), inHead: true}
 		if l.guard.admit(c) {
 			return c, nil
@@ -149,20 +166,15 @@
 	}
 }
 
-// admit adds a connection. If there are too many, it closes the one that has been idle for
-// longest; if none is, the new one is not admitted.
+// admit adds a connection. If there are too many, others make room; if none can, the new one is not
+// admitted.
 func (g *Guard) admit(c *guardedConn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.maxConns > 0 && len(g.conns) >= g.maxConns {
-		idle := g.longestIdle()
-		if idle == nil {
+		if !g.makeRoom() {
 			return false
 		}
-		if idle.closeIdle() {
-			delete(g.conns, idle)
-			g.limited(LimitConnections)
-		}
 	}
 	g.budget.charge(connCost)
 	g.conns[c], c.cost = true, connCost
@@ -170,15 +182,13 @@
 }
 
 // longestIdle returns the connection that has been idle for longest, or nil.
-func (g *Guard) longestIdle() *guardedConn {
-	var found *guardedConn
-	var since time.Time
+func (g *Guard) longestIdle() (found *guardedConn, since time.Time) {
 	for c := range g.conns {
 		if at, idle := c.idleSince(); idle && (found == nil || at.Before(since)) {
 			found, since = c, at
 		}
 	}
-	return found
+	return found, since
 }
 
 // guardedConn is a connection of a caller.
@@ -194,6 +204,7 @@
 	ahead     readAhead // beyond the request that is being read or answered
 	since     time.Time // when the connection became idle, or the head began
 	requested time.Time // read deadline that the server has set
+	answer    answerState
 	closed    bool
 	limited   bool  // a limit has ended the connection, which net/http has yet to close
 	cost      int64 // taken from the budget for the connection
@@ -398,12 +409,16 @@
 	c.mu.Lock()
 	c.setClosed()
 	c.mu.Unlock()
-	c.guard.mu.Lock()
-	delete(c.guard.conns, c)
-	c.guard.mu.Unlock()
+	c.guard.remove(c)
 	return c.Conn.Close()
 }
 
+func (g *Guard) remove(c *guardedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
 // CloseWrite closes the writing side, see trackedConn.
 func (c *guardedConn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -416,6 +431,9 @@
 // the body when the handler returns.
 func (g *Guard) trackBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !awaitSent(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			next.ServeHTTP(w, r)
 			return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -101,11 +101,20 @@
 
 // opened records the head of the answer.
 func (send *streamSend) opened(a *attempt, p streamPosition) {
-	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body), !p.begun
+	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body, a.budget), !p.begun
+}
+
+// releaseEvents returns what was taken for events, if all that were read are passed on.
+func (send *streamSend) releaseEvents() {
+	if send.events != nil && len(send.ahead) == 0 {
+		send.events.release()
+	}
 }
 
 // close closes the connection.
 func (send *streamSend) close() {
+	send.ahead = nil
+	send.releaseEvents()
 	if send.attempt != nil {
 		send.attempt.close()
 	}
@@ -159,6 +168,9 @@
 			return err
 		}
 		list = append(list, ev)
+		if send.events.held > maxAheadBytes {
+			return errors.Join(errConnectionBroken, errEventTooLong)
+		}
 		if end || ev.substantial() {
 			send.ahead, send.aheadEnd = list, end
 			return nil
@@ -180,6 +192,8 @@
 	for {
 		r, reason, err := h.relaySend(q, send, s, watch)
 		if err == nil {
+			send.ahead = nil
+			send.releaseEvents()
 			send.cancel()
 			return r, reason
 		}
@@ -355,6 +369,7 @@
 		if ev.id != "" {
 			s.lastEventID = ev.id
 		}
+		send.releaseEvents()
 		if !send.buffered() {
 			s.flush()
 		}
