relay: events of streams are taken from the memory budget

Up to 1 MiB was read of an event for each send of a stream, without taking it from any budget. It now takes from the budget as buffered answers do, but for the first 4 KiB; a stream that finds no room ends as broken.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -7,18 +7,69 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"github.com/rhubarbhill/rhubarbhill/internal/network"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// freeEventBytes are not taken from the memory budget, so that streams of usual events go on
+	// while it is used up.
+	freeEventBytes = readBufferSize
+	// minEventBuffer is the size of the first buffer of an event.
+	minEventBuffer = 256
+	// maxAheadBytes limits the events that are read before one with data, as an endpoint may send
+	// comments without end.
+	maxAheadBytes = 4 * maxEventBytes
+	// eventCost is what an event holds besides its bytes.
+	eventCost = 128
+)
 
-var errEventTooLong = errors.New("event is too long")
+var (
+	errEventTooLong = errors.New("event is too long")
+	// errNoEventMemory means that the memory budget has no room for what an endpoint has sent and
+	// what is no event yet.
+	errNoEventMemory = errors.New("no memory for a long event")
+)
 
 // eventReader reads whole events of a text/event-stream.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	budget *network.Budget // nil for no limit
+	held   int64           // bytes of events since the last release
+	taken  int64           // from the budget
+}
+
+func newEventReader(r io.Reader, budget *network.Budget) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, readBufferSize), budget: budget}
+}
+
+// hold takes n bytes of the memory budget, except for the first freeEventBytes.
+func (e *eventReader) hold(n int64) error {
+	if needed := e.held + n - freeEventBytes - e.taken; needed > 0 {
+		if !e.budget.Take(needed) {
+			return errNoEventMemory
+		}
+		e.taken += needed
+	}
+	e.held += n
+	return nil
+}
+
+// release returns what was taken for events that are not needed any more.
+func (e *eventReader) release() {
+	e.budget.Release(e.taken)
+	e.held, e.taken = 0, 0
+}
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(r, readBufferSize)}
+// grow returns a copy of data with room for n more bytes.
+func (e *eventReader) grow(data []byte, n int) ([]byte, error) {
+	size := max(len(data)+n, minEventBuffer, min(2*cap(data), maxEventBytes+readBufferSize))
+	if err := e.hold(int64(size)); err != nil { // beside the old one, which the collector frees later
+		return nil, err
+	}
+	return append(make([]byte, 0, size), data...), nil
 }
 
 // event holds the bytes of one event, including the blank line at its end, and its ID.
@@ -33,8 +84,18 @@
 func (e *eventReader) next() (event, error) {
 	var ev event
 	lineStart := 0 // in ev.data
+	if err := e.hold(eventCost); err != nil {
+		return event{}, err
+	}
 	for {
 		line, err := e.reader.ReadSlice('\n')
+		if len(ev.data)+len(line) > cap(ev.data) {
+			grown, err := e.grow(ev.data, len(line))
+			if err != nil {
+				return event{}, err
+			}
+			ev.data = grown
+		}
 		ev.data = append(ev.data, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -100,11 +100,20 @@
 
 // opened records the head of the answer.
 func (send *streamSend) opened(a *attempt, p streamPosition) {
-	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body), !p.started
+	send.attempt, send.events, send.continued = a, newEventReader(a.response.Body, a.budget), !p.started
+}
+
+// releaseEvents returns what was taken for events, if all that were read are passed on.
+func (send *streamSend) releaseEvents() {
+	if send.events != nil && len(send.ahead) == 0 {
+		send.events.release()
+	}
 }
 
 // close closes the connection.
 func (send *streamSend) close() {
+	send.ahead = nil
+	send.releaseEvents()
 	if send.attempt != nil {
 		send.attempt.close()
 	}
@@ -158,6 +167,9 @@
 			return err
 		}
 		list = append(list, ev)
+		if send.events.held > maxAheadBytes {
+			return errors.Join(errConnectionBroken, errEventTooLong)
+		}
 		if end || ev.hasData || ev.id != "" {
 			send.ahead, send.aheadEnd = list, end
 			return nil
@@ -179,6 +191,8 @@
 	for {
 		r, reason, err := h.relaySend(q, send, s, watch)
 		if err == nil {
+			send.ahead = nil
+			send.releaseEvents()
 			send.cancel()
 			return r, reason
 		}
@@ -353,6 +367,7 @@
 		if ev.id != "" {
 			s.lastEventID = ev.id
 		}
+		send.releaseEvents()
 		if !send.buffered() {
 			s.flush()
 		}
