network: a sample of the connections is looked at to make room

Callers that do not read and open connections as fast as they are closed made the guard look at all connections twice for each new one, thousands of times a second. It now looks at 64 in random order, and at more only without a candidate.

--- a/internal/network/answers.go
+++ b/internal/network/answers.go
@@ -29,6 +29,8 @@
 	// newConnTime is how long a connection that waits for a head is spared while answers that are
 	// not read make room. A request that was sent at once would otherwise be lost.
 	newConnTime = time.Second
+	// roomSample is the least number of connections among which one is chosen to make room.
+	roomSample = 64
 )
 
 // answerState is the progress of the answers on a connection.
@@ -217,36 +219,42 @@
 	return true
 }
 
-// longestStalled returns the connection whose answer has made no progress for longest, or nil. The
-// mutex must be held.
-func (g *Guard) longestStalled() (found *guardedConn, since time.Time) {
+// candidates returns a connection that has been idle for long and one whose answer has made no
+// progress for long, or nil. Of many connections it looks at roomSample, in random order, because
+// callers may open thousands of them a second. The mutex must be held.
+func (g *Guard) candidates() (idle, stalled *guardedConn, idleSince, stalledSince time.Time) {
+	looked, now := 0, time.Now()
 	for c := range g.conns {
-		if at, stalled := c.stalledSince(); stalled && (found == nil || at.Before(since)) {
-			found, since = c, at
+		if at, ok := c.idleSince(); ok && (idle == nil || at.Before(idleSince)) {
+			idle, idleSince = c, at
+		}
+		if at, ok := c.stalledSince(); ok && (stalled == nil || at.Before(stalledSince)) {
+			stalled, stalledSince = c, at
+		}
+		looked++
+		if looked >= roomSample && (stalled != nil || idle != nil && now.Sub(idleSince) >= newConnTime) {
+			break
 		}
 	}
-	return found, since
+	return idle, stalled, idleSince, stalledSince
 }
 
-// makeRoom closes the connection that has been idle for longest, or else the one whose answer has
-// made no progress for longest. It reports false if there is neither. The mutex must be held.
+// makeRoom closes a connection that has been idle for long, or else one whose answer has made no
+// progress for long. It reports false if there is neither. The mutex must be held.
 func (g *Guard) makeRoom() bool {
 	for {
-		idle, idleSince := g.longestIdle()
-		if idle == nil || time.Since(idleSince) < newConnTime {
-			stalled, since := g.longestStalled()
-			switch {
-			case stalled != nil && stalled.closeStalled(since):
+		idle, stalled, idleSince, stalledSince := g.candidates()
+		spare := idle == nil || time.Since(idleSince) < newConnTime
+		switch {
+		case spare && stalled != nil:
+			if stalled.closeStalled(stalledSince) {
 				delete(g.conns, stalled)
 				g.limited(LimitSlowAnswer)
 				return true
-			case stalled != nil:
-				continue // it has made progress
-			case idle == nil:
-				return false
 			}
-		}
-		if idle.closeIdle() {
+		case idle == nil:
+			return false
+		case idle.closeIdle():
 			delete(g.conns, idle)
 			g.limited(LimitConnections)
 			return true
--- a/internal/network/guard.go
+++ b/internal/network/guard.go
@@ -180,16 +180,6 @@
 	return true
 }
 
-// longestIdle returns the connection that has been idle for longest, or nil.
-func (g *Guard) longestIdle() (found *guardedConn, since time.Time) {
-	for c := range g.conns {
-		if at, idle := c.idleSince(); idle && (found == nil || at.Before(since)) {
-			found, since = c, at
-		}
-	}
-	return found, since
-}
-
 // guardedConn is a connection of a caller.
 type guardedConn struct {
 	net.Conn
