--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -79,9 +79,9 @@
 	hasData bool // has a data field; without one, it is a comment or a setting
 }
 
-// substantial reports whether an event shows that its request has begun. An endpoint may send
+// hasContent reports whether an event shows that its request has begun. An endpoint may send
 // comments before that, to keep the connection open.
-func (ev event) substantial() bool { return ev.hasData || ev.id != "" }
+func (ev event) hasContent() bool { return ev.hasData || ev.id != "" }
 
 // next returns the next complete event, or io.EOF at the end of the stream, with any blanks
 // after the last event. It does not return a truncated event.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -150,7 +150,7 @@
 		return event{}, false, readError(err)
 	}
 	send.begun = true
-	if !send.continued && ev.substantial() {
+	if !send.continued && ev.hasContent() {
 		if !isAfter(ev.id, p.lastEventID) {
 			return event{}, false, fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, p.lastEventID)
 		}
@@ -171,7 +171,7 @@
 		if send.events.held > maxAheadBytes {
 			return errors.Join(errConnectionBroken, errEventTooLong)
 		}
-		if end || ev.substantial() {
+		if end || ev.hasContent() {
 			send.ahead, send.aheadEnd = list, end
 			return nil
 		}
@@ -345,7 +345,7 @@
 			}
 			return nil
 		}
-		if first && ev.substantial() {
+		if first && ev.hasContent() {
 			first, a.began = false, time.Now()
 			h.dispatcher.firstEvent(q, send.choice.ID, time.Since(q.placedAt)-send.choice.ModelTTFT)
 			q.inPrefill = false
@@ -365,7 +365,7 @@
 		if _, err := s.w.Write(ev.data); err != nil {
 			return errors.Join(errRequestEnded, err)
 		}
-		s.begun = s.begun || ev.substantial()
+		s.begun = s.begun || ev.hasContent()
 		if ev.id != "" {
 			s.lastEventID = ev.id
 		}
