relay: count sends to superseded weights that are given up before they began

That a request was given up after it was sent, and may still be on its way, was only to be found by putting send_failed and retries together: rhubarb_relay_retried_total counts it with requests that were never sent, and not at all if there is no further send.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,6 +17,8 @@
 type relayMetrics struct {
 	refused, retried, notRepeated metrics.ReasonCounter[Reason]
 	stray, ejected                prometheus.Counter
+	// abandoned counts sends to superseded weights that did not begin in time.
+	abandoned prometheus.Counter
 	// delays counts the times at which this process did not run, and delaySeconds how long.
 	delays, delaySeconds prometheus.Counter
 	crashes              prometheus.Counter
@@ -58,6 +60,7 @@
 		delays:       counter("process_delays_total", "Times at which this process did not run for half a second or more."),
 		delaySeconds: counter("process_delay_seconds_total", "Time for which this process did not run, of delays of half a second or more."),
 		stray:        counter("stray_answers_total", "Answers that belong to another request, or to none."),
+		abandoned:    counter("abandoned_sends_total", "Requests sent to superseded weights and given up because they had not begun in time. They may reach the endpoint later."),
 		ejected:      counter("ejections_total", "Endpoints taken out for a time after failures."),
 		crashes:      counter("crashes_total", "Requests without an event whose endpoint crashed."),
 		quarantined:  counter("parts_quarantined_total", "Parts of requests that were quarantined because requests with them crash endpoints."),
@@ -90,7 +93,7 @@
 		first: latency("first_event_seconds", "Time from a request's arrival to its first event or answer."),
 		total: latency("request_seconds", "Time from a request's arrival to its end."),
 	}
-	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
+	r.MustRegister(m.delays, m.delaySeconds, m.stray, m.ejected, m.abandoned, m.crashes, m.quarantined, m.suspectParts, m.rateLimited, m.malformedRateLimit, m.pauses, m.malformedPauses,
 		m.retryBudget, m.coldEndpoints, m.coldRefused, m.takeovers, m.retryBurst, m.retrySharers, m.evacuatedZones, m.ended, m.first, m.total)
 	return m
 }
--- a/internal/relay/weights.go
+++ b/internal/relay/weights.go
@@ -111,6 +111,7 @@
 // endpoint.
 func (h *handler) readTimeoutResult(q *request) (Reason, placement.Result) {
 	if h.beginsTooLate(q, time.Now()) {
+		h.metrics.abandoned.Inc()
 		return RetryOldWeights, placement.Neutral
 	}
 	return RetryTimedOut, placement.TimedOut
