stager: an engine gives up superseded weights before their bound

Cause: the bound was enforced where a request is sent, not where it begins. Entries send to superseded weights until 1.15 s before the bound and close the connection of a request that has not begun 0.35 s before it. A link that has become slow since the last first event delivers the request later, and the close behind it.

Change: 1 s before the bound the stager beside an engine orders it to keep only one layer of its superseded weights, unless newer ones are complete. The order does not cross the slow link. Requests in progress end, later ones are refused as not run, so that entries may send them elsewhere and tell callers the truth. An engine in this state loads the next complete version at once; a version that it would have to give up again is not loaded. Entries send nothing to such engines any more by then, so no service is lost.

TestLoadExplanationAgreesWithLoads draws ages up to 8 s a version, 3 s before, so that it reaches the new step, and checks that one too.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -192,7 +192,8 @@
 	Engine string    `json:"engine"`
 	At     time.Time `json:"at"`
 	Model  string    `json:"model,omitempty"`
-	// Step is what the stager would do next: load, wait, verify, await-load, fetch or none.
+	// Step is what the stager would do next: load, wait, verify, await-load, unload,
+	// await-unload, fetch or none.
 	Step string `json:"step"`
 	Why  string `json:"why"`
 	// Loaded is the complete version that the engine last reported; 0 for none.
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -61,6 +61,9 @@
 	// Load orders the engine to load the staged pieces as a version. The engine refuses
 	// unless expected is the number of orders that it has accepted.
 	Load(ctx context.Context, address, model string, version, expected uint64) error
+	// Unload orders the engine to give up a version, so that no further request begins on it.
+	// Requests in progress end. The engine refuses as for Load.
+	Unload(ctx context.Context, address, model string, version, expected uint64) error
 	// Stage writes a piece to the engine's staging area, and Staged reads it back.
 	Stage(ctx context.Context, address, model string, piece int, data []byte) error
 	Staged(ctx context.Context, address, model string, piece int, limit int64) ([]byte, error)
@@ -96,6 +99,7 @@
 	// reconcile loop uses them.
 	verified, rejected verifiedLoads
 	writes             stagingWrites // likewise
+	unloaded           verifiedLoads // the last order to give up weights, likewise
 
 	lastReport atomic.Pointer[engineState]
 
@@ -383,6 +387,7 @@
 	d.loaded.Store(protocol.NewestCompleteVersion(report.Layers[t.model], t.layers))
 	now := time.Now()
 	state := engineState{loading: report.Loading, trusted: d.trusts(report), at: now}
+	state.unloading = report.Loading && d.unloaded == verifiedLoads{report.Started, report.Orders}
 	d.lastReport.Store(&state)
 	next := d.decide(named, state, now)
 	until := next.due.at.Sub(now)
@@ -391,15 +396,20 @@
 		d.replacement.Store(0)
 	}
 	switch next.step {
+	case stepUnload:
+		return loadingInterval, d.unload(ctx, t, report, now.Sub(supersededAt(d.loaded.Load(), named)))
+	case stepAwaitUnload:
+		return loadingInterval, nil
 	case stepVerify:
-		return d.verifyLoaded(ctx, t, report)
+		wait, err := d.verifyLoaded(ctx, t, report)
+		return next.limitWait(wait, now), err
 	case stepNone:
-		return checkInterval, nil
+		return next.limitWait(checkInterval, now), nil
 	case stepWait:
 		if until > wire.LoadNotice {
-			return until - wire.LoadNotice, nil
+			until -= wire.LoadNotice
 		}
-		return until, nil
+		return next.limitWait(until, now), nil
 	}
 	t.version = next.due.version
 	if next.step == stepAwaitLoad {
--- a/internal/stager/daemon_test.go
+++ b/internal/stager/daemon_test.go
@@ -19,7 +19,10 @@
 	"github.com/rhubarbhill/rhubarbhill/internal/protocol"
 )
 
-const testPieces = 8
+const (
+	testPieces = 8
+	testLayers = 4
+)
 
 func pieceOf(version uint64, i int) []byte {
 	return fmt.Appendf(nil, "piece %d of version %d", i, version)
@@ -39,7 +42,10 @@
 	mu     sync.Mutex
 	staged map[int][]byte
 	loaded uint64
+	layers int // of the loaded version
 	orders uint64
+	// loading is true while requests on given up weights are in progress.
+	loading bool
 	// orderedWith tells for each piece whether it was staged correctly when the last load was
 	// ordered.
 	orderedWith []bool
@@ -53,7 +59,7 @@
 
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{
-		staged: map[int][]byte{}, list: listOf,
+		staged: map[int][]byte{}, layers: testLayers, list: listOf,
 		corruptOrigin: func(_ int, data []byte) []byte { return data }, corruptStaged: func(int) {},
 	}
 }
@@ -61,22 +67,33 @@
 func (e *fakeEngine) Report(context.Context, string) (protocol.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := protocol.Report{Layers: map[string][]protocol.ServedLayers{}, Orders: e.orders, Started: 1}
+	r := protocol.Report{Layers: map[string][]protocol.ServedLayers{}, Orders: e.orders, Started: 1, Loading: e.loading}
 	if e.loaded > 0 {
-		r.Layers["m"] = []protocol.ServedLayers{{From: 0, To: 4, Version: e.loaded}}
+		r.Layers["m"] = []protocol.ServedLayers{{From: 0, To: e.layers, Version: e.loaded}}
 	}
 	return r, nil
 }
 
+func (e *fakeEngine) Unload(_ context.Context, _, _ string, version, expected uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if expected != e.orders || version != e.loaded || e.loading {
+		return errors.New("the order does not fit the state")
+	}
+	e.orders++
+	e.layers = 1
+	return nil
+}
+
 func (e *fakeEngine) Load(_ context.Context, _, _ string, version, expected uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expected = expected
-	if expected != e.orders {
+	if expected != e.orders || e.loading {
 		return errors.New("another order came first")
 	}
 	e.orders++
-	e.loaded = version
+	e.loaded, e.layers = version, testLayers
 	e.orderedWith = nil
 	for i := range testPieces {
 		e.orderedWith = append(e.orderedWith, string(e.staged[i]) == string(pieceOf(version, i)))
@@ -116,7 +133,7 @@
 	return New(s, Options{Token: auth.NewToken("a-token-of-processes"), Engine: e}, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 }
 
-var version2 = target{model: "m", version: 2, layers: 4, pieces: testPieces, origin: "origin:1"}
+var version2 = target{model: "m", version: 2, layers: testLayers, pieces: testPieces, origin: "origin:1"}
 
 // fetchAndLoad fetches a version and loads it, without a connection to the fleet.
 func fetchAndLoad(ctx context.Context, d *Daemon, t target) error {
--- a/internal/stager/explain.go
+++ b/internal/stager/explain.go
@@ -16,9 +16,10 @@
 
 // engineState is what the decision about the next load takes from a report of the engine.
 type engineState struct {
-	loading bool
-	trusted bool      // the weights were verified
-	at      time.Time // of the report
+	loading   bool
+	unloading bool      // loading, after an order to give up weights
+	trusted   bool      // the weights were verified
+	at        time.Time // of the report
 }
 
 // loadStep is what a stager does next for its engine.
@@ -30,10 +31,12 @@
 	stepVerify
 	stepAwaitLoad // the engine is still loading
 	stepLoad
+	stepUnload // the weights may not be used any more
+	stepAwaitUnload
 )
 
 func (s loadStep) String() string {
-	return [...]string{"none", "wait", "verify", "await-load", "load"}[s]
+	return [...]string{"none", "wait", "verify", "await-load", "load", "unload", "await-unload"}[s]
 }
 
 // loadDecision is what a stager does next, and the load that is planned, if any.
@@ -41,16 +44,30 @@
 	step    loadStep
 	due     plannedLoad
 	planned bool
+	// unloadAt is when the engine must give up its weights; zero if no newer ones were named.
+	unloadAt time.Time
+}
+
+// limitWait limits a wait to the time that is left until the engine must give up its weights.
+func (n loadDecision) limitWait(wait time.Duration, now time.Time) time.Duration {
+	if !n.unloadAt.After(now) { // also if there is none
+		return wait
+	}
+	return min(wait, n.unloadAt.Sub(now))
 }
 
 // decide returns what to do next for the engine. It changes no state. There is at least one named
 // version.
 func (d *Daemon) decide(named []fleetclient.NamedVersion, state engineState, now time.Time) loadDecision {
 	loaded := d.loaded.Load()
-	due, ok := nextLoad(loaded, named, d.completedAt, d.loadTime, d.newerArriving, now)
-	next := loadDecision{due: due, planned: ok}
+	due, ok := nextLoad(loaded, named, d.completedAt, d.loadTime, d.newerArriving, d.unloadAge(), now)
+	next := loadDecision{due: due, planned: ok, unloadAt: d.unloadTime(loaded, named)}
 	waits := !ok || due.at.After(now)
 	switch {
+	case state.unloading:
+		next.step = stepAwaitUnload
+	case waits && !state.loading && !next.unloadAt.IsZero() && !next.unloadAt.After(now):
+		next.step = stepUnload
 	case waits && !state.trusted && !state.loading && loaded != 0:
 		next.step = stepVerify
 	case !ok:
@@ -120,6 +137,10 @@
 		return fmt.Sprintf("version %d is complete and waits for its turn", next.due.version)
 	case stepAwaitLoad:
 		return "the engine is loading"
+	case stepAwaitUnload:
+		return "the engine gives up superseded weights once its requests have ended"
+	case stepUnload:
+		return fmt.Sprintf("version %d was superseded %d ms ago, and requests may begin on it for %d ms", loaded, now.Sub(supersededAt(loaded, named)).Milliseconds(), d.settings.WeightsBound.Std().Milliseconds())
 	case stepLoad:
 		if loaded == 0 {
 			return fmt.Sprintf("the engine holds no complete version, and version %d is complete", next.due.version)
--- a/internal/stager/explain_test.go
+++ b/internal/stager/explain_test.go
@@ -33,7 +33,7 @@
 	c.orders = uint64(rapid.SampledFrom([]int{0, 0, 1}).Draw(t, "orders"))
 	age := time.Duration(0)
 	for range c.named {
-		age += time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+		age += time.Duration(rapid.IntRange(0, 8000).Draw(t, "age")) * time.Millisecond
 		c.ages = append([]time.Duration{age}, c.ages...)
 	}
 	for v := 1; v <= 3; v++ {
@@ -100,6 +100,8 @@
 	}
 	done := stepNone.String()
 	switch {
+	case e.orders > ordersBefore && e.layers < testLayers:
+		done = stepUnload.String()
 	case e.orders > ordersBefore:
 		done = stepLoad.String()
 		if e.loaded != told.Next {
@@ -132,7 +134,7 @@
 		}
 		seen[step]++
 	})
-	for _, step := range []loadStep{stepNone, stepWait, stepVerify, stepLoad} {
+	for _, step := range []loadStep{stepNone, stepWait, stepVerify, stepLoad, stepUnload} {
 		if seen[step.String()] == 0 {
 			t.Errorf("no drawn state led to %v", step)
 		}
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -39,6 +39,18 @@
 	return completed.Add(time.Duration(offset * float64(remaining)))
 }
 
+// supersededAt returns when the first version newer than the given one was named, or the zero time
+// if there is none.
+func supersededAt(version uint64, named []fleetclient.NamedVersion) time.Time {
+	var first time.Time
+	for _, n := range named {
+		if n.Version > version && (first.IsZero() || n.Since.Before(first)) {
+			first = n.Since
+		}
+	}
+	return first
+}
+
 // plannedLoad is the version that an engine is to load next, and when.
 type plannedLoad struct {
 	version uint64
@@ -51,22 +63,16 @@
 // The versions in named are in ascending order, and there is at least one. completedAt
 // returns when the copy of a version was completed, or the zero time. loadAt returns when a
 // version is to be loaded. newerArriving reports whether a version newer than the given one
-// is being received.
-func nextLoad(loaded uint64, named []fleetclient.NamedVersion, completedAt func(uint64) time.Time, loadAt func(version uint64, superseded, completed time.Time) time.Time, newerArriving func(uint64) bool, now time.Time) (plannedLoad, bool) {
+// is being received. A version is not loaded once it has been superseded for unloadAge.
+func nextLoad(loaded uint64, named []fleetclient.NamedVersion, completedAt func(uint64) time.Time, loadAt func(version uint64, superseded, completed time.Time) time.Time, newerArriving func(uint64) bool, unloadAge time.Duration, now time.Time) (plannedLoad, bool) {
 	newest := named[len(named)-1].Version
-	var superseded time.Time
-	for _, n := range named {
-		if n.Version > loaded {
-			superseded = n.Since
-			break
-		}
-	}
+	superseded := supersededAt(loaded, named)
 	for _, n := range slices.Backward(named) {
 		if n.Version <= loaded {
 			break
 		}
 		completed := completedAt(n.Version)
-		if completed.IsZero() {
+		if since := supersededAt(n.Version, named); completed.IsZero() || !since.IsZero() && now.Sub(since) >= unloadAge {
 			continue
 		}
 		if loaded == 0 {
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -51,7 +51,7 @@
 			}
 			loadAt := func(uint64, time.Time, time.Time) time.Time { return now.Add(c.loadDelay) }
 			at := now.Add(c.after)
-			l, ok := nextLoad(c.loaded, named, completedAt, loadAt, func(uint64) bool { return c.arriving }, at)
+			l, ok := nextLoad(c.loaded, named, completedAt, loadAt, func(uint64) bool { return c.arriving }, time.Hour, at)
 			due := ok && !l.at.After(at)
 			is.Equal(due, c.want != 0)
 			if due {
@@ -100,7 +100,7 @@
 		nextLoad(loaded, named, completedAt, func(_ uint64, superseded, _ time.Time) time.Time {
 			got = superseded
 			return now
-		}, func(uint64) bool { return false }, now)
+		}, func(uint64) bool { return false }, time.Hour, now)
 		is.Equal(got, want)
 	}
 }
