fleetclient: stagers ask for the age of weights that they learn of

A stager whose link or machine stood still while a version was named took it for younger by that time, since only entries asked for the age. It decides now until when its engine may hold superseded weights, so a delayed message of 3 s would have made it give them up 2 s after their bound.

TestAgeOfWeightsInDelayedMessage plays its cases for both roles; those of the stager fail without the change. A calm system gets one short request and reply per stager and version.

--- a/internal/fleetclient/ages.go
+++ b/internal/fleetclient/ages.go
@@ -35,8 +35,8 @@
 	Peer() string
 }
 
-// requestAges asks the replicas for the ages of the named versions if an entry has learned of a new
-// one. The age in a message is that at the time when the message was encoded, and the message may
+// requestAges asks the replicas for the ages of the named versions if this process has learned of a
+// new one. The age in a message is that at the time when the message was encoded, and the message may
 // have been delayed, by a link or because this process did not run. A reply cannot be older than its
 // request.
 func (c *Client) requestAges(ctx context.Context, wg *sync.WaitGroup) {
--- a/internal/fleetclient/ages_test.go
+++ b/internal/fleetclient/ages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,29 +52,31 @@
 		"only delayed requests":         {3 * time.Second, slowReplica{there: 500 * time.Millisecond, slow: true}, maxSlowAgeRounds, 500 * time.Millisecond, 0},
 		"replica of an earlier version": {3 * time.Second, slowReplica{err: wire.Error{Code: "unsupported"}}, 1, 0, 3 * time.Second},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				client := testClient()
-				client.self.Role = wire.RoleEntry
-				replica := c.replica
-				replica.named = time.Now()
-				body, err := wire.Marshal(wire.Fleet{Weights: []wire.NamedWeights{{Model: "m", Version: 2}}})
-				is.NoErr(err)
-				time.Sleep(c.delay)
-				env := wire.Envelope{Type: wire.TypeFleet, Body: body}
-				for range 2 { // the second message has nothing new
-					client.receive("replica-1", env)
-					for client.ages.due {
-						client.ages.due = !client.requestAgesFrom(t.Context(), []requester{&replica})
-						time.Sleep(ageRequestInterval)
+		for _, role := range []wire.Role{wire.RoleEntry, wire.RoleStager} {
+			t.Run(fmt.Sprint(name, " at role ", role), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					client := testClient()
+					client.self.Role = role
+					replica := c.replica
+					replica.named = time.Now()
+					body, err := wire.Marshal(wire.Fleet{Weights: []wire.NamedWeights{{Model: "m", Version: 2}}})
+					is.NoErr(err)
+					time.Sleep(c.delay)
+					env := wire.Envelope{Type: wire.TypeFleet, Body: body}
+					for range 2 { // the second message has nothing new
+						client.receive("replica-1", env)
+						for client.ages.due {
+							client.ages.due = !client.requestAgesFrom(t.Context(), []requester{&replica})
+							time.Sleep(ageRequestInterval)
+						}
 					}
-				}
-				is.Equal(replica.asked, c.asked)
-				since := client.SupersededAt("m", 1)
-				is.True(!since.Before(replica.named.Add(-c.early)))
-				is.True(!since.After(replica.named.Add(c.late)))
+					is.Equal(replica.asked, c.asked)
+					since := client.SupersededAt("m", 1)
+					is.True(!since.Before(replica.named.Add(-c.early)))
+					is.True(!since.After(replica.named.Add(c.late)))
+				})
 			})
-		})
+		}
 	}
 }
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -250,8 +250,7 @@
 	c.recordEvacuations(m, address)
 	c.updateProcesses(address, m)
 	for _, w := range m.Weights {
-		isNew := c.recordWeights(w, now.Add(-time.Duration(w.AgeMs)*time.Millisecond), address)
-		if isNew && c.self.Role == wire.RoleEntry {
+		if c.recordWeights(w, now.Add(-time.Duration(w.AgeMs)*time.Millisecond), address) {
 			c.ages.due = true
 			c.signalWake()
 		}
