stager: no order to give up the weights of a model with one layer

Found in reading again: an engine holds such a model or not, and takes the order as in effect already, so it would have been repeated ten times a second. TestModelOfOneLayerIsNotGivenUp fails without the check.

--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -386,7 +386,7 @@
 	}
 	d.loaded.Store(protocol.NewestCompleteVersion(report.Layers[t.model], t.layers))
 	now := time.Now()
-	state := engineState{loading: report.Loading, trusted: d.trusts(report), at: now}
+	state := engineState{loading: report.Loading, layers: t.layers, trusted: d.trusts(report), at: now}
 	state.unloading = report.Loading && d.unloaded == verifiedLoads{report.Started, report.Orders}
 	d.lastReport.Store(&state)
 	next := d.decide(named, state, now)
@@ -397,7 +397,7 @@
 	}
 	switch next.step {
 	case stepUnload:
-		return loadingInterval, d.unload(ctx, t, report, now.Sub(supersededAt(d.loaded.Load(), named)))
+		return checkInterval, d.unload(ctx, t, report, now.Sub(supersededAt(d.loaded.Load(), named)))
 	case stepAwaitUnload:
 		return loadingInterval, nil
 	case stepVerify:
--- a/internal/stager/explain.go
+++ b/internal/stager/explain.go
@@ -18,6 +18,7 @@
 type engineState struct {
 	loading   bool
 	unloading bool      // loading, after an order to give up weights
+	layers    int       // of the model
 	trusted   bool      // the weights were verified
 	at        time.Time // of the report
 }
@@ -61,7 +62,7 @@
 func (d *Daemon) decide(named []fleetclient.NamedVersion, state engineState, now time.Time) loadDecision {
 	loaded := d.loaded.Load()
 	due, ok := nextLoad(loaded, named, d.completedAt, d.loadTime, d.newerArriving, d.unloadAge(), now)
-	next := loadDecision{due: due, planned: ok, unloadAt: d.unloadTime(loaded, named)}
+	next := loadDecision{due: due, planned: ok, unloadAt: d.unloadTime(loaded, state.layers, named)}
 	waits := !ok || due.at.After(now)
 	switch {
 	case state.unloading:
--- a/internal/stager/explain_test.go
+++ b/internal/stager/explain_test.go
@@ -76,7 +76,7 @@
 	}
 	report, _ := e.Report(context.Background(), "") // never fails
 	d.loaded.Store(c.loaded)
-	d.lastReport.Store(&engineState{trusted: d.trusts(report), at: start})
+	d.lastReport.Store(&engineState{layers: testLayers, trusted: d.trusts(report), at: start})
 	return d, e
 }
 
--- a/internal/stager/unload_test.go
+++ b/internal/stager/unload_test.go
@@ -112,3 +112,13 @@
 		is.Equal(l.version, c.want)
 	}
 }
+
+// Guards against orders without effect to an engine whose model has one layer, of which it can keep
+// no part.
+func TestModelOfOneLayerIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	c := newUnloadCase()
+	named := c.stager.named("m")
+	is.True(c.stager.unloadTime(1, 1, named).IsZero())
+	is.Equal(c.stager.unloadTime(1, 2, named), named[1].Since.Add(c.stager.unloadAge()))
+}
