stager: a load that fails does not keep superseded weights

Found in reading again. An engine whose newer weights are complete is not told to give up the superseded ones, since their load replaces them. A load that fails each time, as with staged pieces that turn bad, left it with them beyond the bound, so that a request that is delivered late would begin.

The engine gives them up if the load was not ordered 0.5 s later. TestFailingLoadDoesNotKeepSupersededWeights fails without that.

--- a/internal/stager/explain.go
+++ b/internal/stager/explain.go
@@ -64,10 +64,14 @@
 	due, ok := nextLoad(loaded, named, d.completedAt, d.loadTime, d.newerArriving, d.unloadAge(), now)
 	next := loadDecision{due: due, planned: ok, unloadAt: d.unloadTime(loaded, state.layers, named)}
 	waits := !ok || due.at.After(now)
+	unloadAt := next.unloadAt
+	if !waits { // the load replaces the weights, unless it fails
+		unloadAt = unloadAt.Add(loadGrace)
+	}
 	switch {
 	case state.unloading:
 		next.step = stepAwaitUnload
-	case waits && !state.loading && !next.unloadAt.IsZero() && !next.unloadAt.After(now):
+	case !state.loading && !next.unloadAt.IsZero() && !unloadAt.After(now):
 		next.step = stepUnload
 	case waits && !state.trusted && !state.loading && loaded != 0:
 		next.step = stepVerify
--- a/internal/stager/unload.go
+++ b/internal/stager/unload.go
@@ -20,6 +20,9 @@
 	// Entries stop sending requests to them 1.2 s before the bound, and a request that has arrived
 	// begins after up to one pass of the engine, 0.5 s if it is fully loaded.
 	unloadMargin = time.Second
+	// loadGrace is how long a load that is due may take until it is ordered. One that fails, or
+	// stages its pieces too slowly, does not keep the weights.
+	loadGrace = unloadMargin / 2
 	// minUnloadAge is how long superseded weights are kept at least, as long as entries use them
 	// with a very short weights bound.
 	minUnloadAge = time.Second
--- a/internal/stager/unload_test.go
+++ b/internal/stager/unload_test.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,6 +90,24 @@
 	})
 }
 
+// Guards against an engine that keeps superseded weights because the load that is to replace them
+// fails each time.
+func TestFailingLoadDoesNotKeepSupersededWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUnloadCase()
+		c.engine.corruptStaged = func(piece int) { c.engine.spoil(piece) }
+		c.complete()
+		for time.Since(c.start) < c.stager.settings.WeightsBound.Std()-100*time.Millisecond {
+			until, err := c.stager.reconcile(t.Context(), version2)
+			is.True(err == nil || errors.Is(err, errDigest))
+			time.Sleep(min(retryPause, until+time.Millisecond))
+		}
+		is.Equal(c.engine.loaded, uint64(1))
+		is.Equal(c.engine.layers, 1)
+	})
+}
+
 // Guards against loading a version that the engine would have to give up again.
 func TestVersionPastItsUseIsNotLoaded(t *testing.T) {
 	is := is.New(t)
