--- a/internal/fleetclient/weights.go
+++ b/internal/fleetclient/weights.go
@@ -103,8 +103,14 @@
 func (c *Client) SupersededAt(model string, version uint64) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return SupersededAt(c.weights[model], version)
+}
+
+// SupersededAt returns when the first version newer than the given one was named, of a list of
+// versions with the oldest first, or the zero time if there is none.
+func SupersededAt(named []NamedVersion, version uint64) time.Time {
 	var first time.Time
-	for _, w := range slices.Backward(c.weights[model]) {
+	for _, w := range slices.Backward(named) {
 		if w.Version <= version {
 			break
 		}
--- a/internal/stager/daemon.go
+++ b/internal/stager/daemon.go
@@ -397,7 +397,7 @@
 	}
 	switch next.step {
 	case stepUnload:
-		return checkInterval, d.unload(ctx, t, report, now.Sub(supersededAt(d.loaded.Load(), named)))
+		return checkInterval, d.unload(ctx, t, report, now.Sub(fleetclient.SupersededAt(named, d.loaded.Load())))
 	case stepAwaitUnload:
 		return loadingInterval, nil
 	case stepVerify:
--- a/internal/stager/explain.go
+++ b/internal/stager/explain.go
@@ -145,7 +145,7 @@
 	case stepAwaitUnload:
 		return "the engine gives up superseded weights once its requests have ended"
 	case stepUnload:
-		return fmt.Sprintf("version %d was superseded %d ms ago, and requests may begin on it for %d ms", loaded, now.Sub(supersededAt(loaded, named)).Milliseconds(), d.settings.WeightsBound.Std().Milliseconds())
+		return fmt.Sprintf("version %d was superseded %d ms ago, and requests may begin on it for %d ms", loaded, now.Sub(fleetclient.SupersededAt(named, loaded)).Milliseconds(), d.settings.WeightsBound.Std().Milliseconds())
 	case stepLoad:
 		if loaded == 0 {
 			return fmt.Sprintf("the engine holds no complete version, and version %d is complete", next.due.version)
--- a/internal/stager/unload.go
+++ b/internal/stager/unload.go
@@ -36,7 +36,7 @@
 // unloadTime returns when the engine must give up the version that it holds; zero if it holds none
 // or the newest one, or if the model has one layer only, which an engine holds or not.
 func (d *Daemon) unloadTime(loaded uint64, layers int, named []fleetclient.NamedVersion) time.Time {
-	since := supersededAt(loaded, named)
+	since := fleetclient.SupersededAt(named, loaded)
 	if loaded == 0 || layers < 2 || since.IsZero() {
 		return time.Time{}
 	}
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -39,18 +39,6 @@
 	return completed.Add(time.Duration(offset * float64(remaining)))
 }
 
-// supersededAt returns when the first version newer than the given one was named, or the zero time
-// if there is none.
-func supersededAt(version uint64, named []fleetclient.NamedVersion) time.Time {
-	var first time.Time
-	for _, n := range named {
-		if n.Version > version && (first.IsZero() || n.Since.Before(first)) {
-			first = n.Since
-		}
-	}
-	return first
-}
-
 // plannedLoad is the version that an engine is to load next, and when.
 type plannedLoad struct {
 	version uint64
@@ -66,13 +54,13 @@
 // is being received. A version is not loaded once it has been superseded for unloadAge.
 func nextLoad(loaded uint64, named []fleetclient.NamedVersion, completedAt func(uint64) time.Time, loadAt func(version uint64, superseded, completed time.Time) time.Time, newerArriving func(uint64) bool, unloadAge time.Duration, now time.Time) (plannedLoad, bool) {
 	newest := named[len(named)-1].Version
-	superseded := supersededAt(loaded, named)
+	superseded := fleetclient.SupersededAt(named, loaded)
 	for _, n := range slices.Backward(named) {
 		if n.Version <= loaded {
 			break
 		}
 		completed := completedAt(n.Version)
-		if since := supersededAt(n.Version, named); completed.IsZero() || !since.IsZero() && now.Sub(since) >= unloadAge {
+		if since := fleetclient.SupersededAt(named, n.Version); completed.IsZero() || !since.IsZero() && now.Sub(since) >= unloadAge {
 			continue
 		}
 		if loaded == 0 {
